Add the base library, settings, HTTP, peer links and store client

Cause: every process needs one event loop, HTTP in both directions, signed messages between daemons, settings with all findings at once and a client of the object API.

--- /dev/null
+++ b/Modules/BulrushfoldDependencies.cmake
@@ -0,0 +1,12 @@
+# Finds the libraries that Debian packages and that the project uses.
+find_package(PkgConfig REQUIRED)
+find_package(absl REQUIRED)
+find_package(rapidcheck REQUIRED)
+find_package(OpenSSL REQUIRED)
+find_package(Threads REQUIRED)
+pkg_check_modules(SIGCXX REQUIRED IMPORTED_TARGET sigc++-3.0)
+pkg_check_modules(EVENT REQUIRED IMPORTED_TARGET libevent)
+pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
+pkg_check_modules(INIH REQUIRED IMPORTED_TARGET inih)
+pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
+find_path(EASYLOGGINGPP_SOURCE_DIR easylogging++.cc REQUIRED)
--- /dev/null
+++ b/Source/Base/Clock.h
@@ -0,0 +1,67 @@
+#ifndef BULRUSHFOLD_BASE_CLOCK_H
+#define BULRUSHFOLD_BASE_CLOCK_H
+
+#include <chrono>
+
+namespace bulrushfold {
+
+/** Time spans inside the program; the unit is the microsecond. */
+using Duration = std::chrono::microseconds;
+
+/** A reading of the monotonic clock. */
+using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/** A reading of the calendar clock; the unit is the millisecond. */
+using WallTime =
+  std::chrono::time_point<std::chrono::system_clock, std::chrono::milliseconds>;
+
+/**
+ * Source of time. Decision classes read time only through this interface, so
+ * that tests and randomised runs can use a virtual clock.
+ */
+class Clock
+{
+public:
+  virtual ~Clock() = default;
+  /** Monotonic time; never goes back. */
+  virtual Instant Now() const = 0;
+  /** Calendar time; may jump. */
+  virtual WallTime Wall() const = 0;
+};
+
+/** Clock of the operating system. */
+class SystemClock : public Clock
+{
+public:
+  Instant Now() const override;
+  WallTime Wall() const override;
+};
+
+/** Virtual clock that moves only when it is told to. */
+class ManualClock : public Clock
+{
+public:
+  ManualClock();
+  Instant Now() const override { return mNow; }
+  WallTime Wall() const override;
+  /** Moves both readings forward by aStep, which must not be negative. */
+  void Advance(Duration aStep);
+
+private:
+  Instant mNow;
+  WallTime mWallStart;
+  Instant mStart;
+};
+
+/** Length of aSpan in milliseconds, with fractions. */
+double ToMilliseconds(Duration aSpan);
+
+/** Length of aSpan in seconds, with fractions. */
+double ToSeconds(Duration aSpan);
+
+/** aSeconds as a Duration, rounded to the nearest microsecond. */
+Duration FromSeconds(double aSeconds);
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Base/Secret.h
@@ -0,0 +1,27 @@
+#ifndef BULRUSHFOLD_BASE_SECRET_H
+#define BULRUSHFOLD_BASE_SECRET_H
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bulrushfold {
+
+/** Lower-case hexadecimal form of aBytes. */
+std::string ToHex(std::string_view aBytes);
+
+/** Bytes of a hexadecimal string; empty when aHex is not hexadecimal. */
+std::optional<std::string> FromHex(std::string_view aHex);
+
+/** SHA-256 of aData as 64 hexadecimal digits; the stored form of a token. */
+std::string Sha256Hex(std::string_view aData);
+
+/** HMAC-SHA256 of aData under aKey; 32 bytes. */
+std::string HmacSha256(std::string_view aKey, std::string_view aData);
+
+/** Compares two strings in a time that depends only on their lengths. */
+bool EqualConstantTime(std::string_view aLeft, std::string_view aRight);
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Platform/HttpObjectStore.h
@@ -0,0 +1,52 @@
+#ifndef BULRUSHFOLD_PLATFORM_HTTPOBJECTSTORE_H
+#define BULRUSHFOLD_PLATFORM_HTTPOBJECTSTORE_H
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "Net/HttpClient.h"
+#include "Platform/ObjectStore.h"
+#include "Settings/Settings.h"
+
+namespace bulrushfold {
+
+/** The object API over HTTP and JSON. */
+class HttpObjectStore : public ObjectStore
+{
+public:
+  HttpObjectStore(HttpClient& aClient, const PlatformSettings& aSettings);
+  ~HttpObjectStore() override;
+
+  void Get(const std::string& aKey, GetHook aHook) override;
+  void Put(const std::string& aKey,
+           const std::string& aBody,
+           std::optional<std::uint64_t> aExpected,
+           PutHook aHook) override;
+  void Delete(const std::string& aKey, PutHook aHook) override;
+  void List(const std::string& aPrefix, ListHook aHook) override;
+  std::unique_ptr<StoreWatch> Watch(const std::string& aPrefix,
+                                    std::uint64_t aRevision,
+                                    StoreWatchHooks aHooks) override;
+  void ListVms(VmHook aHook) override;
+  const StoreTraffic& Traffic() const override { return mTraffic; }
+
+private:
+  using ReplyHook = std::function<void(HttpCallReply)>;
+  void Send(HttpMethod aMethod,
+            const std::string& aTarget,
+            HttpHeaders aHeaders,
+            const std::string& aBody,
+            ReplyHook aHook);
+  HttpCallRequest MakeRequest(HttpMethod aMethod, const std::string& aTarget);
+
+  HttpClient& mClient;
+  PlatformSettings mSettings;
+  StoreTraffic mTraffic;
+  std::uint64_t mNextCall = 1;
+  std::map<std::uint64_t, std::unique_ptr<HttpCall>> mCalls;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Platform/ObjectStore.h
@@ -0,0 +1,120 @@
+#ifndef BULRUSHFOLD_PLATFORM_OBJECTSTORE_H
+#define BULRUSHFOLD_PLATFORM_OBJECTSTORE_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Settings/Settings.h"
+#include "absl/status/statusor.h"
+
+namespace bulrushfold {
+
+/** Largest value of one object, in bytes. */
+constexpr std::size_t kMaxObjectBytes = 1'000'000;
+
+/** An object of the platform's object API. */
+struct StoredObject
+{
+  std::string mKey;
+  /** Increases with each write of this object; never 0. */
+  std::uint64_t mVersion = 0;
+  std::string mBody;
+};
+
+/** State of a VM in the platform's list. */
+enum class VmState
+{
+  Live,
+  Leaving,
+};
+
+/** One VM of the platform's list. The list lags behind the actual state. */
+struct VmEntry
+{
+  /** Name of the daemon on the VM. */
+  std::string mName;
+  std::string mFailureDomain;
+  SocketAddress mPeerAddress;
+  VmState mState = VmState::Live;
+};
+
+/** Calls of the object API since the start of the process. */
+struct StoreTraffic
+{
+  std::uint64_t mReads = 0;
+  std::uint64_t mWrites = 0;
+  std::uint64_t mWatches = 0;
+  std::uint64_t mFailures = 0;
+};
+
+/** A watch in progress; destroying it ends the watch. */
+class StoreWatch
+{
+public:
+  virtual ~StoreWatch() = default;
+};
+
+/** Callbacks of a watch. */
+struct StoreWatchHooks
+{
+  std::function<void(const StoredObject&)> mOnChange;
+  /** OutOfRange: the revision is no longer available, so list again. Any other
+   * status: start again from the last revision seen. */
+  std::function<void(absl::Status, std::uint64_t aLastRevision)> mOnEnd;
+};
+
+/** Objects under a prefix, with the revision that a watch continues from. */
+struct StoreListing
+{
+  std::vector<StoredObject> mObjects;
+  std::uint64_t mRevision = 0;
+};
+
+/**
+ * The platform's object API. Results arrive in a later turn of the loop.
+ *
+ * Errors: NotFound; FailedPrecondition (the version differs; the write did not
+ * take effect); ResourceExhausted (rate limit; not applied); Unavailable (no
+ * connection came about; not applied); Unknown (no answer: a write may have
+ * taken effect).
+ */
+class ObjectStore
+{
+public:
+  using GetHook = std::function<void(absl::StatusOr<StoredObject>)>;
+  using PutHook = std::function<void(absl::StatusOr<std::uint64_t>)>;
+  using ListHook = std::function<void(absl::StatusOr<StoreListing>)>;
+  using VmHook = std::function<void(absl::StatusOr<std::vector<VmEntry>>)>;
+
+  virtual ~ObjectStore() = default;
+  virtual void Get(const std::string& aKey, GetHook aHook) = 0;
+  /**
+   * Writes aBody if the object has version aExpected; without a value the
+   * object must not exist. Passes the new version on.
+   */
+  virtual void Put(const std::string& aKey,
+                   const std::string& aBody,
+                   std::optional<std::uint64_t> aExpected,
+                   PutHook aHook) = 0;
+  virtual void Delete(const std::string& aKey, PutHook aHook) = 0;
+  virtual void List(const std::string& aPrefix, ListHook aHook) = 0;
+  virtual std::unique_ptr<StoreWatch> Watch(const std::string& aPrefix,
+                                            std::uint64_t aRevision,
+                                            StoreWatchHooks aHooks) = 0;
+  virtual void ListVms(VmHook aHook) = 0;
+  virtual const StoreTraffic& Traffic() const = 0;
+};
+
+/** Name of aState in the VM list. */
+std::string_view VmStateName(VmState aState);
+
+/** State named aName; empty when there is none. */
+std::optional<VmState> ParseVmState(std::string_view aName);
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Settings/Finding.h
@@ -0,0 +1,27 @@
+#ifndef BULRUSHFOLD_SETTINGS_FINDING_H
+#define BULRUSHFOLD_SETTINGS_FINDING_H
+
+#include <string>
+#include <vector>
+
+namespace bulrushfold {
+
+/** One problem in a settings file, with its place. */
+struct Finding
+{
+  std::string mFile;
+  int mLine = 0;
+  /** "section.key", or empty for a syntax error. */
+  std::string mKey;
+  std::string mExpected;
+  std::string mFound;
+};
+
+using Findings = std::vector<Finding>;
+
+/** "FILE:LINE: KEY: expected X, found Y". */
+std::string FormatFinding(const Finding& aFinding);
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Wire/PeerCodec.cxx
@@ -0,0 +1,82 @@
+#include "Wire/PeerCodec.h"
+
+#include "Base/Secret.h"
+#include "Wire/ThriftCodec.h"
+#include "absl/strings/str_cat.h"
+
+namespace bulrushfold {
+
+namespace {
+// Bounds the replay table; each restart of a peer adds one entry.
+constexpr std::size_t kMaxTrackedIncarnations = 20'000;
+} // namespace
+
+PeerCodec::PeerCodec(std::string aName, std::vector<PeerKey> aKeys)
+  : mName(std::move(aName))
+  , mKeys(std::move(aKeys))
+{
+}
+
+std::string
+PeerCodec::Encode(const wire::Envelope& aEnvelope) const
+{
+  const PeerKey& key = mKeys.front();
+  wire::SignedFrame frame;
+  frame.keyId = key.mId;
+  frame.envelope = EncodeThrift(aEnvelope);
+  frame.mac = HmacSha256(key.mBytes, frame.envelope);
+  return EncodeThrift(frame);
+}
+
+const PeerKey*
+PeerCodec::FindKey(const std::string& aId) const
+{
+  for (const auto& it : mKeys) {
+    if (it.mId == aId) {
+      return &it;
+    }
+  }
+  return nullptr;
+}
+
+absl::StatusOr<wire::Envelope>
+PeerCodec::Decode(std::string_view aFrame)
+{
+  const auto frame = DecodeThrift<wire::SignedFrame>(aFrame);
+  if (!frame.ok()) {
+    return frame.status();
+  }
+  const PeerKey* key = FindKey(frame->keyId);
+  if (key == nullptr) {
+    return absl::UnauthenticatedError(
+      absl::StrCat("key \"", frame->keyId, "\" is not known"));
+  }
+  if (!EqualConstantTime(HmacSha256(key->mBytes, frame->envelope),
+                         frame->mac)) {
+    return absl::UnauthenticatedError("the HMAC does not match");
+  }
+  auto envelope = DecodeThrift<wire::Envelope>(frame->envelope);
+  if (!envelope.ok()) {
+    return envelope.status();
+  }
+  if (envelope->protocolVersion != kPeerProtocolVersion) {
+    return absl::UnimplementedError(
+      absl::StrCat("protocol version ", envelope->protocolVersion));
+  }
+  if (envelope->receiver != mName) {
+    return absl::UnauthenticatedError(
+      absl::StrCat("the frame is meant for ", envelope->receiver));
+  }
+  if (mSequences.size() >= kMaxTrackedIncarnations) {
+    mSequences.clear();
+  }
+  auto& last = mSequences[{ envelope->sender, envelope->incarnation }];
+  if (envelope->sequence <= last) {
+    return absl::UnauthenticatedError(
+      absl::StrCat("sequence number ", envelope->sequence, " was used before"));
+  }
+  last = envelope->sequence;
+  return envelope;
+}
+
+} // namespace bulrushfold
