Serve model requests and lookups through the daemon

Cause: the thin path from caller to engines was missing. Change: ModelCall and AnswerStream (decision classes of one request), the filter chain, engine and service clients, the configuration loader and bulrushfoldd with health pages and a graceful stop. HttpClient keeps the state of a call until its connection is freed: the library may call back once more in the turn in which the call was destroyed. Result: ServingTest passes, among it random event sequences that check delivery in order, exactly one end and a cancel for everything held. The daemon was not yet run against emulators.

--- /dev/null
+++ b/Source/Daemon/CancelController.h
@@ -0,0 +1,50 @@
+#ifndef BULRUSHFOLD_DAEMON_CANCELCONTROLLER_H
+#define BULRUSHFOLD_DAEMON_CANCELCONTROLLER_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+
+#include "Daemon/EngineClient.h"
+#include "Net/EventLoop.h"
+#include "Settings/Settings.h"
+
+namespace bulrushfold {
+
+/**
+ * Sends cancels to engines and repeats each one until its engine confirms it.
+ * A cancel is given up after kMaxTries, when the engine is taken for dead; the
+ * endpoint's owner then finds what is still held.
+ */
+class CancelController
+{
+public:
+  CancelController(EventLoop& aLoop,
+                   EngineClient& aEngines,
+                   const RoutingSettings& aSettings);
+
+  void Cancel(const SocketAddress& aEngine, const AttemptId& aId);
+  std::size_t Pending() const { return mPending.size(); }
+
+private:
+  struct PendingCancel
+  {
+    SocketAddress mEngine;
+    AttemptId mId;
+    int mTries = 0;
+    EngineClient::Call mCall;
+    EventHandle mTimer;
+  };
+  void Send(std::uint64_t aKey);
+  void HandleReply(std::uint64_t aKey, bool aIsConfirmed);
+
+  EventLoop& mLoop;
+  EngineClient& mEngines;
+  Duration mRetryInterval;
+  std::uint64_t mNextKey = 1;
+  std::map<std::uint64_t, PendingCancel> mPending;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Daemon/EngineClient.cxx
@@ -0,0 +1,344 @@
+#include "Daemon/EngineClient.h"
+
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "Net/SseReader.h"
+
+namespace bulrushfold {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusNotFound = 404;
+constexpr int kStatusGone = 410;
+constexpr int kStatusTooLarge = 413;
+constexpr int kStatusUnprocessable = 422;
+constexpr int kStatusGatewayTimeout = 504;
+constexpr std::size_t kMaxEventBytes = 64 * 1024;
+
+Json
+IdToJson(const AttemptId& aId)
+{
+  return { { "request", aId.mRequest },
+           { "attempt", aId.mAttempt },
+           { "owner", aId.mOwner } };
+}
+
+std::string
+CodeOf(const std::string& aBody)
+{
+  const Json json = Json::parse(aBody, nullptr, false);
+  if (!json.is_object() || !json.contains("code") ||
+      !json["code"].is_string()) {
+    return "";
+  }
+  return json["code"].get<std::string>();
+}
+
+StepFailure
+FailureOf(const HttpCallReply& aReply, const std::string& aCode)
+{
+  switch (aReply.mResult) {
+    case HttpCallResult::ConnectFailed:
+      return StepFailure::Unreachable;
+    case HttpCallResult::Silent:
+      return StepFailure::Silent;
+    case HttpCallResult::ConnectionLost:
+    case HttpCallResult::InvalidReply:
+      return StepFailure::ConnectionLost;
+    case HttpCallResult::Complete:
+      break;
+  }
+  switch (aReply.mStatus) {
+    case kStatusGone:
+    case kStatusGatewayTimeout:
+      return StepFailure::Evicted;
+    case kStatusNotFound:
+      return aCode == "unknown_model" ? StepFailure::Refused
+                                      : StepFailure::Evicted;
+    case kStatusTooLarge:
+    case kStatusUnprocessable:
+      return StepFailure::Rejected;
+    default:
+      return StepFailure::Refused;
+  }
+}
+
+template<typename Value>
+StepResult<Value>
+MakeFailure(const HttpCallReply& aReply)
+{
+  StepResult<Value> result;
+  result.mCode = CodeOf(aReply.mBody);
+  result.mFailure = FailureOf(aReply, result.mCode);
+  return result;
+}
+
+/** Turns a reply into a value with aParse, or into a failure. */
+template<typename Value>
+StepResult<Value>
+ParseReply(const HttpCallReply& aReply,
+           const std::function<Value(const Json&)>& aParse)
+{
+  if (aReply.mResult != HttpCallResult::Complete ||
+      aReply.mStatus != kStatusOk) {
+    return MakeFailure<Value>(aReply);
+  }
+  StepResult<Value> result;
+  try {
+    result.mValue = aParse(Json::parse(aReply.mBody));
+    result.mIsOk = true;
+  } catch (const Json::exception&) {
+    result.mFailure = StepFailure::ConnectionLost;
+    result.mCode = "malformed_answer";
+  }
+  return result;
+}
+
+/** Reads the events of one decode stream. */
+class DecodeStream
+{
+public:
+  explicit DecodeStream(DecodeHooks aHooks)
+    : mHooks(std::move(aHooks))
+    , mReader(kMaxEventBytes,
+              [this](const SseEvent& aEvent) { TakeEvent(aEvent); })
+  {
+  }
+
+  void Feed(std::string_view aData)
+  {
+    if (mStatus != kStatusOk) {
+      mErrorBody.append(aData.substr(0, kMaxEventBytes));
+    } else if (!mReader.Feed(aData)) {
+      mIsMalformed = true;
+    }
+  }
+
+  void Finish(HttpCallReply aReply)
+  {
+    if (mHasEnded) {
+      return;
+    }
+    aReply.mBody = mErrorBody;
+    StepFailure failure = FailureOf(aReply, CodeOf(mErrorBody));
+    if (aReply.mResult == HttpCallResult::Complete &&
+        aReply.mStatus == kStatusOk) {
+      // The stream closed in order but without the end of the answer.
+      failure = StepFailure::ConnectionLost;
+    }
+    mHooks.mOnFailure(failure);
+  }
+
+  int mStatus = 0;
+
+private:
+  void TakeEvent(const SseEvent& aEvent)
+  {
+    const Json json = Json::parse(aEvent.mData, nullptr, false);
+    if (!json.is_object() || mIsMalformed || mHasEnded) {
+      return;
+    }
+    if (json.contains("finish") && json.contains("tokens") &&
+        json["tokens"].is_number_unsigned()) {
+      mHasEnded = true;
+      mHooks.mOnEnd(json["tokens"].get<std::uint64_t>());
+      return;
+    }
+    if (json.contains("offset") && json["offset"].is_number_unsigned() &&
+        json.contains("token") && json["token"].is_string()) {
+      mHooks.mOnToken(json["offset"].get<std::uint64_t>(),
+                      json["token"].get<std::string>());
+    }
+  }
+
+  DecodeHooks mHooks;
+  SseReader mReader;
+  std::string mErrorBody;
+  bool mIsMalformed = false;
+  bool mHasEnded = false;
+};
+
+EngineStatus
+ParseStatus(const Json& aJson)
+{
+  EngineStatus status;
+  status.mIncarnation = aJson.at("incarnation").get<std::string>();
+  for (const auto& it : aJson.at("streams")) {
+    status.mStreams.push_back({ it.at("request").get<std::string>(),
+                                it.at("attempt").get<std::uint32_t>() });
+  }
+  return status;
+}
+
+EngineLoad
+ParseLoad(const Json& aJson)
+{
+  EngineLoad load;
+  load.mIncarnation = aJson.at("incarnation").get<std::string>();
+  load.mRunning = aJson.at("running").get<std::uint64_t>();
+  load.mQueued = aJson.at("queued").get<std::uint64_t>();
+  load.mSlots = aJson.at("slots").get<std::uint64_t>();
+  load.mPiecesTotal = aJson.at("pieces_total").get<std::uint64_t>();
+  load.mPiecesUsed = aJson.at("pieces_used").get<std::uint64_t>();
+  load.mAge = std::chrono::milliseconds(aJson.at("age_ms").get<std::int64_t>());
+  return load;
+}
+
+} // namespace
+
+EngineClient::EngineClient(HttpClient& aClient,
+                           const RoutingSettings& aSettings)
+  : mClient(aClient)
+  , mSettings(aSettings)
+{
+}
+
+HttpCallRequest
+EngineClient::MakeRequest(const SocketAddress& aEngine,
+                          HttpMethod aMethod,
+                          std::string aTarget,
+                          std::string aBody,
+                          Duration aSilenceBound) const
+{
+  HttpCallRequest request;
+  request.mAddress = aEngine;
+  request.mMethod = aMethod;
+  request.mTarget = std::move(aTarget);
+  request.mHeaders.Add("Content-Type", "application/json");
+  request.mBody = std::move(aBody);
+  request.mConnectTimeout = mSettings.mConnectTimeout;
+  request.mSilenceBound = aSilenceBound;
+  return request;
+}
+
+EngineClient::Call
+EngineClient::Prefill(const SocketAddress& aEngine,
+                      const PrefillRequest& aRequest,
+                      Hook<PrefillReply> aHook)
+{
+  Json body = IdToJson(aRequest.mId);
+  body["model"] = aRequest.mModel;
+  body["adapter"] = "";
+  body["prompt"] = aRequest.mPrompt;
+  body["generated"] = aRequest.mGenerated;
+  body["offset"] = aRequest.mOffset;
+  body["max_tokens"] = aRequest.mMaxTokens;
+  body["priority"] = aRequest.mPriority;
+  HttpCallHooks hooks;
+  hooks.mOnDone = [hook = std::move(aHook)](const HttpCallReply& aReply) {
+    hook(ParseReply<PrefillReply>(aReply, [](const Json& aJson) {
+      return PrefillReply{ aJson.at("kv").get<std::string>(),
+                           aJson.at("prompt_tokens").get<std::uint64_t>(),
+                           aJson.at("cached_tokens").get<std::uint64_t>(),
+                           aJson.at("pieces").get<std::uint64_t>() };
+    }));
+  };
+  return mClient.Start(MakeRequest(aEngine,
+                                   HttpMethod::Post,
+                                   "/engine/prefill",
+                                   body.dump(),
+                                   mSettings.mPrefillTimeout),
+                       std::move(hooks));
+}
+
+EngineClient::Call
+EngineClient::Transfer(const SocketAddress& aEngine,
+                       const TransferRequest& aRequest,
+                       Hook<std::string> aHook)
+{
+  Json body = IdToJson(aRequest.mId);
+  body["source"] = FormatAddress(aRequest.mSource);
+  body["kv"] = aRequest.mHandle;
+  HttpCallHooks hooks;
+  hooks.mOnDone = [hook = std::move(aHook)](const HttpCallReply& aReply) {
+    hook(ParseReply<std::string>(aReply, [](const Json& aJson) {
+      return aJson.at("kv").get<std::string>();
+    }));
+  };
+  return mClient.Start(MakeRequest(aEngine,
+                                   HttpMethod::Post,
+                                   "/engine/transfer",
+                                   body.dump(),
+                                   mSettings.mTransferTimeout),
+                       std::move(hooks));
+}
+
+EngineClient::Call
+EngineClient::Decode(const SocketAddress& aEngine,
+                     const DecodeRequest& aRequest,
+                     DecodeHooks aHooks)
+{
+  Json body = IdToJson(aRequest.mId);
+  body["kv"] = aRequest.mHandle;
+  body["offset"] = aRequest.mOffset;
+  body["max_tokens"] = aRequest.mMaxTokens;
+  body["priority"] = aRequest.mPriority;
+  auto stream = std::make_shared<DecodeStream>(std::move(aHooks));
+  HttpCallHooks hooks;
+  hooks.mOnHeaders = [stream](int aStatus, const HttpHeaders&) {
+    stream->mStatus = aStatus;
+  };
+  hooks.mOnChunk = [stream](std::string_view aData) { stream->Feed(aData); };
+  hooks.mOnDone = [stream](HttpCallReply aReply) {
+    stream->Finish(std::move(aReply));
+  };
+  HttpCallRequest request = MakeRequest(aEngine,
+                                        HttpMethod::Post,
+                                        "/engine/decode",
+                                        body.dump(),
+                                        mSettings.mStreamSilence);
+  // A resumed stream must not meet the connection that went silent.
+  request.mFreshConnection = aRequest.mOffset > 0;
+  return mClient.Start(std::move(request), std::move(hooks));
+}
+
+EngineClient::Call
+EngineClient::Cancel(const SocketAddress& aEngine,
+                     const AttemptId& aId,
+                     std::function<void(bool)> aHook)
+{
+  HttpCallHooks hooks;
+  hooks.mOnDone = [hook = std::move(aHook)](const HttpCallReply& aReply) {
+    hook(aReply.mResult == HttpCallResult::Complete &&
+         aReply.mStatus == kStatusOk);
+  };
+  return mClient.Start(MakeRequest(aEngine,
+                                   HttpMethod::Post,
+                                   "/engine/cancel",
+                                   IdToJson(aId).dump(),
+                                   mSettings.mStreamSilence),
+                       std::move(hooks));
+}
+
+EngineClient::Call
+EngineClient::Status(const SocketAddress& aEngine, Hook<EngineStatus> aHook)
+{
+  HttpCallRequest request = MakeRequest(
+    aEngine, HttpMethod::Get, "/engine/status", "", mSettings.mStreamSilence);
+  request.mFreshConnection = true;
+  HttpCallHooks hooks;
+  hooks.mOnDone = [hook = std::move(aHook)](const HttpCallReply& aReply) {
+    hook(ParseReply<EngineStatus>(aReply, ParseStatus));
+  };
+  return mClient.Start(std::move(request), std::move(hooks));
+}
+
+EngineClient::Call
+EngineClient::Load(const SocketAddress& aEngine, Hook<EngineLoad> aHook)
+{
+  HttpCallHooks hooks;
+  hooks.mOnDone = [hook = std::move(aHook)](const HttpCallReply& aReply) {
+    hook(ParseReply<EngineLoad>(aReply, ParseLoad));
+  };
+  return mClient.Start(
+    MakeRequest(
+      aEngine, HttpMethod::Get, "/engine/load", "", mSettings.mStreamSilence),
+    std::move(hooks));
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Daemon/EngineClient.h
@@ -0,0 +1,152 @@
+#ifndef BULRUSHFOLD_DAEMON_ENGINECLIENT_H
+#define BULRUSHFOLD_DAEMON_ENGINECLIENT_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Net/HttpClient.h"
+#include "Serving/ModelCall.h"
+#include "Settings/Settings.h"
+
+namespace bulrushfold {
+
+/** Identity of one attempt of a request at an engine. */
+struct AttemptId
+{
+  std::string mRequest;
+  std::uint32_t mAttempt = 0;
+  /** "DAEMON/INCARNATION" of the entry daemon. */
+  std::string mOwner;
+};
+
+/** A prefill order. */
+struct PrefillRequest
+{
+  AttemptId mId;
+  std::string mModel;
+  std::string mPrompt;
+  std::string mGenerated;
+  std::uint64_t mOffset = 0;
+  std::uint64_t mMaxTokens = 0;
+  int mPriority = 0;
+};
+
+/** Result of a prefill. */
+struct PrefillReply
+{
+  std::string mHandle;
+  std::uint64_t mPromptTokens = 0;
+  std::uint64_t mCachedTokens = 0;
+  std::uint64_t mPieces = 0;
+};
+
+/** A transfer order for the decode engine. */
+struct TransferRequest
+{
+  AttemptId mId;
+  SocketAddress mSource;
+  std::string mHandle;
+};
+
+/** A decode order; also resumes a stream. */
+struct DecodeRequest
+{
+  AttemptId mId;
+  std::string mHandle;
+  std::uint64_t mOffset = 0;
+  std::uint64_t mMaxTokens = 0;
+  int mPriority = 0;
+};
+
+/** Callbacks of a decode stream. */
+struct DecodeHooks
+{
+  std::function<void(std::uint64_t aOffset, const std::string& aText)> mOnToken;
+  /** The engine announced the end of the answer. */
+  std::function<void(std::uint64_t aTokens)> mOnEnd;
+  /** The stream ended before the answer did. */
+  std::function<void(StepFailure)> mOnFailure;
+};
+
+/** One stream that an engine has. */
+struct EngineStream
+{
+  std::string mRequest;
+  std::uint32_t mAttempt = 0;
+};
+
+/** State of an engine, read on a new connection. */
+struct EngineStatus
+{
+  std::string mIncarnation;
+  std::vector<EngineStream> mStreams;
+};
+
+/** Load report of an engine; lags behind its state. */
+struct EngineLoad
+{
+  std::string mIncarnation;
+  std::uint64_t mRunning = 0;
+  std::uint64_t mQueued = 0;
+  std::uint64_t mSlots = 0;
+  std::uint64_t mPiecesTotal = 0;
+  std::uint64_t mPiecesUsed = 0;
+  Duration mAge{};
+};
+
+/** Result of a step: a value, or why it failed. */
+template<typename Value>
+struct StepResult
+{
+  bool mIsOk = false;
+  Value mValue;
+  StepFailure mFailure = StepFailure::Refused;
+  /** Error code of the engine, when it gave one. */
+  std::string mCode;
+};
+
+/** The engine protocol of docs/interfaces.md. */
+class EngineClient
+{
+public:
+  template<typename Value>
+  using Hook = std::function<void(StepResult<Value>)>;
+  /** A call in progress; destroying it closes its connection. */
+  using Call = std::unique_ptr<HttpCall>;
+
+  EngineClient(HttpClient& aClient, const RoutingSettings& aSettings);
+
+  Call Prefill(const SocketAddress& aEngine,
+               const PrefillRequest& aRequest,
+               Hook<PrefillReply> aHook);
+  Call Transfer(const SocketAddress& aEngine,
+                const TransferRequest& aRequest,
+                Hook<std::string> aHook);
+  Call Decode(const SocketAddress& aEngine,
+              const DecodeRequest& aRequest,
+              DecodeHooks aHooks);
+  /** Passes true when the engine confirmed the cancel. */
+  Call Cancel(const SocketAddress& aEngine,
+              const AttemptId& aId,
+              std::function<void(bool)> aHook);
+  Call Status(const SocketAddress& aEngine, Hook<EngineStatus> aHook);
+  Call Load(const SocketAddress& aEngine, Hook<EngineLoad> aHook);
+
+private:
+  HttpCallRequest MakeRequest(const SocketAddress& aEngine,
+                              HttpMethod aMethod,
+                              std::string aTarget,
+                              std::string aBody,
+                              Duration aSilenceBound) const;
+
+  HttpClient& mClient;
+  RoutingSettings mSettings;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Daemon/LookupSession.cxx
@@ -0,0 +1,163 @@
+#include "Daemon/LookupSession.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <event2/http.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+
+std::string
+Encode(const std::string& aText)
+{
+  char* encoded =
+    evhttp_uriencode(aText.data(), static_cast<ev_ssize_t>(aText.size()), 0);
+  std::string result(encoded);
+  std::free(encoded);
+  return result;
+}
+
+/** aPath with every segment encoded. */
+std::string
+EncodePath(const std::string& aPath)
+{
+  std::string result;
+  std::size_t at = 0;
+  while (at < aPath.size()) {
+    const auto end = std::min(aPath.find('/', at), aPath.size());
+    result += Encode(aPath.substr(at, end - at));
+    if (end < aPath.size()) {
+      result += '/';
+    }
+    at = end + 1;
+  }
+  return result;
+}
+} // namespace
+
+ServiceCallRequest
+MakeServiceCall(const RequestContext& aRequest)
+{
+  const HttpRequest& message = aRequest.Message();
+  ServiceCallRequest call;
+  call.mMethod = message.mMethod;
+  call.mTarget = EncodePath(aRequest.mService->mPath);
+  char separator = '?';
+  for (const auto& [name, value] : message.mQuery) {
+    absl::StrAppend(&call.mTarget,
+                    std::string(1, separator),
+                    Encode(name),
+                    "=",
+                    Encode(value));
+    separator = '&';
+  }
+  call.mContentType =
+    message.mHeaders.Find("Content-Type").value_or("application/octet-stream");
+  call.mBody = message.mBody;
+  call.mKey = aRequest.mService->mKey;
+  return call;
+}
+
+void
+AnswerFromService(RequestContext& aRequest,
+                  int aStatus,
+                  const std::string& aContentType,
+                  const std::string& aBody)
+{
+  aRequest.Answer(aStatus, aContentType, aBody);
+  aRequest.Finish({ aStatus, std::nullopt, false, 0 });
+}
+
+LookupSession::LookupSession(ServiceSessionServices& aServices,
+                             RequestPointer aRequest)
+  : mServices(aServices)
+  , mRequest(std::move(aRequest))
+{
+}
+
+void
+LookupSession::Start()
+{
+  mSelf = shared_from_this();
+  mRequest->Exchange().OnClosed([this] {
+    mRequest->Finish({ 0, std::nullopt, true, 0 });
+    End();
+  });
+  const Duration left = mRequest->mDeadline - mServices.mClock.Now();
+  mDeadlineTimer = mServices.mLoop.After(std::max(left, Duration(0)), [this] {
+    mRequest->Refuse({ ProblemCode::DeadlineExceeded,
+                       mTried.empty() ? RanState::No : RanState::Unknown,
+                       "the deadline passed before the service answered",
+                       std::nullopt });
+    End();
+  });
+  TryNext();
+}
+
+void
+LookupSession::TryNext()
+{
+  const Endpoint* endpoint =
+    mServices.mClient.Pick(mRequest->mService->mService, mTried);
+  if (endpoint == nullptr) {
+    const bool wasTried = !mTried.empty();
+    mRequest->Refuse(
+      { wasTried ? ProblemCode::EndpointFailed : ProblemCode::NoCapacity,
+        wasTried ? RanState::Unknown : RanState::No,
+        absl::StrCat("no endpoint of service ",
+                     mRequest->mService->mService,
+                     " answered; tried ",
+                     mTried.size()),
+        kRetryAfter });
+    End();
+    return;
+  }
+  mTried.push_back(endpoint->mName);
+  mCall = mServices.mClient.Send(
+    *endpoint, MakeServiceCall(*mRequest), [this](const HttpCallReply& aReply) {
+      HandleReply(aReply);
+    });
+}
+
+void
+LookupSession::HandleReply(const HttpCallReply& aReply)
+{
+  const std::shared_ptr<LookupSession> keep = mSelf;
+  constexpr int kFirstServerError = 500;
+  if (aReply.mResult != HttpCallResult::Complete ||
+      aReply.mStatus >= kFirstServerError) {
+    TryNext();
+    return;
+  }
+  AnswerFromService(
+    *mRequest,
+    aReply.mStatus,
+    aReply.mHeaders.Find("Content-Type").value_or("application/octet-stream"),
+    aReply.mBody);
+  End();
+}
+
+void
+LookupSession::End()
+{
+  mDeadlineTimer = {};
+  mCall.reset();
+  mSelf.reset();
+}
+
+void
+LookupFilter::Handle(const RequestPointer& aRequest, const Next& aNext)
+{
+  if (!aRequest->mService || !aRequest->mService->mIsIdempotent) {
+    aNext();
+    return;
+  }
+  std::make_shared<LookupSession>(mServices, aRequest)->Start();
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Daemon/LookupSession.h
@@ -0,0 +1,71 @@
+#ifndef BULRUSHFOLD_DAEMON_LOOKUPSESSION_H
+#define BULRUSHFOLD_DAEMON_LOOKUPSESSION_H
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Daemon/FilterChain.h"
+#include "Daemon/ServiceClient.h"
+#include "Net/EventLoop.h"
+
+namespace bulrushfold {
+
+/** What all sessions that call plain services share. */
+struct ServiceSessionServices
+{
+  EventLoop& mLoop;
+  const Clock& mClock;
+  ServiceClient& mClient;
+};
+
+/** The call that aRequest makes at an endpoint of its service. */
+ServiceCallRequest MakeServiceCall(const RequestContext& aRequest);
+
+/** Answers aRequest with the reply of an endpoint. */
+void AnswerFromService(RequestContext& aRequest,
+                       int aStatus,
+                       const std::string& aContentType,
+                       const std::string& aBody);
+
+/**
+ * One idempotent call of a plain service. A failed call is repeated at another
+ * endpoint until none is left or the deadline passes.
+ */
+class LookupSession : public std::enable_shared_from_this<LookupSession>
+{
+public:
+  LookupSession(ServiceSessionServices& aServices, RequestPointer aRequest);
+  void Start();
+
+private:
+  void TryNext();
+  void HandleReply(const HttpCallReply& aReply);
+  void End();
+
+  ServiceSessionServices& mServices;
+  RequestPointer mRequest;
+  std::vector<std::string> mTried;
+  ServiceClient::Call mCall;
+  EventHandle mDeadlineTimer;
+  std::shared_ptr<LookupSession> mSelf;
+};
+
+/** Runs idempotent service calls; passes other requests on. */
+class LookupFilter : public Filter
+{
+public:
+  explicit LookupFilter(ServiceSessionServices& aServices)
+    : mServices(aServices)
+  {
+  }
+  void Handle(const RequestPointer& aRequest, const Next& aNext) override;
+
+private:
+  ServiceSessionServices& mServices;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Daemon/RequestFilters.h
@@ -0,0 +1,68 @@
+#ifndef BULRUSHFOLD_DAEMON_REQUESTFILTERS_H
+#define BULRUSHFOLD_DAEMON_REQUESTFILTERS_H
+
+#include <map>
+#include <string>
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "Cluster/Configuration.h"
+#include "Daemon/FilterChain.h"
+#include "Settings/Settings.h"
+
+namespace bulrushfold {
+
+/** Takes over or starts the trace of a request (W3C trace context). */
+class TraceFilter : public Filter
+{
+public:
+  explicit TraceFilter(Random& aRandom)
+    : mRandom(aRandom)
+  {
+  }
+  void Handle(const RequestPointer& aRequest, const Next& aNext) override;
+
+private:
+  Random& mRandom;
+};
+
+/** Finds the workspace of the caller's token. */
+class IdentifyFilter : public Filter
+{
+public:
+  explicit IdentifyFilter(const Configuration& aConfiguration)
+    : mConfiguration(aConfiguration)
+  {
+  }
+  void Handle(const RequestPointer& aRequest, const Next& aNext) override;
+
+private:
+  const Configuration& mConfiguration;
+};
+
+/** Parses the request and checks model, service and deadline. */
+class ClassifyFilter : public Filter
+{
+public:
+  ClassifyFilter(const Configuration& aConfiguration,
+                 const LimitSettings& aLimits)
+    : mConfiguration(aConfiguration)
+    , mLimits(aLimits)
+  {
+  }
+  void Handle(const RequestPointer& aRequest, const Next& aNext) override;
+
+private:
+  bool ReadDeadline(const RequestPointer& aRequest) const;
+  void ClassifyCompletion(const RequestPointer& aRequest,
+                          CompletionKind aKind,
+                          const Next& aNext) const;
+  void ClassifyService(const RequestPointer& aRequest, const Next& aNext) const;
+
+  const Configuration& mConfiguration;
+  LimitSettings mLimits;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Net/HttpClient.cxx
+++ b/Source/Net/HttpClient.cxx
@@ -193,6 +193,7 @@
 {
   mConnectTimer = {};
   evhttp_connection* connection = std::exchange(mConnection, nullptr);
+  std::shared_ptr<State> self = std::move(mSelf);
   mSelf.reset();
   if (connection == nullptr || !*mClientIsAlive) {
     return;
@@ -200,7 +201,7 @@
   if (aKeep) {
     mClient->GiveBack(mAddress, connection);
   } else {
-    mClient->DropConnection(connection);
+    mClient->DropConnection(connection, std::move(self));
   }
 }
 
@@ -258,17 +259,21 @@
 {
   auto& idle = mIdle[aAddress];
   if (idle.size() >= kMaxIdlePerAddress) {
-    DropConnection(aConnection);
+    DropConnection(aConnection, nullptr);
     return;
   }
   idle.push_back({ aConnection, mClock.Now() });
 }
 
 void
-HttpClient::DropConnection(evhttp_connection* aConnection)
+HttpClient::DropConnection(evhttp_connection* aConnection,
+                           std::shared_ptr<void> aCall)
 {
-  // The call may come from inside a callback of this connection.
-  mLoop.Defer([aConnection] { evhttp_connection_free(aConnection); });
+  // This may run inside a callback of the connection, and the library may call
+  // back once more in this turn, so connection and call outlive the turn.
+  mLoop.Defer([aConnection, call = std::move(aCall)] {
+    evhttp_connection_free(aConnection);
+  });
 }
 
 void
@@ -276,7 +281,7 @@
 {
   if (const auto it = mIdle.find(aAddress); it != mIdle.end()) {
     for (const auto& idle : it->second) {
-      DropConnection(idle.mConnection);
+      DropConnection(idle.mConnection, nullptr);
     }
     mIdle.erase(it);
   }
@@ -293,7 +298,7 @@
         return aIdle.mSince >= limit;
       });
     for (auto stale = idle.begin(); stale != fresh; ++stale) {
-      DropConnection(stale->mConnection);
+      DropConnection(stale->mConnection, nullptr);
     }
     idle.erase(idle.begin(), fresh);
     it = idle.empty() ? mIdle.erase(it) : std::next(it);
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -115,7 +115,8 @@
   };
   evhttp_connection* TakeConnection(const HttpCallRequest& aRequest);
   void GiveBack(const SocketAddress& aAddress, evhttp_connection* aConnection);
-  void DropConnection(evhttp_connection* aConnection);
+  void DropConnection(evhttp_connection* aConnection,
+                      std::shared_ptr<void> aCall);
   void CloseStaleIdle();
 
   EventLoop& mLoop;
--- a/Source/Net/HttpServer.cxx
+++ b/Source/Net/HttpServer.cxx
@@ -1,9 +1,14 @@
 #include "Net/HttpServer.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -110,6 +115,29 @@
   }
 }
 
+/**
+ * Lets the kernel probe a connection that carries no data, so that a caller
+ * that vanished without closing is noticed while its answer is being made.
+ */
+void
+DetectDeadConnection(int aSocket, Duration aLimit)
+{
+  constexpr int kProbes = 3;
+  const auto limit =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aLimit);
+  const int isOn = 1;
+  const int interval =
+    std::max(1, static_cast<int>(limit.count() / 1000 / (kProbes + 1)));
+  const int probes = kProbes;
+  const auto userTimeout = static_cast<unsigned int>(limit.count());
+  setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &isOn, sizeof(isOn));
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof(interval));
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+  setsockopt(
+    aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof(userTimeout));
+}
+
 bufferevent*
 BuffereventOf(evhttp_request* aRequest)
 {
@@ -289,6 +317,7 @@
   bufferevent_enable(bev, EV_READ);
   evhttp_request_set_on_complete_cb(
     aRequest, &HttpServer::HandleComplete, this);
+  DetectDeadConnection(bufferevent_getfd(bev), mLimits.mWriteTimeout);
 }
 
 void
--- /dev/null
+++ b/Source/Serving/AnswerStream.h
@@ -0,0 +1,48 @@
+#ifndef BULRUSHFOLD_SERVING_ANSWERSTREAM_H
+#define BULRUSHFOLD_SERVING_ANSWERSTREAM_H
+
+#include <cstdint>
+#include <string>
+
+namespace bulrushfold {
+
+/** What to do with a token that arrived. */
+enum class TokenVerdict
+{
+  /** The next token of the answer. */
+  Deliver,
+  /** Already delivered, or from an attempt that was replaced. */
+  Drop,
+  /** Tokens before it are missing; the stream has to be resumed. */
+  Gap,
+};
+
+/**
+ * Order of the tokens of one answer. Tokens are identified by attempt and
+ * offset, so that late, repeated and crossed streams cannot reach the caller.
+ */
+class AnswerStream
+{
+public:
+  /** Starts a new attempt; tokens of earlier attempts are dropped from now. */
+  void StartAttempt(std::uint32_t aAttempt) { mAttempt = aAttempt; }
+  /** Judges a token and, when it is the next one, counts it as delivered. */
+  TokenVerdict Take(std::uint32_t aAttempt,
+                    std::uint64_t aOffset,
+                    const std::string& aText);
+
+  std::uint32_t Attempt() const { return mAttempt; }
+  /** Offset of the next token; equals the number of tokens delivered. */
+  std::uint64_t NextOffset() const { return mNextOffset; }
+  /** Text of all delivered tokens. */
+  const std::string& Text() const { return mText; }
+
+private:
+  std::uint32_t mAttempt = 0;
+  std::uint64_t mNextOffset = 0;
+  std::string mText;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Tests/Net/HttpTest.cxx
+++ b/Tests/Net/HttpTest.cxx
@@ -230,6 +230,28 @@
       CHECK(replies[0].mResult == HttpCallResult::Complete);
       CHECK(body == "one two");
     }
+    // Guards against a use after free: the last chunk and the end of the
+    // reply are read in one turn, and the call is gone between them.
+    SUBCASE("to its end, with the call destroyed by the last chunk")
+    {
+      std::unique_ptr<HttpCall> second;
+      HttpCallHooks destroying;
+      bool destroyed = false;
+      destroying.mOnChunk = [&](std::string_view) {
+        second.reset();
+        destroyed = true;
+      };
+      destroying.mOnDone = hooks.mOnDone;
+      second = client.Start(request, destroying);
+      REQUIRE(RunUntil(loop, [&] { return exchanges.size() == 2; }));
+      exchanges[1]->StartStream(200, {});
+      exchanges[1]->SendChunk("last");
+      exchanges[1]->EndStream();
+      REQUIRE(RunUntil(loop, [&] { return destroyed; }));
+      exchanges[0]->EndStream();
+      REQUIRE(RunUntil(loop, [&] { return !replies.empty(); }));
+      CHECK(replies.size() == 1);
+    }
     // Guards against a cut stream that looks complete.
     SUBCASE("or breaks")
     {
