--- /dev/null
+++ b/Source/Emulator/EmulatorCall.cxx
@@ -0,0 +1,104 @@
+#include "Emulator/EmulatorCall.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushfold {
+
+void
+ConnectionGroup::Hold(std::shared_ptr<HttpExchange> aExchange)
+{
+  mHeld.erase(std::remove_if(mHeld.begin(),
+                             mHeld.end(),
+                             [](const auto& aIt) { return aIt->IsOver(); }),
+              mHeld.end());
+  mHeld.push_back(std::move(aExchange));
+}
+
+EmulatorCall::EmulatorCall(std::shared_ptr<HttpExchange> aExchange,
+                           std::shared_ptr<ConnectionGroup> aGroup)
+  : mExchange(std::move(aExchange))
+  , mGroup(std::move(aGroup))
+{
+}
+
+EmulatorCall::~EmulatorCall()
+{
+  // Dropping the exchange would close the connection, which is not silence.
+  mExchange->OnClosed(nullptr);
+  if (IsSilent() && !IsOver()) {
+    mGroup->Hold(std::move(mExchange));
+  }
+}
+
+nlohmann::json
+EmulatorCall::Body() const
+{
+  nlohmann::json body = nlohmann::json::parse(Request().mBody);
+  // Throws for a body that is not an object.
+  body.get_ref<const nlohmann::json::object_t&>();
+  return body;
+}
+
+void
+EmulatorCall::Reply(HttpStatus aStatus,
+                    const HttpHeaders& aHeaders,
+                    std::string_view aBody)
+{
+  if (!IsSilent()) {
+    mExchange->Reply(static_cast<int>(aStatus), aHeaders, aBody);
+  }
+}
+
+void
+EmulatorCall::ReplyJson(HttpStatus aStatus, const nlohmann::json& aBody)
+{
+  Reply(aStatus, { { "Content-Type", "application/json" } }, aBody.dump());
+}
+
+void
+EmulatorCall::ReplyProblem(HttpStatus aStatus,
+                           std::string_view aCode,
+                           std::string_view aDetail,
+                           const nlohmann::json& aExtra)
+{
+  nlohmann::json body = aExtra;
+  body["code"] = aCode;
+  body["detail"] = aDetail;
+  Reply(
+    aStatus, { { "Content-Type", "application/problem+json" } }, body.dump());
+}
+
+void
+EmulatorCall::StartStream(HttpStatus aStatus, const HttpHeaders& aHeaders)
+{
+  if (!IsSilent()) {
+    mExchange->StartStream(static_cast<int>(aStatus), aHeaders);
+  }
+}
+
+void
+EmulatorCall::SendChunk(std::string_view aData)
+{
+  if (!IsSilent()) {
+    mExchange->SendChunk(aData);
+  }
+}
+
+void
+EmulatorCall::EndStream()
+{
+  if (!IsSilent()) {
+    mExchange->EndStream();
+  }
+}
+
+void
+EmulatorCall::Abort()
+{
+  if (!IsSilent()) {
+    mExchange->Abort();
+  }
+}
+
+} // namespace bulrushfold
