Add causes, request timelines, tracer and metrics

The daemon needs one vocabulary for the outcome of a request before its filters can be wired. This adds the causes and hops with explanations and actions, the timeline that the entry daemon feeds, the finder that derives one cause from it, spans with OTLP JSON export, and metrics in the Prometheus text format.

--- /dev/null
+++ b/Source/Outcome/Metrics.h
@@ -0,0 +1,113 @@
+#ifndef BULRUSHFOLD_OUTCOME_METRICS_H
+#define BULRUSHFOLD_OUTCOME_METRICS_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Outcome/LatencySummary.h"
+
+namespace bulrushfold {
+
+/** A number that only grows. */
+class Counter
+{
+public:
+  void Add(std::uint64_t aCount = 1) { mValue += aCount; }
+  std::uint64_t Value() const { return mValue; }
+
+private:
+  std::uint64_t mValue = 0;
+};
+
+/** A number that goes up and down. */
+class Gauge
+{
+public:
+  void Set(double aValue) { mValue = aValue; }
+  void Add(double aValue) { mValue += aValue; }
+  double Value() const { return mValue; }
+
+private:
+  double mValue = 0;
+};
+
+/** Name, help text and label names of a metric. */
+struct MetricInfo
+{
+  /** "bulrushfold_..." in the Prometheus naming convention. */
+  std::string mName;
+  std::string mHelp;
+  std::vector<std::string> mLabelNames;
+};
+
+/** Values of the labels, in the order of MetricInfo::mLabelNames. */
+using LabelValues = std::vector<std::string>;
+
+/** Label value that stands for all sets beyond the bound. */
+constexpr std::string_view kOtherLabel = "other";
+
+/**
+ * Metrics of one daemon, written in the Prometheus text format. A metric comes
+ * into being at its first use. The references returned stay valid as long as
+ * the Metrics object, so callers on the request path look them up once.
+ *
+ * A metric keeps at most aMaxSeries label sets. Further sets share one series
+ * whose label values are all "other", so that text from outside cannot use up
+ * memory.
+ */
+class Metrics
+{
+public:
+  explicit Metrics(std::size_t aMaxSeries = 512);
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+  ~Metrics();
+
+  /**
+   * The series of aInfo.mName with aLabels. Missing label values count as
+   * empty, superfluous ones are ignored. A name belongs to the kind with which
+   * it was first used; asked for as another kind it yields a series that is
+   * not written.
+   */
+  Counter& GetCounter(const MetricInfo& aInfo, const LabelValues& aLabels = {});
+  Gauge& GetGauge(const MetricInfo& aInfo, const LabelValues& aLabels = {});
+  LatencySummary& GetSummary(const MetricInfo& aInfo,
+                             const LabelValues& aLabels = {});
+
+  /** Body of /metrics; its type is text/plain; version=0.0.4. */
+  std::string Format(Instant aNow) const;
+
+private:
+  template<typename Series>
+  struct Family
+  {
+    MetricInfo mInfo;
+    std::map<LabelValues, std::unique_ptr<Series>> mSeries;
+  };
+  template<typename Series>
+  using Families = std::map<std::string, Family<Series>>;
+
+  template<typename Series>
+  Series& GetSeries(Families<Series>& aFamilies,
+                    const MetricInfo& aInfo,
+                    const LabelValues& aLabels);
+
+  std::size_t mMaxSeries;
+  std::map<std::string, const void*> mKindOfName;
+  Families<Counter> mCounters;
+  Families<Gauge> mGauges;
+  Families<LatencySummary> mSummaries;
+  Counter mStrayCounter;
+  Gauge mStrayGauge;
+  LatencySummary mStraySummary;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Outcome/OutcomeRecord.h
@@ -0,0 +1,90 @@
+#ifndef BULRUSHFOLD_OUTCOME_OUTCOMERECORD_H
+#define BULRUSHFOLD_OUTCOME_OUTCOMERECORD_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Outcome/Cause.h"
+#include "Outcome/Hop.h"
+
+namespace bulrushfold {
+
+/** An endpoint that worked on a request. */
+struct EndpointUse
+{
+  std::string mName;
+  std::string mFailureDomain;
+
+  bool operator==(const EndpointUse& aOther) const
+  {
+    return mName == aOther.mName && mFailureDomain == aOther.mFailureDomain;
+  }
+};
+
+/** States that a request started; kept at two peers of its entry daemon. */
+struct BeginRecord
+{
+  /** UUIDv7 made by MakeRequestId. */
+  std::string mRequestId;
+  std::string mWorkspace;
+  /** Model name, or name of the plain service. */
+  std::string mTarget;
+  std::string mDaemon;
+  /** Incarnation of the entry daemon. */
+  std::string mIncarnation;
+  WallTime mStart;
+};
+
+/** The outcome of one finished request. */
+struct OutcomeRecord
+{
+  /** UUIDv7 made by MakeRequestId. */
+  std::string mRequestId;
+  /** 32 hexadecimal digits. */
+  std::string mTraceId;
+  std::string mWorkspace;
+  /** Model name, or name of the plain service. */
+  std::string mTarget;
+  /** Endpoints in the order of their first use. */
+  std::vector<EndpointUse> mEndpoints;
+  /** Index in mEndpoints of the endpoint that the cause concerns. */
+  std::optional<std::size_t> mBlamed;
+  /** Entry daemon. */
+  std::string mDaemon;
+  WallTime mStart;
+  /** Time from the start to the end. */
+  Duration mTotal{};
+  /** Time spent by hop; all zero in a replica of a served request. */
+  HopTimes mHopTimes{};
+  /** Time from the start to the first token; empty when there was none. */
+  std::optional<Duration> mFirstToken;
+  std::uint64_t mTokens = 0;
+  /** Number of attempts. */
+  std::uint64_t mAttempts = 0;
+  OutcomeStatus mStatus = OutcomeStatus::Failed;
+  Cause mCause = Cause::InternalError;
+  /** Hop that spent the time, or refused the request. */
+  Hop mHop = Hop::Admission;
+  std::string mPreset;
+  std::uint64_t mPresetVersion = 0;
+
+  /** Endpoint that the cause concerns; null when it concerns none. */
+  const EndpointUse* Blamed() const
+  {
+    return mBlamed && *mBlamed < mEndpoints.size() ? &mEndpoints[*mBlamed]
+                                                   : nullptr;
+  }
+};
+
+/** JSON text of aRecord, with explanation and suggested action. */
+std::string FormatOutcome(const OutcomeRecord& aRecord);
+
+/** The record of a request whose entry daemon died. */
+OutcomeRecord MakeLostRecord(const BeginRecord& aBegin);
+
+} // namespace bulrushfold
+
+#endif
