Record the outcome of each request and count it

Cause: the error codes of the daemon and the causes of the outcome records were two lists of the same things, and no request left a trace. Change: a problem carries a Cause; each request has a RequestTimeline that gives its outcome, spans, metrics and log line. Result: run by hand with one daemon, the store, service and engine emulators: a lookup, a whole and a streamed completion are served, a bad token, a bad body and missing engines are refused with their code and ran=no; both engines hold no pieces afterwards.

--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -6,6 +6,7 @@
 #include "Base/Identifiers.h"
 #include "Base/Log.h"
 #include "Daemon/RequestFilters.h"
+#include "Outcome/RequestId.h"
 #include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
@@ -36,6 +37,7 @@
   , mIncarnation(MakeUuidV7(mClock.Wall(), mRandom))
   , mHttpClient(mLoop)
   , mStore(mHttpClient, aSettings.mPlatform)
+  , mOutcomes(mClock, mConfiguration, mMetrics, aSettings)
   , mLoader(mLoop, mStore, mConfiguration)
   , mEngines(mHttpClient, aSettings.mRouting)
   , mCancels(mLoop, mEngines, aSettings.mRouting)
@@ -64,7 +66,7 @@
 void
 Daemon::AddFilters()
 {
-  mChain.Add(std::make_unique<TraceFilter>(mRandom));
+  mChain.Add(std::make_unique<TraceFilter>());
   mChain.Add(std::make_unique<IdentifyFilter>(mConfiguration));
   mChain.Add(
     std::make_unique<ClassifyFilter>(mConfiguration, mSettings.mLimits));
@@ -75,8 +77,7 @@
 absl::Status
 Daemon::Start()
 {
-  if (const auto status =
-        mCallerServer.Listen(mSettings.mDaemon.mCallerAddress);
+  if (auto status = mCallerServer.Listen(mSettings.mDaemon.mCallerAddress);
       !status.ok()) {
     return status;
   }
@@ -105,6 +106,12 @@
     aExchange.Reply(kStatusOk, { { "Content-Type", "text/plain" } }, "ok\n");
     return true;
   }
+  if (path == "/metrics") {
+    aExchange.Reply(kStatusOk,
+                    { { "Content-Type", "text/plain; version=0.0.4" } },
+                    mMetrics.Format(mClock.Now()));
+    return true;
+  }
   if (path == "/readyz") {
     const char* reason = mIsStopping           ? "stopping\n"
                          : !mLoader.IsLoaded() ? "no configuration yet\n"
@@ -124,35 +131,33 @@
     return;
   }
   auto request = std::make_shared<RequestContext>(
-    std::move(aExchange), MakeUuidV7(mClock.Wall(), mRandom), mClock.Now());
-  ++mInProgress;
-  request->mOver.connect(
-    [this](const RequestContext& aRequest, const RequestResult& aResult) {
-      --mInProgress;
-      LogEvent(
-        LogLevel::Info,
-        "request_over",
-        { { "request", aRequest.RequestId() },
-          { "workspace", aRequest.mWorkspace.mName },
-          { "status", aResult.mStatus },
-          { "code",
-            aResult.mProblem
-              ? std::string(ProblemCodeName(aResult.mProblem->mCode))
-              : std::string(aResult.mIsCallerGone ? "caller_gone" : "none") },
-          { "tokens", aResult.mTokens },
-          { "ms", ToMilliseconds(mClock.Now() - aRequest.Start()) } });
-    });
+    std::move(aExchange),
+    MakeRequestId(mClock.Wall(), mRandom, mSettings.mDaemon.mName),
+    mClock);
+  BeginRequest(request);
   if (!IsReady()) {
-    request->Refuse(
-      { mIsStopping ? ProblemCode::Draining : ProblemCode::NotReady,
-        RanState::No,
-        "this daemon takes no new requests",
-        kDrainingRetryAfter });
+    request->Refuse({ mIsStopping ? Cause::Draining : Cause::NotReady,
+                      RanState::No,
+                      "this daemon takes no new requests",
+                      kDrainingRetryAfter });
     return;
   }
   mChain.Run(request);
 }
 
+void
+Daemon::BeginRequest(const RequestPointer& aRequest)
+{
+  ++mInProgress;
+  OutcomeRecord& draft = aRequest->Timeline().Draft();
+  draft.mDaemon = mSettings.mDaemon.mName;
+  draft.mPreset = mConfiguration.Presets().mInForce;
+  aRequest->mOver.connect([this](const RequestContext& aOver) {
+    --mInProgress;
+    mOutcomes.Take(aOver);
+  });
+}
+
 void
 Daemon::BeginStop()
 {
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -14,12 +14,14 @@
 #include "Daemon/FilterChain.h"
 #include "Daemon/LookupSession.h"
 #include "Daemon/ModelSession.h"
+#include "Daemon/OutcomeController.h"
 #include "Daemon/PairSource.h"
 #include "Daemon/ServiceClient.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
 #include "Net/PeerLinks.h"
+#include "Outcome/Metrics.h"
 #include "Platform/HttpObjectStore.h"
 #include "Settings/Settings.h"
 
@@ -40,6 +42,7 @@
 
 private:
   void AddFilters();
+  void BeginRequest(const RequestPointer& aRequest);
   void HandleCaller(std::shared_ptr<HttpExchange> aExchange);
   bool AnswerHealth(HttpExchange& aExchange) const;
   bool IsReady() const;
@@ -55,6 +58,8 @@
   HttpClient mHttpClient;
   HttpObjectStore mStore;
   Configuration mConfiguration;
+  Metrics mMetrics;
+  OutcomeController mOutcomes;
   ConfigurationLoader mLoader;
   EngineClient mEngines;
   CancelController mCancels;
--- a/Source/Daemon/LookupSession.cxx
+++ b/Source/Daemon/LookupSession.cxx
@@ -40,6 +40,20 @@
 }
 } // namespace
 
+FaultKind
+FaultOf(HttpCallResult aResult)
+{
+  switch (aResult) {
+    case HttpCallResult::Silent:
+      return FaultKind::EndpointSilent;
+    case HttpCallResult::ConnectFailed:
+    case HttpCallResult::ConnectionLost:
+      return FaultKind::EndpointDied;
+    default:
+      return FaultKind::EndpointError;
+  }
+}
+
 ServiceCallRequest
 MakeServiceCall(const RequestContext& aRequest)
 {
@@ -60,6 +74,7 @@
     message.mHeaders.Find("Content-Type").value_or("application/octet-stream");
   call.mBody = message.mBody;
   call.mKey = aRequest.mService->mKey;
+  call.mTraceparent = aRequest.Traceparent();
   return call;
 }
 
@@ -70,7 +85,6 @@
                   const std::string& aBody)
 {
   aRequest.Answer(aStatus, aContentType, aBody);
-  aRequest.Finish({ aStatus, std::nullopt, false, 0 });
 }
 
 LookupSession::LookupSession(ServiceSessionServices& aServices,
@@ -85,12 +99,12 @@
 {
   mSelf = shared_from_this();
   mRequest->Exchange().OnClosed([this] {
-    mRequest->Finish({ 0, std::nullopt, true, 0 });
+    mRequest->FinishGone();
     End();
   });
   const Duration left = mRequest->mDeadline - mServices.mClock.Now();
   mDeadlineTimer = mServices.mLoop.After(std::max(left, Duration(0)), [this] {
-    mRequest->Refuse({ ProblemCode::DeadlineExceeded,
+    mRequest->Refuse({ Cause::DeadlinePassed,
                        mTried.empty() ? RanState::No : RanState::Unknown,
                        "the deadline passed before the service answered",
                        std::nullopt });
@@ -106,18 +120,18 @@
     mServices.mClient.Pick(mRequest->mService->mService, mTried);
   if (endpoint == nullptr) {
     const bool wasTried = !mTried.empty();
-    mRequest->Refuse(
-      { wasTried ? ProblemCode::EndpointFailed : ProblemCode::NoCapacity,
-        wasTried ? RanState::Unknown : RanState::No,
-        absl::StrCat("no endpoint of service ",
-                     mRequest->mService->mService,
-                     " answered; tried ",
-                     mTried.size()),
-        kRetryAfter });
+    mRequest->Refuse({ wasTried ? Cause::EndpointError : Cause::NoCapacity,
+                       wasTried ? RanState::Unknown : RanState::No,
+                       absl::StrCat("no endpoint of service ",
+                                    mRequest->mService->mService,
+                                    " answered; tried ",
+                                    mTried.size()),
+                       kRetryAfter });
     End();
     return;
   }
   mTried.push_back(endpoint->mName);
+  mRequest->Enter(Hop::Service, *endpoint);
   mCall = mServices.mClient.Send(
     *endpoint, MakeServiceCall(*mRequest), [this](const HttpCallReply& aReply) {
       HandleReply(aReply);
@@ -131,6 +145,7 @@
   constexpr int kFirstServerError = 500;
   if (aReply.mResult != HttpCallResult::Complete ||
       aReply.mStatus >= kFirstServerError) {
+    mRequest->NoteFault(FaultOf(aReply.mResult));
     TryNext();
     return;
   }
--- a/Source/Daemon/LookupSession.h
+++ b/Source/Daemon/LookupSession.h
@@ -20,6 +20,9 @@
   ServiceClient& mClient;
 };
 
+/** Fault of a call that ended with aResult and gave no usable answer. */
+FaultKind FaultOf(HttpCallResult aResult);
+
 /** The call that aRequest makes at an endpoint of its service. */
 ServiceCallRequest MakeServiceCall(const RequestContext& aRequest);
 
--- a/Source/Daemon/ModelSession.cxx
+++ b/Source/Daemon/ModelSession.cxx
@@ -13,6 +13,44 @@
 constexpr int kInteractivePriority = 9;
 constexpr int kPatientPriority = 4;
 constexpr Duration kNoCapacityRetryAfter = std::chrono::seconds(1);
+
+Cause
+CauseOf(StepFailure aFailure)
+{
+  switch (aFailure) {
+    case StepFailure::Refused:
+      return Cause::EndpointRefused;
+    case StepFailure::Unreachable:
+    case StepFailure::ConnectionLost:
+      return Cause::EndpointDied;
+    case StepFailure::Silent:
+      return Cause::EndpointSilent;
+    case StepFailure::Evicted:
+      return Cause::KvEvicted;
+    case StepFailure::Rejected:
+      return Cause::TooLarge;
+  }
+  return Cause::InternalError;
+}
+
+FaultKind
+FaultOf(StepFailure aFailure, ModelCallState aStep)
+{
+  switch (aFailure) {
+    case StepFailure::Refused:
+    case StepFailure::Rejected:
+      return FaultKind::EndpointRefused;
+    case StepFailure::Unreachable:
+    case StepFailure::ConnectionLost:
+      return FaultKind::EndpointDied;
+    case StepFailure::Silent:
+      return aStep == ModelCallState::Transferring ? FaultKind::TransferStalled
+                                                   : FaultKind::EndpointSilent;
+    case StepFailure::Evicted:
+      return FaultKind::KvEvicted;
+  }
+  return FaultKind::EndpointError;
+}
 } // namespace
 
 ModelSession::ModelSession(ModelSessionServices& aServices,
@@ -44,6 +82,15 @@
   }
 }
 
+ModelCallActions
+ModelSession::Fail(std::uint32_t aAttempt, StepFailure aFailure)
+{
+  if (aAttempt == mCall.Attempt()) {
+    mRequest->NoteFault(FaultOf(aFailure, mCall.State()));
+  }
+  return mCall.OnFailure(aAttempt, aFailure);
+}
+
 const Endpoint*
 ModelSession::FindEndpoint(const std::string& aName) const
 {
@@ -79,6 +126,8 @@
   request.mMaxTokens = mRequest->mCompletion->mMaxTokens;
   request.mDeadline = mRequest->mDeadline;
   request.mExcluded = aAction.mExcluded;
+  mRequest->Timeline().BeginAttempt(mServices.mClock.Now());
+  mRequest->Enter(Hop::Reservation);
   if (aAction.mAttempt > 1) {
     mServices.mPairs.Release(request.mRequestId, aAction.mAttempt - 1);
   }
@@ -96,9 +145,10 @@
 {
   const Endpoint* endpoint = FindEndpoint(aAction.mEndpoint);
   if (endpoint == nullptr) {
-    Run(mCall.OnFailure(aAction.mAttempt, StepFailure::Unreachable));
+    Run(Fail(aAction.mAttempt, StepFailure::Unreachable));
     return;
   }
+  mRequest->Enter(Hop::Prefill, *endpoint);
   PrefillRequest request;
   request.mId = MakeId(aAction.mAttempt);
   request.mModel = mRequest->mCompletion->mModel;
@@ -112,7 +162,7 @@
     request,
     [this, attempt = aAction.mAttempt](const StepResult<PrefillReply>& aIt) {
       Run(aIt.mIsOk ? mCall.OnPrefillDone(attempt, aIt.mValue.mHandle)
-                    : mCall.OnFailure(attempt, aIt.mFailure));
+                    : Fail(attempt, aIt.mFailure));
     });
 }
 
@@ -122,15 +172,16 @@
   const Endpoint* prefill = FindEndpoint(aAction.mPair.mPrefill);
   const Endpoint* decode = FindEndpoint(aAction.mPair.mDecode);
   if (prefill == nullptr || decode == nullptr) {
-    Run(mCall.OnFailure(aAction.mAttempt, StepFailure::Unreachable));
+    Run(Fail(aAction.mAttempt, StepFailure::Unreachable));
     return;
   }
+  mRequest->Enter(Hop::Transfer, *decode);
   mEngineCall = mServices.mEngines.Transfer(
     decode->mAddress,
     { MakeId(aAction.mAttempt), prefill->mAddress, aAction.mHandle },
     [this, attempt = aAction.mAttempt](const StepResult<std::string>& aIt) {
       Run(aIt.mIsOk ? mCall.OnTransferDone(attempt, aIt.mValue)
-                    : mCall.OnFailure(attempt, aIt.mFailure));
+                    : Fail(attempt, aIt.mFailure));
     });
 }
 
@@ -139,9 +190,10 @@
 {
   const Endpoint* endpoint = FindEndpoint(aAction.mEndpoint);
   if (endpoint == nullptr) {
-    Run(mCall.OnFailure(aAction.mAttempt, StepFailure::Unreachable));
+    Run(Fail(aAction.mAttempt, StepFailure::Unreachable));
     return;
   }
+  mRequest->Enter(Hop::Decode, *endpoint);
   DecodeRequest request;
   request.mId = MakeId(aAction.mAttempt);
   request.mHandle = aAction.mHandle;
@@ -158,7 +210,7 @@
     Run(mCall.OnAnswerEnd(attempt, aTokens));
   };
   hooks.mOnFailure = [this, attempt](StepFailure aFailure) {
-    Run(mCall.OnFailure(attempt, aFailure));
+    Run(Fail(attempt, aFailure));
   };
   mEngineCall =
     mServices.mEngines.Decode(endpoint->mAddress, request, std::move(hooks));
@@ -207,9 +259,7 @@
 void
 ModelSession::Do(const DeliverAction& aAction)
 {
-  if (!mRequest->mFirstTokenAt) {
-    mRequest->mFirstTokenAt = mServices.mClock.Now();
-  }
+  mRequest->Timeline().AddTokens(1, mServices.mClock.Now());
   const CompletionRequest& completion = *mRequest->mCompletion;
   if (!completion.mIsStreamed) {
     return;
@@ -251,7 +301,7 @@
   if (aAction.mResult == ModelCallResult::Complete) {
     FinishComplete(aAction);
   } else if (aAction.mResult == ModelCallResult::CallerGone) {
-    mRequest->Finish({ 0, std::nullopt, true, aAction.mTokens });
+    mRequest->FinishGone();
   } else {
     mRequest->Refuse(MakeProblem(aAction));
   }
@@ -266,6 +316,7 @@
     mRequest->Exchange().SendChunk(
       FormatEndEvents(completion, mRequest->RequestId()));
     mRequest->Exchange().EndStream();
+    mRequest->FinishStream();
   } else {
     mRequest->Answer(kStatusOk,
                      "application/json",
@@ -274,7 +325,6 @@
                                        mCall.Answer().Text(),
                                        aAction.mTokens));
   }
-  mRequest->Finish({ kStatusOk, std::nullopt, false, aAction.mTokens });
 }
 
 Problem
@@ -284,12 +334,12 @@
   problem.mRan = aAction.mRan ? RanState::Yes : RanState::No;
   switch (aAction.mResult) {
     case ModelCallResult::NoCapacity:
-      problem.mCode = ProblemCode::NoCapacity;
+      problem.mCause = Cause::NoCapacity;
       problem.mDetail = "no endpoint can take the request now";
       problem.mRetryAfter = kNoCapacityRetryAfter;
       break;
     case ModelCallResult::DeadlineExceeded:
-      problem.mCode = ProblemCode::DeadlineExceeded;
+      problem.mCause = Cause::DeadlinePassed;
       problem.mDetail =
         absl::StrCat("the deadline passed while ",
                      std::string(ModelCallStateName(mCall.LastStep())),
@@ -297,11 +347,11 @@
                      mCall.Attempt());
       break;
     case ModelCallResult::Rejected:
-      problem.mCode = ProblemCode::TooLarge;
+      problem.mCause = Cause::TooLarge;
       problem.mDetail = "the endpoint cannot hold a request of this size";
       break;
     default:
-      problem.mCode = ProblemCode::EndpointFailed;
+      problem.mCause = CauseOf(mCall.LastFailure());
       problem.mDetail =
         absl::StrCat("attempt ",
                      mCall.Attempt(),
--- a/Source/Daemon/ModelSession.h
+++ b/Source/Daemon/ModelSession.h
@@ -52,6 +52,8 @@
   void Do(const DeliverAction& aAction);
   void Do(const CrashAction& aAction);
   void Do(const FinishAction& aAction);
+  /** Notes the fault in the timeline and passes it to the call. */
+  ModelCallActions Fail(std::uint32_t aAttempt, StepFailure aFailure);
   void FinishComplete(const FinishAction& aAction);
   Problem MakeProblem(const FinishAction& aAction) const;
   const Endpoint* FindEndpoint(const std::string& aName) const;
--- a/Source/Daemon/Problem.cxx
+++ b/Source/Daemon/Problem.cxx
@@ -7,45 +7,13 @@
 namespace bulrushfold {
 
 namespace {
-
-constexpr EnumNames<ProblemCode, 21> kCodeNames{ {
-  { ProblemCode::BadRequest, "bad_request" },
-  { ProblemCode::Unauthorized, "unauthorized" },
-  { ProblemCode::ModelNotAllowed, "model_not_allowed" },
-  { ProblemCode::NotFound, "not_found" },
-  { ProblemCode::MethodNotAllowed, "method_not_allowed" },
-  { ProblemCode::UnknownModel, "unknown_model" },
-  { ProblemCode::TooLarge, "too_large" },
-  { ProblemCode::IdempotencyKeyRequired, "idempotency_key_required" },
-  { ProblemCode::IdempotencyKeyInvalid, "idempotency_key_invalid" },
-  { ProblemCode::IdempotencyKeyExpired, "idempotency_key_expired" },
-  { ProblemCode::IdempotencyKeyReused, "idempotency_key_reused" },
-  { ProblemCode::RateLimited, "rate_limited" },
-  { ProblemCode::ConcurrencyLimited, "concurrency_limited" },
-  { ProblemCode::NoCapacity, "no_capacity" },
-  { ProblemCode::DeadlineExceeded, "deadline_exceeded" },
-  { ProblemCode::EndpointFailed, "endpoint_failed" },
-  { ProblemCode::OutcomeUnknown, "outcome_unknown" },
-  { ProblemCode::StoreUnavailable, "store_unavailable" },
-  { ProblemCode::CrashSuspect, "crash_suspect" },
-  { ProblemCode::Draining, "draining" },
-  { ProblemCode::NotReady, "not_ready" },
-} };
-
 constexpr EnumNames<RanState, 3> kRanNames{ {
   { RanState::No, "no" },
   { RanState::Yes, "yes" },
   { RanState::Unknown, "unknown" },
 } };
-
 } // namespace
 
-std::string_view
-ProblemCodeName(ProblemCode aCode)
-{
-  return FindEnumName(kCodeNames, aCode);
-}
-
 std::string_view
 RanStateName(RanState aState)
 {
@@ -53,52 +21,53 @@
 }
 
 int
-ProblemStatus(ProblemCode aCode)
+ProblemStatus(Cause aCause)
 {
-  switch (aCode) {
-    case ProblemCode::BadRequest:
-    case ProblemCode::IdempotencyKeyRequired:
-    case ProblemCode::IdempotencyKeyInvalid:
+  switch (aCause) {
+    case Cause::BadRequest:
+    case Cause::BadIdempotencyKey:
       return 400;
-    case ProblemCode::Unauthorized:
+    case Cause::BadToken:
       return 401;
-    case ProblemCode::ModelNotAllowed:
+    case Cause::ModelForbidden:
       return 403;
-    case ProblemCode::NotFound:
-    case ProblemCode::UnknownModel:
+    case Cause::UnknownModel:
+    case Cause::UnknownService:
       return 404;
-    case ProblemCode::MethodNotAllowed:
-      return 405;
-    case ProblemCode::IdempotencyKeyExpired:
-    case ProblemCode::IdempotencyKeyReused:
+    case Cause::KeyReused:
+    case Cause::KeyTooOld:
       return 409;
-    case ProblemCode::TooLarge:
+    case Cause::TooLarge:
       return 413;
-    case ProblemCode::CrashSuspect:
+    case Cause::CrashSuspect:
       return 422;
-    case ProblemCode::RateLimited:
-    case ProblemCode::ConcurrencyLimited:
+    case Cause::RateLimit:
+    case Cause::ConcurrencyLimit:
       return 429;
-    case ProblemCode::EndpointFailed:
-    case ProblemCode::OutcomeUnknown:
-      return 502;
-    case ProblemCode::NoCapacity:
-    case ProblemCode::StoreUnavailable:
-    case ProblemCode::Draining:
-    case ProblemCode::NotReady:
+    case Cause::NoCapacity:
+    case Cause::CircuitOpen:
+    case Cause::StreamLimit:
+    case Cause::StoreDown:
+    case Cause::BookingQueueFull:
+    case Cause::Draining:
+    case Cause::NotReady:
       return 503;
-    case ProblemCode::DeadlineExceeded:
+    case Cause::DeadlinePassed:
       return 504;
+    case Cause::InternalError:
+      return 500;
+    default:
+      // The router works, but something behind it failed.
+      return 502;
   }
-  return 500;
 }
 
 std::string
 FormatProblem(const Problem& aProblem, const std::string& aRequestId)
 {
   const nlohmann::json json{ { "type", "about:blank" },
-                             { "status", ProblemStatus(aProblem.mCode) },
-                             { "code", ProblemCodeName(aProblem.mCode) },
+                             { "status", ProblemStatus(aProblem.mCause) },
+                             { "code", CauseName(aProblem.mCause) },
                              { "detail", aProblem.mDetail },
                              { "request_id", aRequestId },
                              { "ran", RanStateName(aProblem.mRan) } };
--- a/Source/Daemon/Problem.h
+++ b/Source/Daemon/Problem.h
@@ -6,35 +6,10 @@
 #include <string_view>
 
 #include "Base/Clock.h"
+#include "Outcome/Cause.h"
 
 namespace bulrushfold {
 
-/** Error codes of the caller interface; the names are stable. */
-enum class ProblemCode
-{
-  BadRequest,
-  Unauthorized,
-  ModelNotAllowed,
-  NotFound,
-  MethodNotAllowed,
-  UnknownModel,
-  TooLarge,
-  IdempotencyKeyRequired,
-  IdempotencyKeyInvalid,
-  IdempotencyKeyExpired,
-  IdempotencyKeyReused,
-  RateLimited,
-  ConcurrencyLimited,
-  NoCapacity,
-  DeadlineExceeded,
-  EndpointFailed,
-  OutcomeUnknown,
-  StoreUnavailable,
-  CrashSuspect,
-  Draining,
-  NotReady,
-};
-
 /** Whether the request ran, as far as the router knows. */
 enum class RanState
 {
@@ -47,18 +22,18 @@
 /** An error answer to a caller. */
 struct Problem
 {
-  ProblemCode mCode = ProblemCode::BadRequest;
+  /** Its name is the stable "code" of the answer. */
+  Cause mCause = Cause::BadRequest;
   RanState mRan = RanState::No;
   std::string mDetail;
   /** Time after which a retry may succeed. */
   std::optional<Duration> mRetryAfter;
 };
 
-std::string_view ProblemCodeName(ProblemCode aCode);
 std::string_view RanStateName(RanState aState);
 
-/** HTTP status of aCode. */
-int ProblemStatus(ProblemCode aCode);
+/** HTTP status of an error answer with cause aCause. */
+int ProblemStatus(Cause aCause);
 
 /** aProblem as application/problem+json (RFC 9457). */
 std::string FormatProblem(const Problem& aProblem,
--- a/Source/Daemon/RequestContext.cxx
+++ b/Source/Daemon/RequestContext.cxx
@@ -8,6 +8,7 @@
 namespace bulrushfold {
 
 namespace {
+constexpr int kStatusOk = 200;
 constexpr int kStatusUnauthorized = 401;
 
 HttpHeaders
@@ -20,43 +21,74 @@
       std::chrono::ceil<std::chrono::seconds>(*aProblem.mRetryAfter);
     headers.Add("Retry-After", absl::StrCat(seconds.count()));
   }
-  if (ProblemStatus(aProblem.mCode) == kStatusUnauthorized) {
+  if (ProblemStatus(aProblem.mCause) == kStatusUnauthorized) {
     headers.Add("WWW-Authenticate", "Bearer");
   }
   return headers;
 }
+
+Ending
+EndingOf(const Problem& aProblem)
+{
+  if (aProblem.mCause == Cause::DeadlinePassed) {
+    return Ending::DeadlinePassed;
+  }
+  switch (aProblem.mRan) {
+    case RanState::No:
+      return Ending::Refused;
+    case RanState::Yes:
+      return Ending::Failed;
+    case RanState::Unknown:
+      return Ending::Unknown;
+  }
+  return Ending::Failed;
+}
 } // namespace
 
 RequestContext::RequestContext(std::shared_ptr<HttpExchange> aExchange,
                                std::string aRequestId,
-                               Instant aStart)
+                               const Clock& aClock)
   : mExchange(std::move(aExchange))
   , mRequestId(std::move(aRequestId))
-  , mStart(aStart)
+  , mClock(aClock)
+  , mTimeline(mRequestId, aClock.Now(), aClock.Wall())
 {
 }
 
 void
-RequestContext::Refuse(const Problem& aProblem)
+RequestContext::Enter(Hop aHop)
 {
-  if (mExchange->HasStarted()) {
-    BreakStream(aProblem);
-    return;
-  }
-  const int status = ProblemStatus(aProblem.mCode);
-  mExchange->Reply(status,
-                   ProblemHeaders(aProblem, mRequestId),
-                   FormatProblem(aProblem, mRequestId));
-  Finish({ status, aProblem, false, 0 });
+  mTimeline.Enter(aHop, mClock.Now());
+}
+
+void
+RequestContext::Enter(Hop aHop, const Endpoint& aEndpoint)
+{
+  mTimeline.Enter(
+    aHop, { aEndpoint.mName, aEndpoint.mFailureDomain }, mClock.Now());
+}
+
+void
+RequestContext::NoteFault(FaultKind aKind)
+{
+  mTimeline.NoteFault(aKind, mClock.Now());
 }
 
 void
-RequestContext::BreakStream(const Problem& aProblem)
+RequestContext::Refuse(const Problem& aProblem)
 {
-  mExchange->SendChunk(FormatSseEvent(
-    "", absl::StrCat("{\"error\":", FormatProblem(aProblem, mRequestId), "}")));
-  mExchange->EndStream();
-  Finish({ ProblemStatus(aProblem.mCode), aProblem, false, 0 });
+  mStatus = ProblemStatus(aProblem.mCause);
+  if (mExchange->HasStarted()) {
+    mExchange->SendChunk(FormatSseEvent(
+      "",
+      absl::StrCat("{\"error\":", FormatProblem(aProblem, mRequestId), "}")));
+    mExchange->EndStream();
+  } else {
+    mExchange->Reply(mStatus,
+                     ProblemHeaders(aProblem, mRequestId),
+                     FormatProblem(aProblem, mRequestId));
+  }
+  Finish(EndingOf(aProblem), aProblem.mCause);
 }
 
 void
@@ -64,17 +96,41 @@
                        const std::string& aContentType,
                        const std::string& aBody)
 {
+  mStatus = aStatus;
   mExchange->Reply(
     aStatus,
     { { "Content-Type", aContentType }, { "Request-Id", mRequestId } },
     aBody);
+  Finish(Ending::Complete, std::nullopt);
+}
+
+void
+RequestContext::FinishStream()
+{
+  mStatus = kStatusOk;
+  Finish(Ending::Complete, std::nullopt);
+}
+
+void
+RequestContext::FinishGone()
+{
+  Finish(Ending::CallerGone, std::nullopt);
+}
+
+std::string
+RequestContext::Traceparent() const
+{
+  return FormatTraceparent({ mTimeline.Draft().mTraceId,
+                             mTimeline.CurrentSpanId(),
+                             !mParent || mParent->mIsSampled });
 }
 
 void
-RequestContext::Finish(const RequestResult& aResult)
+RequestContext::Finish(Ending aEnding, std::optional<Cause> aCause)
 {
   if (!std::exchange(mIsFinished, true)) {
-    mOver.emit(*this, aResult);
+    mTimeline.End(aEnding, mClock.Now(), aCause);
+    mOver.emit(*this);
   }
 }
 
--- a/Source/Daemon/RequestContext.h
+++ b/Source/Daemon/RequestContext.h
@@ -12,6 +12,8 @@
 #include "Daemon/CallerMessage.h"
 #include "Daemon/Problem.h"
 #include "Net/HttpServer.h"
+#include "Outcome/RequestTimeline.h"
+#include "Outcome/Traceparent.h"
 
 namespace bulrushfold {
 
@@ -26,55 +28,59 @@
   std::string mKey;
 };
 
-/** How the router's work for a request ended. */
-struct RequestResult
-{
-  int mStatus = 0;
-  /** Empty for a complete answer. */
-  std::optional<Problem> mProblem;
-  bool mIsCallerGone = false;
-  std::uint64_t mTokens = 0;
-};
-
 /** One caller's request on its way through the filter chain. */
 class RequestContext
 {
 public:
   RequestContext(std::shared_ptr<HttpExchange> aExchange,
                  std::string aRequestId,
-                 Instant aStart);
+                 const Clock& aClock);
 
   HttpExchange& Exchange() const { return *mExchange; }
   const HttpRequest& Message() const { return mExchange->Request(); }
+  const std::string& RequestId() const { return mRequestId; }
+  Instant Start() const { return mTimeline.Start(); }
+  RequestTimeline& Timeline() { return mTimeline; }
+  const RequestTimeline& Timeline() const { return mTimeline; }
 
-  /** Answers with a problem, unless an answer has already begun. */
+  /** Notes that the request now waits for aHop. */
+  void Enter(Hop aHop);
+  void Enter(Hop aHop, const Endpoint& aEndpoint);
+  void NoteFault(FaultKind aKind);
+
+  /**
+   * Answers with a problem; a streamed answer that has begun is broken off
+   * with the problem as its last event.
+   */
   void Refuse(const Problem& aProblem);
-  /** Ends a streamed answer that cannot be completed. */
-  void BreakStream(const Problem& aProblem);
-  /** Answers with a whole body. */
+  /** Answers with a whole body and ends the request. */
   void Answer(int aStatus,
               const std::string& aContentType,
               const std::string& aBody);
-  /** Reports the end of the request; only the first report counts. */
-  void Finish(const RequestResult& aResult);
-
-  const std::string& RequestId() const { return mRequestId; }
-  Instant Start() const { return mStart; }
+  /** Notes that a streamed answer is complete. */
+  void FinishStream();
+  /** Notes that the caller is gone. */
+  void FinishGone();
+  /** Header value for calls that this request makes. */
+  std::string Traceparent() const;
 
-  std::string mTraceId;
-  std::string mParentSpanId;
+  std::optional<TraceContext> mParent;
   Instant mDeadline;
   Workspace mWorkspace;
   std::optional<CompletionRequest> mCompletion;
   std::optional<ServiceRequest> mService;
-  std::optional<Instant> mFirstTokenAt;
+  /** Status of the answer; 0 when there was none. */
+  int mStatus = 0;
   /** Emitted once when the request is over. */
-  sigc::signal<void(const RequestContext&, const RequestResult&)> mOver;
+  sigc::signal<void(const RequestContext&)> mOver;
 
 private:
+  void Finish(Ending aEnding, std::optional<Cause> aCause);
+
   std::shared_ptr<HttpExchange> mExchange;
   std::string mRequestId;
-  Instant mStart;
+  const Clock& mClock;
+  RequestTimeline mTimeline;
   bool mIsFinished = false;
 };
 
--- a/Source/Daemon/RequestFilters.cxx
+++ b/Source/Daemon/RequestFilters.cxx
@@ -4,6 +4,7 @@
 
 #include "Base/Identifiers.h"
 #include "Base/Secret.h"
+#include "Outcome/RequestId.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
@@ -13,11 +14,6 @@
 
 namespace {
 
-constexpr std::size_t kTraceparentLength = 55;
-constexpr std::size_t kTraceIdStart = 3;
-constexpr std::size_t kTraceIdLength = 32;
-constexpr std::size_t kSpanIdStart = 36;
-constexpr std::size_t kSpanIdLength = 16;
 constexpr std::string_view kServicesPath = "/services/";
 constexpr std::string_view kBearer = "Bearer ";
 
@@ -26,16 +22,13 @@
 void
 TraceFilter::Handle(const RequestPointer& aRequest, const Next& aNext)
 {
-  const auto header = aRequest->Message().mHeaders.Find("traceparent");
-  if (header && header->size() == kTraceparentLength &&
-      absl::StartsWith(*header, "00-") &&
-      FromHex(header->substr(kTraceIdStart, kTraceIdLength)) &&
-      FromHex(header->substr(kSpanIdStart, kSpanIdLength))) {
-    aRequest->mTraceId = header->substr(kTraceIdStart, kTraceIdLength);
-    aRequest->mParentSpanId = header->substr(kSpanIdStart, kSpanIdLength);
-  } else {
-    aRequest->mTraceId = MakeTraceId(mRandom);
+  if (const auto header = aRequest->Message().mHeaders.Find("traceparent");
+      header) {
+    aRequest->mParent = ParseTraceparent(*header);
   }
+  aRequest->Timeline().Draft().mTraceId = aRequest->mParent
+                                            ? aRequest->mParent->mTraceId
+                                            : TraceIdOf(aRequest->RequestId());
   aNext();
 }
 
@@ -50,13 +43,14 @@
       Sha256Hex(header->substr(kBearer.size())));
   }
   if (workspace == nullptr) {
-    aRequest->Refuse({ ProblemCode::Unauthorized,
+    aRequest->Refuse({ Cause::BadToken,
                        RanState::No,
                        "expected a valid token in Authorization: Bearer",
                        std::nullopt });
     return;
   }
   aRequest->mWorkspace = *workspace;
+  aRequest->Timeline().Draft().mWorkspace = workspace->mName;
   aNext();
 }
 
@@ -81,8 +75,9 @@
 void
 ClassifyFilter::Handle(const RequestPointer& aRequest, const Next& aNext)
 {
+  aRequest->Enter(Hop::Admission);
   if (!ReadDeadline(aRequest)) {
-    aRequest->Refuse({ ProblemCode::BadRequest,
+    aRequest->Refuse({ Cause::BadRequest,
                        RanState::No,
                        "Request-Timeout-Ms: expected milliseconds, 1 or more",
                        std::nullopt });
@@ -97,7 +92,7 @@
                               { kServicesPath.data(), kServicesPath.size() })) {
     ClassifyService(aRequest, aNext);
   } else {
-    aRequest->Refuse({ ProblemCode::NotFound,
+    aRequest->Refuse({ Cause::UnknownService,
                        RanState::No,
                        absl::StrCat("no resource has the path ", path),
                        std::nullopt });
@@ -110,15 +105,13 @@
                                    const Next& aNext) const
 {
   if (aRequest->Message().mMethod != HttpMethod::Post) {
-    aRequest->Refuse({ ProblemCode::MethodNotAllowed,
-                       RanState::No,
-                       "expected POST",
-                       std::nullopt });
+    aRequest->Refuse(
+      { Cause::BadRequest, RanState::No, "expected POST", std::nullopt });
     return;
   }
   auto completion = ParseCompletionRequest(aKind, aRequest->Message().mBody);
   if (!completion.ok()) {
-    aRequest->Refuse({ ProblemCode::BadRequest,
+    aRequest->Refuse({ Cause::BadRequest,
                        RanState::No,
                        std::string(completion.status().message()),
                        std::nullopt });
@@ -132,7 +125,7 @@
     });
   if (!isKnown) {
     aRequest->Refuse(
-      { ProblemCode::UnknownModel,
+      { Cause::UnknownModel,
         RanState::No,
         absl::StrCat("no endpoint serves model ", completion->mModel),
         std::nullopt });
@@ -141,12 +134,13 @@
   if (std::find(allowed.begin(), allowed.end(), completion->mModel) ==
       allowed.end()) {
     aRequest->Refuse(
-      { ProblemCode::ModelNotAllowed,
+      { Cause::ModelForbidden,
         RanState::No,
         absl::StrCat("the workspace may not use model ", completion->mModel),
         std::nullopt });
     return;
   }
+  aRequest->Timeline().Draft().mTarget = completion->mModel;
   aRequest->mCompletion = *std::move(completion);
   aNext();
 }
@@ -166,7 +160,7 @@
     service == nullptr ? nullptr : service->FindCall(call.mPath);
   if (known == nullptr) {
     aRequest->Refuse(
-      { ProblemCode::NotFound,
+      { Cause::UnknownService,
         RanState::No,
         absl::StrCat("service ", call.mService, " has no call ", call.mPath),
         std::nullopt });
@@ -175,15 +169,15 @@
   call.mIsIdempotent = known->mIdempotent;
   call.mKey = aRequest->Message().mHeaders.Find("Idempotency-Key").value_or("");
   if (!call.mIsIdempotent && !UuidV7Time(call.mKey)) {
-    const bool isMissing = call.mKey.empty();
-    aRequest->Refuse({ isMissing ? ProblemCode::IdempotencyKeyRequired
-                                 : ProblemCode::IdempotencyKeyInvalid,
+    aRequest->Refuse({ Cause::BadIdempotencyKey,
                        RanState::No,
                        "this call is not idempotent: expected a UUIDv7 in "
                        "Idempotency-Key",
                        std::nullopt });
     return;
   }
+  aRequest->Timeline().Draft().mTarget = call.mService;
+  aRequest->Timeline().SetService();
   aRequest->mService = std::move(call);
   aNext();
 }
--- a/Source/Daemon/RequestFilters.h
+++ b/Source/Daemon/RequestFilters.h
@@ -1,11 +1,9 @@
 #ifndef BULRUSHFOLD_DAEMON_REQUESTFILTERS_H
 #define BULRUSHFOLD_DAEMON_REQUESTFILTERS_H
 
-#include <map>
 #include <string>
 
 #include "Base/Clock.h"
-#include "Base/Random.h"
 #include "Cluster/Configuration.h"
 #include "Daemon/FilterChain.h"
 #include "Settings/Settings.h"
@@ -16,14 +14,7 @@
 class TraceFilter : public Filter
 {
 public:
-  explicit TraceFilter(Random& aRandom)
-    : mRandom(aRandom)
-  {
-  }
   void Handle(const RequestPointer& aRequest, const Next& aNext) override;
-
-private:
-  Random& mRandom;
 };
 
 /** Finds the workspace of the caller's token. */
