--- a/Source/Emulator/EmulatorCall.cxx
+++ b/Source/Emulator/EmulatorCall.cxx
@@ -40,20 +40,34 @@
   return body;
 }
 
+HttpHeaders
+EmulatorCall::WithIncarnation(HttpHeaders aHeaders) const
+{
+  if (!mGroup->mIncarnation.empty()) {
+    aHeaders.Add("Incarnation", mGroup->mIncarnation);
+  }
+  return aHeaders;
+}
+
 void
 EmulatorCall::Reply(HttpStatus aStatus,
                     const HttpHeaders& aHeaders,
                     std::string_view aBody)
 {
   if (!IsSilent()) {
-    mExchange->Reply(static_cast<int>(aStatus), aHeaders, aBody);
+    mExchange->Reply(
+      static_cast<int>(aStatus), WithIncarnation(aHeaders), aBody);
   }
 }
 
 void
 EmulatorCall::ReplyJson(HttpStatus aStatus, const nlohmann::json& aBody)
 {
-  Reply(aStatus, { { "Content-Type", "application/json" } }, aBody.dump());
+  nlohmann::json body = aBody;
+  if (!mGroup->mIncarnation.empty()) {
+    body["incarnation"] = mGroup->mIncarnation;
+  }
+  Reply(aStatus, { { "Content-Type", "application/json" } }, body.dump());
 }
 
 void
@@ -65,6 +79,9 @@
   nlohmann::json body = aExtra;
   body["code"] = aCode;
   body["detail"] = aDetail;
+  if (!mGroup->mIncarnation.empty()) {
+    body["incarnation"] = mGroup->mIncarnation;
+  }
   Reply(
     aStatus, { { "Content-Type", "application/problem+json" } }, body.dump());
 }
@@ -73,7 +90,8 @@
 EmulatorCall::StartStream(HttpStatus aStatus, const HttpHeaders& aHeaders)
 {
   if (!IsSilent()) {
-    mExchange->StartStream(static_cast<int>(aStatus), aHeaders);
+    mExchange->StartStream(static_cast<int>(aStatus),
+                           WithIncarnation(aHeaders));
   }
 }
 
--- a/Source/Emulator/EmulatorCall.h
+++ b/Source/Emulator/EmulatorCall.h
@@ -35,6 +35,8 @@
 struct ConnectionGroup
 {
   bool mIsSilent = false;
+  /** Named in every answer; empty when the emulator has none. */
+  std::string mIncarnation;
   std::vector<std::shared_ptr<HttpExchange>> mHeld;
 
   /** Keeps aExchange open without an answer. */
@@ -80,6 +82,7 @@
   }
 
 private:
+  HttpHeaders WithIncarnation(HttpHeaders aHeaders) const;
   bool IsSilent() const { return mGroup->mIsSilent; }
 
   std::shared_ptr<HttpExchange> mExchange;
--- a/Source/Emulator/EmulatorServer.cxx
+++ b/Source/Emulator/EmulatorServer.cxx
@@ -14,11 +14,15 @@
 }
 } // namespace
 
-EmulatorServer::EmulatorServer(EventLoop& aLoop, Handler aHandler)
+EmulatorServer::EmulatorServer(EventLoop& aLoop,
+                               Handler aHandler,
+                               std::string aIncarnation)
   : mLoop(aLoop)
   , mHandler(std::move(aHandler))
+  , mIncarnation(std::move(aIncarnation))
   , mControlGroup(std::make_shared<ConnectionGroup>())
 {
+  mControlGroup->mIncarnation = mIncarnation;
 }
 
 EmulatorServer::~EmulatorServer()
@@ -42,6 +46,7 @@
 {
   Listener listener;
   listener.mGroup = std::make_shared<ConnectionGroup>();
+  listener.mGroup->mIncarnation = mIncarnation;
   HttpServerLimits limits;
   limits.mWriteTimeout = std::chrono::minutes(10);
   listener.mServer = std::make_unique<HttpServer>(
--- a/Source/Emulator/EmulatorServer.h
+++ b/Source/Emulator/EmulatorServer.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "Emulator/EmulatorCall.h"
@@ -26,7 +27,10 @@
 public:
   using Handler = std::function<void(std::shared_ptr<EmulatorCall>)>;
 
-  EmulatorServer(EventLoop& aLoop, Handler aHandler);
+  /** aIncarnation is named in every answer unless it is empty. */
+  EmulatorServer(EventLoop& aLoop,
+                 Handler aHandler,
+                 std::string aIncarnation = "");
   EmulatorServer(const EmulatorServer&) = delete;
   EmulatorServer& operator=(const EmulatorServer&) = delete;
   ~EmulatorServer();
@@ -60,6 +64,7 @@
 
   EventLoop& mLoop;
   Handler mHandler;
+  std::string mIncarnation;
   SocketAddress mAddress;
   Duration mDelay{};
   bool mIsSilent = false;
--- /dev/null
+++ b/Source/Emulator/PrefixCache.h
@@ -0,0 +1,53 @@
+#ifndef BULRUSHFOLD_EMULATOR_PREFIXCACHE_H
+#define BULRUSHFOLD_EMULATOR_PREFIXCACHE_H
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace bulrushfold {
+
+/** Bytes of one cached block of a prompt, which are 256 tokens. */
+constexpr std::size_t kPrefixBlockBytes = 1024;
+
+/** A block that was stored or evicted. */
+struct PrefixChange
+{
+  bool mIsStored = false;
+  /** Hash of the prompt up to the end of the block. */
+  std::uint64_t mPrefix = 0;
+};
+
+/**
+ * Hashes of aPrompt up to the end of each whole block. The hash of a block is
+ * Hash64(BLOCK, seed = hash of the block before); the seed of the first one is
+ * Hash64(aModel).
+ */
+std::vector<std::uint64_t> PrefixHashes(std::string_view aModel,
+                                        std::string_view aPrompt);
+
+/** Cache of prompt prefixes in limited memory; the oldest block goes first. */
+class PrefixCache
+{
+public:
+  explicit PrefixCache(std::uint64_t aMaxTokens);
+
+  /** Tokens at the start of the prompt that are cached. */
+  std::uint64_t CachedTokens(const std::vector<std::uint64_t>& aHashes) const;
+  /** Adds the blocks of a prompt. */
+  std::vector<PrefixChange> Insert(const std::vector<std::uint64_t>& aHashes);
+
+private:
+  using Order = std::list<std::uint64_t>;
+  std::size_t mMaxBlocks;
+  /** Least recently used first. */
+  Order mOrder;
+  std::map<std::uint64_t, Order::iterator> mBlocks;
+};
+
+} // namespace bulrushfold
+
+#endif
