--- /dev/null
+++ b/Source/Soak/FakeStore.cxx
@@ -0,0 +1,41 @@
+#include "Soak/FakeStore.h"
+
+namespace bulrushfold {
+
+absl::StatusOr<StoredObject>
+FakeStore::Get(const std::string& aKey) const
+{
+  const auto it = mObjects.find(aKey);
+  if (it == mObjects.end()) {
+    return absl::NotFoundError(aKey);
+  }
+  return it->second;
+}
+
+absl::StatusOr<std::uint64_t>
+FakeStore::Put(const std::string& aKey,
+               const std::string& aBody,
+               std::optional<std::uint64_t> aExpected)
+{
+  if (aBody.size() > kMaxObjectBytes) {
+    return absl::UnknownError("413");
+  }
+  const auto it = mObjects.find(aKey);
+  const bool matches =
+    it == mObjects.end() ? !aExpected : aExpected == it->second.mVersion;
+  if (!matches) {
+    return absl::FailedPreconditionError(aKey);
+  }
+  ++mWrites;
+  mObjects[aKey] = StoredObject{ aKey, ++mRevision, aBody };
+  return mRevision;
+}
+
+absl::Status
+FakeStore::Delete(const std::string& aKey)
+{
+  return mObjects.erase(aKey) == 0 ? absl::NotFoundError(aKey)
+                                   : absl::OkStatus();
+}
+
+} // namespace bulrushfold
