Add membership, hash rings, dissemination and configuration changes

The daemons need a common view of each other and of the configuration. HashRings, Membership, Dissemination and ConfigController decide from events and clock readings and return typed messages and store calls.

--- /dev/null
+++ b/Source/Cluster/ConfigController.cxx
@@ -0,0 +1,408 @@
+#include "Cluster/ConfigController.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/EnumNames.h"
+#include "Cluster/RecentChanges.h"
+#include "absl/strings/str_cat.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr EnumNames<ChangeState, 8> kStateNames{ {
+  { ChangeState::Writing, "writing" },
+  { ChangeState::Unknown, "unknown" },
+  { ChangeState::Copying, "copying" },
+  { ChangeState::Accepted, "accepted" },
+  { ChangeState::Invalid, "invalid" },
+  { ChangeState::Conflict, "conflict" },
+  { ChangeState::Refused, "refused" },
+  { ChangeState::Undecided, "undecided" },
+} };
+} // namespace
+
+std::string_view
+ChangeStateName(ChangeState aState)
+{
+  return FindEnumName(kStateNames, aState);
+}
+
+bool
+IsFinal(ChangeState aState)
+{
+  return aState != ChangeState::Writing && aState != ChangeState::Unknown &&
+         aState != ChangeState::Copying;
+}
+
+ConfigController::ConfigController(std::string aSelf,
+                                   std::string aFailureDomain,
+                                   const HashRings& aRings,
+                                   Dissemination& aDissemination,
+                                   Validator aValidator)
+  : mSelf(std::move(aSelf))
+  , mFailureDomain(std::move(aFailureDomain))
+  , mRings(aRings)
+  , mDissemination(aDissemination)
+  , mValidator(std::move(aValidator))
+{
+}
+
+void
+ConfigController::SetState(Change& aChange,
+                           ChangeState aState,
+                           const std::string& aDetail,
+                           Instant aNow,
+                           ConfigControllerResult& aResult)
+{
+  aChange.mStatus.mState = aState;
+  aChange.mStatus.mDetail = aDetail;
+  aChange.mFinishedAt = aNow;
+  aResult.mChanged.push_back(aChange.mStatus);
+}
+
+ConfigControllerResult
+ConfigController::Propose(const ConfigChange& aChange, Instant aNow)
+{
+  ConfigControllerResult result;
+  const auto [it, isNew] = mChanges.insert({ aChange.mId, Change{} });
+  if (!isNew) {
+    result.mChanged.push_back(it->second.mStatus);
+    return result;
+  }
+  Change& change = it->second;
+  change.mStatus.mId = aChange.mId;
+  change.mStatus.mKey = aChange.mKey;
+  change.mExpected = aChange.mExpected;
+  const absl::Status status = mValidator(aChange.mKey, aChange.mBody);
+  if (!status.ok()) {
+    SetState(change,
+             ChangeState::Invalid,
+             std::string(status.message()),
+             aNow,
+             result);
+    return result;
+  }
+  if (aChange.mBody.size() + kRecentChangesBytes > kMaxObjectBytes) {
+    SetState(change, ChangeState::Invalid, "too large", aNow, result);
+    return result;
+  }
+  const ConfigObject* held = mDissemination.Find(aChange.mKey);
+  const std::uint64_t version = mDissemination.Version(aChange.mKey);
+  if (version > aChange.mExpected) {
+    change.mStatus.mVersion = version;
+    SetState(change, ChangeState::Conflict, "already changed", aNow, result);
+    return result;
+  }
+  change.mBody = aChange.mBody;
+  SetState(change, ChangeState::Writing, "", aNow, result);
+  if (version < aChange.mExpected) {
+    ReadBack(change, result);
+    return result;
+  }
+  NameChange(change, held == nullptr ? std::string() : held->mBody);
+  Write(change, result);
+  return result;
+}
+
+void
+ConfigController::NameChange(Change& aChange, const std::string& aBase)
+{
+  aChange.mBody =
+    AddChange(aChange.mBody, aChange.mStatus.mId, RecentChanges(aBase));
+  aChange.mIsNamed = true;
+}
+
+void
+ConfigController::Write(Change& aChange, ConfigControllerResult& aResult)
+{
+  aChange.mIsWaiting = true;
+  StorePutAction put;
+  put.mChangeId = aChange.mStatus.mId;
+  put.mKey = aChange.mStatus.mKey;
+  put.mBody = aChange.mBody;
+  if (aChange.mExpected != 0) {
+    put.mExpected = aChange.mExpected;
+  }
+  aResult.mPuts.push_back(std::move(put));
+}
+
+void
+ConfigController::ReadBack(Change& aChange, ConfigControllerResult& aResult)
+{
+  aChange.mIsWaiting = true;
+  aResult.mGets.push_back({ aChange.mStatus.mId, aChange.mStatus.mKey });
+}
+
+ConfigControllerResult
+ConfigController::OnPut(const std::string& aChangeId,
+                        const absl::StatusOr<std::uint64_t>& aVersion,
+                        Instant aNow)
+{
+  ConfigControllerResult result;
+  const auto it = mChanges.find(aChangeId);
+  if (it == mChanges.end() || IsFinal(it->second.mStatus.mState)) {
+    return result;
+  }
+  Change& change = it->second;
+  change.mIsWaiting = false;
+  if (aVersion.ok()) {
+    Committed(change, *aVersion, aNow, result);
+    return result;
+  }
+  const bool isLost = absl::IsUnknown(aVersion.status()) ||
+                      absl::IsDeadlineExceeded(aVersion.status());
+  const bool isFirst = change.mStatus.mState == ChangeState::Writing;
+  const std::string detail(aVersion.status().message());
+  if (absl::IsFailedPrecondition(aVersion.status())) {
+    // The current version is needed for the answer, and an earlier try of this
+    // change may be what the store reports as the other change.
+    ReadBack(change, result);
+    return result;
+  }
+  if (isFirst && !isLost) {
+    SetState(change, ChangeState::Refused, detail, aNow, result);
+    return result;
+  }
+  SetState(change, ChangeState::Unknown, detail, aNow, result);
+  change.mNextStep = aNow + (isFirst ? Duration(0) : kReadBackRetry);
+  return result;
+}
+
+ConfigControllerResult
+ConfigController::OnGet(const std::string& aChangeId,
+                        const absl::StatusOr<StoredObject>& aObject,
+                        Instant aNow)
+{
+  ConfigControllerResult result;
+  const auto it = mChanges.find(aChangeId);
+  if (it == mChanges.end() || IsFinal(it->second.mStatus.mState)) {
+    return result;
+  }
+  Change& change = it->second;
+  change.mIsWaiting = false;
+  if (!change.mIsNamed) {
+    ReadBase(change, aObject, aNow, result);
+    return result;
+  }
+  if (absl::IsNotFound(aObject.status())) {
+    if (change.mExpected == 0) {
+      Write(change, result);
+    } else {
+      SetState(change, ChangeState::Conflict, "deleted", aNow, result);
+    }
+    return result;
+  }
+  if (!aObject.ok()) {
+    SetState(change,
+             ChangeState::Unknown,
+             std::string(aObject.status().message()),
+             aNow,
+             result);
+    change.mNextStep = aNow + kReadBackRetry;
+    return result;
+  }
+  ResolveReadBack(change, *aObject, aNow, result);
+  return result;
+}
+
+void
+ConfigController::ReadBase(Change& aChange,
+                           const absl::StatusOr<StoredObject>& aObject,
+                           Instant aNow,
+                           ConfigControllerResult& aResult)
+{
+  if (!aObject.ok() && !absl::IsNotFound(aObject.status())) {
+    // Nothing was written yet.
+    SetState(aChange,
+             ChangeState::Refused,
+             std::string(aObject.status().message()),
+             aNow,
+             aResult);
+    return;
+  }
+  const std::uint64_t version = aObject.ok() ? aObject->mVersion : 0;
+  if (version != aChange.mExpected) {
+    aChange.mStatus.mVersion = version;
+    SetState(aChange, ChangeState::Conflict, "already changed", aNow, aResult);
+    return;
+  }
+  AppendResult(
+    aResult,
+    mDissemination.Learn(aObject->mKey, aObject->mVersion, aObject->mBody));
+  NameChange(aChange, aObject->mBody);
+  Write(aChange, aResult);
+}
+
+void
+ConfigController::ResolveReadBack(Change& aChange,
+                                  const StoredObject& aObject,
+                                  Instant aNow,
+                                  ConfigControllerResult& aResult)
+{
+  if (aObject.mVersion == aChange.mExpected) {
+    // The lost update may still arrive; writing it again decides, because only
+    // one of the two can succeed.
+    Write(aChange, aResult);
+    return;
+  }
+  const auto recent = RecentChanges(aObject.mBody);
+  const auto digest = ChangeDigest(aChange.mStatus.mId);
+  AppendResult(
+    aResult,
+    mDissemination.Learn(aObject.mKey, aObject.mVersion, aObject.mBody));
+  if (std::find(recent.begin(), recent.end(), digest) != recent.end()) {
+    Committed(aChange, aObject.mVersion, aNow, aResult);
+    return;
+  }
+  aChange.mStatus.mVersion = aObject.mVersion;
+  const bool isHidden =
+    recent.size() >= kMaxRecentChanges && !NamesBase(aChange, recent);
+  SetState(aChange,
+           isHidden ? ChangeState::Undecided : ChangeState::Conflict,
+           isHidden ? "later changes hide the result" : "another change won",
+           aNow,
+           aResult);
+}
+
+bool
+ConfigController::NamesBase(const Change& aChange,
+                            const std::vector<std::string>& aRecent)
+{
+  // The change before this one is still named, so this one would be too.
+  const auto own = RecentChanges(aChange.mBody);
+  return own.size() > 1 &&
+         std::find(aRecent.begin(), aRecent.end(), own[1]) != aRecent.end();
+}
+
+void
+ConfigController::Committed(Change& aChange,
+                            std::uint64_t aVersion,
+                            Instant aNow,
+                            ConfigControllerResult& aResult)
+{
+  aChange.mStatus.mVersion = aVersion;
+  AppendResult(
+    aResult,
+    mDissemination.Learn(aChange.mStatus.mKey, aVersion, aChange.mBody));
+  SetState(aChange, ChangeState::Copying, "", aNow, aResult);
+  SendCopies(aChange, aNow, aResult);
+  FinishIfCopied(aChange, aNow, aResult);
+}
+
+void
+ConfigController::SendCopies(Change& aChange,
+                             Instant aNow,
+                             ConfigControllerResult& aResult)
+{
+  aChange.mNextStep = aNow + kCopyRetry;
+  // Peers that did not answer are followed by others of the same domains.
+  const auto attempt = aChange.mAttempts++;
+  const auto peers =
+    mRings.Holders(absl::StrCat(aChange.mStatus.mId, "/", attempt),
+                   kCopyDomains + 1,
+                   mFailureDomain);
+  for (const auto& it : peers.empty() ? mRings.Names() : peers) {
+    if (it != mSelf) {
+      aResult.mSpread.mMessages.push_back(
+        { it, mDissemination.MakeCopy(aChange.mStatus.mKey) });
+    }
+  }
+}
+
+bool
+ConfigController::HasCopies(const Change& aChange) const
+{
+  std::set<std::string> domains = mRings.FailureDomains();
+  domains.erase(mFailureDomain);
+  if (domains.size() < kCopyDomains) {
+    const auto names = mRings.Names();
+    return std::all_of(names.begin(), names.end(), [&](const auto& aName) {
+      return aName == mSelf || aChange.mAcknowledged.count(aName) != 0;
+    });
+  }
+  std::set<std::string> copied;
+  for (const auto& [name, domain] : aChange.mAcknowledged) {
+    if (domain != mFailureDomain) {
+      copied.insert(domain);
+    }
+  }
+  return copied.size() >= kCopyDomains;
+}
+
+void
+ConfigController::FinishIfCopied(Change& aChange,
+                                 Instant aNow,
+                                 ConfigControllerResult& aResult)
+{
+  if (aChange.mStatus.mState == ChangeState::Copying && HasCopies(aChange)) {
+    SetState(aChange, ChangeState::Accepted, "", aNow, aResult);
+  }
+}
+
+ConfigControllerResult
+ConfigController::OnDigest(const std::string& aFrom,
+                           const wire::ConfigDigest& aMessage,
+                           Instant aNow)
+{
+  ConfigControllerResult result;
+  for (auto& [id, change] : mChanges) {
+    if (change.mStatus.mState != ChangeState::Copying) {
+      continue;
+    }
+    for (const auto& it : aMessage.versions) {
+      const auto version = static_cast<std::uint64_t>(it.version);
+      const std::string domain = mRings.FailureDomainOf(aFrom);
+      if (it.version > 0 && it.key == change.mStatus.mKey &&
+          version >= change.mStatus.mVersion && !domain.empty()) {
+        change.mAcknowledged[aFrom] = domain;
+      }
+    }
+    FinishIfCopied(change, aNow, result);
+  }
+  return result;
+}
+
+ConfigControllerResult
+ConfigController::Tick(Instant aNow)
+{
+  ConfigControllerResult result;
+  for (auto it = mChanges.begin(); it != mChanges.end();) {
+    Change& change = it->second;
+    const ChangeState state = change.mStatus.mState;
+    if (IsFinal(state) && aNow - change.mFinishedAt > kKeepFinished) {
+      it = mChanges.erase(it);
+      continue;
+    }
+    if (state == ChangeState::Unknown && !change.mIsWaiting &&
+        aNow >= change.mNextStep) {
+      ReadBack(change, result);
+    } else if (state == ChangeState::Copying) {
+      FinishIfCopied(change, aNow, result);
+      if (!IsFinal(change.mStatus.mState) && aNow >= change.mNextStep) {
+        SendCopies(change, aNow, result);
+      }
+    }
+    ++it;
+  }
+  return result;
+}
+
+const ChangeStatus*
+ConfigController::Find(const std::string& aChangeId) const
+{
+  const auto it = mChanges.find(aChangeId);
+  return it == mChanges.end() ? nullptr : &it->second.mStatus;
+}
+
+void
+ConfigController::AppendResult(ConfigControllerResult& aResult,
+                               DisseminationResult aMore)
+{
+  AppendOutbox(aResult.mSpread.mMessages, std::move(aMore.mMessages));
+  for (auto& it : aMore.mAdopted) {
+    aResult.mSpread.mAdopted.push_back(std::move(it));
+  }
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Cluster/Membership.cxx
@@ -0,0 +1,531 @@
+#include "Cluster/Membership.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushfold {
+
+namespace {
+/** Time for which a view may differ from a peer's before it is compared: news
+ * needs some heartbeat intervals to arrive. */
+constexpr Duration kViewGrace = std::chrono::seconds(4);
+constexpr Duration kSyncInterval = std::chrono::seconds(10);
+constexpr Duration kForgetInterval = std::chrono::seconds(10);
+/** Waiting time of a lone observer, as a multiple of mSuspectAfter. */
+constexpr int kLoneObserverFactor = 3;
+/** Share of heartbeat turns in which one dead daemon is contacted. */
+constexpr double kDeadContactChance = 0.1;
+/** Size of a record without and with the details of the daemon, in bytes. */
+constexpr double kBriefRecordBytes = 30;
+constexpr double kFullRecordBytes = 110;
+constexpr std::size_t kVmListReaders = 2;
+constexpr Duration kReaderInterval = std::chrono::seconds(5);
+constexpr Duration kOtherInterval = std::chrono::seconds(60);
+} // namespace
+
+Membership::Membership(MemberInfo aSelf,
+                       MembershipTiming aTiming,
+                       WallTime aStart,
+                       Instant aNow,
+                       Random& aRandom)
+  : mSelf(std::move(aSelf))
+  , mTiming(aTiming)
+  , mRandom(aRandom)
+  , mStartedAt(aNow)
+  , mLastEvent(aNow)
+  , mLastSync(aNow)
+  , mLastForget(aNow)
+{
+  MemberChanges changes;
+  mTable.Insert(mSelf, wire::MemberState::ALIVE, aNow, changes);
+  const std::int64_t generation = aStart.time_since_epoch().count();
+  mTable.Set(mSelf.mName, generation, wire::MemberState::ALIVE, aNow, changes);
+  mTable.Find(mSelf.mName)->mFirstGeneration = generation;
+  Spread(mSelf.mName, false);
+}
+
+void
+Membership::NoteTime(Instant aNow, MembershipResult& aResult)
+{
+  if (aNow - mLastEvent > mTiming.mClockGapLimit) {
+    // Peers were not heard because this daemon did not listen.
+    for (auto& [name, observation] : mObservations) {
+      observation = Observation{ aNow, false, aNow };
+    }
+    RaiseGeneration(mTable.Find(mSelf.mName)->mGeneration, aNow);
+    aResult.mHasClockGap = true;
+  }
+  mLastEvent = std::max(mLastEvent, aNow);
+}
+
+void
+Membership::RaiseGeneration(std::int64_t aGeneration, Instant aNow)
+{
+  MemberChanges changes;
+  const auto state =
+    mIsLeaving ? wire::MemberState::LEAVING : wire::MemberState::ALIVE;
+  mTable.Set(mSelf.mName, aGeneration + 1, state, aNow, changes);
+  Spread(mSelf.mName, true);
+}
+
+MembershipResult
+Membership::Tick(Instant aNow)
+{
+  MembershipResult result;
+  NoteTime(aNow, result);
+  ObservePredecessors(aNow, result);
+  ForgetOld(aNow, result);
+  SendHeartbeats(result);
+  ContactDead(result);
+  return result;
+}
+
+void
+Membership::ObservePredecessors(Instant aNow, MembershipResult& aResult)
+{
+  std::map<std::string, Observation> observations;
+  for (const auto& it : Rings().Predecessors(mSelf.mName)) {
+    const auto old = mObservations.find(it);
+    observations[it] = old != mObservations.end()
+                         ? old->second
+                         : Observation{ aNow, false, aNow };
+  }
+  mObservations = std::move(observations);
+  for (auto& [name, observation] : mObservations) {
+    ObserveOne(name, observation, aNow, aResult);
+  }
+}
+
+void
+Membership::ObserveOne(const std::string& aName,
+                       Observation& aObservation,
+                       Instant aNow,
+                       MembershipResult& aResult)
+{
+  const Duration silence = aNow - aObservation.mLastHeard;
+  if (silence > mTiming.mSuspectAfter && !aObservation.mIsSuspected) {
+    Suspect(aName, aObservation, aNow);
+  }
+  if (aObservation.mIsSuspected) {
+    DeclareDeadIfDue(aName, aObservation, aNow, aResult);
+  }
+  // A daemon with another view may not know that it is observed from here.
+  if (silence > mTiming.mSuspectAfter / 2) {
+    aResult.mMessages.push_back({ aName, MakeHeartbeat(aName, true) });
+  }
+}
+
+void
+Membership::Suspect(const std::string& aName,
+                    Observation& aObservation,
+                    Instant aNow)
+{
+  aObservation.mIsSuspected = true;
+  aObservation.mSuspectedAt = aNow;
+  const Member* member = mTable.Find(aName);
+  wire::MemberRecord record;
+  record.name = aName;
+  record.generation = member->mGeneration;
+  record.state = wire::MemberState::SUSPECT;
+  record.__set_observer(mSelf.mName);
+  MemberChanges changes;
+  if (mTable.Merge(record, aNow, changes)) {
+    Spread(aName, true);
+  }
+}
+
+void
+Membership::DeclareDeadIfDue(const std::string& aName,
+                             const Observation& aObservation,
+                             Instant aNow,
+                             MembershipResult& aResult)
+{
+  const Member* member = mTable.Find(aName);
+  const bool isAlone = member->mObservers.size() < MemberTable::kMaxObservers &&
+                       Rings().Size() > 3;
+  const Duration wait =
+    mTiming.mSuspectAfter * (isAlone ? kLoneObserverFactor : 1);
+  if (aNow - aObservation.mSuspectedAt < wait) {
+    return;
+  }
+  mTable.Set(aName,
+             member->mGeneration,
+             wire::MemberState::DEAD,
+             aNow,
+             aResult.mChanges);
+  Spread(aName, true);
+}
+
+void
+Membership::SendHeartbeats(MembershipResult& aResult)
+{
+  const auto successors = Rings().Successors(mSelf.mName);
+  const auto news = TakeNews(successors.size());
+  for (const auto& it : successors) {
+    auto heartbeat = MakeHeartbeat(it, false);
+    heartbeat.records.insert(heartbeat.records.end(), news.begin(), news.end());
+    aResult.mMessages.push_back({ it, std::move(heartbeat) });
+  }
+}
+
+void
+Membership::ContactDead(MembershipResult& aResult)
+{
+  if (!mRandom.Chance(kDeadContactChance)) {
+    return;
+  }
+  if (const std::string name = PickContact(); !name.empty() && !IsLive(name)) {
+    aResult.mMessages.push_back({ name, MakeHeartbeat(name, true) });
+  }
+}
+
+wire::Heartbeat
+Membership::MakeHeartbeat(const std::string& aTo, bool aWantsReply) const
+{
+  wire::Heartbeat heartbeat;
+  heartbeat.generation = mTable.Find(mSelf.mName)->mGeneration;
+  heartbeat.viewHash = mTable.ViewHash();
+  heartbeat.wantsReply = aWantsReply;
+  // A daemon that is wrongly believed to have failed must hear of it.
+  const Member* receiver = mTable.Find(aTo);
+  if (receiver != nullptr && receiver->mState != wire::MemberState::ALIVE) {
+    heartbeat.records.push_back(MemberTable::RecordOf(*receiver, false));
+  }
+  return heartbeat;
+}
+
+std::vector<wire::MemberRecord>
+Membership::TakeNews(std::size_t aReceivers)
+{
+  const double perTick =
+    kNewsBytesPerSecond * ToSeconds(mTiming.mHeartbeatInterval);
+  mNewsBudget = std::min(mNewsBudget + perTick, 2 * perTick);
+  std::vector<wire::MemberRecord> records;
+  while (!mNews.empty() && mNewsBudget > 0) {
+    if (const Member* member = mTable.Find(mNews.front()); member != nullptr) {
+      records.push_back(MemberTable::RecordOf(*member, false));
+      const bool isFull = records.back().__isset.address;
+      mNewsBudget -= static_cast<double>(aReceivers) *
+                     (isFull ? kFullRecordBytes : kBriefRecordBytes);
+    }
+    mNewsNames.erase(mNews.front());
+    mNews.pop_front();
+  }
+  return records;
+}
+
+void
+Membership::Spread(const std::string& aName, bool aIsUrgent)
+{
+  if (!mNewsNames.insert(aName).second) {
+    return;
+  }
+  if (aIsUrgent) {
+    mNews.push_front(aName);
+  } else {
+    mNews.push_back(aName);
+  }
+}
+
+void
+Membership::Receive(const wire::MemberRecord& aRecord,
+                    bool aIsNews,
+                    Instant aNow,
+                    MembershipResult& aResult)
+{
+  if (aRecord.name == mSelf.mName) {
+    Refute(aRecord, aNow);
+    return;
+  }
+  const bool isChanged = mTable.Merge(aRecord, aNow, aResult.mChanges);
+  mAreContactsOld = mAreContactsOld || isChanged;
+  if (isChanged && aIsNews) {
+    Spread(aRecord.name, aRecord.state != wire::MemberState::ALIVE);
+  }
+}
+
+void
+Membership::Refute(const wire::MemberRecord& aRecord, Instant aNow)
+{
+  const Member* self = mTable.Find(mSelf.mName);
+  // A higher generation belongs to an earlier process on a faster clock.
+  const bool isFalse =
+    aRecord.generation > self->mGeneration ||
+    (aRecord.generation == self->mGeneration && aRecord.state > self->mState);
+  if (isFalse) {
+    RaiseGeneration(aRecord.generation, aNow);
+  }
+}
+
+void
+Membership::NoteHeard(const std::string& aFrom, Instant aNow)
+{
+  const auto it = mObservations.find(aFrom);
+  if (it != mObservations.end()) {
+    it->second.mLastHeard = aNow;
+    it->second.mIsSuspected = false;
+  }
+}
+
+MembershipResult
+Membership::OnHeartbeat(const std::string& aFrom,
+                        const wire::Heartbeat& aMessage,
+                        Instant aNow)
+{
+  MembershipResult result;
+  NoteTime(aNow, result);
+  NoteHeard(aFrom, aNow);
+  for (const auto& it : aMessage.records) {
+    Receive(it, true, aNow, result);
+  }
+  AnswerHeartbeat(aFrom, aMessage, result);
+  CompareView(aFrom, aMessage, aNow, result);
+  return result;
+}
+
+void
+Membership::AnswerHeartbeat(const std::string& aFrom,
+                            const wire::Heartbeat& aMessage,
+                            MembershipResult& aResult)
+{
+  const Member* member = mTable.Find(aFrom);
+  const bool isUnknown = member == nullptr ||
+                         member->mGeneration < aMessage.generation ||
+                         member->mInfo.mIncarnation.empty();
+  const bool isBelievedGone = member != nullptr &&
+                              member->mState == wire::MemberState::DEAD &&
+                              member->mGeneration >= aMessage.generation;
+  if (!aMessage.wantsReply && !isUnknown && !isBelievedGone) {
+    return;
+  }
+  auto reply = MakeHeartbeat(aFrom, isUnknown || isBelievedGone);
+  const Member* self = mTable.Find(mSelf.mName);
+  reply.records.push_back(
+    MemberTable::RecordOf(*self, aMessage.wantsReply || isUnknown));
+  aResult.mMessages.push_back({ aFrom, std::move(reply) });
+}
+
+void
+Membership::CompareView(const std::string& aFrom,
+                        const wire::Heartbeat& aMessage,
+                        Instant aNow,
+                        MembershipResult& aResult)
+{
+  if (aMessage.viewHash == mTable.ViewHash() || mTable.Find(aFrom) == nullptr) {
+    mDifferentSince.erase(aFrom);
+    return;
+  }
+  const Instant since = mDifferentSince.insert({ aFrom, aNow }).first->second;
+  if (aNow - since < kViewGrace || aNow - mLastSync < kSyncInterval) {
+    return;
+  }
+  mLastSync = aNow;
+  mSyncPeer = aFrom;
+  wire::MembershipSync question;
+  question.domainHashes = mTable.DomainHashes();
+  aResult.mMessages.push_back({ aFrom, std::move(question) });
+}
+
+MembershipResult
+Membership::OnSync(const std::string& aFrom,
+                   const wire::MembershipSync& aMessage,
+                   Instant aNow)
+{
+  MembershipResult result;
+  NoteTime(aNow, result);
+  if (!aMessage.domainHashes.empty()) {
+    AnswerQuestion(aFrom, aMessage, result);
+    return result;
+  }
+  for (const auto& it : aMessage.records) {
+    Receive(it, false, aNow, result);
+  }
+  const bool isAnswer = std::exchange(mSyncPeer, std::string()) == aFrom;
+  if (isAnswer && mTable.DomainHash(aMessage.domain) != aMessage.domainHash) {
+    result.mMessages.push_back({ aFrom, RecordsOf(aMessage.domain) });
+  }
+  return result;
+}
+
+void
+Membership::AnswerQuestion(const std::string& aFrom,
+                           const wire::MembershipSync& aMessage,
+                           MembershipResult& aResult)
+{
+  auto domains = mTable.DomainHashes();
+  domains.insert(aMessage.domainHashes.begin(), aMessage.domainHashes.end());
+  std::vector<std::string> different;
+  for (const auto& [domain, hash] : domains) {
+    const auto it = aMessage.domainHashes.find(domain);
+    const auto theirs = it == aMessage.domainHashes.end() ? 0 : it->second;
+    if (theirs != mTable.DomainHash(domain)) {
+      different.push_back(domain);
+    }
+  }
+  if (!different.empty()) {
+    const auto& domain = different[mRandom.Below(different.size())];
+    aResult.mMessages.push_back({ aFrom, RecordsOf(domain) });
+  }
+}
+
+wire::MembershipSync
+Membership::RecordsOf(const std::string& aDomain) const
+{
+  wire::MembershipSync message;
+  message.domain = aDomain;
+  message.domainHash = mTable.DomainHash(aDomain);
+  message.records = mTable.RecordsOf(aDomain);
+  return message;
+}
+
+MembershipResult
+Membership::OnVmList(const std::vector<VmEntry>& aVms, Instant aNow)
+{
+  MembershipResult result;
+  NoteTime(aNow, result);
+  mListed.clear();
+  mListedDomains.clear();
+  for (const auto& it : aVms) {
+    mListed.insert(it.mName);
+    const bool isLive = it.mState == VmState::Live;
+    if (isLive) {
+      mListedDomains.insert(it.mFailureDomain);
+    }
+    const auto state =
+      isLive ? wire::MemberState::ALIVE : wire::MemberState::LEAVING;
+    const MemberInfo info{ it.mName, it.mFailureDomain, it.mPeerAddress, {} };
+    mTable.Insert(info, state, aNow, result.mChanges);
+    // Of a daemon that was heard, its own messages say more than the list.
+    const Member* member = mTable.Find(it.mName);
+    if (member->mGeneration == 0 && !isLive && member->IsLive()) {
+      mTable.Set(it.mName, 0, state, aNow, result.mChanges);
+    }
+  }
+  mLastForget = aNow - kForgetInterval;
+  ForgetOld(aNow, result);
+  mAreContactsOld = true;
+  return result;
+}
+
+void
+Membership::ForgetOld(Instant aNow, MembershipResult& aResult)
+{
+  if (aNow - mLastForget < kForgetInterval) {
+    return;
+  }
+  mLastForget = aNow;
+  std::vector<std::string> old;
+  for (const auto& [name, member] : mTable.Members()) {
+    const bool isExpired =
+      !member.IsLive() && aNow - member.mChangedAt >= kForgetAfter;
+    const bool isNeverHeard = member.mGeneration == 0;
+    if (mListed.count(name) == 0 && name != mSelf.mName &&
+        (isExpired || isNeverHeard)) {
+      old.push_back(name);
+    }
+  }
+  for (const auto& it : old) {
+    mTable.Erase(it, aResult.mChanges);
+    mDifferentSince.erase(it);
+    mAreContactsOld = true;
+  }
+}
+
+MembershipResult
+Membership::Leave(Instant aNow)
+{
+  MembershipResult result;
+  NoteTime(aNow, result);
+  mIsLeaving = true;
+  const Member* self = mTable.Find(mSelf.mName);
+  mTable.Set(mSelf.mName,
+             self->mGeneration,
+             wire::MemberState::LEAVING,
+             aNow,
+             result.mChanges);
+  Spread(mSelf.mName, true);
+  SendHeartbeats(result);
+  return result;
+}
+
+MembershipResult
+Membership::Ask(const std::string& aName, Instant aNow)
+{
+  MembershipResult result;
+  NoteTime(aNow, result);
+  if (mTable.Find(aName) != nullptr) {
+    result.mMessages.push_back({ aName, MakeHeartbeat(aName, true) });
+  }
+  return result;
+}
+
+Duration
+Membership::VmListInterval() const
+{
+  const auto readers =
+    Rings().HoldersWithin("vm-list", kVmListReaders, mSelf.mFailureDomain);
+  const bool isReader =
+    std::find(readers.begin(), readers.end(), mSelf.mName) != readers.end();
+  return isReader ? kReaderInterval : kOtherInterval;
+}
+
+bool
+Membership::IsLive(const std::string& aName) const
+{
+  return Rings().Contains(aName);
+}
+
+std::vector<std::string>
+Membership::LivePeers() const
+{
+  auto names = Rings().Names();
+  names.erase(std::remove(names.begin(), names.end(), mSelf.mName),
+              names.end());
+  return names;
+}
+
+const MemberInfo*
+Membership::Find(const std::string& aName) const
+{
+  const Member* member = mTable.Find(aName);
+  return member == nullptr ? nullptr : &member->mInfo;
+}
+
+std::string
+Membership::PickContact()
+{
+  if (mAreContactsOld) {
+    mAreContactsOld = false;
+    mContacts.clear();
+    for (const auto& [name, member] : mTable.Members()) {
+      const bool isCandidate = member.IsLive() || mListed.count(name) != 0;
+      if (isCandidate && name != mSelf.mName) {
+        mContacts.push_back(name);
+      }
+    }
+  }
+  return mContacts.empty() ? std::string()
+                           : mContacts[mRandom.Below(mContacts.size())];
+}
+
+IncarnationState
+Membership::FindIncarnation(const std::string& aName,
+                            const std::string& aIncarnation,
+                            Instant aNow) const
+{
+  const Member* member = mTable.Find(aName);
+  if (member == nullptr) {
+    return aNow - mStartedAt >= kForgetAfter ? IncarnationState::Gone
+                                             : IncarnationState::Unknown;
+  }
+  const std::string& known = member->mInfo.mIncarnation;
+  if (known.empty() || known < aIncarnation) {
+    return IncarnationState::Unknown;
+  }
+  if (known > aIncarnation || member->mState == wire::MemberState::DEAD) {
+    return IncarnationState::Gone;
+  }
+  return IncarnationState::Live;
+}
+
+} // namespace bulrushfold
