--- /dev/null
+++ b/Source/Cluster/FailureDetector.cxx
@@ -0,0 +1,95 @@
+#include "Cluster/FailureDetector.h"
+
+#include <utility>
+
+namespace bulrushfold {
+
+namespace {
+/** Waiting time of a lone observer, as a multiple of mSuspectAfter. */
+constexpr int kLoneObserverFactor = 3;
+/** Up to this number of daemons, a second observer may not exist. */
+constexpr std::size_t kSmallCluster = 3;
+} // namespace
+
+FailureDetector::FailureDetector(MembershipTiming aTiming)
+  : mTiming(aTiming)
+{
+}
+
+FailureFindings
+FailureDetector::Check(const MemberTable& aTable,
+                       const std::string& aSelf,
+                       Instant aNow)
+{
+  Observe(aTable.Rings().Predecessors(aSelf), aNow);
+  FailureFindings findings;
+  for (auto& [name, observation] : mObservations) {
+    CheckOne(aTable, name, observation, aNow, findings);
+  }
+  return findings;
+}
+
+void
+FailureDetector::Observe(const std::vector<std::string>& aNames, Instant aNow)
+{
+  std::map<std::string, Observation> observations;
+  for (const auto& it : aNames) {
+    const auto old = mObservations.find(it);
+    observations[it] = old != mObservations.end()
+                         ? old->second
+                         : Observation{ aNow, false, aNow };
+  }
+  mObservations = std::move(observations);
+}
+
+void
+FailureDetector::CheckOne(const MemberTable& aTable,
+                          const std::string& aName,
+                          Observation& aObservation,
+                          Instant aNow,
+                          FailureFindings& aFindings) const
+{
+  const Duration silence = aNow - aObservation.mLastHeard;
+  if (silence > mTiming.mSuspectAfter / 2) {
+    aFindings.mProbe.push_back(aName);
+  }
+  if (silence > mTiming.mSuspectAfter && !aObservation.mIsSuspected) {
+    aObservation.mIsSuspected = true;
+    aObservation.mSuspectedAt = aNow;
+    aFindings.mSuspected.push_back(aName);
+  }
+  if (aObservation.mIsSuspected &&
+      aNow - aObservation.mSuspectedAt >= RefutationTime(aTable, aName)) {
+    aFindings.mDead.push_back(aName);
+  }
+}
+
+Duration
+FailureDetector::RefutationTime(const MemberTable& aTable,
+                                const std::string& aName) const
+{
+  const Member* member = aTable.Find(aName);
+  const bool isAlone = aTable.Rings().Size() > kSmallCluster &&
+                       (member == nullptr || member->mObservers.size() < 2);
+  return mTiming.mSuspectAfter * (isAlone ? kLoneObserverFactor : 1);
+}
+
+void
+FailureDetector::NoteHeard(const std::string& aName, Instant aNow)
+{
+  const auto it = mObservations.find(aName);
+  if (it != mObservations.end()) {
+    it->second.mLastHeard = aNow;
+    it->second.mIsSuspected = false;
+  }
+}
+
+void
+FailureDetector::Reset(Instant aNow)
+{
+  for (auto& [name, observation] : mObservations) {
+    observation = Observation{ aNow, false, aNow };
+  }
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Cluster/FailureDetector.h
@@ -0,0 +1,77 @@
+#ifndef BULRUSHFOLD_CLUSTER_FAILUREDETECTOR_H
+#define BULRUSHFOLD_CLUSTER_FAILUREDETECTOR_H
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Cluster/MemberTable.h"
+
+namespace bulrushfold {
+
+/** Times of failure detection; the values come from section [peers]. */
+struct MembershipTiming
+{
+  Duration mHeartbeatInterval = std::chrono::milliseconds(500);
+  /** Silence after which a daemon is suspected. It is declared dead after the
+   * same time again, or three times that when only one observer suspects. */
+  Duration mSuspectAfter = std::chrono::seconds(2);
+  /** Time between two events from which a pause of this daemon is concluded. */
+  Duration mClockGapLimit = std::chrono::seconds(1);
+};
+
+/** What a check of the observed daemons found. */
+struct FailureFindings
+{
+  /** Daemons to ask for a heartbeat. */
+  std::vector<std::string> mProbe;
+  /** Daemons that are now suspected by this daemon. */
+  std::vector<std::string> mSuspected;
+  /** Suspected daemons that did not refute in time. */
+  std::vector<std::string> mDead;
+};
+
+/**
+ * Observes the ring predecessors of this daemon. A daemon that is silent for
+ * half of mSuspectAfter is asked, because it may have another view of the ring.
+ * A daemon that answers within mSuspectAfter of its suspicion is never declared
+ * dead, whatever its pause was.
+ */
+class FailureDetector
+{
+public:
+  explicit FailureDetector(MembershipTiming aTiming);
+
+  /** Checks the predecessors of aSelf; call once in each heartbeat interval. */
+  FailureFindings Check(const MemberTable& aTable,
+                        const std::string& aSelf,
+                        Instant aNow);
+  void NoteHeard(const std::string& aName, Instant aNow);
+  /** Starts all observations anew, after a pause of this daemon. */
+  void Reset(Instant aNow);
+
+private:
+  struct Observation
+  {
+    Instant mLastHeard;
+    bool mIsSuspected = false;
+    Instant mSuspectedAt;
+  };
+
+  void Observe(const std::vector<std::string>& aNames, Instant aNow);
+  void CheckOne(const MemberTable& aTable,
+                const std::string& aName,
+                Observation& aObservation,
+                Instant aNow,
+                FailureFindings& aFindings) const;
+  Duration RefutationTime(const MemberTable& aTable,
+                          const std::string& aName) const;
+
+  MembershipTiming mTiming;
+  std::map<std::string, Observation> mObservations;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Cluster/MemberNews.cxx
@@ -0,0 +1,50 @@
+#include "Cluster/MemberNews.h"
+
+#include <algorithm>
+
+namespace bulrushfold {
+
+namespace {
+/** Size of a record without and with the details of the daemon, in bytes. */
+constexpr double kBriefRecordBytes = 30;
+constexpr double kFullRecordBytes = 110;
+} // namespace
+
+void
+MemberNews::Add(const std::string& aName, bool aIsUrgent)
+{
+  if (!mNames.insert(aName).second) {
+    return;
+  }
+  if (aIsUrgent) {
+    mQueue.push_front(aName);
+  } else {
+    mQueue.push_back(aName);
+  }
+}
+
+std::vector<wire::MemberRecord>
+MemberNews::Take(const MemberTable& aTable,
+                 std::size_t aReceivers,
+                 Duration aInterval)
+{
+  const double share = kBytesPerSecond * ToSeconds(aInterval);
+  mBudget = std::min(mBudget + share, 2 * share);
+  std::vector<wire::MemberRecord> records;
+  while (!mQueue.empty() && mBudget > 0) {
+    const std::string name = mQueue.front();
+    mQueue.pop_front();
+    mNames.erase(name);
+    const Member* member = aTable.Find(name);
+    if (member == nullptr) {
+      continue;
+    }
+    records.push_back(MemberTable::RecordOf(*member, false));
+    const bool isFull = records.back().__isset.address;
+    mBudget -= static_cast<double>(aReceivers) *
+               (isFull ? kFullRecordBytes : kBriefRecordBytes);
+  }
+  return records;
+}
+
+} // namespace bulrushfold
--- a/Source/Cluster/Membership.cxx
+++ b/Source/Cluster/Membership.cxx
@@ -11,13 +11,8 @@
 constexpr Duration kViewGrace = std::chrono::seconds(4);
 constexpr Duration kSyncInterval = std::chrono::seconds(10);
 constexpr Duration kForgetInterval = std::chrono::seconds(10);
-/** Waiting time of a lone observer, as a multiple of mSuspectAfter. */
-constexpr int kLoneObserverFactor = 3;
 /** Share of heartbeat turns in which one dead daemon is contacted. */
 constexpr double kDeadContactChance = 0.1;
-/** Size of a record without and with the details of the daemon, in bytes. */
-constexpr double kBriefRecordBytes = 30;
-constexpr double kFullRecordBytes = 110;
 constexpr std::size_t kVmListReaders = 2;
 constexpr Duration kReaderInterval = std::chrono::seconds(5);
 constexpr Duration kOtherInterval = std::chrono::seconds(60);
@@ -33,6 +28,7 @@
   , mRandom(aRandom)
   , mStartedAt(aNow)
   , mLastEvent(aNow)
+  , mDetector(aTiming)
   , mLastSync(aNow)
   , mLastForget(aNow)
 {
@@ -41,7 +37,7 @@
   const std::int64_t generation = aStart.time_since_epoch().count();
   mTable.Set(mSelf.mName, generation, wire::MemberState::ALIVE, aNow, changes);
   mTable.Find(mSelf.mName)->mFirstGeneration = generation;
-  Spread(mSelf.mName, false);
+  mNews.Add(mSelf.mName, false);
 }
 
 void
@@ -49,9 +45,7 @@
 {
   if (aNow - mLastEvent > mTiming.mClockGapLimit) {
     // Peers were not heard because this daemon did not listen.
-    for (auto& [name, observation] : mObservations) {
-      observation = Observation{ aNow, false, aNow };
-    }
+    mDetector.Reset(aNow);
     RaiseGeneration(mTable.Find(mSelf.mName)->mGeneration, aNow);
     aResult.mHasClockGap = true;
   }
@@ -65,7 +59,7 @@
   const auto state =
     mIsLeaving ? wire::MemberState::LEAVING : wire::MemberState::ALIVE;
   mTable.Set(mSelf.mName, aGeneration + 1, state, aNow, changes);
-  Spread(mSelf.mName, true);
+  mNews.Add(mSelf.mName, true);
 }
 
 MembershipResult
@@ -83,84 +77,43 @@
 void
 Membership::ObservePredecessors(Instant aNow, MembershipResult& aResult)
 {
-  std::map<std::string, Observation> observations;
-  for (const auto& it : Rings().Predecessors(mSelf.mName)) {
-    const auto old = mObservations.find(it);
-    observations[it] = old != mObservations.end()
-                         ? old->second
-                         : Observation{ aNow, false, aNow };
+  const auto findings = mDetector.Check(mTable, mSelf.mName, aNow);
+  for (const auto& it : findings.mSuspected) {
+    Suspect(it, aNow);
   }
-  mObservations = std::move(observations);
-  for (auto& [name, observation] : mObservations) {
-    ObserveOne(name, observation, aNow, aResult);
+  for (const auto& it : findings.mDead) {
+    mTable.Set(it,
+               mTable.Find(it)->mGeneration,
+               wire::MemberState::DEAD,
+               aNow,
+               aResult.mChanges);
+    mNews.Add(it, true);
   }
-}
-
-void
-Membership::ObserveOne(const std::string& aName,
-                       Observation& aObservation,
-                       Instant aNow,
-                       MembershipResult& aResult)
-{
-  const Duration silence = aNow - aObservation.mLastHeard;
-  if (silence > mTiming.mSuspectAfter && !aObservation.mIsSuspected) {
-    Suspect(aName, aObservation, aNow);
-  }
-  if (aObservation.mIsSuspected) {
-    DeclareDeadIfDue(aName, aObservation, aNow, aResult);
-  }
-  // A daemon with another view may not know that it is observed from here.
-  if (silence > mTiming.mSuspectAfter / 2) {
-    aResult.mMessages.push_back({ aName, MakeHeartbeat(aName, true) });
+  for (const auto& it : findings.mProbe) {
+    aResult.mMessages.push_back({ it, MakeHeartbeat(it, true) });
   }
 }
 
 void
-Membership::Suspect(const std::string& aName,
-                    Observation& aObservation,
-                    Instant aNow)
+Membership::Suspect(const std::string& aName, Instant aNow)
 {
-  aObservation.mIsSuspected = true;
-  aObservation.mSuspectedAt = aNow;
-  const Member* member = mTable.Find(aName);
   wire::MemberRecord record;
   record.name = aName;
-  record.generation = member->mGeneration;
+  record.generation = mTable.Find(aName)->mGeneration;
   record.state = wire::MemberState::SUSPECT;
   record.__set_observer(mSelf.mName);
   MemberChanges changes;
   if (mTable.Merge(record, aNow, changes)) {
-    Spread(aName, true);
+    mNews.Add(aName, true);
   }
 }
 
-void
-Membership::DeclareDeadIfDue(const std::string& aName,
-                             const Observation& aObservation,
-                             Instant aNow,
-                             MembershipResult& aResult)
-{
-  const Member* member = mTable.Find(aName);
-  const bool isAlone = member->mObservers.size() < MemberTable::kMaxObservers &&
-                       Rings().Size() > 3;
-  const Duration wait =
-    mTiming.mSuspectAfter * (isAlone ? kLoneObserverFactor : 1);
-  if (aNow - aObservation.mSuspectedAt < wait) {
-    return;
-  }
-  mTable.Set(aName,
-             member->mGeneration,
-             wire::MemberState::DEAD,
-             aNow,
-             aResult.mChanges);
-  Spread(aName, true);
-}
-
 void
 Membership::SendHeartbeats(MembershipResult& aResult)
 {
   const auto successors = Rings().Successors(mSelf.mName);
-  const auto news = TakeNews(successors.size());
+  const auto news =
+    mNews.Take(mTable, successors.size(), mTiming.mHeartbeatInterval);
   for (const auto& it : successors) {
     auto heartbeat = MakeHeartbeat(it, false);
     heartbeat.records.insert(heartbeat.records.end(), news.begin(), news.end());
@@ -194,39 +147,6 @@
   return heartbeat;
 }
 
-std::vector<wire::MemberRecord>
-Membership::TakeNews(std::size_t aReceivers)
-{
-  const double perTick =
-    kNewsBytesPerSecond * ToSeconds(mTiming.mHeartbeatInterval);
-  mNewsBudget = std::min(mNewsBudget + perTick, 2 * perTick);
-  std::vector<wire::MemberRecord> records;
-  while (!mNews.empty() && mNewsBudget > 0) {
-    if (const Member* member = mTable.Find(mNews.front()); member != nullptr) {
-      records.push_back(MemberTable::RecordOf(*member, false));
-      const bool isFull = records.back().__isset.address;
-      mNewsBudget -= static_cast<double>(aReceivers) *
-                     (isFull ? kFullRecordBytes : kBriefRecordBytes);
-    }
-    mNewsNames.erase(mNews.front());
-    mNews.pop_front();
-  }
-  return records;
-}
-
-void
-Membership::Spread(const std::string& aName, bool aIsUrgent)
-{
-  if (!mNewsNames.insert(aName).second) {
-    return;
-  }
-  if (aIsUrgent) {
-    mNews.push_front(aName);
-  } else {
-    mNews.push_back(aName);
-  }
-}
-
 void
 Membership::Receive(const wire::MemberRecord& aRecord,
                     bool aIsNews,
@@ -240,7 +160,7 @@
   const bool isChanged = mTable.Merge(aRecord, aNow, aResult.mChanges);
   mAreContactsOld = mAreContactsOld || isChanged;
   if (isChanged && aIsNews) {
-    Spread(aRecord.name, aRecord.state != wire::MemberState::ALIVE);
+    mNews.Add(aRecord.name, aRecord.state != wire::MemberState::ALIVE);
   }
 }
 
@@ -257,16 +177,6 @@
   }
 }
 
-void
-Membership::NoteHeard(const std::string& aFrom, Instant aNow)
-{
-  const auto it = mObservations.find(aFrom);
-  if (it != mObservations.end()) {
-    it->second.mLastHeard = aNow;
-    it->second.mIsSuspected = false;
-  }
-}
-
 MembershipResult
 Membership::OnHeartbeat(const std::string& aFrom,
                         const wire::Heartbeat& aMessage,
@@ -274,7 +184,7 @@
 {
   MembershipResult result;
   NoteTime(aNow, result);
-  NoteHeard(aFrom, aNow);
+  mDetector.NoteHeard(aFrom, aNow);
   for (const auto& it : aMessage.records) {
     Receive(it, true, aNow, result);
   }
@@ -443,7 +353,7 @@
              wire::MemberState::LEAVING,
              aNow,
              result.mChanges);
-  Spread(mSelf.mName, true);
+  mNews.Add(mSelf.mName, true);
   SendHeartbeats(result);
   return result;
 }
@@ -484,6 +394,18 @@
   return names;
 }
 
+std::vector<std::string>
+Membership::UnreachablePeers() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, member] : mTable.Members()) {
+    if (member.mState == wire::MemberState::DEAD && mListed.count(name) != 0) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 const MemberInfo*
 Membership::Find(const std::string& aName) const
 {
--- a/Source/Cluster/Membership.h
+++ b/Source/Cluster/Membership.h
@@ -2,7 +2,6 @@
 #define BULRUSHFOLD_CLUSTER_MEMBERSHIP_H
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -11,23 +10,14 @@
 #include "Base/Clock.h"
 #include "Base/Random.h"
 #include "Cluster/ClusterMessage.h"
+#include "Cluster/FailureDetector.h"
 #include "Cluster/HashRings.h"
+#include "Cluster/MemberNews.h"
 #include "Cluster/MemberTable.h"
 #include "Platform/ObjectStore.h"
 
 namespace bulrushfold {
 
-/** Times of failure detection; the values come from section [peers]. */
-struct MembershipTiming
-{
-  Duration mHeartbeatInterval = std::chrono::milliseconds(500);
-  /** Silence after which a daemon is suspected. It is declared dead after the
-   * same time again, or three times that when only one observer suspects. */
-  Duration mSuspectAfter = std::chrono::seconds(2);
-  /** Time between two events from which a pause of this daemon is concluded. */
-  Duration mClockGapLimit = std::chrono::seconds(1);
-};
-
 /** Whether a process that held something still exists. */
 enum class IncarnationState
 {
@@ -55,8 +45,8 @@
  * successors on the rings; a daemon observes its predecessors. A silent one is
  * first asked directly, then suspected, and declared dead only after a time in
  * which it can refute. News (MemberRecord) rides on heartbeats, within
- * kNewsBytesPerSecond. Views that stay different are repaired one failure
- * domain at a time.
+ * MemberNews::kBytesPerSecond. Views that stay different are repaired one
+ * failure domain at a time.
  *
  * Events to deliver: Tick every mHeartbeatInterval; OnVmList with each VM list
  * (see VmListInterval); OnHeartbeat and OnSync with each message; Leave at the
@@ -66,8 +56,6 @@
 class Membership
 {
 public:
-  /** Bytes a second that one daemon spends on news in heartbeats. */
-  static constexpr double kNewsBytesPerSecond = 1000;
   /** Time for which a dead daemon is remembered. */
   static constexpr Duration kForgetAfter = std::chrono::minutes(10);
 
@@ -103,6 +91,8 @@
   bool IsLive(const std::string& aName) const;
   /** Live daemons other than this one. */
   std::vector<std::string> LivePeers() const;
+  /** Daemons that the VM list names but that are believed dead. */
+  std::vector<std::string> UnreachablePeers() const;
   /** Description of a daemon, live or not; null when it is unknown. */
   const MemberInfo* Find(const std::string& aName) const;
   /** A random daemon other than this one, live or named by the VM list. Daemons
@@ -119,14 +109,6 @@
   bool IsLeaving() const { return mIsLeaving; }
 
 private:
-  /** A predecessor that this daemon observes. */
-  struct Observation
-  {
-    Instant mLastHeard;
-    bool mIsSuspected = false;
-    Instant mSuspectedAt;
-  };
-
   void NoteTime(Instant aNow, MembershipResult& aResult);
   void Receive(const wire::MemberRecord& aRecord,
                bool aIsNews,
@@ -134,28 +116,15 @@
                MembershipResult& aResult);
   void Refute(const wire::MemberRecord& aRecord, Instant aNow);
   void RaiseGeneration(std::int64_t aGeneration, Instant aNow);
-  void NoteHeard(const std::string& aFrom, Instant aNow);
   void AnswerHeartbeat(const std::string& aFrom,
                        const wire::Heartbeat& aMessage,
                        MembershipResult& aResult);
   void ObservePredecessors(Instant aNow, MembershipResult& aResult);
-  void ObserveOne(const std::string& aName,
-                  Observation& aObservation,
-                  Instant aNow,
-                  MembershipResult& aResult);
-  void Suspect(const std::string& aName,
-               Observation& aObservation,
-               Instant aNow);
-  void DeclareDeadIfDue(const std::string& aName,
-                        const Observation& aObservation,
-                        Instant aNow,
-                        MembershipResult& aResult);
+  void Suspect(const std::string& aName, Instant aNow);
   void SendHeartbeats(MembershipResult& aResult);
   void ContactDead(MembershipResult& aResult);
   void ForgetOld(Instant aNow, MembershipResult& aResult);
-  void Spread(const std::string& aName, bool aIsUrgent);
   wire::Heartbeat MakeHeartbeat(const std::string& aTo, bool aWantsReply) const;
-  std::vector<wire::MemberRecord> TakeNews(std::size_t aReceivers);
   void CompareView(const std::string& aFrom,
                    const wire::Heartbeat& aMessage,
                    Instant aNow,
@@ -173,15 +142,12 @@
   Instant mLastEvent;
   /** All known daemons, this one included. */
   MemberTable mTable;
-  std::map<std::string, Observation> mObservations;
+  FailureDetector mDetector;
+  MemberNews mNews;
   std::set<std::string> mListed;
   std::set<std::string> mListedDomains;
   std::vector<std::string> mContacts;
   bool mAreContactsOld = true;
-  /** Names whose records wait to be sent; each at most once. */
-  std::deque<std::string> mNews;
-  std::set<std::string> mNewsNames;
-  double mNewsBudget = 0;
   /** Senders whose view differs from this one, with the first time. */
   std::map<std::string, Instant> mDifferentSince;
   Instant mLastSync;
