--- /dev/null
+++ b/Source/Policy/EndpointLoad.cxx
@@ -0,0 +1,142 @@
+#include "Policy/EndpointLoad.h"
+
+#include <algorithm>
+
+namespace bulrushfold {
+
+namespace {
+// Corrections that no report has covered after this many changes are dropped:
+// memory stays bounded when an endpoint stops reporting.
+constexpr std::size_t kMaxChanges = 4096;
+} // namespace
+
+void
+EndpointLoad::OnReport(const LoadReport& aReport,
+                       Duration aMeanPrefill,
+                       Instant aNow)
+{
+  const Instant readAt = aNow - aReport.mAge;
+  mReport = aReport;
+  mHasReport = true;
+  while (!mChanges.empty() && mChanges.front().mAt < readAt) {
+    mChangedSlots -= mChanges.front().mSlots;
+    mChangedPieces -= mChanges.front().mPieces;
+    mChanges.pop_front();
+  }
+  while (!mSentPrefills.empty() && mSentPrefills.front().first < readAt) {
+    mSentPrefills.pop_front();
+  }
+  if (readAt > mPrefillKnownAt) {
+    mPrefillKnownAt = readAt;
+    mPrefillFreeAt =
+      readAt + aMeanPrefill * static_cast<std::int64_t>(aReport.mQueued);
+    for (const auto& [at, work] : mSentPrefills) {
+      mPrefillFreeAt = std::max(mPrefillFreeAt, at) + work;
+    }
+  }
+}
+
+void
+EndpointLoad::OnPrefillGranted(Duration aFreeIn, Duration aWork, Instant aNow)
+{
+  mPrefillKnownAt = aNow;
+  mPrefillFreeAt = aNow + aFreeIn + aWork;
+  mSentPrefills.emplace_back(aNow, aWork);
+  if (mSentPrefills.size() > kMaxChanges) {
+    mSentPrefills.pop_front();
+  }
+}
+
+void
+EndpointLoad::OnPrefillRefused(Duration aFreeIn, Instant aNow)
+{
+  mPrefillKnownAt = aNow;
+  mPrefillFreeAt = aNow + aFreeIn;
+}
+
+void
+EndpointLoad::OnPrefillReleased(Duration aWork, Instant aNow)
+{
+  mPrefillFreeAt = std::max(aNow, mPrefillFreeAt - aWork);
+}
+
+void
+EndpointLoad::OnDecodeReserved(std::uint64_t aPieces)
+{
+  mReservedSlots += 1;
+  mReservedPieces += static_cast<double>(aPieces);
+}
+
+void
+EndpointLoad::OnDecodeReleased(std::uint64_t aPieces)
+{
+  mReservedSlots -= 1;
+  mReservedPieces -= static_cast<double>(aPieces);
+}
+
+void
+EndpointLoad::OnDecodeStarted(std::uint64_t aPieces, Instant aNow)
+{
+  OnDecodeReleased(aPieces);
+  AddChange({ aNow, 1, static_cast<double>(aPieces) });
+}
+
+void
+EndpointLoad::OnDecodeEnded(std::uint64_t aPieces, Instant aNow)
+{
+  AddChange({ aNow, -1, -static_cast<double>(aPieces) });
+}
+
+void
+EndpointLoad::OnDecodeRefused(Duration aFreeIn, Instant aNow)
+{
+  mDecodeBlockedUntil = std::max(mDecodeBlockedUntil, aNow + aFreeIn);
+}
+
+Duration
+EndpointLoad::PrefillWait(Instant aNow) const
+{
+  return std::max(Duration::zero(), mPrefillFreeAt - aNow);
+}
+
+Duration
+EndpointLoad::DecodeWait(Instant aNow) const
+{
+  return std::max(Duration::zero(), mDecodeBlockedUntil - aNow);
+}
+
+double
+EndpointLoad::FreeSlots() const
+{
+  if (!mHasReport) {
+    return 1;
+  }
+  return static_cast<double>(mReport.mSlots) -
+         static_cast<double>(mReport.mRunning) - mReservedSlots - mChangedSlots;
+}
+
+double
+EndpointLoad::FreePieces() const
+{
+  if (!mHasReport) {
+    return 1;
+  }
+  return static_cast<double>(mReport.mPiecesTotal) -
+         static_cast<double>(mReport.mPiecesUsed) - mReservedPieces -
+         mChangedPieces;
+}
+
+void
+EndpointLoad::AddChange(const Change& aChange)
+{
+  mChanges.push_back(aChange);
+  mChangedSlots += aChange.mSlots;
+  mChangedPieces += aChange.mPieces;
+  if (mChanges.size() > kMaxChanges) {
+    mChangedSlots -= mChanges.front().mSlots;
+    mChangedPieces -= mChanges.front().mPieces;
+    mChanges.pop_front();
+  }
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Policy/EndpointLoad.h
@@ -0,0 +1,65 @@
+#ifndef BULRUSHFOLD_POLICY_ENDPOINTLOAD_H
+#define BULRUSHFOLD_POLICY_ENDPOINTLOAD_H
+
+#include <deque>
+#include <utility>
+
+#include "Policy/PolicyTypes.h"
+
+namespace bulrushfold {
+
+/**
+ * An entry daemon's estimate of one endpoint's load: the last report, corrected
+ * by this daemon's own work since the reading and by owners' replies, which
+ * are newer than any report.
+ */
+class EndpointLoad
+{
+public:
+  /** aMeanPrefill: time of one prefill of unknown length. */
+  void OnReport(const LoadReport& aReport, Duration aMeanPrefill, Instant aNow);
+
+  void OnPrefillGranted(Duration aFreeIn, Duration aWork, Instant aNow);
+  void OnPrefillRefused(Duration aFreeIn, Instant aNow);
+  void OnPrefillReleased(Duration aWork, Instant aNow);
+
+  void OnDecodeReserved(std::uint64_t aPieces);
+  /** A reservation ended before the decode started. */
+  void OnDecodeReleased(std::uint64_t aPieces);
+  void OnDecodeStarted(std::uint64_t aPieces, Instant aNow);
+  void OnDecodeEnded(std::uint64_t aPieces, Instant aNow);
+  void OnDecodeRefused(Duration aFreeIn, Instant aNow);
+
+  /** Time until a new prefill would start. */
+  Duration PrefillWait(Instant aNow) const;
+  /** Time from now until a decode slot can be had. */
+  Duration DecodeWait(Instant aNow) const;
+  double FreeSlots() const;
+  double FreePieces() const;
+  std::uint64_t Slots() const { return mReport.mSlots; }
+
+private:
+  struct Change
+  {
+    Instant mAt;
+    double mSlots = 0;
+    double mPieces = 0;
+  };
+  void AddChange(const Change& aChange);
+
+  LoadReport mReport;
+  bool mHasReport = false;
+  Instant mPrefillFreeAt;
+  Instant mPrefillKnownAt;
+  std::deque<std::pair<Instant, Duration>> mSentPrefills;
+  Instant mDecodeBlockedUntil;
+  double mReservedSlots = 0;
+  double mReservedPieces = 0;
+  std::deque<Change> mChanges;
+  double mChangedSlots = 0;
+  double mChangedPieces = 0;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Policy/LinkSchedule.cxx
@@ -0,0 +1,93 @@
+#include "Policy/LinkSchedule.h"
+
+#include <algorithm>
+
+namespace bulrushfold {
+
+namespace {
+constexpr double kLearningRate = 0.1;
+constexpr double kMaxSlowdown = 50;
+// One stall counts like a transfer that took this many times its time.
+constexpr double kStallSlowdown = 20;
+} // namespace
+
+void
+LinkSchedule::SetRate(const std::string& aLink, double aBytesPerSecond)
+{
+  mLinks[aLink].mBytesPerSecond = aBytesPerSecond;
+}
+
+Instant
+LinkSchedule::End(const std::string& aFrom,
+                  const std::string& aTo,
+                  double aBytes,
+                  Instant aReady) const
+{
+  Instant start = aReady;
+  double seconds = 0;
+  for (const auto* name : { &aFrom, &aTo }) {
+    const auto it = mLinks.find(*name);
+    if (it == mLinks.end() || it->second.mBytesPerSecond <= 0) {
+      continue;
+    }
+    const Link& link = it->second;
+    start = std::max(start, link.mBusyUntil);
+    seconds = std::max(seconds, aBytes / link.mBytesPerSecond * link.mSlowdown);
+  }
+  return start + FromSeconds(seconds);
+}
+
+Duration
+LinkSchedule::Estimate(const std::string& aFrom,
+                       const std::string& aTo,
+                       double aBytes,
+                       Instant aReady) const
+{
+  return End(aFrom, aTo, aBytes, aReady) - aReady;
+}
+
+Instant
+LinkSchedule::Book(const std::string& aFrom,
+                   const std::string& aTo,
+                   double aBytes,
+                   Instant aReady)
+{
+  const Instant end = End(aFrom, aTo, aBytes, aReady);
+  for (const auto* name : { &aFrom, &aTo }) {
+    if (const auto it = mLinks.find(*name);
+        it != mLinks.end() && it->second.mBytesPerSecond > 0) {
+      it->second.mBusyUntil = end;
+    }
+  }
+  return end;
+}
+
+void
+LinkSchedule::Observe(const std::string& aFrom,
+                      const std::string& aTo,
+                      double aBytes,
+                      Duration aSpan)
+{
+  for (const auto* name : { &aFrom, &aTo }) {
+    const auto it = mLinks.find(*name);
+    if (it == mLinks.end() || it->second.mBytesPerSecond <= 0 || aBytes <= 0) {
+      continue;
+    }
+    const double nominal = aBytes / it->second.mBytesPerSecond;
+    const double observed =
+      std::clamp(ToSeconds(aSpan) / nominal, 1.0, kMaxSlowdown);
+    it->second.mSlowdown += kLearningRate * (observed - it->second.mSlowdown);
+  }
+}
+
+void
+LinkSchedule::OnStall(const std::string& aFrom, const std::string& aTo)
+{
+  for (const auto* name : { &aFrom, &aTo }) {
+    if (const auto it = mLinks.find(*name); it != mLinks.end()) {
+      it->second.mSlowdown = std::max(it->second.mSlowdown, kStallSlowdown);
+    }
+  }
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Policy/RetryBudget.h
@@ -0,0 +1,37 @@
+#ifndef BULRUSHFOLD_POLICY_RETRYBUDGET_H
+#define BULRUSHFOLD_POLICY_RETRYBUDGET_H
+
+#include <cstdint>
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+
+namespace bulrushfold {
+
+/**
+ * Limits retries to a share of the requests, so that failures cannot multiply
+ * the load. Unused budget is kept only up to a bound.
+ */
+class RetryBudget
+{
+public:
+  /** aShare: retries allowed per request, 0 to 1. */
+  RetryBudget(double aShare, Random& aRandom);
+
+  /** A new request arrived. */
+  void OnRequest();
+  /** Takes one retry from the budget; false when none is left. */
+  bool Take();
+  /** Wait before retry number aRetry (from 1): random between zero and a bound
+   * that doubles with each retry. */
+  Duration Backoff(std::uint32_t aRetry);
+
+private:
+  double mShare;
+  Random& mRandom;
+  double mAvailable;
+};
+
+} // namespace bulrushfold
+
+#endif
