--- a/Source/Net/HttpClient.cxx
+++ b/Source/Net/HttpClient.cxx
@@ -92,7 +92,11 @@
   EventHandle mConnectTimer;
   /** Keeps this object alive while the library refers to it. */
   std::shared_ptr<State> mSelf;
+  /** Read limit of the connection; null when there is none. */
+  std::unique_ptr<ev_token_bucket_cfg, decltype(&ev_token_bucket_cfg_free)>
+    mReadLimit{ nullptr, &ev_token_bucket_cfg_free };
 
+  void LimitReads(std::size_t aBytesPerSecond);
   static int HandleHeaders(evhttp_request* aRequest, void* aState);
   static void HandleChunk(evhttp_request* aRequest, void* aState);
   static void HandleError(evhttp_request_error aError, void* aState);
@@ -104,6 +108,20 @@
   void ReleaseConnection(bool aKeep);
 };
 
+void
+HttpCall::State::LimitReads(std::size_t aBytesPerSecond)
+{
+  constexpr std::size_t kTicksPerSecond = 20;
+  const timeval tick =
+    ToTimeval(Duration(std::chrono::seconds(1)) / kTicksPerSecond);
+  const std::size_t bytes =
+    std::max<std::size_t>(1, aBytesPerSecond / kTicksPerSecond);
+  mReadLimit.reset(ev_token_bucket_cfg_new(
+    bytes, bytes, EV_RATE_LIMIT_MAX, EV_RATE_LIMIT_MAX, &tick));
+  bufferevent_set_rate_limit(evhttp_connection_get_bufferevent(mConnection),
+                             mReadLimit.get());
+}
+
 int
 HttpCall::State::HandleHeaders(evhttp_request* aRequest, void* aState)
 {
@@ -184,7 +202,7 @@
   if (aRequest != nullptr) {
     CollectReply(aRequest);
   }
-  ReleaseConnection(mReply.mResult == HttpCallResult::Complete);
+  ReleaseConnection(mReply.mResult == HttpCallResult::Complete && !mReadLimit);
   mHooks.mOnDone(std::move(mReply));
 }
 
@@ -235,7 +253,7 @@
 evhttp_connection*
 HttpClient::TakeConnection(const HttpCallRequest& aRequest)
 {
-  if (!aRequest.mFreshConnection) {
+  if (!aRequest.mFreshConnection && aRequest.mReadBytesPerSecond == 0) {
     if (const auto it = mIdle.find(aRequest.mAddress);
         it != mIdle.end() && !it->second.empty()) {
       evhttp_connection* connection = it->second.back().mConnection;
@@ -315,6 +333,9 @@
   state->mHooks = std::move(aHooks);
   state->mSelf = state;
   state->mConnection = TakeConnection(aRequest);
+  if (aRequest.mReadBytesPerSecond > 0) {
+    state->LimitReads(aRequest.mReadBytesPerSecond);
+  }
   const timeval silence = ToTimeval(aRequest.mSilenceBound);
   evhttp_connection_set_timeout_tv(state->mConnection, &silence);
 
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -53,6 +53,9 @@
    * be certain, because a connection from the pool may already be closed.
    */
   bool mFreshConnection = false;
+  /** Rate at which the reply is read, for tests of slow readers; 0: no limit.
+   */
+  std::size_t mReadBytesPerSecond = 0;
 };
 
 /** Reply of an HTTP server. */
--- a/Tests/Net/HttpTest.cxx
+++ b/Tests/Net/HttpTest.cxx
@@ -1,6 +1,8 @@
 #include "Net/HttpClient.h"
 #include "Net/HttpServer.h"
 
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "LoopFixture.h"
@@ -266,6 +268,29 @@
     }
   }
 
+  // Guards against a slow reader that reads as fast as the server sends, or
+  // whose limit stays on a connection of the pool.
+  SUBCASE("a limited reader takes the reply in small parts")
+  {
+    constexpr std::size_t kBytes = 20'000;
+    REQUIRE(server.Listen(request.mAddress).ok());
+    request.mReadBytesPerSecond = 10 * kBytes;
+    std::vector<std::size_t> parts;
+    std::size_t total = 0;
+    hooks.mOnChunk = [&](std::string_view aData) {
+      parts.push_back(aData.size());
+      total += aData.size();
+    };
+    const auto call = client.Start(request, hooks);
+    REQUIRE(RunUntil(loop, [&] { return exchanges.size() == 1; }));
+    exchanges[0]->Reply(200, {}, std::string(kBytes, 'x'));
+    REQUIRE(RunUntil(loop, [&] { return !replies.empty(); }));
+    CHECK(replies[0].mResult == HttpCallResult::Complete);
+    CHECK(total == kBytes);
+    CHECK(parts.size() > 1);
+    CHECK(*std::max_element(parts.begin(), parts.end()) <= kBytes / 2);
+  }
+
   // Guards against an endpoint that works on for a caller that is gone.
   SUBCASE("destroying a call closes its connection")
   {
