--- a/Source/Cluster/ConfigReadiness.cxx
+++ b/Source/Cluster/ConfigReadiness.cxx
@@ -31,8 +31,9 @@
   ++mAttempt;
   for (const auto& it : MissingDomains()) {
     if (const std::string peer = PickPeer(it); !peer.empty()) {
-      result.mMessages.push_back(
-        { peer, mDissemination.MakeDigest(false, true) });
+      auto question = mDissemination.MakeDigest(false, true);
+      question.round = mRound;
+      result.mMessages.push_back({ peer, std::move(question) });
     }
   }
   return result;
@@ -84,7 +85,7 @@
                           Instant aNow)
 {
   ReadinessResult result;
-  if (IsReady()) {
+  if (IsReady() || aMessage.round != mRound) {
     return result;
   }
   const bool isEqual =
@@ -104,9 +105,12 @@
 }
 
 ReadinessResult
-ConfigReadiness::OnStoreListing()
+ConfigReadiness::OnStoreListing(Instant aAskedAt)
 {
   ReadinessResult result;
+  if (aAskedAt < mSince) {
+    return result;
+  }
   mIsStoreCompared = true;
   Update(result);
   return result;
@@ -119,6 +123,7 @@
     mState = wire::ConfigReadiness::WOKEN;
   }
   mSince = aNow;
+  ++mRound;
   mNextAsk = aNow;
   mAskInterval = kAskInterval;
   mIsStoreCompared = false;
--- a/Source/Cluster/ConfigReadiness.h
+++ b/Source/Cluster/ConfigReadiness.h
@@ -32,8 +32,9 @@
  * Events to deliver: OnClockGap when MembershipResult::mHasClockGap is set;
  * OnDigest with each CONFIG_DIGEST (after Dissemination::OnDigest);
  * OnStoreListing after all objects of a listing of "config/" were passed to
- * Dissemination::Learn; Tick every Dissemination::kTickInterval. /readyz and
- * the acceptance of operators' changes follow IsReady.
+ * Dissemination::Learn, with the time at which it was asked for; Tick every
+ * Dissemination::kTickInterval. /readyz and the acceptance of operators'
+ * changes follow IsReady.
  */
 class ConfigReadiness
 {
@@ -54,7 +55,7 @@
   ReadinessResult OnDigest(const std::string& aFrom,
                            const wire::ConfigDigest& aMessage,
                            Instant aNow);
-  ReadinessResult OnStoreListing();
+  ReadinessResult OnStoreListing(Instant aAskedAt);
   void OnClockGap(Instant aNow);
 
   bool IsReady() const { return mState == wire::ConfigReadiness::READY; }
@@ -71,7 +72,10 @@
   Membership& mMembership;
   Dissemination& mDissemination;
   wire::ConfigReadiness::type mState = wire::ConfigReadiness::STARTING;
+  /** Start of the process or end of the last pause. */
   Instant mSince;
+  /** Distinguishes answers to questions asked since mSince; never 0. */
+  std::int64_t mRound = 1;
   Instant mNextAsk;
   Duration mAskInterval = kAskInterval;
   std::uint64_t mAttempt = 0;
--- a/Source/Cluster/ConfigWatch.cxx
+++ b/Source/Cluster/ConfigWatch.cxx
@@ -27,12 +27,17 @@
   return aNow + FromSeconds(ToSeconds(kPeersFirst) * (1 + 2 * mRandom.Unit()));
 }
 
-bool
-ConfigWatch::IsWatcher() const
+void
+ConfigWatch::Elect()
 {
+  if (mRings.Revision() == mRingsRevision) {
+    return;
+  }
+  mRingsRevision = mRings.Revision();
   const auto watchers =
     mRings.HoldersWithin(kElectionKey, kWatchers, mFailureDomain);
-  return std::find(watchers.begin(), watchers.end(), mSelf) != watchers.end();
+  mIsWatcher =
+    std::find(watchers.begin(), watchers.end(), mSelf) != watchers.end();
 }
 
 WatchStep
@@ -47,20 +52,20 @@
   if (mRings.Size() < 2 && aNow < mAloneUntil) {
     return WatchStep::None;
   }
-  const bool isWatcher = IsWatcher();
-  if (mIsWatching && !isWatcher) {
+  Elect();
+  if (mIsWatching && !mIsWatcher) {
     mIsWatching = false;
     return WatchStep::Stop;
   }
   if (mIsListing || aNow < mNextStep) {
     return WatchStep::None;
   }
-  const bool mustList = isWatcher || (!aIsReady && aNow >= mPeersUntil);
+  const bool mustList = mIsWatcher || (!aIsReady && aNow >= mPeersUntil);
   if (mustList && mRevision == 0) {
     mIsListing = true;
     return WatchStep::List;
   }
-  if (isWatcher && (!mIsWatching || aNow >= mNextCheck)) {
+  if (mIsWatcher && (!mIsWatching || aNow >= mNextCheck)) {
     mIsWatching = true;
     // Watchers do not renew their watches in step.
     mNextCheck =
--- a/Source/Cluster/ConfigWatch.h
+++ b/Source/Cluster/ConfigWatch.h
@@ -72,10 +72,11 @@
   /** Revision that the next watch continues from. */
   std::uint64_t Revision() const { return mRevision; }
   /** True when hashing chooses this daemon. */
-  bool IsWatcher() const;
+  bool IsWatcher() const { return mIsWatcher; }
 
 private:
   void Delay(Instant aNow);
+  void Elect();
   Instant EndOfPeersFirst(Instant aNow);
 
   std::string mSelf;
@@ -83,6 +84,8 @@
   const HashRings& mRings;
   Random& mRandom;
   std::uint64_t mRevision = 0;
+  bool mIsWatcher = false;
+  std::uint64_t mRingsRevision = 0;
   bool mIsListing = false;
   bool mIsWatching = false;
   bool mWasReady = false;
--- a/Source/Cluster/Dissemination.cxx
+++ b/Source/Cluster/Dissemination.cxx
@@ -309,7 +309,9 @@
   }
   const bool isQuestion = !aMessage.isComplete && aMessage.versions.empty();
   if (aMessage.wantsReply || (isQuestion && !isEqual)) {
-    result.mMessages.push_back({ aFrom, MakeDigest(!isEqual, false) });
+    auto answer = MakeDigest(!isEqual, false);
+    answer.round = aMessage.round;
+    result.mMessages.push_back({ aFrom, std::move(answer) });
   }
   return result;
 }
@@ -402,6 +404,7 @@
 {
   wire::ConfigDigest digest;
   digest.hash = Hash();
+  digest.round = 0;
   digest.wantsReply = aWantsReply;
   digest.isComplete = aIsComplete;
   digest.readiness = mReadiness;
--- a/Source/Cluster/HashRings.cxx
+++ b/Source/Cluster/HashRings.cxx
@@ -49,9 +49,11 @@
   const auto [it, isNew] =
     mMembers.insert({ aName, Member{ aFailureDomain, Hash64(aName) } });
   if (!isNew) {
+    mRevision += it->second.mFailureDomain != aFailureDomain ? 1 : 0;
     it->second.mFailureDomain = aFailureDomain;
     return;
   }
+  ++mRevision;
   for (std::size_t i = 0; i < mRings.size(); ++i) {
     const Position position{ Hash64(aName, i + 1), &it->first };
     auto& ring = mRings[i];
@@ -68,6 +70,7 @@
   if (it == mMembers.end()) {
     return;
   }
+  ++mRevision;
   for (std::size_t i = 0; i < mRings.size(); ++i) {
     const Position position{ Hash64(aName, i + 1), &it->first };
     auto& ring = mRings[i];
@@ -134,13 +137,14 @@
 }
 
 std::vector<HashRings::Ranked>
-HashRings::Rank(std::string_view aKey) const
+HashRings::Rank(std::string_view aKey, const std::string* aDomain) const
 {
   const std::uint64_t key = Hash64(aKey);
   std::vector<Ranked> ranked;
-  ranked.reserve(mMembers.size());
   for (const auto& it : mMembers) {
-    ranked.emplace_back(Mix(key, it.second.mHash), &it);
+    if (aDomain == nullptr || it.second.mFailureDomain == *aDomain) {
+      ranked.emplace_back(Mix(key, it.second.mHash), &it);
+    }
   }
   std::sort(ranked.begin(),
             ranked.end(),
@@ -159,7 +163,7 @@
 {
   std::vector<std::string> names;
   std::set<std::string> domains{ aExcludedDomain };
-  for (const auto& [rank, member] : Rank(aKey)) {
+  for (const auto& [rank, member] : Rank(aKey, nullptr)) {
     if (names.size() == aCount) {
       break;
     }
@@ -176,13 +180,11 @@
                          const std::string& aFailureDomain) const
 {
   std::vector<std::string> names;
-  for (const auto& [rank, member] : Rank(aKey)) {
+  for (const auto& [rank, member] : Rank(aKey, &aFailureDomain)) {
     if (names.size() == aCount) {
       break;
     }
-    if (member->second.mFailureDomain == aFailureDomain) {
-      names.push_back(member->first);
-    }
+    names.push_back(member->first);
   }
   return names;
 }
--- a/Source/Cluster/HashRings.h
+++ b/Source/Cluster/HashRings.h
@@ -34,6 +34,9 @@
   void Remove(const std::string& aName);
   bool Contains(const std::string& aName) const;
   std::size_t Size() const { return mMembers.size(); }
+  /** Increases with each change of the members; results may be kept while it
+   * stays the same. */
+  std::uint64_t Revision() const { return mRevision; }
 
   /**
    * The next daemon after aName on each ring, without aName and duplicates.
@@ -78,8 +81,12 @@
   using Position = std::pair<std::uint64_t, const std::string*>;
   using Ranked = std::pair<std::uint64_t, const MemberTable::value_type*>;
 
-  std::vector<Ranked> Rank(std::string_view aKey) const;
+  /** Members by rank for aKey, the first one first; only those of aDomain
+   * unless it is null. */
+  std::vector<Ranked> Rank(std::string_view aKey,
+                           const std::string* aDomain) const;
 
+  std::uint64_t mRevision = 0;
   MemberTable mMembers;
   /** Positions in ascending order; the names are keys of mMembers. */
   std::vector<std::vector<Position>> mRings;
--- a/Source/Cluster/MemberTable.cxx
+++ b/Source/Cluster/MemberTable.cxx
@@ -1,5 +1,7 @@
 #include "Cluster/MemberTable.h"
 
+#include <algorithm>
+
 #include "Base/Digest.h"
 
 namespace bulrushfold {
@@ -71,7 +73,13 @@
       !aRecord.__isset.observer || aMember.mObservers.size() >= kMaxObservers) {
     return false;
   }
-  return aMember.mObservers.insert(aRecord.observer).second;
+  auto& observers = aMember.mObservers;
+  if (std::find(observers.begin(), observers.end(), aRecord.observer) !=
+      observers.end()) {
+    return false;
+  }
+  observers.push_back(aRecord.observer);
+  return true;
 }
 
 bool
@@ -163,6 +171,14 @@
   NoteChange(*member, wasLive, false, aChanges);
 }
 
+void
+MemberTable::ClearListed()
+{
+  for (auto& [name, member] : mMembers) {
+    member.mIsListed = false;
+  }
+}
+
 void
 MemberTable::Erase(const std::string& aName, MemberChanges& aChanges)
 {
@@ -210,7 +226,7 @@
   }
   if (aMember.mState == wire::MemberState::SUSPECT &&
       !aMember.mObservers.empty()) {
-    record.__set_observer(*aMember.mObservers.begin());
+    record.__set_observer(aMember.mObservers.back());
   }
   return record;
 }
--- a/Source/Cluster/MemberTable.h
+++ b/Source/Cluster/MemberTable.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -35,7 +34,9 @@
   wire::MemberState::type mState = wire::MemberState::ALIVE;
   Instant mChangedAt;
   /** Daemons that suspect this generation; at most kMaxObservers. */
-  std::set<std::string> mObservers;
+  std::vector<std::string> mObservers;
+  /** True when the last VM list names it. */
+  bool mIsListed = false;
 
   bool IsLive() const
   {
@@ -79,6 +80,8 @@
            wire::MemberState::type aState,
            Instant aNow,
            MemberChanges& aChanges);
+  /** Forgets which daemons the VM list names. */
+  void ClearListed();
   void Erase(const std::string& aName, MemberChanges& aChanges);
 
   Member* Find(const std::string& aName);
--- a/Source/Cluster/Membership.cxx
+++ b/Source/Cluster/Membership.cxx
@@ -52,6 +52,14 @@
   mLastEvent = std::max(mLastEvent, aNow);
 }
 
+MembershipResult
+Membership::CheckClock(Instant aNow)
+{
+  MembershipResult result;
+  NoteTime(aNow, result);
+  return result;
+}
+
 void
 Membership::RaiseGeneration(std::int64_t aGeneration, Instant aNow)
 {
@@ -293,10 +301,9 @@
 {
   MembershipResult result;
   NoteTime(aNow, result);
-  mListed.clear();
+  mTable.ClearListed();
   mListedDomains.clear();
   for (const auto& it : aVms) {
-    mListed.insert(it.mName);
     const bool isLive = it.mState == VmState::Live;
     if (isLive) {
       mListedDomains.insert(it.mFailureDomain);
@@ -306,7 +313,8 @@
     const MemberInfo info{ it.mName, it.mFailureDomain, it.mPeerAddress, {} };
     mTable.Insert(info, state, aNow, result.mChanges);
     // Of a daemon that was heard, its own messages say more than the list.
-    const Member* member = mTable.Find(it.mName);
+    Member* member = mTable.Find(it.mName);
+    member->mIsListed = true;
     if (member->mGeneration == 0 && !isLive && member->IsLive()) {
       mTable.Set(it.mName, 0, state, aNow, result.mChanges);
     }
@@ -329,7 +337,7 @@
     const bool isExpired =
       !member.IsLive() && aNow - member.mChangedAt >= kForgetAfter;
     const bool isNeverHeard = member.mGeneration == 0;
-    if (mListed.count(name) == 0 && name != mSelf.mName &&
+    if (!member.mIsListed && name != mSelf.mName &&
         (isExpired || isNeverHeard)) {
       old.push_back(name);
     }
@@ -399,7 +407,7 @@
 {
   std::vector<std::string> names;
   for (const auto& [name, member] : mTable.Members()) {
-    if (member.mState == wire::MemberState::DEAD && mListed.count(name) != 0) {
+    if (member.mState == wire::MemberState::DEAD && member.mIsListed) {
       names.push_back(name);
     }
   }
@@ -420,14 +428,14 @@
     mAreContactsOld = false;
     mContacts.clear();
     for (const auto& [name, member] : mTable.Members()) {
-      const bool isCandidate = member.IsLive() || mListed.count(name) != 0;
+      const bool isCandidate = member.IsLive() || member.mIsListed;
       if (isCandidate && name != mSelf.mName) {
-        mContacts.push_back(name);
+        mContacts.push_back(&name);
       }
     }
   }
   return mContacts.empty() ? std::string()
-                           : mContacts[mRandom.Below(mContacts.size())];
+                           : *mContacts[mRandom.Below(mContacts.size())];
 }
 
 IncarnationState
--- a/Source/Cluster/Membership.h
+++ b/Source/Cluster/Membership.h
@@ -67,6 +67,8 @@
              Random& aRandom);
 
   MembershipResult Tick(Instant aNow);
+  /** Only notices a pause of this daemon; for events of other classes. */
+  MembershipResult CheckClock(Instant aNow);
   MembershipResult OnVmList(const std::vector<VmEntry>& aVms, Instant aNow);
   MembershipResult OnHeartbeat(const std::string& aFrom,
                                const wire::Heartbeat& aMessage,
@@ -144,9 +146,9 @@
   MemberTable mTable;
   FailureDetector mDetector;
   MemberNews mNews;
-  std::set<std::string> mListed;
   std::set<std::string> mListedDomains;
-  std::vector<std::string> mContacts;
+  /** Candidates of PickContact; keys of mTable. */
+  std::vector<const std::string*> mContacts;
   bool mAreContactsOld = true;
   /** Senders whose view differs from this one, with the first time. */
   std::map<std::string, Instant> mDifferentSince;
--- a/Source/Wire/Cluster.thrift
+++ b/Source/Wire/Cluster.thrift
@@ -65,6 +65,9 @@
   5: required ConfigReadiness readiness,
   // Key whose version the receiver is asked for; empty: none.
   6: required string askedKey,
+  // Number of the question, repeated in the answer; 0: none. An answer that
+  // was sent before a pause of its receiver is recognised by it.
+  7: required i64 round,
 }
 
 // CONFIG_UPDATE
--- a/Source/Wire/gen-cpp/Cluster_types.cpp
+++ b/Source/Wire/gen-cpp/Cluster_types.cpp
@@ -878,6 +878,10 @@
 void ConfigDigest::__set_askedKey(const std::string& val) {
   this->askedKey = val;
 }
+
+void ConfigDigest::__set_round(const int64_t val) {
+  this->round = val;
+}
 std::ostream& operator<<(std::ostream& out, const ConfigDigest& obj)
 {
   obj.printTo(out);
@@ -903,6 +907,7 @@
   bool isset_versions = false;
   bool isset_readiness = false;
   bool isset_askedKey = false;
+  bool isset_round = false;
 
   while (true)
   {
@@ -974,6 +979,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->round);
+          isset_round = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -995,6 +1008,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_askedKey)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_round)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -1035,6 +1050,10 @@
   xfer += oprot->writeString(this->askedKey);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("round", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->round);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1048,6 +1067,7 @@
   swap(a.versions, b.versions);
   swap(a.readiness, b.readiness);
   swap(a.askedKey, b.askedKey);
+  swap(a.round, b.round);
 }
 
 ConfigDigest::ConfigDigest(const ConfigDigest& other36) {
@@ -1057,6 +1077,7 @@
   versions = other36.versions;
   readiness = other36.readiness;
   askedKey = other36.askedKey;
+  round = other36.round;
 }
 ConfigDigest& ConfigDigest::operator=(const ConfigDigest& other37) {
   hash = other37.hash;
@@ -1065,6 +1086,7 @@
   versions = other37.versions;
   readiness = other37.readiness;
   askedKey = other37.askedKey;
+  round = other37.round;
   return *this;
 }
 void ConfigDigest::printTo(std::ostream& out) const {
@@ -1076,6 +1098,7 @@
   out << ", " << "versions=" << to_string(versions);
   out << ", " << "readiness=" << to_string(readiness);
   out << ", " << "askedKey=" << to_string(askedKey);
+  out << ", " << "round=" << to_string(round);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Cluster_types.h
+++ b/Source/Wire/gen-cpp/Cluster_types.h
@@ -342,7 +342,8 @@
                  wantsReply(0),
                  isComplete(0),
                  readiness(static_cast<ConfigReadiness::type>(0)),
-                 askedKey() {
+                 askedKey(),
+                 round(0) {
   }
 
   virtual ~ConfigDigest() noexcept;
@@ -356,6 +357,7 @@
    */
   ConfigReadiness::type readiness;
   std::string askedKey;
+  int64_t round;
 
   void __set_hash(const int64_t val);
 
@@ -369,6 +371,8 @@
 
   void __set_askedKey(const std::string& val);
 
+  void __set_round(const int64_t val);
+
   bool operator == (const ConfigDigest & rhs) const
   {
     if (!(hash == rhs.hash))
@@ -383,6 +387,8 @@
       return false;
     if (!(askedKey == rhs.askedKey))
       return false;
+    if (!(round == rhs.round))
+      return false;
     return true;
   }
   bool operator != (const ConfigDigest &rhs) const {
--- /dev/null
+++ b/Tests/Cluster/FakeStore.h
@@ -0,0 +1,105 @@
+#ifndef BULRUSHFOLD_TESTS_CLUSTER_FAKESTORE_H
+#define BULRUSHFOLD_TESTS_CLUSTER_FAKESTORE_H
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Platform/ObjectStore.h"
+#include "absl/status/statusor.h"
+
+namespace bulrushfold {
+
+/** Object API in memory, with an outage and with lost answers. */
+class FakeStore
+{
+public:
+  bool mIsUp = true;
+  /** Writes take effect, but their answers are lost. */
+  bool mLosesAnswers = false;
+  /** Watches from earlier revisions end with OutOfRange. */
+  std::uint64_t mOldestRevision = 0;
+  std::uint64_t mReads = 0;
+
+  absl::StatusOr<std::uint64_t> Put(const std::string& aKey,
+                                    const std::string& aBody,
+                                    std::optional<std::uint64_t> aExpected)
+  {
+    if (!mIsUp) {
+      return absl::UnavailableError("outage");
+    }
+    const auto it = mObjects.find(aKey);
+    const bool isMatch =
+      aExpected ? it != mObjects.end() && it->second.mVersion == *aExpected
+                : it == mObjects.end();
+    if (isMatch) {
+      mObjects[aKey] = { aKey, ++mRevision, aBody };
+    }
+    if (mLosesAnswers) {
+      return absl::UnknownError("answer lost");
+    }
+    if (!isMatch) {
+      return absl::FailedPreconditionError("the version differs");
+    }
+    return mRevision;
+  }
+
+  absl::StatusOr<StoredObject> Get(const std::string& aKey)
+  {
+    ++mReads;
+    if (!mIsUp) {
+      return absl::UnavailableError("outage");
+    }
+    const auto it = mObjects.find(aKey);
+    if (it == mObjects.end()) {
+      return absl::NotFoundError("no such object");
+    }
+    return it->second;
+  }
+
+  absl::StatusOr<StoreListing> List()
+  {
+    ++mReads;
+    if (!mIsUp) {
+      return absl::UnavailableError("outage");
+    }
+    StoreListing listing;
+    listing.mRevision = mRevision;
+    for (const auto& [key, object] : mObjects) {
+      listing.mObjects.push_back(object);
+    }
+    return listing;
+  }
+
+  /** Objects written after aRevision. */
+  absl::StatusOr<std::vector<StoredObject>> Changes(std::uint64_t aRevision)
+  {
+    if (!mIsUp) {
+      return absl::UnavailableError("outage");
+    }
+    if (aRevision < mOldestRevision) {
+      return absl::OutOfRangeError("the revision is gone");
+    }
+    std::vector<StoredObject> changes;
+    for (const auto& [key, object] : mObjects) {
+      if (object.mVersion > aRevision) {
+        changes.push_back(object);
+      }
+    }
+    return changes;
+  }
+
+  const std::map<std::string, StoredObject>& Objects() const
+  {
+    return mObjects;
+  }
+
+private:
+  std::map<std::string, StoredObject> mObjects;
+  std::uint64_t mRevision = 0;
+};
+
+} // namespace bulrushfold
+
+#endif
