--- /dev/null
+++ b/Source/Outcome/OutcomeStore.h
@@ -0,0 +1,159 @@
+#ifndef BULRUSHFOLD_OUTCOME_OUTCOMESTORE_H
+#define BULRUSHFOLD_OUTCOME_OUTCOMESTORE_H
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Outcome/OutcomeAggregate.h"
+#include "Outcome/OutcomeCodec.h"
+#include "Outcome/OutcomeRecord.h"
+#include "Outcome/ReportPart.h"
+
+namespace bulrushfold {
+
+/** Bounds of an OutcomeStore. */
+struct OutcomeLimits
+{
+  /** TelemetrySettings::mOutcomeRetention. */
+  Duration mRetention = std::chrono::hours(1);
+  /** TelemetrySettings::mMaxOutcomes; bounds records and open requests. */
+  std::size_t mMaxRecords = 100'000;
+};
+
+/** What a store knows about a request. */
+struct Explanation
+{
+  /** The request ended. */
+  std::optional<OutcomeRecord> mEnd;
+  /** The request is in progress; empty when mEnd is set. */
+  std::optional<BeginRecord> mBegin;
+};
+
+/**
+ * Outcome records of this daemon and copies of other daemons' records.
+ *
+ * Events that the daemon delivers:
+ * - Begin: when a request passed admission (before its first attempt);
+ * - End: once for every request, also for requests that were refused;
+ * - TakeBatch: once a second and at a planned stop; the batch goes as
+ *   OUTCOME_BATCH (a call) to each daemon of SelectHolders. After a failed call
+ *   the same batch is sent once more, to the holders selected then;
+ * - RequeueOpen: when SelectHolders returns another result than before;
+ * - Receive: for each OUTCOME_BATCH;
+ * - HandleDaemonDead: when membership declares an incarnation dead, also when
+ *   a daemon comes back under a new incarnation. A daemon that left in a
+ *   planned stop has sent all its end records, so the call is harmless;
+ * - HandleDaemonAlive: when membership takes such a declaration back;
+ * - Trim: every few seconds.
+ *
+ * A request that starts and ends between two batches has no begin record. When
+ * the bound on records is reached, the oldest served ones leave first.
+ */
+class OutcomeStore
+{
+public:
+  OutcomeStore(std::string aDaemon,
+               std::string aIncarnation,
+               OutcomeLimits aLimits,
+               const Clock& aClock);
+
+  void Begin(BeginRecord aRecord);
+  void End(OutcomeRecord aRecord);
+
+  /**
+   * Own records not batched yet, at most aMaxRecords; empty if none. Call it
+   * until it is empty.
+   */
+  std::optional<OutcomeRecords> TakeBatch(std::size_t aMaxRecords);
+  /** Puts the begin records of all own open requests in the next batches. */
+  void RequeueOpen();
+
+  /** Stores copies; batches may arrive repeatedly and in any order. */
+  void Receive(const OutcomeRecords& aRecords);
+  /**
+   * Open requests of this incarnation become lost, now and on arrival. An end
+   * record that arrives later replaces the record that says "lost".
+   */
+  void HandleDaemonDead(const std::string& aDaemon,
+                        const std::string& aIncarnation);
+  void HandleDaemonAlive(const std::string& aDaemon,
+                         const std::string& aIncarnation);
+  void Trim();
+
+  /** Empty when the request is not known. */
+  std::optional<Explanation> Explain(const std::string& aRequestId) const;
+
+  /**
+   * This daemon's share of a report. Copies are counted only for incarnations
+   * for which aIsLive is false, because live ones report themselves.
+   */
+  std::vector<ReportPart> MakeReportParts(
+    const ReportWindow& aWindow,
+    const std::function<bool(const std::string&, const std::string&)>& aIsLive)
+    const;
+
+  std::size_t RecordCount() const { return mRecords.size(); }
+  std::size_t OpenCount() const { return mOpen.size(); }
+  /** Records and begin records that left because of the bound on their number.
+   */
+  std::uint64_t Dropped() const { return mDropped; }
+
+private:
+  /** Daemon and incarnation. */
+  using Origin = std::pair<std::string, std::string>;
+  struct Entry
+  {
+    OutcomeRecord mRecord;
+    Origin mOrigin;
+    Instant mStored;
+  };
+  struct OpenRequest
+  {
+    BeginRecord mBegin;
+    Instant mStored;
+  };
+  struct OriginState
+  {
+    OutcomeAggregate mAggregate;
+    bool mIsDead = false;
+    Instant mLastChange;
+  };
+  using Arrival = std::pair<Instant, std::string>;
+
+  void Store(const Origin& aOrigin, OutcomeRecord aRecord);
+  void StoreBegin(const Origin& aOrigin, const BeginRecord& aRecord);
+  void Forget(const std::string& aRequestId);
+  void TrimQueue(std::deque<Arrival>& aQueue, Instant aLimit);
+  void TrimOpen(Instant aLimit);
+  void TrimOrigins(Instant aLimit);
+  void EnforceCount();
+  OriginState& StateOf(const Origin& aOrigin);
+
+  Origin mSelf;
+  OutcomeLimits mLimits;
+  const Clock& mClock;
+  std::unordered_map<std::string, Entry> mRecords;
+  /** Records in the order of their arrival, served ones apart. */
+  std::deque<Arrival> mServedArrivals;
+  std::deque<Arrival> mOtherArrivals;
+  std::unordered_map<std::string, OpenRequest> mOpen;
+  std::deque<Arrival> mOpenArrivals;
+  std::map<Origin, OriginState> mOrigins;
+  std::deque<std::string> mUnsentBegins;
+  std::deque<std::string> mUnsentEnds;
+  std::uint64_t mDropped = 0;
+};
+
+} // namespace bulrushfold
+
+#endif
