--- a/Source/Outcome/OutcomeStore.h
+++ b/Source/Outcome/OutcomeStore.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "Base/Clock.h"
+#include "Outcome/Explanation.h"
 #include "Outcome/OutcomeAggregate.h"
 #include "Outcome/OutcomeCodec.h"
 #include "Outcome/OutcomeRecord.h"
@@ -30,15 +31,6 @@
   std::size_t mMaxRecords = 100'000;
 };
 
-/** What a store knows about a request. */
-struct Explanation
-{
-  /** The request ended. */
-  std::optional<OutcomeRecord> mEnd;
-  /** The request is in progress; empty when mEnd is set. */
-  std::optional<BeginRecord> mBegin;
-};
-
 /**
  * Outcome records of this daemon and copies of other daemons' records.
  *
