Add the policy benchmark with its fakes and baselines

Decisions must be measured before they are tuned. Engines, links and lagging reports are small fakes on a virtual clock; six daemons route the same arrivals as the round-robin and least-loaded baselines.

--- /dev/null
+++ b/Source/Bench/PolicyRouter.h
@@ -0,0 +1,76 @@
+#ifndef BULRUSHFOLD_BENCH_POLICYROUTER_H
+#define BULRUSHFOLD_BENCH_POLICYROUTER_H
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "Base/Random.h"
+#include "Bench/BenchWorld.h"
+#include "Policy/EndpointOwner.h"
+#include "Policy/RoutingPolicy.h"
+
+namespace bulrushfold {
+
+/** Six daemons with the project's policy; endpoints have owners. */
+class PolicyRouter : public BenchRouter
+{
+public:
+  /** aHasOwners false: each daemon decides alone, no reservation is asked. */
+  PolicyRouter(BenchWorld& aWorld, bool aHasOwners, std::uint64_t aSeed);
+
+  void OnArrival(std::size_t aDaemon, const Arrival& aArrival) override;
+  void OnCallerGone(std::size_t aDaemon, const std::string& aRequest) override;
+  void OnLoadReport(std::size_t aDaemon,
+                    const std::string& aEndpoint,
+                    const LoadReport& aReport) override;
+  void OnCacheEvents(std::size_t aDaemon,
+                     const std::string& aEndpoint,
+                     const std::vector<CacheEvent>& aEvents) override;
+
+  /** Decodes that an engine refused for want of a slot. */
+  std::uint64_t SlotRefusals() const { return mSlotRefusals; }
+
+private:
+  struct Daemon
+  {
+    explicit Daemon(std::uint64_t aSeed);
+    Random mRandom;
+    RoutingPolicy mPolicy;
+    EndpointOwner mOwner;
+  };
+
+  Preset MakePreset() const;
+  std::size_t OwnerOf(const std::string& aEndpoint) const;
+  /** Runs aHook at aTo after the delay of a message from aFrom. */
+  void Send(std::size_t aFrom, std::size_t aTo, EventQueue::Hook aHook);
+  void Tick(std::size_t aDaemon);
+  void Do(std::size_t aDaemon, const Actions& aActions);
+  void Do(std::size_t aDaemon, const RejectAction& aAction);
+  void Do(std::size_t aDaemon, const QueueAction& aAction);
+  void Do(std::size_t aDaemon, const ReserveAction& aAction);
+  void Do(std::size_t aDaemon, const ReleaseAction& aAction);
+  void Do(std::size_t aDaemon, const ClaimAction& aAction);
+  void Do(std::size_t aDaemon, const StartPrefillAction& aAction);
+  void Do(std::size_t aDaemon, const StartTransferAction& aAction);
+  void Do(std::size_t aDaemon, const StartDecodeAction& aAction);
+  void Do(std::size_t aDaemon, const CancelAction& aAction);
+  void Do(std::size_t aDaemon, const ChangeRoleAction& aAction);
+  EngineWork WorkOf(const std::string& aRequest, std::uint32_t aAttempt) const;
+  FakeEngine::FailHook FailHook(std::size_t aDaemon,
+                                const std::string& aRequest,
+                                std::uint32_t aAttempt);
+  /** Runs aHook after the network delay and carries out what it returns. */
+  void Deliver(std::size_t aDaemon, std::function<Actions(RoutingPolicy&)>);
+
+  BenchWorld& mWorld;
+  bool mHasOwners;
+  std::vector<std::unique_ptr<Daemon>> mDaemons;
+  std::unordered_map<std::string, EngineWork> mWorks;
+  std::uint64_t mSlotRefusals = 0;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Utilities/bench.sh
@@ -0,0 +1,22 @@
+#!/usr/bin/env bash
+# Runs one benchmark: Utilities/bench.sh NAME [--seed S] [options of the
+# program]. With --list, names all. Builds Release first.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+usage="usage: Utilities/bench.sh NAME [--seed S] | --list"
+[ $# -ge 1 ] || { echo "$usage" >&2; exit 2; }
+bash Utilities/build.sh release
+prefix=build/release/bin/bulrushfold-bench-
+if [ "$1" = --list ]; then
+  for it in "$prefix"*; do
+    [ -x "$it" ] && echo "${it#"$prefix"}"
+  done
+  exit 0
+fi
+name=$1
+shift
+if [ ! -x "$prefix$name" ]; then
+  echo "no benchmark is named $name; --list shows all" >&2
+  exit 2
+fi
+exec "$prefix$name" "$@"
