--- a/Source/Booking/BookingRegistry.cxx
+++ b/Source/Booking/BookingRegistry.cxx
@@ -49,6 +49,16 @@
 {
 }
 
+bool
+BookingRegistry::HasOpenCalls() const
+{
+  return std::any_of(mRequests.begin(), mRequests.end(), [](const auto& aPair) {
+    const Phase phase = aPair.second.mPhase;
+    return phase == Phase::Asking || phase == Phase::Dispatched ||
+           phase == Phase::Reporting;
+  });
+}
+
 RegistryActions
 BookingRegistry::TakeActions()
 {
--- a/Source/Booking/BookingRegistry.h
+++ b/Source/Booking/BookingRegistry.h
@@ -136,6 +136,9 @@
     const absl::StatusOr<wire::BookingResultReply>& aReply);
   RegistryActions OnTurn();
 
+  /** True while a call is at its endpoint or its result is unconfirmed; a
+   * planned stop waits for it. */
+  bool HasOpenCalls() const;
   /** Requests that are not forgotten yet. */
   std::size_t Size() const { return mRequests.size(); }
   const BookingRegistryCounters& Counters() const { return mCounters; }
--- /dev/null
+++ b/Source/Daemon/ClusterController.cxx
@@ -0,0 +1,256 @@
+#include "Daemon/ClusterController.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/Log.h"
+
+namespace bulrushfold {
+
+namespace {
+
+/** Checks a configuration object before it is written. */
+absl::Status
+Validate(const std::string& aKey, const std::string& aBody)
+{
+  if (aBody.size() > kMaxObjectBytes) {
+    return absl::InvalidArgumentError("the object is larger than 1 MB");
+  }
+  Configuration scratch;
+  return scratch.Apply(aKey, aBody);
+}
+
+MemberInfo
+MakeSelf(const DaemonSettings& aDaemon, const std::string& aIncarnation)
+{
+  return {
+    aDaemon.mName, aDaemon.mFailureDomain, aDaemon.mPeerAddress, aIncarnation
+  };
+}
+
+MembershipTiming
+MakeTiming(const PeerSettings& aPeers)
+{
+  MembershipTiming timing;
+  timing.mHeartbeatInterval = aPeers.mHeartbeatInterval;
+  timing.mSuspectAfter = aPeers.mSuspectAfter;
+  timing.mClockGapLimit = aPeers.mClockGapLimit;
+  return timing;
+}
+
+} // namespace
+
+ClusterController::ClusterController(EventLoop& aLoop,
+                                     const Clock& aClock,
+                                     Random& aRandom,
+                                     PeerLinks& aLinks,
+                                     ObjectStore& aStore,
+                                     Configuration& aConfiguration,
+                                     const Settings& aSettings,
+                                     const std::string& aIncarnation)
+  : mLoop(aLoop)
+  , mClock(aClock)
+  , mLinks(aLinks)
+  , mStore(aStore)
+  , mConfiguration(aConfiguration)
+  , mNode(MakeSelf(aSettings.mDaemon, aIncarnation),
+          MakeTiming(aSettings.mPeers),
+          Validate,
+          aClock.Wall(),
+          aClock.Now(),
+          aRandom)
+{
+}
+
+void
+ClusterController::Start()
+{
+  for (const auto kind : { wire::MessageKind::HEARTBEAT,
+                           wire::MessageKind::MEMBERSHIP,
+                           wire::MessageKind::CONFIG_DIGEST,
+                           wire::MessageKind::CONFIG_UPDATE,
+                           wire::MessageKind::CONFIG_FETCH }) {
+    HandleMessages(kind);
+  }
+  mTickTimer = mLoop.Every(ClusterNode::kTickInterval,
+                           [this] { Carry(mNode.Tick(mClock.Now())); });
+  ListVms();
+}
+
+void
+ClusterController::HandleMessages(wire::MessageKind::type aKind)
+{
+  mLinks.Handle(aKind,
+                [this, aKind](const std::string& aSender,
+                              const std::string& aPayload,
+                              const PeerLinks::Responder&) {
+                  const auto message = DecodeClusterMessage(aKind, aPayload);
+                  if (!message.ok()) {
+                    LogEvent(LogLevel::Warning,
+                             "peer_message_malformed",
+                             { { "peer", aSender },
+                               { "reason", message.status().ToString() } });
+                    return;
+                  }
+                  Carry(mNode.OnMessage(aSender, *message, mClock.Now()));
+                });
+}
+
+void
+ClusterController::Leave()
+{
+  Carry(mNode.Leave(mClock.Now()));
+}
+
+void
+ClusterController::Propose(const ConfigChange& aChange)
+{
+  Carry(mNode.Propose(aChange, mClock.Now()));
+}
+
+std::optional<PeerTarget>
+ClusterController::FindTarget(const std::string& aName) const
+{
+  const MemberInfo* info = mNode.Members().Find(aName);
+  return info == nullptr ? std::nullopt
+                         : std::optional<PeerTarget>({ aName, info->mAddress });
+}
+
+std::uint64_t
+ClusterController::Version(std::string_view aKey) const
+{
+  return mNode.Config().Version(std::string(aKey));
+}
+
+void
+ClusterController::Carry(const NodeResult& aResult)
+{
+  if (aResult.mHasClockGap) {
+    LogEvent(LogLevel::Warning, "clock_gap", {});
+    mClockGap.emit();
+  }
+  for (const auto& it : aResult.mAdopted) {
+    Apply(it);
+  }
+  if (!aResult.mMembers.mJoined.empty() || !aResult.mMembers.mLost.empty()) {
+    LogEvent(LogLevel::Info,
+             "members_changed",
+             { { "joined", aResult.mMembers.mJoined.size() },
+               { "lost", aResult.mMembers.mLost.size() },
+               { "live", Rings().Size() } });
+    mMembersChanged.emit(aResult.mMembers);
+  }
+  for (const auto& it : aResult.mMessages) {
+    Send(it);
+  }
+  for (const auto& it : aResult.mPuts) {
+    Put(it);
+  }
+  for (const auto& it : aResult.mGets) {
+    Get(it);
+  }
+  Step(aResult.mWatch);
+  for (const auto& it : aResult.mChanges) {
+    mChangeUpdated.emit(it);
+  }
+  if (aResult.mBecameReady) {
+    LogEvent(LogLevel::Info, "daemon_ready", { { "live", Rings().Size() } });
+  }
+}
+
+void
+ClusterController::Apply(const ConfigObject& aObject)
+{
+  if (const auto status = mConfiguration.Apply(aObject.mKey, aObject.mBody);
+      !status.ok()) {
+    LogEvent(LogLevel::Error,
+             "config_invalid",
+             { { "key", aObject.mKey },
+               { "version", aObject.mVersion },
+               { "reason", std::string(status.message()) } });
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "config_in_force",
+           { { "key", aObject.mKey }, { "version", aObject.mVersion } });
+  mConfigChanged.emit(aObject.mKey);
+}
+
+void
+ClusterController::Send(const Outgoing& aOutgoing)
+{
+  if (const auto target = FindTarget(aOutgoing.mTo); target) {
+    mLinks.Send(*target,
+                KindOf(aOutgoing.mMessage),
+                EncodeClusterMessage(aOutgoing.mMessage));
+  }
+}
+
+void
+ClusterController::Put(const StorePutAction& aAction)
+{
+  mStore.Put(aAction.mKey,
+             aAction.mBody,
+             aAction.mExpected,
+             [this, id = aAction.mChangeId](
+               const absl::StatusOr<std::uint64_t>& aVersion) {
+               Carry(mNode.OnPut(id, aVersion, mClock.Now()));
+             });
+}
+
+void
+ClusterController::Get(const StoreGetAction& aAction)
+{
+  mStore.Get(aAction.mKey,
+             [this, id = aAction.mChangeId](
+               const absl::StatusOr<StoredObject>& aObject) {
+               Carry(mNode.OnGet(id, aObject, mClock.Now()));
+             });
+}
+
+void
+ClusterController::Step(WatchStep aStep)
+{
+  switch (aStep) {
+    case WatchStep::None:
+      return;
+    case WatchStep::Stop:
+      mWatch.reset();
+      return;
+    case WatchStep::List:
+      mStore.List(std::string(kConfigPrefix),
+                  [this](const absl::StatusOr<StoreListing>& aListing) {
+                    Carry(mNode.OnListing(aListing, mClock.Now()));
+                  });
+      return;
+    case WatchStep::Watch:
+      break;
+  }
+  StoreWatchHooks hooks;
+  hooks.mOnChange = [this](const StoredObject& aObject) {
+    Carry(mNode.OnWatch(aObject, mClock.Now()));
+  };
+  hooks.mOnEnd = [this](const absl::Status& aStatus, std::uint64_t aLast) {
+    mNode.OnWatchEnd(aStatus, aLast, mClock.Now());
+  };
+  mWatch = mStore.Watch(
+    std::string(kConfigPrefix), mNode.Watch().Revision(), std::move(hooks));
+}
+
+void
+ClusterController::ListVms()
+{
+  mStore.ListVms([this](const absl::StatusOr<std::vector<VmEntry>>& aVms) {
+    if (aVms.ok()) {
+      Carry(mNode.OnVmList(*aVms, mClock.Now()));
+    } else {
+      LogEvent(LogLevel::Warning,
+               "vm_list_failed",
+               { { "reason", aVms.status().ToString() } });
+    }
+    mVmTimer =
+      mLoop.After(mNode.Members().VmListInterval(), [this] { ListVms(); });
+  });
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Daemon/ClusterController.h
@@ -0,0 +1,80 @@
+#ifndef BULRUSHFOLD_DAEMON_CLUSTERCONTROLLER_H
+#define BULRUSHFOLD_DAEMON_CLUSTERCONTROLLER_H
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <sigc++/signal.h>
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "Cluster/ClusterNode.h"
+#include "Cluster/Configuration.h"
+#include "Net/EventLoop.h"
+#include "Net/PeerLinks.h"
+#include "Platform/ObjectStore.h"
+#include "Settings/Settings.h"
+
+namespace bulrushfold {
+
+/** Connects membership and configuration to peers, store and loop. */
+class ClusterController
+{
+public:
+  ClusterController(EventLoop& aLoop,
+                    const Clock& aClock,
+                    Random& aRandom,
+                    PeerLinks& aLinks,
+                    ObjectStore& aStore,
+                    Configuration& aConfiguration,
+                    const Settings& aSettings,
+                    const std::string& aIncarnation);
+
+  void Start();
+  /** Announces the planned stop of this daemon. */
+  void Leave();
+  void Propose(const ConfigChange& aChange);
+
+  bool IsReady() const { return mNode.IsReady(); }
+  const ClusterNode& Node() const { return mNode; }
+  const HashRings& Rings() const { return mNode.Members().Rings(); }
+  const std::string& Self() const { return mNode.Members().Self().mName; }
+  bool IsSelf(const std::string& aName) const { return aName == Self(); }
+  /** Name and address of a daemon; empty when it is not known. */
+  std::optional<PeerTarget> FindTarget(const std::string& aName) const;
+  /** Version of object aKey in force here; 0 when there is none. */
+  std::uint64_t Version(std::string_view aKey) const;
+
+  /** Emitted after an object was put in force. */
+  sigc::signal<void(const std::string& aKey)> mConfigChanged;
+  sigc::signal<void(const MemberChanges&)> mMembersChanged;
+  /** This daemon was paused; ownership must be dropped. */
+  sigc::signal<void()> mClockGap;
+  /** The state of an operator's change altered. */
+  sigc::signal<void(const ChangeStatus&)> mChangeUpdated;
+
+private:
+  void HandleMessages(wire::MessageKind::type aKind);
+  void Carry(const NodeResult& aResult);
+  void Apply(const ConfigObject& aObject);
+  void Send(const Outgoing& aOutgoing);
+  void Put(const StorePutAction& aAction);
+  void Get(const StoreGetAction& aAction);
+  void Step(WatchStep aStep);
+  void ListVms();
+
+  EventLoop& mLoop;
+  const Clock& mClock;
+  PeerLinks& mLinks;
+  ObjectStore& mStore;
+  Configuration& mConfiguration;
+  ClusterNode mNode;
+  std::unique_ptr<StoreWatch> mWatch;
+  EventHandle mTickTimer;
+  EventHandle mVmTimer;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -35,23 +35,44 @@
   : mSettings(aSettings)
   , mRandom(SystemSeed())
   , mIncarnation(MakeUuidV7(mClock.Wall(), mRandom))
+  , mOwnerId(absl::StrCat(aSettings.mDaemon.mName, "/", mIncarnation))
   , mHttpClient(mLoop)
   , mStore(mHttpClient, aSettings.mPlatform)
+  , mLinks(mLoop, aSettings.mDaemon, aSettings.mPeers, mIncarnation)
+  , mCluster(mLoop,
+             mClock,
+             mRandom,
+             mLinks,
+             mStore,
+             mConfiguration,
+             aSettings,
+             mIncarnation)
   , mOutcomes(mClock, mConfiguration, mMetrics, aSettings)
-  , mLoader(mLoop, mStore, mConfiguration)
   , mEngines(mHttpClient, aSettings.mRouting)
   , mCancels(mLoop, mEngines, aSettings.mRouting)
-  , mPairs(mConfiguration)
-  , mModelServices{ mLoop,
-                    mClock,
-                    mConfiguration,
-                    mEngines,
-                    mCancels,
-                    mPairs,
-                    aSettings.mLimits,
-                    absl::StrCat(aSettings.mDaemon.mName, "/", mIncarnation) }
+  , mOwners(mLoop, mClock, mLinks, mCluster, mConfiguration)
+  , mRouting(mLoop,
+             mClock,
+             mRandom,
+             mConfiguration,
+             mCluster,
+             mOwners,
+             mCancels,
+             mOwnerId)
+  , mLoads(mLoop, mEngines, mConfiguration, mRouting, aSettings.mRouting)
+  , mModelServices{ mLoop,    mClock, mConfiguration,    mEngines,
+                    mRouting, mLoads, aSettings.mLimits, mOwnerId }
   , mServiceClient(mHttpClient, mConfiguration, aSettings.mRouting)
   , mServiceServices{ mLoop, mClock, mServiceClient }
+  , mBookings(mLoop,
+              mClock,
+              mLinks,
+              mCluster,
+              mStore,
+              mServiceClient,
+              aSettings,
+              mOwnerId)
+  , mLimits(mLoop, mClock, mLinks, mCluster, mConfiguration)
   , mCallerServer(mLoop,
                   CallerLimits(aSettings.mLimits),
                   [this](std::shared_ptr<HttpExchange> aExchange) {
@@ -70,6 +91,8 @@
   mChain.Add(std::make_unique<IdentifyFilter>(mConfiguration));
   mChain.Add(
     std::make_unique<ClassifyFilter>(mConfiguration, mSettings.mLimits));
+  mChain.Add(std::make_unique<LimitFilter>(mLimits));
+  mChain.Add(std::make_unique<BookingFilter>(mBookings));
   mChain.Add(std::make_unique<LookupFilter>(mServiceServices));
   mChain.Add(std::make_unique<ModelFilter>(mModelServices));
 }
@@ -81,7 +104,15 @@
       !status.ok()) {
     return status;
   }
-  mLoader.Start();
+  if (auto status = mLinks.Listen(); !status.ok()) {
+    return status;
+  }
+  mOwners.Start();
+  mRouting.Start();
+  mLoads.Start();
+  mLimits.Start();
+  mBookings.Start();
+  mCluster.Start();
   LogEvent(
     LogLevel::Info,
     "daemon_started",
@@ -95,7 +126,7 @@
 bool
 Daemon::IsReady() const
 {
-  return mLoader.IsLoaded() && !mIsStopping;
+  return mCluster.IsReady() && !mIsStopping;
 }
 
 bool
@@ -114,7 +145,7 @@
   }
   if (path == "/readyz") {
     const char* reason = mIsStopping           ? "stopping\n"
-                         : !mLoader.IsLoaded() ? "no configuration yet\n"
+                         : !mCluster.IsReady() ? "configuration not compared\n"
                                                : "ready\n";
     aExchange.Reply(IsReady() ? kStatusOk : kStatusUnavailable,
                     { { "Content-Type", "text/plain" } },
@@ -152,6 +183,7 @@
   OutcomeRecord& draft = aRequest->Timeline().Draft();
   draft.mDaemon = mSettings.mDaemon.mName;
   draft.mPreset = mConfiguration.Presets().mInForce;
+  draft.mPresetVersion = mCluster.Version(kPresetsKey);
   aRequest->mOver.connect([this](const RequestContext& aOver) {
     --mInProgress;
     mOutcomes.Take(aOver);
@@ -165,13 +197,15 @@
     return;
   }
   LogEvent(LogLevel::Info, "stop_begun", { { "in_progress", mInProgress } });
+  mCluster.Leave();
+  mBookings.BeginStop();
   mStopTimer = mLoop.Every(kStopPollInterval, [this] { EndStopWhenIdle(); });
 }
 
 void
 Daemon::EndStopWhenIdle()
 {
-  if (mInProgress == 0 && mCancels.Pending() == 0) {
+  if (mInProgress == 0 && mCancels.Pending() == 0 && mBookings.IsIdle()) {
     LogEvent(LogLevel::Info, "stop_complete", {});
     mLoop.Stop();
   }
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -8,14 +8,18 @@
 #include "Base/Clock.h"
 #include "Base/Random.h"
 #include "Cluster/Configuration.h"
+#include "Daemon/BookingController.h"
 #include "Daemon/CancelController.h"
-#include "Daemon/ConfigurationLoader.h"
+#include "Daemon/ClusterController.h"
 #include "Daemon/EngineClient.h"
 #include "Daemon/FilterChain.h"
+#include "Daemon/LimitController.h"
+#include "Daemon/LoadController.h"
 #include "Daemon/LookupSession.h"
 #include "Daemon/ModelSession.h"
 #include "Daemon/OutcomeController.h"
-#include "Daemon/PairSource.h"
+#include "Daemon/OwnerController.h"
+#include "Daemon/RoutingController.h"
 #include "Daemon/ServiceClient.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
@@ -55,18 +59,25 @@
   Random mRandom;
   EventLoop mLoop;
   std::string mIncarnation;
+  /** "DAEMON/INCARNATION". */
+  std::string mOwnerId;
   HttpClient mHttpClient;
   HttpObjectStore mStore;
+  PeerLinks mLinks;
   Configuration mConfiguration;
   Metrics mMetrics;
+  ClusterController mCluster;
   OutcomeController mOutcomes;
-  ConfigurationLoader mLoader;
   EngineClient mEngines;
   CancelController mCancels;
-  LocalPairSource mPairs;
+  OwnerController mOwners;
+  RoutingController mRouting;
+  LoadController mLoads;
   ModelSessionServices mModelServices;
   ServiceClient mServiceClient;
   ServiceSessionServices mServiceServices;
+  BookingController mBookings;
+  LimitController mLimits;
   FilterChain mChain;
   HttpServer mCallerServer;
   EventHandle mTermSignal;
--- a/Source/Daemon/EngineClient.cxx
+++ b/Source/Daemon/EngineClient.cxx
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include "Net/SseReader.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
 
@@ -13,7 +15,6 @@
 using Json = nlohmann::json;
 
 constexpr int kStatusOk = 200;
-constexpr int kStatusNotFound = 404;
 constexpr int kStatusGone = 410;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusUnprocessable = 422;
@@ -39,6 +40,23 @@
   return json["code"].get<std::string>();
 }
 
+/** Failure that an engine's error code names. */
+StepFailure
+FailureOfCode(const std::string& aCode)
+{
+  if (aCode == "no_memory") {
+    return StepFailure::NoMemory;
+  }
+  if (aCode == "no_slot") {
+    return StepFailure::NoSlot;
+  }
+  // After a cancel the attempt is dead at this engine; only a new one helps.
+  if (aCode == "cancelled" || aCode == "unknown_stream") {
+    return StepFailure::Evicted;
+  }
+  return StepFailure::Refused;
+}
+
 StepFailure
 FailureOf(const HttpCallReply& aReply, const std::string& aCode)
 {
@@ -55,17 +73,16 @@
   }
   switch (aReply.mStatus) {
     case kStatusGone:
-    case kStatusGatewayTimeout:
       return StepFailure::Evicted;
-    case kStatusNotFound:
-      return aCode == "unknown_model" ? StepFailure::Refused
-                                      : StepFailure::Evicted;
+    case kStatusGatewayTimeout:
+      return StepFailure::Stalled;
     case kStatusTooLarge:
     case kStatusUnprocessable:
       return StepFailure::Rejected;
     default:
-      return StepFailure::Refused;
+      break;
   }
+  return FailureOfCode(aCode);
 }
 
 template<typename Value>
@@ -189,6 +206,24 @@
   return load;
 }
 
+EngineEvents
+ParseEvents(const Json& aJson)
+{
+  EngineEvents events;
+  events.mNext = aJson.at("next").get<std::uint64_t>();
+  for (const auto& it : aJson.at("events")) {
+    CacheEvent event;
+    event.mSequence = it.at("sequence").get<std::uint64_t>();
+    event.mIsStored = it.at("kind").get<std::string>() == "stored";
+    event.mTokens = it.at("tokens").get<std::uint64_t>();
+    const auto prefix = it.at("prefix").get<std::string>();
+    if (absl::SimpleHexAtoi(prefix, &event.mPrefix)) {
+      events.mEvents.push_back(event);
+    }
+  }
+  return events;
+}
+
 } // namespace
 
 EngineClient::EngineClient(HttpClient& aClient,
@@ -249,15 +284,16 @@
 EngineClient::Call
 EngineClient::Transfer(const SocketAddress& aEngine,
                        const TransferRequest& aRequest,
-                       Hook<std::string> aHook)
+                       Hook<TransferReply> aHook)
 {
   Json body = IdToJson(aRequest.mId);
   body["source"] = FormatAddress(aRequest.mSource);
   body["kv"] = aRequest.mHandle;
   HttpCallHooks hooks;
   hooks.mOnDone = [hook = std::move(aHook)](const HttpCallReply& aReply) {
-    hook(ParseReply<std::string>(aReply, [](const Json& aJson) {
-      return aJson.at("kv").get<std::string>();
+    hook(ParseReply<TransferReply>(aReply, [](const Json& aJson) {
+      return TransferReply{ aJson.at("kv").get<std::string>(),
+                            aJson.at("bytes").get<std::uint64_t>() };
     }));
   };
   return mClient.Start(MakeRequest(aEngine,
@@ -341,4 +377,21 @@
     std::move(hooks));
 }
 
+EngineClient::Call
+EngineClient::Events(const SocketAddress& aEngine,
+                     std::uint64_t aFrom,
+                     Hook<EngineEvents> aHook)
+{
+  HttpCallHooks hooks;
+  hooks.mOnDone = [hook = std::move(aHook)](const HttpCallReply& aReply) {
+    hook(ParseReply<EngineEvents>(aReply, ParseEvents));
+  };
+  return mClient.Start(MakeRequest(aEngine,
+                                   HttpMethod::Get,
+                                   absl::StrCat("/engine/events?from=", aFrom),
+                                   "",
+                                   mSettings.mStreamSilence),
+                       std::move(hooks));
+}
+
 } // namespace bulrushfold
--- a/Source/Daemon/EngineClient.h
+++ b/Source/Daemon/EngineClient.h
@@ -9,6 +9,7 @@
 
 #include "Base/Clock.h"
 #include "Net/HttpClient.h"
+#include "Policy/PrefixIndex.h"
 #include "Serving/ModelCall.h"
 #include "Settings/Settings.h"
 
@@ -98,6 +99,21 @@
   Duration mAge{};
 };
 
+/** Cache events of an engine. */
+struct EngineEvents
+{
+  std::vector<CacheEvent> mEvents;
+  /** Sequence number to continue from. */
+  std::uint64_t mNext = 0;
+};
+
+/** Result of a transfer. */
+struct TransferReply
+{
+  std::string mHandle;
+  std::uint64_t mBytes = 0;
+};
+
 /** Result of a step: a value, or why it failed. */
 template<typename Value>
 struct StepResult
@@ -125,7 +141,7 @@
                Hook<PrefillReply> aHook);
   Call Transfer(const SocketAddress& aEngine,
                 const TransferRequest& aRequest,
-                Hook<std::string> aHook);
+                Hook<TransferReply> aHook);
   Call Decode(const SocketAddress& aEngine,
               const DecodeRequest& aRequest,
               DecodeHooks aHooks);
@@ -135,6 +151,9 @@
               std::function<void(bool)> aHook);
   Call Status(const SocketAddress& aEngine, Hook<EngineStatus> aHook);
   Call Load(const SocketAddress& aEngine, Hook<EngineLoad> aHook);
+  Call Events(const SocketAddress& aEngine,
+              std::uint64_t aFrom,
+              Hook<EngineEvents> aHook);
 
 private:
   HttpCallRequest MakeRequest(const SocketAddress& aEngine,
--- /dev/null
+++ b/Source/Daemon/LoadController.h
@@ -0,0 +1,60 @@
+#ifndef BULRUSHFOLD_DAEMON_LOADCONTROLLER_H
+#define BULRUSHFOLD_DAEMON_LOADCONTROLLER_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "Cluster/Configuration.h"
+#include "Daemon/EngineClient.h"
+#include "Daemon/RoutingController.h"
+#include "Net/EventLoop.h"
+#include "Settings/Settings.h"
+
+namespace bulrushfold {
+
+/**
+ * Reads the load reports and cache events of the engines. A report that
+ * outlives one interval is not asked for again until it ends.
+ */
+class LoadController
+{
+public:
+  LoadController(EventLoop& aLoop,
+                 EngineClient& aEngines,
+                 const Configuration& aConfiguration,
+                 RoutingController& aRouting,
+                 const RoutingSettings& aSettings);
+
+  void Start();
+  /** Incarnation in the last report of aEndpoint; empty before the first. */
+  std::string Incarnation(const std::string& aEndpoint) const;
+
+private:
+  struct Source
+  {
+    EngineClient::Call mLoadCall;
+    EngineClient::Call mEventsCall;
+    std::string mIncarnation;
+    std::uint64_t mNextEvent = 0;
+    bool mIsLoadPending = false;
+    bool mAreEventsPending = false;
+  };
+  void Poll();
+  void PollLoad(const Endpoint& aEndpoint, Source& aSource);
+  void PollEvents(const Endpoint& aEndpoint, Source& aSource);
+  void TakeLoad(const std::string& aName,
+                const StepResult<EngineLoad>& aResult);
+
+  EventLoop& mLoop;
+  EngineClient& mEngines;
+  const Configuration& mConfiguration;
+  RoutingController& mRouting;
+  Duration mInterval;
+  std::map<std::string, Source> mSources;
+  EventHandle mTimer;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Daemon/ModelSession.cxx
+++ b/Source/Daemon/ModelSession.cxx
@@ -4,39 +4,23 @@
 #include <utility>
 
 #include "Base/Log.h"
+#include "Daemon/ModelProblem.h"
+#include "Policy/PrefixIndex.h"
 #include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
 
 namespace {
 constexpr int kStatusOk = 200;
-constexpr int kInteractivePriority = 9;
-constexpr int kPatientPriority = 4;
-constexpr Duration kNoCapacityRetryAfter = std::chrono::seconds(1);
-
-Cause
-CauseOf(StepFailure aFailure)
-{
-  switch (aFailure) {
-    case StepFailure::Refused:
-      return Cause::EndpointRefused;
-    case StepFailure::Unreachable:
-    case StepFailure::ConnectionLost:
-      return Cause::EndpointDied;
-    case StepFailure::Silent:
-      return Cause::EndpointSilent;
-    case StepFailure::Evicted:
-      return Cause::KvEvicted;
-    case StepFailure::Rejected:
-      return Cause::TooLarge;
-  }
-  return Cause::InternalError;
-}
+constexpr std::uint64_t kBytesPerToken = 4;
+constexpr std::size_t kMaxPrefixMarks = 64;
 
 FaultKind
-FaultOf(StepFailure aFailure, ModelCallState aStep)
+FaultOf(StepFailure aFailure)
 {
   switch (aFailure) {
+    case StepFailure::NoMemory:
+    case StepFailure::NoSlot:
     case StepFailure::Refused:
     case StepFailure::Rejected:
       return FaultKind::EndpointRefused;
@@ -44,8 +28,9 @@
     case StepFailure::ConnectionLost:
       return FaultKind::EndpointDied;
     case StepFailure::Silent:
-      return aStep == ModelCallState::Transferring ? FaultKind::TransferStalled
-                                                   : FaultKind::EndpointSilent;
+      return FaultKind::EndpointSilent;
+    case StepFailure::Stalled:
+      return FaultKind::TransferStalled;
     case StepFailure::Evicted:
       return FaultKind::KvEvicted;
   }
@@ -57,10 +42,29 @@
                            RequestPointer aRequest)
   : mServices(aServices)
   , mRequest(std::move(aRequest))
-  , mCall({ aServices.mMaxAttempts, mRequest->mDeadline })
 {
 }
 
+ModelRequest
+ModelSession::MakeModelRequest() const
+{
+  const CompletionRequest& completion = *mRequest->mCompletion;
+  ModelRequest request;
+  request.mId = mRequest->RequestId();
+  request.mWorkspace = mRequest->mWorkspace.mName;
+  request.mModel = completion.mModel;
+  request.mShare = mRequest->mWorkspace.mShare;
+  request.mClass = mRequest->mWorkspace.mClass;
+  request.mPromptTokens =
+    (completion.mPrompt.size() + kBytesPerToken - 1) / kBytesPerToken;
+  request.mMaxTokens = completion.mMaxTokens;
+  request.mPrefixes =
+    MarkPrefixes(completion.mModel, completion.mPrompt, kMaxPrefixMarks);
+  request.mArrival = mRequest->Start();
+  request.mDeadline = mRequest->mDeadline;
+  return request;
+}
+
 void
 ModelSession::Start()
 {
@@ -69,26 +73,89 @@
   const Duration left = mRequest->mDeadline - mServices.mClock.Now();
   mDeadlineTimer = mServices.mLoop.After(std::max(left, Duration(0)),
                                          [this] { Run(mCall.OnDeadline()); });
-  Run(mCall.Start());
+  mRequest->Timeline().BeginAttempt(mServices.mClock.Now());
+  mServices.mRouting.Begin(MakeModelRequest(), *this);
+}
+
+void
+ModelSession::OnQueued()
+{
+  mRequest->Enter(Hop::Queue);
+}
+
+void
+ModelSession::OnReserving()
+{
+  if (mCall.State() == ModelCallState::Waiting) {
+    mRequest->Enter(Hop::Reservation);
+  }
+}
+
+void
+ModelSession::OnStartPrefill(const StartPrefillAction& aAction)
+{
+  mPriority = aAction.mPriority;
+  Run(mCall.OnStartPrefill(aAction.mAttempt, aAction.mEndpoint));
+}
+
+void
+ModelSession::OnStartTransfer(const StartTransferAction& aAction)
+{
+  Run(mCall.OnStartTransfer(aAction.mAttempt, aAction.mFrom, aAction.mTo));
 }
 
 void
-ModelSession::Run(const ModelCallActions& aActions)
+ModelSession::OnStartDecode(const StartDecodeAction& aAction)
 {
-  // The last action may drop the last reference to this session.
+  if (aAction.mDelay <= Duration::zero()) {
+    Run(mCall.OnStartDecode(aAction.mAttempt, aAction.mEndpoint));
+    return;
+  }
+  mDelayTimer = mServices.mLoop.After(aAction.mDelay, [this, aAction] {
+    Run(mCall.OnStartDecode(aAction.mAttempt, aAction.mEndpoint));
+  });
+}
+
+void
+ModelSession::OnCancelled(const CancelAction& aAction)
+{
+  mDelayTimer = {};
+  Run(mCall.OnCancelled(aAction.mAttempt, aAction.mEndpoint));
+}
+
+void
+ModelSession::OnRejected(const RejectAction& aAction)
+{
+  mRejection = aAction;
+  Run(mCall.OnGivenUp());
+}
+
+void
+ModelSession::Run(const ModelCallSteps& aSteps)
+{
+  // The last step may drop the last reference to this session.
   const std::shared_ptr<ModelSession> keep = mSelf;
-  for (const auto& it : aActions) {
-    std::visit([this](const auto& aAction) { Do(aAction); }, it);
+  for (const auto& it : aSteps) {
+    std::visit([this](const auto& aStep) { Do(aStep); }, it);
   }
 }
 
-ModelCallActions
+void
 ModelSession::Fail(std::uint32_t aAttempt, StepFailure aFailure)
 {
   if (aAttempt == mCall.Attempt()) {
-    mRequest->NoteFault(FaultOf(aFailure, mCall.State()));
+    mRequest->NoteFault(FaultOf(aFailure));
   }
-  return mCall.OnFailure(aAttempt, aFailure);
+  Run(mCall.OnFailure(aAttempt, aFailure));
+}
+
+void
+ModelSession::FailLater(std::uint32_t aAttempt)
+{
+  // The policy must not be called from inside its own action.
+  mServices.mLoop.Defer([self = shared_from_this(), aAttempt] {
+    self->Fail(aAttempt, StepFailure::Unreachable);
+  });
 }
 
 const Endpoint*
@@ -105,102 +172,78 @@
   return { mRequest->RequestId(), aAttempt, mServices.mOwner };
 }
 
-int
-ModelSession::Priority() const
-{
-  return mRequest->mWorkspace.mClass == RequestClass::Interactive
-           ? kInteractivePriority
-           : kPatientPriority;
-}
-
 void
-ModelSession::Do(const SelectPairAction& aAction)
+ModelSession::Do(const PrefillStep& aStep)
 {
-  PairRequest request;
-  request.mRequestId = mRequest->RequestId();
-  request.mAttempt = aAction.mAttempt;
-  request.mWorkspace = mRequest->mWorkspace.mName;
-  request.mClass = mRequest->mWorkspace.mClass;
-  request.mModel = mRequest->mCompletion->mModel;
-  request.mPrompt = mRequest->mCompletion->mPrompt;
-  request.mMaxTokens = mRequest->mCompletion->mMaxTokens;
-  request.mDeadline = mRequest->mDeadline;
-  request.mExcluded = aAction.mExcluded;
-  mRequest->Timeline().BeginAttempt(mServices.mClock.Now());
-  mRequest->Enter(Hop::Reservation);
-  if (aAction.mAttempt > 1) {
-    mServices.mPairs.Release(request.mRequestId, aAction.mAttempt - 1);
-  }
-  mServices.mPairs.Select(
-    request,
-    [self = shared_from_this(),
-     attempt = aAction.mAttempt](const std::optional<EndpointPair>& aPair) {
-      self->Run(aPair ? self->mCall.OnPair(attempt, *aPair)
-                      : self->mCall.OnNoPair(attempt));
-    });
-}
-
-void
-ModelSession::Do(const PrefillAction& aAction)
-{
-  const Endpoint* endpoint = FindEndpoint(aAction.mEndpoint);
+  const Endpoint* endpoint = FindEndpoint(aStep.mEndpoint);
   if (endpoint == nullptr) {
-    Run(Fail(aAction.mAttempt, StepFailure::Unreachable));
+    FailLater(aStep.mAttempt);
     return;
   }
+  if (aStep.mAttempt > 1) {
+    mRequest->Timeline().BeginAttempt(mServices.mClock.Now());
+  }
   mRequest->Enter(Hop::Prefill, *endpoint);
   PrefillRequest request;
-  request.mId = MakeId(aAction.mAttempt);
+  request.mId = MakeId(aStep.mAttempt);
   request.mModel = mRequest->mCompletion->mModel;
   request.mPrompt = mRequest->mCompletion->mPrompt;
-  request.mGenerated = aAction.mGenerated;
-  request.mOffset = aAction.mOffset;
+  request.mGenerated = aStep.mGenerated;
+  request.mOffset = aStep.mOffset;
   request.mMaxTokens = mRequest->mCompletion->mMaxTokens;
-  request.mPriority = Priority();
+  request.mPriority = mPriority;
   mEngineCall = mServices.mEngines.Prefill(
     endpoint->mAddress,
     request,
-    [this, attempt = aAction.mAttempt](const StepResult<PrefillReply>& aIt) {
-      Run(aIt.mIsOk ? mCall.OnPrefillDone(attempt, aIt.mValue.mHandle)
-                    : Fail(attempt, aIt.mFailure));
+    [this, attempt = aStep.mAttempt](const StepResult<PrefillReply>& aIt) {
+      if (aIt.mIsOk) {
+        Run(mCall.OnPrefillDone(
+          attempt, aIt.mValue.mHandle, aIt.mValue.mCachedTokens));
+      } else {
+        Fail(attempt, aIt.mFailure);
+      }
     });
 }
 
 void
-ModelSession::Do(const TransferAction& aAction)
+ModelSession::Do(const TransferStep& aStep)
 {
-  const Endpoint* prefill = FindEndpoint(aAction.mPair.mPrefill);
-  const Endpoint* decode = FindEndpoint(aAction.mPair.mDecode);
-  if (prefill == nullptr || decode == nullptr) {
-    Run(Fail(aAction.mAttempt, StepFailure::Unreachable));
+  const Endpoint* from = FindEndpoint(aStep.mFrom);
+  const Endpoint* to = FindEndpoint(aStep.mTo);
+  if (from == nullptr || to == nullptr) {
+    FailLater(aStep.mAttempt);
     return;
   }
-  mRequest->Enter(Hop::Transfer, *decode);
+  mRequest->Enter(Hop::Transfer, *to);
   mEngineCall = mServices.mEngines.Transfer(
-    decode->mAddress,
-    { MakeId(aAction.mAttempt), prefill->mAddress, aAction.mHandle },
-    [this, attempt = aAction.mAttempt](const StepResult<std::string>& aIt) {
-      Run(aIt.mIsOk ? mCall.OnTransferDone(attempt, aIt.mValue)
-                    : Fail(attempt, aIt.mFailure));
+    to->mAddress,
+    { MakeId(aStep.mAttempt), from->mAddress, aStep.mHandle },
+    [this, attempt = aStep.mAttempt](const StepResult<TransferReply>& aIt) {
+      if (aIt.mIsOk) {
+        Run(mCall.OnTransferDone(
+          attempt, aIt.mValue.mHandle, static_cast<double>(aIt.mValue.mBytes)));
+      } else {
+        Fail(attempt, aIt.mFailure);
+      }
     });
 }
 
 void
-ModelSession::Do(const DecodeAction& aAction)
+ModelSession::Do(const DecodeStep& aStep)
 {
-  const Endpoint* endpoint = FindEndpoint(aAction.mEndpoint);
+  const Endpoint* endpoint = FindEndpoint(aStep.mEndpoint);
   if (endpoint == nullptr) {
-    Run(Fail(aAction.mAttempt, StepFailure::Unreachable));
+    FailLater(aStep.mAttempt);
     return;
   }
   mRequest->Enter(Hop::Decode, *endpoint);
   DecodeRequest request;
-  request.mId = MakeId(aAction.mAttempt);
-  request.mHandle = aAction.mHandle;
-  request.mOffset = aAction.mOffset;
+  request.mId = MakeId(aStep.mAttempt);
+  request.mHandle = aStep.mHandle;
+  request.mOffset = aStep.mOffset;
   request.mMaxTokens = mRequest->mCompletion->mMaxTokens;
-  request.mPriority = Priority();
-  const std::uint32_t attempt = aAction.mAttempt;
+  request.mPriority = mPriority;
+  const std::uint32_t attempt = aStep.mAttempt;
   DecodeHooks hooks;
   hooks.mOnToken = [this, attempt](std::uint64_t aOffset,
                                    const std::string& aText) {
@@ -210,7 +253,7 @@
     Run(mCall.OnAnswerEnd(attempt, aTokens));
   };
   hooks.mOnFailure = [this, attempt](StepFailure aFailure) {
-    Run(Fail(attempt, aFailure));
+    Fail(attempt, aFailure);
   };
   mEngineCall =
     mServices.mEngines.Decode(endpoint->mAddress, request, std::move(hooks));
@@ -218,46 +261,49 @@
 
 ProbeResult
 ModelSession::JudgeStatus(const StepResult<EngineStatus>& aResult,
-                          std::uint32_t aAttempt) const
+                          const std::string& aEndpoint) const
 {
   if (!aResult.mIsOk) {
     return ProbeResult::Unreachable;
   }
+  const std::string known = mServices.mLoads.Incarnation(aEndpoint);
+  if (!known.empty() && known != aResult.mValue.mIncarnation) {
+    return ProbeResult::Restarted;
+  }
   const auto& streams = aResult.mValue.mStreams;
   const bool hasStream =
     std::any_of(streams.begin(), streams.end(), [&](const auto& aStream) {
       return aStream.mRequest == mRequest->RequestId() &&
-             aStream.mAttempt == aAttempt;
+             aStream.mAttempt == mCall.Attempt();
     });
   return hasStream ? ProbeResult::HasStream : ProbeResult::NoStream;
 }
 
 void
-ModelSession::Do(const ProbeAction& aAction)
+ModelSession::Do(const ProbeStep& aStep)
 {
-  const Endpoint* endpoint = FindEndpoint(aAction.mEndpoint);
+  const Endpoint* endpoint = FindEndpoint(aStep.mEndpoint);
   if (endpoint == nullptr) {
-    Run(mCall.OnProbeDone(aAction.mAttempt, ProbeResult::Unreachable));
+    mServices.mLoop.Defer([self = shared_from_this(), aStep] {
+      self->Run(
+        self->mCall.OnProbeDone(aStep.mAttempt, ProbeResult::Unreachable));
+    });
     return;
   }
   mEngineCall = mServices.mEngines.Status(
-    endpoint->mAddress,
-    [this, attempt = aAction.mAttempt](const StepResult<EngineStatus>& aIt) {
-      Run(mCall.OnProbeDone(attempt, JudgeStatus(aIt, attempt)));
+    endpoint->mAddress, [this, aStep](const StepResult<EngineStatus>& aIt) {
+      Run(mCall.OnProbeDone(aStep.mAttempt, JudgeStatus(aIt, aStep.mEndpoint)));
     });
 }
 
 void
-ModelSession::Do(const CancelAction& aAction)
+ModelSession::Do(const HangUpStep&)
 {
-  if (const Endpoint* endpoint = FindEndpoint(aAction.mEndpoint);
-      endpoint != nullptr) {
-    mServices.mCancels.Cancel(endpoint->mAddress, MakeId(aAction.mAttempt));
-  }
+  mEngineCall.reset();
 }
 
 void
-ModelSession::Do(const DeliverAction& aAction)
+ModelSession::Do(const DeliverStep& aStep)
 {
   mRequest->Timeline().AddTokens(1, mServices.mClock.Now());
   const CompletionRequest& completion = *mRequest->mCompletion;
@@ -272,7 +318,7 @@
                            { "Request-Id", mRequest->RequestId() } });
   }
   exchange.SendChunk(FormatTokenEvent(
-    completion, mRequest->RequestId(), aAction.mOffset, aAction.mText));
+    completion, mRequest->RequestId(), aStep.mOffset, aStep.mText));
   if (exchange.PendingBytes() > mServices.mLimits.mMaxStreamBufferBytes) {
     LogEvent(LogLevel::Warning,
              "caller_too_slow",
@@ -284,32 +330,91 @@
 }
 
 void
-ModelSession::Do(const CrashAction& aAction)
+ModelSession::Do(const CrashStep& aStep)
+{
+  LogEvent(
+    LogLevel::Warning,
+    "endpoint_died",
+    { { "endpoint", aStep.mEndpoint }, { "request", mRequest->RequestId() } });
+}
+
+void
+ModelSession::Do(const PrefillDoneStep& aStep)
+{
+  mServices.mRouting.Notify([&](RoutingPolicy& aPolicy, Instant aNow) {
+    return aPolicy.OnPrefillDone(
+      mRequest->RequestId(), aStep.mAttempt, aStep.mCachedTokens, aNow);
+  });
+}
+
+void
+ModelSession::Do(const TransferDoneStep& aStep)
+{
+  mServices.mRouting.Notify([&](RoutingPolicy& aPolicy, Instant aNow) {
+    return aPolicy.OnTransferDone(
+      mRequest->RequestId(), aStep.mAttempt, aStep.mBytes, aNow);
+  });
+}
+
+void
+ModelSession::Do(const FirstTokenStep& aStep)
+{
+  mServices.mRouting.Notify([&](RoutingPolicy& aPolicy, Instant aNow) {
+    return aPolicy.OnFirstToken(mRequest->RequestId(), aStep.mAttempt, aNow);
+  });
+}
+
+void
+ModelSession::Do(const FinishedStep& aStep)
+{
+  mServices.mRouting.Notify([&](RoutingPolicy& aPolicy, Instant aNow) {
+    return aPolicy.OnFinished(
+      mRequest->RequestId(), aStep.mAttempt, aStep.mTokens, aNow);
+  });
+}
+
+void
+ModelSession::Do(const FailedStep& aStep)
+{
+  mServices.mRouting.Notify([&](RoutingPolicy& aPolicy, Instant aNow) {
+    return aPolicy.OnFailed(
+      mRequest->RequestId(), aStep.mAttempt, aStep.mKind, aNow);
+  });
+}
+
+void
+ModelSession::Do(const GoneStep&)
 {
-  LogEvent(LogLevel::Warning,
-           "endpoint_died",
-           { { "endpoint", aAction.mEndpoint },
-             { "request", mRequest->RequestId() } });
+  mServices.mRouting.Notify([this](RoutingPolicy& aPolicy, Instant aNow) {
+    return aPolicy.OnCallerGone(mRequest->RequestId(), aNow);
+  });
 }
 
 void
-ModelSession::Do(const FinishAction& aAction)
+ModelSession::Do(const FinishStep& aStep)
 {
   mDeadlineTimer = {};
-  mEngineCall.reset();
-  mServices.mPairs.Release(mRequest->RequestId(), mCall.Attempt());
-  if (aAction.mResult == ModelCallResult::Complete) {
-    FinishComplete(aAction);
-  } else if (aAction.mResult == ModelCallResult::CallerGone) {
-    mRequest->FinishGone();
-  } else {
-    mRequest->Refuse(MakeProblem(aAction));
+  mDelayTimer = {};
+  mServices.mRouting.Forget(mRequest->RequestId());
+  for (const auto& [attempt, endpoint] : mCall.Held()) {
+    mServices.mRouting.Cancel(mRequest->RequestId(), attempt, endpoint);
+  }
+  switch (aStep.mResult) {
+    case ModelCallResult::Complete:
+      AnswerWhole(aStep);
+      break;
+    case ModelCallResult::CallerGone:
+      mRequest->FinishGone();
+      break;
+    default:
+      mRequest->Refuse(MakeProblem(aStep));
+      break;
   }
   mSelf.reset();
 }
 
 void
-ModelSession::FinishComplete(const FinishAction& aAction)
+ModelSession::AnswerWhole(const FinishStep& aStep)
 {
   const CompletionRequest& completion = *mRequest->mCompletion;
   if (completion.mIsStreamed) {
@@ -317,48 +422,22 @@
       FormatEndEvents(completion, mRequest->RequestId()));
     mRequest->Exchange().EndStream();
     mRequest->FinishStream();
-  } else {
-    mRequest->Answer(kStatusOk,
-                     "application/json",
-                     FormatWholeAnswer(completion,
-                                       mRequest->RequestId(),
-                                       mCall.Answer().Text(),
-                                       aAction.mTokens));
+    return;
   }
+  mRequest->Answer(
+    kStatusOk,
+    "application/json",
+    FormatWholeAnswer(
+      completion, mRequest->RequestId(), mCall.Answer().Text(), aStep.mTokens));
 }
 
 Problem
-ModelSession::MakeProblem(const FinishAction& aAction) const
-{
-  Problem problem;
-  problem.mRan = aAction.mRan ? RanState::Yes : RanState::No;
-  switch (aAction.mResult) {
-    case ModelCallResult::NoCapacity:
-      problem.mCause = Cause::NoCapacity;
-      problem.mDetail = "no endpoint can take the request now";
-      problem.mRetryAfter = kNoCapacityRetryAfter;
-      break;
-    case ModelCallResult::DeadlineExceeded:
-      problem.mCause = Cause::DeadlinePassed;
-      problem.mDetail =
-        absl::StrCat("the deadline passed while ",
-                     std::string(ModelCallStateName(mCall.LastStep())),
-                     ", attempt ",
-                     mCall.Attempt());
-      break;
-    case ModelCallResult::Rejected:
-      problem.mCause = Cause::TooLarge;
-      problem.mDetail = "the endpoint cannot hold a request of this size";
-      break;
-    default:
-      problem.mCause = CauseOf(mCall.LastFailure());
-      problem.mDetail =
-        absl::StrCat("attempt ",
-                     mCall.Attempt(),
-                     " failed: ",
-                     std::string(StepFailureName(mCall.LastFailure())));
-      break;
-  }
+ModelSession::MakeProblem(const FinishStep& aStep) const
+{
+  Problem problem = aStep.mResult == ModelCallResult::GivenUp
+                      ? ProblemOfRejection(mRejection, mCall)
+                      : ProblemOfEnd(aStep.mResult, mCall);
+  problem.mRan = aStep.mRan ? RanState::Yes : RanState::No;
   return problem;
 }
 
--- a/Source/Daemon/ModelSession.h
+++ b/Source/Daemon/ModelSession.h
@@ -6,10 +6,10 @@
 
 #include "Base/Clock.h"
 #include "Cluster/Configuration.h"
-#include "Daemon/CancelController.h"
 #include "Daemon/EngineClient.h"
 #include "Daemon/FilterChain.h"
-#include "Daemon/PairSource.h"
+#include "Daemon/LoadController.h"
+#include "Daemon/RoutingController.h"
 #include "Net/EventLoop.h"
 #include "Serving/ModelCall.h"
 #include "Settings/Settings.h"
@@ -23,50 +23,70 @@
   const Clock& mClock;
   const Configuration& mConfiguration;
   EngineClient& mEngines;
-  CancelController& mCancels;
-  PairSource& mPairs;
+  RoutingController& mRouting;
+  const LoadController& mLoads;
   LimitSettings mLimits;
   /** "DAEMON/INCARNATION". */
   std::string mOwner;
-  std::uint32_t mMaxAttempts = 4;
 };
 
 /**
- * Carries out the actions of one ModelCall: calls to engines, delivery to the
- * caller, timers. Lives until the request is over.
+ * Carries out the steps of one ModelCall: calls to engines, events of the
+ * policy, delivery to the caller, timers. Lives until the request is over.
  */
-class ModelSession : public std::enable_shared_from_this<ModelSession>
+class ModelSession
+  : public RoutedRequest
+  , public std::enable_shared_from_this<ModelSession>
 {
 public:
   ModelSession(ModelSessionServices& aServices, RequestPointer aRequest);
   void Start();
 
+  void OnQueued() override;
+  void OnReserving() override;
+  void OnStartPrefill(const StartPrefillAction& aAction) override;
+  void OnStartTransfer(const StartTransferAction& aAction) override;
+  void OnStartDecode(const StartDecodeAction& aAction) override;
+  void OnCancelled(const CancelAction& aAction) override;
+  void OnRejected(const RejectAction& aAction) override;
+
 private:
-  void Run(const ModelCallActions& aActions);
-  void Do(const SelectPairAction& aAction);
-  void Do(const PrefillAction& aAction);
-  void Do(const TransferAction& aAction);
-  void Do(const DecodeAction& aAction);
-  void Do(const ProbeAction& aAction);
-  void Do(const CancelAction& aAction);
-  void Do(const DeliverAction& aAction);
-  void Do(const CrashAction& aAction);
-  void Do(const FinishAction& aAction);
-  /** Notes the fault in the timeline and passes it to the call. */
-  ModelCallActions Fail(std::uint32_t aAttempt, StepFailure aFailure);
-  void FinishComplete(const FinishAction& aAction);
-  Problem MakeProblem(const FinishAction& aAction) const;
+  void Run(const ModelCallSteps& aSteps);
+  void Do(const PrefillStep& aStep);
+  void Do(const TransferStep& aStep);
+  void Do(const DecodeStep& aStep);
+  void Do(const ProbeStep& aStep);
+  void Do(const HangUpStep& aStep);
+  void Do(const DeliverStep& aStep);
+  void Do(const CrashStep& aStep);
+  void Do(const PrefillDoneStep& aStep);
+  void Do(const TransferDoneStep& aStep);
+  void Do(const FirstTokenStep& aStep);
+  void Do(const FinishedStep& aStep);
+  void Do(const FailedStep& aStep);
+  void Do(const GoneStep& aStep);
+  void Do(const FinishStep& aStep);
+
+  ModelRequest MakeModelRequest() const;
+  void AnswerWhole(const FinishStep& aStep);
+  Problem MakeProblem(const FinishStep& aStep) const;
   const Endpoint* FindEndpoint(const std::string& aName) const;
   AttemptId MakeId(std::uint32_t aAttempt) const;
-  int Priority() const;
   ProbeResult JudgeStatus(const StepResult<EngineStatus>& aResult,
-                          std::uint32_t aAttempt) const;
+                          const std::string& aEndpoint) const;
+  /** Notes the fault in the timeline and passes it to the call. */
+  void Fail(std::uint32_t aAttempt, StepFailure aFailure);
+  /** Like Fail, in a later turn of the loop. */
+  void FailLater(std::uint32_t aAttempt);
 
   ModelSessionServices& mServices;
   RequestPointer mRequest;
   ModelCall mCall;
   EngineClient::Call mEngineCall;
   EventHandle mDeadlineTimer;
+  EventHandle mDelayTimer;
+  int mPriority = 0;
+  RejectAction mRejection;
   /** Keeps the session alive until the request is over. */
   std::shared_ptr<ModelSession> mSelf;
 };
--- a/Source/Emulator/CacheEvents.cxx
+++ b/Source/Emulator/CacheEvents.cxx
@@ -42,7 +42,7 @@
         { "kind", it.mChange.mIsStored ? "stored" : "evicted" },
         { "prefix",
           absl::StrCat(absl::Hex(it.mChange.mPrefix, absl::kZeroPad16)) },
-        { "tokens", kPrefixBlockBytes / 4 } });
+        { "tokens", it.mChange.mTokens } });
     next = it.mSequence + 1;
   }
   return { { "events", events }, { "next", next } };
--- a/Source/Emulator/PrefixCache.cxx
+++ b/Source/Emulator/PrefixCache.cxx
@@ -45,18 +45,21 @@
 {
   std::vector<PrefixChange> changes;
   // The first block is used last, so that a prefix outlives what follows it.
-  for (auto it = aHashes.rbegin(); it != aHashes.rend(); ++it) {
-    const auto [block, isNew] = mBlocks.try_emplace(*it);
+  for (std::size_t n = aHashes.size(); n > 0; --n) {
+    const std::uint64_t hash = aHashes[n - 1];
+    const auto [block, isNew] = mBlocks.try_emplace(hash);
     if (isNew) {
-      changes.push_back({ true, *it });
+      block->second.mTokens = n * kTokensPerBlock;
+      changes.push_back({ true, hash, block->second.mTokens });
     } else {
-      mOrder.erase(block->second);
+      mOrder.erase(block->second.mPosition);
     }
-    block->second = mOrder.insert(mOrder.end(), *it);
+    block->second.mPosition = mOrder.insert(mOrder.end(), hash);
   }
   while (mBlocks.size() > mMaxBlocks) {
-    changes.push_back({ false, mOrder.front() });
-    mBlocks.erase(mOrder.front());
+    const std::uint64_t hash = mOrder.front();
+    changes.push_back({ false, hash, mBlocks.at(hash).mTokens });
+    mBlocks.erase(hash);
     mOrder.pop_front();
   }
   return changes;
--- a/Source/Emulator/PrefixCache.h
+++ b/Source/Emulator/PrefixCache.h
@@ -10,8 +10,8 @@
 
 namespace bulrushfold {
 
-/** Bytes of one cached block of a prompt, which are 256 tokens. */
-constexpr std::size_t kPrefixBlockBytes = 1024;
+/** Bytes of one cached block of a prompt, which are 512 tokens. */
+constexpr std::size_t kPrefixBlockBytes = 2048;
 
 /** A block that was stored or evicted. */
 struct PrefixChange
@@ -19,6 +19,8 @@
   bool mIsStored = false;
   /** Hash of the prompt up to the end of the block. */
   std::uint64_t mPrefix = 0;
+  /** Tokens of the prompt up to the end of the block. */
+  std::uint64_t mTokens = 0;
 };
 
 /**
@@ -45,7 +47,12 @@
   std::size_t mMaxBlocks;
   /** Least recently used first. */
   Order mOrder;
-  std::map<std::uint64_t, Order::iterator> mBlocks;
+  struct Block
+  {
+    Order::iterator mPosition;
+    std::uint64_t mTokens = 0;
+  };
+  std::map<std::uint64_t, Block> mBlocks;
 };
 
 } // namespace bulrushfold
--- a/Source/Net/PeerLinks.cxx
+++ b/Source/Net/PeerLinks.cxx
@@ -75,6 +75,7 @@
   }
 
   std::uint64_t mId = 0;
+  std::uint64_t mFramesReceived = 0;
 
 private:
   static void HandleRead(bufferevent*, void* aSelf)
@@ -117,6 +118,7 @@
       evbuffer_drain(input, kLengthBytes);
       std::string frame(n, '\0');
       evbuffer_remove(input, frame.data(), n);
+      ++mFramesReceived;
       links.mTraffic.mBytesReceived += kLengthBytes + n;
       links.HandleFrame(id, frame);
       if (links.mConnections.count(id) == 0) {
@@ -262,12 +264,8 @@
   PendingCall& call = mCalls[id];
   call.mHook = std::move(aHook);
   call.mConnection = connection.mId;
-  call.mTimer = mLoop.After(aTimeout, [this, id, link = connection.mId] {
-    // The connection may have gone silent for good, so the next message opens
-    // a new one.
-    FinishCall(id, absl::DeadlineExceededError("no reply in time"));
-    Close(link);
-  });
+  call.mFramesBefore = connection.mFramesReceived;
+  call.mTimer = mLoop.After(aTimeout, [this, id] { ExpireCall(id); });
   if (!Transmit(connection, envelope)) {
     mLoop.Defer([this, id, alive = mIsAlive] {
       if (*alive) {
@@ -277,6 +275,24 @@
   }
 }
 
+void
+PeerLinks::ExpireCall(std::int64_t aCallId)
+{
+  const auto call = mCalls.find(aCallId);
+  if (call == mCalls.end()) {
+    return;
+  }
+  const std::uint64_t id = call->second.mConnection;
+  const std::uint64_t framesBefore = call->second.mFramesBefore;
+  FinishCall(aCallId, absl::DeadlineExceededError("no reply in time"));
+  // A connection that carried nothing since then may have gone silent for
+  // good, so the next message opens a new one.
+  if (const auto it = mConnections.find(id);
+      it != mConnections.end() && it->second->mFramesReceived == framesBefore) {
+    Close(id);
+  }
+}
+
 void
 PeerLinks::HandleFrame(std::uint64_t aConnection, std::string_view aFrame)
 {
--- a/Source/Net/PeerLinks.h
+++ b/Source/Net/PeerLinks.h
@@ -84,7 +84,10 @@
     ReplyHook mHook;
     EventHandle mTimer;
     std::uint64_t mConnection = 0;
+    /** Frames that the connection had received when the call was sent. */
+    std::uint64_t mFramesBefore = 0;
   };
+  void ExpireCall(std::int64_t aCallId);
 
   Connection& ConnectionTo(const PeerTarget& aTarget);
   wire::Envelope MakeEnvelope(const std::string& aReceiver,
--- a/Source/Serving/ModelCall.cxx
+++ b/Source/Serving/ModelCall.cxx
@@ -1,7 +1,5 @@
 #include "Serving/ModelCall.h"
 
-#include <algorithm>
-
 #include "Base/EnumNames.h"
 
 namespace bulrushfold {
@@ -9,7 +7,7 @@
 namespace {
 
 constexpr EnumNames<ModelCallState, 6> kStateNames{ {
-  { ModelCallState::Selecting, "selecting" },
+  { ModelCallState::Waiting, "waiting" },
   { ModelCallState::Prefilling, "prefilling" },
   { ModelCallState::Transferring, "transferring" },
   { ModelCallState::Decoding, "decoding" },
@@ -17,38 +15,54 @@
   { ModelCallState::Finished, "finished" },
 } };
 
-constexpr EnumNames<ModelCallResult, 6> kResultNames{ {
-  { ModelCallResult::Complete, "complete" },
-  { ModelCallResult::NoCapacity, "no_capacity" },
-  { ModelCallResult::DeadlineExceeded, "deadline_exceeded" },
-  { ModelCallResult::EndpointsFailed, "endpoints_failed" },
-  { ModelCallResult::Rejected, "rejected" },
-  { ModelCallResult::CallerGone, "caller_gone" },
-} };
-
-constexpr EnumNames<StepFailure, 6> kFailureNames{ {
+constexpr EnumNames<StepFailure, 9> kFailureNames{ {
+  { StepFailure::NoMemory, "no_memory" },
+  { StepFailure::NoSlot, "no_slot" },
   { StepFailure::Refused, "refused" },
   { StepFailure::Unreachable, "unreachable" },
   { StepFailure::ConnectionLost, "connection_lost" },
   { StepFailure::Silent, "silent" },
+  { StepFailure::Stalled, "stalled" },
   { StepFailure::Evicted, "evicted" },
   { StepFailure::Rejected, "rejected" },
 } };
 
 constexpr std::uint32_t kMaxFruitlessResumes = 3;
 
-} // namespace
+FailureKind
+KindOf(StepFailure aFailure)
+{
+  switch (aFailure) {
+    case StepFailure::NoMemory:
+      return FailureKind::NoMemory;
+    case StepFailure::NoSlot:
+      return FailureKind::NoSlot;
+    case StepFailure::Stalled:
+      return FailureKind::Stalled;
+    case StepFailure::Evicted:
+      return FailureKind::Evicted;
+    case StepFailure::Refused:
+      return FailureKind::Unsuitable;
+    default:
+      return FailureKind::Lost;
+  }
+}
 
-std::string_view
-ModelCallStateName(ModelCallState aState)
+/** True when the endpoint has certainly done nothing for the step. */
+bool
+IsWithoutWork(StepFailure aFailure)
 {
-  return FindEnumName(kStateNames, aState);
+  return aFailure == StepFailure::NoMemory || aFailure == StepFailure::NoSlot ||
+         aFailure == StepFailure::Refused ||
+         aFailure == StepFailure::Unreachable;
 }
 
+} // namespace
+
 std::string_view
-ModelCallResultName(ModelCallResult aResult)
+ModelCallStateName(ModelCallState aState)
 {
-  return FindEnumName(kResultNames, aResult);
+  return FindEnumName(kStateNames, aState);
 }
 
 std::string_view
@@ -57,76 +71,107 @@
   return FindEnumName(kFailureNames, aFailure);
 }
 
-ModelCall::ModelCall(ModelCallLimits aLimits)
-  : mLimits(aLimits)
-{
-}
-
 bool
 ModelCall::IsCurrent(std::uint32_t aAttempt, ModelCallState aState) const
 {
   return mState == aState && aAttempt == mAnswer.Attempt();
 }
 
-ModelCallActions
-ModelCall::Start()
+ModelCallSteps
+ModelCall::OnStartPrefill(std::uint32_t aAttempt, const std::string& aEndpoint)
 {
-  mAnswer.StartAttempt(1);
-  return { SelectPairAction{ 1, mExcluded } };
+  if (mState == ModelCallState::Finished) {
+    return {};
+  }
+  mAnswer.StartAttempt(aAttempt);
+  mState = ModelCallState::Prefilling;
+  mEndpoint = aEndpoint;
+  mHandle.clear();
+  mHasFirstToken = false;
+  mFruitlessResumes = 0;
+  mHeld.insert({ aAttempt, aEndpoint });
+  return { HangUpStep{},
+           PrefillStep{
+             aAttempt, aEndpoint, mAnswer.NextOffset(), mAnswer.Text() } };
 }
 
-ModelCallActions
-ModelCall::OnPair(std::uint32_t aAttempt, const EndpointPair& aPair)
+ModelCallSteps
+ModelCall::OnStartTransfer(std::uint32_t aAttempt,
+                           const std::string& aFrom,
+                           const std::string& aTo)
 {
-  if (!IsCurrent(aAttempt, ModelCallState::Selecting)) {
+  if (mState == ModelCallState::Finished || aAttempt != mAnswer.Attempt()) {
     return {};
   }
-  mPair = aPair;
-  mState = ModelCallState::Prefilling;
-  return { PrefillAction{
-    aAttempt, mPair.mPrefill, mAnswer.NextOffset(), mAnswer.Text() } };
+  mState = ModelCallState::Transferring;
+  mEndpoint = aTo;
+  mSource = aFrom;
+  mHeld.insert({ aAttempt, aTo });
+  return { HangUpStep{}, TransferStep{ aAttempt, aFrom, aTo, mHandle } };
 }
 
-ModelCallActions
-ModelCall::OnNoPair(std::uint32_t aAttempt)
+ModelCallSteps
+ModelCall::OnStartDecode(std::uint32_t aAttempt, const std::string& aEndpoint)
 {
-  if (!IsCurrent(aAttempt, ModelCallState::Selecting)) {
+  if (mState == ModelCallState::Finished || aAttempt != mAnswer.Attempt()) {
     return {};
   }
-  return Finish(aAttempt > 1 && mRan ? ModelCallResult::EndpointsFailed
-                                     : ModelCallResult::NoCapacity);
+  mState = ModelCallState::Decoding;
+  mEndpoint = aEndpoint;
+  mHeld.insert({ aAttempt, aEndpoint });
+  return { HangUpStep{},
+           DecodeStep{ aAttempt, aEndpoint, mHandle, mAnswer.NextOffset() } };
+}
+
+ModelCallSteps
+ModelCall::OnCancelled(std::uint32_t aAttempt, const std::string& aEndpoint)
+{
+  mHeld.erase({ aAttempt, aEndpoint });
+  if (mState == ModelCallState::Finished || aAttempt != mAnswer.Attempt() ||
+      aEndpoint != mEndpoint) {
+    return {};
+  }
+  mState = ModelCallState::Waiting;
+  return { HangUpStep{} };
+}
+
+ModelCallSteps
+ModelCall::OnGivenUp()
+{
+  return mState == ModelCallState::Finished ? ModelCallSteps{}
+                                            : Finish(ModelCallResult::GivenUp);
 }
 
-ModelCallActions
-ModelCall::OnPrefillDone(std::uint32_t aAttempt, const std::string& aHandle)
+ModelCallSteps
+ModelCall::OnPrefillDone(std::uint32_t aAttempt,
+                         const std::string& aHandle,
+                         std::uint64_t aCachedTokens)
 {
   if (!IsCurrent(aAttempt, ModelCallState::Prefilling)) {
     return {};
   }
   mRan = true;
   mHandle = aHandle;
-  if (mPair.mPrefill == mPair.mDecode) {
-    mState = ModelCallState::Decoding;
-    return { DecodeAction{
-      aAttempt, mPair.mDecode, mHandle, mAnswer.NextOffset() } };
-  }
-  mState = ModelCallState::Transferring;
-  return { TransferAction{ aAttempt, mPair, mHandle } };
+  mState = ModelCallState::Waiting;
+  return { PrefillDoneStep{ aAttempt, aCachedTokens } };
 }
 
-ModelCallActions
-ModelCall::OnTransferDone(std::uint32_t aAttempt, const std::string& aHandle)
+ModelCallSteps
+ModelCall::OnTransferDone(std::uint32_t aAttempt,
+                          const std::string& aHandle,
+                          double aBytes)
 {
   if (!IsCurrent(aAttempt, ModelCallState::Transferring)) {
     return {};
   }
   mHandle = aHandle;
-  mState = ModelCallState::Decoding;
-  return { DecodeAction{
-    aAttempt, mPair.mDecode, mHandle, mAnswer.NextOffset() } };
+  // An export frees what the prefill engine held.
+  mHeld.erase({ aAttempt, mSource });
+  mState = ModelCallState::Waiting;
+  return { TransferDoneStep{ aAttempt, aBytes } };
 }
 
-ModelCallActions
+ModelCallSteps
 ModelCall::OnToken(std::uint32_t aAttempt,
                    std::uint64_t aOffset,
                    const std::string& aText)
@@ -135,18 +180,23 @@
     return {};
   }
   switch (mAnswer.Take(aAttempt, aOffset, aText)) {
-    case TokenVerdict::Deliver:
-      mFruitlessResumes = 0;
-      return { DeliverAction{ aOffset, aText } };
     case TokenVerdict::Drop:
       return {};
     case TokenVerdict::Gap:
+      return Resume();
+    case TokenVerdict::Deliver:
       break;
   }
-  return Resume();
+  mFruitlessResumes = 0;
+  ModelCallSteps steps{ DeliverStep{ aOffset, aText } };
+  if (!mHasFirstToken) {
+    mHasFirstToken = true;
+    steps.emplace_back(FirstTokenStep{ aAttempt });
+  }
+  return steps;
 }
 
-ModelCallActions
+ModelCallSteps
 ModelCall::OnAnswerEnd(std::uint32_t aAttempt, std::uint64_t aTokens)
 {
   if (!IsCurrent(aAttempt, ModelCallState::Decoding)) {
@@ -156,138 +206,111 @@
   if (aTokens > mAnswer.NextOffset()) {
     return Resume();
   }
+  // The end of a complete answer has freed what its engine held.
+  mHeld.erase({ aAttempt, mEndpoint });
   return Finish(ModelCallResult::Complete);
 }
 
-ModelCallActions
+ModelCallSteps
 ModelCall::Resume()
 {
   if (++mFruitlessResumes > kMaxFruitlessResumes) {
-    return Retry(true);
+    return Fail(FailureKind::Lost);
   }
   mState = ModelCallState::Decoding;
-  return { DecodeAction{
-    mAnswer.Attempt(), mPair.mDecode, mHandle, mAnswer.NextOffset() } };
+  return { HangUpStep{},
+           DecodeStep{
+             mAnswer.Attempt(), mEndpoint, mHandle, mAnswer.NextOffset() } };
+}
+
+ModelCallSteps
+ModelCall::Fail(FailureKind aKind)
+{
+  mState = ModelCallState::Waiting;
+  return { HangUpStep{}, FailedStep{ mAnswer.Attempt(), aKind } };
 }
 
-ModelCallActions
+ModelCallSteps
 ModelCall::OnFailure(std::uint32_t aAttempt, StepFailure aFailure)
 {
-  if (mState == ModelCallState::Finished ||
-      mState == ModelCallState::Selecting ||
-      mState == ModelCallState::Probing || aAttempt != mAnswer.Attempt()) {
+  const bool isInStep = mState == ModelCallState::Prefilling ||
+                        mState == ModelCallState::Transferring ||
+                        mState == ModelCallState::Decoding;
+  if (!isInStep || aAttempt != mAnswer.Attempt()) {
     return {};
   }
   mLastFailure = aFailure;
-  switch (aFailure) {
-    case StepFailure::Rejected:
-      return Finish(ModelCallResult::Rejected);
-    case StepFailure::Evicted:
-      return Retry(false);
-    case StepFailure::Refused:
-    case StepFailure::Unreachable:
-      return Retry(true);
-    case StepFailure::ConnectionLost:
-    case StepFailure::Silent:
-      break;
+  mRan = mRan || !IsWithoutWork(aFailure);
+  if (aFailure == StepFailure::Rejected) {
+    return Finish(ModelCallResult::Rejected);
   }
-  mRan = true;
-  // Only a new connection tells a dead endpoint from a dead connection.
-  mState = ModelCallState::Probing;
-  return { ProbeAction{ aAttempt, CurrentEndpoint() } };
+  if (aFailure == StepFailure::Silent &&
+      mState == ModelCallState::Transferring) {
+    return Fail(FailureKind::Stalled);
+  }
+  if (aFailure == StepFailure::ConnectionLost ||
+      aFailure == StepFailure::Silent) {
+    // Only a new connection tells a dead endpoint from a dead connection.
+    mProbedStep = mState;
+    mState = ModelCallState::Probing;
+    return { HangUpStep{}, ProbeStep{ aAttempt, mEndpoint } };
+  }
+  return Fail(KindOf(aFailure));
 }
 
-ModelCallActions
+ModelCallSteps
 ModelCall::OnProbeDone(std::uint32_t aAttempt, ProbeResult aResult)
 {
   if (!IsCurrent(aAttempt, ModelCallState::Probing)) {
     return {};
   }
-  if (aResult == ProbeResult::HasStream) {
-    return Resume();
-  }
-  if (aResult == ProbeResult::NoStream) {
-    return Retry(false);
+  switch (aResult) {
+    case ProbeResult::HasStream:
+      if (mProbedStep == ModelCallState::Decoding) {
+        return Resume();
+      }
+      return Fail(FailureKind::Evicted);
+    case ProbeResult::NoStream:
+      return Fail(FailureKind::Evicted);
+    case ProbeResult::Unreachable:
+    case ProbeResult::Restarted:
+      break;
   }
-  ModelCallActions actions{ CrashAction{ CurrentEndpoint() } };
-  ModelCallActions next = Retry(true);
-  actions.insert(actions.end(), next.begin(), next.end());
-  return actions;
+  ModelCallSteps steps{ CrashStep{ mEndpoint } };
+  ModelCallSteps more = Fail(FailureKind::Lost);
+  steps.insert(steps.end(), more.begin(), more.end());
+  return steps;
 }
 
-ModelCallActions
+ModelCallSteps
 ModelCall::OnCallerGone()
 {
   return mState == ModelCallState::Finished
-           ? ModelCallActions{}
+           ? ModelCallSteps{}
            : Finish(ModelCallResult::CallerGone);
 }
 
-ModelCallActions
+ModelCallSteps
 ModelCall::OnDeadline()
 {
   return mState == ModelCallState::Finished
-           ? ModelCallActions{}
+           ? ModelCallSteps{}
            : Finish(ModelCallResult::DeadlineExceeded);
 }
 
-std::string
-ModelCall::CurrentEndpoint() const
-{
-  return mHandle.empty() ? mPair.mPrefill : mPair.mDecode;
-}
-
-ModelCallActions
-ModelCall::Retry(bool aExclude)
-{
-  ModelCallActions actions;
-  CancelAttempt(actions);
-  if (aExclude) {
-    const std::string failed = CurrentEndpoint();
-    if (std::find(mExcluded.begin(), mExcluded.end(), failed) ==
-        mExcluded.end()) {
-      mExcluded.push_back(failed);
-    }
-  }
-  const std::uint32_t attempt = mAnswer.Attempt() + 1;
-  if (attempt > mLimits.mMaxAttempts) {
-    ModelCallActions last = Finish(mRan ? ModelCallResult::EndpointsFailed
-                                        : ModelCallResult::NoCapacity);
-    return last;
-  }
-  mAnswer.StartAttempt(attempt);
-  mPair = {};
-  mHandle.clear();
-  mFruitlessResumes = 0;
-  mState = ModelCallState::Selecting;
-  actions.emplace_back(SelectPairAction{ attempt, mExcluded });
-  return actions;
-}
-
-void
-ModelCall::CancelAttempt(ModelCallActions& aActions) const
-{
-  if (mPair.mPrefill.empty()) {
-    return;
-  }
-  aActions.emplace_back(CancelAction{ mAnswer.Attempt(), mPair.mPrefill });
-  if (mPair.mDecode != mPair.mPrefill) {
-    aActions.emplace_back(CancelAction{ mAnswer.Attempt(), mPair.mDecode });
-  }
-}
-
-ModelCallActions
+ModelCallSteps
 ModelCall::Finish(ModelCallResult aResult)
 {
-  ModelCallActions actions;
-  // The end of a complete answer has already freed what its engine held.
-  if (aResult != ModelCallResult::Complete) {
-    CancelAttempt(actions);
-  }
   mLastStep = mState;
   mState = ModelCallState::Finished;
-  actions.emplace_back(FinishAction{ aResult, mRan, mAnswer.NextOffset() });
-  return actions;
+  ModelCallSteps steps{ HangUpStep{} };
+  if (aResult == ModelCallResult::Complete) {
+    steps.emplace_back(FinishedStep{ mAnswer.Attempt(), mAnswer.NextOffset() });
+  } else if (aResult != ModelCallResult::GivenUp) {
+    steps.emplace_back(GoneStep{});
+  }
+  steps.emplace_back(FinishStep{ aResult, mRan, mAnswer.NextOffset() });
+  return steps;
 }
 
 } // namespace bulrushfold
--- a/Source/Serving/ModelCall.h
+++ b/Source/Serving/ModelCall.h
@@ -2,12 +2,14 @@
 #define BULRUSHFOLD_SERVING_MODELCALL_H
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
-#include "Base/Clock.h"
+#include "Policy/PolicyTypes.h"
 #include "Serving/AnswerStream.h"
 
 namespace bulrushfold {
@@ -15,7 +17,8 @@
 /** Step of a model request. */
 enum class ModelCallState
 {
-  Selecting,
+  /** The policy has not started an attempt. */
+  Waiting,
   Prefilling,
   Transferring,
   Decoding,
@@ -28,12 +31,10 @@
 {
   /** The caller has the whole answer. */
   Complete,
-  /** No endpoint could take it within its deadline. */
-  NoCapacity,
+  /** The policy gave the request up; RejectReason says why. */
+  GivenUp,
   DeadlineExceeded,
-  /** Every allowed attempt failed. */
-  EndpointsFailed,
-  /** The endpoint refused the request itself. */
+  /** The endpoint will never accept this request. */
   Rejected,
   CallerGone,
 };
@@ -41,7 +42,9 @@
 /** Why a step at an endpoint failed. */
 enum class StepFailure
 {
-  /** Refused before any work; another endpoint may take it. */
+  NoMemory,
+  NoSlot,
+  /** Refused for another reason: draining, other role, model not loaded. */
   Refused,
   /** No connection to the endpoint. */
   Unreachable,
@@ -49,6 +52,8 @@
   ConnectionLost,
   /** No byte within the silence bound. */
   Silent,
+  /** The transfer made no progress. */
+  Stalled,
   /** The KV cache or the stream is no longer there. */
   Evicted,
   /** The endpoint will never accept this request. */
@@ -69,38 +74,25 @@
 };
 
 std::string_view ModelCallStateName(ModelCallState aState);
-std::string_view ModelCallResultName(ModelCallResult aResult);
 std::string_view StepFailureName(StepFailure aFailure);
 
-/** The endpoints of one attempt; equal when one engine does both. */
-struct EndpointPair
-{
-  std::string mPrefill;
-  std::string mDecode;
-};
-
-/** Asks for a pair of endpoints, without those in mExcluded. */
-struct SelectPairAction
-{
-  std::uint32_t mAttempt = 0;
-  std::vector<std::string> mExcluded;
-};
 /** Starts a prefill; mOffset tokens with text mGenerated were delivered. */
-struct PrefillAction
+struct PrefillStep
 {
   std::uint32_t mAttempt = 0;
   std::string mEndpoint;
   std::uint64_t mOffset = 0;
   std::string mGenerated;
 };
-struct TransferAction
+struct TransferStep
 {
   std::uint32_t mAttempt = 0;
-  EndpointPair mPair;
+  std::string mFrom;
+  std::string mTo;
   std::string mHandle;
 };
 /** Starts or resumes a decode stream at mOffset. */
-struct DecodeAction
+struct DecodeStep
 {
   std::uint32_t mAttempt = 0;
   std::string mEndpoint;
@@ -108,30 +100,54 @@
   std::uint64_t mOffset = 0;
 };
 /** Asks the endpoint on a new connection whether the stream still exists. */
-struct ProbeAction
-{
-  std::uint32_t mAttempt = 0;
-  std::string mEndpoint;
-};
-/** Frees what mAttempt holds at mEndpoint; repeated until confirmed. */
-struct CancelAction
+struct ProbeStep
 {
   std::uint32_t mAttempt = 0;
   std::string mEndpoint;
 };
+/** Ends the call to an engine that is in progress. */
+struct HangUpStep
+{};
 /** Passes one token on to the caller. */
-struct DeliverAction
+struct DeliverStep
 {
   std::uint64_t mOffset = 0;
   std::string mText;
 };
 /** Reports that mEndpoint died while it ran this request. */
-struct CrashAction
+struct CrashStep
 {
   std::string mEndpoint;
 };
+/** The policy's events; see RoutingPolicy. */
+struct PrefillDoneStep
+{
+  std::uint32_t mAttempt = 0;
+  std::uint64_t mCachedTokens = 0;
+};
+struct TransferDoneStep
+{
+  std::uint32_t mAttempt = 0;
+  double mBytes = 0;
+};
+struct FirstTokenStep
+{
+  std::uint32_t mAttempt = 0;
+};
+struct FinishedStep
+{
+  std::uint32_t mAttempt = 0;
+  std::uint64_t mTokens = 0;
+};
+struct FailedStep
+{
+  std::uint32_t mAttempt = 0;
+  FailureKind mKind = FailureKind::Lost;
+};
+struct GoneStep
+{};
 /** Ends the request. Exactly one is issued. */
-struct FinishAction
+struct FinishStep
 {
   ModelCallResult mResult = ModelCallResult::Complete;
   /** True when an endpoint may have done work for the request. */
@@ -139,81 +155,99 @@
   std::uint64_t mTokens = 0;
 };
 
-using ModelCallAction = std::variant<SelectPairAction,
-                                     PrefillAction,
-                                     TransferAction,
-                                     DecodeAction,
-                                     ProbeAction,
-                                     CancelAction,
-                                     DeliverAction,
-                                     CrashAction,
-                                     FinishAction>;
-using ModelCallActions = std::vector<ModelCallAction>;
+using ModelCallStep = std::variant<PrefillStep,
+                                   TransferStep,
+                                   DecodeStep,
+                                   ProbeStep,
+                                   HangUpStep,
+                                   DeliverStep,
+                                   CrashStep,
+                                   PrefillDoneStep,
+                                   TransferDoneStep,
+                                   FirstTokenStep,
+                                   FinishedStep,
+                                   FailedStep,
+                                   GoneStep,
+                                   FinishStep>;
+using ModelCallSteps = std::vector<ModelCallStep>;
 
-/** Bounds of a model request. */
-struct ModelCallLimits
-{
-  std::uint32_t mMaxAttempts = 4;
-  Instant mDeadline;
-};
+/** An attempt at an endpoint, for which the endpoint may hold memory. */
+using HeldAttempt = std::pair<std::uint32_t, std::string>;
 
 /**
- * Life of one model request: pair of endpoints, prefill, transfer, decode;
- * probe and resume after silence, a new attempt after a failure, and
- * cancellation of everything that is still held anywhere. The owner passes
- * events in and carries out the returned actions in order. Events of replaced
- * attempts are ignored.
+ * Life of one model request under the routing policy: carries out the policy's
+ * prefill, transfer and decode, tells silence from failure with a probe,
+ * resumes a stream whose connection died, orders the tokens, and knows what is
+ * still held anywhere. The owner passes events in and carries out the returned
+ * steps in order. Events of former attempts are ignored.
  */
 class ModelCall
 {
 public:
-  explicit ModelCall(ModelCallLimits aLimits);
-
-  ModelCallActions Start();
-  /** A pair was selected and reserved for the attempt. */
-  ModelCallActions OnPair(std::uint32_t aAttempt, const EndpointPair& aPair);
-  /** No pair is available, and waiting longer makes no sense. */
-  ModelCallActions OnNoPair(std::uint32_t aAttempt);
-  ModelCallActions OnPrefillDone(std::uint32_t aAttempt,
-                                 const std::string& aHandle);
-  ModelCallActions OnTransferDone(std::uint32_t aAttempt,
-                                  const std::string& aHandle);
-  ModelCallActions OnToken(std::uint32_t aAttempt,
-                           std::uint64_t aOffset,
-                           const std::string& aText);
+  // Actions of the policy.
+  ModelCallSteps OnStartPrefill(std::uint32_t aAttempt,
+                                const std::string& aEndpoint);
+  ModelCallSteps OnStartTransfer(std::uint32_t aAttempt,
+                                 const std::string& aFrom,
+                                 const std::string& aTo);
+  ModelCallSteps OnStartDecode(std::uint32_t aAttempt,
+                               const std::string& aEndpoint);
+  /** The policy cancelled an attempt at an endpoint. */
+  ModelCallSteps OnCancelled(std::uint32_t aAttempt,
+                             const std::string& aEndpoint);
+  /** The policy gave the request up. */
+  ModelCallSteps OnGivenUp();
+
+  // Results of engine calls.
+  ModelCallSteps OnPrefillDone(std::uint32_t aAttempt,
+                               const std::string& aHandle,
+                               std::uint64_t aCachedTokens);
+  ModelCallSteps OnTransferDone(std::uint32_t aAttempt,
+                                const std::string& aHandle,
+                                double aBytes);
+  ModelCallSteps OnToken(std::uint32_t aAttempt,
+                         std::uint64_t aOffset,
+                         const std::string& aText);
   /** The engine says that the answer ends after aTokens tokens. */
-  ModelCallActions OnAnswerEnd(std::uint32_t aAttempt, std::uint64_t aTokens);
-  /** The current step failed. */
-  ModelCallActions OnFailure(std::uint32_t aAttempt, StepFailure aFailure);
-  ModelCallActions OnProbeDone(std::uint32_t aAttempt, ProbeResult aResult);
-  ModelCallActions OnCallerGone();
-  ModelCallActions OnDeadline();
+  ModelCallSteps OnAnswerEnd(std::uint32_t aAttempt, std::uint64_t aTokens);
+  ModelCallSteps OnFailure(std::uint32_t aAttempt, StepFailure aFailure);
+  ModelCallSteps OnProbeDone(std::uint32_t aAttempt, ProbeResult aResult);
+
+  ModelCallSteps OnCallerGone();
+  ModelCallSteps OnDeadline();
 
   ModelCallState State() const { return mState; }
   std::uint32_t Attempt() const { return mAnswer.Attempt(); }
   const AnswerStream& Answer() const { return mAnswer; }
-  const EndpointPair& Pair() const { return mPair; }
   StepFailure LastFailure() const { return mLastFailure; }
   /** Step in which the request was when it ended. */
   ModelCallState LastStep() const { return mLastStep; }
+  /**
+   * Attempts that endpoints may still hold memory for. After the end of the
+   * request each must be cancelled until its endpoint confirms it.
+   */
+  const std::set<HeldAttempt>& Held() const { return mHeld; }
 
 private:
   bool IsCurrent(std::uint32_t aAttempt, ModelCallState aState) const;
-  /** Starts the next attempt, or ends the request when none is allowed. */
-  ModelCallActions Retry(bool aExclude);
-  ModelCallActions Finish(ModelCallResult aResult);
-  void CancelAttempt(ModelCallActions& aActions) const;
-  std::string CurrentEndpoint() const;
-  ModelCallActions Resume();
-
-  ModelCallLimits mLimits;
-  ModelCallState mState = ModelCallState::Selecting;
-  ModelCallState mLastStep = ModelCallState::Selecting;
+  ModelCallSteps Finish(ModelCallResult aResult);
+  /** Ends the step and tells the policy. */
+  ModelCallSteps Fail(FailureKind aKind);
+  ModelCallSteps Resume();
+
+  ModelCallState mState = ModelCallState::Waiting;
+  ModelCallState mLastStep = ModelCallState::Waiting;
   AnswerStream mAnswer;
-  EndpointPair mPair;
+  /** Endpoint of the current step. */
+  std::string mEndpoint;
+  /** Endpoint that a transfer takes the KV cache from. */
+  std::string mSource;
   std::string mHandle;
-  std::vector<std::string> mExcluded;
+  /** Step that a probe interrupted. */
+  ModelCallState mProbedStep = ModelCallState::Waiting;
   StepFailure mLastFailure = StepFailure::Refused;
+  std::set<HeldAttempt> mHeld;
+  bool mHasFirstToken = false;
   /** Resumes without a token in between; bounds a loop with a bad endpoint. */
   std::uint32_t mFruitlessResumes = 0;
   bool mRan = false;
--- a/Source/Wire/Envelope.thrift
+++ b/Source/Wire/Envelope.thrift
@@ -18,6 +18,7 @@
   REPORT = 13,
   MEMBERSHIP = 14,
   ADMIN = 15,
+  LIMIT_LEASE = 16,
 }
 
 enum FrameRole {
--- a/Source/Wire/gen-cpp/Envelope_types.cpp
+++ b/Source/Wire/gen-cpp/Envelope_types.cpp
@@ -28,7 +28,8 @@
   MessageKind::EXPLAIN,
   MessageKind::REPORT,
   MessageKind::MEMBERSHIP,
-  MessageKind::ADMIN
+  MessageKind::ADMIN,
+  MessageKind::LIMIT_LEASE
 };
 const char* _kMessageKindNames[] = {
   "HEARTBEAT",
@@ -45,9 +46,10 @@
   "EXPLAIN",
   "REPORT",
   "MEMBERSHIP",
-  "ADMIN"
+  "ADMIN",
+  "LIMIT_LEASE"
 };
-const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(15, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(16, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MessageKind::type& val) {
   std::map<int, const char*>::const_iterator it = _MessageKind_VALUES_TO_NAMES.find(val);
--- a/Source/Wire/gen-cpp/Envelope_types.h
+++ b/Source/Wire/gen-cpp/Envelope_types.h
@@ -37,7 +37,8 @@
     EXPLAIN = 12,
     REPORT = 13,
     MEMBERSHIP = 14,
-    ADMIN = 15
+    ADMIN = 15,
+    LIMIT_LEASE = 16
   };
 };
 
