--- a/Source/Emulator/LoadMain.cxx
+++ b/Source/Emulator/LoadMain.cxx
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr int kMaxListItems = 10000;
+
 void
 AddAddressListOption(CLI::App& aApp,
                      const std::string& aName,
@@ -35,7 +37,7 @@
   aApp.add_option(aName, parse, aHelp)
     ->type_name("IP:PORT,...")
     ->delimiter(',')
-    ->expected(-1);
+    ->expected(1, kMaxListItems);
 }
 
 /** Parses "MIN:MAX" or "N". */
@@ -99,7 +101,7 @@
                 "chat_stream, lookup, booking")
     ->type_name("KIND=WEIGHT,...")
     ->delimiter(',')
-    ->expected(-1);
+    ->expected(1, kMaxListItems);
   aApp.add_option("--models", aSettings.mModels, "Models")->delimiter(',');
   aApp.add_option(
     "--booking-path", aSettings.mBookingPath, "SERVICE/PATH of bookings");
