Ask the owner once more when a booking's deadline has passed

One in seven answers of a soak run was "no verdict": a lost message, a pause of the entry daemon or a long backoff hid a verdict that the owner could still give. The registry now asks a last time at the first turn after the deadline and waits 250 ms for the reply, and the pause between two questions is at most 500 ms. An owner that is asked at the deadline refuses an unused key without writing an intent.

--- a/Source/Booking/BookingLedger.cxx
+++ b/Source/Booking/BookingLedger.cxx
@@ -188,8 +188,7 @@
                  "key_time_in_future");
       return false;
     }
-    QueueIntent(begin, 1);
-    return true;
+    return QueueOrRefuse(aWaiting, 1, aActions);
   }
   const auto& record = aSlot->mRecord;
   if (record.digest != begin.digest) {
@@ -213,8 +212,7 @@
     return false;
   }
   if (aRecord.state == BookingState::NOT_RUN) {
-    QueueIntent(begin, aRecord.attempt + 1);
-    return true;
+    return QueueOrRefuse(aWaiting, aRecord.attempt + 1, aActions);
   }
   if (aRecord.request != begin.request || aRecord.holder != begin.holder) {
     return true;
@@ -265,6 +263,22 @@
   mQueue.push_back(aRecord);
 }
 
+bool
+BookingLedger::QueueOrRefuse(const WaitingBegin& aWaiting,
+                             std::int32_t aAttempt,
+                             BookingActions& aActions)
+{
+  if (aWaiting.mDeadline > mClock.Now()) {
+    QueueIntent(aWaiting.mBegin, aAttempt);
+    return true;
+  }
+  ReplyBegin(aActions,
+             aWaiting.mToken,
+             BookingVerdict::NOT_RUN,
+             "not_committed_in_time");
+  return false;
+}
+
 void
 BookingLedger::QueueIntent(const wire::BookingBegin& aBegin,
                            std::int32_t aAttempt)
--- a/Source/Booking/BookingLedger.h
+++ b/Source/Booking/BookingLedger.h
@@ -67,6 +67,9 @@
   bool DecideIntent(const WaitingBegin& aWaiting,
                     const wire::BookingRecord& aRecord,
                     BookingActions& aActions);
+  bool QueueOrRefuse(const WaitingBegin& aWaiting,
+                     std::int32_t aAttempt,
+                     BookingActions& aActions);
   void QueueIntent(const wire::BookingBegin& aBegin, std::int32_t aAttempt);
   void QueueEnd(wire::BookingRecord aRecord,
                 const wire::BookingResult* aResult);
--- a/Source/Booking/BookingRegistry.cxx
+++ b/Source/Booking/BookingRegistry.cxx
@@ -21,6 +21,8 @@
 
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(50);
 constexpr Duration kMaxBackoff = std::chrono::seconds(2);
+// A caller waits for the verdict; a new owner appears within a second.
+constexpr Duration kMaxAskBackoff = std::chrono::milliseconds(500);
 // The owner decides at the deadline; its reply needs time to arrive.
 constexpr Duration kVerdictGrace = std::chrono::milliseconds(250);
 // A permit that arrives later than this after the end is answered by nobody;
@@ -112,7 +114,7 @@
     if (!aReply.ok() || aReply->verdict == BookingVerdict::NOT_OWNER) {
       entry->mAwaitsReply = false;
       entry->mNextAt = mClock.Now() + entry->mBackoff;
-      entry->mBackoff = std::min(2 * entry->mBackoff, kMaxBackoff);
+      entry->mBackoff = std::min(2 * entry->mBackoff, kMaxAskBackoff);
     } else {
       TakeVerdict(aRequest, *entry, *aReply);
     }
@@ -299,6 +301,25 @@
   return TakeActions();
 }
 
+void
+BookingRegistry::TurnAsking(const std::string& aRequest, Entry& aEntry)
+{
+  const Instant now = mClock.Now();
+  if (now >= aEntry.mDeadline && !aEntry.mGraceEnd) {
+    // A pause may have outlasted the deadline and a message may be lost, so the
+    // owner is asked once more; it can still say "not run".
+    aEntry.mGraceEnd = now + kVerdictGrace;
+    Ask(aRequest, aEntry);
+  } else if (aEntry.mGraceEnd && now >= *aEntry.mGraceEnd) {
+    // An earlier request with this key may have run, so this one cannot be
+    // called "not run".
+    Answer(aRequest, aEntry, BookingOutcome::Unknown, "no_verdict");
+    Report(aRequest, aEntry, false);
+  } else if (!aEntry.mAwaitsReply && now >= aEntry.mNextAt) {
+    Ask(aRequest, aEntry);
+  }
+}
+
 /** Returns false when the entry may be forgotten. */
 bool
 BookingRegistry::TurnEntry(const std::string& aRequest, Entry& aEntry)
@@ -306,17 +327,7 @@
   const Instant now = mClock.Now();
   switch (aEntry.mPhase) {
     case Phase::Asking:
-      if (now >= aEntry.mDeadline + kVerdictGrace) {
-        // The owner's verdict did not arrive. An earlier request with this key
-        // may have run, so this one cannot be called "not run".
-        Answer(aRequest, aEntry, BookingOutcome::Unknown, "no_verdict");
-        Report(aRequest, aEntry, false);
-      } else if (!aEntry.mAwaitsReply &&
-                 now >= std::min(aEntry.mNextAt, aEntry.mDeadline)) {
-        // At the deadline the owner is asked without delay, because its
-        // verdict may still be "not run".
-        Ask(aRequest, aEntry);
-      }
+      TurnAsking(aRequest, aEntry);
       return true;
     case Phase::Dispatched:
       return true;
--- a/Source/Booking/BookingRegistry.h
+++ b/Source/Booking/BookingRegistry.h
@@ -164,6 +164,9 @@
     /** Next repetition of a message, or the end of the entry. */
     Instant mNextAt;
     Duration mBackoff{};
+    /** Set at the first turn after the deadline: the last wait for a verdict.
+     */
+    std::optional<Instant> mGraceEnd;
     bool mAnswered = false;
     bool mAwaitsReply = false;
     wire::BookingResult mResult;
@@ -185,6 +188,7 @@
   void Close(Entry& aEntry);
   void Report(const std::string& aRequest, Entry& aEntry, bool aRan);
   void SendReport(const std::string& aRequest, Entry& aEntry);
+  void TurnAsking(const std::string& aRequest, Entry& aEntry);
   bool TurnEntry(const std::string& aRequest, Entry& aEntry);
   RegistryActions TakeActions();
 
--- a/Tests/Booking/BookingRegistryTest.cxx
+++ b/Tests/Booking/BookingRegistryTest.cxx
@@ -150,6 +150,12 @@
   {
     clock.Advance(2 * kSecond);
     seen.Take(registry.OnTurn());
+    // A pause must not hide a verdict that has already arrived.
+    CHECK(seen.mAnswers.empty());
+    CHECK(seen.mBegins == 2);
+    clock.Advance(kSecond);
+    seen.Take(registry.OnTurn());
+    REQUIRE(seen.mAnswers.size() == 1);
     CHECK(seen.mAnswers[0].mOutcome == BookingOutcome::Unknown);
     seen.Take(registry.OnBeginReply("r", permit));
     CHECK(seen.mDispatched == 0);
