Tolerate more random use above a workspace's fair share

Each daemon sees a sixth of the traffic, so a workspace's use within 10 s often exceeds 1.2 times its share by chance, and its requests waited less for no reason. Use now counts for 30 s and 1.5 times the share is tolerated.

--- a/Source/Policy/Admission.cxx
+++ b/Source/Policy/Admission.cxx
@@ -8,12 +8,12 @@
 namespace {
 // Use counts for about this long. Shorter spans would punish a short burst,
 // longer ones would let a noisy workspace use up the capacity first.
-constexpr double kMemorySeconds = 10;
+constexpr double kMemorySeconds = 30;
 // A workspace with less recent work than this is not active.
 constexpr double kIdleWork = 1e-3;
 constexpr std::size_t kMaxTracked = 4096;
 // Use above the fair share that is still tolerated.
-constexpr double kTolerance = 1.2;
+constexpr double kTolerance = 1.5;
 constexpr double kMinWaitShare = 0.2;
 constexpr double kMaxSpareShare = 0.15;
 // Predictions rest on lagging reports; the owner's answer is exact. Only what
