Let interactive requests wait briefly before they are refused

All refusals in vatu-peak came from the entry daemon's estimate, which rests on outdated hints. An interactive request now waits while its prediction is below 2.5 times the time left.

--- a/Source/Policy/Admission.cxx
+++ b/Source/Policy/Admission.cxx
@@ -19,6 +19,9 @@
 // Predictions rest on lagging reports; the owner's answer is exact. Only what
 // is late by more than this factor is refused without asking.
 constexpr double kDoubt = 1.25;
+// A prediction this much beyond the time that is left will not come true by
+// waiting; the caller of an interactive request is told at once.
+constexpr double kHopeless = 2.5;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 } // namespace
 
@@ -52,7 +55,8 @@
   if (ToSeconds(*aFirstToken) <= kDoubt * ToSeconds(budget)) {
     return { AdmissionVerdict::Dispatch };
   }
-  if (aRequest.mClass == RequestClass::Patient) {
+  if (aRequest.mClass == RequestClass::Patient ||
+      ToSeconds(*aFirstToken) <= kHopeless * ToSeconds(budget)) {
     return { AdmissionVerdict::Wait };
   }
   return { AdmissionVerdict::Reject,
