--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -5,6 +5,7 @@
 
 #include "Base/Identifiers.h"
 #include "Base/Log.h"
+#include "Daemon/ProcessMetrics.h"
 #include "Daemon/RequestFilters.h"
 #include "Outcome/RequestId.h"
 #include "absl/strings/str_cat.h"
@@ -129,8 +130,23 @@
   return mCluster.IsReady() && !mIsStopping;
 }
 
+std::string
+Daemon::FormatMetrics()
+{
+  UpdateGauges(mMetrics,
+               { mLinks.Traffic(),
+                 mStore.Traffic(),
+                 mInProgress,
+                 mRouting.Waiting(),
+                 mBookings.Waiting(),
+                 mCancels.Pending(),
+                 mCluster.Rings().Size(),
+                 IsReady() });
+  return mMetrics.Format(mClock.Now());
+}
+
 bool
-Daemon::AnswerHealth(HttpExchange& aExchange) const
+Daemon::AnswerHealth(HttpExchange& aExchange)
 {
   const std::string& path = aExchange.Request().mPath;
   if (path == "/healthz") {
@@ -140,7 +156,7 @@
   if (path == "/metrics") {
     aExchange.Reply(kStatusOk,
                     { { "Content-Type", "text/plain; version=0.0.4" } },
-                    mMetrics.Format(mClock.Now()));
+                    FormatMetrics());
     return true;
   }
   if (path == "/readyz") {
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -48,7 +48,8 @@
   void AddFilters();
   void BeginRequest(const RequestPointer& aRequest);
   void HandleCaller(std::shared_ptr<HttpExchange> aExchange);
-  bool AnswerHealth(HttpExchange& aExchange) const;
+  bool AnswerHealth(HttpExchange& aExchange);
+  std::string FormatMetrics();
   bool IsReady() const;
   /** Begins a planned stop: no new work, then exit when all is finished. */
   void BeginStop();
--- a/Utilities/bench.sh
+++ b/Utilities/bench.sh
@@ -11,10 +11,18 @@
   for it in "$prefix"*; do
     [ -x "$it" ] && echo "${it#"$prefix"}"
   done
+  for it in Utilities/bench-*.sh; do
+    it=${it#Utilities/bench-}
+    echo "${it%.sh}"
+  done
   exit 0
 fi
 name=$1
 shift
+# Benchmarks on real processes are scripts of their own.
+if [ -f "Utilities/bench-$name.sh" ]; then
+  exec bash "Utilities/bench-$name.sh" "$@"
+fi
 if [ ! -x "$prefix$name" ]; then
   echo "no benchmark is named $name; --list shows all" >&2
   exit 2
