Serve the administration API, explanations and reports

Cause: operators could not change presets, endpoints or workspaces, and no request could be explained at another daemon. Commits of one booking shard are at least 50 ms apart instead of 10 ms, because 16 shards could make 1,600 writes a second.

--- a/Source/Cluster/ClusterNode.cxx
+++ b/Source/Cluster/ClusterNode.cxx
@@ -231,4 +231,16 @@
   return result;
 }
 
+const CoverageStatus*
+ClusterNode::AskCoverage(const std::string& aKey,
+                         std::uint64_t aVersion,
+                         Instant aNow)
+{
+  const std::string id = aKey + "@" + std::to_string(aVersion);
+  if (mCoverage.Find(id) == nullptr) {
+    mCoverage.Start(id, aKey, aVersion, aNow);
+  }
+  return mCoverage.Find(id);
+}
+
 } // namespace bulrushfold
--- a/Source/Cluster/ClusterNode.h
+++ b/Source/Cluster/ClusterNode.h
@@ -79,6 +79,10 @@
                    const absl::StatusOr<StoredObject>& aObject,
                    Instant aNow);
   NodeResult Leave(Instant aNow);
+  /** State of a version everywhere; the question starts with the first call. */
+  const CoverageStatus* AskCoverage(const std::string& aKey,
+                                    std::uint64_t aVersion,
+                                    Instant aNow);
 
   bool IsReady() const { return mReadiness.IsReady(); }
   Membership& Members() { return mMembership; }
--- /dev/null
+++ b/Source/Daemon/AdminChanges.h
@@ -0,0 +1,112 @@
+#ifndef BULRUSHFOLD_DAEMON_ADMINCHANGES_H
+#define BULRUSHFOLD_DAEMON_ADMINCHANGES_H
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <nlohmann/json_fwd.hpp>
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "Daemon/AdminProblem.h"
+#include "Daemon/ClusterController.h"
+#include "Net/EventLoop.h"
+#include "Net/HttpServer.h"
+#include "Platform/ObjectStore.h"
+
+namespace bulrushfold {
+
+/** Kinds of change that operators make. */
+enum class AdminAction
+{
+  PutPreset,
+  PutInForce,
+  PutEndpoint,
+  DrainEndpoint,
+  PutWorkspace,
+};
+
+/** An operator's change of one configuration object. */
+struct AdminChange
+{
+  AdminAction mAction = AdminAction::PutPreset;
+  std::string mKey;
+  /** Name of the preset, endpoint or workspace. */
+  std::string mName;
+  /** Body of the request; empty where the action needs none. */
+  std::string mBody;
+  /** First digits of the SHA-256 of the operator's token. */
+  std::string mOperator;
+};
+
+/**
+ * Carries out operators' changes: an audit record is created first, so that a
+ * change id is applied once however often it is sent; then the configuration
+ * object is changed; then the audit record receives the result. Audit records
+ * are the store objects "audit/CHANGE-ID".
+ */
+class AdminChanges
+{
+public:
+  AdminChanges(EventLoop& aLoop,
+               const Clock& aClock,
+               Random& aRandom,
+               ClusterController& aCluster,
+               ObjectStore& aStore,
+               std::string aDaemon);
+
+  void Start();
+  /** Checks the headers, makes the change and answers. */
+  void Run(std::shared_ptr<HttpExchange> aExchange, const AdminChange& aChange);
+  /** Answers with audit records, newest first. */
+  void ListAudit(std::shared_ptr<HttpExchange> aExchange);
+
+private:
+  struct Pending
+  {
+    std::shared_ptr<HttpExchange> mExchange;
+    AdminChange mChange;
+    std::uint64_t mExpected = 0;
+    std::uint64_t mAuditVersion = 0;
+    WallTime mTime;
+    EventHandle mTimer;
+    /** The operator was answered; only the audit record is still due. */
+    bool mIsAnswered = false;
+  };
+
+  bool ReadHeaders(HttpExchange& aExchange,
+                   std::uint64_t& aExpected,
+                   std::string& aId) const;
+  void HandleAuditCreated(const std::string& aId,
+                          const absl::StatusOr<std::uint64_t>& aVersion);
+  void AnswerRecorded(const std::string& aId);
+  void Propose(const std::string& aId);
+  void HandleChange(const ChangeStatus& aStatus);
+  void HandleTimeout(const std::string& aId);
+  void WriteAudit(const std::string& aId,
+                  const Pending& aPending,
+                  const ChangeStatus& aStatus);
+  void Refuse(const std::string& aId, AdminProblem aProblem);
+
+  EventLoop& mLoop;
+  const Clock& mClock;
+  Random& mRandom;
+  ClusterController& mCluster;
+  ObjectStore& mStore;
+  std::string mDaemon;
+  std::map<std::string, Pending> mPending;
+};
+
+/**
+ * The new body of the object that aChange concerns, from its present body.
+ * NotFound: the preset or endpoint does not exist; InvalidArgument: the body of
+ * the request is not an object.
+ */
+absl::StatusOr<std::string> EditObject(const AdminChange& aChange,
+                                       const std::string& aPresent);
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Daemon/BookingController.cxx
+++ b/Source/Daemon/BookingController.cxx
@@ -13,6 +13,8 @@
 
 namespace {
 
+// The first call after a quiet time waits at most this long for its commit.
+constexpr Duration kMaxTurnInterval = std::chrono::milliseconds(10);
 constexpr Duration kAssignInterval = std::chrono::milliseconds(250);
 constexpr Duration kRegistryInterval = std::chrono::milliseconds(50);
 // The death of an owner is noticed within this time; asking again is harmless.
--- a/Source/Daemon/ClusterController.cxx
+++ b/Source/Daemon/ClusterController.cxx
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr Duration kMaxTickDelay = 3 * ClusterNode::kTickInterval;
+
 /** Checks a configuration object before it is written. */
 absl::Status
 Validate(const std::string& aKey, const std::string& aBody)
@@ -72,8 +74,8 @@
                            wire::MessageKind::CONFIG_FETCH }) {
     HandleMessages(kind);
   }
-  mTickTimer = mLoop.Every(ClusterNode::kTickInterval,
-                           [this] { Carry(mNode.Tick(mClock.Now())); });
+  mLastTick = mClock.Now();
+  mTickTimer = mLoop.Every(ClusterNode::kTickInterval, [this] { Tick(); });
   ListVms();
 }
 
@@ -96,6 +98,27 @@
                 });
 }
 
+void
+ClusterController::Tick()
+{
+  mLastTick = mClock.Now();
+  Carry(mNode.Tick(mLastTick));
+}
+
+void
+ClusterController::CheckClock()
+{
+  if (mClock.Now() - mLastTick > kMaxTickDelay) {
+    Tick();
+  }
+}
+
+const CoverageStatus*
+ClusterController::AskCoverage(const std::string& aKey, std::uint64_t aVersion)
+{
+  return mNode.AskCoverage(aKey, aVersion, mClock.Now());
+}
+
 void
 ClusterController::Leave()
 {
--- a/Source/Daemon/ClusterController.h
+++ b/Source/Daemon/ClusterController.h
@@ -35,6 +35,12 @@
   /** Announces the planned stop of this daemon. */
   void Leave();
   void Propose(const ConfigChange& aChange);
+  /** Notices a pause of this daemon; to be called before new work begins. */
+  void CheckClock();
+  /** Starts to ask all daemons for their version of an object, unless it is
+   * being asked already; null while the state is not known. */
+  const CoverageStatus* AskCoverage(const std::string& aKey,
+                                    std::uint64_t aVersion);
 
   bool IsReady() const { return mNode.IsReady(); }
   const ClusterNode& Node() const { return mNode; }
@@ -56,6 +62,7 @@
 
 private:
   void HandleMessages(wire::MessageKind::type aKind);
+  void Tick();
   void Carry(const NodeResult& aResult);
   void Apply(const ConfigObject& aObject);
   void Send(const Outgoing& aOutgoing);
@@ -71,6 +78,7 @@
   Configuration& mConfiguration;
   ClusterNode mNode;
   std::unique_ptr<StoreWatch> mWatch;
+  Instant mLastTick;
   EventHandle mTickTimer;
   EventHandle mVmTimer;
 };
--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -48,7 +48,15 @@
              mConfiguration,
              aSettings,
              mIncarnation)
-  , mOutcomes(mClock, mConfiguration, mMetrics, aSettings)
+  , mOutcomes(mLoop,
+              mClock,
+              mLinks,
+              mCluster,
+              mHttpClient,
+              mConfiguration,
+              mMetrics,
+              aSettings,
+              mIncarnation)
   , mEngines(mHttpClient, aSettings.mRouting)
   , mCancels(mLoop, mEngines, aSettings.mRouting)
   , mOwners(mLoop, mClock, mLinks, mCluster, mConfiguration)
@@ -74,6 +82,16 @@
               aSettings,
               mOwnerId)
   , mLimits(mLoop, mClock, mLinks, mCluster, mConfiguration)
+  , mChanges(mLoop, mClock, mRandom, mCluster, mStore, aSettings.mDaemon.mName)
+  , mAdminServer(mLoop,
+                 mSettings,
+                 mIncarnation,
+                 mCluster,
+                 mConfiguration,
+                 mChanges,
+                 mOutcomes,
+                 mLoads,
+                 [this] { return Status(); })
   , mCallerServer(mLoop,
                   CallerLimits(aSettings.mLimits),
                   [this](std::shared_ptr<HttpExchange> aExchange) {
@@ -93,6 +111,7 @@
   mChain.Add(
     std::make_unique<ClassifyFilter>(mConfiguration, mSettings.mLimits));
   mChain.Add(std::make_unique<LimitFilter>(mLimits));
+  mChain.Add(std::make_unique<OutcomeFilter>(mOutcomes));
   mChain.Add(std::make_unique<BookingFilter>(mBookings));
   mChain.Add(std::make_unique<LookupFilter>(mServiceServices));
   mChain.Add(std::make_unique<ModelFilter>(mModelServices));
@@ -108,6 +127,11 @@
   if (auto status = mLinks.Listen(); !status.ok()) {
     return status;
   }
+  if (auto status = mAdminServer.Listen(); !status.ok()) {
+    return status;
+  }
+  mChanges.Start();
+  mOutcomes.Start();
   mOwners.Start();
   mRouting.Start();
   mLoads.Start();
@@ -124,6 +148,16 @@
   return absl::OkStatus();
 }
 
+DaemonStatus
+Daemon::Status() const
+{
+  return { IsReady(),
+           mInProgress,
+           mBookings.Waiting(),
+           mStore.Traffic().mIsUp,
+           mStore.Traffic().mLastAnswer };
+}
+
 bool
 Daemon::IsReady() const
 {
@@ -182,6 +216,7 @@
     MakeRequestId(mClock.Wall(), mRandom, mSettings.mDaemon.mName),
     mClock);
   BeginRequest(request);
+  mCluster.CheckClock();
   if (!IsReady()) {
     request->Refuse({ mIsStopping ? Cause::Draining : Cause::NotReady,
                       RanState::No,
@@ -202,7 +237,7 @@
   draft.mPresetVersion = mCluster.Version(kPresetsKey);
   aRequest->mOver.connect([this](const RequestContext& aOver) {
     --mInProgress;
-    mOutcomes.Take(aOver);
+    mOutcomes.End(aOver);
   });
 }
 
@@ -223,7 +258,9 @@
 {
   if (mInProgress == 0 && mCancels.Pending() == 0 && mBookings.IsIdle()) {
     LogEvent(LogLevel::Info, "stop_complete", {});
-    mLoop.Stop();
+    mOutcomes.SendBatches();
+    // The last records leave within one turn of the loop.
+    mStopTimer = mLoop.After(kStopPollInterval, [this] { mLoop.Stop(); });
   }
 }
 
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -8,6 +8,8 @@
 #include "Base/Clock.h"
 #include "Base/Random.h"
 #include "Cluster/Configuration.h"
+#include "Daemon/AdminChanges.h"
+#include "Daemon/AdminServer.h"
 #include "Daemon/BookingController.h"
 #include "Daemon/CancelController.h"
 #include "Daemon/ClusterController.h"
@@ -50,6 +52,7 @@
   void HandleCaller(std::shared_ptr<HttpExchange> aExchange);
   bool AnswerHealth(HttpExchange& aExchange);
   std::string FormatMetrics();
+  DaemonStatus Status() const;
   bool IsReady() const;
   /** Begins a planned stop: no new work, then exit when all is finished. */
   void BeginStop();
@@ -79,6 +82,8 @@
   ServiceSessionServices mServiceServices;
   BookingController mBookings;
   LimitController mLimits;
+  AdminChanges mChanges;
+  AdminServer mAdminServer;
   FilterChain mChain;
   HttpServer mCallerServer;
   EventHandle mTermSignal;
--- a/Source/Daemon/LoadController.cxx
+++ b/Source/Daemon/LoadController.cxx
@@ -30,6 +30,13 @@
   return it == mSources.end() ? "" : it->second.mIncarnation;
 }
 
+std::optional<LoadReport>
+LoadController::LastReport(const std::string& aEndpoint) const
+{
+  const auto it = mSources.find(aEndpoint);
+  return it == mSources.end() ? std::nullopt : it->second.mReport;
+}
+
 void
 LoadController::Poll()
 {
@@ -83,6 +90,7 @@
   report.mPiecesTotal = load.mPiecesTotal;
   report.mPiecesUsed = load.mPiecesUsed;
   report.mAge = load.mAge;
+  source.mReport = report;
   mRouting.OnLoadReport(aName, report);
 }
 
--- a/Source/Daemon/LoadController.h
+++ b/Source/Daemon/LoadController.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "Cluster/Configuration.h"
@@ -30,12 +31,16 @@
   /** Incarnation in the last report of aEndpoint; empty before the first. */
   std::string Incarnation(const std::string& aEndpoint) const;
 
+  /** Last report of aEndpoint; empty before the first. */
+  std::optional<LoadReport> LastReport(const std::string& aEndpoint) const;
+
 private:
   struct Source
   {
     EngineClient::Call mLoadCall;
     EngineClient::Call mEventsCall;
     std::string mIncarnation;
+    std::optional<LoadReport> mReport;
     std::uint64_t mNextEvent = 0;
     bool mIsLoadPending = false;
     bool mAreEventsPending = false;
--- a/Source/Platform/HttpObjectStore.cxx
+++ b/Source/Platform/HttpObjectStore.cxx
@@ -19,6 +19,7 @@
 constexpr int kStatusConflict = 409;
 constexpr int kStatusGone = 410;
 constexpr int kStatusTooManyRequests = 429;
+constexpr int kStatusUnavailable = 503;
 // A watch sends an empty line at least this often; silence for three times as
 // long means that the connection is dead.
 constexpr Duration kWatchKeepAlive = std::chrono::seconds(2);
@@ -197,7 +198,11 @@
   request.mBody = aBody;
   HttpCallHooks hooks;
   hooks.mOnDone = [this, id, hook = std::move(aHook)](HttpCallReply aReply) {
-    if (aReply.mResult != HttpCallResult::Complete) {
+    mTraffic.mIsUp = aReply.mResult == HttpCallResult::Complete &&
+                     aReply.mStatus != kStatusUnavailable;
+    if (mTraffic.mIsUp) {
+      mTraffic.mLastAnswer = mClock.Wall();
+    } else {
       ++mTraffic.mFailures;
     }
     auto call = mCalls.extract(id);
--- a/Source/Platform/HttpObjectStore.h
+++ b/Source/Platform/HttpObjectStore.h
@@ -42,6 +42,7 @@
 
   HttpClient& mClient;
   PlatformSettings mSettings;
+  SystemClock mClock;
   StoreTraffic mTraffic;
   std::uint64_t mNextCall = 1;
   std::map<std::uint64_t, std::unique_ptr<HttpCall>> mCalls;
--- a/Source/Platform/ObjectStore.h
+++ b/Source/Platform/ObjectStore.h
@@ -49,6 +49,9 @@
   std::uint64_t mWrites = 0;
   std::uint64_t mWatches = 0;
   std::uint64_t mFailures = 0;
+  /** True while the last call that ended got an answer. */
+  bool mIsUp = true;
+  WallTime mLastAnswer;
 };
 
 /** A watch in progress; destroying it ends the watch. */
--- a/Source/Settings/SettingsReader.cxx
+++ b/Source/Settings/SettingsReader.cxx
@@ -436,7 +436,7 @@
     { "bookings",
       "commit_interval_ms",
       "milliseconds",
-      "10",
+      "50",
       "Least time between two writes of one shard.",
       false,
       StoreMilliseconds(bookings, &BookingSettings::mCommitInterval) });
