--- a/Source/Cluster/ClusterNode.cxx
+++ b/Source/Cluster/ClusterNode.cxx
@@ -21,6 +21,7 @@
 ClusterNode::ClusterNode(const MemberInfo& aSelf,
                          MembershipTiming aTiming,
                          ConfigController::Validator aValidator,
+                         SuspectLimits aLimits,
                          WallTime aStart,
                          Instant aNow,
                          Random& aRandom)
@@ -44,6 +45,8 @@
                 mDissemination,
                 std::move(aValidator))
   , mCoverage(mMembership, mDissemination)
+  , mSuspects(aSelf.mName, mMembership.Rings(), aLimits, aNow)
+  , mNextSuspects(aNow)
 {
   // Daemons that start together do not send heartbeats in step.
   mNextHeartbeat += Duration(static_cast<std::int64_t>(
@@ -77,6 +80,15 @@
   aResult.mBecameReady = aResult.mBecameReady || aMore.mBecameReady;
 }
 
+void
+ClusterNode::Add(SuspectResult aMore, NodeResult& aResult)
+{
+  AppendOutbox(aResult.mMessages, std::move(aMore.mMessages));
+  Append(aResult.mSuspects.mGranted, std::move(aMore.mGranted));
+  Append(aResult.mSuspects.mCleared, std::move(aMore.mCleared));
+  Append(aResult.mSuspects.mRefused, std::move(aMore.mRefused));
+}
+
 void
 ClusterNode::Add(ConfigControllerResult aMore,
                  Instant aNow,
@@ -107,6 +119,10 @@
   Add(mReadiness.Tick(aNow), result);
   Add(mController.Tick(aNow), aNow, result);
   AppendOutbox(result.mMessages, mCoverage.Tick(aNow));
+  if (aNow >= mNextSuspects) {
+    mNextSuspects = aNow + CrashSuspects::kTickInterval;
+    Add(mSuspects.Tick(aNow), result);
+  }
   result.mWatch = mWatch.Tick(mReadiness.IsReady(), aNow);
   if (result.mWatch == WatchStep::List) {
     mListedAt = aNow;
@@ -131,6 +147,8 @@
     Add(mDissemination.OnFetch(aFrom, *it), result);
   } else if (const auto* it = std::get_if<wire::ConfigDigest>(&aMessage)) {
     OnDigest(aFrom, *it, aNow, result);
+  } else if (const auto* it = std::get_if<wire::CrashReport>(&aMessage)) {
+    Add(mSuspects.OnReport(aFrom, *it, aNow), result);
   }
   return result;
 }
@@ -152,6 +170,10 @@
 {
   NodeResult result;
   Add(mMembership.OnVmList(aVms, aNow), aNow, result);
+  if (!mHasFetchedSuspects) {
+    mHasFetchedSuspects = true;
+    Add(mSuspects.Fetch(), result);
+  }
   return result;
 }
 
@@ -231,4 +253,38 @@
   return result;
 }
 
+NodeResult
+ClusterNode::AskRun(const std::string& aDigest, Instant aNow)
+{
+  NodeResult result;
+  Add(mSuspects.AskRun(aDigest, aNow), result);
+  return result;
+}
+
+NodeResult
+ClusterNode::OnCrash(const std::string& aEndpoint,
+                     const std::vector<CrashedRequest>& aRequests,
+                     Instant aNow)
+{
+  NodeResult result;
+  Add(mSuspects.OnCrash(aEndpoint, aRequests, aNow), result);
+  return result;
+}
+
+NodeResult
+ClusterNode::OnSuccess(const std::string& aDigest, Instant aNow)
+{
+  NodeResult result;
+  Add(mSuspects.OnSuccess(aDigest, aNow), result);
+  return result;
+}
+
+NodeResult
+ClusterNode::OnRunEnded(const std::string& aDigest, Instant aNow)
+{
+  NodeResult result;
+  Add(mSuspects.OnRunEnded(aDigest, aNow), result);
+  return result;
+}
+
 } // namespace bulrushfold
--- a/Source/Cluster/ClusterNode.h
+++ b/Source/Cluster/ClusterNode.h
@@ -10,6 +10,7 @@
 #include "Cluster/ConfigCoverage.h"
 #include "Cluster/ConfigReadiness.h"
 #include "Cluster/ConfigWatch.h"
+#include "Cluster/CrashSuspects.h"
 #include "Cluster/Dissemination.h"
 #include "Cluster/Membership.h"
 
@@ -33,6 +34,9 @@
   /** Operators' changes whose state altered. */
   std::vector<ChangeStatus> mChanges;
   bool mBecameReady = false;
+  /** Suspects whose waiting requests may run or must be refused; its messages
+   * are part of mMessages. */
+  SuspectResult mSuspects;
 };
 
 /**
@@ -54,6 +58,7 @@
   ClusterNode(const MemberInfo& aSelf,
               MembershipTiming aTiming,
               ConfigController::Validator aValidator,
+              SuspectLimits aLimits,
               WallTime aStart,
               Instant aNow,
               Random& aRandom);
@@ -79,6 +84,17 @@
                    const absl::StatusOr<StoredObject>& aObject,
                    Instant aNow);
   NodeResult Leave(Instant aNow);
+  /** Events of CrashSuspects; see there. */
+  SuspectVerdict Admit(const std::string& aDigest, Instant aNow) const
+  {
+    return mSuspects.Admit(aDigest, aNow);
+  }
+  NodeResult AskRun(const std::string& aDigest, Instant aNow);
+  NodeResult OnCrash(const std::string& aEndpoint,
+                     const std::vector<CrashedRequest>& aRequests,
+                     Instant aNow);
+  NodeResult OnSuccess(const std::string& aDigest, Instant aNow);
+  NodeResult OnRunEnded(const std::string& aDigest, Instant aNow);
 
   bool IsReady() const { return mReadiness.IsReady(); }
   Membership& Members() { return mMembership; }
@@ -88,11 +104,13 @@
   const ConfigWatch& Watch() const { return mWatch; }
   const ConfigController& Controller() const { return mController; }
   const ConfigCoverage& Coverage() const { return mCoverage; }
+  const CrashSuspects& Suspects() const { return mSuspects; }
 
 private:
   void Add(MembershipResult aMore, Instant aNow, NodeResult& aResult);
   static void Add(DisseminationResult aMore, NodeResult& aResult);
   static void Add(ReadinessResult aMore, NodeResult& aResult);
+  static void Add(SuspectResult aMore, NodeResult& aResult);
   void Add(ConfigControllerResult aMore, Instant aNow, NodeResult& aResult);
   void OnDigest(const std::string& aFrom,
                 const wire::ConfigDigest& aMessage,
@@ -109,6 +127,9 @@
   ConfigWatch mWatch;
   ConfigController mController;
   ConfigCoverage mCoverage;
+  CrashSuspects mSuspects;
+  Instant mNextSuspects;
+  bool mHasFetchedSuspects = false;
 };
 
 } // namespace bulrushfold
--- a/Source/Cluster/ConfigController.cxx
+++ b/Source/Cluster/ConfigController.cxx
@@ -108,8 +108,9 @@
 void
 ConfigController::NameChange(Change& aChange, const std::string& aBase)
 {
-  aChange.mBody =
-    AddChange(aChange.mBody, aChange.mStatus.mId, RecentChanges(aBase));
+  const RecentChange change{ ChangeDigest(aChange.mStatus.mId),
+                             aChange.mExpected };
+  aChange.mBody = AddChange(aChange.mBody, change, RecentChanges(aBase));
   aChange.mIsNamed = true;
 }
 
@@ -164,6 +165,7 @@
     SetState(change, ChangeState::Refused, detail, aNow, result);
     return result;
   }
+  change.mHasLostAnswer = true;
   SetState(change, ChangeState::Unknown, detail, aNow, result);
   change.mNextStep = aNow + (isFirst ? Duration(0) : kReadBackRetry);
   return result;
@@ -246,33 +248,40 @@
     Write(aChange, aResult);
     return;
   }
-  const auto recent = RecentChanges(aObject.mBody);
-  const auto digest = ChangeDigest(aChange.mStatus.mId);
   AppendResult(
     aResult,
     mDissemination.Learn(aObject.mKey, aObject.mVersion, aObject.mBody));
-  if (std::find(recent.begin(), recent.end(), digest) != recent.end()) {
-    Committed(aChange, aObject.mVersion, aNow, aResult);
+  const auto recent = RecentChanges(aObject.mBody);
+  if (const auto version = VersionOf(aChange, aObject)) {
+    Committed(aChange, *version, aNow, aResult);
     return;
   }
+  const bool isKnown =
+    std::any_of(recent.begin(), recent.end(), [&](const RecentChange& aItem) {
+      return aItem.mBase == aChange.mExpected;
+    });
+  const bool hasLost = isKnown || !aChange.mHasLostAnswer;
   aChange.mStatus.mVersion = aObject.mVersion;
-  const bool isHidden =
-    recent.size() >= kMaxRecentChanges && !NamesBase(aChange, recent);
   SetState(aChange,
-           isHidden ? ChangeState::Undecided : ChangeState::Conflict,
-           isHidden ? "later changes hide the result" : "another change won",
+           hasLost ? ChangeState::Conflict : ChangeState::Undecided,
+           hasLost ? "another change won" : "later changes hide the result",
            aNow,
            aResult);
 }
 
-bool
-ConfigController::NamesBase(const Change& aChange,
-                            const std::vector<std::string>& aRecent)
+std::optional<std::uint64_t>
+ConfigController::VersionOf(const Change& aChange, const StoredObject& aObject)
 {
-  // The change before this one is still named, so this one would be too.
-  const auto own = RecentChanges(aChange.mBody);
-  return own.size() > 1 &&
-         std::find(aRecent.begin(), aRecent.end(), own[1]) != aRecent.end();
+  const std::string digest = ChangeDigest(aChange.mStatus.mId);
+  // The version that a change gave the object is the base of the next one.
+  std::uint64_t version = aObject.mVersion;
+  for (const auto& it : RecentChanges(aObject.mBody)) {
+    if (it.mDigest == digest) {
+      return version;
+    }
+    version = it.mBase;
+  }
+  return std::nullopt;
 }
 
 void
--- a/Source/Cluster/ConfigController.h
+++ b/Source/Cluster/ConfigController.h
@@ -98,7 +98,8 @@
  * are accepted: validate, conditional update in the store, copy acknowledged by
  * peers in two other failure domains (or by all live peers if there are fewer).
  * A lost store answer is resolved by reading the object back: each object names
- * the digests of its latest changes in "recent_changes".
+ * its latest changes, with the versions they were based on, in
+ * "recent_changes".
  *
  * Events to deliver: Propose for each change of an operator; OnPut and OnGet
  * with the store's answers; OnDigest with each CONFIG_DIGEST (after
@@ -151,6 +152,8 @@
     bool mIsNamed = false;
     /** True while the store owes an answer. */
     bool mIsWaiting = false;
+    /** True when a write may have taken effect without an answer. */
+    bool mHasLostAnswer = false;
     Instant mNextStep;
     std::uint64_t mAttempts = 0;
     /** Peers that hold the copy, with their failure domain. */
@@ -179,8 +182,8 @@
                        const StoredObject& aObject,
                        Instant aNow,
                        ConfigControllerResult& aResult);
-  static bool NamesBase(const Change& aChange,
-                        const std::vector<std::string>& aRecent);
+  static std::optional<std::uint64_t> VersionOf(const Change& aChange,
+                                                const StoredObject& aObject);
   static void AppendResult(ConfigControllerResult& aResult,
                            DisseminationResult aMore);
   void SendCopies(Change& aChange,
--- a/Source/Cluster/CrashSuspects.cxx
+++ b/Source/Cluster/CrashSuspects.cxx
@@ -220,6 +220,9 @@
                           Instant aNow,
                           SuspectResult& aResult)
 {
+  if (mEntries.size() >= kMaxEntries) {
+    DropOldest(aEntry.digest);
+  }
   Entry& entry = mEntries[aEntry.digest];
   auto& counted = entry.mCounted;
   const bool isNew =
@@ -246,6 +249,20 @@
   Answer(aFrom, wire::CrashAction::CRASHED, aEntry, aNow, aResult);
 }
 
+void
+CrashSuspects::DropOldest(const std::string& aExcept)
+{
+  const auto oldest =
+    std::min_element(mEntries.begin(),
+                     mEntries.end(),
+                     [](const auto& aLeft, const auto& aRight) {
+                       return aLeft.second.mExpires < aRight.second.mExpires;
+                     });
+  if (oldest->first != aExcept) {
+    mEntries.erase(oldest);
+  }
+}
+
 void
 CrashSuspects::Clear(const std::string& aDigest,
                      Instant aNow,
--- a/Source/Cluster/CrashSuspects.h
+++ b/Source/Cluster/CrashSuspects.h
@@ -147,6 +147,7 @@
                   const wire::CrashEntry& aEntry,
                   Instant aNow,
                   SuspectResult& aResult);
+  void DropOldest(const std::string& aExcept);
   void Clear(const std::string& aDigest, Instant aNow, SuspectResult& aResult);
   void EndRun(const std::string& aFrom,
               const std::string& aDigest,
--- a/Source/Cluster/RecentChanges.cxx
+++ b/Source/Cluster/RecentChanges.cxx
@@ -20,18 +20,21 @@
   return DigestHex(aId).substr(0, kChangeDigestDigits);
 }
 
-std::vector<std::string>
+std::vector<RecentChange>
 RecentChanges(const std::string& aBody)
 {
   const Json json = Json::parse(aBody, nullptr, false);
-  std::vector<std::string> recent;
+  std::vector<RecentChange> recent;
   if (!json.is_object() || !json.contains(kRecentChanges) ||
       !json[kRecentChanges].is_array()) {
     return recent;
   }
   for (const auto& it : json[kRecentChanges]) {
-    if (it.is_string()) {
-      recent.push_back(it.get<std::string>());
+    const bool isChange = it.is_array() && it.size() == 2 &&
+                          it[0].is_string() && it[1].is_number_unsigned();
+    if (isChange) {
+      recent.push_back(
+        { it[0].get<std::string>(), it[1].get<std::uint64_t>() });
     }
   }
   return recent;
@@ -39,18 +42,22 @@
 
 std::string
 AddChange(const std::string& aBody,
-          const std::string& aId,
-          std::vector<std::string> aRecent)
+          const RecentChange& aChange,
+          std::vector<RecentChange> aRecent)
 {
   Json json = Json::parse(aBody, nullptr, false);
   if (!json.is_object()) {
     return aBody;
   }
-  aRecent.insert(aRecent.begin(), ChangeDigest(aId));
+  aRecent.insert(aRecent.begin(), aChange);
   if (aRecent.size() > kMaxRecentChanges) {
     aRecent.resize(kMaxRecentChanges);
   }
-  json[kRecentChanges] = aRecent;
+  Json list = Json::array();
+  for (const auto& it : aRecent) {
+    list.push_back(Json::array({ it.mDigest, it.mBase }));
+  }
+  json[kRecentChanges] = std::move(list);
   return json.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
--- a/Source/Cluster/RecentChanges.h
+++ b/Source/Cluster/RecentChanges.h
@@ -2,6 +2,7 @@
 #define BULRUSHFOLD_CLUSTER_RECENTCHANGES_H
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -11,18 +12,26 @@
  * many later changes were made before the object is read back. */
 constexpr std::size_t kMaxRecentChanges = 8;
 /** Bytes that the names add to an object at most. */
-constexpr std::size_t kRecentChangesBytes = 200;
+constexpr std::size_t kRecentChangesBytes = 500;
+
+/** A change that an object names. */
+struct RecentChange
+{
+  std::string mDigest;
+  /** Version over which it was written; 0: the object did not exist. */
+  std::uint64_t mBase = 0;
+};
 
 /** Digest of the change aId, as named in an object. */
 std::string ChangeDigest(const std::string& aId);
 
-/** Digests of the latest changes that aBody names, the latest first. */
-std::vector<std::string> RecentChanges(const std::string& aBody);
+/** The latest changes that aBody names, the latest first. */
+std::vector<RecentChange> RecentChanges(const std::string& aBody);
 
-/** aBody with the change aId in front of aRecent in "recent_changes". */
+/** aBody with aChange in front of aRecent in "recent_changes". */
 std::string AddChange(const std::string& aBody,
-                      const std::string& aId,
-                      std::vector<std::string> aRecent);
+                      const RecentChange& aChange,
+                      std::vector<RecentChange> aRecent);
 
 } // namespace bulrushfold
 
--- a/Tests/Cluster/ClusterFixture.cxx
+++ b/Tests/Cluster/ClusterFixture.cxx
@@ -49,6 +49,7 @@
     [](const std::string& aKey, const std::string& aBody) {
       return Configuration().Apply(aKey, aBody);
     },
+    SuspectLimits{},
     mClock.Wall(),
     Now(),
     node.mRandom);
@@ -158,6 +159,13 @@
   for (const auto& it : aResult.mChanges) {
     aNode.mChanges[it.mId] = it;
   }
+  auto& suspects = aNode.mSuspects;
+  const auto append = [](auto& aTo, const auto& aMore) {
+    aTo.insert(aTo.end(), aMore.begin(), aMore.end());
+  };
+  append(suspects.mGranted, aResult.mSuspects.mGranted);
+  append(suspects.mCleared, aResult.mSuspects.mCleared);
+  append(suspects.mRefused, aResult.mSuspects.mRefused);
   const std::string& name = aNode.mInfo.mName;
   for (const auto& it : aResult.mMessages) {
     Send(name, it);
@@ -277,6 +285,14 @@
   return id;
 }
 
+void
+ClusterFixture::Deliver(const std::string& aName,
+                        const std::function<NodeResult(ClusterNode&)>& aEvent)
+{
+  FixtureNode& node = At(aName);
+  Perform(node, aEvent(*node.mNode));
+}
+
 ChangeState
 ClusterFixture::StateOf(const std::string& aDaemon, const std::string& aId)
 {
--- a/Tests/Cluster/ClusterFixture.h
+++ b/Tests/Cluster/ClusterFixture.h
@@ -34,6 +34,8 @@
   /** Daemons that this process lost from its view, with the time. */
   std::vector<std::pair<std::string, Instant>> mLost;
   std::map<std::string, ChangeStatus> mChanges;
+  /** Suspects granted, cleared and refused since the start. */
+  SuspectResult mSuspects;
 };
 
 /**
@@ -64,6 +66,9 @@
                       const std::string& aKey,
                       const std::string& aBody,
                       std::uint64_t aExpected);
+  /** Delivers an event to a daemon and carries out what it decides. */
+  void Deliver(const std::string& aName,
+               const std::function<NodeResult(ClusterNode&)>& aEvent);
   ChangeState StateOf(const std::string& aDaemon, const std::string& aId);
 
   FixtureNode& At(const std::string& aName) { return mNodes.at(aName); }
