--- a/Source/Bench/FakeEngine.cxx
+++ b/Source/Bench/FakeEngine.cxx
@@ -172,8 +172,8 @@
 void
 FakeEngine::Import(const EngineWork& aWork,
                    FakeEngine& aSource,
-                   std::function<void(double)> aDone,
-                   FailHook aFailed)
+                   const std::function<void(double)>& aDone,
+                   const FailHook& aFailed)
 {
   const Key key{ aWork.mRequest, aWork.mAttempt };
   if (mEvents.Now() < mDownUntil) {
--- a/Source/Bench/FakeEngine.h
+++ b/Source/Bench/FakeEngine.h
@@ -70,8 +70,8 @@
   /** Moves the cache of aWork from aSource to this engine. */
   void Import(const EngineWork& aWork,
               FakeEngine& aSource,
-              std::function<void(double aBytes)> aDone,
-              FailHook aFailed);
+              const std::function<void(double aBytes)>& aDone,
+              const FailHook& aFailed);
   void Decode(const EngineWork& aWork,
               std::function<void()> aFirst,
               std::function<void()> aFinished,
--- a/Source/Bench/FakeLinks.cxx
+++ b/Source/Bench/FakeLinks.cxx
@@ -42,7 +42,7 @@
 FakeLinks::Transfer(const std::string& aFrom,
                     const std::string& aTo,
                     double aBytes,
-                    Hook aHook)
+                    const Hook& aHook)
 {
   Link& from = mLinks[aFrom];
   Link& to = mLinks[aTo];
--- a/Source/Bench/FakeLinks.h
+++ b/Source/Bench/FakeLinks.h
@@ -24,7 +24,7 @@
   void Transfer(const std::string& aFrom,
                 const std::string& aTo,
                 double aBytes,
-                Hook aHook);
+                const Hook& aHook);
 
 private:
   struct Link
--- a/Source/Policy/PairSelector.cxx
+++ b/Source/Policy/PairSelector.cxx
@@ -14,6 +14,9 @@
 // Cost of a full decode engine over an empty one, in seconds: streams on an
 // engine with a small batch are faster.
 constexpr double kOccupancySeconds = 0.1;
+// Cost of decoding on an engine that also computes prompts, in seconds: both
+// kinds of work slow each other down. A stalled or full path costs more.
+constexpr double kMixedSeconds = 0.5;
 // Steps that a decode engine needs until the first token is delivered.
 constexpr double kFirstTokenSteps = 1.5;
 } // namespace
@@ -138,6 +141,9 @@
   }
   aCandidate.mCost = kOccupancySeconds * (1 - freeSlots / slots) +
                      kJitterSeconds * mRandom.Unit();
+  if (view.mConfig.mRole == EngineRole::Both) {
+    aCandidate.mCost += kMixedSeconds;
+  }
 }
 
 Duration
