Plan prefills by time to spare and ask the owner more often

Long prompts waited behind short ones that had time to spare, and were held back on the entry daemon's outdated estimate. The owner now plans prefills by priority and refuses what would make granted work late; the entry daemon asks up to 2.0 times the time left. Replies carry the backlog, because the start of one prefill no longer tells it.

--- a/Source/Policy/Admission.cxx
+++ b/Source/Policy/Admission.cxx
@@ -18,7 +18,7 @@
 constexpr double kMaxSpareShare = 0.15;
 // Predictions rest on lagging reports; the owner's answer is exact. Only what
 // is late by more than this factor is refused without asking.
-constexpr double kDoubt = 1.25;
+constexpr double kDoubt = 2.0;
 // A prediction this much beyond the time that is left will not come true by
 // waiting; the caller of an interactive request is told at once.
 constexpr double kHopeless = 2.5;
--- a/Source/Policy/EndpointLoad.cxx
+++ b/Source/Policy/EndpointLoad.cxx
@@ -37,10 +37,12 @@
 }
 
 void
-EndpointLoad::OnPrefillGranted(Duration aFreeIn, Duration aWork, Instant aNow)
+EndpointLoad::OnPrefillGranted(Duration aBacklog, Duration aWork, Instant aNow)
 {
   mPrefillKnownAt = aNow;
-  mPrefillFreeAt = aNow + aFreeIn + aWork;
+  mPrefillFreeAt = aBacklog > Duration::zero()
+                     ? aNow + aBacklog
+                     : std::max(mPrefillFreeAt, aNow) + aWork;
   mSentPrefills.emplace_back(aNow, aWork);
   if (mSentPrefills.size() > kMaxChanges) {
     mSentPrefills.pop_front();
@@ -48,10 +50,10 @@
 }
 
 void
-EndpointLoad::OnPrefillRefused(Duration aFreeIn, Instant aNow)
+EndpointLoad::OnPrefillRefused(Duration aBacklog, Instant aNow)
 {
   mPrefillKnownAt = aNow;
-  mPrefillFreeAt = aNow + aFreeIn;
+  mPrefillFreeAt = aNow + aBacklog;
 }
 
 void
--- a/Source/Policy/EndpointLoad.h
+++ b/Source/Policy/EndpointLoad.h
@@ -19,8 +19,9 @@
   /** aMeanPrefill: time of one prefill of unknown length. */
   void OnReport(const LoadReport& aReport, Duration aMeanPrefill, Instant aNow);
 
-  void OnPrefillGranted(Duration aFreeIn, Duration aWork, Instant aNow);
-  void OnPrefillRefused(Duration aFreeIn, Instant aNow);
+  /** aBacklog: from the owner, 0 when it did not answer. */
+  void OnPrefillGranted(Duration aBacklog, Duration aWork, Instant aNow);
+  void OnPrefillRefused(Duration aBacklog, Instant aNow);
   void OnPrefillReleased(Duration aWork, Instant aNow);
 
   void OnDecodeReserved(std::uint64_t aPieces);
--- a/Source/Policy/Flight.h
+++ b/Source/Policy/Flight.h
@@ -42,6 +42,7 @@
   /** /engine/transfer or /engine/decode was called at mDecode. */
   bool mIsAtDecode = false;
   Duration mWork{};
+  int mPriority = 0;
   Instant mPrefillStarts;
   bool mPrefillWaits = false;
   Instant mTransferStart;
--- a/Source/Policy/PolicyTypes.h
+++ b/Source/Policy/PolicyTypes.h
@@ -81,6 +81,8 @@
   Duration mReadyIn{};
   /** Latest start that is still useful. */
   Duration mLatestIn{};
+  /** Prefill: the engine computes higher ones first, 0 to 9. */
+  int mPriority = 0;
   /** Slots that must stay free for other workspaces after this grant. */
   std::uint64_t mSpareSlots = 0;
 };
@@ -97,6 +99,8 @@
   Duration mExpiresIn{};
   /** Time until the room is expected to be free. */
   Duration mFreeIn{};
+  /** Prefill: time that all work granted so far takes, this one included. */
+  Duration mBacklog{};
 };
 
 /** Why an owner gave no reservation. */
@@ -120,6 +124,8 @@
   RefuseReason mReason = RefuseReason::NoSlot;
   /** Time after which asking again may help. */
   Duration mFreeIn{};
+  /** Prefill: time that all work granted so far takes. */
+  Duration mBacklog{};
 };
 
 /** States work in progress to an owner: a renewal, the start of use, or the
--- a/Source/Policy/ReservationLedger.cxx
+++ b/Source/Policy/ReservationLedger.cxx
@@ -43,7 +43,7 @@
   mDecodeCount = 0;
   mStartedCount = 0;
   mPieces = 0;
-  mPrefillWork = Duration::zero();
+  mHasHead = false;
   mStartedHistory.clear();
   mForeign = 0;
   mForeignBefore = 0;
@@ -65,12 +65,86 @@
     std::floor(static_cast<double>(mReport.mSlots) * mOptions.mSlotShare));
 }
 
+bool
+ReservationLedger::IsWaitingPrefill(const Entry& aEntry)
+{
+  return aEntry.mKind == WorkKind::Prefill && !aEntry.mIsStarted;
+}
+
+Duration
+ReservationLedger::HeadRemaining(Instant aNow) const
+{
+  if (!mHasHead) {
+    return Duration::zero();
+  }
+  return std::max(Duration::zero(),
+                  mGrants.at(mHead).mWork - (aNow - mHeadSince));
+}
+
 Duration
 ReservationLedger::PrefillBacklog(Instant aNow) const
 {
-  // The oldest grant is taken to run since mPrefillSince.
-  const Duration done = std::max(Duration::zero(), aNow - mPrefillSince);
-  return std::max(Duration::zero(), mPrefillWork - done);
+  Duration backlog = HeadRemaining(aNow);
+  for (const auto& [key, entry] : mGrants) {
+    if (IsWaitingPrefill(entry) && !(mHasHead && key == mHead)) {
+      backlog += entry.mWork;
+    }
+  }
+  return backlog;
+}
+
+void
+ReservationLedger::NextHead(Instant aNow)
+{
+  mHasHead = false;
+  const Entry* best = nullptr;
+  for (const auto& [key, entry] : mGrants) {
+    const bool isBefore =
+      best == nullptr || entry.mPriority > best->mPriority ||
+      (entry.mPriority == best->mPriority && entry.mOrder < best->mOrder);
+    if (IsWaitingPrefill(entry) && isBefore) {
+      best = &entry;
+      mHead = key;
+      mHasHead = true;
+    }
+  }
+  mHeadSince = aNow;
+}
+
+ReservationLedger::PrefillPlan
+ReservationLedger::PlanPrefill(const ReserveRequest& aRequest,
+                               Instant aNow) const
+{
+  std::vector<const Entry*> waiting;
+  for (const auto& [key, entry] : mGrants) {
+    if (IsWaitingPrefill(entry) && !(mHasHead && key == mHead)) {
+      waiting.push_back(&entry);
+    }
+  }
+  std::sort(waiting.begin(),
+            waiting.end(),
+            [](const Entry* aLeft, const Entry* aRight) {
+              return aLeft->mPriority != aRight->mPriority
+                       ? aLeft->mPriority > aRight->mPriority
+                       : aLeft->mOrder < aRight->mOrder;
+            });
+  PrefillPlan plan;
+  Duration at = HeadRemaining(aNow);
+  plan.mWait = at;
+  for (const Entry* it : waiting) {
+    if (it->mPriority >= aRequest.mPriority) {
+      at += it->mWork;
+      plan.mWait = at;
+      continue;
+    }
+    // Delayed by the new prefill. One that is late anyway has no say.
+    const Instant start = aNow + at;
+    if (start <= it->mLatest && start + aRequest.mWork > it->mLatest) {
+      plan.mKeepsOthers = false;
+    }
+    at += it->mWork;
+  }
+  return plan;
 }
 
 std::variant<Grant, Refusal>
@@ -78,24 +152,22 @@
 {
   switch (CurrentState(aNow)) {
     case State::NotOwner:
-      return MakeRefusal(aRequest, RefuseReason::NotOwner, kNoReportRetry);
+      return MakeRefusal(
+        aRequest, RefuseReason::NotOwner, kNoReportRetry, aNow);
     case State::Collecting:
       return MakeRefusal(
-        aRequest, RefuseReason::NotOwner, mCollectUntil - aNow);
+        aRequest, RefuseReason::NotOwner, mCollectUntil - aNow, aNow);
     case State::Owning:
       break;
   }
   Expire(aNow);
   if (!mHasReport) {
-    return MakeRefusal(aRequest, RefuseReason::NoSlot, kNoReportRetry);
+    return MakeRefusal(aRequest, RefuseReason::NoSlot, kNoReportRetry, aNow);
   }
   const Key key{ aRequest.mRequest, { aRequest.mAttempt, aRequest.mKind } };
   if (mGrants.count(key) > 0) {
     // The reply was lost and the request was sent again.
-    return Grant{
-      aRequest.mRequest,   aRequest.mAttempt, mEndpoint, aRequest.mKind, mTerm,
-      mOptions.mGrantTerm, Duration::zero()
-    };
+    return DescribeGrant(aRequest, aNow);
   }
   return aRequest.mKind == WorkKind::Prefill ? ReservePrefill(aRequest, aNow)
                                              : ReserveDecode(aRequest, aNow);
@@ -104,13 +176,13 @@
 std::variant<Grant, Refusal>
 ReservationLedger::ReservePrefill(const ReserveRequest& aRequest, Instant aNow)
 {
-  const Duration wait = PrefillBacklog(aNow);
-  if (wait > std::max(Duration::zero(), aRequest.mLatestIn)) {
-    return MakeRefusal(aRequest, RefuseReason::TooLate, wait);
+  const auto [wait, keepsOthers] = PlanPrefill(aRequest, aNow);
+  if (wait > std::max(Duration::zero(), aRequest.mLatestIn) || !keepsOthers) {
+    return MakeRefusal(aRequest, RefuseReason::TooLate, wait, aNow);
   }
   if (mPieces + aRequest.mPieces > mReport.mPiecesTotal) {
     return MakeRefusal(
-      aRequest, RefuseReason::NoMemory, std::max(kMinRetry, wait / 2));
+      aRequest, RefuseReason::NoMemory, std::max(kMinRetry, wait / 2), aNow);
   }
   return MakeGrant(aRequest, wait, aNow);
 }
@@ -128,14 +200,17 @@
   const double missing = used + spare + 1 - slots;
   const double rate = std::max(expected.mRatePerSecond, 0.1);
   if (missing > ahead) {
-    return MakeRefusal(
-      aRequest, RefuseReason::NoSlot, FromSeconds((missing - ahead) / rate));
+    return MakeRefusal(aRequest,
+                       RefuseReason::NoSlot,
+                       FromSeconds((missing - ahead) / rate),
+                       aNow);
   }
   const double freePieces = static_cast<double>(mReport.mPiecesTotal) -
                             static_cast<double>(mPieces) +
                             mOptions.mAheadShare * expected.mPieces;
   if (static_cast<double>(aRequest.mPieces) > freePieces) {
-    return MakeRefusal(aRequest, RefuseReason::NoMemory, FromSeconds(1 / rate));
+    return MakeRefusal(
+      aRequest, RefuseReason::NoMemory, FromSeconds(1 / rate), aNow);
   }
   const double over = used + 1 - slots;
   return MakeGrant(
@@ -173,52 +248,60 @@
   entry.mWork = aRequest.mWork;
   const Duration term = mOptions.mGrantTerm + aFreeIn + aRequest.mReadyIn;
   entry.mExpires = aNow + term;
-  if (entry.mKind == WorkKind::Prefill) {
-    // Restarts the measure of work done, without losing what was done.
-    mPrefillWork = PrefillBacklog(aNow) + entry.mWork;
-    mPrefillSince = aNow;
-  }
-  Add({ aRequest.mRequest, { aRequest.mAttempt, aRequest.mKind } }, entry);
-  return { aRequest.mRequest,
-           aRequest.mAttempt,
-           mEndpoint,
-           aRequest.mKind,
-           mTerm,
-           term,
-           aFreeIn };
+  entry.mPriority = aRequest.mPriority;
+  entry.mLatest = aNow + std::max(aFreeIn, aRequest.mLatestIn);
+  Add(
+    { aRequest.mRequest, { aRequest.mAttempt, aRequest.mKind } }, entry, aNow);
+  Grant grant = DescribeGrant(aRequest, aNow);
+  grant.mExpiresIn = term;
+  grant.mFreeIn = aFreeIn;
+  return grant;
 }
 
-void
-ReservationLedger::RecountPrefills(Instant aNow)
+Grant
+ReservationLedger::DescribeGrant(const ReserveRequest& aRequest,
+                                 Instant aNow) const
 {
-  // A prefill has just ended, so the next one starts now: the sum of the
-  // others' work is exact, whatever the predictions were.
-  mPrefillWork = Duration::zero();
-  for (const auto& [key, entry] : mGrants) {
-    if (entry.mKind == WorkKind::Prefill && !entry.mIsStarted) {
-      mPrefillWork += entry.mWork;
-    }
-  }
-  mPrefillSince = aNow;
+  Grant grant;
+  grant.mRequest = aRequest.mRequest;
+  grant.mAttempt = aRequest.mAttempt;
+  grant.mEndpoint = mEndpoint;
+  grant.mKind = aRequest.mKind;
+  grant.mTerm = mTerm;
+  grant.mExpiresIn = mOptions.mGrantTerm;
+  grant.mBacklog = PrefillBacklog(aNow);
+  return grant;
 }
 
 Refusal
 ReservationLedger::MakeRefusal(const ReserveRequest& aRequest,
                                RefuseReason aReason,
-                               Duration aFreeIn) const
+                               Duration aFreeIn,
+                               Instant aNow) const
 {
-  return { aRequest.mRequest, aRequest.mAttempt, mEndpoint,
-           aRequest.mKind,    aReason,           std::max(kMinRetry, aFreeIn) };
+  Refusal refusal;
+  refusal.mRequest = aRequest.mRequest;
+  refusal.mAttempt = aRequest.mAttempt;
+  refusal.mEndpoint = mEndpoint;
+  refusal.mKind = aRequest.mKind;
+  refusal.mReason = aReason;
+  refusal.mFreeIn = std::max(kMinRetry, aFreeIn);
+  refusal.mBacklog = PrefillBacklog(aNow);
+  return refusal;
 }
 
 void
-ReservationLedger::Add(const Key& aKey, const Entry& aEntry)
+ReservationLedger::Add(const Key& aKey, const Entry& aEntry, Instant aNow)
 {
-  mGrants[aKey] = aEntry;
-  mPieces += aEntry.mPieces;
-  if (aEntry.mKind == WorkKind::Decode) {
+  Entry& entry = mGrants[aKey];
+  entry = aEntry;
+  entry.mOrder = mNextOrder++;
+  mPieces += entry.mPieces;
+  if (entry.mKind == WorkKind::Decode) {
     ++mDecodeCount;
-    mStartedCount += aEntry.mIsStarted ? 1 : 0;
+    mStartedCount += entry.mIsStarted ? 1 : 0;
+  } else if (!mHasHead) {
+    NextHead(aNow);
   }
 }
 
@@ -233,13 +316,13 @@
       --mStartedCount;
       NoteStarted(aNow);
     }
-  } else if (!entry.mIsStarted) {
-    // Never computed: its time is free again.
-    mPrefillWork =
-      std::max(Duration::zero(), PrefillBacklog(aNow) - entry.mWork);
-    mPrefillSince = aNow;
   }
-  return mGrants.erase(aEntry);
+  const bool isHead = mHasHead && aEntry->first == mHead;
+  const auto next = mGrants.erase(aEntry);
+  if (isHead) {
+    NextHead(aNow);
+  }
+  return next;
 }
 
 void
@@ -274,7 +357,8 @@
         ++mStartedCount;
         NoteStarted(aNow);
       } else {
-        RecountPrefills(aNow);
+        // The engine has just finished one prefill and begins the next.
+        NextHead(aNow);
       }
     }
     return;
@@ -286,11 +370,8 @@
   entry.mWork = aClaim.mRemaining;
   entry.mExpires = aNow + life;
   entry.mIsStarted = aClaim.mIsStarted;
-  if (entry.mKind == WorkKind::Prefill) {
-    mPrefillWork = PrefillBacklog(aNow) + entry.mWork;
-    mPrefillSince = aNow;
-  }
-  Add(key, entry);
+  entry.mLatest = aNow + kHistory;
+  Add(key, entry, aNow);
   if (entry.mKind == WorkKind::Decode && entry.mIsStarted) {
     NoteStarted(aNow);
   }
--- a/Source/Policy/ReservationLedger.h
+++ b/Source/Policy/ReservationLedger.h
@@ -85,6 +85,10 @@
     std::uint64_t mPieces = 0;
     Duration mWork{};
     Instant mExpires;
+    /** Prefill: order at the engine and latest useful start. */
+    int mPriority = 0;
+    std::uint64_t mOrder = 0;
+    Instant mLatest;
     /** Decode: runs in its slot. Prefill: computed, only memory is held. */
     bool mIsStarted = false;
   };
@@ -94,7 +98,10 @@
 
   Refusal MakeRefusal(const ReserveRequest& aRequest,
                       RefuseReason aReason,
-                      Duration aFreeIn) const;
+                      Duration aFreeIn,
+                      Instant aNow) const;
+  /** The grant as it stands, without its times. */
+  Grant DescribeGrant(const ReserveRequest& aRequest, Instant aNow) const;
   Grant MakeGrant(const ReserveRequest& aRequest,
                   Duration aFreeIn,
                   Instant aNow);
@@ -110,12 +117,24 @@
     double mRatePerSecond = 0;
   };
   Completions ExpectCompletions(Duration aSpan) const;
-  void RecountPrefills(Instant aNow);
+  /** Time until a prefill of aPriority would start, and whether all prefills
+   * that it overtakes still start in time. */
+  struct PrefillPlan
+  {
+    Duration mWait{};
+    bool mKeepsOthers = true;
+  };
+  PrefillPlan PlanPrefill(const ReserveRequest& aRequest, Instant aNow) const;
+  static bool IsWaitingPrefill(const Entry& aEntry);
+  /** Time that the prefill in progress still needs. */
+  Duration HeadRemaining(Instant aNow) const;
+  /** The next prefill begins; the oldest one of the highest priority. */
+  void NextHead(Instant aNow);
   /** Running streams that no grant or claim explains. */
   double Foreign() const;
   void NoteStarted(Instant aNow);
   double StartedAt(Instant aTime) const;
-  void Add(const Key& aKey, const Entry& aEntry);
+  void Add(const Key& aKey, const Entry& aEntry, Instant aNow);
   Entries::iterator Remove(Entries::iterator aEntry, Instant aNow);
 
   std::string mEndpoint;
@@ -134,8 +153,11 @@
   std::size_t mDecodeCount = 0;
   std::size_t mStartedCount = 0;
   std::uint64_t mPieces = 0;
-  Duration mPrefillWork{};
-  Instant mPrefillSince;
+  /** The prefill that the engine is taken to compute, since mHeadSince. */
+  Key mHead;
+  bool mHasHead = false;
+  Instant mHeadSince;
+  std::uint64_t mNextOrder = 0;
 };
 
 } // namespace bulrushfold
--- a/Source/Policy/RoutingPolicy.cxx
+++ b/Source/Policy/RoutingPolicy.cxx
@@ -92,7 +92,7 @@
     flight->mPrefillStarts = aNow + aGrant.mFreeIn;
     flight->mPrefillWaits = aGrant.mFreeIn > Duration::zero();
     if (EndpointView* view = mEndpoints.Find(aGrant.mEndpoint)) {
-      view->mLoad.OnPrefillGranted(aGrant.mFreeIn, flight->mWork, aNow);
+      view->mLoad.OnPrefillGranted(aGrant.mBacklog, flight->mWork, aNow);
     }
     flight->mStage = FlightStage::ReservingDecode;
     if (!ReserveDecode(*flight, aNow, actions)) {
--- a/Source/Policy/RoutingPolicySteps.cxx
+++ b/Source/Policy/RoutingPolicySteps.cxx
@@ -12,8 +12,24 @@
 constexpr Duration kMargin = std::chrono::milliseconds(60);
 // A decode slot expected to be free is asked for again after this time.
 constexpr Duration kSlotRetry = std::chrono::milliseconds(15);
-constexpr int kNormalPriority = 5;
-constexpr int kLowPriority = 3;
+
+// Slack below each bound gives the priority 9, 8 and so on: less time to spare
+// goes first, and an interactive request goes before a patient one.
+constexpr Duration kFirstSlack = std::chrono::milliseconds(50);
+constexpr int kMaxPriority = 9;
+// A workspace above its fair share does not overtake the others.
+constexpr int kOverSharePenalty = 4;
+
+int
+PriorityFor(Duration aSlack)
+{
+  int priority = kMaxPriority;
+  for (Duration bound = kFirstSlack; priority > 0 && aSlack > bound;
+       bound *= 2) {
+    --priority;
+  }
+  return priority;
+}
 } // namespace
 
 Instant
@@ -71,8 +87,11 @@
   reserve.mKind = WorkKind::Prefill;
   reserve.mWork = aChoice.mWork;
   reserve.mPieces = PiecesFor(request.mPromptTokens);
-  reserve.mLatestIn =
-    FromSeconds(ToSeconds(latest) * mAdmission.WaitShare(request, aNow));
+  const double waitShare = mAdmission.WaitShare(request, aNow);
+  aFlight.mPriority =
+    std::max(0, PriorityFor(latest) - (waitShare < 1 ? kOverSharePenalty : 0));
+  reserve.mPriority = aFlight.mPriority;
+  reserve.mLatestIn = FromSeconds(ToSeconds(latest) * waitShare);
   aActions.push_back(ReserveAction{ reserve });
 }
 
@@ -133,10 +152,7 @@
     mEndpoints.OnSent(*view, aNow);
   }
   aActions.push_back(StartPrefillAction{
-    request.mId,
-    aFlight.mAttempt,
-    aFlight.mPrefill,
-    request.mClass == RequestClass::Patient ? kLowPriority : kNormalPriority });
+    request.mId, aFlight.mAttempt, aFlight.mPrefill, aFlight.mPriority });
 }
 
 void
@@ -182,7 +198,7 @@
                                 Actions& aActions)
 {
   if (EndpointView* view = mEndpoints.Find(aRefusal.mEndpoint)) {
-    view->mLoad.OnPrefillRefused(aRefusal.mFreeIn, aNow);
+    view->mLoad.OnPrefillRefused(aRefusal.mBacklog, aNow);
   }
   aFlight.mExcluded.push_back(aRefusal.mEndpoint);
   const bool mayAsk = aFlight.mReserves < mOptions.mMaxReserves;
--- /dev/null
+++ b/Tests/Policy/CircuitBreakerTest.cxx
@@ -0,0 +1,69 @@
+#include "Policy/CircuitBreaker.h"
+
+#include <doctest/doctest.h>
+
+namespace bulrushfold {
+
+// Guards against work sent to a dead endpoint, and against an endpoint that
+// stays out of use after it recovered.
+TEST_CASE("A breaker stops work to a failing target")
+{
+  Random random(1);
+  const BreakerOptions options;
+  CircuitBreaker breaker(options);
+  Instant now{ std::chrono::hours(1) };
+  using State = CircuitBreaker::State;
+
+  SUBCASE("single failures between successes do not open it")
+  {
+    for (int n = 0; n < 20; ++n) {
+      breaker.OnFailure(now, random);
+      breaker.OnSuccess();
+    }
+    CHECK(breaker.CurrentState(now) == State::Closed);
+  }
+
+  for (std::uint32_t n = 0; n < options.mFailures; ++n) {
+    CHECK(breaker.Allows(now));
+    breaker.OnFailure(now, random);
+  }
+  CHECK(breaker.CurrentState(now) == State::Open);
+  CHECK_FALSE(breaker.Allows(now));
+
+  SUBCASE("a late success of earlier work does not close it")
+  {
+    breaker.OnSuccess();
+    CHECK_FALSE(breaker.Allows(now));
+  }
+
+  SUBCASE("one trial goes through and decides")
+  {
+    now += options.mOpenTime;
+    CHECK(breaker.CurrentState(now) == State::HalfOpen);
+    CHECK(breaker.Allows(now));
+    breaker.OnSent(now);
+    CHECK_FALSE(breaker.Allows(now));
+
+    SUBCASE("its success closes the breaker")
+    {
+      breaker.OnSuccess();
+      CHECK(breaker.CurrentState(now) == State::Closed);
+    }
+
+    SUBCASE("its failure opens it again")
+    {
+      breaker.OnFailure(now, random);
+      CHECK(breaker.CurrentState(now) == State::Open);
+      now += 2 * options.mOpenTime;
+      CHECK(breaker.Allows(now));
+    }
+
+    SUBCASE("a lost trial does not block the target for ever")
+    {
+      now += std::chrono::minutes(1);
+      CHECK(breaker.Allows(now));
+    }
+  }
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Tests/Policy/RetryBudgetTest.cxx
@@ -0,0 +1,64 @@
+#include "Policy/RetryBudget.h"
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace bulrushfold {
+
+// Guards against a retry storm: retries must stay a share of the requests.
+TEST_CASE("Retries are limited to a share of the requests")
+{
+  SUBCASE("never more than the saved budget and the share")
+  {
+    CHECK(rc::check([] {
+      Random random(1);
+      RetryBudget budget(0.1, random);
+      const auto events =
+        *rc::gen::container<std::vector<bool>>(rc::gen::arbitrary<bool>());
+      double requests = 0;
+      double retries = 0;
+      for (const bool isRequest : events) {
+        if (isRequest) {
+          budget.OnRequest();
+          requests += 1;
+        } else if (budget.Take()) {
+          retries += 1;
+        }
+        RC_ASSERT(retries <= 20 + 0.1 * requests + 1e-9);
+      }
+    }));
+  }
+
+  SUBCASE("idle time does not save up a storm")
+  {
+    Random random(1);
+    RetryBudget budget(0.1, random);
+    for (int n = 0; n < 100000; ++n) {
+      budget.OnRequest();
+    }
+    int retries = 0;
+    while (budget.Take()) {
+      ++retries;
+    }
+    CHECK(retries <= 20);
+  }
+
+  SUBCASE("a share of zero allows none")
+  {
+    Random random(1);
+    RetryBudget budget(0, random);
+    budget.OnRequest();
+    CHECK_FALSE(budget.Take());
+  }
+
+  SUBCASE("the wait is random and bounded")
+  {
+    Random random(1);
+    RetryBudget budget(0.1, random);
+    CHECK(budget.Backoff(1) <= std::chrono::milliseconds(20));
+    CHECK(budget.Backoff(1000) <= std::chrono::milliseconds(1280));
+    CHECK(budget.Backoff(5) != budget.Backoff(5));
+  }
+}
+
+} // namespace bulrushfold
