--- /dev/null
+++ b/Source/Control/CommandLine.h
@@ -0,0 +1,84 @@
+#ifndef BULRUSHFOLD_CONTROL_COMMANDLINE_H
+#define BULRUSHFOLD_CONTROL_COMMANDLINE_H
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <CLI/CLI.hpp>
+
+#include "Control/ChangeCommands.h"
+#include "Control/ControlCommand.h"
+#include "Control/ControlProgram.h"
+
+namespace bulrushfold {
+
+/** Values of all options, and the action of the command that was given. */
+struct ControlArguments
+{
+  std::vector<std::string> mDaemons;
+  std::string mTokenFile;
+  OutputForm mForm = OutputForm::Table;
+  double mWaitSeconds = 10;
+  double mTimeoutSeconds = 5;
+
+  std::string mName;
+  std::string mFailureDomain;
+  PresetArguments mPreset;
+  EndpointArguments mEndpoint;
+  WorkspaceArguments mWorkspace;
+  std::string mRequestId;
+  std::string mSince = "1h";
+  std::string mHtmlFile;
+  std::string mFile;
+  int mLimit = 20;
+
+  /** Set by a command that calls daemons. */
+  std::function<ExitCode(CommandContext&)> mRemote;
+  /** Set by a command that does not. */
+  std::function<ExitCode()> mLocal;
+};
+
+/** The command line of bulrushfoldctl. */
+class CommandLine
+{
+public:
+  /** Both arguments must outlive this object. */
+  CommandLine(ControlArguments& aParsed,
+              const ControlSurroundings& aSurroundings);
+
+  /** Fills in the arguments; empty, or the exit code when nothing is to run. */
+  std::optional<ExitCode> Parse(const std::vector<std::string>& aArguments);
+
+private:
+  using Action = std::function<ExitCode(CommandContext&)>;
+
+  CLI::App* AddGroup(const std::string& aName, const std::string& aHelp);
+  CLI::App* AddRemote(CLI::App* aParent,
+                      const std::string& aName,
+                      const std::string& aHelp,
+                      Action aAction);
+  CLI::App* AddLocal(CLI::App* aParent,
+                     const std::string& aName,
+                     const std::string& aHelp,
+                     std::function<ExitCode()> aAction);
+  void AddGlobalOptions();
+  void AddPresetCommands();
+  void AddPresetCreate(CLI::App* aGroup);
+  void AddEndpointCommands();
+  void AddEndpointAdd(CLI::App* aGroup);
+  void AddWorkspaceCommands();
+  void AddObservationCommands();
+  void AddReport();
+  void AddLocalCommands();
+
+  std::unique_ptr<CLI::App> mApp;
+  ControlArguments& mParsed;
+  const ControlSurroundings& mSurroundings;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Control/ControlProgram.h
@@ -0,0 +1,36 @@
+#ifndef BULRUSHFOLD_CONTROL_CONTROLPROGRAM_H
+#define BULRUSHFOLD_CONTROL_CONTROLPROGRAM_H
+
+#include <functional>
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "Control/ExitCode.h"
+#include "Net/EventLoop.h"
+
+namespace bulrushfold {
+
+/** The surroundings of one run of bulrushfoldctl. */
+struct ControlSurroundings
+{
+  EventLoop& mLoop;
+  const Clock& mClock;
+  Random& mRandom;
+  std::istream& mIn;
+  std::ostream& mOut;
+  std::ostream& mErrors;
+  /** Value of an environment variable; empty if it is not set. */
+  std::function<std::optional<std::string>(const std::string&)> mEnvironment;
+};
+
+/** Runs the command in aArguments (without the program's name). */
+ExitCode RunControl(const std::vector<std::string>& aArguments,
+                    const ControlSurroundings& aSurroundings);
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Control/LocalCommands.h
@@ -0,0 +1,34 @@
+#ifndef BULRUSHFOLD_CONTROL_LOCALCOMMANDS_H
+#define BULRUSHFOLD_CONTROL_LOCALCOMMANDS_H
+
+#include <iosfwd>
+#include <string>
+
+#include "Control/ControlCommand.h"
+#include "Control/ExitCode.h"
+#include "absl/status/statusor.h"
+
+namespace bulrushfold {
+
+/** Commands that need no daemon. */
+
+/** Writes all findings of a settings file. */
+ExitCode CheckConfig(std::ostream& aOut,
+                     const std::string& aFile,
+                     OutputForm aForm);
+/** Writes a settings file that documents every key. */
+ExitCode WriteSampleConfig(std::ostream& aOut);
+/** Reads a token from the first line of aIn and writes its SHA-256. */
+ExitCode HashToken(std::istream& aIn,
+                   std::ostream& aOut,
+                   std::ostream& aErrors);
+
+/**
+ * The first line of a token file, without space at its ends. InvalidArgument:
+ * the file cannot be read, is empty, or other users may read it.
+ */
+absl::StatusOr<std::string> ReadTokenFile(const std::string& aPath);
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Outcome/Metrics.cxx
+++ b/Source/Outcome/Metrics.cxx
@@ -21,6 +21,11 @@
 std::string
 ToValidUtf8(const std::string& aText)
 {
+  // The usual case, without a copy through the JSON library.
+  const auto isAscii = [](char aIt) { return (aIt & '\x80') == 0; };
+  if (std::all_of(aText.begin(), aText.end(), isAscii)) {
+    return aText;
+  }
   return Json::parse(
            Json(aText).dump(-1, ' ', false, Json::error_handler_t::replace))
     .get<std::string>();
--- /dev/null
+++ b/Tests/Control/ChangeTest.cxx
@@ -0,0 +1,301 @@
+#include "ControlFixture.h"
+
+namespace bulrushfold {
+
+namespace {
+
+using Json = nlohmann::json;
+
+const Json kAccepted{ { "change_id", "c1" },
+                      { "key", "config/presets" },
+                      { "version", 6 } };
+const std::string kUseNight = "POST /admin/v1/presets/night/put-in-force";
+const std::string kSpread = "GET /admin/v1/changes/config/presets/6";
+const std::string kAudit = "GET /admin/v1/audit";
+
+Json
+SpreadAnswer(const std::string& aState)
+{
+  const auto daemon = [](const std::string& aName, const std::string& aIt) {
+    return Json{ { "name", aName },
+                 { "failure_domain", "suva" },
+                 { "version", 6 },
+                 { "state", aIt } };
+  };
+  return { { "key", "config/presets" },
+           { "version", 6 },
+           { "in_force_everywhere", aState == "in_force" },
+           { "daemons",
+             Json::array(
+               { daemon("d1", "in_force"), daemon("d2", aState) }) } };
+}
+
+FakeAnswer
+Problem(int aStatus, const std::string& aCode, const std::string& aApplied)
+{
+  return { aStatus,
+           { { "code", aCode },
+             { "detail", "because" },
+             { "applied", aApplied },
+             { "current_version", 9 } },
+           false };
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(ControlFixture, "A change")
+{
+  FakeDaemon first(mLoop);
+  FakeDaemon second(mLoop);
+  for (auto* it : { &first, &second }) {
+    it->On("GET /admin/v1/presets", kPresetsAnswer);
+    it->On(kUseNight, kAccepted);
+    it->On(kSpread, SpreadAnswer("in_force"));
+  }
+  Use(first.Address() + "," + second.Address());
+
+  SUBCASE("names the version that it is based on and waits")
+  {
+    int polls = 0;
+    first.On(kSpread, [&polls](const HttpRequest&) {
+      const std::string state = ++polls < 3 ? "pending" : "in_force";
+      return FakeAnswer{ 200, SpreadAnswer(state), false };
+    });
+    CHECK(Run({ "preset", "use", "night" }) == ExitCode::Ok);
+    CHECK(polls == 3);
+    CHECK(Out().find("in force at all 2 daemons") != std::string::npos);
+    const auto& request = first.Requests()[1];
+    CHECK(request.mHeaders.Find("If-Match") == "5");
+    CHECK(request.mHeaders.Find("Change-Id"));
+  }
+
+  SUBCASE("that is not in force everywhere says where")
+  {
+    first.On(kSpread, SpreadAnswer("unreachable"));
+    CHECK(Run({ "--wait", "0", "preset", "use", "night" }) ==
+          ExitCode::NotInForce);
+    CHECK(Out().find("not in force at d2 (unreachable)") != std::string::npos);
+    CHECK(
+      Run({ "--wait", "0", "--output", "json", "preset", "use", "night" }) ==
+      ExitCode::NotInForce);
+    const Json json = Json::parse(Out());
+    CHECK(json["in_force_everywhere"] == false);
+    CHECK(json["missing"][0] == "d2 (unreachable)");
+  }
+  SUBCASE("whose spread cannot be read is not reported as in force")
+  {
+    for (auto* it : { &first, &second }) {
+      it->On(kSpread, [](const HttpRequest&) {
+        return Problem(503, "not_ready", "no");
+      });
+    }
+    CHECK(Run({ "--wait", "0", "preset", "use", "night" }) ==
+          ExitCode::NotInForce);
+  }
+
+  SUBCASE("that loses against another one names the current version")
+  {
+    first.On(kUseNight,
+             [](const HttpRequest&) { return Problem(409, "conflict", "no"); });
+    CHECK(Run({ "preset", "use", "night" }) == ExitCode::Conflict);
+    CHECK(Errors().find("current version 9") != std::string::npos);
+    CHECK(second.CountOf(HttpMethod::Post) == 0);
+  }
+
+  SUBCASE("is tried at the next daemon when it certainly had no effect")
+  {
+    SUBCASE("the daemon says so")
+    {
+      first.On(kUseNight, [](const HttpRequest&) {
+        return Problem(503, "store_down", "no");
+      });
+    }
+    SUBCASE("the daemon cannot be reached")
+    {
+      Use(FormatAddress(FreeAddress()) + "," + second.Address());
+    }
+    CHECK(Run({ "preset", "use", "night" }) == ExitCode::Ok);
+    CHECK(second.CountOf(HttpMethod::Post) == 1);
+  }
+  SUBCASE("that had no effect anywhere is reported as such")
+  {
+    for (auto* it : { &first, &second }) {
+      it->On(kUseNight, [](const HttpRequest&) {
+        return Problem(503, "store_down", "no");
+      });
+    }
+    CHECK(Run({ "preset", "use", "night" }) == ExitCode::Unreachable);
+  }
+
+  // Guards against a change that is made twice after a lost answer.
+  SUBCASE("is not sent again when it may have taken effect")
+  {
+    first.On(kUseNight, [](const HttpRequest&) {
+      return FakeAnswer{ 0, {}, true };
+    });
+    SUBCASE("and stays unknown without an audit record")
+    {
+      second.On(kAudit, Json{ { "entries", Json::array() } });
+      CHECK(Run({ "--wait", "0", "preset", "use", "night" }) ==
+            ExitCode::Unknown);
+      CHECK(Errors().find("change id") != std::string::npos);
+    }
+    SUBCASE("and is found among the audit records of another daemon")
+    {
+      second.On(kAudit, [](const HttpRequest& aRequest) {
+        Json entry = kAccepted;
+        entry["state"] = "accepted";
+        entry["change_id"] = aRequest.Parameter("change_id").value_or("");
+        return FakeAnswer{ 200, { { "entries", { entry } } }, false };
+      });
+      first.On(kAudit, [](const HttpRequest&) {
+        return Problem(503, "not_ready", "no");
+      });
+      CHECK(Run({ "preset", "use", "night" }) == ExitCode::Ok);
+      CHECK(second.Requests()[0].Parameter("change_id") ==
+            first.Requests()[1].mHeaders.Find("Change-Id"));
+    }
+    SUBCASE("and is refused by the audit records")
+    {
+      first.On(kAudit, Json{ { "entries", { { { "state", "refused" } } } } });
+      CHECK(Run({ "preset", "use", "night" }) == ExitCode::Conflict);
+    }
+    CHECK(second.CountOf(HttpMethod::Post) == 0);
+  }
+  SUBCASE("that stays without an answer is not sent again")
+  {
+    first.On(kUseNight, [](const HttpRequest&) {
+      return FakeAnswer{ 0, {}, false, true };
+    });
+    CHECK(
+      Run({ "--timeout", "0.2", "--wait", "0", "preset", "use", "night" }) ==
+      ExitCode::Unknown);
+    CHECK(second.CountOf(HttpMethod::Post) == 0);
+  }
+  SUBCASE("with an unknown outcome is not sent again")
+  {
+    first.On(kUseNight, [](const HttpRequest&) {
+      return Problem(504, "outcome_unknown", "unknown");
+    });
+    first.On(kAudit, Json{ { "entries", { { { "state", "unknown" } } } } });
+    CHECK(Run({ "--wait", "0", "preset", "use", "night" }) ==
+          ExitCode::Unknown);
+    CHECK(second.CountOf(HttpMethod::Post) == 0);
+  }
+  SUBCASE("with a server error that says nothing is not sent again")
+  {
+    first.On(kUseNight, [](const HttpRequest&) {
+      return FakeAnswer{ 500, {}, false };
+    });
+    CHECK(Run({ "--wait", "0", "preset", "use", "night" }) ==
+          ExitCode::Unknown);
+    CHECK(second.CountOf(HttpMethod::Post) == 0);
+  }
+}
+
+TEST_CASE_FIXTURE(ControlFixture, "Content of changes")
+{
+  FakeDaemon daemon(mLoop);
+  Use(daemon.Address());
+  daemon.On(kSpread, SpreadAnswer("in_force"));
+
+  SUBCASE("preset create starts from another preset")
+  {
+    daemon.On("GET /admin/v1/presets", kPresetsAnswer);
+    daemon.On("PUT /admin/v1/presets/dawn", kAccepted);
+    CHECK(Run({ "preset",
+                "create",
+                "dawn",
+                "--from",
+                "night",
+                "--set",
+                "max_queue=7" }) == ExitCode::Ok);
+    CHECK(Json::parse(daemon.Requests()[1].mBody) ==
+          Json{ { "slot_share", 0.5 }, { "max_queue", 7 } });
+    CHECK(Run({ "preset", "create", "dawn", "--set", "x=y" }) ==
+          ExitCode::Usage);
+    CHECK(Run({ "preset", "create", "x", "--from", "y" }) ==
+          ExitCode::NotFound);
+    CHECK(Run({ "preset", "create", "night" }) == ExitCode::Conflict);
+  }
+
+  const Json endpoints{
+    { "objects",
+      { { "suva",
+          { { "key", "config/endpoints/suva" }, { "version", 3 } } } } },
+    { "endpoints",
+      Json::array({ { { "name", "e1" },
+                      { "failure_domain", "suva" },
+                      { "address", "10.0.0.5:9100" },
+                      { "kind", "engine" },
+                      { "role", "decode" },
+                      { "models", { "m1", "m2" } },
+                      { "state", "live" } } }) }
+  };
+  // Guards against a drain that is based on another failure domain's version.
+  SUBCASE("endpoint changes use the version of their failure domain")
+  {
+    daemon.On("GET /admin/v1/endpoints", endpoints);
+    daemon.On("POST /admin/v1/endpoints/suva/e1/drain", kAccepted);
+    daemon.On("PUT /admin/v1/endpoints/nadi/e 2", kAccepted);
+    CHECK(Run({ "endpoint", "drain", "suva", "e1" }) == ExitCode::Ok);
+    CHECK(daemon.Requests()[1].mHeaders.Find("If-Match") == "3");
+    CHECK(Run({ "endpoint",
+                "add",
+                "nadi",
+                "e 2",
+                "--address",
+                "10.0.0.6:1",
+                "--role",
+                "prefill",
+                "--models",
+                "m1,m2" }) == ExitCode::Ok);
+    const auto& put = daemon.Requests()[4];
+    CHECK(put.mHeaders.Find("If-Match") == "0");
+    const Json body = Json::parse(put.mBody);
+    CHECK(body["models"] == Json{ "m1", "m2" });
+    CHECK(body["state"] == "live");
+    CHECK(Run({ "endpoint", "list" }) == ExitCode::Ok);
+    CHECK(Out().find("m1,m2") != std::string::npos);
+    CHECK(Run({ "endpoint", "list", "--failure-domain", "nadi" }) ==
+          ExitCode::Ok);
+    CHECK(Out().find("m1,m2") == std::string::npos);
+    CHECK(Run({ "endpoint", "drain", "suva", "e9" }) == ExitCode::NotFound);
+  }
+
+  SUBCASE("workspace set keeps what is not given")
+  {
+    const Json old{ { "share", 2 },
+                    { "token_sha256", { "aa", "bb" } },
+                    { "models", { "m1" } } };
+    daemon.On("GET /admin/v1/workspaces",
+              Json{ { "version", 8 }, { "workspaces", { { "w1", old } } } });
+    daemon.On("PUT /admin/v1/workspaces/w1", kAccepted);
+    CHECK(Run({ "workspace",
+                "set",
+                "w1",
+                "--burst",
+                "9",
+                "--remove-token-sha256",
+                "aa",
+                "--add-token-sha256",
+                "cc" }) == ExitCode::Ok);
+    CHECK(Json::parse(daemon.Requests()[1].mBody) ==
+          Json{ { "share", 2 },
+                { "burst", 9.0 },
+                { "models", { "m1" } },
+                { "token_sha256", { "bb", "cc" } } });
+  }
+  // Guards against removing all tokens with a viewer's view of a workspace.
+  SUBCASE("workspace set refuses to work without the digests")
+  {
+    daemon.On("GET /admin/v1/workspaces",
+              Json{ { "version", 8 },
+                    { "workspaces", { { "w1", { { "share", 2 } } } } } });
+    CHECK(Run({ "workspace", "set", "w1", "--burst", "9" }) ==
+          ExitCode::NotAllowed);
+    CHECK(daemon.CountOf(HttpMethod::Put) == 0);
+  }
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Tests/Control/FailoverTest.cxx
@@ -0,0 +1,77 @@
+#include "ControlFixture.h"
+
+namespace bulrushfold {
+
+using Json = nlohmann::json;
+
+TEST_CASE_FIXTURE(ControlFixture, "Reading from several daemons")
+{
+  FakeDaemon first(mLoop);
+  FakeDaemon second(mLoop);
+  second.On("GET /admin/v1/presets", kPresetsAnswer);
+
+  // Guards against a tool that is useless while one daemon is down.
+  SUBCASE("a daemon that cannot be reached is passed over")
+  {
+    Use(FormatAddress(FreeAddress()) + "," + second.Address());
+    CHECK(Run({ "preset", "list" }) == ExitCode::Ok);
+    CHECK(Out().find("night") != std::string::npos);
+  }
+  SUBCASE("a daemon that stays silent is passed over")
+  {
+    first.On("GET /admin/v1/presets", [](const HttpRequest&) {
+      return FakeAnswer{ 0, {}, true };
+    });
+    Use(first.Address() + "," + second.Address());
+    CHECK(Run({ "--timeout", "0.2", "preset", "list" }) == ExitCode::Ok);
+  }
+  SUBCASE("a daemon that is not ready is passed over")
+  {
+    first.On("GET /admin/v1/presets", [](const HttpRequest&) {
+      return FakeAnswer{ 503, { { "code", "not_ready" } }, false };
+    });
+    Use(first.Address() + "," + second.Address());
+    CHECK(Run({ "preset", "list" }) == ExitCode::Ok);
+    CHECK(first.Requests().size() == 1);
+  }
+  SUBCASE("no daemon at all is an error of its own")
+  {
+    const std::string gone = FormatAddress(FreeAddress());
+    Use(gone);
+    CHECK(Run({ "preset", "list" }) == ExitCode::Unreachable);
+    CHECK(Errors().find(gone) != std::string::npos);
+  }
+  // Guards against asking every daemon a question that one has answered.
+  SUBCASE("a refusal is final")
+  {
+    for (const auto& [status, code] :
+         { std::make_pair(401, ExitCode::NotAllowed),
+           std::make_pair(403, ExitCode::NotAllowed),
+           std::make_pair(404, ExitCode::NotFound),
+           std::make_pair(400, ExitCode::Refused) }) {
+      first.On("GET /admin/v1/presets", [it = status](const HttpRequest&) {
+        return FakeAnswer{ it, { { "code", "c" }, { "detail", "d" } }, false };
+      });
+      Use(first.Address() + "," + second.Address());
+      CHECK(Run({ "preset", "list" }) == code);
+    }
+    CHECK(second.Requests().empty());
+  }
+  SUBCASE("an answer that does not follow the interface is an error")
+  {
+    first.On("GET /admin/v1/presets", Json::array({ 1 }));
+    Use(first.Address());
+    CHECK(Run({ "preset", "list" }) == ExitCode::Failed);
+    CHECK(Run({ "preset", "use", "night" }) == ExitCode::NotFound);
+  }
+  SUBCASE("the token is sent, and only as a header")
+  {
+    Use(second.Address());
+    CHECK(Run({ "preset", "list" }) == ExitCode::Ok);
+    CHECK(second.Requests()[0].mHeaders.Find("Authorization") ==
+          "Bearer secret-token");
+    CHECK(Out().find("secret-token") == std::string::npos);
+  }
+}
+
+} // namespace bulrushfold
