--- /dev/null
+++ b/Source/Daemon/Daemon.cxx
@@ -0,0 +1,214 @@
+#include "Daemon/Daemon.h"
+
+#include <csignal>
+#include <utility>
+
+#include "Base/Identifiers.h"
+#include "Base/Log.h"
+#include "Daemon/RequestFilters.h"
+#include "Outcome/RequestId.h"
+#include "absl/strings/str_cat.h"
+
+namespace bulrushfold {
+
+namespace {
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+constexpr Duration kStopPollInterval = std::chrono::milliseconds(50);
+constexpr Duration kDrainingRetryAfter = std::chrono::seconds(1);
+
+HttpServerLimits
+CallerLimits(const LimitSettings& aLimits)
+{
+  HttpServerLimits limits;
+  limits.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
+  limits.mMaxBodyBytes = aLimits.mMaxBodyBytes;
+  limits.mReadTimeout = aLimits.mCallerReadTimeout;
+  limits.mWriteTimeout = aLimits.mCallerWriteTimeout;
+  return limits;
+}
+
+} // namespace
+
+Daemon::Daemon(const Settings& aSettings)
+  : mSettings(aSettings)
+  , mRandom(SystemSeed())
+  , mIncarnation(MakeUuidV7(mClock.Wall(), mRandom))
+  , mOwnerId(absl::StrCat(aSettings.mDaemon.mName, "/", mIncarnation))
+  , mHttpClient(mLoop)
+  , mStore(mHttpClient, aSettings.mPlatform)
+  , mLinks(mLoop, aSettings.mDaemon, aSettings.mPeers, mIncarnation)
+  , mCluster(mLoop,
+             mClock,
+             mRandom,
+             mLinks,
+             mStore,
+             mConfiguration,
+             aSettings,
+             mIncarnation)
+  , mOutcomes(mClock, mConfiguration, mMetrics, aSettings)
+  , mEngines(mHttpClient, aSettings.mRouting)
+  , mCancels(mLoop, mEngines, aSettings.mRouting)
+  , mOwners(mLoop, mClock, mLinks, mCluster, mConfiguration)
+  , mRouting(mLoop,
+             mClock,
+             mRandom,
+             mConfiguration,
+             mCluster,
+             mOwners,
+             mCancels,
+             mOwnerId)
+  , mLoads(mLoop, mEngines, mConfiguration, mRouting, aSettings.mRouting)
+  , mModelServices{ mLoop,    mClock, mConfiguration,    mEngines,
+                    mRouting, mLoads, aSettings.mLimits, mOwnerId }
+  , mServiceClient(mHttpClient, mConfiguration, aSettings.mRouting)
+  , mServiceServices{ mLoop, mClock, mServiceClient }
+  , mBookings(mLoop,
+              mClock,
+              mLinks,
+              mCluster,
+              mStore,
+              mServiceClient,
+              aSettings,
+              mOwnerId)
+  , mLimits(mLoop, mClock, mLinks, mCluster, mConfiguration)
+  , mCallerServer(mLoop,
+                  CallerLimits(aSettings.mLimits),
+                  [this](std::shared_ptr<HttpExchange> aExchange) {
+                    HandleCaller(std::move(aExchange));
+                  })
+{
+  AddFilters();
+  mTermSignal = mLoop.OnSignal(SIGTERM, [this] { BeginStop(); });
+  mIntSignal = mLoop.OnSignal(SIGINT, [this] { BeginStop(); });
+}
+
+void
+Daemon::AddFilters()
+{
+  mChain.Add(std::make_unique<TraceFilter>());
+  mChain.Add(std::make_unique<IdentifyFilter>(mConfiguration));
+  mChain.Add(
+    std::make_unique<ClassifyFilter>(mConfiguration, mSettings.mLimits));
+  mChain.Add(std::make_unique<LimitFilter>(mLimits));
+  mChain.Add(std::make_unique<BookingFilter>(mBookings));
+  mChain.Add(std::make_unique<LookupFilter>(mServiceServices));
+  mChain.Add(std::make_unique<ModelFilter>(mModelServices));
+}
+
+absl::Status
+Daemon::Start()
+{
+  if (auto status = mCallerServer.Listen(mSettings.mDaemon.mCallerAddress);
+      !status.ok()) {
+    return status;
+  }
+  if (auto status = mLinks.Listen(); !status.ok()) {
+    return status;
+  }
+  mOwners.Start();
+  mRouting.Start();
+  mLoads.Start();
+  mLimits.Start();
+  mBookings.Start();
+  mCluster.Start();
+  LogEvent(
+    LogLevel::Info,
+    "daemon_started",
+    { { "name", mSettings.mDaemon.mName },
+      { "incarnation", mIncarnation },
+      { "failure_domain", mSettings.mDaemon.mFailureDomain },
+      { "caller_address", FormatAddress(mSettings.mDaemon.mCallerAddress) } });
+  return absl::OkStatus();
+}
+
+bool
+Daemon::IsReady() const
+{
+  return mCluster.IsReady() && !mIsStopping;
+}
+
+bool
+Daemon::AnswerHealth(HttpExchange& aExchange) const
+{
+  const std::string& path = aExchange.Request().mPath;
+  if (path == "/healthz") {
+    aExchange.Reply(kStatusOk, { { "Content-Type", "text/plain" } }, "ok\n");
+    return true;
+  }
+  if (path == "/metrics") {
+    aExchange.Reply(kStatusOk,
+                    { { "Content-Type", "text/plain; version=0.0.4" } },
+                    mMetrics.Format(mClock.Now()));
+    return true;
+  }
+  if (path == "/readyz") {
+    const char* reason = mIsStopping           ? "stopping\n"
+                         : !mCluster.IsReady() ? "configuration not compared\n"
+                                               : "ready\n";
+    aExchange.Reply(IsReady() ? kStatusOk : kStatusUnavailable,
+                    { { "Content-Type", "text/plain" } },
+                    reason);
+    return true;
+  }
+  return false;
+}
+
+void
+Daemon::HandleCaller(std::shared_ptr<HttpExchange> aExchange)
+{
+  if (AnswerHealth(*aExchange)) {
+    return;
+  }
+  auto request = std::make_shared<RequestContext>(
+    std::move(aExchange),
+    MakeRequestId(mClock.Wall(), mRandom, mSettings.mDaemon.mName),
+    mClock);
+  BeginRequest(request);
+  if (!IsReady()) {
+    request->Refuse({ mIsStopping ? Cause::Draining : Cause::NotReady,
+                      RanState::No,
+                      "this daemon takes no new requests",
+                      kDrainingRetryAfter });
+    return;
+  }
+  mChain.Run(request);
+}
+
+void
+Daemon::BeginRequest(const RequestPointer& aRequest)
+{
+  ++mInProgress;
+  OutcomeRecord& draft = aRequest->Timeline().Draft();
+  draft.mDaemon = mSettings.mDaemon.mName;
+  draft.mPreset = mConfiguration.Presets().mInForce;
+  draft.mPresetVersion = mCluster.Version(kPresetsKey);
+  aRequest->mOver.connect([this](const RequestContext& aOver) {
+    --mInProgress;
+    mOutcomes.Take(aOver);
+  });
+}
+
+void
+Daemon::BeginStop()
+{
+  if (std::exchange(mIsStopping, true)) {
+    return;
+  }
+  LogEvent(LogLevel::Info, "stop_begun", { { "in_progress", mInProgress } });
+  mCluster.Leave();
+  mBookings.BeginStop();
+  mStopTimer = mLoop.Every(kStopPollInterval, [this] { EndStopWhenIdle(); });
+}
+
+void
+Daemon::EndStopWhenIdle()
+{
+  if (mInProgress == 0 && mCancels.Pending() == 0 && mBookings.IsIdle()) {
+    LogEvent(LogLevel::Info, "stop_complete", {});
+    mLoop.Stop();
+  }
+}
+
+} // namespace bulrushfold
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -53,6 +53,9 @@
    * be certain, because a connection from the pool may already be closed.
    */
   bool mFreshConnection = false;
+  /** Rate at which the reply is read, for tests of slow readers; 0: no limit.
+   */
+  std::size_t mReadBytesPerSecond = 0;
 };
 
 /** Reply of an HTTP server. */
@@ -115,7 +118,8 @@
   };
   evhttp_connection* TakeConnection(const HttpCallRequest& aRequest);
   void GiveBack(const SocketAddress& aAddress, evhttp_connection* aConnection);
-  void DropConnection(evhttp_connection* aConnection);
+  void DropConnection(evhttp_connection* aConnection,
+                      std::shared_ptr<void> aCall);
   void CloseStaleIdle();
 
   EventLoop& mLoop;
