Keep the endpoint of a fault when the daemon gives the cause

The daemon ends requests with a cause of its own, for example endpoint_died with "not run". The record then named no endpoint, so explanations and reports could not say which one it was. A given cause now takes hop and endpoint from the fault of the same kind, or from the current hop; booking_unknown, internal_error and retry_budget_spent give way to the fault behind them. The log event is request_over with the fields that the daemon writes already.

--- a/Source/Outcome/CauseFinder.cxx
+++ b/Source/Outcome/CauseFinder.cxx
@@ -192,13 +192,46 @@
                           times.begin());
 }
 
-/** A cause that the daemon gave, at the hop where the request stood. */
+/** True for causes that only say that something before them went wrong. */
+bool
+IsConsequence(Cause aCause)
+{
+  return aCause == Cause::BookingUnknown || aCause == Cause::InternalError ||
+         aCause == Cause::RetryBudgetSpent;
+}
+
+/** True for causes that lie in the endpoint of the current hop. */
+bool
+ConcernsEndpoint(Cause aCause)
+{
+  switch (aCause) {
+    case Cause::EndpointDied:
+    case Cause::EndpointSilent:
+    case Cause::EndpointError:
+    case Cause::EndpointRefused:
+    case Cause::KvEvicted:
+    case Cause::StalledTransfer:
+      return true;
+    default:
+      return false;
+  }
+}
+
+/** A cause that the daemon gave: at its fault, or where the request stood. */
 Verdict
 VerdictOfDecision(const RequestTimeline& aTimeline, Cause aCause)
 {
+  const auto matches = [aCause](const TimelineFault& aFault) {
+    return IsConsequence(aCause) || CauseOfFault(aFault.mKind) == aCause;
+  };
+  if (const auto* it = CostliestFault(aTimeline, matches); it != nullptr) {
+    return VerdictOfFault(*it);
+  }
   const Hop hop = aTimeline.CurrentHop();
   const bool atEntry = hop == Hop::Caller || hop == Hop::Admission;
-  return { aCause, atEntry ? InfoOf(aCause).mUsualHop : hop, std::nullopt };
+  const auto blamed =
+    ConcernsEndpoint(aCause) ? aTimeline.EndpointOf(hop) : std::nullopt;
+  return { aCause, atEntry ? InfoOf(aCause).mUsualHop : hop, blamed };
 }
 
 Verdict
--- a/Source/Outcome/CauseFinder.h
+++ b/Source/Outcome/CauseFinder.h
@@ -32,6 +32,10 @@
  * - Failed, Unknown: the cause that the daemon gave, otherwise the costliest
  *   fault, otherwise InternalError or BookingUnknown.
  *
+ * A given cause takes hop and endpoint from the costliest fault of the same
+ * cause. BookingUnknown, InternalError and RetryBudgetSpent are consequences;
+ * they give way to the costliest fault, if there was one.
+ *
  * The cause of a delay is the costliest fault without which the request had
  * been in time. If no single fault is enough, it is the fault or hop with the
  * longest excess over its expected time. Only the part of the request that was
--- a/Source/Outcome/RequestMetrics.cxx
+++ b/Source/Outcome/RequestMetrics.cxx
@@ -107,22 +107,23 @@
 }
 
 void
-LogOutcome(const OutcomeRecord& aRecord)
+LogOutcome(const OutcomeRecord& aRecord, int aHttpStatus)
 {
   const auto* blamed = aRecord.Blamed();
   LogEvent(LevelOf(aRecord.mStatus),
-           "request_end",
+           "request_over",
            { { "request", aRecord.mRequestId },
              { "trace", aRecord.mTraceId },
              { "workspace", aRecord.mWorkspace },
              { "target", aRecord.mTarget },
+             { "http_status", aHttpStatus },
              { "status", OutcomeStatusName(aRecord.mStatus) },
              { "cause", CauseName(aRecord.mCause) },
              { "hop", HopName(aRecord.mHop) },
              { "endpoint", blamed != nullptr ? blamed->mName : "none" },
-             { "total_ms", ToMilliseconds(aRecord.mTotal) },
-             { "tokens", aRecord.mTokens },
              { "attempts", aRecord.mAttempts },
+             { "tokens", aRecord.mTokens },
+             { "ms", ToMilliseconds(aRecord.mTotal) },
              { "preset", aRecord.mPreset },
              { "preset_version", aRecord.mPresetVersion } });
 }
--- a/Source/Outcome/RequestMetrics.h
+++ b/Source/Outcome/RequestMetrics.h
@@ -32,10 +32,10 @@
 };
 
 /**
- * Writes event=request_end: level info for served requests, cancellations and
- * refusals, otherwise warning.
+ * Writes event=request_over, with the HTTP status of the answer (0: none).
+ * Late, failed, unknown and lost requests are warnings.
  */
-void LogOutcome(const OutcomeRecord& aRecord);
+void LogOutcome(const OutcomeRecord& aRecord, int aHttpStatus);
 
 } // namespace bulrushfold
 
--- a/Tests/Outcome/CauseFinderTest.cxx
+++ b/Tests/Outcome/CauseFinderTest.cxx
@@ -99,6 +99,31 @@
     CHECK(record.mCause == Cause::EndpointDied);
   }
 
+  // Guards against a fault whose endpoint is lost because the daemon names
+  // the cause itself.
+  SUBCASE("keeps its endpoint when the daemon gives the cause")
+  {
+    story.Attempt().At(Hop::Prefill, "p1", 100);
+    SUBCASE("and noted the fault")
+    {
+      story.Fault(FaultKind::EndpointDied).At(Hop::Queue, 20);
+    }
+    SUBCASE("and noted no fault") {}
+    const auto record = story.End(Ending::Refused, Cause::EndpointDied);
+    CHECK(record.mStatus == OutcomeStatus::Refused);
+    CHECK(record.mHop == Hop::Prefill);
+    REQUIRE(record.Blamed() != nullptr);
+    CHECK(record.Blamed()->mName == "p1");
+  }
+  SUBCASE("is the fault behind a retry that was not allowed")
+  {
+    const auto record = story.Attempt()
+                          .At(Hop::Prefill, "p1", 100)
+                          .Fault(FaultKind::EndpointSilent)
+                          .End(Ending::Refused, Cause::RetryBudgetSpent);
+    CHECK(record.mCause == Cause::EndpointSilent);
+  }
+
   // Guards against blaming a fault that cost nothing.
   SUBCASE("is not a harmless fault")
   {
