--- a/Source/Control/Main.cxx
+++ b/Source/Control/Main.cxx
@@ -1,3 +1,4 @@
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -9,6 +10,8 @@
 main(int aCount, char** aArguments)
 {
   using namespace bulrushfold;
+  // A daemon that closes its connection must not end the program.
+  std::signal(SIGPIPE, SIG_IGN);
   EventLoop loop;
   SystemClock clock;
   Random random(SystemSeed());
--- a/Source/Outcome/Cause.cxx
+++ b/Source/Outcome/Cause.cxx
@@ -143,7 +143,8 @@
     "no_capacity",
     OutcomeStatus::Refused,
     Hop::Queue,
-    "No endpoint could take the request and the queue was full.",
+    "No endpoint could take the request, and the queue was full or the wait "
+    "too long.",
     "Add endpoints, end drains, or use a preset with a longer queue." },
   { Cause::CircuitOpen,
     "circuit_open",
