--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -5,6 +5,7 @@
 
 #include "Base/Identifiers.h"
 #include "Base/Log.h"
+#include "Daemon/ProcessMetrics.h"
 #include "Daemon/RequestFilters.h"
 #include "Outcome/RequestId.h"
 #include "absl/strings/str_cat.h"
@@ -47,7 +48,15 @@
              mConfiguration,
              aSettings,
              mIncarnation)
-  , mOutcomes(mClock, mConfiguration, mMetrics, aSettings)
+  , mOutcomes(mLoop,
+              mClock,
+              mLinks,
+              mCluster,
+              mHttpClient,
+              mConfiguration,
+              mMetrics,
+              aSettings,
+              mIncarnation)
   , mEngines(mHttpClient, aSettings.mRouting)
   , mCancels(mLoop, mEngines, aSettings.mRouting)
   , mOwners(mLoop, mClock, mLinks, mCluster, mConfiguration)
@@ -73,6 +82,16 @@
               aSettings,
               mOwnerId)
   , mLimits(mLoop, mClock, mLinks, mCluster, mConfiguration)
+  , mChanges(mLoop, mClock, mRandom, mCluster, mStore, aSettings.mDaemon.mName)
+  , mAdminServer(mLoop,
+                 mSettings,
+                 mIncarnation,
+                 mCluster,
+                 mConfiguration,
+                 mChanges,
+                 mOutcomes,
+                 mLoads,
+                 [this] { return Status(); })
   , mCallerServer(mLoop,
                   CallerLimits(aSettings.mLimits),
                   [this](std::shared_ptr<HttpExchange> aExchange) {
@@ -92,6 +111,7 @@
   mChain.Add(
     std::make_unique<ClassifyFilter>(mConfiguration, mSettings.mLimits));
   mChain.Add(std::make_unique<LimitFilter>(mLimits));
+  mChain.Add(std::make_unique<OutcomeFilter>(mOutcomes));
   mChain.Add(std::make_unique<BookingFilter>(mBookings));
   mChain.Add(std::make_unique<LookupFilter>(mServiceServices));
   mChain.Add(std::make_unique<ModelFilter>(mModelServices));
@@ -107,6 +127,11 @@
   if (auto status = mLinks.Listen(); !status.ok()) {
     return status;
   }
+  if (auto status = mAdminServer.Listen(); !status.ok()) {
+    return status;
+  }
+  mChanges.Start();
+  mOutcomes.Start();
   mOwners.Start();
   mRouting.Start();
   mLoads.Start();
@@ -123,14 +148,39 @@
   return absl::OkStatus();
 }
 
+DaemonStatus
+Daemon::Status() const
+{
+  return { IsReady(),
+           mInProgress,
+           mBookings.Waiting(),
+           mStore.Traffic().mIsUp,
+           mStore.Traffic().mLastAnswer };
+}
+
 bool
 Daemon::IsReady() const
 {
   return mCluster.IsReady() && !mIsStopping;
 }
 
+std::string
+Daemon::FormatMetrics()
+{
+  UpdateGauges(mMetrics,
+               { mLinks.Traffic(),
+                 mStore.Traffic(),
+                 mInProgress,
+                 mRouting.Waiting(),
+                 mBookings.Waiting(),
+                 mCancels.Pending(),
+                 mCluster.Rings().Size(),
+                 IsReady() });
+  return mMetrics.Format(mClock.Now());
+}
+
 bool
-Daemon::AnswerHealth(HttpExchange& aExchange) const
+Daemon::AnswerHealth(HttpExchange& aExchange)
 {
   const std::string& path = aExchange.Request().mPath;
   if (path == "/healthz") {
@@ -140,7 +190,7 @@
   if (path == "/metrics") {
     aExchange.Reply(kStatusOk,
                     { { "Content-Type", "text/plain; version=0.0.4" } },
-                    mMetrics.Format(mClock.Now()));
+                    FormatMetrics());
     return true;
   }
   if (path == "/readyz") {
@@ -166,6 +216,7 @@
     MakeRequestId(mClock.Wall(), mRandom, mSettings.mDaemon.mName),
     mClock);
   BeginRequest(request);
+  mCluster.CheckClock();
   if (!IsReady()) {
     request->Refuse({ mIsStopping ? Cause::Draining : Cause::NotReady,
                       RanState::No,
@@ -186,7 +237,7 @@
   draft.mPresetVersion = mCluster.Version(kPresetsKey);
   aRequest->mOver.connect([this](const RequestContext& aOver) {
     --mInProgress;
-    mOutcomes.Take(aOver);
+    mOutcomes.End(aOver);
   });
 }
 
@@ -207,7 +258,9 @@
 {
   if (mInProgress == 0 && mCancels.Pending() == 0 && mBookings.IsIdle()) {
     LogEvent(LogLevel::Info, "stop_complete", {});
-    mLoop.Stop();
+    mOutcomes.SendBatches();
+    // The last records leave within one turn of the loop.
+    mStopTimer = mLoop.After(kStopPollInterval, [this] { mLoop.Stop(); });
   }
 }
 
