Pass crash suspects between daemons

Cause: the daemon did not take part in the exchange of crash suspects. Change: ClusterController delivers CRASH_REPORT and offers the events of CrashSuspects; requests do not use them yet.

--- a/Source/Daemon/ClusterController.cxx
+++ b/Source/Daemon/ClusterController.cxx
@@ -40,6 +40,14 @@
   return timing;
 }
 
+SuspectLimits
+MakeSuspectLimits(const RoutingSettings& aRouting)
+{
+  SuspectLimits limits;
+  limits.mCrashLimit = static_cast<std::int32_t>(aRouting.mCrashLimit);
+  return limits;
+}
+
 } // namespace
 
 ClusterController::ClusterController(EventLoop& aLoop,
@@ -58,6 +66,7 @@
   , mNode(MakeSelf(aSettings.mDaemon, aIncarnation),
           MakeTiming(aSettings.mPeers),
           Validate,
+          MakeSuspectLimits(aSettings.mRouting),
           aClock.Wall(),
           aClock.Now(),
           aRandom)
@@ -71,7 +80,8 @@
                            wire::MessageKind::MEMBERSHIP,
                            wire::MessageKind::CONFIG_DIGEST,
                            wire::MessageKind::CONFIG_UPDATE,
-                           wire::MessageKind::CONFIG_FETCH }) {
+                           wire::MessageKind::CONFIG_FETCH,
+                           wire::MessageKind::CRASH_REPORT }) {
     HandleMessages(kind);
   }
   mLastTick = mClock.Now();
@@ -119,6 +129,37 @@
   return mNode.AskCoverage(aKey, aVersion, mClock.Now());
 }
 
+SuspectVerdict
+ClusterController::AdmitSuspect(const std::string& aDigest) const
+{
+  return mNode.Admit(aDigest, mClock.Now());
+}
+
+void
+ClusterController::AskSuspectRun(const std::string& aDigest)
+{
+  Carry(mNode.AskRun(aDigest, mClock.Now()));
+}
+
+void
+ClusterController::ReportCrash(const std::string& aEndpoint,
+                               const CrashedRequest& aRequest)
+{
+  Carry(mNode.OnCrash(aEndpoint, { aRequest }, mClock.Now()));
+}
+
+void
+ClusterController::ReportSuccess(const std::string& aDigest)
+{
+  Carry(mNode.OnSuccess(aDigest, mClock.Now()));
+}
+
+void
+ClusterController::ReportRunEnded(const std::string& aDigest)
+{
+  Carry(mNode.OnRunEnded(aDigest, mClock.Now()));
+}
+
 void
 ClusterController::Leave()
 {
@@ -176,6 +217,7 @@
   for (const auto& it : aResult.mChanges) {
     mChangeUpdated.emit(it);
   }
+  mSuspectsDecided.emit(aResult.mSuspects);
   if (aResult.mBecameReady) {
     LogEvent(LogLevel::Info, "daemon_ready", { { "live", Rings().Size() } });
   }
--- a/Source/Daemon/ClusterController.h
+++ b/Source/Daemon/ClusterController.h
@@ -42,6 +42,14 @@
   const CoverageStatus* AskCoverage(const std::string& aKey,
                                     std::uint64_t aVersion);
 
+  // Events of CrashSuspects; see there.
+  SuspectVerdict AdmitSuspect(const std::string& aDigest) const;
+  void AskSuspectRun(const std::string& aDigest);
+  void ReportCrash(const std::string& aEndpoint,
+                   const CrashedRequest& aRequest);
+  void ReportSuccess(const std::string& aDigest);
+  void ReportRunEnded(const std::string& aDigest);
+
   bool IsReady() const { return mNode.IsReady(); }
   const ClusterNode& Node() const { return mNode; }
   const HashRings& Rings() const { return mNode.Members().Rings(); }
@@ -59,6 +67,8 @@
   sigc::signal<void()> mClockGap;
   /** The state of an operator's change altered. */
   sigc::signal<void(const ChangeStatus&)> mChangeUpdated;
+  /** Suspects that may run now, were cleared or must be refused. */
+  sigc::signal<void(const SuspectResult&)> mSuspectsDecided;
 
 private:
   void HandleMessages(wire::MessageKind::type aKind);
