Protect a granted prefill only until it is really due

A request above its workspace's share is granted only with a short wait, and the ledger then refused others that would have overtaken it within its targets.

--- a/Source/Policy/PolicyTypes.h
+++ b/Source/Policy/PolicyTypes.h
@@ -81,6 +81,9 @@
   Duration mReadyIn{};
   /** Latest start that is still useful. */
   Duration mLatestIn{};
+  /** Prefill: until then a granted start may be put off by work of a higher
+   * priority; not before mLatestIn. */
+  Duration mDueIn{};
   /** Prefill: the engine computes higher ones first, 0 to 9. */
   int mPriority = 0;
   /** Slots that must stay free for other workspaces after this grant. */
--- a/Source/Policy/ReservationLedger.cxx
+++ b/Source/Policy/ReservationLedger.cxx
@@ -249,7 +249,8 @@
   const Duration term = mOptions.mGrantTerm + aFreeIn + aRequest.mReadyIn;
   entry.mExpires = aNow + term;
   entry.mPriority = aRequest.mPriority;
-  entry.mLatest = aNow + std::max(aFreeIn, aRequest.mLatestIn);
+  entry.mLatest =
+    aNow + std::max({ aFreeIn, aRequest.mLatestIn, aRequest.mDueIn });
   Add(
     { aRequest.mRequest, { aRequest.mAttempt, aRequest.mKind } }, entry, aNow);
   Grant grant = DescribeGrant(aRequest, aNow);
--- a/Source/Policy/RoutingPolicySteps.cxx
+++ b/Source/Policy/RoutingPolicySteps.cxx
@@ -91,6 +91,7 @@
   aFlight.mPriority =
     std::max(0, PriorityFor(latest) - (waitShare < 1 ? kOverSharePenalty : 0));
   reserve.mPriority = aFlight.mPriority;
+  reserve.mDueIn = latest;
   reserve.mLatestIn = FromSeconds(ToSeconds(latest) * waitShare);
   aActions.push_back(ReserveAction{ reserve });
 }
