Learn link rates and cache sizes without refusing requests, accept frames out of order

Cause: with six daemons and idle engines, 56 of 102 completions were refused as unreachable. A trace of the choices showed transfer estimates of 3 to 6 s: the initial cache size was 100 times the real one and corrected by 5% a transfer, and transfers of 50 KB that took 5 ms made a 50 MB/s link look 5 times slower. Load reports, reservations and free slots were ruled out: slots were free and waits zero. Second fault found in the logs: frames were refused as repeated when the other connection of two daemons overtook them. Change: the first transfer sets a model's cache size; 20 ms of a transfer do not count for the rate; sequence numbers are checked in a window of 1,024.

--- a/Source/Daemon/AdminChanges.cxx
+++ b/Source/Daemon/AdminChanges.cxx
@@ -371,7 +371,7 @@
 }
 
 void
-AdminChanges::Refuse(const std::string& aId, AdminProblem aProblem)
+AdminChanges::Refuse(const std::string& aId, const AdminProblem& aProblem)
 {
   const auto it = mPending.find(aId);
   if (!it->second.mIsAnswered) {
--- a/Source/Daemon/AdminChanges.h
+++ b/Source/Daemon/AdminChanges.h
@@ -88,7 +88,7 @@
   void WriteAudit(const std::string& aId,
                   const Pending& aPending,
                   const ChangeStatus& aStatus);
-  void Refuse(const std::string& aId, AdminProblem aProblem);
+  void Refuse(const std::string& aId, const AdminProblem& aProblem);
 
   EventLoop& mLoop;
   const Clock& mClock;
--- a/Source/Daemon/BookingController.cxx
+++ b/Source/Daemon/BookingController.cxx
@@ -74,7 +74,6 @@
                                      const Settings& aSettings,
                                      const std::string& aOwnerId)
   : mLoop(aLoop)
-  , mClock(aClock)
   , mLinks(aLinks)
   , mCluster(aCluster)
   , mStore(aStore)
@@ -100,7 +99,9 @@
   mCluster.mMembersChanged.connect(
     [this](const MemberChanges&) { AssignShards(); });
   mAssignTimer = mLoop.Every(kAssignInterval, [this] { AssignShards(); });
-  mTurnTimer = mLoop.Every(mSettings.mCommitInterval, [this] { TurnShards(); });
+  mTurnTimer =
+    mLoop.Every(std::min(mSettings.mCommitInterval, kMaxTurnInterval),
+                [this] { TurnShards(); });
   mRegistryTimer =
     mLoop.Every(kRegistryInterval, [this] { Carry(mRegistry.OnTurn()); });
 }
--- a/Source/Daemon/BookingController.h
+++ b/Source/Daemon/BookingController.h
@@ -84,7 +84,6 @@
   ReplyToken AddReplier(Replier aReplier);
 
   EventLoop& mLoop;
-  const Clock& mClock;
   PeerLinks& mLinks;
   ClusterController& mCluster;
   ObjectStore& mStore;
--- a/Source/Daemon/RoutingController.cxx
+++ b/Source/Daemon/RoutingController.cxx
@@ -98,6 +98,11 @@
 void
 RoutingController::Do(const RejectAction& aAction)
 {
+  LogEvent(LogLevel::Info,
+           "request_rejected",
+           { { "request", aAction.mRequest },
+             { "reason", std::string(RejectReasonName(aAction.mReason)) },
+             { "waiting", mPolicy.Waiting() } });
   if (RoutedRequest* it = Find(aAction.mRequest); it != nullptr) {
     it->OnRejected(aAction);
   }
--- a/Source/Policy/CostModel.cxx
+++ b/Source/Policy/CostModel.cxx
@@ -110,8 +110,17 @@
                            double aBytes)
 {
   if (aTokens > 0 && aBytes > 0) {
-    Learn(mModels[aModel].mBytesPerToken,
-          aBytes / static_cast<double>(aTokens));
+    // The size of a token's cache is a constant of the model, so the first
+    // transfer tells it; an initial value that is far off would refuse requests
+    // for a long time.
+    ModelCost& cost = mModels[aModel];
+    const double observed = aBytes / static_cast<double>(aTokens);
+    if (cost.mIsBytesKnown) {
+      Learn(cost.mBytesPerToken, observed);
+    } else {
+      cost.mBytesPerToken = observed;
+      cost.mIsBytesKnown = true;
+    }
   }
 }
 
--- a/Source/Policy/CostModel.h
+++ b/Source/Policy/CostModel.h
@@ -68,6 +68,7 @@
     /** Mean tokens of an answer as a share of its limit. */
     double mOutputShare = 0.5;
     double mBytesPerToken = 100e3;
+    bool mIsBytesKnown = false;
     double mMeanPromptTokens = 1500;
   };
 
--- a/Source/Policy/LinkSchedule.cxx
+++ b/Source/Policy/LinkSchedule.cxx
@@ -9,6 +9,9 @@
 constexpr double kMaxSlowdown = 50;
 // One stall counts like a transfer that took this many times its time.
 constexpr double kStallSlowdown = 20;
+// Time of a transfer that does not depend on its size: round trips and the
+// engines' own work. Without it a short transfer would look like a slow link.
+constexpr double kFixedSeconds = 0.02;
 } // namespace
 
 void
@@ -74,8 +77,8 @@
       continue;
     }
     const double nominal = aBytes / it->second.mBytesPerSecond;
-    const double observed =
-      std::clamp(ToSeconds(aSpan) / nominal, 1.0, kMaxSlowdown);
+    const double observed = std::clamp(
+      ToSeconds(aSpan) / (nominal + kFixedSeconds), 1.0, kMaxSlowdown);
     it->second.mSlowdown += kLearningRate * (observed - it->second.mSlowdown);
   }
 }
--- a/Source/Wire/PeerCodec.cxx
+++ b/Source/Wire/PeerCodec.cxx
@@ -1,5 +1,7 @@
 #include "Wire/PeerCodec.h"
 
+#include <algorithm>
+
 #include "Base/Secret.h"
 #include "Wire/ThriftCodec.h"
 #include "absl/strings/str_cat.h"
@@ -9,6 +11,8 @@
 namespace {
 // Bounds the replay table; each restart of a peer adds one entry.
 constexpr std::size_t kMaxTrackedIncarnations = 20'000;
+// Frames of the other connection that may overtake a frame.
+constexpr std::int64_t kWindowSize = 1024;
 } // namespace
 
 PeerCodec::PeerCodec(std::string aName, std::vector<PeerKey> aKeys)
@@ -17,6 +21,20 @@
 {
 }
 
+bool
+PeerCodec::Accept(Window& aWindow, std::int64_t aSequence)
+{
+  if (aSequence <= aWindow.mHighest - kWindowSize ||
+      !aWindow.mSeen.insert(aSequence).second) {
+    return false;
+  }
+  aWindow.mHighest = std::max(aWindow.mHighest, aSequence);
+  aWindow.mSeen.erase(
+    aWindow.mSeen.begin(),
+    aWindow.mSeen.upper_bound(aWindow.mHighest - kWindowSize));
+  return true;
+}
+
 std::string
 PeerCodec::Encode(const wire::Envelope& aEnvelope) const
 {
@@ -67,15 +85,14 @@
     return absl::UnauthenticatedError(
       absl::StrCat("the frame is meant for ", envelope->receiver));
   }
-  if (mSequences.size() >= kMaxTrackedIncarnations) {
-    mSequences.clear();
+  if (mWindows.size() >= kMaxTrackedIncarnations) {
+    mWindows.clear();
   }
-  auto& last = mSequences[{ envelope->sender, envelope->incarnation }];
-  if (envelope->sequence <= last) {
+  if (!Accept(mWindows[{ envelope->sender, envelope->incarnation }],
+              envelope->sequence)) {
     return absl::UnauthenticatedError(
       absl::StrCat("sequence number ", envelope->sequence, " was used before"));
   }
-  last = envelope->sequence;
   return envelope;
 }
 
--- a/Source/Wire/PeerCodec.h
+++ b/Source/Wire/PeerCodec.h
@@ -1,7 +1,9 @@
 #ifndef BULRUSHFOLD_WIRE_PEERCODEC_H
 #define BULRUSHFOLD_WIRE_PEERCODEC_H
 
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -41,8 +43,20 @@
 
   std::string mName;
   std::vector<PeerKey> mKeys;
-  /** Highest sequence number by (sender, incarnation). */
-  std::map<std::pair<std::string, std::string>, std::int64_t> mSequences;
+  /**
+   * Sequence numbers seen from one incarnation. Two daemons have a connection
+   * in each direction, so numbers may arrive out of order within a window.
+   */
+  struct Window
+  {
+    std::int64_t mHighest = 0;
+    std::set<std::int64_t> mSeen;
+  };
+  /** False when aSequence was seen or is older than the window. */
+  static bool Accept(Window& aWindow, std::int64_t aSequence);
+
+  /** By (sender, incarnation). */
+  std::map<std::pair<std::string, std::string>, Window> mWindows;
 };
 
 } // namespace bulrushfold
--- a/Tests/Wire/PeerCodecTest.cxx
+++ b/Tests/Wire/PeerCodecTest.cxx
@@ -47,6 +47,21 @@
     CHECK(absl::IsUnauthenticated(other.Decode(frame).status()));
     CHECK(receiver.Decode(frame).ok());
     CHECK(absl::IsUnauthenticated(receiver.Decode(frame).status()));
+  }
+
+  // Guards against a found fault: a frame that another connection of the same
+  // two daemons overtook was refused, and its connection closed.
+  SUBCASE("frames of two connections may overtake each other")
+  {
+    const std::string early = sender.Encode(MakeEnvelope(1));
+    CHECK(receiver.Decode(sender.Encode(MakeEnvelope(2))).ok());
+    CHECK(receiver.Decode(early).ok());
+    CHECK(absl::IsUnauthenticated(receiver.Decode(early).status()));
+  }
+
+  SUBCASE("a frame older than the window is refused")
+  {
+    CHECK(receiver.Decode(sender.Encode(MakeEnvelope(5000))).ok());
     CHECK(absl::IsUnauthenticated(
       receiver.Decode(sender.Encode(MakeEnvelope(1))).status()));
   }
