--- a/Source/Soak/BookingScenario.cxx
+++ b/Source/Soak/BookingScenario.cxx
@@ -214,7 +214,7 @@
 BookingScenario::Submit(const UsedKey& aUsed, std::size_t aDaemon)
 {
   BookingDaemon& daemon = *mDaemons[aDaemon];
-  const std::string request = absl::StrCat("q", mNextRequest++);
+  std::string request = absl::StrCat("q", mNextRequest++);
   AuditedRequest record;
   record.mKey = aUsed.mKey;
   record.mDigest = aUsed.mDigest;
--- a/Tests/Soak/SoakTest.cxx
+++ b/Tests/Soak/SoakTest.cxx
@@ -24,7 +24,7 @@
   options.mDefect = aDefect;
   std::ostringstream out;
   const SystemClock clock;
-  const SoakResult result = RunSoak(options, clock, out);
+  SoakResult result = RunSoak(options, clock, out);
   if (aOutput != nullptr) {
     *aOutput = out.str();
   }
