--- a/Source/Soak/BookingScenario.cxx
+++ b/Source/Soak/BookingScenario.cxx
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "Base/Digest.h"
 #include "Base/Identifiers.h"
 #include "absl/strings/str_cat.h"
 
@@ -65,9 +64,11 @@
   , mStore(aContext)
   , mNetwork(aContext)
   , mAudit(aContext)
+  , mViews(aContext)
 {
   mHooks.mOwner = [this](const BookingDaemon& aAsker, std::uint64_t aShard) {
-    return Owner(aAsker, aShard);
+    const std::size_t asker = static_cast<std::size_t>(aAsker.Name()[0] - 'a');
+    return mDaemons[mViews.Owner(asker, aShard)].get();
   };
   mHooks.mDispatch = [this](BookingDaemon& aDaemon, const DispatchCall& aCall) {
     Dispatch(aDaemon, aCall);
@@ -137,8 +138,7 @@
       mStore,
       mNetwork,
       mHooks));
-    mViews.push_back(
-      { std::vector<bool>(kDaemons, true), mContext.mClock.Now() });
+    mViews.Add(mDaemons.back()->Process());
   }
   ScheduleMembership();
   ScheduleCaller();
@@ -263,11 +263,7 @@
       std::chrono::milliseconds(skew - kMaxSkewMs));
   }
   if (Strikes(kSplit, 0.02)) {
-    View& view = mViews[PickDaemon()];
-    view.mFrozenUntil = mContext.mClock.Now() + UpTo(kMaxSplit);
-    for (std::size_t n = 0; n < kDaemons; ++n) {
-      view.mLive[n] = mContext.mRandom.Chance(0.5);
-    }
+    mViews.Split(PickDaemon(), UpTo(kMaxSplit));
   }
 }
 
@@ -290,7 +286,7 @@
 BookingScenario::ScheduleMembership()
 {
   mContext.mEvents.After(kMembershipTurn, [this] {
-    UpdateViews();
+    mViews.Update();
     for (auto& it : mDaemons) {
       it->Process().Post(Duration(1), [&it] { it->UpdateOwnership(); });
     }
@@ -298,43 +294,6 @@
   });
 }
 
-void
-BookingScenario::UpdateViews()
-{
-  for (std::size_t i = 0; i < kDaemons; ++i) {
-    if (mContext.mClock.Now() < mViews[i].mFrozenUntil) {
-      continue;
-    }
-    for (std::size_t n = 0; n < kDaemons; ++n) {
-      FakeProcess& process = mDaemons[n]->Process();
-      mViews[i].mLive[n] = process.IsAlive() && !process.IsPaused();
-    }
-    mViews[i].mLive[i] = true;
-  }
-}
-
-std::size_t
-BookingScenario::IndexOf(const BookingDaemon& aDaemon) const
-{
-  return static_cast<std::size_t>(aDaemon.Name()[0] - 'a');
-}
-
-BookingDaemon*
-BookingScenario::Owner(const BookingDaemon& aAsker, std::uint64_t aShard)
-{
-  const View& view = mViews[IndexOf(aAsker)];
-  BookingDaemon* best = nullptr;
-  std::uint64_t bestScore = 0;
-  for (std::size_t n = 0; n < kDaemons; ++n) {
-    const std::uint64_t score = Hash64(mDaemons[n]->Name(), aShard);
-    if (view.mLive[n] && (best == nullptr || score > bestScore)) {
-      best = mDaemons[n].get();
-      bestScore = score;
-    }
-  }
-  return best;
-}
-
 void
 BookingScenario::Dispatch(BookingDaemon& aDaemon, const DispatchCall& aCall)
 {
@@ -406,7 +365,7 @@
       mDaemons[i]->Restart();
     }
     mDaemons[i]->Process().Resume();
-    mViews[i].mFrozenUntil = mContext.mClock.Now();
+    mViews.Heal(i);
   }
   mContext.mEvents.After(kProbeAfter, [this] {
     for (std::size_t i = 0; i < kDaemons * kShards; ++i) {
--- a/Source/Soak/BookingScenario.h
+++ b/Source/Soak/BookingScenario.h
@@ -10,6 +10,7 @@
 #include "Soak/BookingDaemon.h"
 #include "Soak/FaultyNetwork.h"
 #include "Soak/FaultyStore.h"
+#include "Soak/MembershipViews.h"
 #include "Soak/Scenario.h"
 
 namespace bulrushfold {
@@ -40,14 +41,6 @@
     std::string mDigest;
   };
 
-  /** What one daemon believes about the others. */
-  struct View
-  {
-    std::vector<bool> mLive;
-    /** Until then the view keeps as it is. */
-    Instant mFrozenUntil;
-  };
-
   bool Strikes(const char* aClass, double aChance);
   Duration UpTo(Duration aSpan);
 
@@ -62,9 +55,6 @@
   void StrikeDaemons();
   void KillDaemon(std::size_t aIndex);
   void ScheduleMembership();
-  void UpdateViews();
-  BookingDaemon* Owner(const BookingDaemon& aAsker, std::uint64_t aShard);
-  std::size_t IndexOf(const BookingDaemon& aDaemon) const;
 
   void Dispatch(BookingDaemon& aDaemon, const DispatchCall& aCall);
   void Execute(BookingDaemon& aDaemon, const std::string& aRequest);
@@ -75,9 +65,9 @@
   FaultyStore mStore;
   FaultyNetwork mNetwork;
   BookingAudit mAudit;
+  MembershipViews mViews;
   BookingDaemon::Hooks mHooks;
   std::vector<std::unique_ptr<BookingDaemon>> mDaemons;
-  std::vector<View> mViews;
   std::vector<UsedKey> mUsedKeys;
   std::vector<std::string> mProbes;
   std::uint64_t mNextRequest = 1;
--- /dev/null
+++ b/Source/Soak/MembershipViews.h
@@ -0,0 +1,42 @@
+#ifndef BULRUSHFOLD_SOAK_MEMBERSHIPVIEWS_H
+#define BULRUSHFOLD_SOAK_MEMBERSHIPVIEWS_H
+
+#include <cstdint>
+#include <vector>
+
+#include "Soak/FakeProcess.h"
+#include "Soak/Scenario.h"
+
+namespace bulrushfold {
+
+/** What each simulated daemon believes about the others; may be wrong. */
+class MembershipViews
+{
+public:
+  explicit MembershipViews(SoakContext& aContext);
+
+  /** Adds a process; indexes follow the order of the calls. */
+  void Add(FakeProcess& aProcess);
+  /** Brings every view that is not split up to date. */
+  void Update();
+  /** The view of aIndex becomes arbitrary for aSpan. */
+  void Split(std::size_t aIndex, Duration aSpan);
+  void Heal(std::size_t aIndex);
+  /** The owner of aItem by rendezvous hashing, in the view of aAsker. */
+  std::size_t Owner(std::size_t aAsker, std::uint64_t aItem) const;
+
+private:
+  struct View
+  {
+    std::vector<bool> mLive;
+    Instant mSplitUntil;
+  };
+
+  SoakContext& mContext;
+  std::vector<FakeProcess*> mProcesses;
+  std::vector<View> mViews;
+};
+
+} // namespace bulrushfold
+
+#endif
