Keep booking heads with large answers under the store's object limit

A commit took changes until the head held 600 KB, and the last change could add a 512 KB answer. The object then exceeded 1 MB in base64, the store refused it every time and the shard was blocked. A change is now taken only when it fits into 700 KB, otherwise it waits until a segment has taken records over. An answer over max_answer_bytes from a peer is recorded without its body.

--- a/Source/Booking/BookingLedger.cxx
+++ b/Source/Booking/BookingLedger.cxx
@@ -307,12 +307,17 @@
   Queue(aRecord);
 }
 
+std::size_t
+BookingLedger::NextBytes() const
+{
+  return mQueue.empty() ? 0 : RecordBytes(mQueue.front());
+}
+
 void
 BookingLedger::Apply(std::int64_t aBatch, std::size_t aMaxBytes)
 {
   mBatchKeys.clear();
-  while (!mQueue.empty() &&
-         (mBatchKeys.empty() || mTable.HeadBytes() < aMaxBytes)) {
+  while (!mQueue.empty() && mTable.HeadBytes() + NextBytes() <= aMaxBytes) {
     const wire::BookingRecord record = mQueue.front();
     mQueue.pop_front();
     mQueuedKeys.erase(record.key);
--- a/Source/Booking/BookingLedger.h
+++ b/Source/Booking/BookingLedger.h
@@ -39,6 +39,8 @@
   void Reconsider(BookingActions& aActions);
 
   bool HasChanges() const { return !mQueue.empty(); }
+  /** Size of the first queued change. */
+  std::size_t NextBytes() const;
   /** Puts queued changes into the table as aBatch, up to aMaxBytes. */
   void Apply(std::int64_t aBatch, std::size_t aMaxBytes);
   /** The batch of the last Apply is durable. */
--- a/Source/Booking/BookingShard.cxx
+++ b/Source/Booking/BookingShard.cxx
@@ -22,7 +22,7 @@
 constexpr std::int64_t kMaxRemainingMs = 3'600'000;
 // Bytes of records in one head; base64 makes it a third longer and the object
 // limit is 1 MB.
-constexpr std::size_t kMaxHeadContent = 600'000;
+constexpr std::size_t kMaxHeadContent = 700'000;
 
 std::int64_t
 MillisOf(WallTime aTime)
@@ -228,9 +228,11 @@
 bool
 BookingShard::WantsCommit() const
 {
+  // A change that does not fit waits until a segment has taken records over.
+  const bool fits = mLedger.HasChanges() &&
+                    mTable.HeadBytes() + mLedger.NextBytes() <= kMaxHeadContent;
   return mPhase == ShardPhase::Owner && !mHeadWriter.IsBusy() &&
-         (mLedger.HasChanges() || mSegments.HasStored()) &&
-         mClock.Now() >= mNextCommitAt;
+         (fits || mSegments.HasStored()) && mClock.Now() >= mNextCommitAt;
 }
 
 void
@@ -291,6 +293,17 @@
   return TakeActions();
 }
 
+wire::BookingResult
+BookingShard::Bounded(const wire::BookingResult& aResult) const
+{
+  wire::BookingResult result = aResult;
+  if (result.answer.body.size() > mOptions.mBookings.mMaxAnswerBytes) {
+    result.answer.body.clear();
+    result.answer.truncated = true;
+  }
+  return result;
+}
+
 void
 BookingShard::RefuseFull(ReplyToken aToken, const std::string& aKey)
 {
@@ -310,8 +323,9 @@
              kResultsPerBegin * mOptions.mBookings.mMaxPending) {
     ReplyResult(aToken, wire::BookingResultVerdict::BUSY);
   } else {
-    mLedger.Add(WaitingResult{ aToken, mClock.Now() + kResultWait, aResult },
-                mActions);
+    mLedger.Add(
+      WaitingResult{ aToken, mClock.Now() + kResultWait, Bounded(aResult) },
+      mActions);
     ReadWantedSegment();
     StartCommit();
   }
--- a/Source/Booking/BookingShard.h
+++ b/Source/Booking/BookingShard.h
@@ -111,6 +111,8 @@
   bool WantsCommit() const;
   void AdvanceTrim();
 
+  /** aResult without an answer that is too large to be recorded. */
+  wire::BookingResult Bounded(const wire::BookingResult& aResult) const;
   void RefuseFull(ReplyToken aToken, const std::string& aKey);
   void ReadWantedSegment();
   void Reply(ReplyToken aToken,
--- a/Tests/Booking/SegmentTest.cxx
+++ b/Tests/Booking/SegmentTest.cxx
@@ -93,6 +93,48 @@
   }
 }
 
+// Guards against a head over the store's limit of 1 MB, which would never be
+// accepted and would block the shard for ever.
+TEST_CASE("Large answers never make an object too large")
+{
+  ManualClock clock;
+  FakeStore store;
+  Random random(8);
+  BookingShardOptions options;
+  options.mBookings.mMaxAnswerBytes = 524288;
+  ShardDriver a("a", clock, store, options);
+  a.Become();
+  a.Pass(kSecond);
+  std::vector<std::string> keys;
+  for (int i = 0; i < 6; ++i) {
+    keys.push_back(MakeKey(clock, random));
+    a.Begin(keys.back(), "r");
+  }
+  a.Pass(kSecond);
+  // All results wait for the same commit.
+  a.mMode = StoreMode::Down;
+  std::vector<ReplyToken> results;
+  for (const auto& key : keys) {
+    results.push_back(a.Result(key, "r", true, std::string(524288, 'x')));
+  }
+  a.Pass(kSecond);
+  a.mMode = StoreMode::Answers;
+  a.Pass(3 * kSecond);
+  for (const auto token : results) {
+    CHECK(a.ResultVerdict(token) == kRecorded);
+  }
+  for (const auto& [key, object] : store.All()) {
+    CHECK(object.mBody.size() <= kMaxObjectBytes);
+  }
+  ShardDriver b("b", clock, store, options);
+  b.Become();
+  for (const auto& key : keys) {
+    const auto token = b.Begin(key, "retry");
+    b.Pass(kSecond);
+    CHECK(b.Verdict(token) == kDone);
+  }
+}
+
 TEST_CASE("A late result changes a sealed intent")
 {
   ManualClock clock;
--- a/Tests/Booking/ShardFixture.h
+++ b/Tests/Booking/ShardFixture.h
@@ -147,7 +147,9 @@
     if (bookings.mRetention == Duration{}) {
       bookings.mRetention = std::chrono::hours(24);
     }
-    bookings.mMaxAnswerBytes = 1000;
+    if (bookings.mMaxAnswerBytes == 0) {
+      bookings.mMaxAnswerBytes = 1000;
+    }
     return aOptions;
   }
 
