--- a/Tests/Booking/SegmentTest.cxx
+++ b/Tests/Booking/SegmentTest.cxx
@@ -114,6 +114,7 @@
   // All results wait for the same commit.
   a.mMode = StoreMode::Down;
   std::vector<ReplyToken> results;
+  results.reserve(keys.size());
   for (const auto& key : keys) {
     results.push_back(a.Result(key, "r", true, std::string(524288, 'x')));
   }
