--- a/Source/Policy/ReservationLedger.cxx
+++ b/Source/Policy/ReservationLedger.cxx
@@ -207,7 +207,7 @@
   }
   const double freePieces = static_cast<double>(mReport.mPiecesTotal) -
                             static_cast<double>(mPieces) +
-                            mOptions.mAheadShare * expected.mPieces;
+                            mOptions.mAheadPieces * expected.mPieces;
   if (static_cast<double>(aRequest.mPieces) > freePieces) {
     return MakeRefusal(
       aRequest, RefuseReason::NoMemory, FromSeconds(1 / rate), aNow);
