--- a/Source/Policy/ReservationLedger.cxx
+++ b/Source/Policy/ReservationLedger.cxx
@@ -205,10 +205,9 @@
                        FromSeconds((missing - ahead) / rate),
                        aNow);
   }
-  const double freePieces = static_cast<double>(mReport.mPiecesTotal) -
-                            static_cast<double>(mPieces) +
-                            mOptions.mAheadPieces * expected.mPieces;
-  if (static_cast<double>(aRequest.mPieces) > freePieces) {
+  // Memory is never promised ahead: a cache that finds none is lost, while one
+  // that finds no slot waits some milliseconds.
+  if (mPieces + aRequest.mPieces > mReport.mPiecesTotal) {
     return MakeRefusal(
       aRequest, RefuseReason::NoMemory, FromSeconds(1 / rate), aNow);
   }
@@ -230,7 +229,6 @@
     const double work = std::max(0.001, ToSeconds(entry.mWork));
     const double ends = 1 - std::exp(-ToSeconds(aSpan) / work);
     result.mSlots += ends;
-    result.mPieces += ends * static_cast<double>(entry.mPieces);
     result.mRatePerSecond += 1 / work;
   }
   return result;
--- a/Source/Policy/ReservationLedger.h
+++ b/Source/Policy/ReservationLedger.h
@@ -22,9 +22,6 @@
   Duration mClaimWindow = std::chrono::milliseconds(200);
   /** Share of the expected completions that may be promised again. */
   double mAheadShare = 0.8;
-  /** The same for memory; less, because one long prompt can hold many pieces,
-   * and a cache that finds no memory is lost. */
-  double mAheadPieces = 0.4;
   /** Grants beyond the slots, as a share of the slots. */
   double mMaxAhead = 0.5;
   /** Share of the slots that may be used, from the preset. */
@@ -112,11 +109,10 @@
                                               Instant aNow);
   std::variant<Grant, Refusal> ReserveDecode(const ReserveRequest& aRequest,
                                              Instant aNow);
-  /** Decodes that are expected to end within aSpan, and their pieces. */
+  /** Decodes that are expected to end within a span, and their rate. */
   struct Completions
   {
     double mSlots = 0;
-    double mPieces = 0;
     double mRatePerSecond = 0;
   };
   Completions ExpectCompletions(Duration aSpan) const;
