--- a/Source/Policy/ReservationLedger.cxx
+++ b/Source/Policy/ReservationLedger.cxx
@@ -65,88 +65,6 @@
     std::floor(static_cast<double>(mReport.mSlots) * mOptions.mSlotShare));
 }
 
-bool
-ReservationLedger::IsWaitingPrefill(const Entry& aEntry)
-{
-  return aEntry.mKind == WorkKind::Prefill && !aEntry.mIsStarted;
-}
-
-Duration
-ReservationLedger::HeadRemaining(Instant aNow) const
-{
-  if (!mHasHead) {
-    return Duration::zero();
-  }
-  return std::max(Duration::zero(),
-                  mGrants.at(mHead).mWork - (aNow - mHeadSince));
-}
-
-Duration
-ReservationLedger::PrefillBacklog(Instant aNow) const
-{
-  Duration backlog = HeadRemaining(aNow);
-  for (const auto& [key, entry] : mGrants) {
-    if (IsWaitingPrefill(entry) && !(mHasHead && key == mHead)) {
-      backlog += entry.mWork;
-    }
-  }
-  return backlog;
-}
-
-void
-ReservationLedger::NextHead(Instant aNow)
-{
-  mHasHead = false;
-  const Entry* best = nullptr;
-  for (const auto& [key, entry] : mGrants) {
-    const bool isBefore =
-      best == nullptr || entry.mPriority > best->mPriority ||
-      (entry.mPriority == best->mPriority && entry.mOrder < best->mOrder);
-    if (IsWaitingPrefill(entry) && isBefore) {
-      best = &entry;
-      mHead = key;
-      mHasHead = true;
-    }
-  }
-  mHeadSince = aNow;
-}
-
-ReservationLedger::PrefillPlan
-ReservationLedger::PlanPrefill(const ReserveRequest& aRequest,
-                               Instant aNow) const
-{
-  std::vector<const Entry*> waiting;
-  for (const auto& [key, entry] : mGrants) {
-    if (IsWaitingPrefill(entry) && !(mHasHead && key == mHead)) {
-      waiting.push_back(&entry);
-    }
-  }
-  std::sort(waiting.begin(),
-            waiting.end(),
-            [](const Entry* aLeft, const Entry* aRight) {
-              return aLeft->mPriority != aRight->mPriority
-                       ? aLeft->mPriority > aRight->mPriority
-                       : aLeft->mOrder < aRight->mOrder;
-            });
-  PrefillPlan plan;
-  Duration at = HeadRemaining(aNow);
-  plan.mWait = at;
-  for (const Entry* it : waiting) {
-    if (it->mPriority >= aRequest.mPriority) {
-      at += it->mWork;
-      plan.mWait = at;
-      continue;
-    }
-    // Delayed by the new prefill. One that is late anyway has no say.
-    const Instant start = aNow + at;
-    if (start <= it->mLatest && start + aRequest.mWork > it->mLatest) {
-      plan.mKeepsOthers = false;
-    }
-    at += it->mWork;
-  }
-  return plan;
-}
-
 std::variant<Grant, Refusal>
 ReservationLedger::Reserve(const ReserveRequest& aRequest, Instant aNow)
 {
@@ -173,20 +91,6 @@
                                              : ReserveDecode(aRequest, aNow);
 }
 
-std::variant<Grant, Refusal>
-ReservationLedger::ReservePrefill(const ReserveRequest& aRequest, Instant aNow)
-{
-  const auto [wait, keepsOthers] = PlanPrefill(aRequest, aNow);
-  if (wait > std::max(Duration::zero(), aRequest.mLatestIn) || !keepsOthers) {
-    return MakeRefusal(aRequest, RefuseReason::TooLate, wait, aNow);
-  }
-  if (mPieces + aRequest.mPieces > mReport.mPiecesTotal) {
-    return MakeRefusal(
-      aRequest, RefuseReason::NoMemory, std::max(kMinRetry, wait / 2), aNow);
-  }
-  return MakeGrant(aRequest, wait, aNow);
-}
-
 std::variant<Grant, Refusal>
 ReservationLedger::ReserveDecode(const ReserveRequest& aRequest, Instant aNow)
 {
