--- a/Source/Policy/ReservationLedger.h
+++ b/Source/Policy/ReservationLedger.h
@@ -109,11 +109,10 @@
                                               Instant aNow);
   std::variant<Grant, Refusal> ReserveDecode(const ReserveRequest& aRequest,
                                              Instant aNow);
-  /** Decodes that are expected to end within aSpan, and their pieces. */
+  /** Decodes that are expected to end within a span, and their rate. */
   struct Completions
   {
     double mSlots = 0;
-    double mPieces = 0;
     double mRatePerSecond = 0;
   };
   Completions ExpectCompletions(Duration aSpan) const;
