Add the spread benchmark, forward what was fetched as a patch

Fetches whose answer is lost are repeated every 500 ms. Random contacts go mostly to live daemons, so that losses are repaired quickly on each side of a cut. ClusterTest passes.

--- /dev/null
+++ b/Source/Bench/SpreadShapes.cxx
@@ -0,0 +1,113 @@
+#include "Bench/SpreadShapes.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Cluster/HashRings.h"
+#include "absl/strings/str_cat.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr double kLoss = 0.05;
+constexpr double kHopSeconds = 0.04;
+using Edges = std::vector<std::vector<std::size_t>>;
+
+Edges
+RingEdges(std::size_t aDaemons, std::size_t aDegree)
+{
+  HashRings rings(aDegree);
+  std::map<std::string, std::size_t> index;
+  for (std::size_t i = 0; i < aDaemons; ++i) {
+    const auto name = absl::StrCat("n", i);
+    index[name] = i;
+    rings.Insert(name, "d");
+  }
+  Edges edges(aDaemons);
+  for (const auto& [name, i] : index) {
+    for (const auto& it : rings.Successors(name)) {
+      edges[i].push_back(index.at(it));
+    }
+  }
+  return edges;
+}
+
+Edges
+TreeEdges(std::size_t aDaemons, std::size_t aDegree)
+{
+  Edges edges(aDaemons);
+  for (std::size_t i = 1; i < aDaemons; ++i) {
+    edges[(i - 1) / aDegree].push_back(i);
+  }
+  return edges;
+}
+
+Edges
+GossipEdges(std::size_t aDaemons, std::size_t aDegree, Random& aRandom)
+{
+  Edges edges(aDaemons);
+  for (auto& it : edges) {
+    for (std::size_t i = 0; i < aDegree; ++i) {
+      it.push_back(aRandom.Below(aDaemons));
+    }
+  }
+  return edges;
+}
+
+/** Hops of each daemon that the update reached; -1 for the others. */
+std::vector<int>
+Flood(const Edges& aEdges, std::size_t aStart, Random& aRandom, double& aSent)
+{
+  std::vector<int> hops(aEdges.size(), -1);
+  std::vector<std::size_t> queue{ aStart };
+  hops[aStart] = 0;
+  for (std::size_t i = 0; i < queue.size(); ++i) {
+    const std::size_t from = queue[i];
+    for (const std::size_t to : aEdges[from]) {
+      ++aSent;
+      if (!aRandom.Chance(kLoss) && hops[to] < 0) {
+        hops[to] = hops[from] + 1;
+        queue.push_back(to);
+      }
+    }
+  }
+  return hops;
+}
+} // namespace
+
+ShapeFigures
+MeasureShape(SpreadShape aShape,
+             std::size_t aDaemons,
+             std::size_t aDegree,
+             int aUpdates,
+             Random& aRandom)
+{
+  const bool isTree = aShape == SpreadShape::Tree;
+  Edges edges =
+    isTree ? TreeEdges(aDaemons, aDegree) : RingEdges(aDaemons, aDegree);
+  ShapeFigures figures;
+  std::vector<int> reached;
+  double sent = 0;
+  for (int i = 0; i < aUpdates; ++i) {
+    if (aShape == SpreadShape::Gossip) {
+      edges = GossipEdges(aDaemons, aDegree, aRandom);
+    }
+    // A tree has one root, to which the writer passes the update first.
+    const std::size_t start = isTree ? 0 : aRandom.Below(aDaemons);
+    for (const int hops : Flood(edges, start, aRandom, sent)) {
+      if (hops < 0) {
+        figures.mMissed += 1.0 / aUpdates;
+      } else {
+        reached.push_back(hops + (isTree ? 1 : 0));
+      }
+    }
+  }
+  std::sort(reached.begin(), reached.end());
+  figures.mP99Seconds = kHopSeconds * reached[reached.size() * 99 / 100];
+  figures.mMessagesPerDaemon = sent / aUpdates / static_cast<double>(aDaemons);
+  return figures;
+}
+
+} // namespace bulrushfold
--- a/Source/Cluster/Dissemination.cxx
+++ b/Source/Cluster/Dissemination.cxx
@@ -13,6 +13,9 @@
 constexpr std::size_t kMaxPatches = 8;
 /** Updates of one object that wait for their base version. */
 constexpr std::size_t kMaxWaiting = 8;
+/** Time for which the base version of an update is fetched again and again;
+ * afterwards the digests repair. */
+constexpr Duration kGiveUpWait = std::chrono::seconds(10);
 /** Whole objects sent in answer to one message; more follow on the next
  * digest. At 35 KB an object this is 1.6 MB at most. */
 constexpr std::size_t kMaxObjectsPerAnswer = 48;
@@ -87,7 +90,7 @@
     updates.erase(std::remove_if(updates.begin(),
                                  updates.end(),
                                  [aNow](const WaitingUpdate& aUpdate) {
-                                   return aNow - aUpdate.mSince >= kBaseWait;
+                                   return aNow - aUpdate.mSince >= kGiveUpWait;
                                  }),
                   updates.end());
   }
@@ -150,17 +153,31 @@
                      DisseminationResult& aResult)
 {
   ConfigObject& object = mObjects[aUpdate.key];
+  const ConfigObject old = object;
   object.mKey = aUpdate.key;
   object.mVersion = static_cast<std::uint64_t>(aUpdate.version);
   object.mBody = std::move(aBody);
   aResult.mAdopted.push_back(object);
-  Remember(aUpdate);
-  // Only this daemon lacked what it fetched; forwarding whole objects would
-  // multiply their size.
   const bool wasFetched = mFetchedAt.erase(aUpdate.key) != 0;
-  if (wasFetched && aUpdate.baseVersion == 0) {
+  if (!wasFetched || aUpdate.baseVersion != 0) {
+    Remember(aUpdate);
+    Forward(aFrom, aUpdate, aResult);
     return;
   }
+  // Neighbours may lack the same versions, after a cut for example. Forwarding
+  // whole objects would multiply their size, a patch does not.
+  const auto update = old.mVersion == 0 ? aUpdate : MakeUpdate(old, object);
+  Remember(update);
+  if (update.baseVersion != 0) {
+    Forward(aFrom, update, aResult);
+  }
+}
+
+void
+Dissemination::Forward(const std::string& aFrom,
+                       const wire::ConfigUpdate& aUpdate,
+                       DisseminationResult& aResult) const
+{
   for (const auto& it : mRings.Successors(mSelf)) {
     if (it != aFrom) {
       auto update = aUpdate;
--- a/Source/Cluster/Dissemination.h
+++ b/Source/Cluster/Dissemination.h
@@ -54,7 +54,7 @@
   /** Time for which an update waits for its base version. */
   static constexpr Duration kBaseWait = std::chrono::milliseconds(200);
   /** Time after which a fetch may be sent again. */
-  static constexpr Duration kFetchTimeout = std::chrono::seconds(1);
+  static constexpr Duration kFetchTimeout = std::chrono::milliseconds(500);
 
   /** Names the random peer of a digest exchange; empty when there is none. */
   using PeerPicker = std::function<std::string()>;
@@ -115,6 +115,9 @@
              const wire::ConfigUpdate& aUpdate,
              std::string aBody,
              DisseminationResult& aResult);
+  void Forward(const std::string& aFrom,
+               const wire::ConfigUpdate& aUpdate,
+               DisseminationResult& aResult) const;
   std::optional<std::string> Resolve(const wire::ConfigUpdate& aUpdate) const;
   bool TryUpdate(const std::string& aFrom,
                  const wire::ConfigUpdate& aUpdate,
--- a/Source/Cluster/Membership.cxx
+++ b/Source/Cluster/Membership.cxx
@@ -11,8 +11,10 @@
 constexpr Duration kViewGrace = std::chrono::seconds(4);
 constexpr Duration kSyncInterval = std::chrono::seconds(10);
 constexpr Duration kForgetInterval = std::chrono::seconds(10);
-/** Share of heartbeat turns in which one dead daemon is contacted. */
-constexpr double kDeadContactChance = 0.1;
+/** Share of random contacts that go to a daemon believed dead, if there is one
+ * that the VM list names: few enough to leave the repair of losses fast on each
+ * side of a cut, enough for the sides to meet within a second. */
+constexpr double kDeadContactChance = 0.25;
 constexpr std::size_t kVmListReaders = 2;
 constexpr Duration kReaderInterval = std::chrono::seconds(5);
 constexpr Duration kOtherInterval = std::chrono::seconds(60);
@@ -78,7 +80,10 @@
   ObservePredecessors(aNow, result);
   ForgetOld(aNow, result);
   SendHeartbeats(result);
-  ContactDead(result);
+  // A daemon that is believed dead may only have been cut off.
+  if (const auto name = PickContact(); !name.empty() && !IsLive(name)) {
+    result.mMessages.push_back({ name, MakeHeartbeat(name, true) });
+  }
   return result;
 }
 
@@ -95,6 +100,7 @@
                wire::MemberState::DEAD,
                aNow,
                aResult.mChanges);
+    mIsDeadOld = true;
     mNews.Add(it, true);
   }
   for (const auto& it : findings.mProbe) {
@@ -129,17 +135,6 @@
   }
 }
 
-void
-Membership::ContactDead(MembershipResult& aResult)
-{
-  if (!mRandom.Chance(kDeadContactChance)) {
-    return;
-  }
-  if (const std::string name = PickContact(); !name.empty() && !IsLive(name)) {
-    aResult.mMessages.push_back({ name, MakeHeartbeat(name, true) });
-  }
-}
-
 wire::Heartbeat
 Membership::MakeHeartbeat(const std::string& aTo, bool aWantsReply) const
 {
@@ -166,7 +161,7 @@
     return;
   }
   const bool isChanged = mTable.Merge(aRecord, aNow, aResult.mChanges);
-  mAreContactsOld = mAreContactsOld || isChanged;
+  mIsDeadOld = mIsDeadOld || isChanged;
   if (isChanged && aIsNews) {
     mNews.Add(aRecord.name, aRecord.state != wire::MemberState::ALIVE);
   }
@@ -321,7 +316,7 @@
   }
   mLastForget = aNow - kForgetInterval;
   ForgetOld(aNow, result);
-  mAreContactsOld = true;
+  mIsDeadOld = true;
   return result;
 }
 
@@ -345,7 +340,7 @@
   for (const auto& it : old) {
     mTable.Erase(it, aResult.mChanges);
     mDifferentSince.erase(it);
-    mAreContactsOld = true;
+    mIsDeadOld = true;
   }
 }
 
@@ -424,18 +419,21 @@
 std::string
 Membership::PickContact()
 {
-  if (mAreContactsOld) {
-    mAreContactsOld = false;
-    mContacts.clear();
-    for (const auto& [name, member] : mTable.Members()) {
-      const bool isCandidate = member.IsLive() || member.mIsListed;
-      if (isCandidate && name != mSelf.mName) {
-        mContacts.push_back(&name);
-      }
-    }
+  if (std::exchange(mIsDeadOld, false)) {
+    mDead = UnreachablePeers();
+  }
+  if (!mDead.empty() && mRandom.Chance(kDeadContactChance)) {
+    return mDead[mRandom.Below(mDead.size())];
+  }
+  if (Rings().Size() == 0) {
+    return {};
   }
-  return mContacts.empty() ? std::string()
-                           : *mContacts[mRandom.Below(mContacts.size())];
+  // The neighbour in memory replaces this daemon itself.
+  const std::size_t at = mRandom.Below(Rings().Size());
+  const std::string& name = Rings().NameAt(at);
+  const std::string& other = Rings().NameAt((at + 1) % Rings().Size());
+  const std::string& picked = name == mSelf.mName ? other : name;
+  return picked == mSelf.mName ? std::string() : picked;
 }
 
 IncarnationState
--- a/Source/Cluster/Membership.h
+++ b/Source/Cluster/Membership.h
@@ -97,9 +97,9 @@
   std::vector<std::string> UnreachablePeers() const;
   /** Description of a daemon, live or not; null when it is unknown. */
   const MemberInfo* Find(const std::string& aName) const;
-  /** A random daemon other than this one, live or named by the VM list. Daemons
-   * believed dead are included, so that two sides of a healed cut meet. Empty
-   * when there is none. */
+  /** A random daemon other than this one. Some are daemons that the VM list
+   * names but that are believed dead, so that two sides of a healed cut meet.
+   * Empty when there is none. */
   std::string PickContact();
   /** Failure domains that the VM list names, with a live VM. */
   const std::set<std::string>& ListedDomains() const { return mListedDomains; }
@@ -124,7 +124,6 @@
   void ObservePredecessors(Instant aNow, MembershipResult& aResult);
   void Suspect(const std::string& aName, Instant aNow);
   void SendHeartbeats(MembershipResult& aResult);
-  void ContactDead(MembershipResult& aResult);
   void ForgetOld(Instant aNow, MembershipResult& aResult);
   wire::Heartbeat MakeHeartbeat(const std::string& aTo, bool aWantsReply) const;
   void CompareView(const std::string& aFrom,
@@ -147,9 +146,9 @@
   FailureDetector mDetector;
   MemberNews mNews;
   std::set<std::string> mListedDomains;
-  /** Candidates of PickContact; keys of mTable. */
-  std::vector<const std::string*> mContacts;
-  bool mAreContactsOld = true;
+  /** Result of UnreachablePeers, renewed when mIsDeadOld. */
+  std::vector<std::string> mDead;
+  bool mIsDeadOld = true;
   /** Senders whose view differs from this one, with the first time. */
   std::map<std::string, Instant> mDifferentSince;
   Instant mLastSync;
