--- a/Source/Bench/SpreadLoop.cxx
+++ b/Source/Bench/SpreadLoop.cxx
@@ -156,7 +156,7 @@
 }
 
 void
-SpreadLoop::Perform(int aDaemon, NodeResult aResult)
+SpreadLoop::Perform(int aDaemon, const NodeResult& aResult)
 {
   ClusterNode& node = *mDaemons[aDaemon].mNode;
   for (const auto& it : aResult.mMessages) {
--- a/Source/Bench/SpreadLoop.h
+++ b/Source/Bench/SpreadLoop.h
@@ -95,7 +95,7 @@
             const ClusterMessage* aMessage);
   void RunUntil(Instant aEnd);
   void Handle(const Event& aEvent);
-  void Perform(int aDaemon, NodeResult aResult);
+  void Perform(int aDaemon, const NodeResult& aResult);
   void Send(int aFrom, const Outgoing& aMessage);
   void NoteAdopted(int aDaemon, const ConfigObject& aObject);
   void NoteWritten(int aDaemon, const ChangeStatus& aStatus);
