Declare daemons dead by their name

Membership had learnt of the daemon from the VM list before it knew the incarnation, so the holder was never told which incarnation died. OutcomeStore now also takes the name alone and applies it to every incarnation that sent records.

--- a/Source/Outcome/OutcomeStore.cxx
+++ b/Source/Outcome/OutcomeStore.cxx
@@ -110,6 +110,20 @@
   }
 }
 
+void
+OutcomeStore::HandleDaemonDead(const std::string& aDaemon)
+{
+  std::vector<std::string> incarnations;
+  for (auto it = mOrigins.lower_bound({ aDaemon, "" });
+       it != mOrigins.end() && it->first.first == aDaemon;
+       ++it) {
+    incarnations.push_back(it->first.second);
+  }
+  for (const auto& it : incarnations) {
+    HandleDaemonDead(aDaemon, it);
+  }
+}
+
 void
 OutcomeStore::HandleDaemonAlive(const std::string& aDaemon,
                                 const std::string& aIncarnation)
--- a/Source/Outcome/OutcomeStore.h
+++ b/Source/Outcome/OutcomeStore.h
@@ -42,9 +42,10 @@
  *   the same batch is sent once more, to the holders selected then;
  * - RequeueOpen: when SelectHolders returns another result than before;
  * - Receive: for each OUTCOME_BATCH;
- * - HandleDaemonDead: when membership declares an incarnation dead, also when
- *   a daemon comes back under a new incarnation. A daemon that left in a
- *   planned stop has sent all its end records, so the call is harmless;
+ * - HandleDaemonDead: when membership declares a daemon dead, by its name: the
+ *   VM list may have named it before its incarnation was known. When a daemon
+ *   comes back under a new incarnation, for the former one. A daemon that left
+ *   in a planned stop has sent all its end records, so the call is harmless;
  * - HandleDaemonAlive: when membership takes such a declaration back;
  * - Trim: every few seconds.
  *
@@ -80,6 +81,8 @@
    */
   void HandleDaemonDead(const std::string& aDaemon,
                         const std::string& aIncarnation);
+  /** The same for all incarnations of a daemon that sent records. */
+  void HandleDaemonDead(const std::string& aDaemon);
   void HandleDaemonAlive(const std::string& aDaemon,
                          const std::string& aIncarnation);
   void Trim();
--- a/Tests/Outcome/OutcomeStoreTest.cxx
+++ b/Tests/Outcome/OutcomeStoreTest.cxx
@@ -85,6 +85,19 @@
     CHECK(mPeer.OpenCount() == 0);
   }
 
+  // Guards against open requests that stay "in progress" for ever because
+  // membership learnt of the daemon before it knew the incarnation.
+  SUBCASE("an open request becomes lost when only the daemon's name is known")
+  {
+    Replicate();
+    mPeer.HandleDaemonDead("d");
+    mPeer.HandleDaemonDead("d11");
+    CHECK(mPeer.Explain(begin.mRequestId)->mBegin);
+    mPeer.HandleDaemonDead("d1");
+    CHECK(mPeer.Explain(begin.mRequestId)->mEnd->mCause == Cause::DaemonDied);
+    CHECK(CountAtPeer(Cause::DaemonDied) == 1);
+  }
+
   // Guards against reporting requests as lost that were answered.
   SUBCASE("a request whose end record came first does not")
   {
