Check the Prometheus text without std::regex

With the sanitizers GCC 12 reports uninitialized members inside std::regex, so MetricsTest did not build there. A small reader of the format replaces the two expressions and accepts the same lines; a new story shows what it refuses.

--- a/Tests/Outcome/MetricsTest.cxx
+++ b/Tests/Outcome/MetricsTest.cxx
@@ -1,8 +1,9 @@
 #include "Outcome/Metrics.h"
 
+#include <algorithm>
 #include <cmath>
-#include <regex>
 #include <sstream>
+#include <string_view>
 
 #include <doctest/doctest.h>
 #include <rapidcheck.h>
@@ -17,19 +18,87 @@
                             "Requests.",
                             { "workspace", "cause" } };
 
+/** Removes the longest start of aText that consists of aAllowed. */
+bool
+TakeAll(std::string_view& aText, std::string_view aAllowed)
+{
+  const auto n = std::min(aText.find_first_not_of(aAllowed), aText.size());
+  aText.remove_prefix(n);
+  return n > 0;
+}
+
+bool
+Take(std::string_view& aText, std::string_view aStart)
+{
+  const bool isThere = aText.substr(0, aStart.size()) == aStart;
+  aText.remove_prefix(isThere ? aStart.size() : 0);
+  return isThere;
+}
+
+constexpr std::string_view kNameLetters = "abcdefghijklmnopqrstuvwxyz_";
+
+/** Removes a quoted value, in which only \\, \" and \n are escapes. */
+bool
+TakeQuoted(std::string_view& aText)
+{
+  if (!Take(aText, "\"")) {
+    return false;
+  }
+  while (!aText.empty() && aText.front() != '"') {
+    if (Take(aText, "\\")) {
+      if (aText.empty() || std::string_view("\\\"n").find(aText.front()) ==
+                             std::string_view::npos) {
+        return false;
+      }
+    }
+    aText.remove_prefix(1);
+  }
+  return Take(aText, "\"");
+}
+
+bool
+TakeLabels(std::string_view& aText)
+{
+  if (!Take(aText, "{")) {
+    return true;
+  }
+  do {
+    if (!TakeAll(aText, kNameLetters) || !Take(aText, "=") ||
+        !TakeQuoted(aText)) {
+      return false;
+    }
+  } while (Take(aText, ","));
+  return Take(aText, "}");
+}
+
+bool
+IsSample(std::string_view aLine)
+{
+  if (!TakeAll(aLine, kNameLetters) || !TakeLabels(aLine) ||
+      !Take(aLine, " ")) {
+    return false;
+  }
+  return aLine == "NaN" || aLine == "+Inf" || aLine == "-Inf" ||
+         (TakeAll(aLine, "-+0123456789.e") && aLine.empty());
+}
+
+bool
+IsComment(std::string_view aLine)
+{
+  if (Take(aLine, "# HELP ")) {
+    return TakeAll(aLine, kNameLetters) && Take(aLine, " ");
+  }
+  return Take(aLine, "# TYPE ") && TakeAll(aLine, kNameLetters) &&
+         (aLine == " counter" || aLine == " gauge" || aLine == " summary");
+}
+
 /** True when aText has the form of the Prometheus text format 0.0.4. */
 bool
 IsWellFormed(const std::string& aText)
 {
-  static const std::regex kComment(
-    "# (HELP [a-z_]+ [^\\n]*|TYPE [a-z_]+ (counter|gauge|summary))");
-  static const std::regex kSample(
-    "[a-z_]+(\\{[a-z_]+=\"([^\"\\\\\\n]|\\\\[\\\\\"n])*\""
-    "(,[a-z_]+=\"([^\"\\\\\\n]|\\\\[\\\\\"n])*\")*\\})? "
-    "(NaN|[+-]Inf|[-+0-9.e]+)");
   std::istringstream lines(aText);
   for (std::string line; std::getline(lines, line);) {
-    if (!std::regex_match(line, kComment) && !std::regex_match(line, kSample)) {
+    if (!IsComment(line) && !IsSample(line)) {
       return false;
     }
   }
@@ -79,6 +148,25 @@
           doctest::Approx(0.95).epsilon(0.05));
   }
 
+  // Guards against a check of the form that accepts anything.
+  SUBCASE("the check of the form refuses what the format forbids")
+  {
+    for (const char* it : { "a{b=\"c\"} 1\n", "a 1\n", "a NaN\n" }) {
+      CHECK(IsWellFormed(it));
+    }
+    for (const char* it : { "a 1",
+                            "a{b=\"c\nd\"} 1\n",
+                            "a{b=\"\\x\"} 1\n",
+                            "a{b=\"c} 1\n",
+                            "a{b=\"c\"d\"} 1\n",
+                            "a{} 1\n",
+                            "a b\n",
+                            "# TYPE a other\n" }) {
+      CAPTURE(it);
+      CHECK_FALSE(IsWellFormed(it));
+    }
+  }
+
   // Guards against a caller whose text breaks the page of metrics.
   SUBCASE("any label value yields a well-formed page")
   {
