--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -5,6 +5,7 @@
 
 #include "Base/Identifiers.h"
 #include "Base/Log.h"
+#include "Daemon/ProcessMetrics.h"
 #include "Daemon/RequestFilters.h"
 #include "Outcome/RequestId.h"
 #include "absl/strings/str_cat.h"
@@ -35,23 +36,62 @@
   : mSettings(aSettings)
   , mRandom(SystemSeed())
   , mIncarnation(MakeUuidV7(mClock.Wall(), mRandom))
+  , mOwnerId(absl::StrCat(aSettings.mDaemon.mName, "/", mIncarnation))
   , mHttpClient(mLoop)
   , mStore(mHttpClient, aSettings.mPlatform)
-  , mOutcomes(mClock, mConfiguration, mMetrics, aSettings)
-  , mLoader(mLoop, mStore, mConfiguration)
+  , mLinks(mLoop, aSettings.mDaemon, aSettings.mPeers, mIncarnation)
+  , mCluster(mLoop,
+             mClock,
+             mRandom,
+             mLinks,
+             mStore,
+             mConfiguration,
+             aSettings,
+             mIncarnation)
+  , mOutcomes(mLoop,
+              mClock,
+              mLinks,
+              mCluster,
+              mHttpClient,
+              mConfiguration,
+              mMetrics,
+              aSettings,
+              mIncarnation)
   , mEngines(mHttpClient, aSettings.mRouting)
   , mCancels(mLoop, mEngines, aSettings.mRouting)
-  , mPairs(mConfiguration)
-  , mModelServices{ mLoop,
-                    mClock,
-                    mConfiguration,
-                    mEngines,
-                    mCancels,
-                    mPairs,
-                    aSettings.mLimits,
-                    absl::StrCat(aSettings.mDaemon.mName, "/", mIncarnation) }
+  , mOwners(mLoop, mClock, mLinks, mCluster, mConfiguration)
+  , mRouting(mLoop,
+             mClock,
+             mRandom,
+             mConfiguration,
+             mCluster,
+             mOwners,
+             mCancels,
+             mOwnerId)
+  , mLoads(mLoop, mEngines, mConfiguration, mRouting, aSettings.mRouting)
+  , mModelServices{ mLoop,    mClock, mConfiguration,    mEngines,
+                    mRouting, mLoads, aSettings.mLimits, mOwnerId }
   , mServiceClient(mHttpClient, mConfiguration, aSettings.mRouting)
   , mServiceServices{ mLoop, mClock, mServiceClient }
+  , mBookings(mLoop,
+              mClock,
+              mLinks,
+              mCluster,
+              mStore,
+              mServiceClient,
+              aSettings,
+              mOwnerId)
+  , mLimits(mLoop, mClock, mLinks, mCluster, mConfiguration)
+  , mChanges(mLoop, mClock, mRandom, mCluster, mStore, aSettings.mDaemon.mName)
+  , mAdminServer(mLoop,
+                 mSettings,
+                 mIncarnation,
+                 mCluster,
+                 mConfiguration,
+                 mChanges,
+                 mOutcomes,
+                 mLoads,
+                 [this] { return Status(); })
   , mCallerServer(mLoop,
                   CallerLimits(aSettings.mLimits),
                   [this](std::shared_ptr<HttpExchange> aExchange) {
@@ -70,6 +110,9 @@
   mChain.Add(std::make_unique<IdentifyFilter>(mConfiguration));
   mChain.Add(
     std::make_unique<ClassifyFilter>(mConfiguration, mSettings.mLimits));
+  mChain.Add(std::make_unique<LimitFilter>(mLimits));
+  mChain.Add(std::make_unique<OutcomeFilter>(mOutcomes));
+  mChain.Add(std::make_unique<BookingFilter>(mBookings));
   mChain.Add(std::make_unique<LookupFilter>(mServiceServices));
   mChain.Add(std::make_unique<ModelFilter>(mModelServices));
 }
@@ -81,7 +124,20 @@
       !status.ok()) {
     return status;
   }
-  mLoader.Start();
+  if (auto status = mLinks.Listen(); !status.ok()) {
+    return status;
+  }
+  if (auto status = mAdminServer.Listen(); !status.ok()) {
+    return status;
+  }
+  mChanges.Start();
+  mOutcomes.Start();
+  mOwners.Start();
+  mRouting.Start();
+  mLoads.Start();
+  mLimits.Start();
+  mBookings.Start();
+  mCluster.Start();
   LogEvent(
     LogLevel::Info,
     "daemon_started",
@@ -92,14 +148,39 @@
   return absl::OkStatus();
 }
 
+DaemonStatus
+Daemon::Status() const
+{
+  return { IsReady(),
+           mInProgress,
+           mBookings.Waiting(),
+           mStore.Traffic().mIsUp,
+           mStore.Traffic().mLastAnswer };
+}
+
 bool
 Daemon::IsReady() const
 {
-  return mLoader.IsLoaded() && !mIsStopping;
+  return mCluster.IsReady() && !mIsStopping;
+}
+
+std::string
+Daemon::FormatMetrics()
+{
+  UpdateGauges(mMetrics,
+               { mLinks.Traffic(),
+                 mStore.Traffic(),
+                 mInProgress,
+                 mRouting.Waiting(),
+                 mBookings.Waiting(),
+                 mCancels.Pending(),
+                 mCluster.Rings().Size(),
+                 IsReady() });
+  return mMetrics.Format(mClock.Now());
 }
 
 bool
-Daemon::AnswerHealth(HttpExchange& aExchange) const
+Daemon::AnswerHealth(HttpExchange& aExchange)
 {
   const std::string& path = aExchange.Request().mPath;
   if (path == "/healthz") {
@@ -109,12 +190,12 @@
   if (path == "/metrics") {
     aExchange.Reply(kStatusOk,
                     { { "Content-Type", "text/plain; version=0.0.4" } },
-                    mMetrics.Format(mClock.Now()));
+                    FormatMetrics());
     return true;
   }
   if (path == "/readyz") {
     const char* reason = mIsStopping           ? "stopping\n"
-                         : !mLoader.IsLoaded() ? "no configuration yet\n"
+                         : !mCluster.IsReady() ? "configuration not compared\n"
                                                : "ready\n";
     aExchange.Reply(IsReady() ? kStatusOk : kStatusUnavailable,
                     { { "Content-Type", "text/plain" } },
@@ -135,6 +216,7 @@
     MakeRequestId(mClock.Wall(), mRandom, mSettings.mDaemon.mName),
     mClock);
   BeginRequest(request);
+  mCluster.CheckClock();
   if (!IsReady()) {
     request->Refuse({ mIsStopping ? Cause::Draining : Cause::NotReady,
                       RanState::No,
@@ -152,9 +234,10 @@
   OutcomeRecord& draft = aRequest->Timeline().Draft();
   draft.mDaemon = mSettings.mDaemon.mName;
   draft.mPreset = mConfiguration.Presets().mInForce;
+  draft.mPresetVersion = mCluster.Version(kPresetsKey);
   aRequest->mOver.connect([this](const RequestContext& aOver) {
     --mInProgress;
-    mOutcomes.Take(aOver);
+    mOutcomes.End(aOver);
   });
 }
 
@@ -165,15 +248,19 @@
     return;
   }
   LogEvent(LogLevel::Info, "stop_begun", { { "in_progress", mInProgress } });
+  mCluster.Leave();
+  mBookings.BeginStop();
   mStopTimer = mLoop.Every(kStopPollInterval, [this] { EndStopWhenIdle(); });
 }
 
 void
 Daemon::EndStopWhenIdle()
 {
-  if (mInProgress == 0 && mCancels.Pending() == 0) {
+  if (mInProgress == 0 && mCancels.Pending() == 0 && mBookings.IsIdle()) {
     LogEvent(LogLevel::Info, "stop_complete", {});
-    mLoop.Stop();
+    mOutcomes.SendBatches();
+    // The last records leave within one turn of the loop.
+    mStopTimer = mLoop.After(kStopPollInterval, [this] { mLoop.Stop(); });
   }
 }
 
