Free deferred work with the loop, count deaths of daemons, tell outages from lost answers

Cause: callbacks deferred to the next turn leaked when the loop ended first (reported by the leak checker in ControlTest); requests of a killed daemon stayed in progress in explanations, because its incarnation was not always known; a 503 of the store counted as a lost answer although the call was not applied. Change: EventLoop owns deferred callbacks and HttpClient the connections to be freed; every lost daemon is reported to the outcome store; 503 is Unavailable; metrics and log of requests come from RequestMetrics.

--- a/Source/Daemon/OutcomeController.cxx
+++ b/Source/Daemon/OutcomeController.cxx
@@ -19,33 +19,6 @@
 constexpr std::size_t kMaxBatchRecords = 500;
 constexpr std::size_t kMaxExportSpans = 2000;
 
-const MetricInfo&
-RequestsInfo()
-{
-  static const MetricInfo sInfo{ "bulrushfold_requests_total",
-                                 "Finished requests.",
-                                 { "status", "cause" } };
-  return sInfo;
-}
-
-const MetricInfo&
-TokensInfo()
-{
-  static const MetricInfo sInfo{ "bulrushfold_tokens_total",
-                                 "Tokens delivered to callers.",
-                                 {} };
-  return sInfo;
-}
-
-const MetricInfo&
-FirstTokenInfo()
-{
-  static const MetricInfo sInfo{ "bulrushfold_first_token_seconds",
-                                 "Time from a request to its first token.",
-                                 {} };
-  return sInfo;
-}
-
 } // namespace
 
 OutcomeController::OutcomeController(EventLoop& aLoop,
@@ -63,7 +36,7 @@
   , mCluster(aCluster)
   , mHttpClient(aHttpClient)
   , mConfiguration(aConfiguration)
-  , mMetrics(aMetrics)
+  , mRequestMetrics(aMetrics)
   , mDaemon(aSettings.mDaemon)
   , mOtlpAddress(aSettings.mTelemetry.mOtlpAddress)
   , mTracer(aSettings.mDaemon.mName,
@@ -114,34 +87,8 @@
   const OutcomeRecord record = CauseFinder(targets).Finish(aRequest.Timeline());
   mTracer.Add(aRequest.Timeline(), record, aRequest.mParent);
   mStore.End(record);
-  Count(record);
-  LogEvent(LogLevel::Info,
-           "request_over",
-           { { "request", record.mRequestId },
-             { "workspace", record.mWorkspace },
-             { "target", record.mTarget },
-             { "http_status", aRequest.mStatus },
-             { "status", std::string(OutcomeStatusName(record.mStatus)) },
-             { "cause", std::string(CauseName(record.mCause)) },
-             { "hop", std::string(HopName(record.mHop)) },
-             { "attempts", record.mAttempts },
-             { "tokens", record.mTokens },
-             { "ms", ToMilliseconds(record.mTotal) } });
-}
-
-void
-OutcomeController::Count(const OutcomeRecord& aRecord)
-{
-  mMetrics
-    .GetCounter(RequestsInfo(),
-                { std::string(OutcomeStatusName(aRecord.mStatus)),
-                  std::string(CauseName(aRecord.mCause)) })
-    .Add();
-  mMetrics.GetCounter(TokensInfo()).Add(aRecord.mTokens);
-  if (aRecord.mFirstToken) {
-    mMetrics.GetSummary(FirstTokenInfo())
-      .Record(*aRecord.mFirstToken, mClock.Now());
-  }
+  mRequestMetrics.Record(record, mClock.Now());
+  LogOutcome(record, aRequest.mStatus);
 }
 
 std::vector<HolderCandidate>
@@ -219,10 +166,7 @@
 {
   const auto& members = mCluster.Node().Members();
   for (const auto& it : aChanges.mLost) {
-    const auto known = mIncarnations.find(it);
-    if (known != mIncarnations.end()) {
-      mStore.HandleDaemonDead(it, known->second);
-    }
+    mStore.HandleDaemonDead(it);
   }
   for (const auto& it : aChanges.mJoined) {
     const MemberInfo* info = members.Find(it);
--- a/Source/Daemon/OutcomeController.h
+++ b/Source/Daemon/OutcomeController.h
@@ -19,6 +19,7 @@
 #include "Outcome/Metrics.h"
 #include "Outcome/OutcomeStore.h"
 #include "Outcome/Report.h"
+#include "Outcome/RequestMetrics.h"
 #include "Outcome/RequestId.h"
 #include "Outcome/Tracer.h"
 #include "Settings/Settings.h"
@@ -74,7 +75,6 @@
     ExplainHook mHook;
   };
 
-  void Count(const OutcomeRecord& aRecord);
   void HandleBatch();
   void HandleExplain();
   void HandleReport();
@@ -99,7 +99,7 @@
   ClusterController& mCluster;
   HttpClient& mHttpClient;
   const Configuration& mConfiguration;
-  Metrics& mMetrics;
+  RequestMetrics mRequestMetrics;
   DaemonSettings mDaemon;
   SocketAddress mOtlpAddress;
   Tracer mTracer;
--- a/Source/Net/EventLoop.cxx
+++ b/Source/Net/EventLoop.cxx
@@ -44,11 +44,22 @@
 
 EventLoop::EventLoop()
   : mBase(event_base_new())
+  , mDeferredEvent(event_new(
+      mBase,
+      -1,
+      0,
+      [](evutil_socket_t, short, void* aSelf) {
+        static_cast<EventLoop*>(aSelf)->RunDeferred();
+      },
+      this))
 {
 }
 
 EventLoop::~EventLoop()
 {
+  // They may own events, which must go before the base.
+  mDeferred.clear();
+  event_free(mDeferredEvent);
   event_base_free(mBase);
 }
 
@@ -72,14 +83,6 @@
   const auto callback = *static_cast<std::function<void()>*>(aArgument);
   callback();
 }
-
-void
-RunDeferred(evutil_socket_t, short, void* aArgument)
-{
-  const std::unique_ptr<std::function<void()>> callback(
-    static_cast<std::function<void()>*>(aArgument));
-  (*callback)();
-}
 } // namespace
 
 EventHandle
@@ -118,9 +121,21 @@
 void
 EventLoop::Defer(std::function<void()> aCallback)
 {
-  auto* argument = new std::function<void()>(std::move(aCallback));
-  const timeval tv{};
-  event_base_once(mBase, -1, EV_TIMEOUT, RunDeferred, argument, &tv);
+  if (mDeferred.empty()) {
+    const timeval tv{};
+    event_add(mDeferredEvent, &tv);
+  }
+  mDeferred.push_back(std::move(aCallback));
+}
+
+void
+EventLoop::RunDeferred()
+{
+  // Callbacks deferred from now on run in the next turn.
+  const auto callbacks = std::exchange(mDeferred, {});
+  for (const auto& it : callbacks) {
+    it();
+  }
 }
 
 } // namespace bulrushfold
--- a/Source/Net/EventLoop.h
+++ b/Source/Net/EventLoop.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 #include "Base/Clock.h"
 
@@ -57,7 +58,12 @@
   event_base* Base() const { return mBase; }
 
 private:
+  void RunDeferred();
+
   event_base* mBase;
+  event* mDeferredEvent;
+  /** Callbacks for the next turn; destroyed unrun with the loop. */
+  std::vector<std::function<void()>> mDeferred;
 };
 
 } // namespace bulrushfold
--- a/Source/Net/HttpClient.cxx
+++ b/Source/Net/HttpClient.cxx
@@ -243,6 +243,7 @@
 HttpClient::~HttpClient()
 {
   *mIsAlive = false;
+  FreeDropped();
   for (auto& [address, idle] : mIdle) {
     for (const auto& it : idle) {
       evhttp_connection_free(it.mConnection);
@@ -289,9 +290,23 @@
 {
   // This may run inside a callback of the connection, and the library may call
   // back once more in this turn, so connection and call outlive the turn.
-  mLoop.Defer([aConnection, call = std::move(aCall)] {
-    evhttp_connection_free(aConnection);
-  });
+  if (mDropped.empty()) {
+    mLoop.Defer([this, alive = mIsAlive] {
+      if (*alive) {
+        FreeDropped();
+      }
+    });
+  }
+  mDropped[aConnection] = std::move(aCall);
+}
+
+void
+HttpClient::FreeDropped()
+{
+  const auto dropped = std::exchange(mDropped, {});
+  for (const auto& [connection, call] : dropped) {
+    evhttp_connection_free(connection);
+  }
 }
 
 void
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -120,11 +120,14 @@
   void GiveBack(const SocketAddress& aAddress, evhttp_connection* aConnection);
   void DropConnection(evhttp_connection* aConnection,
                       std::shared_ptr<void> aCall);
+  void FreeDropped();
   void CloseStaleIdle();
 
   EventLoop& mLoop;
   SystemClock mClock;
   std::map<SocketAddress, std::vector<IdleConnection>> mIdle;
+  /** Connections to be freed in the next turn, with their calls. */
+  std::map<evhttp_connection*, std::shared_ptr<void>> mDropped;
   EventHandle mIdleTimer;
   std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
 };
--- a/Source/Platform/HttpObjectStore.cxx
+++ b/Source/Platform/HttpObjectStore.cxx
@@ -47,6 +47,8 @@
       return absl::OutOfRangeError(place + "the revision is gone");
     case kStatusTooManyRequests:
       return absl::ResourceExhaustedError(place + "rate limit");
+    case kStatusUnavailable:
+      return absl::UnavailableError(place + "outage");
     default:
       return absl::UnknownError(absl::StrCat(place, "status ", aReply.mStatus));
   }
--- a/Source/Platform/ObjectStore.h
+++ b/Source/Platform/ObjectStore.h
@@ -82,8 +82,8 @@
  *
  * Errors: NotFound; FailedPrecondition (the version differs; the write did not
  * take effect); ResourceExhausted (rate limit; not applied); Unavailable (no
- * connection came about; not applied); Unknown (no answer: a write may have
- * taken effect).
+ * connection came about, or the API says that it has an outage; not applied);
+ * Unknown (no answer: a write may have taken effect).
  */
 class ObjectStore
 {
