Remove an unused member of the load settings

Cause: the output form is an option of the program and not of the run. Change: LoadSettings no longer has mIsJson.

--- a/Source/Emulator/LoadSettings.h
+++ b/Source/Emulator/LoadSettings.h
@@ -98,7 +98,6 @@
   Duration mFirstTokenTarget = std::chrono::milliseconds(900);
   Duration mTokenTarget = std::chrono::milliseconds(40);
   std::uint64_t mSeed = 1;
-  bool mIsJson = false;
 };
 
 } // namespace bulrushfold
