--- a/Source/Daemon/OutcomeController.h
+++ b/Source/Daemon/OutcomeController.h
@@ -19,8 +19,8 @@
 #include "Outcome/Metrics.h"
 #include "Outcome/OutcomeStore.h"
 #include "Outcome/Report.h"
-#include "Outcome/RequestMetrics.h"
 #include "Outcome/RequestId.h"
+#include "Outcome/RequestMetrics.h"
 #include "Outcome/Tracer.h"
 #include "Settings/Settings.h"
 
--- a/Tests/Serving/RoutedCallTest.cxx
+++ b/Tests/Serving/RoutedCallTest.cxx
@@ -87,7 +87,7 @@
     return n;
   }
 
-  void Later(std::function<void()> aCall) { mCalls.push_back(aCall); }
+  void Later(const std::function<void()>& aCall) { mCalls.push_back(aCall); }
 
   void Take(const Actions& aActions)
   {
--- a/Utilities/demo.sh
+++ b/Utilities/demo.sh
@@ -69,7 +69,7 @@
 sleep 2 # records reach the other daemons once a second
 ctl report --since 1h
 
-value() { grep -o "\"$1\":[0-9]*" "$CLUSTER_DIR/load.json" | head -n 1 | cut -d: -f2; }
+value() { grep -oE "\"$1\": *[0-9]+" "$CLUSTER_DIR/load.json" | head -n 1 | grep -oE "[0-9]+$"; }
 [ "$status" -eq 0 ] || cat "$CLUSTER_DIR/load.json"
 echo "demo requests=$(value requests) answered=$(value answered)" \
   "refused=$(value refused) duplicated=$(value duplicated)"
