Stop requests that crash endpoints, free memory of dead daemons, run faults on processes

Cause: a request that crashed an engine was retried at the next one without end (12 sends crashed engines 33 times and were never refused), and memory that an engine held for a killed daemon stayed held. Change: SuspectFilter holds suspects back, also before a retry inside one request; HoldingsController lets each engine's owner cancel what dead incarnations hold; a daemon that died before its first heartbeat counts as gone once it is declared dead.

--- a/Source/Cluster/Membership.cxx
+++ b/Source/Cluster/Membership.cxx
@@ -447,7 +447,14 @@
                                              : IncarnationState::Unknown;
   }
   const std::string& known = member->mInfo.mIncarnation;
-  if (known.empty() || known < aIncarnation) {
+  if (known.empty()) {
+    // A daemon that died before its first heartbeat arrived has told nobody its
+    // incarnation. One that lives would have refuted its death.
+    return member->mState == wire::MemberState::DEAD
+             ? IncarnationState::Gone
+             : IncarnationState::Unknown;
+  }
+  if (known < aIncarnation) {
     return IncarnationState::Unknown;
   }
   if (known > aIncarnation || member->mState == wire::MemberState::DEAD) {
--- a/Source/Daemon/ClusterController.cxx
+++ b/Source/Daemon/ClusterController.cxx
@@ -129,12 +129,27 @@
   return mNode.AskCoverage(aKey, aVersion, mClock.Now());
 }
 
+void
+ClusterController::AskMember(const std::string& aName)
+{
+  const MembershipResult result = mNode.Members().Ask(aName, mClock.Now());
+  for (const auto& it : result.mMessages) {
+    Send(it);
+  }
+}
+
 SuspectVerdict
 ClusterController::AdmitSuspect(const std::string& aDigest) const
 {
   return mNode.Admit(aDigest, mClock.Now());
 }
 
+std::int32_t
+ClusterController::Crashes(const std::string& aDigest) const
+{
+  return mNode.Suspects().Crashes(aDigest, mClock.Now());
+}
+
 void
 ClusterController::AskSuspectRun(const std::string& aDigest)
 {
@@ -146,6 +161,12 @@
                                const CrashedRequest& aRequest)
 {
   Carry(mNode.OnCrash(aEndpoint, { aRequest }, mClock.Now()));
+  LogEvent(LogLevel::Warning,
+           "crash_reported",
+           { { "endpoint", aEndpoint },
+             { "digest", aRequest.mDigest },
+             { "alone", aRequest.mWasAlone ? "yes" : "no" },
+             { "crashes", Crashes(aRequest.mDigest) } });
 }
 
 void
--- a/Source/Daemon/ClusterController.h
+++ b/Source/Daemon/ClusterController.h
@@ -42,8 +42,12 @@
   const CoverageStatus* AskCoverage(const std::string& aKey,
                                     std::uint64_t aVersion);
 
+  /** Asks a daemon of unknown state for its record; see Membership::Ask. */
+  void AskMember(const std::string& aName);
   // Events of CrashSuspects; see there.
   SuspectVerdict AdmitSuspect(const std::string& aDigest) const;
+  /** Crashes counted for a digest; 0 when it is no suspect. */
+  std::int32_t Crashes(const std::string& aDigest) const;
   void AskSuspectRun(const std::string& aDigest);
   void ReportCrash(const std::string& aEndpoint,
                    const CrashedRequest& aRequest);
--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -7,6 +7,7 @@
 #include "Base/Log.h"
 #include "Daemon/ProcessMetrics.h"
 #include "Daemon/RequestFilters.h"
+#include "Daemon/SuspectFilter.h"
 #include "Outcome/RequestId.h"
 #include "absl/strings/str_cat.h"
 
@@ -69,8 +70,17 @@
              mCancels,
              mOwnerId)
   , mLoads(mLoop, mEngines, mConfiguration, mRouting, aSettings.mRouting)
-  , mModelServices{ mLoop,    mClock, mConfiguration,    mEngines,
-                    mRouting, mLoads, aSettings.mLimits, mOwnerId }
+  , mHoldings(mLoop,
+              mClock,
+              mEngines,
+              mCancels,
+              mCluster,
+              mOwners,
+              mConfiguration)
+  , mModelServices{ mLoop,    mClock,   mConfiguration,
+                    mEngines, mRouting, mLoads,
+                    mCluster, nullptr,  aSettings.mLimits,
+                    mOwnerId }
   , mServiceClient(mHttpClient, mConfiguration, aSettings.mRouting)
   , mServiceServices{ mLoop, mClock, mServiceClient }
   , mBookings(mLoop,
@@ -114,6 +124,9 @@
   mChain.Add(std::make_unique<OutcomeFilter>(mOutcomes));
   mChain.Add(std::make_unique<BookingFilter>(mBookings));
   mChain.Add(std::make_unique<LookupFilter>(mServiceServices));
+  auto suspects = std::make_unique<SuspectFilter>(mLoop, mClock, mCluster);
+  mModelServices.mSuspects = suspects.get();
+  mChain.Add(std::move(suspects));
   mChain.Add(std::make_unique<ModelFilter>(mModelServices));
 }
 
@@ -135,6 +148,7 @@
   mOwners.Start();
   mRouting.Start();
   mLoads.Start();
+  mHoldings.Start();
   mLimits.Start();
   mBookings.Start();
   mCluster.Start();
--- a/Source/Daemon/Daemon.h
+++ b/Source/Daemon/Daemon.h
@@ -15,6 +15,7 @@
 #include "Daemon/ClusterController.h"
 #include "Daemon/EngineClient.h"
 #include "Daemon/FilterChain.h"
+#include "Daemon/HoldingsController.h"
 #include "Daemon/LimitController.h"
 #include "Daemon/LoadController.h"
 #include "Daemon/LookupSession.h"
@@ -77,6 +78,7 @@
   OwnerController mOwners;
   RoutingController mRouting;
   LoadController mLoads;
+  HoldingsController mHoldings;
   ModelSessionServices mModelServices;
   ServiceClient mServiceClient;
   ServiceSessionServices mServiceServices;
--- a/Source/Daemon/EngineClient.cxx
+++ b/Source/Daemon/EngineClient.cxx
@@ -224,6 +224,18 @@
   return events;
 }
 
+std::vector<EngineHolding>
+ParseHoldings(const Json& aJson)
+{
+  std::vector<EngineHolding> holdings;
+  for (const auto& it : aJson.at("holdings")) {
+    holdings.push_back({ it.at("request").get<std::string>(),
+                         it.at("attempt").get<std::uint64_t>(),
+                         it.at("owner").get<std::string>() });
+  }
+  return holdings;
+}
+
 } // namespace
 
 EngineClient::EngineClient(HttpClient& aClient,
@@ -377,6 +389,22 @@
     std::move(hooks));
 }
 
+EngineClient::Call
+EngineClient::Holdings(const SocketAddress& aEngine,
+                       Hook<std::vector<EngineHolding>> aHook)
+{
+  HttpCallHooks hooks;
+  hooks.mOnDone = [hook = std::move(aHook)](const HttpCallReply& aReply) {
+    hook(ParseReply<std::vector<EngineHolding>>(aReply, ParseHoldings));
+  };
+  return mClient.Start(MakeRequest(aEngine,
+                                   HttpMethod::Get,
+                                   "/engine/holdings",
+                                   "",
+                                   mSettings.mStreamSilence),
+                       std::move(hooks));
+}
+
 EngineClient::Call
 EngineClient::Events(const SocketAddress& aEngine,
                      std::uint64_t aFrom,
--- a/Source/Daemon/EngineClient.h
+++ b/Source/Daemon/EngineClient.h
@@ -99,6 +99,15 @@
   Duration mAge{};
 };
 
+/** Memory that an engine holds for one attempt. */
+struct EngineHolding
+{
+  std::string mRequest;
+  std::uint64_t mAttempt = 0;
+  /** "DAEMON/INCARNATION". */
+  std::string mOwner;
+};
+
 /** Cache events of an engine. */
 struct EngineEvents
 {
@@ -151,6 +160,8 @@
               std::function<void(bool)> aHook);
   Call Status(const SocketAddress& aEngine, Hook<EngineStatus> aHook);
   Call Load(const SocketAddress& aEngine, Hook<EngineLoad> aHook);
+  Call Holdings(const SocketAddress& aEngine,
+                Hook<std::vector<EngineHolding>> aHook);
   Call Events(const SocketAddress& aEngine,
               std::uint64_t aFrom,
               Hook<EngineEvents> aHook);
--- /dev/null
+++ b/Source/Daemon/HoldingsController.cxx
@@ -0,0 +1,88 @@
+#include "Daemon/HoldingsController.h"
+
+#include "Base/Log.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr Duration kSweepInterval = std::chrono::seconds(2);
+} // namespace
+
+HoldingsController::HoldingsController(EventLoop& aLoop,
+                                       const Clock& aClock,
+                                       EngineClient& aEngines,
+                                       CancelController& aCancels,
+                                       ClusterController& aCluster,
+                                       const OwnerController& aOwners,
+                                       const Configuration& aConfiguration)
+  : mLoop(aLoop)
+  , mClock(aClock)
+  , mEngines(aEngines)
+  , mCancels(aCancels)
+  , mCluster(aCluster)
+  , mOwners(aOwners)
+  , mConfiguration(aConfiguration)
+  , mDecisions(
+      OrderTiming(),
+      [this](const std::string& aDaemon, const std::string& aIncarnation) {
+        return mCluster.Node().Members().FindIncarnation(
+          aDaemon, aIncarnation, mClock.Now());
+      })
+{
+}
+
+void
+HoldingsController::Start()
+{
+  mTimer = mLoop.Every(kSweepInterval, [this] { Sweep(); });
+}
+
+void
+HoldingsController::Sweep()
+{
+  for (const auto& [name, endpoint] : mConfiguration.Endpoints()) {
+    if (endpoint.mKind != EndpointKind::Engine || !mOwners.IsOwnedHere(name)) {
+      continue;
+    }
+    mCalls[name] = mEngines.Holdings(
+      endpoint.mAddress,
+      [this,
+       name = name](const StepResult<std::vector<EngineHolding>>& aResult) {
+        TakeHoldings(name, aResult);
+      });
+  }
+}
+
+void
+HoldingsController::TakeHoldings(
+  const std::string& aEndpoint,
+  const StepResult<std::vector<EngineHolding>>& aResult)
+{
+  const auto endpoint = mConfiguration.Endpoints().find(aEndpoint);
+  if (!aResult.mIsOk || endpoint == mConfiguration.Endpoints().end()) {
+    return;
+  }
+  std::vector<Holding> holdings;
+  for (const auto& it : aResult.mValue) {
+    holdings.push_back({ it.mRequest, it.mAttempt, it.mOwner });
+  }
+  const HoldingResult result =
+    mDecisions.OnHoldings(aEndpoint, holdings, mClock.Now());
+  for (const auto& it : result.mCancels) {
+    LogEvent(LogLevel::Info,
+             "dead_holding_cancelled",
+             { { "endpoint", aEndpoint },
+               { "request", it.mRequest },
+               { "owner", it.mOwner } });
+    // The cancel controller repeats it until the engine confirms it.
+    mCancels.Cancel(
+      endpoint->second.mAddress,
+      { it.mRequest, static_cast<std::uint32_t>(it.mAttempt), it.mOwner });
+    mDecisions.OnConfirmed(it);
+  }
+  for (const auto& it : result.mUnknown) {
+    mCluster.AskMember(it);
+  }
+}
+
+} // namespace bulrushfold
--- a/Source/Daemon/ModelSession.cxx
+++ b/Source/Daemon/ModelSession.cxx
@@ -336,6 +336,11 @@
     LogLevel::Warning,
     "endpoint_died",
     { { "endpoint", aStep.mEndpoint }, { "request", mRequest->RequestId() } });
+  mHasCrashed = true;
+  mServices.mCluster.ReportCrash(
+    absl::StrCat(
+      aStep.mEndpoint, "/", mServices.mLoads.Incarnation(aStep.mEndpoint)),
+    { mRequest->mDigest, mRequest->mRunsAlone });
 }
 
 void
@@ -375,6 +380,23 @@
 
 void
 ModelSession::Do(const FailedStep& aStep)
+{
+  if (!std::exchange(mHasCrashed, false)) {
+    PassFailure(aStep);
+    return;
+  }
+  mServices.mSuspects->RunAgain(
+    mRequest, [self = shared_from_this(), aStep](bool aMayRun) {
+      if (aMayRun) {
+        self->PassFailure(aStep);
+      } else {
+        self->RefuseAsSuspect();
+      }
+    });
+}
+
+void
+ModelSession::PassFailure(const FailedStep& aStep)
 {
   mServices.mRouting.Notify([&](RoutingPolicy& aPolicy, Instant aNow) {
     return aPolicy.OnFailed(
@@ -382,6 +404,14 @@
   });
 }
 
+void
+ModelSession::RefuseAsSuspect()
+{
+  mIsRefusedAsSuspect = true;
+  Do(GoneStep{});
+  Run(mCall.OnGivenUp());
+}
+
 void
 ModelSession::Do(const GoneStep&)
 {
@@ -434,6 +464,12 @@
 Problem
 ModelSession::MakeProblem(const FinishStep& aStep) const
 {
+  if (mIsRefusedAsSuspect) {
+    return { Cause::CrashSuspect,
+             RanState::Yes,
+             "endpoints crashed each time they ran this request",
+             std::nullopt };
+  }
   Problem problem = aStep.mResult == ModelCallResult::GivenUp
                       ? ProblemOfRejection(mRejection, mCall)
                       : ProblemOfEnd(aStep.mResult, mCall);
--- a/Source/Daemon/ModelSession.h
+++ b/Source/Daemon/ModelSession.h
@@ -10,6 +10,7 @@
 #include "Daemon/FilterChain.h"
 #include "Daemon/LoadController.h"
 #include "Daemon/RoutingController.h"
+#include "Daemon/SuspectFilter.h"
 #include "Net/EventLoop.h"
 #include "Serving/ModelCall.h"
 #include "Settings/Settings.h"
@@ -25,6 +26,9 @@
   EngineClient& mEngines;
   RoutingController& mRouting;
   const LoadController& mLoads;
+  ClusterController& mCluster;
+  /** Set before the first request. */
+  SuspectGate* mSuspects = nullptr;
   LimitSettings mLimits;
   /** "DAEMON/INCARNATION". */
   std::string mOwner;
@@ -64,6 +68,8 @@
   void Do(const FirstTokenStep& aStep);
   void Do(const FinishedStep& aStep);
   void Do(const FailedStep& aStep);
+  void PassFailure(const FailedStep& aStep);
+  void RefuseAsSuspect();
   void Do(const GoneStep& aStep);
   void Do(const FinishStep& aStep);
 
@@ -86,6 +92,9 @@
   EventHandle mDeadlineTimer;
   EventHandle mDelayTimer;
   int mPriority = 0;
+  /** An endpoint died during the current step. */
+  bool mHasCrashed = false;
+  bool mIsRefusedAsSuspect = false;
   RejectAction mRejection;
   /** Keeps the session alive until the request is over. */
   std::shared_ptr<ModelSession> mSelf;
--- a/Source/Daemon/RequestContext.h
+++ b/Source/Daemon/RequestContext.h
@@ -69,6 +69,10 @@
   Workspace mWorkspace;
   std::optional<CompletionRequest> mCompletion;
   std::optional<ServiceRequest> mService;
+  /** Digest by which crashes of endpoints are counted. */
+  std::string mDigest;
+  /** A suspect whose run all daemons granted to this one. */
+  bool mRunsAlone = false;
   /** Status of the answer; 0 when there was none. */
   int mStatus = 0;
   /** Emitted once when the request is over. */
--- /dev/null
+++ b/Source/Daemon/SuspectFilter.h
@@ -0,0 +1,72 @@
+#ifndef BULRUSHFOLD_DAEMON_SUSPECTFILTER_H
+#define BULRUSHFOLD_DAEMON_SUSPECTFILTER_H
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "Base/Clock.h"
+#include "Daemon/ClusterController.h"
+#include "Daemon/FilterChain.h"
+#include "Net/EventLoop.h"
+
+namespace bulrushfold {
+
+/**
+ * Decides when a model request that crashed an endpoint may run again. Passes
+ * false when it must be refused.
+ */
+class SuspectGate
+{
+public:
+  using Decision = std::function<void(bool aMayRun)>;
+
+  virtual ~SuspectGate() = default;
+  /** aRequest crashed an endpoint and would like to run at another one. */
+  virtual void RunAgain(const RequestPointer& aRequest, Decision aDecision) = 0;
+};
+
+/**
+ * Holds back model requests that are suspected of crashing endpoints: one run
+ * at a time across all daemons, and none after crash_limit crashes. Other
+ * requests pass at once.
+ */
+class SuspectFilter
+  : public Filter
+  , public SuspectGate
+{
+public:
+  SuspectFilter(EventLoop& aLoop,
+                const Clock& aClock,
+                ClusterController& aCluster);
+  void Handle(const RequestPointer& aRequest, const Next& aNext) override;
+  void RunAgain(const RequestPointer& aRequest, Decision aDecision) override;
+
+private:
+  struct Waiting
+  {
+    RequestPointer mRequest;
+    Decision mDecision;
+    EventHandle mDeadlineTimer;
+  };
+
+  void HandleDecision(const SuspectResult& aResult);
+  /** Runs the first request with aDigest whose caller still waits. */
+  void RunOne(const std::string& aDigest);
+  void RunAll(const std::string& aDigest);
+  void RefuseAll(const std::string& aDigest);
+  void Hold(const RequestPointer& aRequest, Decision aDecision);
+  void Log(const RequestPointer& aRequest) const;
+  void Watch(const RequestPointer& aRequest);
+  static void Refuse(RequestContext& aRequest);
+
+  EventLoop& mLoop;
+  const Clock& mClock;
+  ClusterController& mCluster;
+  std::map<std::string, std::deque<Waiting>> mWaiting;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Utilities/cluster.sh
+++ b/Utilities/cluster.sh
@@ -302,9 +302,9 @@
   local status=$? name end=$((SECONDS + ${CLUSTER_END_S:-5}))
   trap - EXIT
   for name in "${!CLUSTER_PID[@]}"; do
-    kill -TERM "${CLUSTER_PID[$name]}" 2>/dev/null
+    kill -TERM "${CLUSTER_PID[$name]}" 2>/dev/null || true
     # A process that SIGSTOP paused must run to receive the signal.
-    kill -CONT "${CLUSTER_PID[$name]}" 2>/dev/null
+    kill -CONT "${CLUSTER_PID[$name]}" 2>/dev/null || true
   done
   for name in "${!CLUSTER_PID[@]}"; do
     while cluster_is_running "$name" && [ "$SECONDS" -lt "$end" ]; do
@@ -312,7 +312,7 @@
     done
     ! cluster_is_running "$name" || {
       echo "cluster: $name did not end in time" >&2
-      kill -KILL "${CLUSTER_PID[$name]}" 2>/dev/null
+      kill -KILL "${CLUSTER_PID[$name]}" 2>/dev/null || true
     }
     unset "CLUSTER_PID[$name]"
   done
--- a/Utilities/soak.sh
+++ b/Utilities/soak.sh
@@ -1,13 +1,12 @@
 #!/usr/bin/env bash
-# Randomised run of the decision classes with all faults at once.
+# Randomised run of the decision classes with all faults at once, or with
+# --processes of real processes.
 # soak.sh [--processes] --seed S --seconds T
 set -euo pipefail
 cd "$(dirname "$0")/.."
-for arg in "$@"; do
-  if [ "$arg" = --processes ]; then
-    echo "soak.sh: --processes is not available yet" >&2
-    exit 2
-  fi
-done
+if [ "${1:-}" = --processes ]; then
+  shift
+  exec bash Utilities/soak-processes.sh "$@"
+fi
 bash Utilities/build.sh release
 exec build/release/bin/bulrushfold-soak "$@"
