--- a/Source/Net/HttpClient.cxx
+++ b/Source/Net/HttpClient.cxx
@@ -13,6 +13,7 @@
 #include <event2/http_struct.h>
 
 #include "Base/EnumNames.h"
+#include "Net/SocketOptions.h"
 
 namespace bulrushfold {
 
@@ -382,6 +383,10 @@
       }
     });
   }
+  if (state->mConnection != nullptr) {
+    SendAtOnce(
+      bufferevent_getfd(evhttp_connection_get_bufferevent(state->mConnection)));
+  }
   return std::make_unique<HttpCall>(std::move(state));
 }
 
--- a/Source/Net/HttpServer.cxx
+++ b/Source/Net/HttpServer.cxx
@@ -16,6 +16,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 
+#include "Net/SocketOptions.h"
 #include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
@@ -131,6 +132,7 @@
   const int probes = kProbes;
   const auto userTimeout = static_cast<unsigned int>(limit.count());
   setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &isOn, sizeof(isOn));
+  SendAtOnce(aSocket);
   setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof(interval));
   setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
   setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
--- a/Source/Net/PeerLinks.cxx
+++ b/Source/Net/PeerLinks.cxx
@@ -13,6 +13,7 @@
 #include <event2/listener.h>
 
 #include "Base/Log.h"
+#include "Net/SocketOptions.h"
 #include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
@@ -47,6 +48,7 @@
   {
     bufferevent_setcb(mBufferevent, &HandleRead, nullptr, &HandleEvent, this);
     bufferevent_enable(mBufferevent, EV_READ | EV_WRITE);
+    SendAtOnce(aSocket);
   }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -55,9 +57,12 @@
   bool Connect(const SocketAddress& aAddress)
   {
     sockaddr_in address = ToSockaddr(aAddress);
-    return bufferevent_socket_connect(mBufferevent,
-                                      reinterpret_cast<sockaddr*>(&address),
-                                      sizeof(address)) == 0;
+    const bool isStarted =
+      bufferevent_socket_connect(mBufferevent,
+                                 reinterpret_cast<sockaddr*>(&address),
+                                 sizeof(address)) == 0;
+    SendAtOnce(bufferevent_getfd(mBufferevent));
+    return isStarted;
   }
 
   /** False when too many bytes wait already. */
