--- a/Utilities/test.sh
+++ b/Utilities/test.sh
@@ -14,6 +14,10 @@
 bash Utilities/model-check.sh
 echo "== randomised run"
 build/release/bin/bulrushfold-soak --seed 1 --steps 100000 | tail -n 1
+echo "== tests under AddressSanitizer and UndefinedBehaviorSanitizer"
+bash Utilities/build.sh sanitize
+ctest --test-dir build/sanitize --output-on-failure --timeout 900 -j 6 |
+  tail -n 8
 if [ -s KNOWN-RED.txt ]; then
   echo "== known failures that are let pass"
   cat KNOWN-RED.txt
