Read HTTP with libhttp-parser on bufferevents instead of evhttp

Cause: evhttp cannot keep the promises that a router needs on the wire. It accepts folded lines, bare line ends and repeated lengths from callers, stops reading while a reply is owed, cannot say whether a connection ended with a reset or an end of file, reuses a connection with bytes left after a reply, and does not announce the end of a kept connection.

HttpParser wraps the parser library of Debian for both directions and adds the checks that the library as Debian builds it leaves out (line ends, duplicate lengths, names of fields, line ends after chunks). Connections of the client are reused per address and server name, with the idle time that the server states.

A test of the service emulator sent HTTP/1.1 without Host; it sends one now. HttpTest sets the two new timeouts to the value of the one they came from.

--- a/Source/Control/AdminClient.cxx
+++ b/Source/Control/AdminClient.cxx
@@ -232,7 +232,7 @@
   request.mBody = aBody;
   request.mSilenceBound = mOptions.mCallTimeout;
   // Only then does a failed connect prove that no byte was sent.
-  request.mFreshConnection = true;
+  request.mMaxIdleAge = Duration::zero();
   std::optional<HttpCallReply> result;
   HttpCallHooks hooks;
   hooks.mOnDone = [&](HttpCallReply aReply) {
--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -27,6 +27,8 @@
   limits.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
   limits.mMaxBodyBytes = aLimits.mMaxBodyBytes;
   limits.mReadTimeout = aLimits.mCallerReadTimeout;
+  limits.mHeaderTimeout = aLimits.mCallerReadTimeout;
+  limits.mIdleTimeout = aLimits.mCallerReadTimeout;
   limits.mWriteTimeout = aLimits.mCallerWriteTimeout;
   return limits;
 }
--- a/Source/Daemon/EngineClient.cxx
+++ b/Source/Daemon/EngineClient.cxx
@@ -341,7 +341,9 @@
                                         body.dump(),
                                         mSettings.mStreamSilence);
   // A resumed stream must not meet the connection that went silent.
-  request.mFreshConnection = aRequest.mOffset > 0;
+  if (aRequest.mOffset > 0) {
+    request.mMaxIdleAge = Duration::zero();
+  }
   return mClient.Start(std::move(request), std::move(hooks));
 }
 
@@ -368,7 +370,7 @@
 {
   HttpCallRequest request = MakeRequest(
     aEngine, HttpMethod::Get, "/engine/status", "", mSettings.mStreamSilence);
-  request.mFreshConnection = true;
+  request.mMaxIdleAge = Duration::zero();
   HttpCallHooks hooks;
   hooks.mOnDone = [hook = std::move(aHook)](const HttpCallReply& aReply) {
     hook(ParseReply<EngineStatus>(aReply, ParseStatus));
--- a/Source/Daemon/LookupSession.cxx
+++ b/Source/Daemon/LookupSession.cxx
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include <event2/http.h>
-
 #include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
@@ -12,16 +10,6 @@
 namespace {
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
-std::string
-Encode(const std::string& aText)
-{
-  char* encoded =
-    evhttp_uriencode(aText.data(), static_cast<ev_ssize_t>(aText.size()), 0);
-  std::string result(encoded);
-  std::free(encoded);
-  return result;
-}
-
 /** aPath with every segment encoded. */
 std::string
 EncodePath(const std::string& aPath)
@@ -30,7 +18,7 @@
   std::size_t at = 0;
   while (at < aPath.size()) {
     const auto end = std::min(aPath.find('/', at), aPath.size());
-    result += Encode(aPath.substr(at, end - at));
+    result += EncodeQueryValue(aPath.substr(at, end - at));
     if (end < aPath.size()) {
       result += '/';
     }
@@ -65,9 +53,9 @@
   for (const auto& [name, value] : message.mQuery) {
     absl::StrAppend(&call.mTarget,
                     std::string(1, separator),
-                    Encode(name),
+                    EncodeQueryValue(name),
                     "=",
-                    Encode(value));
+                    EncodeQueryValue(value));
     separator = '&';
   }
   call.mContentType =
--- a/Source/Daemon/ServiceClient.cxx
+++ b/Source/Daemon/ServiceClient.cxx
@@ -52,7 +52,7 @@
   request.mBody = aRequest.mBody;
   request.mConnectTimeout = mSettings.mConnectTimeout;
   request.mSilenceBound = mSettings.mServiceTimeout;
-  request.mFreshConnection = true;
+  request.mMaxIdleAge = Duration::zero();
   request.mHeaders.Add("Content-Type", aRequest.mContentType);
   request.mHeaders.Add("Connection", "close");
   if (!aRequest.mTraceparent.empty()) {
--- a/Source/Emulator/KvImports.cxx
+++ b/Source/Emulator/KvImports.cxx
@@ -38,7 +38,7 @@
   request.mAddress = aOrder.mSource;
   request.mTarget = absl::StrCat("/engine/kv/", aOrder.mKv);
   request.mSilenceBound = mSettings.mStallTime;
-  request.mFreshConnection = true;
+  request.mMaxIdleAge = Duration::zero();
   HttpCallHooks hooks;
   hooks.mOnHeaders = [this, work](int aStatus, const HttpHeaders& aHeaders) {
     HandleHeaders(work, aStatus, aHeaders);
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -2,22 +2,24 @@
 #define BULRUSHFOLD_NET_HTTPCLIENT_H
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <list>
 #include <map>
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
+#include <utility>
 
 #include "Base/Clock.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpMessage.h"
 #include "Settings/Settings.h"
 
-struct evhttp_connection;
-
 namespace bulrushfold {
 
+class HttpClientConnection;
+
 /** How a call to an HTTP server ended. */
 enum class HttpCallResult
 {
@@ -40,6 +42,11 @@
 struct HttpCallRequest
 {
   SocketAddress mAddress;
+  /**
+   * Who is expected at mAddress. Connections are only reused for calls to the
+   * same server, so that a successor at the address gets new ones.
+   */
+  std::string mServer;
   HttpMethod mMethod = HttpMethod::Get;
   /** Path and query, encoded. */
   std::string mTarget;
@@ -49,10 +56,12 @@
   /** Longest wait between two reads of the reply. */
   Duration mSilenceBound = std::chrono::seconds(30);
   /**
-   * Always opens a connection of its own. Needed where "no byte was sent" must
-   * be certain, because a connection from the pool may already be closed.
+   * Longest idle time of a connection that may be reused; zero always opens a
+   * new one. A connection from the pool may already be closed, and then it is
+   * unknown whether the request was received.
    */
-  bool mFreshConnection = false;
+  Duration mMaxIdleAge = std::chrono::seconds(5);
+  std::size_t mMaxBodyBytes = 256 * 1024 * 1024;
   /** Rate at which the reply is read, for tests of slow readers; 0: no limit.
    */
   std::size_t mReadBytesPerSecond = 0;
@@ -67,6 +76,8 @@
   HttpHeaders mHeaders;
   /** Empty when the chunk hook took the body. */
   std::string mBody;
+  /** The connection had served a call before. */
+  bool mIsReused = false;
 };
 
 /** Callbacks of a call. */
@@ -80,18 +91,37 @@
   std::function<void(HttpCallReply)> mOnDone;
 };
 
-/** A call in progress; destroying it cancels the call without callbacks. */
+/**
+ * A call in progress; destroying it cancels the call without callbacks and
+ * closes its connection.
+ */
 class HttpCall
 {
 public:
-  struct State;
-  explicit HttpCall(std::shared_ptr<State> aState);
+  /** aNumber: of the call among those of aConnection. */
+  HttpCall(std::weak_ptr<HttpClientConnection> aConnection,
+           std::uint64_t aNumber)
+    : mConnection(std::move(aConnection))
+    , mNumber(aNumber)
+  {
+  }
   HttpCall(const HttpCall&) = delete;
   HttpCall& operator=(const HttpCall&) = delete;
   ~HttpCall();
 
+  /** Stops reading the reply, or goes on, to match a slow receiver. */
+  void SetReading(bool aIsReading);
+
 private:
-  std::shared_ptr<State> mState;
+  std::weak_ptr<HttpClientConnection> mConnection;
+  std::uint64_t mNumber;
+};
+
+/** Connections since the start of the client. */
+struct HttpClientTraffic
+{
+  std::size_t mOpened = 0;
+  std::size_t mReused = 0;
 };
 
 /** HTTP/1.1 client on the event loop, with a pool of idle connections. */
@@ -101,35 +131,37 @@
   explicit HttpClient(EventLoop& aLoop);
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
-  ~HttpClient();
 
   /** Starts a call. Hooks run in later turns of the loop. */
   std::unique_ptr<HttpCall> Start(HttpCallRequest aRequest,
                                   HttpCallHooks aHooks);
   /** Closes the idle connections to aAddress. */
   void DropIdle(const SocketAddress& aAddress);
+  const HttpClientTraffic& Traffic() const { return mTraffic; }
+
+  // For the connections.
+  /** The call is over and the connection may serve another one. */
+  void GiveBack(HttpClientConnection& aConnection);
+  /** The connection is closed. */
+  void Forget(HttpClientConnection& aConnection);
 
 private:
-  friend class HttpCall;
-  struct IdleConnection
-  {
-    evhttp_connection* mConnection = nullptr;
-    Instant mSince;
-  };
-  evhttp_connection* TakeConnection(const HttpCallRequest& aRequest);
-  void GiveBack(const SocketAddress& aAddress, evhttp_connection* aConnection);
-  void DropConnection(evhttp_connection* aConnection,
-                      std::shared_ptr<void> aCall);
-  void FreeDropped();
+  using ServerKey = std::pair<SocketAddress, std::string>;
+  using ConnectionList = std::list<std::shared_ptr<HttpClientConnection>>;
+
+  std::shared_ptr<HttpClientConnection> TakeIdle(
+    const HttpCallRequest& aRequest);
   void CloseStaleIdle();
+  void ArmSweep();
 
   EventLoop& mLoop;
   SystemClock mClock;
-  std::map<SocketAddress, std::vector<IdleConnection>> mIdle;
-  /** Connections to be freed in the next turn, with their calls. */
-  std::map<evhttp_connection*, std::shared_ptr<void>> mDropped;
-  EventHandle mIdleTimer;
-  std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
+  HttpClientTraffic mTraffic;
+  std::map<HttpClientConnection*, std::shared_ptr<HttpClientConnection>> mBusy;
+  /** The most recently used connection is last. */
+  std::map<ServerKey, ConnectionList> mIdle;
+  EventHandle mSweepTimer;
+  bool mIsSweepArmed = false;
 };
 
 } // namespace bulrushfold
--- /dev/null
+++ b/Source/Net/HttpClientConnection.h
@@ -0,0 +1,84 @@
+#ifndef BULRUSHFOLD_NET_HTTPCLIENTCONNECTION_H
+#define BULRUSHFOLD_NET_HTTPCLIENTCONNECTION_H
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "Net/EventLoop.h"
+#include "Net/HttpClient.h"
+#include "Net/HttpParser.h"
+
+struct bufferevent;
+struct ev_token_bucket_cfg;
+
+namespace bulrushfold {
+
+/** One connection to a server; carries one call at a time. */
+class HttpClientConnection
+  : public std::enable_shared_from_this<HttpClientConnection>
+{
+public:
+  HttpClientConnection(EventLoop& aLoop, HttpClient& aClient);
+  HttpClientConnection(const HttpClientConnection&) = delete;
+  HttpClientConnection& operator=(const HttpClientConnection&) = delete;
+  ~HttpClientConnection();
+
+  /**
+   * Sends aRequest; connects first if there is no connection yet.
+   * @return the number of the call.
+   */
+  std::uint64_t Start(HttpCallRequest aRequest, HttpCallHooks aHooks);
+  /** Ends call aCall without callbacks, unless it is over. */
+  void Cancel(std::uint64_t aCall);
+  void SetReading(std::uint64_t aCall, bool aIsReading);
+  /** Closes an idle connection. */
+  void Close();
+
+  const SocketAddress& Address() const { return mRequest.mAddress; }
+  const std::string& Server() const { return mRequest.mServer; }
+  Instant IdleSince() const { return mIdleSince; }
+  /** The server closes the idle connection at about this time. */
+  Instant ExpiresAt() const { return mExpiresAt; }
+
+private:
+  static void HandleRead(bufferevent* aEvent, void* aSelf);
+  static void HandleEvent(bufferevent* aEvent, short aWhat, void* aSelf);
+
+  void Connect();
+  void Send();
+  void Read();
+  void HandleHead();
+  void HandleBody(std::string_view aData);
+  /** The connection ended; aIsOrderly: without an error. */
+  void HandleEnd(bool aIsOrderly);
+  void HandleReplyEnd();
+  /** Ends the call; aKeep returns the connection to the pool. */
+  void Finish(HttpCallResult aResult, bool aKeep);
+  void FinishLater(HttpCallResult aResult);
+  void LimitReads(std::size_t aBytesPerSecond);
+  void NoteIdle(const HttpHeaders& aHeaders);
+
+  EventLoop& mLoop;
+  HttpClient& mClient;
+  SystemClock mClock;
+  bufferevent* mEvent = nullptr;
+  HttpParser mParser;
+  HttpCallRequest mRequest;
+  HttpCallHooks mHooks;
+  HttpCallReply mReply;
+  EventHandle mConnectTimer;
+  std::unique_ptr<ev_token_bucket_cfg, void (*)(ev_token_bucket_cfg*)>
+    mReadLimit;
+  Instant mIdleSince;
+  Instant mExpiresAt;
+  std::uint64_t mCalls = 0;
+  bool mIsConnected = false;
+  bool mIsBusy = false;
+  bool mIsClosed = false;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Net/HttpMessage.h
+++ b/Source/Net/HttpMessage.h
@@ -1,22 +1,24 @@
 #ifndef BULRUSHFOLD_NET_HTTPMESSAGE_H
 #define BULRUSHFOLD_NET_HTTPMESSAGE_H
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
-struct evkeyvalq;
-
 namespace bulrushfold {
 
-/** Methods that the project's servers and clients use. */
+/** Methods that the project's servers and clients pass on. */
 enum class HttpMethod
 {
   Get,
+  Head,
   Post,
   Put,
+  Patch,
   Delete,
+  Options,
 };
 
 /** One header field. */
@@ -39,6 +41,8 @@
   void Add(std::string_view aName, std::string_view aValue);
   /** Value of the first field named aName; empty if there is none. */
   std::optional<std::string> Find(std::string_view aName) const;
+  /** Number of fields named aName. */
+  std::size_t Count(std::string_view aName) const;
   const std::vector<HttpHeader>& Fields() const { return mFields; }
 
 private:
@@ -56,6 +60,8 @@
 struct HttpRequest
 {
   HttpMethod mMethod = HttpMethod::Get;
+  /** Path and query as they were sent. */
+  std::string mTarget;
   /** Decoded path, without the query. */
   std::string mPath;
   std::vector<HttpParameter> mQuery;
@@ -69,8 +75,23 @@
 /** Name of aMethod in a request line. */
 std::string_view HttpMethodName(HttpMethod aMethod);
 
-/** Copies header fields of the HTTP library. */
-HttpHeaders CopyHeaders(const evkeyvalq* aFields);
+/** Method named aName; empty when the project does not pass it on. */
+std::optional<HttpMethod> ParseHttpMethod(std::string_view aName);
+
+/** Standard reason phrase of aStatus; "Status" for an unknown one. */
+std::string_view HttpReasonPhrase(int aStatus);
+
+/** True when aLeft and aRight name the same header field. */
+bool IsSameHeaderName(std::string_view aLeft, std::string_view aRight);
+
+/** True when aName is a header field name and aValue a value of one line. */
+bool IsValidHeader(std::string_view aName, std::string_view aValue);
+
+/** Sets mPath and mQuery from mTarget. */
+void DecodeTarget(HttpRequest& aRequest);
+
+/** aText with all but unreserved characters percent-encoded. */
+std::string EncodeQueryValue(std::string_view aText);
 
 } // namespace bulrushfold
 
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -2,81 +2,49 @@
 #define BULRUSHFOLD_NET_HTTPSERVER_H
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
-#include <string>
 #include <string_view>
 
 #include "Base/Clock.h"
 #include "Net/EventLoop.h"
-#include "Net/HttpMessage.h"
+#include "Net/HttpExchange.h"
+#include "Net/HttpParser.h"
 #include "Settings/Settings.h"
 #include "absl/status/status.h"
 
-struct evhttp;
-struct evhttp_bound_socket;
-struct evhttp_connection;
-struct evhttp_request;
+struct evconnlistener;
 
 namespace bulrushfold {
 
-/**
- * One request and its reply. The reply is either whole (Reply) or streamed
- * (StartStream, SendChunk, EndStream). After the caller has closed the
- * connection all calls are accepted and do nothing.
- */
-class HttpExchange
-{
-public:
-  HttpExchange(evhttp_request* aRequest,
-               HttpRequest aMessage,
-               std::shared_ptr<const bool> aServerIsAlive);
-  HttpExchange(const HttpExchange&) = delete;
-  HttpExchange& operator=(const HttpExchange&) = delete;
-  ~HttpExchange();
-
-  const HttpRequest& Request() const { return mMessage; }
-
-  /** Sends a whole reply. */
-  void Reply(int aStatus, const HttpHeaders& aHeaders, std::string_view aBody);
-  /** Sends status and headers of a streamed reply. */
-  void StartStream(int aStatus, const HttpHeaders& aHeaders);
-  void SendChunk(std::string_view aData);
-  /** Marks the end of a streamed reply. */
-  void EndStream();
-  /** Closes the connection, so that a streamed reply ends visibly broken. */
-  void Abort();
-
-  /** True once the reply is complete or the connection is closed. */
-  bool IsOver() const { return mRequest == nullptr; }
-  bool HasStarted() const { return mStarted; }
-  /** Reply bytes that the connection has not accepted yet. */
-  std::size_t PendingBytes() const;
-  /** Called once if the connection closes before the reply is complete. */
-  void OnClosed(std::function<void()> aHook) { mClosedHook = std::move(aHook); }
-
-private:
-  friend class HttpServer;
-  void HandleClosed();
-  /** Forgets the library's request after its reply is complete. */
-  evhttp_request* Release();
-
-  evhttp_request* mRequest;
-  HttpRequest mMessage;
-  std::shared_ptr<const bool> mServerIsAlive;
-  bool mStarted = false;
-  std::function<void()> mClosedHook;
-};
+class HttpServerConnection;
 
 /** Bounds of a server. */
 struct HttpServerLimits
 {
   std::size_t mMaxHeaderBytes = 16 * 1024;
   std::size_t mMaxBodyBytes = 64 * 1024 * 1024;
-  /** Longest silence while a request arrives. */
+  /** Longest time from the first byte of a request to the end of its head. */
+  Duration mHeaderTimeout = std::chrono::seconds(30);
+  /** Longest silence while a body arrives. */
   Duration mReadTimeout = std::chrono::seconds(30);
+  /** Longest time for which a connection stays open without a request. */
+  Duration mIdleTimeout = std::chrono::seconds(30);
   /** Longest time in which the other side accepts no byte of the reply. */
   Duration mWriteTimeout = std::chrono::seconds(30);
+  /** Connections open at once; further ones wait in the kernel's queue. */
+  std::size_t mMaxConnections = 10'000;
+};
+
+/** A request that the server refused without passing it to the handler. */
+struct HttpRefusal
+{
+  int mStatus = 0;
+  std::string_view mReason;
+  /** As far as it was read. */
+  const HttpHead& mHead;
 };
 
 /** HTTP/1.1 server on the event loop. */
@@ -84,6 +52,7 @@
 {
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+  using RefusalHook = std::function<void(const HttpRefusal&)>;
 
   HttpServer(EventLoop& aLoop, HttpServerLimits aLimits, Handler aHandler);
   HttpServer(const HttpServer&) = delete;
@@ -94,18 +63,34 @@
   absl::Status Listen(const SocketAddress& aAddress);
   /** Stops accepting connections; exchanges in progress go on. */
   void StopListening();
+  /** From now on each reply announces that its connection closes. */
+  void BeginDraining() { mIsDraining = true; }
+  /** Closes connections that carry no request. */
+  void CloseIdle();
+  void OnRefused(RefusalHook aHook) { mRefusalHook = std::move(aHook); }
+  void SetLimits(const HttpServerLimits& aLimits) { mLimits = aLimits; }
+
+  const HttpServerLimits& Limits() const { return mLimits; }
+  bool IsDraining() const { return mIsDraining; }
+  std::size_t Connections() const { return mConnections.size(); }
+
+  // For the connections.
+  void Handle(std::shared_ptr<HttpExchange> aExchange);
+  void NoteRefused(const HttpRefusal& aRefusal);
 
 private:
-  static void HandleRequest(evhttp_request* aRequest, void* aServer);
-  static void HandleComplete(evhttp_request* aRequest, void* aServer);
-  void Accept(evhttp_request* aRequest);
-  /** Sets up the connection for the time in which a reply is owed. */
-  void PrepareForReply(evhttp_request* aRequest);
+  void Accept(int aSocket);
+  void Forget(std::uint64_t aId);
 
-  evhttp* mHttp;
+  EventLoop& mLoop;
   HttpServerLimits mLimits;
   Handler mHandler;
-  evhttp_bound_socket* mSocket = nullptr;
+  RefusalHook mRefusalHook;
+  evconnlistener* mListener = nullptr;
+  bool mIsDraining = false;
+  bool mIsAccepting = true;
+  std::uint64_t mNextId = 1;
+  std::map<std::uint64_t, std::unique_ptr<HttpServerConnection>> mConnections;
   std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
 };
 
--- /dev/null
+++ b/Source/Net/HttpServerConnection.cxx
@@ -0,0 +1,321 @@
+#include "Net/HttpServerConnection.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <sys/socket.h>
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+
+#include "Net/SocketOptions.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kContentTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+constexpr int kNotImplemented = 501;
+/** Bytes of pipelined requests that wait while a reply is owed. */
+constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
+/** Time in which the other side may read a refusal and close. */
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+} // namespace
+
+HttpServerConnection::HttpServerConnection(EventLoop& aLoop,
+                                           int aSocket,
+                                           HttpServer& aServer,
+                                           std::function<void()> aOnClosed)
+  : mLoop(aLoop)
+  , mServer(aServer)
+  , mOnClosed(std::move(aOnClosed))
+  , mEvent(bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE))
+  , mParser(HttpMessageKind::Request,
+            {},
+            { [this] { HandleHead(); },
+              [this](std::string_view aData) { mBody.append(aData); } })
+{
+  const HttpServerLimits& limits = mServer.Limits();
+  SendAtOnce(aSocket);
+  DetectDeadConnection(aSocket, limits.mWriteTimeout);
+  bufferevent_setcb(mEvent, &HandleRead, &HandleWritten, &HandleEvent, this);
+  const timeval writeTimeout = ToTimeval(limits.mWriteTimeout);
+  bufferevent_set_timeouts(mEvent, nullptr, &writeTimeout);
+  bufferevent_enable(mEvent, EV_READ | EV_WRITE);
+  SetDeadline(mClock.Now() + limits.mIdleTimeout);
+}
+
+HttpServerConnection::~HttpServerConnection()
+{
+  *mIsAlive = false;
+  if (mExchange != nullptr) {
+    std::exchange(mExchange, nullptr)->HandleClosed();
+  }
+  bufferevent_free(mEvent);
+}
+
+void
+HttpServerConnection::Write(std::string_view aData)
+{
+  bufferevent_write(mEvent, aData.data(), aData.size());
+}
+
+std::size_t
+HttpServerConnection::PendingBytes() const
+{
+  return evbuffer_get_length(bufferevent_get_output(mEvent));
+}
+
+bool
+HttpServerConnection::AnnounceClose()
+{
+  mClosesAfterReply = mClosesAfterReply || mServer.IsDraining();
+  return mClosesAfterReply;
+}
+
+bool
+HttpServerConnection::IsIdle() const
+{
+  return !HasExchange() && !mIsLingering &&
+         mParser.CurrentState() == HttpParser::State::Idle;
+}
+
+void
+HttpServerConnection::HandleRead(bufferevent*, void* aSelf)
+{
+  static_cast<HttpServerConnection*>(aSelf)->Read();
+}
+
+void
+HttpServerConnection::HandleWritten(bufferevent*, void* aSelf)
+{
+  auto* self = static_cast<HttpServerConnection*>(aSelf);
+  if (self->mIsLingering && self->PendingBytes() == 0) {
+    shutdown(bufferevent_getfd(self->mEvent), SHUT_WR);
+  }
+}
+
+void
+HttpServerConnection::HandleEvent(bufferevent*, short aWhat, void* aSelf)
+{
+  constexpr short kEnd = BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT;
+  if ((aWhat & kEnd) != 0) {
+    static_cast<HttpServerConnection*>(aSelf)->Close();
+  }
+}
+
+void
+HttpServerConnection::Read()
+{
+  evbuffer* input = bufferevent_get_input(mEvent);
+  if (mIsLingering) {
+    evbuffer_drain(input, evbuffer_get_length(input));
+    return;
+  }
+  if (HasExchange()) {
+    // Bytes of the next request wait; the other side is held back.
+    bufferevent_setwatermark(mEvent, EV_READ, 0, kMaxPipelinedBytes);
+    return;
+  }
+  while (evbuffer_get_length(input) > 0 && !HasExchange() && !mIsLingering) {
+    const bool isFirst = mParser.CurrentState() == HttpParser::State::Idle;
+    if (isFirst) {
+      const HttpServerLimits& limits = mServer.Limits();
+      mArrival = mClock.Now();
+      mParser.SetLimits({ limits.mMaxHeaderBytes, limits.mMaxBodyBytes });
+    }
+    const std::size_t n = evbuffer_get_contiguous_space(input);
+    const auto* data = reinterpret_cast<const char*>(evbuffer_pullup(input, n));
+    const std::size_t used = mParser.Feed({ data, n });
+    evbuffer_drain(input, used);
+    if (mParser.CurrentState() == HttpParser::State::Head) {
+      if (isFirst) {
+        SetDeadline(mArrival + mServer.Limits().mHeaderTimeout);
+      }
+    } else if (mParser.CurrentState() == HttpParser::State::Body) {
+      SetDeadline(mClock.Now() + mServer.Limits().mReadTimeout);
+    } else if (mParser.CurrentState() == HttpParser::State::Complete) {
+      HandleRequest();
+    } else if (mParser.CurrentState() == HttpParser::State::Failed) {
+      RefuseFor(mParser.Error());
+    }
+  }
+}
+
+void
+HttpServerConnection::ReadLater()
+{
+  if (std::exchange(mIsReadDeferred, true)) {
+    return;
+  }
+  mLoop.Defer([this, alive = mIsAlive] {
+    if (*alive) {
+      mIsReadDeferred = false;
+      Read();
+    }
+  });
+}
+
+void
+HttpServerConnection::HandleHead()
+{
+  const HttpHead& head = mParser.Head();
+  if (const auto expect = head.mHeaders.Find("Expect");
+      expect && IsSameHeaderName(*expect, "100-continue") &&
+      head.mIsVersion11) {
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void
+HttpServerConnection::HandleRequest()
+{
+  HttpHead head = mParser.TakeHead();
+  HttpRequest request;
+  request.mMethod = head.mMethod;
+  request.mTarget = std::move(head.mTarget);
+  request.mHeaders = std::move(head.mHeaders);
+  request.mBody = std::exchange(mBody, std::string());
+  DecodeTarget(request);
+  mClosesAfterReply = !head.mKeepsAlive;
+  mParser.Restart();
+  auto exchange = std::make_shared<HttpExchange>(
+    *this, std::move(request), mArrival, head.mIsVersion11);
+  mExchange = exchange.get();
+  mServer.Handle(std::move(exchange));
+}
+
+void
+HttpServerConnection::RefuseFor(HttpParseError aError)
+{
+  switch (aError) {
+    case HttpParseError::HeaderTooLarge:
+      Refuse(kHeaderTooLarge, HttpParseErrorName(aError));
+      return;
+    case HttpParseError::BodyTooLarge:
+      Refuse(kContentTooLarge, HttpParseErrorName(aError));
+      return;
+    case HttpParseError::UnknownMethod:
+      Refuse(kNotImplemented, HttpParseErrorName(aError));
+      return;
+    case HttpParseError::Malformed:
+    case HttpParseError::None:
+      Refuse(kBadRequest, HttpParseErrorName(aError));
+      return;
+  }
+}
+
+void
+HttpServerConnection::Refuse(int aStatus, std::string_view aReason)
+{
+  mServer.NoteRefused({ aStatus, aReason, mParser.Head() });
+  mClosesAfterReply = true;
+  const std::string status = std::to_string(aStatus);
+  Write("HTTP/1.1 " + status + " " + std::string(HttpReasonPhrase(aStatus)) +
+        "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+  BeginLinger();
+}
+
+void
+HttpServerConnection::FinishExchange()
+{
+  mExchange = nullptr;
+  if (mClosesAfterReply) {
+    BeginLinger();
+    return;
+  }
+  bufferevent_setwatermark(mEvent, EV_READ, 0, 0);
+  SetDeadline(mClock.Now() + mServer.Limits().mIdleTimeout);
+  if (evbuffer_get_length(bufferevent_get_input(mEvent)) > 0) {
+    ReadLater();
+  }
+}
+
+void
+HttpServerConnection::BeginLinger()
+{
+  mIsLingering = true;
+  bufferevent_setwatermark(mEvent, EV_READ, 0, 0);
+  evbuffer* input = bufferevent_get_input(mEvent);
+  evbuffer_drain(input, evbuffer_get_length(input));
+  if (PendingBytes() == 0) {
+    shutdown(bufferevent_getfd(mEvent), SHUT_WR);
+  }
+  SetDeadline(mClock.Now() + kLingerTime);
+}
+
+void
+HttpServerConnection::BreakOff()
+{
+  mExchange = nullptr;
+  BeginLinger();
+}
+
+void
+HttpServerConnection::Reset()
+{
+  mExchange = nullptr;
+  const linger abort{ 1, 0 };
+  setsockopt(
+    bufferevent_getfd(mEvent), SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+  Close();
+}
+
+void
+HttpServerConnection::Close()
+{
+  if (mExchange != nullptr) {
+    std::exchange(mExchange, nullptr)->HandleClosed();
+  }
+  if (!mOnClosed) {
+    return;
+  }
+  bufferevent_disable(mEvent, EV_READ | EV_WRITE);
+  bufferevent_setcb(mEvent, nullptr, nullptr, nullptr, nullptr);
+  mTimer = EventHandle();
+  std::exchange(mOnClosed, nullptr)();
+}
+
+void
+HttpServerConnection::SetDeadline(Instant aAt)
+{
+  mDeadline = aAt;
+  // A timer that fires too early is armed again, which costs less than
+  // moving it with each request.
+  if (!mTimerAt || aAt < *mTimerAt) {
+    ArmTimer(aAt);
+  }
+}
+
+void
+HttpServerConnection::ArmTimer(Instant aAt)
+{
+  mTimerAt = aAt;
+  mTimer = mLoop.After(std::max(aAt - mClock.Now(), Duration::zero()),
+                       [this] { HandleTimer(); });
+}
+
+void
+HttpServerConnection::HandleTimer()
+{
+  mTimerAt.reset();
+  const Instant now = mClock.Now();
+  if (HasExchange()) {
+    ArmTimer(now + mServer.Limits().mIdleTimeout);
+    return;
+  }
+  if (mDeadline > now) {
+    ArmTimer(mDeadline);
+    return;
+  }
+  if (mIsLingering || mParser.CurrentState() == HttpParser::State::Idle) {
+    Close();
+    return;
+  }
+  Refuse(kRequestTimeout, "request_timeout");
+}
+
+} // namespace bulrushfold
--- a/Source/Net/PeerLinks.cxx
+++ b/Source/Net/PeerLinks.cxx
@@ -19,21 +19,9 @@
 namespace bulrushfold {
 
 namespace {
-
 constexpr std::size_t kLengthBytes = 4;
 // A peer that does not read for long loses messages instead of growing memory.
 constexpr std::size_t kMaxQueuedFrames = 4;
-
-sockaddr_in
-ToSockaddr(const SocketAddress& aAddress)
-{
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(aAddress.mPort);
-  inet_pton(AF_INET, aAddress.mHost.c_str(), &address.sin_addr);
-  return address;
-}
-
 } // namespace
 
 /** One TCP connection that carries frames in both directions. */
@@ -56,7 +44,7 @@
 
   bool Connect(const SocketAddress& aAddress)
   {
-    sockaddr_in address = ToSockaddr(aAddress);
+    sockaddr_in address = ToSockaddr(aAddress).value_or(sockaddr_in{});
     const bool isStarted =
       bufferevent_socket_connect(mBufferevent,
                                  reinterpret_cast<sockaddr*>(&address),
@@ -160,7 +148,7 @@
 absl::Status
 PeerLinks::Listen()
 {
-  const sockaddr_in address = ToSockaddr(mAddress);
+  const sockaddr_in address = ToSockaddr(mAddress).value_or(sockaddr_in{});
   mListener = evconnlistener_new_bind(
     mLoop.Base(),
     [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
--- a/Source/Net/SocketOptions.cxx
+++ b/Source/Net/SocketOptions.cxx
@@ -1,6 +1,8 @@
 #include "Net/SocketOptions.h"
 
-#include <netinet/in.h>
+#include <algorithm>
+
+#include <arpa/inet.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -15,4 +17,37 @@
   }
 }
 
+void
+DetectDeadConnection(int aSocket, Duration aLimit)
+{
+  if (aSocket < 0) {
+    return;
+  }
+  constexpr int kProbes = 3;
+  const auto limit =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aLimit);
+  const int isOn = 1;
+  const int interval =
+    std::max(1, static_cast<int>(limit.count() / 1000 / (kProbes + 1)));
+  const auto userTimeout = static_cast<unsigned int>(limit.count());
+  setsockopt(aSocket, SOL_SOCKET, SO_KEEPALIVE, &isOn, sizeof(isOn));
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPIDLE, &interval, sizeof(interval));
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
+  setsockopt(aSocket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+  setsockopt(
+    aSocket, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeout, sizeof(userTimeout));
+}
+
+std::optional<sockaddr_in>
+ToSockaddr(const SocketAddress& aAddress)
+{
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(aAddress.mPort);
+  if (inet_pton(AF_INET, aAddress.mHost.c_str(), &address.sin_addr) != 1) {
+    return std::nullopt;
+  }
+  return address;
+}
+
 } // namespace bulrushfold
--- a/Source/Net/SocketOptions.h
+++ b/Source/Net/SocketOptions.h
@@ -1,6 +1,13 @@
 #ifndef BULRUSHFOLD_NET_SOCKETOPTIONS_H
 #define BULRUSHFOLD_NET_SOCKETOPTIONS_H
 
+#include <optional>
+
+#include <netinet/in.h>
+
+#include "Base/Clock.h"
+#include "Settings/Settings.h"
+
 namespace bulrushfold {
 
 /**
@@ -10,6 +17,15 @@
  */
 void SendAtOnce(int aSocket);
 
+/**
+ * Lets the kernel probe a connection that carries no data, so that another
+ * side that vanished without closing is noticed within about aLimit.
+ */
+void DetectDeadConnection(int aSocket, Duration aLimit);
+
+/** aAddress in the form of the socket calls; empty when it is not IPv4. */
+std::optional<sockaddr_in> ToSockaddr(const SocketAddress& aAddress);
+
 } // namespace bulrushfold
 
 #endif
--- a/Source/Platform/HttpObjectStore.cxx
+++ b/Source/Platform/HttpObjectStore.cxx
@@ -292,7 +292,7 @@
   HttpCallRequest request =
     MakeRequest(HttpMethod::Get,
                 absl::StrCat("/watch?prefix=", aPrefix, "&from=", aRevision));
-  request.mFreshConnection = true;
+  request.mMaxIdleAge = Duration::zero();
   request.mSilenceBound = 3 * kWatchKeepAlive;
   HttpCallHooks hooks;
   hooks.mOnChunk = [raw = watch.get()](std::string_view aData) {
--- a/Tests/Emulator/ServiceEmulatorTest.cxx
+++ b/Tests/Emulator/ServiceEmulatorTest.cxx
@@ -78,7 +78,7 @@
   {
     caller.Post(at, "/faults", { { "silent_after_run", true } });
     RawClient silent(at);
-    silent.Send("POST /book HTTP/1.1\r\nIdempotency-Key: k\r\n"
+    silent.Send("POST /book HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k\r\n"
                 "Content-Length: 0\r\n\r\n");
     REQUIRE(Eventually(loop, [&] { return runs("k") == 1; }));
     CHECK(silent.Received().empty());
--- /dev/null
+++ b/Tests/Net/HttpParserTest.cxx
@@ -0,0 +1,216 @@
+#include "Net/HttpParser.h"
+
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+namespace bulrushfold {
+
+namespace {
+
+/** Feeds a parser and collects what it reads. */
+struct Reader
+{
+  explicit Reader(HttpMessageKind aKind, HttpParserLimits aLimits = {})
+    : mParser(aKind,
+              aLimits,
+              { [this] { ++mHeads; },
+                [this](std::string_view aData) { mBody.append(aData); } })
+  {
+  }
+
+  /** Feeds aData in parts of aStep bytes; returns what was not taken. */
+  std::string Feed(const std::string& aData, std::size_t aStep = 1U << 20U)
+  {
+    std::size_t used = 0;
+    while (used < aData.size()) {
+      const std::string part = aData.substr(used, aStep);
+      const std::size_t n = mParser.Feed(part);
+      used += n;
+      if (n < part.size()) {
+        break;
+      }
+    }
+    return aData.substr(used);
+  }
+
+  int mHeads = 0;
+  std::string mBody;
+  HttpParser mParser;
+};
+
+using State = HttpParser::State;
+
+HttpParseError
+ErrorOf(const std::string& aRequest)
+{
+  Reader reader(HttpMessageKind::Request);
+  reader.Feed(aRequest);
+  return reader.mParser.Error();
+}
+
+} // namespace
+
+TEST_CASE("HTTP requests are framed strictly")
+{
+  const std::string start = "POST /a/b?c HTTP/1.1\r\nHost: x\r\n";
+
+  SUBCASE("a request with a length is read to its end and no further")
+  {
+    Reader reader(HttpMessageKind::Request);
+    CHECK(reader.Feed(start + "Content-Length: 4\r\n\r\nbodyGET") == "GET");
+    CHECK(reader.mParser.CurrentState() == State::Complete);
+    CHECK(reader.mParser.Head().mMethod == HttpMethod::Post);
+    CHECK(reader.mParser.Head().mTarget == "/a/b?c");
+    CHECK(reader.mParser.Head().mKeepsAlive);
+    CHECK(reader.mBody == "body");
+  }
+  SUBCASE("a chunked request too")
+  {
+    Reader reader(HttpMessageKind::Request);
+    CHECK(reader.Feed(start + "Transfer-Encoding: chunked\r\n\r\n"
+                              "3\r\nbod\r\n1\r\ny\r\n0\r\n\r\nrest") == "rest");
+    CHECK(reader.mBody == "body");
+  }
+  // Guards against a head or body that depends on how the bytes arrive.
+  SUBCASE("however its bytes are split")
+  {
+    const std::string request =
+      "\r\n" + start +
+      "Transfer-Encoding: chunked\r\n\r\n"
+      "a\r\n0123456789\r\n2\r\nxy\r\n0\r\nT: v\r\n\r\n";
+    const auto step =
+      rc::check("any step gives the same message", [&](std::uint8_t aStep) {
+        Reader reader(HttpMessageKind::Request);
+        RC_ASSERT(reader.Feed(request, 1U + aStep % request.size()).empty());
+        RC_ASSERT(reader.mParser.CurrentState() == State::Complete);
+        RC_ASSERT(reader.mBody == "0123456789xy");
+        RC_ASSERT(reader.mHeads == 1);
+      });
+    CHECK(step);
+  }
+  // Guards against requests smuggled inside others: two readers of the same
+  // bytes must not see different messages.
+  SUBCASE("ambiguous framing is refused")
+  {
+    const std::vector<std::string> bad{
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+      "Transfer-Encoding: chunked\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\n"
+      "Content-Length: 4\r\n\r\nbody",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: +4\r\n\r\nbody",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 4, 4\r\n\r\nbody",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0x4\r\n\r\nbody",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: \r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length : 4\r\n\r\nbody",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: xchunked\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n"
+      "Transfer-Encoding: identity\r\n\r\n",
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding:\r\n chunked\r\n\r\n",
+      "GET / HTTP/1.1\nHost: x\n\n",
+      "GET / HTTP/1.1\r\nHost: x\n\r\n",
+      "GET / HTTP/1.1\r\nHost: x\r\nA: b\r\n c\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
+      "GET / HTTP/1.1\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: x\r\nA b: c\r\n\r\n",
+      "GET / HTTP/1.1\r\nHost: x\r\n: c\r\n\r\n",
+      std::string("GET / HTTP/1.1\r\nHost: x\r\nA: b\0c\r\n\r\n", 39),
+      "GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n",
+      "GET /\r\n\r\n",
+      "GET / HTTP/2.0\r\nHost: x\r\n\r\n",
+    };
+    for (const auto& it : bad) {
+      CAPTURE(it);
+      CHECK(ErrorOf(it) == HttpParseError::Malformed);
+    }
+    CHECK(ErrorOf("BREW / HTTP/1.1\r\nHost: x\r\n\r\n") ==
+          HttpParseError::UnknownMethod);
+  }
+  SUBCASE("broken chunks are refused")
+  {
+    const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+    for (const std::string body :
+         { "g\r\n", "-1\r\n", "3\r\nbody", "3\nbod", "\r\n" }) {
+      CAPTURE(body);
+      CHECK(ErrorOf(chunked + body) == HttpParseError::Malformed);
+    }
+  }
+  SUBCASE("bounds hold before the bytes are kept")
+  {
+    const HttpParserLimits limits{ 100, 10 };
+    Reader header(HttpMessageKind::Request, limits);
+    header.Feed("GET / HTTP/1.1\r\nA: " + std::string(1000, 'a'));
+    CHECK(header.mParser.Error() == HttpParseError::HeaderTooLarge);
+    Reader length(HttpMessageKind::Request, limits);
+    length.Feed("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 11\r\n\r\n");
+    CHECK(length.mParser.Error() == HttpParseError::BodyTooLarge);
+    Reader chunks(HttpMessageKind::Request, limits);
+    chunks.Feed("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked"
+                "\r\n\r\nb\r\n01234567890\r\n");
+    CHECK(chunks.mParser.Error() == HttpParseError::BodyTooLarge);
+  }
+}
+
+TEST_CASE("HTTP replies")
+{
+  Reader reader(HttpMessageKind::Reply);
+
+  SUBCASE("with a length are complete before the connection ends")
+  {
+    CHECK(reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP") ==
+          "HTTP");
+    CHECK(reader.mParser.CurrentState() == State::Complete);
+  }
+  // Guards against a cut reply that looks complete.
+  SUBCASE("without a length end with the connection")
+  {
+    reader.Feed("HTTP/1.1 200 OK\r\n\r\npart");
+    CHECK(reader.mParser.CurrentState() == State::Body);
+    CHECK(reader.mParser.Head().mEndsWithConnection);
+    reader.mParser.FeedEnd();
+    CHECK(reader.mParser.CurrentState() == State::Complete);
+  }
+  SUBCASE("with a length are not complete at an early end")
+  {
+    reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart");
+    reader.mParser.FeedEnd();
+    CHECK(reader.mParser.CurrentState() == State::Failed);
+  }
+  SUBCASE("to HEAD have no body")
+  {
+    reader.mParser.Restart(true);
+    reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+    CHECK(reader.mParser.CurrentState() == State::Complete);
+  }
+  SUBCASE("may come after interim ones")
+  {
+    reader.Feed("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n");
+    CHECK(reader.mParser.CurrentState() == State::Complete);
+    CHECK(reader.mParser.Head().mStatus == 204);
+    CHECK(reader.mHeads == 1);
+  }
+  SUBCASE("that are no replies fail")
+  {
+    for (const std::string bad : { "garbage\r\n\r\n",
+                                   "HTTP/1.1 20 OK\r\n\r\n",
+                                   "HTTP/1.1 101 Switching\r\n\r\n" }) {
+      CAPTURE(bad);
+      Reader other(HttpMessageKind::Reply);
+      other.Feed(bad);
+      CHECK(other.mParser.CurrentState() == State::Failed);
+    }
+  }
+  SUBCASE("of any bytes never crash the parser")
+  {
+    CHECK(rc::check("any bytes", [](const std::string& aBytes) {
+      Reader other(HttpMessageKind::Reply);
+      other.Feed("HTTP/1.1 200 OK\r\n" + aBytes, 7);
+      other.mParser.FeedEnd();
+    }));
+  }
+}
+
+} // namespace bulrushfold
--- a/Tests/Net/HttpTest.cxx
+++ b/Tests/Net/HttpTest.cxx
@@ -31,6 +31,8 @@
   limits.mMaxHeaderBytes = 2048;
   limits.mMaxBodyBytes = 200'000;
   limits.mReadTimeout = std::chrono::milliseconds(200);
+  limits.mHeaderTimeout = limits.mReadTimeout;
+  limits.mIdleTimeout = limits.mReadTimeout;
   std::vector<std::shared_ptr<HttpExchange>> exchanges;
   HttpServer server(loop, limits, [&](std::shared_ptr<HttpExchange> aIt) {
     exchanges.push_back(std::move(aIt));
--- a/Utilities/install-packages.sh
+++ b/Utilities/install-packages.sh
@@ -4,7 +4,7 @@
 packages=(
   build-essential cmake ninja-build ccache pkg-config git
   clang-format clang-tidy curl
-  libsigc++-3.0-dev libevent-dev libthrift-dev libboost-dev libcli11-dev
+  libsigc++-3.0-dev libevent-dev libhttp-parser-dev libthrift-dev libboost-dev libcli11-dev
   libabsl-dev doctest-dev libeasyloggingpp-dev libinih-dev libxxhash-dev
   nlohmann-json3-dev librapidcheck-dev libssl-dev spin
 )
