--- a/Modules/BulrushfoldDependencies.cmake
+++ b/Modules/BulrushfoldDependencies.cmake
@@ -1,7 +1,9 @@
 # Finds the libraries that Debian packages and that the project uses.
 find_package(PkgConfig REQUIRED)
 find_package(absl REQUIRED)
-find_package(rapidcheck REQUIRED)
+if(BULRUSHFOLD_TESTS)
+  find_package(rapidcheck REQUIRED)
+endif()
 find_package(OpenSSL REQUIRED)
 find_package(Threads REQUIRED)
 pkg_check_modules(SIGCXX REQUIRED IMPORTED_TARGET sigc++-3.0)
--- a/Source/Daemon/ClusterController.cxx
+++ b/Source/Daemon/ClusterController.cxx
@@ -55,6 +55,7 @@
                                      Random& aRandom,
                                      PeerLinks& aLinks,
                                      ObjectStore& aStore,
+                                     VmList& aVms,
                                      Configuration& aConfiguration,
                                      const Settings& aSettings,
                                      const std::string& aIncarnation)
@@ -62,6 +63,7 @@
   , mClock(aClock)
   , mLinks(aLinks)
   , mStore(aStore)
+  , mVms(aVms)
   , mConfiguration(aConfiguration)
   , mNode(MakeSelf(aSettings.mDaemon, aIncarnation),
           MakeTiming(aSettings.mPeers),
@@ -326,7 +328,7 @@
 void
 ClusterController::ListVms()
 {
-  mStore.ListVms([this](const absl::StatusOr<std::vector<VmEntry>>& aVms) {
+  mVms.ListVms([this](const absl::StatusOr<std::vector<VmEntry>>& aVms) {
     if (aVms.ok()) {
       Carry(mNode.OnVmList(*aVms, mClock.Now()));
     } else {
--- a/Source/Daemon/ClusterController.h
+++ b/Source/Daemon/ClusterController.h
@@ -27,6 +27,7 @@
                     Random& aRandom,
                     PeerLinks& aLinks,
                     ObjectStore& aStore,
+                    VmList& aVms,
                     Configuration& aConfiguration,
                     const Settings& aSettings,
                     const std::string& aIncarnation);
@@ -89,6 +90,7 @@
   const Clock& mClock;
   PeerLinks& mLinks;
   ObjectStore& mStore;
+  VmList& mVms;
   Configuration& mConfiguration;
   ClusterNode mNode;
   std::unique_ptr<StoreWatch> mWatch;
--- a/Source/Daemon/Daemon.cxx
+++ b/Source/Daemon/Daemon.cxx
@@ -48,6 +48,7 @@
              mRandom,
              mLinks,
              mStore,
+             mStore,
              mConfiguration,
              aSettings,
              mIncarnation)
--- a/Source/Net/HttpExchange.cxx
+++ b/Source/Net/HttpExchange.cxx
@@ -13,10 +13,12 @@
 } // namespace
 
 HttpExchange::HttpExchange(HttpServerConnection& aConnection,
+                           std::string aCaller,
                            HttpRequest aMessage,
                            Instant aArrival,
                            bool aIsVersion11)
   : mConnection(&aConnection)
+  , mCaller(std::move(aCaller))
   , mMessage(std::move(aMessage))
   , mArrival(aArrival)
   , mIsVersion11(aIsVersion11)
--- a/Source/Net/HttpExchange.h
+++ b/Source/Net/HttpExchange.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <functional>
+#include <string>
 #include <string_view>
 
 #include "Base/Clock.h"
@@ -20,8 +21,12 @@
 class HttpExchange
 {
 public:
-  /** aArrival: when the first byte of the request was read. */
+  /**
+   * aArrival: when the first byte of the request was read.
+   * aCaller: address of the other side, without its port.
+   */
   HttpExchange(HttpServerConnection& aConnection,
+               std::string aCaller,
                HttpRequest aMessage,
                Instant aArrival,
                bool aIsVersion11);
@@ -31,6 +36,7 @@
 
   const HttpRequest& Request() const { return mMessage; }
   Instant Arrival() const { return mArrival; }
+  const std::string& Caller() const { return mCaller; }
 
   /** Sends a whole reply. */
   void Reply(int aStatus, const HttpHeaders& aHeaders, std::string_view aBody);
@@ -62,6 +68,7 @@
   bool MayHaveBody(int aStatus) const;
 
   HttpServerConnection* mConnection;
+  std::string mCaller;
   HttpRequest mMessage;
   Instant mArrival;
   bool mIsVersion11;
--- a/Source/Net/HttpServer.cxx
+++ b/Source/Net/HttpServer.cxx
@@ -42,8 +42,12 @@
   }
   mListener = evconnlistener_new_bind(
     mLoop.Base(),
-    [](evconnlistener*, evutil_socket_t aSocket, sockaddr*, int, void* aSelf) {
-      static_cast<HttpServer*>(aSelf)->Accept(aSocket);
+    [](evconnlistener*,
+       evutil_socket_t aSocket,
+       sockaddr* aCaller,
+       int,
+       void* aSelf) {
+      static_cast<HttpServer*>(aSelf)->Accept(aSocket, FormatHost(*aCaller));
     },
     this,
     LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC,
@@ -66,11 +70,11 @@
 }
 
 void
-HttpServer::Accept(int aSocket)
+HttpServer::Accept(int aSocket, std::string aCaller)
 {
   const std::uint64_t id = mNextId++;
   mConnections[id] = std::make_unique<HttpServerConnection>(
-    mLoop, aSocket, *this, [this, id] { Forget(id); });
+    mLoop, aSocket, std::move(aCaller), *this, [this, id] { Forget(id); });
   if (mConnections.size() >= mLimits.mMaxConnections) {
     mIsAccepting = false;
     evconnlistener_disable(mListener);
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include "Base/Clock.h"
@@ -79,7 +80,7 @@
   void NoteRefused(const HttpRefusal& aRefusal);
 
 private:
-  void Accept(int aSocket);
+  void Accept(int aSocket, std::string aCaller);
   void Forget(std::uint64_t aId);
 
   EventLoop& mLoop;
--- a/Source/Net/HttpServerConnection.cxx
+++ b/Source/Net/HttpServerConnection.cxx
@@ -27,9 +27,11 @@
 
 HttpServerConnection::HttpServerConnection(EventLoop& aLoop,
                                            int aSocket,
+                                           std::string aCaller,
                                            HttpServer& aServer,
                                            std::function<void()> aOnClosed)
   : mLoop(aLoop)
+  , mCaller(std::move(aCaller))
   , mServer(aServer)
   , mOnClosed(std::move(aOnClosed))
   , mEvent(bufferevent_socket_new(aLoop.Base(), aSocket, BEV_OPT_CLOSE_ON_FREE))
@@ -183,7 +185,7 @@
   mClosesAfterReply = !head.mKeepsAlive;
   mParser.Restart();
   auto exchange = std::make_shared<HttpExchange>(
-    *this, std::move(request), mArrival, head.mIsVersion11);
+    *this, mCaller, std::move(request), mArrival, head.mIsVersion11);
   mExchange = exchange.get();
   mServer.Handle(std::move(exchange));
 }
--- a/Source/Net/HttpServerConnection.h
+++ b/Source/Net/HttpServerConnection.h
@@ -24,6 +24,7 @@
   /** aOnClosed is called once; it must not destroy the connection at once. */
   HttpServerConnection(EventLoop& aLoop,
                        int aSocket,
+                       std::string aCaller,
                        HttpServer& aServer,
                        std::function<void()> aOnClosed);
   HttpServerConnection(const HttpServerConnection&) = delete;
@@ -70,6 +71,7 @@
   bool HasExchange() const { return mExchange != nullptr; }
 
   EventLoop& mLoop;
+  std::string mCaller;
   HttpServer& mServer;
   std::function<void()> mOnClosed;
   SystemClock mClock;
--- a/Source/Net/SocketOptions.cxx
+++ b/Source/Net/SocketOptions.cxx
@@ -50,4 +50,16 @@
   return address;
 }
 
+std::string
+FormatHost(const sockaddr& aAddress)
+{
+  if (aAddress.sa_family != AF_INET) {
+    return std::string();
+  }
+  char text[INET_ADDRSTRLEN] = {};
+  const auto& address = reinterpret_cast<const sockaddr_in&>(aAddress);
+  inet_ntop(AF_INET, &address.sin_addr, text, sizeof(text));
+  return text;
+}
+
 } // namespace bulrushfold
--- a/Source/Net/SocketOptions.h
+++ b/Source/Net/SocketOptions.h
@@ -2,6 +2,7 @@
 #define BULRUSHFOLD_NET_SOCKETOPTIONS_H
 
 #include <optional>
+#include <string>
 
 #include <netinet/in.h>
 
@@ -26,6 +27,9 @@
 /** aAddress in the form of the socket calls; empty when it is not IPv4. */
 std::optional<sockaddr_in> ToSockaddr(const SocketAddress& aAddress);
 
+/** Host of an IPv4 address in dotted form; empty for other kinds. */
+std::string FormatHost(const sockaddr& aAddress);
+
 } // namespace bulrushfold
 
 #endif
--- a/Source/Platform/HttpObjectStore.cxx
+++ b/Source/Platform/HttpObjectStore.cxx
@@ -70,7 +70,8 @@
 {
   return { aJson.at("key").get<std::string>(),
            aJson.at("version").get<std::uint64_t>(),
-           aJson.at("body").get<std::string>() };
+           aJson.at("body").get<std::string>(),
+           aJson.value("deleted", false) };
 }
 
 absl::StatusOr<StoreListing>
--- a/Source/Platform/HttpObjectStore.h
+++ b/Source/Platform/HttpObjectStore.h
@@ -12,7 +12,9 @@
 namespace bulrushfold {
 
 /** The object API over HTTP and JSON. */
-class HttpObjectStore : public ObjectStore
+class HttpObjectStore
+  : public ObjectStore
+  , public VmList
 {
 public:
   HttpObjectStore(HttpClient& aClient, const PlatformSettings& aSettings);
--- a/Source/Platform/ObjectStore.h
+++ b/Source/Platform/ObjectStore.h
@@ -23,6 +23,8 @@
   /** Increases with each write of this object; never 0. */
   std::uint64_t mVersion = 0;
   std::string mBody;
+  /** In a watch: the object was deleted, and mBody is empty. */
+  bool mIsDeleted = false;
 };
 
 /** State of a VM in the platform's list. */
@@ -91,7 +93,6 @@
   using GetHook = std::function<void(absl::StatusOr<StoredObject>)>;
   using PutHook = std::function<void(absl::StatusOr<std::uint64_t>)>;
   using ListHook = std::function<void(absl::StatusOr<StoreListing>)>;
-  using VmHook = std::function<void(absl::StatusOr<std::vector<VmEntry>>)>;
 
   virtual ~ObjectStore() = default;
   virtual void Get(const std::string& aKey, GetHook aHook) = 0;
@@ -108,10 +109,20 @@
   virtual std::unique_ptr<StoreWatch> Watch(const std::string& aPrefix,
                                             std::uint64_t aRevision,
                                             StoreWatchHooks aHooks) = 0;
-  virtual void ListVms(VmHook aHook) = 0;
   virtual const StoreTraffic& Traffic() const = 0;
 };
 
+/** The platform's list of VMs. */
+class VmList
+{
+public:
+  using VmHook = std::function<void(absl::StatusOr<std::vector<VmEntry>>)>;
+
+  virtual ~VmList() = default;
+  /** Errors: as those of ObjectStore. */
+  virtual void ListVms(VmHook aHook) = 0;
+};
+
 /** Name of aState in the VM list. */
 std::string_view VmStateName(VmState aState);
 
--- /dev/null
+++ b/Source/Router/EndpointProtocol.h
@@ -0,0 +1,116 @@
+#ifndef BULRUSHFOLD_ROUTER_ENDPOINTPROTOCOL_H
+#define BULRUSHFOLD_ROUTER_ENDPOINTPROTOCOL_H
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "Net/HttpClient.h"
+#include "Net/HttpMessage.h"
+#include "Routing/EndpointDirectory.h"
+#include "Routing/EndpointLoads.h"
+#include "absl/status/statusor.h"
+
+namespace bulrushfold {
+
+/** Token counts of a model request, as its caller states them. */
+struct TokenCounts
+{
+  std::uint64_t mPrompt = 0;
+  std::uint64_t mMaxAnswer = 0;
+};
+
+/** What a request says of itself, apart from path and body. */
+struct RequestFacts
+{
+  /** Given by the caller; unique for each of its attempts. */
+  std::string mId;
+  /** How long the caller waits, from the time of sending. */
+  std::optional<Duration> mPatience;
+  std::optional<TokenCounts> mTokens;
+  /** Last event that the caller has; it resumes a stream after it. */
+  std::string mLastEventId;
+};
+
+/** What an answer of an endpoint says, apart from its body. */
+struct AnswerFacts
+{
+  /** The answer proves that the endpoint itself made it. */
+  bool mHasProof = false;
+  /** The endpoint states that it did not run the request. */
+  bool mIsNotRun = false;
+  /** Another endpoint than the expected one answered; it ran nothing. */
+  bool mIsOtherEndpoint = false;
+  /** Request that the answer belongs to; empty when it does not say. */
+  std::string mRequestId;
+  std::optional<ReportedLoad> mLoad;
+};
+
+/** A KV cache that a prefill engine keeps for a decode engine. */
+struct KvCache
+{
+  SocketAddress mEngine;
+  std::string mHandle;
+};
+
+/** Terms of one send of a caller's request. */
+struct SendTerms
+{
+  /** Time that the endpoint may use. */
+  Duration mTimeLeft{};
+  /** Last event that the caller has; the stream goes on after it. */
+  std::string mLastEventId;
+  /** Decode: the computed prompt. */
+  std::optional<KvCache> mCache;
+  /** Decode: memory reserved before. */
+  std::string mReservation;
+};
+
+/**
+ * How requests are put to endpoints and what their answers mean. The only
+ * place that knows the names on the wire is the implementation.
+ */
+class EndpointProtocol
+{
+public:
+  virtual ~EndpointProtocol() = default;
+
+  // Requests of callers.
+  virtual RequestFacts ReadRequest(const HttpRequest& aRequest) const = 0;
+  /** Headers of an answer made by the router itself. */
+  virtual HttpHeaders OwnAnswerHeaders(const RequestFacts& aFacts,
+                                       Duration aRetryAfter) const = 0;
+  /** Headers of an endpoint's answer as they go to the caller. */
+  virtual HttpHeaders ForwardedHeaders(const HttpHeaders& aHeaders) const = 0;
+
+  // Calls to endpoints. Address, method, target and headers are set.
+  /** The request as it came, to be answered by aEndpoint. */
+  virtual HttpCallRequest Forward(const HttpRequest& aRequest,
+                                  const EndpointRecord& aEndpoint,
+                                  const SendTerms& aTerms) const = 0;
+  /** Computes the prompt only. */
+  virtual HttpCallRequest Prefill(const HttpRequest& aRequest,
+                                  const EndpointRecord& aEndpoint,
+                                  const SendTerms& aTerms) const = 0;
+  virtual HttpCallRequest DropCache(const EndpointRecord& aEndpoint,
+                                    const std::string& aHandle) const = 0;
+  virtual HttpCallRequest Reserve(const EndpointRecord& aEndpoint,
+                                  std::uint64_t aTokens,
+                                  Duration aLifetime) const = 0;
+  virtual HttpCallRequest DropReservation(
+    const EndpointRecord& aEndpoint,
+    const std::string& aReservation) const = 0;
+
+  // Answers of endpoints.
+  virtual AnswerFacts ReadAnswer(int aStatus,
+                                 const HttpHeaders& aHeaders) const = 0;
+  /** Handle in the answer to Prefill; InvalidArgument names what is wrong. */
+  virtual absl::StatusOr<std::string> ReadCacheHandle(
+    const std::string& aBody) const = 0;
+  virtual absl::StatusOr<std::string> ReadReservation(
+    const std::string& aBody) const = 0;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Router/EventRelay.cxx
@@ -0,0 +1,109 @@
+#include "Router/EventRelay.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/string_view.h"
+
+namespace bulrushfold {
+
+namespace {
+
+/** Length of the first event of aData with the blank line that ends it; 0
+ * when it is not complete. */
+std::size_t
+FirstEventSize(std::string_view aData)
+{
+  const std::size_t bare = aData.find("\n\n");
+  const std::size_t full = aData.find("\n\r\n");
+  const std::size_t bareEnd = bare == std::string_view::npos ? bare : bare + 2;
+  const std::size_t fullEnd = full == std::string_view::npos ? full : full + 3;
+  const std::size_t end = std::min(bareEnd, fullEnd);
+  return end == std::string_view::npos ? 0 : end;
+}
+
+/** Value of the "id" field of an event; empty when it has none. */
+std::string_view
+FindEventId(std::string_view aEvent)
+{
+  constexpr std::string_view kField = "id:";
+  while (!aEvent.empty()) {
+    const std::size_t end = std::min(aEvent.find('\n'), aEvent.size());
+    std::string_view line = aEvent.substr(0, end);
+    aEvent.remove_prefix(std::min(end + 1, aEvent.size()));
+    if (line.substr(0, kField.size()) != kField) {
+      continue;
+    }
+    line.remove_prefix(kField.size());
+    while (!line.empty() && line.front() == ' ') {
+      line.remove_prefix(1);
+    }
+    while (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
+    }
+    return line;
+  }
+  return {};
+}
+
+std::optional<std::int64_t>
+ParseNumber(std::string_view aText)
+{
+  std::int64_t number = 0;
+  return absl::SimpleAtoi(absl::string_view(aText.data(), aText.size()),
+                          &number)
+           ? std::make_optional(number)
+           : std::nullopt;
+}
+
+} // namespace
+
+EventRelay::EventRelay(std::size_t aMaxEventBytes, Sink aSink)
+  : mMaxEventBytes(aMaxEventBytes)
+  , mSink(std::move(aSink))
+{
+}
+
+void
+EventRelay::SetLastId(const std::string& aId)
+{
+  mLastId = aId;
+  mLastNumber = ParseNumber(aId);
+}
+
+bool
+EventRelay::Feed(std::string_view aData)
+{
+  mPending.append(aData);
+  std::size_t used = 0;
+  while (true) {
+    const std::string_view rest = std::string_view(mPending).substr(used);
+    const std::size_t n = FirstEventSize(rest);
+    if (n == 0) {
+      break;
+    }
+    TakeEvent(rest.substr(0, n));
+    used += n;
+  }
+  mPending.erase(0, used);
+  return mPending.size() <= mMaxEventBytes;
+}
+
+void
+EventRelay::TakeEvent(std::string_view aEvent)
+{
+  const std::string_view id = FindEventId(aEvent);
+  const auto number = ParseNumber(id);
+  if (number && mLastNumber && *number <= *mLastNumber) {
+    return;
+  }
+  if (!id.empty()) {
+    mLastId = std::string(id);
+    mLastNumber = number;
+  }
+  ++mEvents;
+  mSink(aEvent);
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/EventRelay.h
@@ -0,0 +1,52 @@
+#ifndef BULRUSHFOLD_ROUTER_EVENTRELAY_H
+#define BULRUSHFOLD_ROUTER_EVENTRELAY_H
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace bulrushfold {
+
+/**
+ * Passes the events of a stream on byte by byte as they came, but only whole
+ * ones, and remembers the last one, so that another run can go on after it.
+ * Events that the caller already has are left out.
+ */
+class EventRelay
+{
+public:
+  using Sink = std::function<void(std::string_view)>;
+
+  /** aMaxEventBytes bounds the bytes that wait for the end of an event. */
+  EventRelay(std::size_t aMaxEventBytes, Sink aSink);
+
+  /** The caller already has everything up to aId. */
+  void SetLastId(const std::string& aId);
+  /** Takes the next bytes; false when an event exceeds the bound. */
+  bool Feed(std::string_view aData);
+  /** Another run follows: drops the part of an event that waits. */
+  void Restart() { mPending.clear(); }
+
+  /** Id of the last event passed on; empty when there is none. */
+  const std::string& LastId() const { return mLastId; }
+  std::uint64_t Events() const { return mEvents; }
+  /** Part of an event waits for its end. */
+  bool HasPart() const { return !mPending.empty(); }
+
+private:
+  void TakeEvent(std::string_view aEvent);
+
+  std::size_t mMaxEventBytes;
+  Sink mSink;
+  std::string mPending;
+  std::string mLastId;
+  std::optional<std::int64_t> mLastNumber;
+  std::uint64_t mEvents = 0;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Router/PlainCall.cxx
@@ -0,0 +1,179 @@
+#include "Router/PlainCall.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/EnumNames.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr EnumNames<RefusalReason, 10> kReasonNames{ {
+  { RefusalReason::NoConfiguration, "no_configuration" },
+  { RefusalReason::NoRoute, "no_route" },
+  { RefusalReason::NoEndpoint, "no_endpoint" },
+  { RefusalReason::EndpointsFull, "endpoints_full" },
+  { RefusalReason::Overload, "overload" },
+  { RefusalReason::WaitedTooLong, "waited_too_long" },
+  { RefusalReason::CrashSuspect, "crash_suspect" },
+  { RefusalReason::Stopping, "stopping" },
+  { RefusalReason::Timeout, "timeout" },
+  { RefusalReason::OutcomeUnknown, "outcome_unknown" },
+} };
+
+constexpr int kFirstServerError = 500;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+/** Sends of one request, refused ones included; bounds a loop. */
+constexpr std::uint32_t kMaxSends = 6;
+constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
+/** Least time in which a further send can still be answered. */
+constexpr Duration kLeastUsefulTime = std::chrono::milliseconds(20);
+} // namespace
+
+std::string_view
+RefusalReasonName(RefusalReason aReason)
+{
+  return FindEnumName(kReasonNames, aReason);
+}
+
+PlainCall::PlainCall(PlainCallPort& aPort,
+                     const PlainSelector& aSelector,
+                     RetryAllowance& aRetries,
+                     CallTerms aTerms)
+  : mPort(aPort)
+  , mSelector(aSelector)
+  , mRetries(aRetries)
+  , mTerms(std::move(aTerms))
+{
+}
+
+void
+PlainCall::Start(Instant aNow)
+{
+  mRetries.OnRequest(mTerms.mService, aNow);
+  Dispatch(aNow);
+}
+
+bool
+PlainCall::MayRunAgain() const
+{
+  if (mRuns == 0) {
+    return true;
+  }
+  return mTerms.mRoute->mKind == RequestKind::Idempotent &&
+         mRuns < mTerms.mRoute->mMaxAttempts;
+}
+
+void
+PlainCall::Dispatch(Instant aNow)
+{
+  if (aNow >= mTerms.mDeadline) {
+    Finish();
+    return;
+  }
+  const auto choice = mSelector.Choose(mTerms.mService, mTried, aNow);
+  if (!choice) {
+    Finish();
+    return;
+  }
+  ++mSends;
+  mTried.insert(choice->mEndpoint);
+  mIsSending = true;
+  // A request that may run again is given up at its goal, because its endpoint
+  // may never answer.
+  const bool hasSecondTry = mTerms.mRoute->mKind == RequestKind::Idempotent &&
+                            mRuns + 1 < mTerms.mRoute->mMaxAttempts &&
+                            choice->mCandidates > 1;
+  const Instant giveUp = aNow + mTerms.mRoute->mLatencyGoal;
+  mPort.Send(*choice, mTerms.mDeadline);
+  if (mIsSending) {
+    mPort.WakeAt(hasSecondTry ? std::min(giveUp, mTerms.mDeadline)
+                              : mTerms.mDeadline);
+  }
+}
+
+void
+PlainCall::OnSendEnded(SendEnd aEnd, EndpointAnswer aAnswer, Instant aNow)
+{
+  if (mIsOver) {
+    return;
+  }
+  mIsSending = false;
+  mLastEnd = aEnd;
+  if (!IsCertainlyNotRun(aEnd)) {
+    ++mRuns;
+  }
+  if (aEnd == SendEnd::Answered) {
+    if (aAnswer.mStatus < kFirstServerError || !MayRunAgain()) {
+      mIsOver = true;
+      mPort.Deliver(aAnswer);
+      return;
+    }
+    mFailure = std::move(aAnswer);
+  }
+  Retry(aNow);
+}
+
+void
+PlainCall::Retry(Instant aNow)
+{
+  const bool isUseful = aNow + kLeastUsefulTime < mTerms.mDeadline &&
+                        mSends < kMaxSends && MayRunAgain();
+  // A send that reached nobody counts nowhere.
+  if (isUseful &&
+      (mLastEnd == SendEnd::NotSent || mRetries.Take(mTerms.mService, aNow))) {
+    Dispatch(aNow);
+    return;
+  }
+  Finish();
+}
+
+void
+PlainCall::OnWake(Instant aNow)
+{
+  if (mIsOver || !mIsSending) {
+    return;
+  }
+  const bool isTimeout = aNow >= mTerms.mDeadline;
+  if (!isTimeout && !mRetries.Take(mTerms.mService, aNow)) {
+    mPort.WakeAt(mTerms.mDeadline);
+    return;
+  }
+  mIsSending = false;
+  mLastEnd = SendEnd::Unknown;
+  ++mRuns;
+  mPort.CancelSend(SendResult::Slow);
+  if (isTimeout) {
+    FinishWith({ kGatewayTimeout, RefusalReason::Timeout, Duration::zero() });
+  } else {
+    Dispatch(aNow);
+  }
+}
+
+void
+PlainCall::Finish()
+{
+  if (mFailure) {
+    mIsOver = true;
+    mPort.Deliver(*mFailure);
+  } else if (mRuns > 0) {
+    FinishWith(
+      { kBadGateway, RefusalReason::OutcomeUnknown, Duration::zero() });
+  } else {
+    FinishWith(
+      { kUnavailable,
+        mSends == 0 ? RefusalReason::NoEndpoint : RefusalReason::EndpointsFull,
+        kRetryAfter });
+  }
+}
+
+void
+PlainCall::FinishWith(const Refusal& aRefusal)
+{
+  mIsOver = true;
+  mPort.Refuse(aRefusal);
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/PlainSession.h
@@ -0,0 +1,49 @@
+#ifndef BULRUSHFOLD_ROUTER_PLAINSESSION_H
+#define BULRUSHFOLD_ROUTER_PLAINSESSION_H
+
+#include <memory>
+#include <string>
+
+#include "Router/CallerSide.h"
+#include "Router/PlainCall.h"
+#include "Router/RouterServices.h"
+#include "Router/WakeTimer.h"
+
+namespace bulrushfold {
+
+/** Carries out the orders of one PlainCall; lives until the call is over. */
+class PlainSession
+  : private PlainCallPort
+  , public std::enable_shared_from_this<PlainSession>
+{
+public:
+  PlainSession(RouterServices& aServices, RoutedRequestPointer aRequest);
+  void Start();
+
+private:
+  void Send(const EndpointChoice& aChoice, Instant aDeadline) override;
+  void CancelSend(SendResult aReason) override;
+  void Deliver(const EndpointAnswer& aAnswer) override;
+  void Refuse(const Refusal& aRefusal) override;
+  void WakeAt(Instant aTime) override { mTimer.WakeAt(aTime); }
+
+  void HandleReply(HttpCallReply aReply);
+  void HandleCallerGone();
+  void EndSend(SendResult aResult);
+  void Close();
+
+  RouterServices& mServices;
+  RoutedRequestPointer mRequest;
+  CallerSide mCaller;
+  PlainCall mCall;
+  WakeTimer mTimer;
+  std::unique_ptr<HttpCall> mSend;
+  std::string mEndpoint;
+  Instant mSentAt;
+  /** Keeps the session alive until the request is over. */
+  std::shared_ptr<PlainSession> mSelf;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Router/RequestLog.cxx
@@ -0,0 +1,178 @@
+#include "Router/RequestLog.h"
+
+#include "Base/EnumNames.h"
+#include "Base/Log.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr EnumNames<RequestOutcome, 4> kOutcomeNames{ {
+  { RequestOutcome::Answered, "answered" },
+  { RequestOutcome::Refused, "refused" },
+  { RequestOutcome::Broken, "broken" },
+  { RequestOutcome::CallerGone, "caller_gone" },
+} };
+
+const MetricInfo kRequests{ "bulrushfold_requests_total",
+                            "Requests by route and outcome.",
+                            { "route", "outcome", "reason" } };
+const MetricInfo kLatency{
+  "bulrushfold_request_seconds",
+  "Time from arrival to the end of the answer, by route.",
+  { "route" }
+};
+const MetricInfo kFirstByte{
+  "bulrushfold_first_byte_seconds",
+  "Time from arrival to the first byte of the answer, by route.",
+  { "route" }
+};
+const MetricInfo kSends{ "bulrushfold_sends_total",
+                         "Sends to endpoints that ended, by step and end.",
+                         { "step", "end" } };
+
+std::string
+RouteName(const RoutedRequest& aRequest)
+{
+  return aRequest.mTerms.mRoute == nullptr ? "none"
+                                           : aRequest.mTerms.mRoute->mName;
+}
+} // namespace
+
+std::string_view
+RequestOutcomeName(RequestOutcome aOutcome)
+{
+  return FindEnumName(kOutcomeNames, aOutcome);
+}
+
+RequestLog::RequestLog(const Clock& aClock,
+                       const EndpointDirectory& aDirectory,
+                       Metrics& aMetrics)
+  : mClock(aClock)
+  , mDirectory(aDirectory)
+  , mMetrics(aMetrics)
+{
+}
+
+std::uint64_t
+RequestLog::Version(const RoutedRequest& aRequest) const
+{
+  return aRequest.mTable ? aRequest.mTable->Config().mVersion : 0;
+}
+
+Duration
+RequestLog::Since(Instant aTime) const
+{
+  return mClock.Now() - aTime;
+}
+
+void
+RequestLog::Sent(const RoutedRequest& aRequest,
+                 std::string_view aStep,
+                 const std::string& aEndpoint,
+                 double aLoad,
+                 std::size_t aCandidates)
+{
+  LogEvent(LogLevel::Info,
+           "request_sent",
+           { { "id", aRequest.mFacts.mId },
+             { "route", RouteName(aRequest) },
+             { "service", aRequest.mTerms.mService },
+             { "step", aStep },
+             { "endpoint", aEndpoint },
+             { "load", aLoad },
+             { "candidates", aCandidates },
+             { "config", Version(aRequest) },
+             { "registry", mDirectory.Revision() },
+             { "waited_ms", ToMilliseconds(Since(aRequest.mTerms.mArrival)) },
+             { "left_ms",
+               ToMilliseconds(aRequest.mTerms.mDeadline - mClock.Now()) } });
+}
+
+void
+RequestLog::SendEnded(const RoutedRequest& aRequest,
+                      std::string_view aStep,
+                      const std::string& aEndpoint,
+                      std::string_view aEnd,
+                      int aStatus,
+                      Duration aTook)
+{
+  mMetrics.GetCounter(kSends, { std::string(aStep), std::string(aEnd) }).Add();
+  LogEvent(LogLevel::Info,
+           "send_ended",
+           { { "id", aRequest.mFacts.mId },
+             { "step", aStep },
+             { "endpoint", aEndpoint },
+             { "end", aEnd },
+             { "status", aStatus },
+             { "took_ms", ToMilliseconds(aTook) } });
+}
+
+void
+RequestLog::Queued(const RoutedRequest& aRequest, std::size_t aWaiting)
+{
+  LogEvent(LogLevel::Info,
+           "request_queued",
+           { { "id", aRequest.mFacts.mId },
+             { "route", RouteName(aRequest) },
+             { "service", aRequest.mTerms.mService },
+             { "waiting", aWaiting },
+             { "config", Version(aRequest) },
+             { "registry", mDirectory.Revision() } });
+}
+
+void
+RequestLog::Placed(const RoutedRequest& aRequest,
+                   const StreamPlacement& aPlacement)
+{
+  LogEvent(
+    LogLevel::Info,
+    "request_placed",
+    { { "id", aRequest.mFacts.mId },
+      { "decode", aPlacement.mDecode },
+      { "decode_requests", aPlacement.mDecodeLoad.mRequests },
+      { "decode_tokens", aPlacement.mDecodeLoad.mDecodeTokens },
+      { "prefill", aPlacement.mPrefill },
+      { "prefill_requests", aPlacement.mPrefillLoad.mRequests },
+      { "registry", mDirectory.Revision() },
+      { "waited_ms", ToMilliseconds(Since(aRequest.mTerms.mArrival)) } });
+}
+
+void
+RequestLog::Ended(const RoutedRequest& aRequest,
+                  RequestOutcome aOutcome,
+                  int aStatus,
+                  std::string_view aReason,
+                  const std::string& aEndpoint)
+{
+  const std::string route = RouteName(aRequest);
+  const Instant now = mClock.Now();
+  const Instant arrival = aRequest.mTerms.mArrival;
+  mMetrics
+    .GetCounter(kRequests,
+                { route,
+                  std::string(RequestOutcomeName(aOutcome)),
+                  std::string(aReason) })
+    .Add();
+  mMetrics.GetSummary(kLatency, { route }).Record(now - arrival, now);
+  const bool hasFirst = aRequest.mFirstByteAt != Instant();
+  if (hasFirst) {
+    mMetrics.GetSummary(kFirstByte, { route })
+      .Record(aRequest.mFirstByteAt - arrival, now);
+  }
+  LogEvent(
+    aOutcome == RequestOutcome::Answered ? LogLevel::Info : LogLevel::Warning,
+    "request_ended",
+    { { "id", aRequest.mFacts.mId },
+      { "route", route },
+      { "outcome", RequestOutcomeName(aOutcome) },
+      { "reason", aReason },
+      { "status", aStatus },
+      { "endpoint", aEndpoint },
+      { "sends", aRequest.mSends },
+      { "first_ms",
+        hasFirst ? ToMilliseconds(aRequest.mFirstByteAt - arrival) : -1 },
+      { "took_ms", ToMilliseconds(now - arrival) },
+      { "config", Version(aRequest) } });
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/Router.cxx
@@ -0,0 +1,358 @@
+#include "Router/Router.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/Digest.h"
+#include "Base/Log.h"
+#include "absl/strings/str_cat.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+/** Descriptors kept for connections to endpoints, peers and the store. */
+constexpr std::size_t kOtherDescriptors = 400;
+constexpr std::size_t kLeastDescriptors = 100;
+/** A caller that accepts no byte of its answer for this long is cut off. */
+constexpr Duration kCallerWriteTimeout = std::chrono::seconds(10);
+
+HttpServerLimits
+ServerLimits(const CallerLimits& aLimits, std::size_t aDescriptors)
+{
+  HttpServerLimits limits;
+  limits.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
+  limits.mMaxBodyBytes = aLimits.mMaxBodyBytes;
+  limits.mHeaderTimeout = aLimits.mHeaderTimeout;
+  limits.mReadTimeout = aLimits.mHeaderTimeout;
+  limits.mIdleTimeout = aLimits.mIdleTimeout;
+  limits.mWriteTimeout = kCallerWriteTimeout;
+  limits.mMaxConnections = aDescriptors > kOtherDescriptors + kLeastDescriptors
+                             ? aDescriptors - kOtherDescriptors
+                             : kLeastDescriptors;
+  return limits;
+}
+} // namespace
+
+Router::Router(EventLoop& aLoop,
+               const RouterSettings& aSettings,
+               HttpClient& aClient,
+               ObjectStore& aStore,
+               const EndpointProtocol& aProtocol,
+               RegistryCodec aCodec)
+  : mLoop(aLoop)
+  , mSettings(aSettings)
+  , mRandom(SystemSeed())
+  , mClient(aClient)
+  , mProtocol(aProtocol)
+  , mCodec(std::move(aCodec))
+  , mDirectory(aSettings.mEndpointGrace)
+  , mHealth(mRandom)
+  , mRetries(aSettings.mRetryBounds)
+  , mSelector(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
+  , mScheduler(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
+  , mStreams(aLoop, mClock, mScheduler)
+  , mLog(mClock, mDirectory, mMetrics)
+  , mServices{ aLoop,   mClock,   aClient, aProtocol, mDirectory, mLoads,
+               mHealth, mRetries, mGuard,  mSelector, mStreams,   mLog }
+  , mConfigFollower(aLoop,
+                    aStore,
+                    mRandom,
+                    aSettings.mConfigPrefix,
+                    ConfigHooks())
+  , mEndpointFollower(aLoop,
+                      aStore,
+                      mRandom,
+                      aSettings.mEndpointPrefix,
+                      EndpointHooks())
+  , mCallerServer(aLoop,
+                  ServerLimits({}, aSettings.mMaxDescriptors),
+                  [this](std::shared_ptr<HttpExchange> aExchange) {
+                    HandleCaller(std::move(aExchange));
+                  })
+  , mReadinessServer(aLoop,
+                     {},
+                     [this](const std::shared_ptr<HttpExchange>& aExchange) {
+                       HandleReadiness(*aExchange);
+                     })
+  , mMetricsServer(aLoop,
+                   {},
+                   [this](const std::shared_ptr<HttpExchange>& aExchange) {
+                     HandleMetrics(*aExchange);
+                   })
+  , mStop(aLoop,
+          mClock,
+          aSettings.mStopTime,
+          { [this] {
+             return OpenWork{ *mOpen, mCallerServer.Connections() };
+           },
+            [this] {
+              mCallerServer.BeginDraining();
+              NoteReadiness();
+            },
+            [this] { mLoop.Stop(); } })
+{
+  AddFilters();
+  mDirectory.OnChange().connect(
+    sigc::mem_fun(*this, &Router::HandleEndpointChange));
+  mCallerServer.OnRefused([](const HttpRefusal& aRefusal) {
+    LogEvent(LogLevel::Warning,
+             "request_unreadable",
+             { { "status", aRefusal.mStatus },
+               { "reason", aRefusal.mReason },
+               { "target", aRefusal.mHead.mTarget } });
+  });
+}
+
+void
+Router::AddFilters()
+{
+  mChain.Add(std::make_unique<RouteFilter>(
+    mServices, mRandom, [this] { return mTable; }));
+  mChain.Add(std::make_unique<CrashFilter>(mServices, mGuard));
+  mChain.Add(std::make_unique<StopFilter>(
+    mServices, [this] { return mStop.RefusesStreams(); }));
+  mChain.Add(std::make_unique<DispatchFilter>(mServices));
+}
+
+absl::Status
+Router::Start()
+{
+  if (auto status = mCallerServer.Listen(mSettings.mCallerAddress);
+      !status.ok()) {
+    return status;
+  }
+  if (auto status = mReadinessServer.Listen(mSettings.mReadinessAddress);
+      !status.ok()) {
+    return status;
+  }
+  if (mSettings.mMetricsAddress) {
+    if (auto status = mMetricsServer.Listen(*mSettings.mMetricsAddress);
+        !status.ok()) {
+      return status;
+    }
+  }
+  mConfigFollower.Start();
+  mEndpointFollower.Start();
+  LogEvent(LogLevel::Info,
+           "router_started",
+           { { "name", mSettings.mName },
+             { "failure_domain", mSettings.mFailureDomain },
+             { "caller_address", FormatAddress(mSettings.mCallerAddress) },
+             { "store_address", FormatAddress(mSettings.mStoreAddress) } });
+  return absl::OkStatus();
+}
+
+bool
+Router::IsReady() const
+{
+  return mTable && mHasEndpoints && !mStop.IsStopping();
+}
+
+void
+Router::NoteReadiness()
+{
+  if (const bool isReady = IsReady(); isReady != mWasReady) {
+    mWasReady = isReady;
+    LogEvent(LogLevel::Info,
+             "readiness_changed",
+             { { "ready", isReady ? "yes" : "no" },
+               { "config", mTable ? mTable->Config().mVersion : 0 },
+               { "endpoints", mDirectory.Size() },
+               { "stopping", mStop.IsStopping() ? "yes" : "no" } });
+  }
+}
+
+void
+Router::HandleReadiness(HttpExchange& aExchange)
+{
+  const bool isReady = IsReady();
+  aExchange.Reply(isReady ? kOk : kUnavailable, {}, isReady ? "ready\n" : "");
+}
+
+void
+Router::HandleMetrics(HttpExchange& aExchange)
+{
+  aExchange.Reply(kOk,
+                  { { "Content-Type", "text/plain; version=0.0.4" } },
+                  mMetrics.Format(mClock.Now()));
+}
+
+void
+Router::HandleCaller(std::shared_ptr<HttpExchange> aExchange)
+{
+  const auto open = mOpen;
+  ++*open;
+  const RoutedRequestPointer request(new RoutedRequest,
+                                     [open](RoutedRequest* aRequest) {
+                                       --*open;
+                                       delete aRequest;
+                                     });
+  request->mNumber = mNextNumber++;
+  request->mTerms.mArrival = aExchange->Arrival();
+  request->mFacts = mProtocol.ReadRequest(aExchange->Request());
+  request->mDigest = DigestHex(absl::StrCat(aExchange->Request().mTarget,
+                                            "\n",
+                                            aExchange->Caller(),
+                                            "\n",
+                                            aExchange->Request().mBody));
+  request->mExchange = std::move(aExchange);
+  mChain.Run(request);
+}
+
+void
+Router::NoteStore(std::string_view aPrefix, const absl::Status* aLost)
+{
+  LogEvent(aLost != nullptr ? LogLevel::Warning : LogLevel::Info,
+           aLost != nullptr ? "store_lost" : "store_back",
+           { { "objects", aPrefix },
+             { "reason", aLost != nullptr ? aLost->ToString() : "" } });
+}
+
+ObjectFollowerHooks
+Router::ConfigHooks()
+{
+  ObjectFollowerHooks hooks;
+  hooks.mOnListing = [this](const StoreListing& aListing) {
+    for (const auto& it : aListing.mObjects) {
+      TakeConfig(it);
+    }
+  };
+  hooks.mOnChange = [this](const StoredObject& aObject) {
+    TakeConfig(aObject);
+  };
+  hooks.mOnLost = [this](const absl::Status& aStatus) {
+    NoteStore(mSettings.mConfigPrefix, &aStatus);
+  };
+  hooks.mOnBack = [this] { NoteStore(mSettings.mConfigPrefix, nullptr); };
+  return hooks;
+}
+
+void
+Router::TakeConfig(const StoredObject& aObject)
+{
+  if (aObject.mKey != mSettings.mConfigKey || aObject.mIsDeleted) {
+    return;
+  }
+  auto config = mCodec.mReadConfig(aObject);
+  if (!config.ok()) {
+    LogEvent(LogLevel::Error,
+             "config_unreadable",
+             { { "revision", aObject.mVersion },
+               { "reason", std::string(config.status().message()) } });
+    return;
+  }
+  if (mTable && config->mVersion <= mTable->Config().mVersion) {
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "config_in_force",
+           { { "version", config->mVersion },
+             { "revision", aObject.mVersion },
+             { "routes", config->mRoutes.size() },
+             { "services", config->mServices.size() } });
+  mTable = std::make_shared<const RouteTable>(*std::move(config));
+  mCallerServer.SetLimits(
+    ServerLimits(mTable->Config().mLimits, mSettings.mMaxDescriptors));
+  mStreams.Kick();
+  NoteReadiness();
+}
+
+ObjectFollowerHooks
+Router::EndpointHooks()
+{
+  ObjectFollowerHooks hooks;
+  hooks.mOnListing = [this](const StoreListing& aListing) {
+    TakeEndpoints(aListing);
+  };
+  hooks.mOnChange = [this](const StoredObject& aObject) {
+    TakeEndpoint(aObject);
+  };
+  hooks.mOnLost = [this](const absl::Status& aStatus) {
+    NoteStore(mSettings.mEndpointPrefix, &aStatus);
+  };
+  hooks.mOnBack = [this] {
+    NoteStore(mSettings.mEndpointPrefix, nullptr);
+    mDirectory.OnRegistryBack(mClock.Now());
+  };
+  return hooks;
+}
+
+void
+Router::TakeEndpoints(const StoreListing& aListing)
+{
+  std::vector<EndpointRecord> records;
+  for (const auto& it : aListing.mObjects) {
+    if (auto record = mCodec.mReadEndpoint(it); record.ok()) {
+      records.push_back(*std::move(record));
+    } else {
+      LogEvent(LogLevel::Warning,
+               "endpoint_unreadable",
+               { { "key", it.mKey },
+                 { "reason", std::string(record.status().message()) } });
+    }
+  }
+  mDirectory.Replace(records, aListing.mRevision, mClock.Now());
+  mHasEndpoints = true;
+  ArmExpiry();
+  mStreams.Kick();
+  NoteReadiness();
+}
+
+void
+Router::TakeEndpoint(const StoredObject& aObject)
+{
+  const Instant now = mClock.Now();
+  const std::string id = aObject.mKey.substr(mSettings.mEndpointPrefix.size());
+  auto record = aObject.mIsDeleted
+                  ? absl::StatusOr<EndpointRecord>(absl::NotFoundError(""))
+                  : mCodec.mReadEndpoint(aObject);
+  if (record.ok()) {
+    mDirectory.Put(*record, aObject.mVersion, now);
+  } else {
+    if (!aObject.mIsDeleted) {
+      LogEvent(LogLevel::Warning,
+               "endpoint_unreadable",
+               { { "key", aObject.mKey },
+                 { "reason", std::string(record.status().message()) } });
+    }
+    mDirectory.Remove(id, aObject.mVersion, now);
+  }
+  ArmExpiry();
+  mStreams.Kick();
+}
+
+void
+Router::HandleEndpointChange(const EndpointRecord& aEndpoint,
+                             EndpointChange aChange)
+{
+  LogEvent(LogLevel::Info,
+           "endpoint_changed",
+           { { "endpoint", aEndpoint.mId },
+             { "change", EndpointChangeName(aChange) },
+             { "service", aEndpoint.mService },
+             { "role", EndpointRoleName(aEndpoint.mRole) },
+             { "address", FormatAddress(aEndpoint.mAddress) },
+             { "failure_domain", aEndpoint.mFailureDomain },
+             { "registry", mDirectory.Revision() } });
+  if (aChange == EndpointChange::Gone || aChange == EndpointChange::Restarted) {
+    mHealth.Forget(aEndpoint.mId);
+    mLoads.Forget(aEndpoint.mId);
+    mClient.DropIdle(aEndpoint.mAddress);
+  }
+}
+
+void
+Router::ArmExpiry()
+{
+  if (const auto next = mDirectory.NextExpiry(); next) {
+    mExpiryTimer =
+      mLoop.After(std::max(*next - mClock.Now(), Duration::zero()), [this] {
+        mDirectory.Expire(mClock.Now());
+        ArmExpiry();
+      });
+  }
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/Router.h
@@ -0,0 +1,114 @@
+#ifndef BULRUSHFOLD_ROUTER_ROUTER_H
+#define BULRUSHFOLD_ROUTER_ROUTER_H
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "Net/EventLoop.h"
+#include "Net/HttpClient.h"
+#include "Net/HttpServer.h"
+#include "Outcome/Metrics.h"
+#include "Platform/ObjectFollower.h"
+#include "Platform/ObjectStore.h"
+#include "Router/EndpointProtocol.h"
+#include "Router/RequestLog.h"
+#include "Router/RouterFilters.h"
+#include "Router/RouterServices.h"
+#include "Router/RouterSettings.h"
+#include "Router/StopController.h"
+#include "Router/StreamDispatcher.h"
+#include "Routing/CrashGuard.h"
+#include "absl/status/statusor.h"
+
+namespace bulrushfold {
+
+/** How the bodies of objects in the store are read. */
+struct RegistryCodec
+{
+  /** InvalidArgument names the place of what is wrong. */
+  std::function<absl::StatusOr<RoutingConfig>(const StoredObject&)> mReadConfig;
+  std::function<absl::StatusOr<EndpointRecord>(const StoredObject&)>
+    mReadEndpoint;
+};
+
+/** One router process: construction and connection of its parts. */
+class Router
+{
+public:
+  /** All arguments but aSettings must outlive the router. */
+  Router(EventLoop& aLoop,
+         const RouterSettings& aSettings,
+         HttpClient& aClient,
+         ObjectStore& aStore,
+         const EndpointProtocol& aProtocol,
+         RegistryCodec aCodec);
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
+
+  /** Opens the listening sockets; the error names the address. */
+  absl::Status Start();
+  /** Begins a planned stop, which ends the loop. */
+  void Stop() { mStop.Begin(); }
+
+private:
+  void AddFilters();
+  void HandleCaller(std::shared_ptr<HttpExchange> aExchange);
+  void HandleReadiness(HttpExchange& aExchange);
+  void HandleMetrics(HttpExchange& aExchange);
+  bool IsReady() const;
+  void NoteReadiness();
+
+  // Configuration.
+  ObjectFollowerHooks ConfigHooks();
+  void TakeConfig(const StoredObject& aObject);
+  // Endpoints.
+  ObjectFollowerHooks EndpointHooks();
+  void TakeEndpoints(const StoreListing& aListing);
+  void TakeEndpoint(const StoredObject& aObject);
+  void HandleEndpointChange(const EndpointRecord& aEndpoint,
+                            EndpointChange aChange);
+  void ArmExpiry();
+  void NoteStore(std::string_view aPrefix, const absl::Status* aLost);
+
+  EventLoop& mLoop;
+  RouterSettings mSettings;
+  SystemClock mClock;
+  Random mRandom;
+  HttpClient& mClient;
+  const EndpointProtocol& mProtocol;
+  RegistryCodec mCodec;
+  Metrics mMetrics;
+  EndpointDirectory mDirectory;
+  EndpointLoads mLoads;
+  EndpointHealth mHealth;
+  RetryAllowance mRetries;
+  CrashGuard mGuard;
+  PlainSelector mSelector;
+  StreamScheduler mScheduler;
+  StreamDispatcher mStreams;
+  RequestLog mLog;
+  RouterServices mServices;
+  std::shared_ptr<const RouteTable> mTable;
+  bool mHasEndpoints = false;
+  bool mWasReady = false;
+  ObjectFollower mConfigFollower;
+  ObjectFollower mEndpointFollower;
+  RouterFilterChain mChain;
+  HttpServer mCallerServer;
+  HttpServer mReadinessServer;
+  HttpServer mMetricsServer;
+  StopController mStop;
+  EventHandle mExpiryTimer;
+  std::uint64_t mNextNumber = 1;
+  /** Requests that are not over. */
+  std::shared_ptr<std::size_t> mOpen = std::make_shared<std::size_t>(0);
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Router/RouterFilters.h
@@ -0,0 +1,107 @@
+#ifndef BULRUSHFOLD_ROUTER_ROUTERFILTERS_H
+#define BULRUSHFOLD_ROUTER_ROUTERFILTERS_H
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "Base/Random.h"
+#include "Router/CallerSide.h"
+#include "Router/RoutedRequest.h"
+#include "Router/RouterServices.h"
+#include "Routing/CrashGuard.h"
+
+namespace bulrushfold {
+
+/** One step of the work on a request; true when the next one may follow. */
+class RouterFilter
+{
+public:
+  virtual ~RouterFilter() = default;
+  /** Answers the request and returns false, or lets it pass. */
+  virtual bool Handle(const RoutedRequestPointer& aRequest) = 0;
+};
+
+/** Filters in the order in which they see a request. */
+class RouterFilterChain
+{
+public:
+  void Add(std::unique_ptr<RouterFilter> aFilter)
+  {
+    mFilters.push_back(std::move(aFilter));
+  }
+  void Run(const RoutedRequestPointer& aRequest);
+
+private:
+  std::vector<std::unique_ptr<RouterFilter>> mFilters;
+};
+
+/** Matches the request with a route, a service and a deadline. */
+class RouteFilter : public RouterFilter
+{
+public:
+  /** aTable: the present routes; null before the first configuration. */
+  using TableSource = std::function<std::shared_ptr<const RouteTable>()>;
+
+  RouteFilter(RouterServices& aServices, Random& aRandom, TableSource aTable);
+  bool Handle(const RoutedRequestPointer& aRequest) override;
+
+private:
+  void Refuse(const RoutedRequestPointer& aRequest, const Refusal& aRefusal);
+
+  RouterServices& mServices;
+  Random& mRandom;
+  TableSource mTable;
+};
+
+/** Refuses requests that crash endpoints. */
+class CrashFilter : public RouterFilter
+{
+public:
+  CrashFilter(RouterServices& aServices, const CrashGuard& aGuard)
+    : mServices(aServices)
+    , mGuard(aGuard)
+  {
+  }
+  bool Handle(const RoutedRequestPointer& aRequest) override;
+
+private:
+  RouterServices& mServices;
+  const CrashGuard& mGuard;
+};
+
+/** Refuses long requests that a stopping daemon could not finish. */
+class StopFilter : public RouterFilter
+{
+public:
+  using StopState = std::function<bool()>;
+
+  /** aRefusesStreams: true once a new stream would be cut. */
+  StopFilter(RouterServices& aServices, StopState aRefusesStreams);
+  bool Handle(const RoutedRequestPointer& aRequest) override;
+
+private:
+  RouterServices& mServices;
+  StopState mRefusesStreams;
+};
+
+/** Hands the request to a session. */
+class DispatchFilter : public RouterFilter
+{
+public:
+  explicit DispatchFilter(RouterServices& aServices)
+    : mServices(aServices)
+  {
+  }
+  bool Handle(const RoutedRequestPointer& aRequest) override;
+
+private:
+  bool IsModelRequest(const RoutedRequest& aRequest) const;
+  void StartStream(const RoutedRequestPointer& aRequest);
+
+  RouterServices& mServices;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Router/RouterServices.h
@@ -0,0 +1,39 @@
+#ifndef BULRUSHFOLD_ROUTER_ROUTERSERVICES_H
+#define BULRUSHFOLD_ROUTER_ROUTERSERVICES_H
+
+#include "Base/Clock.h"
+#include "Net/EventLoop.h"
+#include "Net/HttpClient.h"
+#include "Router/EndpointProtocol.h"
+#include "Router/RequestLog.h"
+#include "Routing/CrashGuard.h"
+#include "Routing/EndpointDirectory.h"
+#include "Routing/EndpointHealth.h"
+#include "Routing/EndpointLoads.h"
+#include "Routing/PlainSelector.h"
+#include "Routing/RetryAllowance.h"
+
+namespace bulrushfold {
+
+class StreamDispatcher;
+
+/** What the sessions of a router share. */
+struct RouterServices
+{
+  EventLoop& mLoop;
+  const Clock& mClock;
+  HttpClient& mClient;
+  const EndpointProtocol& mProtocol;
+  EndpointDirectory& mDirectory;
+  EndpointLoads& mLoads;
+  EndpointHealth& mHealth;
+  RetryAllowance& mRetries;
+  CrashGuard& mGuard;
+  PlainSelector& mSelector;
+  StreamDispatcher& mStreams;
+  RequestLog& mLog;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Router/RouterSettings.h
@@ -0,0 +1,46 @@
+#ifndef BULRUSHFOLD_ROUTER_ROUTERSETTINGS_H
+#define BULRUSHFOLD_ROUTER_ROUTERSETTINGS_H
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "Base/Clock.h"
+#include "Routing/RetryAllowance.h"
+#include "Settings/Settings.h"
+
+namespace bulrushfold {
+
+/** Settings of one router process. */
+struct RouterSettings
+{
+  /** Name of the VM. */
+  std::string mName;
+  std::string mFailureDomain;
+  SocketAddress mCallerAddress;
+  /** Where the balancer asks whether the daemon takes new connections. */
+  SocketAddress mReadinessAddress;
+  std::string mReadinessPath;
+  SocketAddress mPeerAddress;
+  SocketAddress mStoreAddress;
+  /** Not served when empty. */
+  std::optional<SocketAddress> mMetricsAddress;
+  /** Keys of the object store. */
+  std::string mConfigPrefix;
+  std::string mConfigKey;
+  std::string mEndpointPrefix;
+  /** Objects of this product: one for each daemon. */
+  std::string mDaemonPrefix;
+  std::size_t mMaxDescriptors = 1024;
+  std::size_t mMemoryBytes = 128 * 1024 * 1024;
+  RetryBounds mRetryBounds;
+  /** Time after an outage of the store for which missing entries are kept. */
+  Duration mEndpointGrace = std::chrono::seconds(2);
+  /** Time from the stop signal until the process is killed. */
+  Duration mStopTime = std::chrono::seconds(8);
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Router/SendEnd.cxx
@@ -0,0 +1,74 @@
+#include "Router/SendEnd.h"
+
+#include "Base/EnumNames.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr int kFirstServerError = 500;
+constexpr EnumNames<SendEnd, 5> kEndNames{ {
+  { SendEnd::Answered, "answered" },
+  { SendEnd::NotRun, "not_run" },
+  { SendEnd::OtherEndpoint, "other_endpoint" },
+  { SendEnd::NotSent, "not_sent" },
+  { SendEnd::Unknown, "unknown" },
+} };
+} // namespace
+
+std::string_view
+SendEndName(SendEnd aEnd)
+{
+  return FindEnumName(kEndNames, aEnd);
+}
+
+bool
+IsCertainlyNotRun(SendEnd aEnd)
+{
+  return aEnd == SendEnd::NotRun || aEnd == SendEnd::OtherEndpoint ||
+         aEnd == SendEnd::NotSent;
+}
+
+SendEnd
+JudgeSend(HttpCallResult aResult,
+          const AnswerFacts& aFacts,
+          const std::string& aRequestId)
+{
+  if (aResult == HttpCallResult::ConnectFailed) {
+    return SendEnd::NotSent;
+  }
+  if (aResult != HttpCallResult::Complete) {
+    return SendEnd::Unknown;
+  }
+  if (!aFacts.mRequestId.empty() && aFacts.mRequestId != aRequestId) {
+    return SendEnd::Unknown;
+  }
+  if (aFacts.mIsOtherEndpoint) {
+    return SendEnd::OtherEndpoint;
+  }
+  if (aFacts.mIsNotRun) {
+    return SendEnd::NotRun;
+  }
+  return aFacts.mHasProof && !aFacts.mRequestId.empty() ? SendEnd::Answered
+                                                        : SendEnd::Unknown;
+}
+
+SendResult
+HealthOf(HttpCallResult aResult, SendEnd aEnd, int aStatus)
+{
+  switch (aEnd) {
+    case SendEnd::Answered:
+      return aStatus >= kFirstServerError ? SendResult::ServerError
+                                          : SendResult::Answered;
+    case SendEnd::NotRun:
+    case SendEnd::OtherEndpoint:
+      return SendResult::Refused;
+    case SendEnd::NotSent:
+      return SendResult::ConnectFailed;
+    case SendEnd::Unknown:
+      return aResult == HttpCallResult::Silent ? SendResult::Slow
+                                               : SendResult::Broken;
+  }
+  return SendResult::Broken;
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/StopController.cxx
@@ -0,0 +1,71 @@
+#include "Router/StopController.h"
+
+#include <utility>
+
+#include "Base/Log.h"
+
+namespace bulrushfold {
+
+namespace {
+/** The balancer asks once a second and needs two refusals; what it sent
+ * before still arrives. */
+constexpr Duration kNoticeTime = std::chrono::milliseconds(3000);
+/** Streams that begin later may outlast the stop. */
+constexpr Duration kStreamTime = std::chrono::milliseconds(2800);
+/** Left at the end for closing connections. */
+constexpr Duration kEndMargin = std::chrono::milliseconds(300);
+constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+} // namespace
+
+StopController::StopController(EventLoop& aLoop,
+                               const Clock& aClock,
+                               Duration aStopTime,
+                               Hooks aHooks)
+  : mLoop(aLoop)
+  , mClock(aClock)
+  , mStopTime(aStopTime)
+  , mHooks(std::move(aHooks))
+{
+}
+
+void
+StopController::Begin()
+{
+  if (mBegunAt) {
+    return;
+  }
+  mBegunAt = mClock.Now();
+  const OpenWork work = mHooks.mOpenWork();
+  LogEvent(
+    LogLevel::Info,
+    "stop_begun",
+    { { "requests", work.mRequests }, { "connections", work.mConnections } });
+  mHooks.mOnBegin();
+  mTimer = mLoop.Every(kCheckInterval, [this] { Check(); });
+}
+
+bool
+StopController::RefusesStreams() const
+{
+  return mBegunAt && mClock.Now() - *mBegunAt > kStreamTime;
+}
+
+void
+StopController::Check()
+{
+  const Duration age = mClock.Now() - *mBegunAt;
+  const OpenWork work = mHooks.mOpenWork();
+  const bool isIdle = work.mRequests == 0 && age >= kNoticeTime;
+  if (!isIdle && age < mStopTime - kEndMargin) {
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "stop_ended",
+           { { "requests", work.mRequests },
+             { "connections", work.mConnections },
+             { "took_ms", ToMilliseconds(age) } });
+  mTimer = EventHandle();
+  mHooks.mOnEnd();
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/StreamCall.cxx
@@ -0,0 +1,378 @@
+#include "Router/StreamCall.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/EnumNames.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr EnumNames<StreamState, 7> kStateNames{ {
+  { StreamState::Waiting, "waiting" },
+  { StreamState::Reserving, "reserving" },
+  { StreamState::Prefilling, "prefilling" },
+  { StreamState::Starting, "starting" },
+  { StreamState::Streaming, "streaming" },
+  { StreamState::Failing, "failing" },
+  { StreamState::Over, "over" },
+} };
+
+constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+/** Placements of one stream; bounds a loop of refusals. */
+constexpr std::uint32_t kMaxPlacements = 40;
+/** Longest wait of a stream that is late already. */
+constexpr Duration kLateWait = std::chrono::milliseconds(2500);
+constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
+/** Time in which an idle engine answers a reservation. */
+constexpr Duration kReserveLimit = std::chrono::milliseconds(300);
+/** Time after which a prefill is taken for lost. */
+constexpr Duration kPrefillLimit = std::chrono::milliseconds(1500);
+/** Time after which a run that could go on elsewhere is taken for lost. */
+constexpr Duration kStallLimit = std::chrono::milliseconds(1200);
+} // namespace
+
+std::string_view
+StreamStateName(StreamState aState)
+{
+  return FindEnumName(kStateNames, aState);
+}
+
+StreamCall::StreamCall(StreamCallPort& aPort,
+                       RetryAllowance& aRetries,
+                       StreamTerms aTerms)
+  : mPort(aPort)
+  , mRetries(aRetries)
+  , mTerms(std::move(aTerms))
+  , mRelay(kMaxEventBytes,
+           [this](std::string_view aEvent) { mPort.SendAnswer(aEvent); })
+{
+  mRelay.SetLastId(mTerms.mLastEventId);
+}
+
+void
+StreamCall::Start(Instant aNow)
+{
+  mRetries.OnRequest(mTerms.mCall.mService, aNow);
+  Submit(aNow);
+}
+
+void
+StreamCall::Submit(Instant aNow)
+{
+  mState = StreamState::Waiting;
+  StreamDemand demand;
+  demand.mNumber = mTerms.mNumber;
+  demand.mService = mTerms.mCall.mService;
+  demand.mProfile = mTerms.mProfile;
+  demand.mPromptTokens = mTerms.mTokens.mPrompt;
+  demand.mMaxAnswerTokens = mTerms.mTokens.mMaxAnswer;
+  demand.mDue = mTerms.mCall.mArrival + mTerms.mCall.mRoute->mLatencyGoal;
+  demand.mGiveUp =
+    std::min(mTerms.mCall.mDeadline, mTerms.mCall.mArrival + kLateWait);
+  if (mHasAnswer) {
+    demand.mGiveUp = std::min(mTerms.mCall.mDeadline, aNow + kLateWait);
+  }
+  demand.mTried = mTried;
+  mPort.WakeAt(mTerms.mCall.mDeadline);
+  mPort.RequestPlacement(std::move(demand));
+}
+
+void
+StreamCall::SetStallLimit(Duration aLimit, Instant aNow)
+{
+  mStallAt = aNow + aLimit;
+  mPort.WakeAt(std::min(mStallAt, mTerms.mCall.mDeadline));
+}
+
+void
+StreamCall::OnPlaced(const StreamPlacement& aPlacement, Instant aNow)
+{
+  mPlacement = aPlacement;
+  ++mPlacements;
+  if (mTerms.mProfile.mMaxReservation <= Duration::zero()) {
+    StartPrefill(aNow);
+    return;
+  }
+  mState = StreamState::Reserving;
+  SetStallLimit(kReserveLimit, aNow);
+  mPort.Reserve(mPlacement.mDecode,
+                mTerms.mTokens.mPrompt + mTerms.mTokens.mMaxAnswer);
+}
+
+void
+StreamCall::OnNoPlacement(Instant)
+{
+  if (mState == StreamState::Waiting) {
+    Finish(SendEnd::NotSent, RefusalReason::WaitedTooLong, false);
+  }
+}
+
+void
+StreamCall::OnReserved(const std::string& aReservation, Instant aNow)
+{
+  if (mState != StreamState::Reserving) {
+    return;
+  }
+  if (!aReservation.empty()) {
+    mReservation = aReservation;
+    StartPrefill(aNow);
+    return;
+  }
+  mPort.NoteDecodeFull(mPlacement.mDecode);
+  ReleaseAll();
+  Retry(SendEnd::NotSent, true, aNow);
+}
+
+void
+StreamCall::StartPrefill(Instant aNow)
+{
+  if (mPlacement.mPrefill.empty()) {
+    StartDecode(aNow);
+    return;
+  }
+  mState = StreamState::Prefilling;
+  SetStallLimit(kPrefillLimit, aNow);
+  mPort.Prefill(mPlacement.mPrefill, mTerms.mCall.mDeadline);
+}
+
+void
+StreamCall::OnPrefilled(SendEnd aEnd,
+                        const KvCache& aCache,
+                        Duration aTook,
+                        Instant aNow)
+{
+  if (mState != StreamState::Prefilling) {
+    return;
+  }
+  const bool isDone = aEnd == SendEnd::Answered;
+  mPort.ReleasePrefill(isDone ? aTook : Duration::zero());
+  if (isDone) {
+    mCache = aCache;
+    StartDecode(aNow);
+    return;
+  }
+  mTried.insert(mPlacement.mPrefill);
+  ReleaseAll();
+  Retry(aEnd, aEnd == SendEnd::NotSent, aNow);
+}
+
+void
+StreamCall::StartDecode(Instant aNow)
+{
+  if (!mPort.IsUsable(mPlacement.mDecode)) {
+    mTried.insert(mPlacement.mDecode);
+    ReleaseAll();
+    Retry(SendEnd::NotSent, true, aNow);
+    return;
+  }
+  mState = StreamState::Starting;
+  const bool isWatched = mTerms.mCall.mRoute->mIsResumable;
+  if (isWatched) {
+    SetStallLimit(kStallLimit, aNow);
+  } else {
+    mPort.WakeAt(mTerms.mCall.mDeadline);
+  }
+  mPort.Decode({ mPlacement.mDecode, mCache, mReservation, mRelay.LastId() },
+               mTerms.mCall.mDeadline);
+}
+
+void
+StreamCall::OnAnswerStarted(SendEnd aEnd,
+                            int aStatus,
+                            const HttpHeaders& aHeaders,
+                            Instant aNow)
+{
+  if (mState != StreamState::Starting) {
+    return;
+  }
+  if (aEnd != SendEnd::Answered) {
+    mPort.CancelSend(aEnd == SendEnd::Unknown ? SendResult::Broken
+                                              : SendResult::Refused);
+    OnAnswerEnded(aEnd, aNow);
+    return;
+  }
+  // The engine has taken what was kept for this run.
+  mCache.reset();
+  mReservation.clear();
+  mPort.ReleasePrefill(Duration::zero());
+  if (aStatus != kOk) {
+    mState = StreamState::Failing;
+    mFailure = { aStatus, aHeaders, std::string() };
+    return;
+  }
+  mState = StreamState::Streaming;
+  if (!std::exchange(mHasAnswer, true)) {
+    mPort.StartAnswer(aStatus, aHeaders);
+  }
+}
+
+void
+StreamCall::OnAnswerData(std::string_view aData, Instant aNow)
+{
+  if (mState == StreamState::Failing) {
+    mFailure.mBody.append(aData);
+    return;
+  }
+  if (mState != StreamState::Streaming) {
+    return;
+  }
+  if (!mTerms.mCall.mRoute->mIsResumable) {
+    mPort.SendAnswer(aData);
+    return;
+  }
+  SetStallLimit(kStallLimit, aNow);
+  if (!mRelay.Feed(aData)) {
+    mPort.CancelSend(SendResult::Broken);
+    OnAnswerEnded(SendEnd::Unknown, aNow);
+  }
+}
+
+void
+StreamCall::OnAnswerEnded(SendEnd aEnd, Instant aNow)
+{
+  if (mState != StreamState::Starting && mState != StreamState::Streaming &&
+      mState != StreamState::Failing) {
+    return;
+  }
+  const bool isWhole = aEnd == SendEnd::Answered;
+  if (mState == StreamState::Streaming && isWhole && !mRelay.HasPart()) {
+    mPort.ReleaseDecode();
+    mState = StreamState::Over;
+    mPort.EndAnswer();
+    return;
+  }
+  const bool hasFailure = mState == StreamState::Failing && isWhole;
+  if (!IsCertainlyNotRun(aEnd)) {
+    ++mRuns;
+  }
+  mTried.insert(mPlacement.mDecode);
+  mRelay.Restart();
+  ReleaseAll();
+  if (hasFailure && !mHasAnswer && !MayRunAgain()) {
+    mState = StreamState::Over;
+    mPort.Deliver(mFailure);
+    return;
+  }
+  Retry(aEnd, aEnd == SendEnd::NotSent, aNow);
+}
+
+bool
+StreamCall::MayRunAgain() const
+{
+  if (mRuns == 0) {
+    return true;
+  }
+  const Route& route = *mTerms.mCall.mRoute;
+  return route.mIsResumable && mRuns < route.mMaxAttempts;
+}
+
+void
+StreamCall::Retry(SendEnd aEnd, bool aIsFree, Instant aNow)
+{
+  const bool isUseful = aNow < mTerms.mCall.mDeadline &&
+                        mPlacements < kMaxPlacements && MayRunAgain();
+  if (isUseful && (aIsFree || mRetries.Take(mTerms.mCall.mService, aNow))) {
+    Submit(aNow);
+    return;
+  }
+  Finish(aEnd, RefusalReason::EndpointsFull, false);
+}
+
+void
+StreamCall::ReleaseAll()
+{
+  mPort.ReleasePrefill(Duration::zero());
+  mPort.ReleaseDecode();
+  if (mCache) {
+    mPort.DropCache(mPlacement.mPrefill, mCache->mHandle);
+    mCache.reset();
+  }
+  if (!mReservation.empty()) {
+    mPort.DropReservation(mPlacement.mDecode, mReservation);
+    mReservation.clear();
+  }
+}
+
+void
+StreamCall::Finish(SendEnd, RefusalReason aReason, bool aIsTimeout)
+{
+  mState = StreamState::Over;
+  if (mHasAnswer) {
+    mPort.BreakAnswer(aReason);
+  } else if (mRuns > 0) {
+    mPort.Refuse(
+      { aIsTimeout ? kGatewayTimeout : kBadGateway,
+        aIsTimeout ? RefusalReason::Timeout : RefusalReason::OutcomeUnknown,
+        Duration::zero() });
+  } else {
+    mPort.Refuse({ kUnavailable, aReason, kRetryAfter });
+  }
+}
+
+void
+StreamCall::HandleStall(Instant aNow)
+{
+  switch (mState) {
+    case StreamState::Reserving:
+      mPort.CancelSend(SendResult::Slow);
+      OnReserved("", aNow);
+      return;
+    case StreamState::Prefilling:
+      mPort.CancelSend(SendResult::Slow);
+      OnPrefilled(SendEnd::Unknown, {}, Duration::zero(), aNow);
+      return;
+    case StreamState::Starting:
+    case StreamState::Streaming:
+    case StreamState::Failing:
+      mPort.CancelSend(SendResult::Slow);
+      OnAnswerEnded(SendEnd::Unknown, aNow);
+      return;
+    case StreamState::Waiting:
+    case StreamState::Over:
+      return;
+  }
+}
+
+void
+StreamCall::OnWake(Instant aNow)
+{
+  if (mState == StreamState::Over) {
+    return;
+  }
+  if (aNow < mTerms.mCall.mDeadline) {
+    HandleStall(aNow);
+    return;
+  }
+  if (mState == StreamState::Waiting) {
+    mPort.WithdrawPlacement();
+  } else {
+    if (mState != StreamState::Reserving && mState != StreamState::Prefilling) {
+      ++mRuns;
+    }
+    mPort.CancelSend(SendResult::Slow);
+  }
+  ReleaseAll();
+  Finish(SendEnd::Unknown, RefusalReason::Timeout, true);
+}
+
+void
+StreamCall::OnCallerGone(Instant)
+{
+  if (mState == StreamState::Over) {
+    return;
+  }
+  if (mState == StreamState::Waiting) {
+    mPort.WithdrawPlacement();
+  } else {
+    mPort.CancelSend(SendResult::Answered);
+  }
+  ReleaseAll();
+  mState = StreamState::Over;
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/StreamCall.h
@@ -0,0 +1,158 @@
+#ifndef BULRUSHFOLD_ROUTER_STREAMCALL_H
+#define BULRUSHFOLD_ROUTER_STREAMCALL_H
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "Base/Clock.h"
+#include "Router/EventRelay.h"
+#include "Router/PlainCall.h"
+#include "Router/SendEnd.h"
+#include "Routing/RetryAllowance.h"
+#include "Routing/StreamScheduler.h"
+
+namespace bulrushfold {
+
+/** Step of a stream. */
+enum class StreamState
+{
+  /** The scheduler has not placed it. */
+  Waiting,
+  Reserving,
+  Prefilling,
+  /** Sent to a decode engine; its answer has not begun. */
+  Starting,
+  Streaming,
+  /** A failure of the engine is being received. */
+  Failing,
+  Over,
+};
+
+std::string_view StreamStateName(StreamState aState);
+
+/** A decode engine's part of a stream. */
+struct DecodeOrder
+{
+  std::string mEndpoint;
+  std::optional<KvCache> mCache;
+  std::string mReservation;
+  std::string mLastEventId;
+};
+
+/** What a StreamCall has its session do. */
+class StreamCallPort
+{
+public:
+  virtual ~StreamCallPort() = default;
+  // Scheduler.
+  virtual void RequestPlacement(StreamDemand aDemand) = 0;
+  virtual void WithdrawPlacement() = 0;
+  /** The prompt is computed or given up; zero: it failed. */
+  virtual void ReleasePrefill(Duration aTook) = 0;
+  virtual void ReleaseDecode() = 0;
+  virtual void NoteDecodeFull(const std::string& aEndpoint) = 0;
+  virtual bool IsUsable(const std::string& aEndpoint) const = 0;
+  // Engines. Each call ends with its event, or with CancelSend.
+  virtual void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) = 0;
+  virtual void Prefill(const std::string& aEndpoint, Instant aDeadline) = 0;
+  virtual void Decode(const DecodeOrder& aOrder, Instant aDeadline) = 0;
+  virtual void CancelSend(SendResult aReason) = 0;
+  virtual void DropCache(const std::string& aEndpoint,
+                         const std::string& aHandle) = 0;
+  virtual void DropReservation(const std::string& aEndpoint,
+                               const std::string& aReservation) = 0;
+  // Caller.
+  virtual void StartAnswer(int aStatus, const HttpHeaders& aHeaders) = 0;
+  virtual void SendAnswer(std::string_view aData) = 0;
+  virtual void EndAnswer() = 0;
+  virtual void BreakAnswer(RefusalReason aReason) = 0;
+  virtual void Deliver(const EndpointAnswer& aAnswer) = 0;
+  virtual void Refuse(const Refusal& aRefusal) = 0;
+  /** Calls OnWake at aTime; replaces an earlier order. */
+  virtual void WakeAt(Instant aTime) = 0;
+};
+
+/** A stream's own data for the scheduler. */
+struct StreamTerms
+{
+  CallTerms mCall;
+  std::uint64_t mNumber = 0;
+  EngineProfile mProfile;
+  TokenCounts mTokens;
+  /** Last event that the caller already has. */
+  std::string mLastEventId;
+};
+
+/**
+ * Life of one stream: placement, reservation, prefill, decode, and what
+ * follows when one of them fails. A stream whose answer breaks off goes on at
+ * another engine if its route allows it, with whole events only.
+ */
+class StreamCall
+{
+public:
+  StreamCall(StreamCallPort& aPort,
+             RetryAllowance& aRetries,
+             StreamTerms aTerms);
+
+  void Start(Instant aNow);
+  void OnPlaced(const StreamPlacement& aPlacement, Instant aNow);
+  /** It waited in the queue until it was given up. */
+  void OnNoPlacement(Instant aNow);
+  /** aReservation: empty when the engine gave none. */
+  void OnReserved(const std::string& aReservation, Instant aNow);
+  /** aHandle: set when aEnd is Answered. */
+  void OnPrefilled(SendEnd aEnd,
+                   const KvCache& aCache,
+                   Duration aTook,
+                   Instant aNow);
+  void OnAnswerStarted(SendEnd aEnd,
+                       int aStatus,
+                       const HttpHeaders& aHeaders,
+                       Instant aNow);
+  void OnAnswerData(std::string_view aData, Instant aNow);
+  /** The call to the decode engine ended. */
+  void OnAnswerEnded(SendEnd aEnd, Instant aNow);
+  void OnWake(Instant aNow);
+  void OnCallerGone(Instant aNow);
+
+  StreamState State() const { return mState; }
+  const StreamPlacement& Placement() const { return mPlacement; }
+  std::uint64_t Events() const { return mRelay.Events(); }
+
+private:
+  void Submit(Instant aNow);
+  void StartPrefill(Instant aNow);
+  void StartDecode(Instant aNow);
+  /** Gives back all that is held at engines. */
+  void ReleaseAll();
+  /** Goes on at other engines, or ends. aIsFree: nothing reached an engine. */
+  void Retry(SendEnd aEnd, bool aIsFree, Instant aNow);
+  bool MayRunAgain() const;
+  void Finish(SendEnd aEnd, RefusalReason aReason, bool aIsTimeout);
+  void HandleStall(Instant aNow);
+  void SetStallLimit(Duration aLimit, Instant aNow);
+
+  StreamCallPort& mPort;
+  RetryAllowance& mRetries;
+  StreamTerms mTerms;
+  EventRelay mRelay;
+  StreamState mState = StreamState::Waiting;
+  StreamPlacement mPlacement;
+  std::set<std::string> mTried;
+  std::string mReservation;
+  std::optional<KvCache> mCache;
+  EndpointAnswer mFailure;
+  /** Runs at decode engines that may have begun. */
+  std::uint32_t mRuns = 0;
+  std::uint32_t mPlacements = 0;
+  bool mHasAnswer = false;
+  Instant mStallAt;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Router/StreamSession.cxx
@@ -0,0 +1,370 @@
+#include "Router/StreamSession.h"
+
+#include <utility>
+
+#include "Base/Log.h"
+#include "Router/StreamDispatcher.h"
+
+namespace bulrushfold {
+
+namespace {
+/** An unread answer of this size means that the caller does not read. */
+constexpr std::size_t kMaxUnreadBytes = 1024 * 1024;
+} // namespace
+
+StreamSession::StreamSession(RouterServices& aServices,
+                             RoutedRequestPointer aRequest,
+                             StreamTerms aTerms)
+  : mServices(aServices)
+  , mRequest(std::move(aRequest))
+  , mNumber(aTerms.mNumber)
+  , mMaxReservation(aTerms.mProfile.mMaxReservation)
+  , mCaller(aServices, mRequest)
+  , mCall(*this, aServices.mRetries, std::move(aTerms))
+  , mTimer(aServices.mLoop, aServices.mClock, [this] {
+    const auto self = mSelf;
+    mCall.OnWake(mServices.mClock.Now());
+  })
+{
+}
+
+void
+StreamSession::Start()
+{
+  mSelf = shared_from_this();
+  const auto self = mSelf;
+  mRequest->mExchange->OnClosed([this] { HandleCallerGone(); });
+  mCall.Start(mServices.mClock.Now());
+}
+
+void
+StreamSession::RequestPlacement(StreamDemand aDemand)
+{
+  mServices.mLog.Queued(*mRequest, mServices.mStreams.Waiting());
+  mServices.mStreams.Submit(
+    std::move(aDemand),
+    [this, self = mSelf](const StreamPlacement* aPlacement) {
+      HandlePlacement(aPlacement);
+    });
+}
+
+void
+StreamSession::HandlePlacement(const StreamPlacement* aPlacement)
+{
+  const Instant now = mServices.mClock.Now();
+  if (aPlacement == nullptr) {
+    mCall.OnNoPlacement(now);
+    return;
+  }
+  mServices.mLog.Placed(*mRequest, *aPlacement);
+  mCall.OnPlaced(*aPlacement, now);
+}
+
+void
+StreamSession::WithdrawPlacement()
+{
+  mServices.mStreams.Withdraw(mNumber);
+}
+
+void
+StreamSession::ReleasePrefill(Duration aTook)
+{
+  mServices.mStreams.OnPrefillEnded(mNumber, aTook);
+}
+
+void
+StreamSession::ReleaseDecode()
+{
+  mServices.mStreams.OnDecodeEnded(mNumber);
+}
+
+void
+StreamSession::NoteDecodeFull(const std::string& aEndpoint)
+{
+  mServices.mStreams.OnDecodeFull(aEndpoint);
+}
+
+bool
+StreamSession::IsUsable(const std::string& aEndpoint) const
+{
+  const EndpointRecord* endpoint = mServices.mDirectory.Find(aEndpoint);
+  return endpoint != nullptr && !endpoint->mIsDraining;
+}
+
+void
+StreamSession::BeginSend(std::string_view aStep,
+                         const std::string& aEndpoint,
+                         HttpCallRequest aRequest,
+                         HttpCallHooks aHooks)
+{
+  mStep = aStep;
+  mEndpoint = aEndpoint;
+  mSentAt = mServices.mClock.Now();
+  ++mRequest->mSends;
+  mSend = mServices.mClient.Start(std::move(aRequest), std::move(aHooks));
+}
+
+SendEnd
+StreamSession::EndSend(const HttpCallReply& aReply)
+{
+  const AnswerFacts facts =
+    mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders);
+  const SendEnd end = JudgeSend(aReply.mResult, facts, mRequest->mFacts.mId);
+  const SendResult health = HealthOf(aReply.mResult, end, aReply.mStatus);
+  if (end == SendEnd::Answered) {
+    mServices.mGuard.OnAnswered(mRequest->mDigest);
+  } else if (aReply.mResult == HttpCallResult::ConnectionLost) {
+    mServices.mGuard.OnLost(mRequest->mDigest, mServices.mClock.Now());
+  }
+  NoteSendEnd(health,
+              end == SendEnd::Unknown ? HttpCallResultName(aReply.mResult)
+                                      : SendEndName(end),
+              aReply.mStatus);
+  return end;
+}
+
+void
+StreamSession::NoteSendEnd(SendResult aResult,
+                           std::string_view aEnd,
+                           int aStatus)
+{
+  const Instant now = mServices.mClock.Now();
+  mSend.reset();
+  mServices.mHealth.OnResult(
+    mRequest->mTerms.mService, mEndpoint, aResult, now);
+  mServices.mLog.SendEnded(
+    *mRequest, mStep, mEndpoint, aEnd, aStatus, now - mSentAt);
+}
+
+void
+StreamSession::Reserve(const std::string& aEndpoint, std::uint64_t aTokens)
+{
+  HttpCallHooks hooks;
+  hooks.mOnDone = [this](const HttpCallReply& aReply) {
+    HandleReserved(aReply);
+  };
+  BeginSend("reserve",
+            aEndpoint,
+            mServices.mProtocol.Reserve(
+              *mServices.mDirectory.Find(aEndpoint), aTokens, mMaxReservation),
+            std::move(hooks));
+}
+
+void
+StreamSession::HandleReserved(const HttpCallReply& aReply)
+{
+  const auto self = mSelf;
+  constexpr int kOk = 200;
+  const Instant now = mServices.mClock.Now();
+  mSend.reset();
+  std::string reservation;
+  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kOk) {
+    if (auto parsed = mServices.mProtocol.ReadReservation(aReply.mBody);
+        parsed.ok()) {
+      reservation = *std::move(parsed);
+    }
+  }
+  if (reservation.empty()) {
+    NoteSendEnd(aReply.mResult == HttpCallResult::Complete
+                  ? SendResult::Refused
+                  : HealthOf(aReply.mResult, SendEnd::Unknown, 0),
+                HttpCallResultName(aReply.mResult),
+                aReply.mStatus);
+  }
+  mCall.OnReserved(reservation, now);
+}
+
+void
+StreamSession::Prefill(const std::string& aEndpoint, Instant aDeadline)
+{
+  SendTerms terms;
+  terms.mTimeLeft = aDeadline - mServices.mClock.Now();
+  HttpCallHooks hooks;
+  hooks.mOnDone = [this](const HttpCallReply& aReply) {
+    HandlePrefilled(aReply);
+  };
+  BeginSend("prefill",
+            aEndpoint,
+            mServices.mProtocol.Prefill(mRequest->Message(),
+                                        *mServices.mDirectory.Find(aEndpoint),
+                                        terms),
+            std::move(hooks));
+}
+
+void
+StreamSession::HandlePrefilled(const HttpCallReply& aReply)
+{
+  const auto self = mSelf;
+  constexpr int kOk = 200;
+  const Duration took = mServices.mClock.Now() - mSentAt;
+  const EndpointRecord* endpoint = mServices.mDirectory.Find(mEndpoint);
+  SendEnd end = SendEnd::Unknown;
+  KvCache cache;
+  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kOk) {
+    auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
+    if (handle.ok() && endpoint != nullptr) {
+      end = SendEnd::Answered;
+      cache = { endpoint->mAddress, *std::move(handle) };
+    }
+    NoteSendEnd(end == SendEnd::Answered ? SendResult::Answered
+                                         : SendResult::Broken,
+                end == SendEnd::Answered ? SendEndName(end) : "no_handle",
+                aReply.mStatus);
+  } else {
+    end = EndSend(aReply);
+    // Without a handle nothing can be decoded, whatever has run.
+    end = end == SendEnd::Answered ? SendEnd::Unknown : end;
+  }
+  mCall.OnPrefilled(end, cache, took, mServices.mClock.Now());
+}
+
+void
+StreamSession::Decode(const DecodeOrder& aOrder, Instant aDeadline)
+{
+  SendTerms terms;
+  terms.mTimeLeft = aDeadline - mServices.mClock.Now();
+  terms.mCache = aOrder.mCache;
+  terms.mReservation = aOrder.mReservation;
+  terms.mLastEventId = aOrder.mLastEventId;
+  HttpCallRequest request = mServices.mProtocol.Forward(
+    mRequest->Message(), *mServices.mDirectory.Find(aOrder.mEndpoint), terms);
+  HttpCallHooks hooks;
+  hooks.mOnHeaders = [this](int aStatus, const HttpHeaders& aHeaders) {
+    HandleDecodeHead(aStatus, aHeaders);
+  };
+  hooks.mOnChunk = [this](std::string_view aData) {
+    const auto self = mSelf;
+    mCall.OnAnswerData(aData, mServices.mClock.Now());
+  };
+  hooks.mOnDone = [this](const HttpCallReply& aReply) {
+    HandleDecodeEnd(aReply);
+  };
+  mHeadEnd = SendEnd::Unknown;
+  mIsPaused = false;
+  BeginSend("decode", aOrder.mEndpoint, std::move(request), std::move(hooks));
+}
+
+void
+StreamSession::HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders)
+{
+  const auto self = mSelf;
+  const AnswerFacts facts = mServices.mProtocol.ReadAnswer(aStatus, aHeaders);
+  mHeadEnd = JudgeSend(HttpCallResult::Complete, facts, mRequest->mFacts.mId);
+  mCall.OnAnswerStarted(mHeadEnd, aStatus, aHeaders, mServices.mClock.Now());
+}
+
+void
+StreamSession::HandleDecodeEnd(const HttpCallReply& aReply)
+{
+  const auto self = mSelf;
+  const SendEnd end = EndSend(aReply);
+  mCall.OnAnswerEnded(end, mServices.mClock.Now());
+}
+
+void
+StreamSession::CancelSend(SendResult aReason)
+{
+  if (mSend) {
+    NoteSendEnd(aReason, SendResultName(aReason), 0);
+  }
+}
+
+void
+StreamSession::SendAside(HttpCallRequest aRequest)
+{
+  auto call = std::make_shared<std::unique_ptr<HttpCall>>();
+  HttpCallHooks hooks;
+  hooks.mOnDone = [call,
+                   target = aRequest.mTarget](const HttpCallReply& aReply) {
+    call->reset();
+    if (aReply.mResult != HttpCallResult::Complete) {
+      LogEvent(LogLevel::Info,
+               "release_failed",
+               { { "target", target },
+                 { "result", HttpCallResultName(aReply.mResult) } });
+    }
+  };
+  *call = mServices.mClient.Start(std::move(aRequest), std::move(hooks));
+}
+
+void
+StreamSession::DropCache(const std::string& aEndpoint,
+                         const std::string& aHandle)
+{
+  if (const auto* endpoint = mServices.mDirectory.Find(aEndpoint); endpoint) {
+    SendAside(mServices.mProtocol.DropCache(*endpoint, aHandle));
+  }
+}
+
+void
+StreamSession::DropReservation(const std::string& aEndpoint,
+                               const std::string& aReservation)
+{
+  if (const auto* endpoint = mServices.mDirectory.Find(aEndpoint); endpoint) {
+    SendAside(mServices.mProtocol.DropReservation(*endpoint, aReservation));
+  }
+}
+
+void
+StreamSession::StartAnswer(int aStatus, const HttpHeaders& aHeaders)
+{
+  mCaller.StartStream(aStatus, aHeaders);
+}
+
+void
+StreamSession::SendAnswer(std::string_view aData)
+{
+  mCaller.Send(aData);
+  if (mRequest->mExchange->PendingBytes() > kMaxUnreadBytes && !mIsPaused) {
+    // The caller does not read; its connection ends at the write timeout.
+    mIsPaused = true;
+    mSend->SetReading(false);
+  }
+}
+
+void
+StreamSession::EndAnswer()
+{
+  mCaller.EndStream(mEndpoint);
+  Close();
+}
+
+void
+StreamSession::BreakAnswer(RefusalReason aReason)
+{
+  mCaller.Break(aReason, mEndpoint);
+  Close();
+}
+
+void
+StreamSession::Deliver(const EndpointAnswer& aAnswer)
+{
+  mCaller.Deliver(aAnswer, mEndpoint);
+  Close();
+}
+
+void
+StreamSession::Refuse(const Refusal& aRefusal)
+{
+  mCaller.Refuse(aRefusal, mEndpoint);
+  Close();
+}
+
+void
+StreamSession::HandleCallerGone()
+{
+  const auto self = mSelf;
+  mCall.OnCallerGone(mServices.mClock.Now());
+  mCaller.NoteGone(mEndpoint);
+  Close();
+}
+
+void
+StreamSession::Close()
+{
+  mTimer.Cancel();
+  mRequest->mExchange->OnClosed(nullptr);
+  mSelf.reset();
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -0,0 +1,181 @@
+#include "Routing/EndpointDirectory.h"
+
+#include <algorithm>
+#include <set>
+
+#include "Base/EnumNames.h"
+
+namespace bulrushfold {
+
+namespace {
+constexpr EnumNames<EndpointRole, 3> kRoleNames{ {
+  { EndpointRole::General, "general" },
+  { EndpointRole::Prefill, "prefill" },
+  { EndpointRole::Decode, "decode" },
+} };
+constexpr EnumNames<EndpointChange, 6> kChangeNames{ {
+  { EndpointChange::Added, "added" },
+  { EndpointChange::Restarted, "restarted" },
+  { EndpointChange::Leaving, "leaving" },
+  { EndpointChange::Returned, "returned" },
+  { EndpointChange::InDoubt, "in_doubt" },
+  { EndpointChange::Gone, "gone" },
+} };
+} // namespace
+
+std::string_view
+EndpointRoleName(EndpointRole aRole)
+{
+  return FindEnumName(kRoleNames, aRole);
+}
+
+std::string_view
+EndpointChangeName(EndpointChange aChange)
+{
+  return FindEnumName(kChangeNames, aChange);
+}
+
+EndpointDirectory::EndpointDirectory(Duration aGrace)
+  : mGrace(aGrace)
+{
+}
+
+void
+EndpointDirectory::Replace(const std::vector<EndpointRecord>& aRecords,
+                           std::uint64_t aRevision,
+                           Instant aNow)
+{
+  std::set<std::string> missing;
+  for (const auto& [id, entry] : mEntries) {
+    missing.insert(id);
+  }
+  for (const auto& it : aRecords) {
+    missing.erase(it.mId);
+    Put(it, aRevision, aNow);
+  }
+  for (const auto& it : missing) {
+    Remove(it, aRevision, aNow);
+  }
+  mRevision = aRevision;
+}
+
+void
+EndpointDirectory::Put(const EndpointRecord& aRecord,
+                       std::uint64_t aRevision,
+                       Instant aNow)
+{
+  mRevision = std::max(mRevision, aRevision);
+  const auto it = mEntries.find(aRecord.mId);
+  if (it != mEntries.end() && it->second.mRecord.mService != aRecord.mService) {
+    Drop(aRecord.mId);
+    Put(aRecord, aRevision, aNow);
+    return;
+  }
+  if (it == mEntries.end()) {
+    mEntries[aRecord.mId] = { aRecord, std::nullopt };
+    mServices[aRecord.mService].push_back(aRecord.mId);
+    mOnChange.emit(aRecord, EndpointChange::Added);
+    if (aRecord.mIsDraining) {
+      mOnChange.emit(aRecord, EndpointChange::Leaving);
+    }
+    return;
+  }
+  const EndpointRecord before = it->second.mRecord;
+  const bool wasMissing = it->second.mGoneAt.has_value();
+  it->second = { aRecord, std::nullopt };
+  if (before.mIncarnation != aRecord.mIncarnation) {
+    mOnChange.emit(aRecord, EndpointChange::Restarted);
+  }
+  if (aRecord.mIsDraining && !before.mIsDraining) {
+    mOnChange.emit(aRecord, EndpointChange::Leaving);
+  } else if (!aRecord.mIsDraining && (before.mIsDraining || wasMissing)) {
+    mOnChange.emit(aRecord, EndpointChange::Returned);
+  }
+}
+
+void
+EndpointDirectory::Remove(const std::string& aId,
+                          std::uint64_t aRevision,
+                          Instant aNow)
+{
+  mRevision = std::max(mRevision, aRevision);
+  const auto it = mEntries.find(aId);
+  if (it == mEntries.end()) {
+    return;
+  }
+  if (!InGrace(aNow)) {
+    Drop(aId);
+  } else if (!it->second.mGoneAt) {
+    it->second.mGoneAt = mGraceEnds;
+    mOnChange.emit(it->second.mRecord, EndpointChange::InDoubt);
+  }
+}
+
+void
+EndpointDirectory::Drop(const std::string& aId)
+{
+  const auto it = mEntries.find(aId);
+  const EndpointRecord record = it->second.mRecord;
+  mEntries.erase(it);
+  auto& ids = mServices[record.mService];
+  ids.erase(std::remove(ids.begin(), ids.end(), aId), ids.end());
+  mOnChange.emit(record, EndpointChange::Gone);
+}
+
+void
+EndpointDirectory::OnRegistryBack(Instant aNow)
+{
+  mGraceEnds = aNow + mGrace;
+}
+
+void
+EndpointDirectory::Expire(Instant aNow)
+{
+  std::vector<std::string> gone;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mGoneAt && *entry.mGoneAt <= aNow) {
+      gone.push_back(id);
+    }
+  }
+  for (const auto& it : gone) {
+    Drop(it);
+  }
+}
+
+std::optional<Instant>
+EndpointDirectory::NextExpiry() const
+{
+  std::optional<Instant> next;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mGoneAt && (!next || *entry.mGoneAt < *next)) {
+      next = entry.mGoneAt;
+    }
+  }
+  return next;
+}
+
+const EndpointRecord*
+EndpointDirectory::Find(const std::string& aId) const
+{
+  const auto it = mEntries.find(aId);
+  return it == mEntries.end() ? nullptr : &it->second.mRecord;
+}
+
+std::vector<const EndpointRecord*>
+EndpointDirectory::Usable(const std::string& aService, EndpointRole aRole) const
+{
+  std::vector<const EndpointRecord*> usable;
+  const auto ids = mServices.find(aService);
+  if (ids == mServices.end()) {
+    return usable;
+  }
+  for (const auto& it : ids->second) {
+    const EndpointRecord& record = mEntries.at(it).mRecord;
+    if (!record.mIsDraining && record.mRole == aRole) {
+      usable.push_back(&record);
+    }
+  }
+  return usable;
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Routing/PlainSelector.h
@@ -0,0 +1,58 @@
+#ifndef BULRUSHFOLD_ROUTING_PLAINSELECTOR_H
+#define BULRUSHFOLD_ROUTING_PLAINSELECTOR_H
+
+#include <optional>
+#include <set>
+#include <string>
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "Routing/EndpointDirectory.h"
+#include "Routing/EndpointHealth.h"
+#include "Routing/EndpointLoads.h"
+
+namespace bulrushfold {
+
+/** An endpoint chosen for a request, with what decided. */
+struct EndpointChoice
+{
+  std::string mEndpoint;
+  /** Estimated requests at the endpoint per slot, before this one. */
+  double mLoad = 0;
+  std::size_t mCandidates = 0;
+};
+
+/**
+ * Chooses endpoints of plain services: the one with the least load per slot,
+ * in the daemon's own failure domain where that makes no difference.
+ */
+class PlainSelector
+{
+public:
+  PlainSelector(const EndpointDirectory& aDirectory,
+                const EndpointLoads& aLoads,
+                const EndpointHealth& aHealth,
+                std::string aFailureDomain,
+                Random& aRandom);
+
+  /** aTried: endpoints that had the request; they are taken last. */
+  std::optional<EndpointChoice> Choose(const std::string& aService,
+                                       const std::set<std::string>& aTried,
+                                       Instant aNow) const;
+
+private:
+  double Cost(const EndpointRecord& aEndpoint,
+              const std::set<std::string>& aTried,
+              Instant aNow) const;
+  double Load(const EndpointRecord& aEndpoint, Instant aNow) const;
+
+  const EndpointDirectory& mDirectory;
+  const EndpointLoads& mLoads;
+  const EndpointHealth& mHealth;
+  std::string mFailureDomain;
+  Random& mRandom;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Routing/RetryAllowance.cxx
@@ -0,0 +1,153 @@
+#include "Routing/RetryAllowance.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushfold {
+
+namespace {
+/** Part of the bound that is used; the rest covers the age of what is known
+ * of the peers. */
+constexpr double kUsedPart = 0.9;
+/** Sends that each peer may have made since it told of its use. */
+constexpr double kUnseenPerPeer = 1;
+} // namespace
+
+WindowCount::WindowCount(Duration aWindow)
+  : mStep(std::max(aWindow / static_cast<std::int64_t>(kSteps), Duration(1)))
+{
+}
+
+std::int64_t
+WindowCount::StepOf(Instant aTime) const
+{
+  return aTime.time_since_epoch() / mStep;
+}
+
+void
+WindowCount::Add(Instant aNow)
+{
+  const std::int64_t number = StepOf(aNow);
+  Step& step = mRing[static_cast<std::size_t>(number) % mRing.size()];
+  if (step.mNumber != number) {
+    step = { number, 0 };
+  }
+  ++step.mCount;
+}
+
+std::uint32_t
+WindowCount::Sum(Instant aNow, std::int64_t aSteps) const
+{
+  const std::int64_t newest = StepOf(aNow);
+  std::uint32_t sum = 0;
+  for (const auto& it : mRing) {
+    if (it.mNumber > newest - aSteps && it.mNumber <= newest) {
+      sum += it.mCount;
+    }
+  }
+  return sum;
+}
+
+std::uint32_t
+WindowCount::AtMost(Instant aNow) const
+{
+  return Sum(aNow, kSteps + 1);
+}
+
+std::uint32_t
+WindowCount::AtLeast(Instant aNow) const
+{
+  return Sum(aNow, kSteps);
+}
+
+RetryAllowance::RetryAllowance(const RetryBounds& aBounds)
+  : mBounds(aBounds)
+{
+}
+
+RetryAllowance::Use&
+RetryAllowance::UseOf(const std::string& aService)
+{
+  return mUses.try_emplace(aService, mBounds.mWindow).first->second;
+}
+
+void
+RetryAllowance::OnRequest(const std::string& aService, Instant aNow)
+{
+  UseOf(aService).mRequests.Add(aNow);
+}
+
+bool
+RetryAllowance::Take(const std::string& aService, Instant aNow)
+{
+  Use& use = UseOf(aService);
+  if (!FitsOwnPart(use, aNow) && !FitsTotal(aService, use, aNow)) {
+    return false;
+  }
+  use.mRetries.Add(aNow);
+  return true;
+}
+
+bool
+RetryAllowance::FitsOwnPart(const Use& aUse, Instant aNow) const
+{
+  const double slack = mBounds.mSlack / static_cast<double>(mDaemons);
+  const double allowed =
+    kUsedPart * (mBounds.mRatio * aUse.mRequests.AtLeast(aNow) + slack);
+  return aUse.mRetries.AtMost(aNow) + 1 <= allowed;
+}
+
+bool
+RetryAllowance::FitsTotal(const std::string& aService,
+                          const Use& aUse,
+                          Instant aNow) const
+{
+  if (mPeers.size() + 1 < mDaemons) {
+    return false;
+  }
+  double requests = aUse.mRequests.AtLeast(aNow);
+  double retries = aUse.mRetries.AtMost(aNow);
+  for (const auto& [peer, uses] : mPeers) {
+    retries += kUnseenPerPeer;
+    if (const auto it = uses.find(aService); it != uses.end()) {
+      requests += it->second.mRequests;
+      retries += it->second.mRetries;
+    }
+  }
+  return retries + 1 <=
+         kUsedPart * (mBounds.mRatio * requests + mBounds.mSlack);
+}
+
+void
+RetryAllowance::SetDaemons(std::size_t aCount)
+{
+  mDaemons = std::max<std::size_t>(aCount, 1);
+}
+
+void
+RetryAllowance::SetPeer(const std::string& aPeer, RetryUses aUses)
+{
+  mPeers[aPeer] = std::move(aUses);
+}
+
+void
+RetryAllowance::RemovePeer(const std::string& aPeer)
+{
+  mPeers.erase(aPeer);
+}
+
+RetryUses
+RetryAllowance::OwnUses(Instant aNow) const
+{
+  RetryUses uses;
+  for (const auto& [service, use] : mUses) {
+    const RetryUse own{ use.mRequests.AtLeast(aNow),
+                        use.mRetries.AtMost(aNow) };
+    if (own.mRequests > 0 || own.mRetries > 0) {
+      uses[service] = own;
+    }
+  }
+  return uses;
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Routing/StreamScheduler.cxx
@@ -0,0 +1,276 @@
+#include "Routing/StreamScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushfold {
+
+namespace {
+/** Prompts at one prefill engine, of all daemons; two keep it busy while a
+ * finished one is fetched. */
+constexpr std::uint32_t kPrefillDepth = 2;
+/** Part of an engine's memory that is given away; blocks are not filled. */
+constexpr double kMemoryPart = 0.97;
+/** Time for which an engine that had no room is left alone. */
+constexpr Duration kFullTime = std::chrono::milliseconds(60);
+/** Interval of attempts while streams wait and nothing else happens. */
+constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
+/** Prefill rate assumed before the first one ended. */
+constexpr double kFirstTokensPerMillisecond = 40;
+/** Weight of a new reading of the prefill rate. */
+constexpr double kRateWeight = 0.1;
+/** Costs below are in units of a full engine. */
+constexpr double kOtherDomainCost = 0.05;
+constexpr double kFailureCost = 1;
+constexpr double kAvoidedCost = 10;
+constexpr double kJitter = 0.05;
+} // namespace
+
+StreamScheduler::StreamScheduler(const EndpointDirectory& aDirectory,
+                                 EndpointLoads& aLoads,
+                                 const EndpointHealth& aHealth,
+                                 std::string aFailureDomain,
+                                 Random& aRandom)
+  : mDirectory(aDirectory)
+  , mLoads(aLoads)
+  , mHealth(aHealth)
+  , mFailureDomain(std::move(aFailureDomain))
+  , mRandom(aRandom)
+  , mTokensPerMillisecond(kFirstTokensPerMillisecond)
+{
+}
+
+void
+StreamScheduler::Submit(StreamDemand aDemand)
+{
+  mWaiting.push_back(std::move(aDemand));
+}
+
+bool
+StreamScheduler::Withdraw(std::uint64_t aNumber)
+{
+  const auto it =
+    std::find_if(mWaiting.begin(), mWaiting.end(), [aNumber](const auto& aIt) {
+      return aIt.mNumber == aNumber;
+    });
+  if (it == mWaiting.end()) {
+    return false;
+  }
+  mWaiting.erase(it);
+  return true;
+}
+
+Duration
+StreamScheduler::PrefillTime(std::uint64_t aTokens) const
+{
+  return FromSeconds(static_cast<double>(aTokens) / mTokensPerMillisecond /
+                     1000);
+}
+
+std::list<StreamDemand>::iterator
+StreamScheduler::Next(Instant aNow)
+{
+  const auto isLate = [&](const StreamDemand& aDemand) {
+    return aNow + PrefillTime(aDemand.mPromptTokens) > aDemand.mDue;
+  };
+  return std::min_element(mWaiting.begin(),
+                          mWaiting.end(),
+                          [&](const auto& aLeft, const auto& aRight) {
+                            const bool left = isLate(aLeft);
+                            const bool right = isLate(aRight);
+                            return left != right ? right
+                                                 : aLeft.mDue < aRight.mDue;
+                          });
+}
+
+std::vector<StreamPlacement>
+StreamScheduler::Dispatch(Instant aNow)
+{
+  std::vector<StreamPlacement> placements;
+  while (!mWaiting.empty()) {
+    const auto it = Next(aNow);
+    auto placement = Place(*it, aNow);
+    if (!placement) {
+      break;
+    }
+    Hold(mDecodes,
+         it->mNumber,
+         placement->mDecode,
+         { 1, it->mPromptTokens + it->mMaxAnswerTokens, 0 });
+    Hold(mPrefills,
+         it->mNumber,
+         placement->mPrefill.empty() ? placement->mDecode : placement->mPrefill,
+         { placement->mPrefill.empty() ? 0U : 1U, 0, it->mPromptTokens });
+    placements.push_back(std::move(*placement));
+    mWaiting.erase(it);
+  }
+  return placements;
+}
+
+std::optional<StreamPlacement>
+StreamScheduler::Place(const StreamDemand& aDemand, Instant aNow) const
+{
+  const EndpointRecord* decode = ChooseDecode(aDemand, aNow);
+  if (decode == nullptr) {
+    return std::nullopt;
+  }
+  StreamPlacement placement;
+  placement.mNumber = aDemand.mNumber;
+  placement.mDecode = decode->mId;
+  placement.mDecodeLoad = mLoads.Total(decode->mId);
+  if (mDirectory.Usable(aDemand.mService, EndpointRole::Prefill).empty()) {
+    // The engine reads one prompt at a time between its tokens.
+    return placement.mDecodeLoad.mPrefillTokens > 0
+             ? std::nullopt
+             : std::make_optional(placement);
+  }
+  const EndpointRecord* prefill = ChoosePrefill(aDemand, *decode, aNow);
+  if (prefill == nullptr) {
+    return std::nullopt;
+  }
+  placement.mPrefill = prefill->mId;
+  placement.mPrefillLoad = mLoads.Total(prefill->mId);
+  return placement;
+}
+
+const EndpointRecord*
+StreamScheduler::ChooseDecode(const StreamDemand& aDemand, Instant aNow) const
+{
+  const double memory =
+    kMemoryPart * static_cast<double>(aDemand.mProfile.mMemoryTokens);
+  const double need =
+    static_cast<double>(aDemand.mPromptTokens + aDemand.mMaxAnswerTokens);
+  const EndpointRecord* best = nullptr;
+  double bestCost = 0;
+  for (const EndpointRecord* it :
+       mDirectory.Usable(aDemand.mService, EndpointRole::Decode)) {
+    const EndpointWork load = mLoads.Total(it->mId);
+    const auto full = mFullUntil.find(it->mId);
+    const double used = static_cast<double>(load.mDecodeTokens);
+    // A request that exceeds an empty engine is the engine's to refuse.
+    const bool hasRoom = load.mRequests == 0 || used + need <= memory;
+    const bool isBlocked = full != mFullUntil.end() && aNow < full->second;
+    if (load.mRequests >= it->mSlots || !hasRoom || isBlocked) {
+      continue;
+    }
+    const double cost =
+      used / std::max(memory, 1.0) +
+      (it->mFailureDomain == mFailureDomain ? 0 : kOtherDomainCost) +
+      kFailureCost * mHealth.FailureShare(it->mId) +
+      (mHealth.IsAvoided(it->mId, aNow) ? kAvoidedCost : 0) +
+      (aDemand.mTried.count(it->mId) > 0 ? kAvoidedCost : 0) +
+      kJitter * mRandom.Unit();
+    if (best == nullptr || cost < bestCost) {
+      best = it;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+const EndpointRecord*
+StreamScheduler::ChoosePrefill(const StreamDemand& aDemand,
+                               const EndpointRecord& aDecode,
+                               Instant aNow) const
+{
+  const EndpointRecord* best = nullptr;
+  double bestCost = 0;
+  for (const EndpointRecord* it :
+       mDirectory.Usable(aDemand.mService, EndpointRole::Prefill)) {
+    const EndpointWork load = mLoads.Total(it->mId);
+    if (load.mRequests >= kPrefillDepth) {
+      continue;
+    }
+    const double cost =
+      static_cast<double>(load.mPrefillTokens) /
+        static_cast<double>(std::max<std::uint64_t>(aDemand.mPromptTokens, 1)) +
+      (it->mFailureDomain == aDecode.mFailureDomain ? 0 : kOtherDomainCost) +
+      kFailureCost * mHealth.FailureShare(it->mId) +
+      (mHealth.IsAvoided(it->mId, aNow) ? kAvoidedCost : 0) +
+      (aDemand.mTried.count(it->mId) > 0 ? kAvoidedCost : 0) +
+      kJitter * mRandom.Unit();
+    if (best == nullptr || cost < bestCost) {
+      best = it;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+void
+StreamScheduler::Hold(std::map<std::uint64_t, Held>& aTable,
+                      std::uint64_t aNumber,
+                      const std::string& aEndpoint,
+                      const EndpointWork& aWork)
+{
+  aTable[aNumber] = { aEndpoint, aWork };
+  mLoads.Begin(aEndpoint, aWork);
+}
+
+void
+StreamScheduler::Release(std::map<std::uint64_t, Held>& aTable,
+                         std::uint64_t aNumber)
+{
+  if (const auto it = aTable.find(aNumber); it != aTable.end()) {
+    mLoads.End(it->second.mEndpoint, it->second.mWork);
+    aTable.erase(it);
+  }
+}
+
+std::vector<std::uint64_t>
+StreamScheduler::TakeExpired(Instant aNow)
+{
+  std::vector<std::uint64_t> expired;
+  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
+    if (it->mGiveUp <= aNow) {
+      expired.push_back(it->mNumber);
+      it = mWaiting.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return expired;
+}
+
+void
+StreamScheduler::OnPrefillEnded(std::uint64_t aNumber, Duration aTook)
+{
+  const auto it = mPrefills.find(aNumber);
+  if (it != mPrefills.end() && aTook > Duration::zero()) {
+    // The engine may have worked on another prompt first, so a reading is a
+    // lower bound of the rate; slow ones count less.
+    const double rate = static_cast<double>(it->second.mWork.mPrefillTokens) /
+                        ToMilliseconds(aTook);
+    const double weight =
+      rate > mTokensPerMillisecond ? kRateWeight : kRateWeight / 4;
+    mTokensPerMillisecond += weight * (rate - mTokensPerMillisecond);
+  }
+  Release(mPrefills, aNumber);
+}
+
+void
+StreamScheduler::OnDecodeEnded(std::uint64_t aNumber)
+{
+  Release(mDecodes, aNumber);
+}
+
+void
+StreamScheduler::OnDecodeFull(const std::string& aEndpoint, Instant aNow)
+{
+  mFullUntil[aEndpoint] = aNow + kFullTime;
+}
+
+std::optional<Instant>
+StreamScheduler::NextWake(Instant aNow) const
+{
+  if (mWaiting.empty()) {
+    return std::nullopt;
+  }
+  Instant next = aNow + kRetryInterval;
+  for (const auto& it : mWaiting) {
+    next = std::min(next, it.mGiveUp);
+  }
+  return std::max(next, aNow);
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Routing/StreamScheduler.h
@@ -0,0 +1,128 @@
+#ifndef BULRUSHFOLD_ROUTING_STREAMSCHEDULER_H
+#define BULRUSHFOLD_ROUTING_STREAMSCHEDULER_H
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Base/Random.h"
+#include "Routing/EndpointDirectory.h"
+#include "Routing/EndpointHealth.h"
+#include "Routing/EndpointLoads.h"
+#include "Routing/RoutingConfig.h"
+
+namespace bulrushfold {
+
+/** A stream that needs engines. */
+struct StreamDemand
+{
+  /** Unique in this daemon. */
+  std::uint64_t mNumber = 0;
+  std::string mService;
+  EngineProfile mProfile;
+  std::uint64_t mPromptTokens = 0;
+  std::uint64_t mMaxAnswerTokens = 0;
+  /** The first event is late after this time. */
+  Instant mDue;
+  /** It leaves the queue unserved at this time. */
+  Instant mGiveUp;
+  /** Engines that failed it. */
+  std::set<std::string> mTried;
+};
+
+/** Engines for a stream. */
+struct StreamPlacement
+{
+  std::uint64_t mNumber = 0;
+  std::string mDecode;
+  /** Empty when the decode engine computes the prompt itself. */
+  std::string mPrefill;
+  /** What decided: tokens and requests known at the engines before this. */
+  EndpointWork mDecodeLoad;
+  EndpointWork mPrefillLoad;
+};
+
+/**
+ * Places streams on engines. A stream starts when a decode engine has room
+ * for its whole length and a prefill engine has nearly nothing to do, so that
+ * a computed prompt never waits for memory. Waiting streams that can still be
+ * on time go first, the earliest due first; late ones follow.
+ *
+ * Events to deliver: Submit; Dispatch after every event that may have made
+ * room (an own stream ended, a peer told its loads, endpoints changed) and at
+ * NextWake; OnPrefillEnded and OnDecodeEnded exactly once for each placement.
+ */
+class StreamScheduler
+{
+public:
+  StreamScheduler(const EndpointDirectory& aDirectory,
+                  EndpointLoads& aLoads,
+                  const EndpointHealth& aHealth,
+                  std::string aFailureDomain,
+                  Random& aRandom);
+
+  void Submit(StreamDemand aDemand);
+  /** Removes a waiting stream; false when it does not wait. */
+  bool Withdraw(std::uint64_t aNumber);
+  /** Placements of waiting streams that can be made now. */
+  std::vector<StreamPlacement> Dispatch(Instant aNow);
+  /** Removes and returns waiting streams that were given up. */
+  std::vector<std::uint64_t> TakeExpired(Instant aNow);
+
+  /** The prompt is computed, or the attempt failed. aTook: zero if it failed.
+   */
+  void OnPrefillEnded(std::uint64_t aNumber, Duration aTook);
+  void OnDecodeEnded(std::uint64_t aNumber);
+  /** aEndpoint had no room for a reservation. */
+  void OnDecodeFull(const std::string& aEndpoint, Instant aNow);
+
+  /** When Dispatch or TakeExpired may have something to do. */
+  std::optional<Instant> NextWake(Instant aNow) const;
+  std::size_t Waiting() const { return mWaiting.size(); }
+  /** Expected time to compute a prompt on an idle engine. */
+  Duration PrefillTime(std::uint64_t aTokens) const;
+
+private:
+  struct Held
+  {
+    std::string mEndpoint;
+    EndpointWork mWork;
+  };
+
+  /** The waiting stream that goes next. */
+  std::list<StreamDemand>::iterator Next(Instant aNow);
+  std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
+                                       Instant aNow) const;
+  const EndpointRecord* ChooseDecode(const StreamDemand& aDemand,
+                                     Instant aNow) const;
+  const EndpointRecord* ChoosePrefill(const StreamDemand& aDemand,
+                                      const EndpointRecord& aDecode,
+                                      Instant aNow) const;
+  void Hold(std::map<std::uint64_t, Held>& aTable,
+            std::uint64_t aNumber,
+            const std::string& aEndpoint,
+            const EndpointWork& aWork);
+  void Release(std::map<std::uint64_t, Held>& aTable, std::uint64_t aNumber);
+
+  const EndpointDirectory& mDirectory;
+  EndpointLoads& mLoads;
+  const EndpointHealth& mHealth;
+  std::string mFailureDomain;
+  Random& mRandom;
+  std::list<StreamDemand> mWaiting;
+  std::map<std::uint64_t, Held> mPrefills;
+  std::map<std::uint64_t, Held> mDecodes;
+  /** Engines that refused a reservation, until when they are left alone. */
+  std::map<std::string, Instant> mFullUntil;
+  /** Learned from prefills that ended. */
+  double mTokensPerMillisecond;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Utilities/format.sh
+++ b/Utilities/format.sh
@@ -5,5 +5,6 @@
 mode=-i
 [ "${1:-}" = --check ] && mode="--dry-run --Werror"
 git ls-files --cached --others --exclude-standard \
-  'Source/*.cxx' 'Source/*.h' 'Tests/*.cxx' 'Tests/*.h' |
+  'Source/*.cxx' 'Source/*.h' 'Tests/*.cxx' 'Tests/*.h' \
+  'platform/*.cxx' 'platform/*.h' |
   grep -v gen-cpp | xargs -P 8 -n 16 clang-format $mode
--- a/Utilities/lint.sh
+++ b/Utilities/lint.sh
@@ -10,7 +10,7 @@
   files=("$@")
 else
   mapfile -t files < <(git ls-files --cached --others --exclude-standard \
-    'Source/*.cxx' 'Tests/*.cxx' | grep -v gen-cpp)
+    'Source/*.cxx' 'Tests/*.cxx' 'platform/*.cxx' | grep -v gen-cpp)
 fi
 mkdir -p build/lint
 # One line per source: its path, then the project headers it includes.
