--- a/Source/Net/PeerLinks.cxx
+++ b/Source/Net/PeerLinks.cxx
@@ -22,6 +22,9 @@
 constexpr std::size_t kLengthBytes = 4;
 // A peer that does not read for long loses messages instead of growing memory.
 constexpr std::size_t kMaxQueuedFrames = 4;
+/** A connection whose data nobody acknowledges for this long is closed, so
+ * that the next message opens a new one. */
+constexpr Duration kDeadAfter = std::chrono::seconds(2);
 } // namespace
 
 /** One TCP connection that carries frames in both directions. */
@@ -37,6 +40,7 @@
     bufferevent_setcb(mBufferevent, &HandleRead, nullptr, &HandleEvent, this);
     bufferevent_enable(mBufferevent, EV_READ | EV_WRITE);
     SendAtOnce(aSocket);
+    DetectDeadConnection(aSocket, kDeadAfter);
   }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -50,6 +54,7 @@
                                  reinterpret_cast<sockaddr*>(&address),
                                  sizeof(address)) == 0;
     SendAtOnce(bufferevent_getfd(mBufferevent));
+    DetectDeadConnection(bufferevent_getfd(mBufferevent), kDeadAfter);
     return isStarted;
   }
 
--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -18,6 +18,8 @@
 {
   std::uint64_t mPrompt = 0;
   std::uint64_t mMaxAnswer = 0;
+  /** The caller's guess of the answer's length; good only on average. */
+  std::optional<std::uint64_t> mGuessedAnswer;
 };
 
 /** What a request says of itself, apart from path and body. */
--- a/Source/Router/EventRelay.cxx
+++ b/Source/Router/EventRelay.cxx
@@ -59,8 +59,9 @@
 
 } // namespace
 
-EventRelay::EventRelay(std::size_t aMaxEventBytes, Sink aSink)
-  : mMaxEventBytes(aMaxEventBytes)
+EventRelay::EventRelay(RelayMode aMode, std::size_t aMaxEventBytes, Sink aSink)
+  : mMode(aMode)
+  , mMaxEventBytes(aMaxEventBytes)
   , mSink(std::move(aSink))
 {
 }
@@ -75,6 +76,9 @@
 bool
 EventRelay::Feed(std::string_view aData)
 {
+  if (mMode == RelayMode::Bytes) {
+    mSink(aData);
+  }
   mPending.append(aData);
   std::size_t used = 0;
   while (true) {
@@ -95,7 +99,8 @@
 {
   const std::string_view id = FindEventId(aEvent);
   const auto number = ParseNumber(id);
-  if (number && mLastNumber && *number <= *mLastNumber) {
+  const bool isKnown = number && mLastNumber && *number <= *mLastNumber;
+  if (isKnown && mMode == RelayMode::WholeEvents) {
     return;
   }
   if (!id.empty()) {
@@ -103,7 +108,9 @@
     mLastNumber = number;
   }
   ++mEvents;
-  mSink(aEvent);
+  if (mMode == RelayMode::WholeEvents) {
+    mSink(aEvent);
+  }
 }
 
 } // namespace bulrushfold
--- a/Source/Router/EventRelay.h
+++ b/Source/Router/EventRelay.h
@@ -10,10 +10,18 @@
 
 namespace bulrushfold {
 
+/** What a relay passes on. */
+enum class RelayMode
+{
+  /** Bytes as they come. */
+  Bytes,
+  /** Whole events only, and none that the caller already has. */
+  WholeEvents,
+};
+
 /**
- * Passes the events of a stream on byte by byte as they came, but only whole
- * ones, and remembers the last one, so that another run can go on after it.
- * Events that the caller already has are left out.
+ * Passes the bytes of a stream of events on unchanged, counts the events and
+ * remembers the last one, so that another run can go on after it.
  */
 class EventRelay
 {
@@ -21,7 +29,7 @@
   using Sink = std::function<void(std::string_view)>;
 
   /** aMaxEventBytes bounds the bytes that wait for the end of an event. */
-  EventRelay(std::size_t aMaxEventBytes, Sink aSink);
+  EventRelay(RelayMode aMode, std::size_t aMaxEventBytes, Sink aSink);
 
   /** The caller already has everything up to aId. */
   void SetLastId(const std::string& aId);
@@ -33,12 +41,16 @@
   /** Id of the last event passed on; empty when there is none. */
   const std::string& LastId() const { return mLastId; }
   std::uint64_t Events() const { return mEvents; }
-  /** Part of an event waits for its end. */
-  bool HasPart() const { return !mPending.empty(); }
+  /** Part of an event waits for its end and was not passed on. */
+  bool HoldsPart() const
+  {
+    return mMode == RelayMode::WholeEvents && !mPending.empty();
+  }
 
 private:
   void TakeEvent(std::string_view aEvent);
 
+  RelayMode mMode;
   std::size_t mMaxEventBytes;
   Sink mSink;
   std::string mPending;
--- /dev/null
+++ b/Source/Router/PeerController.cxx
@@ -0,0 +1,319 @@
+#include "Router/PeerController.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "Base/Identifiers.h"
+#include "Base/Log.h"
+#include "Base/Secret.h"
+#include "absl/strings/str_cat.h"
+
+namespace bulrushfold {
+
+namespace {
+using Json = nlohmann::json;
+
+/** Name of the object that holds the key of the messages. */
+constexpr const char* kKeyName = "shared-key";
+constexpr const char* kKeyId = "store";
+constexpr std::size_t kKeyBytes = 32;
+constexpr std::size_t kMaxFrameBytes = 1024 * 1024;
+/** Least time between two messages, for each peer: bounds the processor time
+ * that many peers cost. */
+constexpr Duration kIntervalPerPeer = std::chrono::milliseconds(2);
+constexpr Duration kShortestInterval = std::chrono::milliseconds(5);
+constexpr Duration kLongestInterval = std::chrono::milliseconds(400);
+/** A message is sent after this time even if nothing changed. */
+constexpr Duration kHeartbeat = std::chrono::milliseconds(500);
+constexpr Duration kRegistryRetry = std::chrono::milliseconds(700);
+} // namespace
+
+PeerController::PeerController(EventLoop& aLoop,
+                               const Clock& aClock,
+                               Random& aRandom,
+                               ObjectStore& aStore,
+                               const RouterSettings& aSettings,
+                               PeerBeliefs aBeliefs,
+                               std::function<void()> aOnNews)
+  : mLoop(aLoop)
+  , mClock(aClock)
+  , mRandom(aRandom)
+  , mStore(aStore)
+  , mSettings(aSettings)
+  , mBeliefs(aBeliefs)
+  , mOnNews(std::move(aOnNews))
+  , mIncarnation(MakeUuidV7(aClock.Wall(), aRandom))
+  , mTimer(aLoop, aClock, [this] { Broadcast(); })
+{
+  mBeliefs.mLoads.OnOwnChange().connect([this] { MarkChanged(); });
+  mBeliefs.mRuns.OnOwnChange().connect([this] { MarkChanged(); });
+}
+
+void
+PeerController::Start()
+{
+  Register();
+}
+
+void
+PeerController::RetryLater(const absl::Status& aStatus,
+                           void (PeerController::*aStep)())
+{
+  LogEvent(LogLevel::Warning,
+           "peer_registry_failed",
+           { { "reason", aStatus.ToString() } });
+  mRetryTimer =
+    mLoop.After(FromSeconds(ToSeconds(kRegistryRetry) * (0.5 + mRandom.Unit())),
+                [this, aStep] { (this->*aStep)(); });
+}
+
+void
+PeerController::Register()
+{
+  const std::string key = mSettings.mDaemonPrefix + mSettings.mName;
+  const std::string body = Json{
+    { "address", FormatAddress(mSettings.mPeerAddress) },
+    { "incarnation", mIncarnation }
+  }.dump();
+  const auto done = [this](const absl::StatusOr<std::uint64_t>& aVersion) {
+    if (aVersion.ok()) {
+      ReadRegistry();
+    } else {
+      RetryLater(aVersion.status(), &PeerController::Register);
+    }
+  };
+  mStore.Put(key,
+             body,
+             std::nullopt,
+             [this, key, body, done](absl::StatusOr<std::uint64_t> aVersion) {
+               if (!absl::IsFailedPrecondition(aVersion.status())) {
+                 done(aVersion);
+                 return;
+               }
+               // An earlier process of this VM left its entry.
+               mStore.Get(key,
+                          [this, key, body, done](
+                            const absl::StatusOr<StoredObject>& aObject) {
+                            if (aObject.ok()) {
+                              mStore.Put(key, body, aObject->mVersion, done);
+                            } else {
+                              done(aObject.status());
+                            }
+                          });
+             });
+}
+
+void
+PeerController::ReadRegistry()
+{
+  mStore.List(mSettings.mDaemonPrefix,
+              [this](const absl::StatusOr<StoreListing>& aListing) {
+                if (aListing.ok()) {
+                  TakeRegistry(*aListing);
+                } else {
+                  RetryLater(aListing.status(), &PeerController::ReadRegistry);
+                }
+              });
+}
+
+void
+PeerController::TakeRegistry(const StoreListing& aListing)
+{
+  const Instant now = mClock.Now();
+  std::string key;
+  for (const auto& it : aListing.mObjects) {
+    const std::string name = it.mKey.substr(mSettings.mDaemonPrefix.size());
+    const Json body = Json::parse(it.mBody, nullptr, false);
+    SocketAddress address;
+    if (body.is_object() && name == kKeyName) {
+      key = FromHex(body.value("key", "")).value_or("");
+    } else if (body.is_object() &&
+               ParseAddress(body.value("address", ""), address)) {
+      if (name != mSettings.mName) {
+        mPeers.OnRegistered(name, address, now);
+      }
+    } else {
+      LogEvent(
+        LogLevel::Warning, "peer_entry_unreadable", { { "key", it.mKey } });
+    }
+  }
+  if (key.size() == kKeyBytes) {
+    OpenLinks(key);
+  } else {
+    CreateKey();
+  }
+  CountDaemons();
+}
+
+void
+PeerController::CreateKey()
+{
+  std::string key;
+  while (key.size() < kKeyBytes) {
+    key.push_back(static_cast<char>(mRandom.Below(256)));
+  }
+  mStore.Put(mSettings.mDaemonPrefix + kKeyName,
+             Json{ { "key", ToHex(key) } }.dump(),
+             std::nullopt,
+             [this](const absl::StatusOr<std::uint64_t>& aVersion) {
+               // If another daemon was first, its key counts.
+               if (aVersion.ok() ||
+                   absl::IsFailedPrecondition(aVersion.status())) {
+                 ReadRegistry();
+               } else {
+                 RetryLater(aVersion.status(), &PeerController::ReadRegistry);
+               }
+             });
+}
+
+void
+PeerController::OpenLinks(const std::string& aKey)
+{
+  DaemonSettings daemon;
+  daemon.mName = mSettings.mName;
+  daemon.mPeerAddress = mSettings.mPeerAddress;
+  PeerSettings peers;
+  peers.mKeys = { { kKeyId, aKey } };
+  peers.mMaxFrameBytes = kMaxFrameBytes;
+  mLinks = std::make_unique<PeerLinks>(mLoop, daemon, peers, mIncarnation);
+  mLinks->Handle(
+    wire::MessageKind::ROUTING_STATUS,
+    [this](const std::string& aSender,
+           const std::string& aPayload,
+           const PeerLinks::Responder&) { HandleStatus(aSender, aPayload); });
+  if (const auto status = mLinks->Listen(); !status.ok()) {
+    LogEvent(LogLevel::Error,
+             "peer_links_failed",
+             { { "reason", status.ToString() } });
+  }
+  LogEvent(LogLevel::Info,
+           "peer_links_open",
+           { { "address", FormatAddress(mSettings.mPeerAddress) },
+             { "registered", mPeers.Possible(mClock.Now()) } });
+  Broadcast();
+}
+
+void
+PeerController::HandleStatus(const std::string& aSender,
+                             const std::string& aPayload)
+{
+  const Instant now = mClock.Now();
+  auto status = DecodePeerStatus(aPayload, now);
+  if (!status.ok()) {
+    LogEvent(LogLevel::Warning,
+             "peer_status_unreadable",
+             { { "peer", aSender },
+               { "reason", std::string(status.status().message()) } });
+    return;
+  }
+  if (status->mIsStopping) {
+    Forget(aSender);
+    mPeers.OnStopping(aSender);
+    CountDaemons();
+    mOnNews();
+    return;
+  }
+  if (mPeers.OnHeard(aSender, status->mAddress, now)) {
+    LogEvent(LogLevel::Info,
+             "peer_live",
+             { { "peer", aSender },
+               { "address", FormatAddress(status->mAddress) },
+               { "live", mPeers.Live() } });
+    CountDaemons();
+    MarkChanged();
+  }
+  mBeliefs.mLoads.SetPeer(aSender, std::move(status->mWorks));
+  mBeliefs.mRuns.SetPeer(aSender, std::move(status->mRuns));
+  mBeliefs.mRetries.SetPeer(aSender, std::move(status->mRetries));
+  mBeliefs.mGuard.SetPeer(aSender, status->mSuspects, now);
+  mOnNews();
+}
+
+void
+PeerController::Forget(const std::string& aName)
+{
+  mBeliefs.mLoads.RemovePeer(aName);
+  mBeliefs.mRuns.RemovePeer(aName);
+  mBeliefs.mRetries.RemovePeer(aName);
+  mBeliefs.mGuard.RemovePeer(aName);
+}
+
+void
+PeerController::CountDaemons()
+{
+  mBeliefs.mRetries.SetDaemons(mPeers.Possible(mClock.Now()) + 1);
+}
+
+Duration
+PeerController::LeastInterval() const
+{
+  return std::clamp(kIntervalPerPeer * static_cast<int>(mPeers.Live()),
+                    kShortestInterval,
+                    kLongestInterval);
+}
+
+void
+PeerController::MarkChanged()
+{
+  if (mLinks) {
+    mTimer.WakeAt(mSentAt + LeastInterval());
+  }
+}
+
+PeerStatus
+PeerController::MakeStatus() const
+{
+  const Instant now = mClock.Now();
+  PeerStatus status;
+  for (const auto& [number, run] : mBeliefs.mRuns.Own()) {
+    status.mRuns.push_back(run);
+  }
+  status.mWorks = mBeliefs.mLoads.OwnWorks();
+  status.mRetries = mBeliefs.mRetries.OwnUses(now);
+  status.mSuspects = mBeliefs.mGuard.OwnSuspects(now);
+  status.mIsStopping = mIsStopping;
+  status.mAddress = mSettings.mPeerAddress;
+  return status;
+}
+
+void
+PeerController::Broadcast()
+{
+  const Instant now = mClock.Now();
+  mSentAt = now;
+  for (const auto& it : mPeers.TakeSilent(now)) {
+    LogEvent(LogLevel::Warning,
+             "peer_silent",
+             { { "peer", it }, { "live", mPeers.Live() } });
+    Forget(it);
+    mOnNews();
+  }
+  CountDaemons();
+  const std::string payload = EncodePeerStatus(MakeStatus(), now);
+  for (const auto& it : mPeers.TakeTargets(now)) {
+    mLinks->Send(
+      { it.mName, it.mAddress }, wire::MessageKind::ROUTING_STATUS, payload);
+  }
+  mTimer.WakeAt(now + kHeartbeat);
+}
+
+void
+PeerController::Stop()
+{
+  if (!mLinks || std::exchange(mIsStopping, true)) {
+    return;
+  }
+  Broadcast();
+  mStore.Delete(mSettings.mDaemonPrefix + mSettings.mName,
+                [](const absl::StatusOr<std::uint64_t>& aResult) {
+                  if (!aResult.ok()) {
+                    LogEvent(LogLevel::Warning,
+                             "peer_entry_kept",
+                             { { "reason", aResult.status().ToString() } });
+                  }
+                });
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/PeerStatus.cxx
@@ -0,0 +1,107 @@
+#include "Router/PeerStatus.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Routing_types.h"
+#include "Wire/ThriftCodec.h"
+
+namespace bulrushfold {
+
+namespace {
+/** Age of a run that has not begun. */
+constexpr std::int32_t kNotStarted = -1;
+
+std::int32_t
+WholeMilliseconds(Duration aSpan)
+{
+  return static_cast<std::int32_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count());
+}
+} // namespace
+
+std::string
+EncodePeerStatus(const PeerStatus& aStatus, Instant aNow)
+{
+  wire::RoutingStatus message;
+  for (const auto& it : aStatus.mRuns) {
+    wire::StreamRun run;
+    run.number = static_cast<std::int64_t>(it.mNumber);
+    run.endpoint = it.mEndpoint;
+    run.promptTokens = static_cast<std::int32_t>(it.mPromptTokens);
+    run.answerTokens = static_cast<std::int32_t>(it.mAnswerTokens);
+    run.ageMs =
+      it.mStartedAt ? WholeMilliseconds(aNow - *it.mStartedAt) : kNotStarted;
+    message.runs.push_back(std::move(run));
+  }
+  for (const auto& [endpoint, work] : aStatus.mWorks) {
+    wire::EndpointShare share;
+    share.endpoint = endpoint;
+    share.requests = static_cast<std::int32_t>(work.mRequests);
+    share.prefillTokens = static_cast<std::int32_t>(work.mPrefillTokens);
+    message.shares.push_back(std::move(share));
+  }
+  for (const auto& [service, use] : aStatus.mRetries) {
+    wire::RetryUse retry;
+    retry.serviceName = service;
+    retry.requests = static_cast<std::int32_t>(use.mRequests);
+    retry.retries = static_cast<std::int32_t>(use.mRetries);
+    message.retries.push_back(std::move(retry));
+  }
+  for (const auto& it : aStatus.mSuspects) {
+    wire::CrashSuspect suspect;
+    suspect.digest = it.mDigest;
+    suspect.losses = static_cast<std::int32_t>(it.mLosses);
+    suspect.ageMs = WholeMilliseconds(it.mAge);
+    message.suspects.push_back(std::move(suspect));
+  }
+  message.isStopping = aStatus.mIsStopping;
+  message.address = FormatAddress(aStatus.mAddress);
+  return EncodeThrift(message);
+}
+
+absl::StatusOr<PeerStatus>
+DecodePeerStatus(std::string_view aPayload, Instant aNow)
+{
+  const auto message = DecodeThrift<wire::RoutingStatus>(aPayload);
+  if (!message.ok()) {
+    return message.status();
+  }
+  PeerStatus status;
+  if (!ParseAddress(message->address, status.mAddress)) {
+    return absl::InvalidArgumentError("address: expected IPv4:PORT");
+  }
+  status.mIsStopping = message->isStopping;
+  for (const auto& it : message->runs) {
+    StreamRun run{ static_cast<std::uint64_t>(it.number),
+                   it.endpoint,
+                   static_cast<std::uint64_t>(std::max(it.promptTokens, 0)),
+                   static_cast<std::uint64_t>(std::max(it.answerTokens, 0)),
+                   std::nullopt };
+    if (it.ageMs != kNotStarted) {
+      run.mStartedAt = aNow - std::chrono::milliseconds(it.ageMs);
+    }
+    status.mRuns.push_back(std::move(run));
+  }
+  for (const auto& it : message->shares) {
+    status.mWorks[it.endpoint] = {
+      static_cast<std::uint32_t>(std::max(it.requests, 0)),
+      static_cast<std::uint64_t>(std::max(it.prefillTokens, 0))
+    };
+  }
+  for (const auto& it : message->retries) {
+    status.mRetries[it.serviceName] = {
+      static_cast<std::uint32_t>(std::max(it.requests, 0)),
+      static_cast<std::uint32_t>(std::max(it.retries, 0))
+    };
+  }
+  for (const auto& it : message->suspects) {
+    status.mSuspects.push_back(
+      { it.digest,
+        static_cast<std::uint32_t>(std::max(it.losses, 0)),
+        std::chrono::milliseconds(it.ageMs) });
+  }
+  return status;
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/PeerStatus.h
@@ -0,0 +1,38 @@
+#ifndef BULRUSHFOLD_ROUTER_PEERSTATUS_H
+#define BULRUSHFOLD_ROUTER_PEERSTATUS_H
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Routing/CrashGuard.h"
+#include "Routing/EndpointLoads.h"
+#include "Routing/RetryAllowance.h"
+#include "Routing/StreamRuns.h"
+#include "Settings/Settings.h"
+#include "absl/status/statusor.h"
+
+namespace bulrushfold {
+
+/** All that a daemon tells its peers. */
+struct PeerStatus
+{
+  std::vector<StreamRun> mRuns;
+  EndpointWorks mWorks;
+  RetryUses mRetries;
+  std::vector<CrashSuspect> mSuspects;
+  bool mIsStopping = false;
+  SocketAddress mAddress;
+};
+
+/** aStatus as a message; times become ages, because clocks differ. */
+std::string EncodePeerStatus(const PeerStatus& aStatus, Instant aNow);
+
+/** InvalidArgument when aPayload is no status. */
+absl::StatusOr<PeerStatus> DecodePeerStatus(std::string_view aPayload,
+                                            Instant aNow);
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -54,7 +54,7 @@
   hooks.mOnDone = [this](HttpCallReply aReply) {
     HandleReply(std::move(aReply));
   };
-  mServices.mLoads.Begin(mEndpoint, { 1, 0, 0 });
+  mServices.mLoads.Begin(mEndpoint, { 1, 0 });
   mServices.mLog.Sent(
     *mRequest, "request", mEndpoint, aChoice.mLoad, aChoice.mCandidates);
   mSend = mServices.mClient.Start(std::move(request), std::move(hooks));
@@ -97,7 +97,7 @@
 PlainSession::EndSend(SendResult aResult)
 {
   mSend.reset();
-  mServices.mLoads.End(mEndpoint, { 1, 0, 0 });
+  mServices.mLoads.End(mEndpoint, { 1, 0 });
   mServices.mHealth.OnResult(
     mRequest->mTerms.mService, mEndpoint, aResult, mServices.mClock.Now());
 }
@@ -134,7 +134,7 @@
   const auto self = mSelf;
   if (mSend) {
     mSend.reset();
-    mServices.mLoads.End(mEndpoint, { 1, 0, 0 });
+    mServices.mLoads.End(mEndpoint, { 1, 0 });
   }
   mCaller.NoteGone(mEndpoint);
   Close();
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -115,6 +115,12 @@
            { { "id", aRequest.mFacts.mId },
              { "route", RouteName(aRequest) },
              { "service", aRequest.mTerms.mService },
+             { "prompt_tokens",
+               aRequest.mFacts.mTokens ? aRequest.mFacts.mTokens->mPrompt : 0 },
+             { "guessed_answer_tokens",
+               aRequest.mFacts.mTokens
+                 ? aRequest.mFacts.mTokens->mGuessedAnswer.value_or(0)
+                 : 0 },
              { "waiting", aWaiting },
              { "config", Version(aRequest) },
              { "registry", mDirectory.Revision() } });
@@ -129,8 +135,8 @@
     "request_placed",
     { { "id", aRequest.mFacts.mId },
       { "decode", aPlacement.mDecode },
-      { "decode_requests", aPlacement.mDecodeLoad.mRequests },
-      { "decode_tokens", aPlacement.mDecodeLoad.mDecodeTokens },
+      { "decode_runs", aPlacement.mDecodeRuns },
+      { "decode_peak_tokens", aPlacement.mDecodePeak },
       { "prefill", aPlacement.mPrefill },
       { "prefill_requests", aPlacement.mPrefillLoad.mRequests },
       { "registry", mDirectory.Revision() },
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -51,11 +51,24 @@
   , mHealth(mRandom)
   , mRetries(aSettings.mRetryBounds)
   , mSelector(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
-  , mScheduler(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
+  , mScheduler(mDirectory,
+               mLoads,
+               mRuns,
+               mHealth,
+               aSettings.mFailureDomain,
+               mRandom)
   , mStreams(aLoop, mClock, mScheduler)
   , mLog(mClock, mDirectory, mMetrics)
-  , mServices{ aLoop,   mClock,   aClient, aProtocol, mDirectory, mLoads,
-               mHealth, mRetries, mGuard,  mSelector, mStreams,   mLog }
+  , mServices{ aLoop,     mClock,   aClient,  aProtocol, mDirectory,
+               mLoads,    mHealth,  mRetries, mGuard,    mAnswerLengths,
+               mSelector, mStreams, mLog }
+  , mPeers(aLoop,
+           mClock,
+           mRandom,
+           aStore,
+           mSettings,
+           { mLoads, mRuns, mRetries, mGuard },
+           [this] { mStreams.Kick(); })
   , mConfigFollower(aLoop,
                     aStore,
                     mRandom,
@@ -89,6 +102,7 @@
            },
             [this] {
               mCallerServer.BeginDraining();
+              mPeers.Stop();
               NoteReadiness();
             },
             [this] { mLoop.Stop(); } })
@@ -135,6 +149,7 @@
   }
   mConfigFollower.Start();
   mEndpointFollower.Start();
+  mPeers.Start();
   LogEvent(LogLevel::Info,
            "router_started",
            { { "name", mSettings.mName },
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -16,6 +16,7 @@
 #include "Platform/ObjectFollower.h"
 #include "Platform/ObjectStore.h"
 #include "Router/EndpointProtocol.h"
+#include "Router/PeerController.h"
 #include "Router/RequestLog.h"
 #include "Router/RouterFilters.h"
 #include "Router/RouterServices.h"
@@ -85,6 +86,8 @@
   Metrics mMetrics;
   EndpointDirectory mDirectory;
   EndpointLoads mLoads;
+  StreamRuns mRuns;
+  AnswerLengths mAnswerLengths;
   EndpointHealth mHealth;
   RetryAllowance mRetries;
   CrashGuard mGuard;
@@ -93,6 +96,7 @@
   StreamDispatcher mStreams;
   RequestLog mLog;
   RouterServices mServices;
+  PeerController mPeers;
   std::shared_ptr<const RouteTable> mTable;
   bool mHasEndpoints = false;
   bool mWasReady = false;
--- a/Source/Router/RouterFilters.cxx
+++ b/Source/Router/RouterFilters.cxx
@@ -15,7 +15,7 @@
 constexpr Duration kStopRetry = std::chrono::milliseconds(50);
 constexpr Duration kEndpointRetry = std::chrono::milliseconds(300);
 /** Tokens of a request that does not state any. */
-constexpr TokenCounts kUnknownTokens{ 4000, 500 };
+constexpr TokenCounts kUnknownTokens{ 4000, 500, std::nullopt };
 } // namespace
 
 void
@@ -134,6 +134,10 @@
   terms.mNumber = aRequest->mNumber;
   terms.mProfile = *service->mEngine;
   terms.mTokens = aRequest->mFacts.mTokens.value_or(kUnknownTokens);
+  terms.mAnswerTokens =
+    mServices.mAnswerLengths.Expect(aRequest->mTerms.mRoute->mName,
+                                    terms.mTokens.mGuessedAnswer,
+                                    terms.mTokens.mMaxAnswer);
   terms.mLastEventId = aRequest->mFacts.mLastEventId;
   std::make_shared<StreamSession>(mServices, aRequest, std::move(terms))
     ->Start();
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -6,6 +6,7 @@
 #include "Net/HttpClient.h"
 #include "Router/EndpointProtocol.h"
 #include "Router/RequestLog.h"
+#include "Routing/AnswerLengths.h"
 #include "Routing/CrashGuard.h"
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointHealth.h"
@@ -29,6 +30,7 @@
   EndpointHealth& mHealth;
   RetryAllowance& mRetries;
   CrashGuard& mGuard;
+  AnswerLengths& mAnswerLengths;
   PlainSelector& mSelector;
   StreamDispatcher& mStreams;
   RequestLog& mLog;
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -28,6 +28,8 @@
 /** Longest wait of a stream that is late already. */
 constexpr Duration kLateWait = std::chrono::milliseconds(2500);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
+/** Part of the expected answer that is reserved with the prompt. */
+constexpr double kReservedPart = 0.3;
 /** Time in which an idle engine answers a reservation. */
 constexpr Duration kReserveLimit = std::chrono::milliseconds(300);
 /** Time after which a prefill is taken for lost. */
@@ -48,7 +50,9 @@
   : mPort(aPort)
   , mRetries(aRetries)
   , mTerms(std::move(aTerms))
-  , mRelay(kMaxEventBytes,
+  , mRelay(mTerms.mCall.mRoute->mIsResumable ? RelayMode::WholeEvents
+                                             : RelayMode::Bytes,
+           kMaxEventBytes,
            [this](std::string_view aEvent) { mPort.SendAnswer(aEvent); })
 {
   mRelay.SetLastId(mTerms.mLastEventId);
@@ -70,7 +74,7 @@
   demand.mService = mTerms.mCall.mService;
   demand.mProfile = mTerms.mProfile;
   demand.mPromptTokens = mTerms.mTokens.mPrompt;
-  demand.mMaxAnswerTokens = mTerms.mTokens.mMaxAnswer;
+  demand.mAnswerTokens = mTerms.mAnswerTokens;
   demand.mDue = mTerms.mCall.mArrival + mTerms.mCall.mRoute->mLatencyGoal;
   demand.mGiveUp =
     std::min(mTerms.mCall.mDeadline, mTerms.mCall.mArrival + kLateWait);
@@ -101,7 +105,9 @@
   mState = StreamState::Reserving;
   SetStallLimit(kReserveLimit, aNow);
   mPort.Reserve(mPlacement.mDecode,
-                mTerms.mTokens.mPrompt + mTerms.mTokens.mMaxAnswer);
+                mTerms.mTokens.mPrompt +
+                  static_cast<std::uint64_t>(
+                    kReservedPart * static_cast<double>(mTerms.mAnswerTokens)));
 }
 
 void
@@ -206,7 +212,11 @@
     return;
   }
   mState = StreamState::Streaming;
-  if (!std::exchange(mHasAnswer, true)) {
+  mPort.NoteStarted();
+  if (std::exchange(mHasAnswer, true)) {
+    mIsOneRun = false;
+  } else {
+    mFirstEventAt = aNow;
     mPort.StartAnswer(aStatus, aHeaders);
   }
 }
@@ -221,11 +231,9 @@
   if (mState != StreamState::Streaming) {
     return;
   }
-  if (!mTerms.mCall.mRoute->mIsResumable) {
-    mPort.SendAnswer(aData);
-    return;
+  if (mTerms.mCall.mRoute->mIsResumable) {
+    SetStallLimit(kStallLimit, aNow);
   }
-  SetStallLimit(kStallLimit, aNow);
   if (!mRelay.Feed(aData)) {
     mPort.CancelSend(SendResult::Broken);
     OnAnswerEnded(SendEnd::Unknown, aNow);
@@ -240,7 +248,10 @@
     return;
   }
   const bool isWhole = aEnd == SendEnd::Answered;
-  if (mState == StreamState::Streaming && isWhole && !mRelay.HasPart()) {
+  if (mState == StreamState::Streaming && isWhole && !mRelay.HoldsPart()) {
+    if (mIsOneRun) {
+      mPort.NoteAnswer(mRelay.Events(), aNow - mFirstEventAt);
+    }
     mPort.ReleaseDecode();
     mState = StreamState::Over;
     mPort.EndAnswer();
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -52,7 +52,11 @@
   virtual void WithdrawPlacement() = 0;
   /** The prompt is computed or given up; zero: it failed. */
   virtual void ReleasePrefill(Duration aTook) = 0;
+  /** The engine generates. */
+  virtual void NoteStarted() = 0;
   virtual void ReleaseDecode() = 0;
+  /** The whole answer came: events, and the time between first and last. */
+  virtual void NoteAnswer(std::uint64_t aEvents, Duration aTook) = 0;
   virtual void NoteDecodeFull(const std::string& aEndpoint) = 0;
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
   // Engines. Each call ends with its event, or with CancelSend.
@@ -82,6 +86,8 @@
   std::uint64_t mNumber = 0;
   EngineProfile mProfile;
   TokenCounts mTokens;
+  /** Expected length of the answer. */
+  std::uint64_t mAnswerTokens = 0;
   /** Last event that the caller already has. */
   std::string mLastEventId;
 };
@@ -150,6 +156,9 @@
   std::uint32_t mRuns = 0;
   std::uint32_t mPlacements = 0;
   bool mHasAnswer = false;
+  /** The answer came from one run. */
+  bool mIsOneRun = true;
+  Instant mFirstEventAt;
   Instant mStallAt;
 };
 
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -36,6 +36,20 @@
   Kick();
 }
 
+void
+StreamDispatcher::OnDecodeStarted(std::uint64_t aNumber)
+{
+  mScheduler.OnDecodeStarted(aNumber, mClock.Now());
+}
+
+void
+StreamDispatcher::OnProgress(std::uint64_t aEvents,
+                             std::uint32_t aTokensPerEvent,
+                             Duration aTook)
+{
+  mScheduler.OnProgress(aEvents, aTokensPerEvent, aTook);
+}
+
 void
 StreamDispatcher::OnDecodeEnded(std::uint64_t aNumber)
 {
--- a/Source/Router/StreamDispatcher.h
+++ b/Source/Router/StreamDispatcher.h
@@ -24,7 +24,11 @@
   void Submit(StreamDemand aDemand, PlacementHook aHook);
   void Withdraw(std::uint64_t aNumber);
   void OnPrefillEnded(std::uint64_t aNumber, Duration aTook);
+  void OnDecodeStarted(std::uint64_t aNumber);
   void OnDecodeEnded(std::uint64_t aNumber);
+  void OnProgress(std::uint64_t aEvents,
+                  std::uint32_t aTokensPerEvent,
+                  Duration aTook);
   void OnDecodeFull(const std::string& aEndpoint);
   /** Something may have made room: places what can be placed, in a later
    * turn of the loop. */
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -18,7 +18,7 @@
   : mServices(aServices)
   , mRequest(std::move(aRequest))
   , mNumber(aTerms.mNumber)
-  , mMaxReservation(aTerms.mProfile.mMaxReservation)
+  , mProfile(aTerms.mProfile)
   , mCaller(aServices, mRequest)
   , mCall(*this, aServices.mRetries, std::move(aTerms))
   , mTimer(aServices.mLoop, aServices.mClock, [this] {
@@ -72,6 +72,20 @@
   mServices.mStreams.OnPrefillEnded(mNumber, aTook);
 }
 
+void
+StreamSession::NoteStarted()
+{
+  mServices.mStreams.OnDecodeStarted(mNumber);
+}
+
+void
+StreamSession::NoteAnswer(std::uint64_t aEvents, Duration aTook)
+{
+  mServices.mAnswerLengths.OnAnswer(mRequest->mTerms.mRoute->mName,
+                                    aEvents * mProfile.mTokensPerEvent);
+  mServices.mStreams.OnProgress(aEvents, mProfile.mTokensPerEvent, aTook);
+}
+
 void
 StreamSession::ReleaseDecode()
 {
@@ -145,8 +159,9 @@
   };
   BeginSend("reserve",
             aEndpoint,
-            mServices.mProtocol.Reserve(
-              *mServices.mDirectory.Find(aEndpoint), aTokens, mMaxReservation),
+            mServices.mProtocol.Reserve(*mServices.mDirectory.Find(aEndpoint),
+                                        aTokens,
+                                        mProfile.mMaxReservation),
             std::move(hooks));
 }
 
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -27,7 +27,9 @@
   void RequestPlacement(StreamDemand aDemand) override;
   void WithdrawPlacement() override;
   void ReleasePrefill(Duration aTook) override;
+  void NoteStarted() override;
   void ReleaseDecode() override;
+  void NoteAnswer(std::uint64_t aEvents, Duration aTook) override;
   void NoteDecodeFull(const std::string& aEndpoint) override;
   bool IsUsable(const std::string& aEndpoint) const override;
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override;
@@ -66,7 +68,7 @@
   RouterServices& mServices;
   RoutedRequestPointer mRequest;
   std::uint64_t mNumber;
-  Duration mMaxReservation;
+  EngineProfile mProfile;
   CallerSide mCaller;
   StreamCall mCall;
   WakeTimer mTimer;
--- a/Source/Routing/EndpointLoads.cxx
+++ b/Source/Routing/EndpointLoads.cxx
@@ -22,8 +22,8 @@
 {
   EndpointWork& own = mOwn[aEndpoint];
   own.mRequests += aWork.mRequests;
-  own.mDecodeTokens += aWork.mDecodeTokens;
   own.mPrefillTokens += aWork.mPrefillTokens;
+  mOnOwnChange.emit();
 }
 
 void
@@ -34,11 +34,11 @@
     return;
   }
   Subtract(it->second.mRequests, aWork.mRequests);
-  Subtract(it->second.mDecodeTokens, aWork.mDecodeTokens);
   Subtract(it->second.mPrefillTokens, aWork.mPrefillTokens);
   if (it->second.IsEmpty()) {
     mOwn.erase(it);
   }
+  mOnOwnChange.emit();
 }
 
 void
@@ -81,7 +81,6 @@
   for (const auto& [peer, works] : mPeers) {
     if (const auto it = works.find(aEndpoint); it != works.end()) {
       total.mRequests += it->second.mRequests;
-      total.mDecodeTokens += it->second.mDecodeTokens;
       total.mPrefillTokens += it->second.mPrefillTokens;
     }
   }
--- a/Source/Routing/EndpointLoads.h
+++ b/Source/Routing/EndpointLoads.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <sigc++/sigc++.h>
+
 #include "Base/Clock.h"
 
 namespace bulrushfold {
@@ -15,8 +17,6 @@
 struct EndpointWork
 {
   std::uint32_t mRequests = 0;
-  /** Prompt and answer tokens of the requests at a decode engine. */
-  std::uint64_t mDecodeTokens = 0;
   /** Prompt tokens at a prefill engine that are not computed yet. */
   std::uint64_t mPrefillTokens = 0;
 
@@ -62,6 +62,8 @@
   /** Requests at the endpoint, from all sources; the best estimate. */
   double Requests(const std::string& aEndpoint, Instant aNow) const;
   const EndpointWorks& OwnWorks() const { return mOwn; }
+  /** Emitted when the work of this daemon changed. */
+  sigc::signal<void()>& OnOwnChange() { return mOnOwnChange; }
 
 private:
   struct Report
@@ -75,6 +77,7 @@
   EndpointWorks mOwn;
   std::map<std::string, EndpointWorks> mPeers;
   std::map<std::string, Report> mReports;
+  sigc::signal<void()> mOnOwnChange;
 };
 
 } // namespace bulrushfold
--- /dev/null
+++ b/Source/Routing/PeerTable.cxx
@@ -0,0 +1,93 @@
+#include "Routing/PeerTable.h"
+
+#include <algorithm>
+
+namespace bulrushfold {
+
+namespace {
+constexpr Duration kFirstTrial = std::chrono::milliseconds(300);
+constexpr Duration kLongestTrial = std::chrono::seconds(8);
+/** A registered peer counts as possibly alive for this long. */
+constexpr Duration kBenefitOfDoubt = std::chrono::seconds(5);
+} // namespace
+
+void
+PeerTable::OnRegistered(const std::string& aName,
+                        const SocketAddress& aAddress,
+                        Instant aNow)
+{
+  const auto [it, isNew] = mPeers.try_emplace(aName);
+  if (isNew || !(it->second.mAddress == aAddress)) {
+    it->second = { aAddress, aNow, false, aNow, kFirstTrial };
+  }
+}
+
+bool
+PeerTable::OnHeard(const std::string& aName,
+                   const SocketAddress& aAddress,
+                   Instant aNow)
+{
+  Peer& peer = mPeers[aName];
+  const bool wasLive = peer.mIsLive;
+  peer = { aAddress, aNow, true, aNow, kFirstTrial };
+  return !wasLive;
+}
+
+void
+PeerTable::OnStopping(const std::string& aName)
+{
+  mPeers.erase(aName);
+}
+
+std::vector<std::string>
+PeerTable::TakeSilent(Instant aNow)
+{
+  std::vector<std::string> silent;
+  for (auto it = mPeers.begin(); it != mPeers.end();) {
+    auto& [name, peer] = *it;
+    const Duration age = aNow - peer.mHeardAt;
+    if (peer.mIsLive && age > kSilence) {
+      peer.mIsLive = false;
+      silent.push_back(name);
+    }
+    it = age > kForgetAfter ? mPeers.erase(it) : std::next(it);
+  }
+  return silent;
+}
+
+std::vector<PeerAddress>
+PeerTable::TakeTargets(Instant aNow)
+{
+  std::vector<PeerAddress> targets;
+  for (auto& [name, peer] : mPeers) {
+    if (!peer.mIsLive) {
+      if (aNow < peer.mNextTrial) {
+        continue;
+      }
+      peer.mNextTrial = aNow + peer.mTrialInterval;
+      peer.mTrialInterval = std::min(peer.mTrialInterval * 2, kLongestTrial);
+    }
+    targets.push_back({ name, peer.mAddress });
+  }
+  return targets;
+}
+
+std::size_t
+PeerTable::Live() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mPeers.begin(), mPeers.end(), [](const auto& aIt) {
+      return aIt.second.mIsLive;
+    }));
+}
+
+std::size_t
+PeerTable::Possible(Instant aNow) const
+{
+  return static_cast<std::size_t>(
+    std::count_if(mPeers.begin(), mPeers.end(), [aNow](const auto& aIt) {
+      return aIt.second.mIsLive || aNow - aIt.second.mHeardAt < kBenefitOfDoubt;
+    }));
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Routing/PeerTable.h
@@ -0,0 +1,73 @@
+#ifndef BULRUSHFOLD_ROUTING_PEERTABLE_H
+#define BULRUSHFOLD_ROUTING_PEERTABLE_H
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Settings/Settings.h"
+
+namespace bulrushfold {
+
+/** A peer to which a message is due. */
+struct PeerAddress
+{
+  std::string mName;
+  SocketAddress mAddress;
+};
+
+/**
+ * The other daemons. A daemon learns of those that started before it from the
+ * registry, and of later ones from their messages. A peer is live while it is
+ * heard. Peers that are not heard are tried less and less often and forgotten
+ * in the end; one that comes back makes itself known.
+ */
+class PeerTable
+{
+public:
+  /** Silence after which a peer counts as dead. */
+  static constexpr Duration kSilence = std::chrono::milliseconds(1800);
+  /** Silence after which a peer is not tried any more. */
+  static constexpr Duration kForgetAfter = std::chrono::seconds(60);
+
+  /** The registry lists a peer that may be alive. */
+  void OnRegistered(const std::string& aName,
+                    const SocketAddress& aAddress,
+                    Instant aNow);
+  /** A message of aName came; true when it was not live before. */
+  bool OnHeard(const std::string& aName,
+               const SocketAddress& aAddress,
+               Instant aNow);
+  /** The peer says that it stops; it is no longer live. */
+  void OnStopping(const std::string& aName);
+  /** Peers that became silent since the last call. */
+  std::vector<std::string> TakeSilent(Instant aNow);
+
+  /** Peers to which a message goes now: the live ones, and those of the others
+   * that are due for a trial, which this call notes as made. */
+  std::vector<PeerAddress> TakeTargets(Instant aNow);
+  /** Live peers. */
+  std::size_t Live() const;
+  /** Peers that are live or may soon be. */
+  std::size_t Possible(Instant aNow) const;
+
+private:
+  struct Peer
+  {
+    SocketAddress mAddress;
+    /** Last message, or the time of registration. */
+    Instant mHeardAt;
+    bool mIsLive = false;
+    Instant mNextTrial;
+    Duration mTrialInterval{};
+  };
+
+  std::map<std::string, Peer> mPeers;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Routing/RoutingConfig.h
+++ b/Source/Routing/RoutingConfig.h
@@ -62,6 +62,8 @@
   std::uint32_t mSlots = 1;
   /** Engine memory, in tokens. */
   std::uint64_t mMemoryTokens = 0;
+  /** Tokens in one event of a stream. */
+  std::uint32_t mTokensPerEvent = 1;
   /** Longest time for which memory may be reserved; zero: not offered. */
   Duration mMaxReservation{};
   /** Time for which a prefilled KV cache waits for its decode. */
--- /dev/null
+++ b/Source/Routing/StreamRuns.h
@@ -0,0 +1,58 @@
+#ifndef BULRUSHFOLD_ROUTING_STREAMRUNS_H
+#define BULRUSHFOLD_ROUTING_STREAMRUNS_H
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <sigc++/sigc++.h>
+
+#include "Base/Clock.h"
+
+namespace bulrushfold {
+
+/** A stream that holds memory of a decode engine, or is about to. */
+struct StreamRun
+{
+  /** Unique in the daemon that placed it. */
+  std::uint64_t mNumber = 0;
+  std::string mEndpoint;
+  std::uint64_t mPromptTokens = 0;
+  /** Expected length of the whole answer. */
+  std::uint64_t mAnswerTokens = 0;
+  /** When the engine began to generate; empty before. */
+  std::optional<Instant> mStartedAt;
+};
+
+/** The streams of this daemon and of its peers, by decode engine. */
+class StreamRuns
+{
+public:
+  void Add(const StreamRun& aRun);
+  void OnStarted(std::uint64_t aNumber, Instant aNow);
+  void Remove(std::uint64_t aNumber);
+  const StreamRun* FindOwn(std::uint64_t aNumber) const;
+
+  /** Replaces what aPeer told before. */
+  void SetPeer(const std::string& aPeer, std::vector<StreamRun> aRuns);
+  void RemovePeer(const std::string& aPeer) { mPeers.erase(aPeer); }
+
+  /** All runs at aEndpoint. */
+  std::vector<const StreamRun*> At(const std::string& aEndpoint) const;
+  std::size_t CountAt(const std::string& aEndpoint) const;
+  /** Runs of this daemon, by number. */
+  const std::map<std::uint64_t, StreamRun>& Own() const { return mOwn; }
+  /** Emitted when the runs of this daemon changed. */
+  sigc::signal<void()>& OnOwnChange() { return mOnOwnChange; }
+
+private:
+  std::map<std::uint64_t, StreamRun> mOwn;
+  std::map<std::string, std::vector<StreamRun>> mPeers;
+  sigc::signal<void()> mOnOwnChange;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -11,6 +11,12 @@
 constexpr std::uint32_t kPrefillDepth = 2;
 /** Part of an engine's memory that is given away; blocks are not filled. */
 constexpr double kMemoryPart = 0.97;
+/** Standard deviations above the expected need that must fit. */
+constexpr double kNeedDeviations = 1.0;
+/** Growth of a run that is assumed before the first answer, tokens/ms. */
+constexpr double kFirstGrowth = 1.5;
+/** Least events that tell the growth of a run. */
+constexpr std::uint64_t kLeastEvents = 5;
 /** Time for which an engine that had no room is left alone. */
 constexpr Duration kFullTime = std::chrono::milliseconds(60);
 /** Interval of attempts while streams wait and nothing else happens. */
@@ -28,14 +34,17 @@
 
 StreamScheduler::StreamScheduler(const EndpointDirectory& aDirectory,
                                  EndpointLoads& aLoads,
+                                 StreamRuns& aRuns,
                                  const EndpointHealth& aHealth,
                                  std::string aFailureDomain,
                                  Random& aRandom)
   : mDirectory(aDirectory)
   , mLoads(aLoads)
+  , mRuns(aRuns)
   , mHealth(aHealth)
   , mFailureDomain(std::move(aFailureDomain))
   , mRandom(aRandom)
+  , mForecast(kFirstGrowth)
   , mTokensPerMillisecond(kFirstTokensPerMillisecond)
 {
 }
@@ -93,14 +102,7 @@
     if (!placement) {
       break;
     }
-    Hold(mDecodes,
-         it->mNumber,
-         placement->mDecode,
-         { 1, it->mPromptTokens + it->mMaxAnswerTokens, 0 });
-    Hold(mPrefills,
-         it->mNumber,
-         placement->mPrefill.empty() ? placement->mDecode : placement->mPrefill,
-         { placement->mPrefill.empty() ? 0U : 1U, 0, it->mPromptTokens });
+    Hold(*it, *placement);
     placements.push_back(std::move(*placement));
     mWaiting.erase(it);
   }
@@ -110,21 +112,20 @@
 std::optional<StreamPlacement>
 StreamScheduler::Place(const StreamDemand& aDemand, Instant aNow) const
 {
-  const EndpointRecord* decode = ChooseDecode(aDemand, aNow);
-  if (decode == nullptr) {
-    return std::nullopt;
-  }
   StreamPlacement placement;
   placement.mNumber = aDemand.mNumber;
-  placement.mDecode = decode->mId;
-  placement.mDecodeLoad = mLoads.Total(decode->mId);
+  if (!ChooseDecode(aDemand, aNow, placement)) {
+    return std::nullopt;
+  }
   if (mDirectory.Usable(aDemand.mService, EndpointRole::Prefill).empty()) {
     // The engine reads one prompt at a time between its tokens.
-    return placement.mDecodeLoad.mPrefillTokens > 0
+    return mLoads.Total(placement.mDecode).mPrefillTokens > 0
              ? std::nullopt
              : std::make_optional(placement);
   }
-  const EndpointRecord* prefill = ChoosePrefill(aDemand, *decode, aNow);
+  const EndpointRecord* decode = mDirectory.Find(placement.mDecode);
+  const EndpointRecord* prefill =
+    ChoosePrefill(aDemand, decode->mFailureDomain, aNow);
   if (prefill == nullptr) {
     return std::nullopt;
   }
@@ -133,44 +134,50 @@
   return placement;
 }
 
-const EndpointRecord*
-StreamScheduler::ChooseDecode(const StreamDemand& aDemand, Instant aNow) const
+bool
+StreamScheduler::ChooseDecode(const StreamDemand& aDemand,
+                              Instant aNow,
+                              StreamPlacement& aPlacement) const
 {
   const double memory =
     kMemoryPart * static_cast<double>(aDemand.mProfile.mMemoryTokens);
-  const double need =
-    static_cast<double>(aDemand.mPromptTokens + aDemand.mMaxAnswerTokens);
-  const EndpointRecord* best = nullptr;
+  StreamRun candidate;
+  candidate.mPromptTokens = aDemand.mPromptTokens;
+  candidate.mAnswerTokens = aDemand.mAnswerTokens;
   double bestCost = 0;
   for (const EndpointRecord* it :
        mDirectory.Usable(aDemand.mService, EndpointRole::Decode)) {
-    const EndpointWork load = mLoads.Total(it->mId);
+    auto runs = mRuns.At(it->mId);
+    const std::size_t before = runs.size();
     const auto full = mFullUntil.find(it->mId);
-    const double used = static_cast<double>(load.mDecodeTokens);
-    // A request that exceeds an empty engine is the engine's to refuse.
-    const bool hasRoom = load.mRequests == 0 || used + need <= memory;
     const bool isBlocked = full != mFullUntil.end() && aNow < full->second;
-    if (load.mRequests >= it->mSlots || !hasRoom || isBlocked) {
+    runs.push_back(&candidate);
+    const double peak = mForecast.Peak(runs, kNeedDeviations, aNow);
+    // A request that exceeds an empty engine is the engine's to refuse.
+    const bool hasRoom = before == 0 || peak <= memory;
+    if (before >= it->mSlots || !hasRoom || isBlocked) {
       continue;
     }
     const double cost =
-      used / std::max(memory, 1.0) +
+      peak / std::max(memory, 1.0) +
       (it->mFailureDomain == mFailureDomain ? 0 : kOtherDomainCost) +
       kFailureCost * mHealth.FailureShare(it->mId) +
       (mHealth.IsAvoided(it->mId, aNow) ? kAvoidedCost : 0) +
       (aDemand.mTried.count(it->mId) > 0 ? kAvoidedCost : 0) +
       kJitter * mRandom.Unit();
-    if (best == nullptr || cost < bestCost) {
-      best = it;
+    if (aPlacement.mDecode.empty() || cost < bestCost) {
       bestCost = cost;
+      aPlacement.mDecode = it->mId;
+      aPlacement.mDecodeRuns = before;
+      aPlacement.mDecodePeak = peak;
     }
   }
-  return best;
+  return !aPlacement.mDecode.empty();
 }
 
 const EndpointRecord*
 StreamScheduler::ChoosePrefill(const StreamDemand& aDemand,
-                               const EndpointRecord& aDecode,
+                               const std::string& aFailureDomain,
                                Instant aNow) const
 {
   const EndpointRecord* best = nullptr;
@@ -184,7 +191,7 @@
     const double cost =
       static_cast<double>(load.mPrefillTokens) /
         static_cast<double>(std::max<std::uint64_t>(aDemand.mPromptTokens, 1)) +
-      (it->mFailureDomain == aDecode.mFailureDomain ? 0 : kOtherDomainCost) +
+      (it->mFailureDomain == aFailureDomain ? 0 : kOtherDomainCost) +
       kFailureCost * mHealth.FailureShare(it->mId) +
       (mHealth.IsAvoided(it->mId, aNow) ? kAvoidedCost : 0) +
       (aDemand.mTried.count(it->mId) > 0 ? kAvoidedCost : 0) +
@@ -198,23 +205,19 @@
 }
 
 void
-StreamScheduler::Hold(std::map<std::uint64_t, Held>& aTable,
-                      std::uint64_t aNumber,
-                      const std::string& aEndpoint,
-                      const EndpointWork& aWork)
-{
-  aTable[aNumber] = { aEndpoint, aWork };
-  mLoads.Begin(aEndpoint, aWork);
-}
-
-void
-StreamScheduler::Release(std::map<std::uint64_t, Held>& aTable,
-                         std::uint64_t aNumber)
+StreamScheduler::Hold(const StreamDemand& aDemand,
+                      const StreamPlacement& aPlacement)
 {
-  if (const auto it = aTable.find(aNumber); it != aTable.end()) {
-    mLoads.End(it->second.mEndpoint, it->second.mWork);
-    aTable.erase(it);
-  }
+  mRuns.Add({ aDemand.mNumber,
+              aPlacement.mDecode,
+              aDemand.mPromptTokens,
+              aDemand.mAnswerTokens,
+              std::nullopt });
+  Held& held = mPrefills[aDemand.mNumber];
+  held.mEndpoint =
+    aPlacement.mPrefill.empty() ? aPlacement.mDecode : aPlacement.mPrefill;
+  held.mWork = { 1, aDemand.mPromptTokens };
+  mLoads.Begin(held.mEndpoint, held.mWork);
 }
 
 std::vector<std::uint64_t>
@@ -245,13 +248,35 @@
       rate > mTokensPerMillisecond ? kRateWeight : kRateWeight / 4;
     mTokensPerMillisecond += weight * (rate - mTokensPerMillisecond);
   }
-  Release(mPrefills, aNumber);
+  if (it != mPrefills.end()) {
+    mLoads.End(it->second.mEndpoint, it->second.mWork);
+    mPrefills.erase(it);
+  }
+}
+
+void
+StreamScheduler::OnDecodeStarted(std::uint64_t aNumber, Instant aNow)
+{
+  mRuns.OnStarted(aNumber, aNow);
 }
 
 void
 StreamScheduler::OnDecodeEnded(std::uint64_t aNumber)
 {
-  Release(mDecodes, aNumber);
+  mRuns.Remove(aNumber);
+}
+
+void
+StreamScheduler::OnProgress(std::uint64_t aEvents,
+                            std::uint32_t aTokensPerEvent,
+                            Duration aTook)
+{
+  if (aEvents >= kLeastEvents && aTook > Duration::zero()) {
+    const double rate =
+      static_cast<double>(aEvents * aTokensPerEvent) / ToMilliseconds(aTook);
+    mForecast.SetRate(mForecast.Rate() +
+                      kRateWeight * (rate - mForecast.Rate()));
+  }
 }
 
 void
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -14,7 +14,9 @@
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
+#include "Routing/MemoryForecast.h"
 #include "Routing/RoutingConfig.h"
+#include "Routing/StreamRuns.h"
 
 namespace bulrushfold {
 
@@ -26,7 +28,8 @@
   std::string mService;
   EngineProfile mProfile;
   std::uint64_t mPromptTokens = 0;
-  std::uint64_t mMaxAnswerTokens = 0;
+  /** Expected length of the answer. */
+  std::uint64_t mAnswerTokens = 0;
   /** The first event is late after this time. */
   Instant mDue;
   /** It leaves the queue unserved at this time. */
@@ -42,16 +45,19 @@
   std::string mDecode;
   /** Empty when the decode engine computes the prompt itself. */
   std::string mPrefill;
-  /** What decided: tokens and requests known at the engines before this. */
-  EndpointWork mDecodeLoad;
+  // What decided.
+  /** Runs at the decode engine before this one. */
+  std::size_t mDecodeRuns = 0;
+  /** Largest memory that the decode engine is expected to need, in tokens. */
+  double mDecodePeak = 0;
   EndpointWork mPrefillLoad;
 };
 
 /**
  * Places streams on engines. A stream starts when a decode engine has room
- * for its whole length and a prefill engine has nearly nothing to do, so that
- * a computed prompt never waits for memory. Waiting streams that can still be
- * on time go first, the earliest due first; late ones follow.
+ * for what it is expected to need and a prefill engine has nearly nothing to
+ * do, so that a computed prompt never waits for memory. Waiting streams that
+ * can still be on time go first, the earliest due first; late ones follow.
  *
  * Events to deliver: Submit; Dispatch after every event that may have made
  * room (an own stream ended, a peer told its loads, endpoints changed) and at
@@ -62,6 +68,7 @@
 public:
   StreamScheduler(const EndpointDirectory& aDirectory,
                   EndpointLoads& aLoads,
+                  StreamRuns& aRuns,
                   const EndpointHealth& aHealth,
                   std::string aFailureDomain,
                   Random& aRandom);
@@ -77,7 +84,13 @@
   /** The prompt is computed, or the attempt failed. aTook: zero if it failed.
    */
   void OnPrefillEnded(std::uint64_t aNumber, Duration aTook);
+  /** The decode engine generates; its memory grows from now on. */
+  void OnDecodeStarted(std::uint64_t aNumber, Instant aNow);
   void OnDecodeEnded(std::uint64_t aNumber);
+  /** aEvents of aTokensPerEvent tokens came in aTook. */
+  void OnProgress(std::uint64_t aEvents,
+                  std::uint32_t aTokensPerEvent,
+                  Duration aTook);
   /** aEndpoint had no room for a reservation. */
   void OnDecodeFull(const std::string& aEndpoint, Instant aNow);
 
@@ -98,25 +111,24 @@
   std::list<StreamDemand>::iterator Next(Instant aNow);
   std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
                                        Instant aNow) const;
-  const EndpointRecord* ChooseDecode(const StreamDemand& aDemand,
-                                     Instant aNow) const;
+  /** Chooses the decode engine of aPlacement; false when none has room. */
+  bool ChooseDecode(const StreamDemand& aDemand,
+                    Instant aNow,
+                    StreamPlacement& aPlacement) const;
   const EndpointRecord* ChoosePrefill(const StreamDemand& aDemand,
-                                      const EndpointRecord& aDecode,
+                                      const std::string& aFailureDomain,
                                       Instant aNow) const;
-  void Hold(std::map<std::uint64_t, Held>& aTable,
-            std::uint64_t aNumber,
-            const std::string& aEndpoint,
-            const EndpointWork& aWork);
-  void Release(std::map<std::uint64_t, Held>& aTable, std::uint64_t aNumber);
+  void Hold(const StreamDemand& aDemand, const StreamPlacement& aPlacement);
 
   const EndpointDirectory& mDirectory;
   EndpointLoads& mLoads;
+  StreamRuns& mRuns;
   const EndpointHealth& mHealth;
   std::string mFailureDomain;
   Random& mRandom;
+  MemoryForecast mForecast;
   std::list<StreamDemand> mWaiting;
   std::map<std::uint64_t, Held> mPrefills;
-  std::map<std::uint64_t, Held> mDecodes;
   /** Engines that refused a reservation, until when they are left alone. */
   std::map<std::string, Instant> mFullUntil;
   /** Learned from prefills that ended. */
--- a/Source/Wire/Envelope.thrift
+++ b/Source/Wire/Envelope.thrift
@@ -19,6 +19,7 @@
   MEMBERSHIP = 14,
   ADMIN = 15,
   LIMIT_LEASE = 16,
+  ROUTING_STATUS = 17,
 }
 
 enum FrameRole {
--- a/Source/Wire/gen-cpp/Envelope_types.cpp
+++ b/Source/Wire/gen-cpp/Envelope_types.cpp
@@ -29,7 +29,8 @@
   MessageKind::REPORT,
   MessageKind::MEMBERSHIP,
   MessageKind::ADMIN,
-  MessageKind::LIMIT_LEASE
+  MessageKind::LIMIT_LEASE,
+  MessageKind::ROUTING_STATUS
 };
 const char* _kMessageKindNames[] = {
   "HEARTBEAT",
@@ -47,9 +48,10 @@
   "REPORT",
   "MEMBERSHIP",
   "ADMIN",
-  "LIMIT_LEASE"
+  "LIMIT_LEASE",
+  "ROUTING_STATUS"
 };
-const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(16, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(17, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MessageKind::type& val) {
   std::map<int, const char*>::const_iterator it = _MessageKind_VALUES_TO_NAMES.find(val);
--- a/Source/Wire/gen-cpp/Envelope_types.h
+++ b/Source/Wire/gen-cpp/Envelope_types.h
@@ -38,7 +38,8 @@
     REPORT = 13,
     MEMBERSHIP = 14,
     ADMIN = 15,
-    LIMIT_LEASE = 16
+    LIMIT_LEASE = 16,
+    ROUTING_STATUS = 17
   };
 };
 
