Refuse late requests of a stopping daemon, count every repeated call

Change: plain requests are refused in the last 1.8 s of a stop, RetryAllowance takes several sends at once, StreamCall asks again whether the engine may be used, a withdrawn stream has no hook.

--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -122,8 +122,8 @@
   const bool isUseful = aNow + kLeastUsefulTime < mTerms.mDeadline &&
                         mSends < kMaxSends && MayRunAgain();
   // A send that reached nobody counts nowhere.
-  if (isUseful &&
-      (mLastEnd == SendEnd::NotSent || mRetries.Take(mTerms.mService, aNow))) {
+  if (isUseful && (mLastEnd == SendEnd::NotSent ||
+                   mRetries.Take(mTerms.mService, 1, aNow))) {
     Dispatch(aNow);
     return;
   }
@@ -137,7 +137,7 @@
     return;
   }
   const bool isTimeout = aNow >= mTerms.mDeadline;
-  if (!isTimeout && !mRetries.Take(mTerms.mService, aNow)) {
+  if (!isTimeout && !mRetries.Take(mTerms.mService, 1, aNow)) {
     mPort.WakeAt(mTerms.mDeadline);
     return;
   }
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -126,7 +126,7 @@
     mServices, mRandom, [this] { return mTable; }));
   mChain.Add(std::make_unique<CrashFilter>(mServices, mGuard));
   mChain.Add(std::make_unique<StopFilter>(
-    mServices, [this] { return mStop.RefusesStreams(); }));
+    mServices, [this](RequestKind aKind) { return mStop.Refuses(aKind); }));
   mChain.Add(std::make_unique<DispatchFilter>(mServices));
 }
 
--- a/Source/Router/RouterFilters.cxx
+++ b/Source/Router/RouterFilters.cxx
@@ -86,17 +86,16 @@
   return false;
 }
 
-StopFilter::StopFilter(RouterServices& aServices, StopState aRefusesStreams)
+StopFilter::StopFilter(RouterServices& aServices, StopState aRefuses)
   : mServices(aServices)
-  , mRefusesStreams(std::move(aRefusesStreams))
+  , mRefuses(std::move(aRefuses))
 {
 }
 
 bool
 StopFilter::Handle(const RoutedRequestPointer& aRequest)
 {
-  if (aRequest->mTerms.mRoute->mKind != RequestKind::Stream ||
-      !mRefusesStreams()) {
+  if (!mRefuses(aRequest->mTerms.mRoute->mKind)) {
     return true;
   }
   CallerSide(mServices, aRequest)
--- a/Source/Router/RouterFilters.h
+++ b/Source/Router/RouterFilters.h
@@ -70,19 +70,19 @@
   const CrashGuard& mGuard;
 };
 
-/** Refuses long requests that a stopping daemon could not finish. */
+/** Refuses requests that a stopping daemon could not finish. */
 class StopFilter : public RouterFilter
 {
 public:
-  using StopState = std::function<bool()>;
+  /** True once a request of the kind would be cut. */
+  using StopState = std::function<bool(RequestKind)>;
 
-  /** aRefusesStreams: true once a new stream would be cut. */
-  StopFilter(RouterServices& aServices, StopState aRefusesStreams);
+  StopFilter(RouterServices& aServices, StopState aRefuses);
   bool Handle(const RoutedRequestPointer& aRequest) override;
 
 private:
   RouterServices& mServices;
-  StopState mRefusesStreams;
+  StopState mRefuses;
 };
 
 /** Hands the request to a session. */
--- a/Source/Router/StopController.cxx
+++ b/Source/Router/StopController.cxx
@@ -12,6 +12,8 @@
 constexpr Duration kNoticeTime = std::chrono::milliseconds(3000);
 /** Streams that begin later may outlast the stop. */
 constexpr Duration kStreamTime = std::chrono::milliseconds(2800);
+/** Plain requests that begin in this last part of the stop may be cut. */
+constexpr Duration kPlainTime = std::chrono::milliseconds(1800);
 /** Left at the end for closing connections. */
 constexpr Duration kEndMargin = std::chrono::milliseconds(300);
 constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
@@ -45,9 +47,14 @@
 }
 
 bool
-StopController::RefusesStreams() const
+StopController::Refuses(RequestKind aKind) const
 {
-  return mBegunAt && mClock.Now() - *mBegunAt > kStreamTime;
+  if (!mBegunAt) {
+    return false;
+  }
+  const Duration age = mClock.Now() - *mBegunAt;
+  return aKind == RequestKind::Stream ? age > kStreamTime
+                                      : age > mStopTime - kPlainTime;
 }
 
 void
--- a/Source/Router/StopController.h
+++ b/Source/Router/StopController.h
@@ -6,6 +6,7 @@
 
 #include "Base/Clock.h"
 #include "Net/EventLoop.h"
+#include "Routing/RoutingConfig.h"
 
 namespace bulrushfold {
 
@@ -40,8 +41,9 @@
 
   void Begin();
   bool IsStopping() const { return mBegunAt.has_value(); }
-  /** A stream that begins now would be cut by the end of the process. */
-  bool RefusesStreams() const;
+  /** A request of this kind that begins now may be cut by the end of the
+   * process. */
+  bool Refuses(RequestKind aKind) const;
 
 private:
   void Check();
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -131,7 +131,7 @@
   }
   mPort.NoteDecodeFull(mPlacement.mDecode);
   ReleaseAll();
-  Retry(SendEnd::NotSent, true, aNow);
+  Retry(SendEnd::NotSent, 0, aNow);
 }
 
 void
@@ -141,6 +141,11 @@
     StartDecode(aNow);
     return;
   }
+  if (!mPort.IsUsable(mPlacement.mPrefill)) {
+    ReleaseAll();
+    Retry(SendEnd::NotSent, 0, aNow);
+    return;
+  }
   mState = StreamState::Prefilling;
   SetStallLimit(kPrefillLimit, aNow);
   mPort.Prefill(mPlacement.mPrefill, mTerms.mCall.mDeadline);
@@ -164,7 +169,8 @@
   }
   mTried.insert(mPlacement.mPrefill);
   ReleaseAll();
-  Retry(aEnd, aEnd == SendEnd::NotSent, aNow);
+  // The call that failed, or the one that repeats it, counts as repeated.
+  Retry(aEnd, aEnd == SendEnd::NotSent ? 0 : 1, aNow);
 }
 
 void
@@ -172,8 +178,9 @@
 {
   if (!mPort.IsUsable(mPlacement.mDecode)) {
     mTried.insert(mPlacement.mDecode);
+    const std::uint32_t repeats = RepeatsToDecode();
     ReleaseAll();
-    Retry(SendEnd::NotSent, true, aNow);
+    Retry(SendEnd::NotSent, repeats, aNow);
     return;
   }
   mState = StreamState::Starting;
@@ -263,13 +270,22 @@
   }
   mTried.insert(mPlacement.mDecode);
   mRelay.Restart();
+  // Another run repeats the decode, and the prefill where there was one.
+  const std::uint32_t repeats =
+    (aEnd == SendEnd::NotSent ? 0 : 1) + RepeatsToDecode();
   ReleaseAll();
   if (hasFailure && !mHasAnswer && !MayRunAgain()) {
     mState = StreamState::Over;
     mPort.Deliver(mFailure);
     return;
   }
-  Retry(aEnd, aEnd == SendEnd::NotSent, aNow);
+  Retry(aEnd, repeats, aNow);
+}
+
+std::uint32_t
+StreamCall::RepeatsToDecode() const
+{
+  return mPlacement.mPrefill.empty() ? 0 : 1;
 }
 
 bool
@@ -283,11 +299,11 @@
 }
 
 void
-StreamCall::Retry(SendEnd aEnd, bool aIsFree, Instant aNow)
+StreamCall::Retry(SendEnd aEnd, std::uint32_t aRepeats, Instant aNow)
 {
   const bool isUseful = aNow < mTerms.mCall.mDeadline &&
                         mPlacements < kMaxPlacements && MayRunAgain();
-  if (isUseful && (aIsFree || mRetries.Take(mTerms.mCall.mService, aNow))) {
+  if (isUseful && mRetries.Take(mTerms.mCall.mService, aRepeats, aNow)) {
     Submit(aNow);
     return;
   }
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -135,8 +135,11 @@
   void StartDecode(Instant aNow);
   /** Gives back all that is held at engines. */
   void ReleaseAll();
-  /** Goes on at other engines, or ends. aIsFree: nothing reached an engine. */
-  void Retry(SendEnd aEnd, bool aIsFree, Instant aNow);
+  /** Goes on at other engines, or ends. aRepeats: sends that count as repeated
+   * if it goes on. */
+  void Retry(SendEnd aEnd, std::uint32_t aRepeats, Instant aNow);
+  /** Calls before the decode that another run repeats. */
+  std::uint32_t RepeatsToDecode() const;
   bool MayRunAgain() const;
   void Finish(SendEnd aEnd, RefusalReason aReason, bool aIsTimeout);
   void HandleStall(Instant aNow);
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -79,8 +79,10 @@
 {
   const Instant now = mClock.Now();
   for (const auto number : mScheduler.TakeExpired(now)) {
-    const auto hook = mHooks.extract(number);
-    hook.mapped()(nullptr);
+    // An earlier hook of this run may have withdrawn the stream.
+    if (const auto hook = mHooks.extract(number); !hook.empty()) {
+      hook.mapped()(nullptr);
+    }
   }
   for (const auto& it : mScheduler.Dispatch(now)) {
     const auto hook = mHooks.extract(it.mNumber);
--- a/Source/Routing/RetryAllowance.cxx
+++ b/Source/Routing/RetryAllowance.cxx
@@ -25,14 +25,14 @@
 }
 
 void
-WindowCount::Add(Instant aNow)
+WindowCount::Add(Instant aNow, std::uint32_t aCount)
 {
   const std::int64_t number = StepOf(aNow);
   Step& step = mRing[static_cast<std::size_t>(number) % mRing.size()];
   if (step.mNumber != number) {
     step = { number, 0 };
   }
-  ++step.mCount;
+  step.mCount += aCount;
 }
 
 std::uint32_t
@@ -78,28 +78,34 @@
 }
 
 bool
-RetryAllowance::Take(const std::string& aService, Instant aNow)
+RetryAllowance::Take(const std::string& aService,
+                     std::uint32_t aSends,
+                     Instant aNow)
 {
   Use& use = UseOf(aService);
-  if (!FitsOwnPart(use, aNow) && !FitsTotal(aService, use, aNow)) {
+  if (aSends > 0 && !FitsOwnPart(use, aSends, aNow) &&
+      !FitsTotal(aService, use, aSends, aNow)) {
     return false;
   }
-  use.mRetries.Add(aNow);
+  use.mRetries.Add(aNow, aSends);
   return true;
 }
 
 bool
-RetryAllowance::FitsOwnPart(const Use& aUse, Instant aNow) const
+RetryAllowance::FitsOwnPart(const Use& aUse,
+                            std::uint32_t aSends,
+                            Instant aNow) const
 {
   const double slack = mBounds.mSlack / static_cast<double>(mDaemons);
   const double allowed =
     kUsedPart * (mBounds.mRatio * aUse.mRequests.AtLeast(aNow) + slack);
-  return aUse.mRetries.AtMost(aNow) + 1 <= allowed;
+  return aUse.mRetries.AtMost(aNow) + aSends <= allowed;
 }
 
 bool
 RetryAllowance::FitsTotal(const std::string& aService,
                           const Use& aUse,
+                          std::uint32_t aSends,
                           Instant aNow) const
 {
   if (mPeers.size() + 1 < mDaemons) {
@@ -114,7 +120,7 @@
       retries += it->second.mRetries;
     }
   }
-  return retries + 1 <=
+  return retries + aSends <=
          kUsedPart * (mBounds.mRatio * requests + mBounds.mSlack);
 }
 
--- a/Source/Routing/RetryAllowance.h
+++ b/Source/Routing/RetryAllowance.h
@@ -17,7 +17,7 @@
 public:
   explicit WindowCount(Duration aWindow);
 
-  void Add(Instant aNow);
+  void Add(Instant aNow, std::uint32_t aCount = 1);
   /** Events of the last window; the oldest step counts as a whole. */
   std::uint32_t AtMost(Instant aNow) const;
   /** Events of the last window without its oldest, partial step. */
@@ -68,8 +68,9 @@
 
   /** A request for aService arrived from a caller. */
   void OnRequest(const std::string& aService, Instant aNow);
-  /** Takes one further send to aService; false when none is left. */
-  bool Take(const std::string& aService, Instant aNow);
+  /** Takes aSends further sends to aService; false when so many are not
+   * left. */
+  bool Take(const std::string& aService, std::uint32_t aSends, Instant aNow);
 
   /** Daemons that share the bound, this one included. */
   void SetDaemons(std::size_t aCount);
@@ -91,9 +92,10 @@
     WindowCount mRetries;
   };
   Use& UseOf(const std::string& aService);
-  bool FitsOwnPart(const Use& aUse, Instant aNow) const;
+  bool FitsOwnPart(const Use& aUse, std::uint32_t aSends, Instant aNow) const;
   bool FitsTotal(const std::string& aService,
                  const Use& aUse,
+                 std::uint32_t aSends,
                  Instant aNow) const;
 
   RetryBounds mBounds;
