Leave out endpoints whose address another one answers at; count silent peers

Change: EndpointDirectory::OnOtherAnswered leaves an entry out until the registry says something new of it; the slack is divided by all known peers.

--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -191,7 +191,7 @@
   LogEvent(LogLevel::Info,
            "peer_links_open",
            { { "address", FormatAddress(mSettings.mPeerAddress) },
-             { "registered", mPeers.Possible(mClock.Now()) } });
+             { "registered", mPeers.Known() } });
   Broadcast();
 }
 
@@ -243,7 +243,7 @@
 void
 PeerController::CountDaemons()
 {
-  mBeliefs.mRetries.SetDaemons(mPeers.Possible(mClock.Now()) + 1);
+  mBeliefs.mRetries.SetDaemons(mPeers.Known() + 1);
 }
 
 Duration
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -72,6 +72,9 @@
   if (facts.mLoad && end != SendEnd::Unknown && end != SendEnd::OtherEndpoint) {
     mServices.mLoads.OnReported(mEndpoint, *facts.mLoad, now);
   }
+  if (end == SendEnd::OtherEndpoint) {
+    mServices.mDirectory.OnOtherAnswered(mEndpoint);
+  }
   if (end == SendEnd::Answered) {
     mServices.mGuard.OnAnswered(mRequest->mDigest);
   } else if (aReply.mResult == HttpCallResult::ConnectionLost) {
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -101,8 +101,7 @@
 bool
 StreamSession::IsUsable(const std::string& aEndpoint) const
 {
-  const EndpointRecord* endpoint = mServices.mDirectory.Find(aEndpoint);
-  return endpoint != nullptr && !endpoint->mIsDraining;
+  return mServices.mDirectory.IsUsable(aEndpoint);
 }
 
 void
@@ -125,6 +124,9 @@
     mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders);
   const SendEnd end = JudgeSend(aReply.mResult, facts, mRequest->mFacts.mId);
   const SendResult health = HealthOf(aReply.mResult, end, aReply.mStatus);
+  if (end == SendEnd::OtherEndpoint) {
+    mServices.mDirectory.OnOtherAnswered(mEndpoint);
+  }
   if (end == SendEnd::Answered) {
     mServices.mGuard.OnAnswered(mRequest->mDigest);
   } else if (aReply.mResult == HttpCallResult::ConnectionLost) {
@@ -179,6 +181,10 @@
       reservation = *std::move(parsed);
     }
   }
+  if (mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders)
+        .mIsOtherEndpoint) {
+    mServices.mDirectory.OnOtherAnswered(mEndpoint);
+  }
   if (reservation.empty()) {
     NoteSendEnd(aReply.mResult == HttpCallResult::Complete
                   ? SendResult::Refused
@@ -265,6 +271,9 @@
   const auto self = mSelf;
   const AnswerFacts facts = mServices.mProtocol.ReadAnswer(aStatus, aHeaders);
   mHeadEnd = JudgeSend(HttpCallResult::Complete, facts, mRequest->mFacts.mId);
+  if (mHeadEnd == SendEnd::OtherEndpoint) {
+    mServices.mDirectory.OnOtherAnswered(mEndpoint);
+  }
   mCall.OnAnswerStarted(mHeadEnd, aStatus, aHeaders, mServices.mClock.Now());
 }
 
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -13,12 +13,13 @@
   { EndpointRole::Prefill, "prefill" },
   { EndpointRole::Decode, "decode" },
 } };
-constexpr EnumNames<EndpointChange, 6> kChangeNames{ {
+constexpr EnumNames<EndpointChange, 7> kChangeNames{ {
   { EndpointChange::Added, "added" },
   { EndpointChange::Restarted, "restarted" },
   { EndpointChange::Leaving, "leaving" },
   { EndpointChange::Returned, "returned" },
   { EndpointChange::InDoubt, "in_doubt" },
+  { EndpointChange::Replaced, "replaced" },
   { EndpointChange::Gone, "gone" },
 } };
 } // namespace
@@ -72,7 +73,7 @@
     return;
   }
   if (it == mEntries.end()) {
-    mEntries[aRecord.mId] = { aRecord, std::nullopt };
+    mEntries[aRecord.mId] = { aRecord, std::nullopt, false };
     mServices[aRecord.mService].push_back(aRecord.mId);
     mOnChange.emit(aRecord, EndpointChange::Added);
     if (aRecord.mIsDraining) {
@@ -82,7 +83,11 @@
   }
   const EndpointRecord before = it->second.mRecord;
   const bool wasMissing = it->second.mGoneAt.has_value();
-  it->second = { aRecord, std::nullopt };
+  it->second.mRecord = aRecord;
+  it->second.mGoneAt.reset();
+  if (!(before == aRecord)) {
+    it->second.mIsReplaced = false;
+  }
   if (before.mIncarnation != aRecord.mIncarnation) {
     mOnChange.emit(aRecord, EndpointChange::Restarted);
   }
@@ -122,6 +127,23 @@
   mOnChange.emit(record, EndpointChange::Gone);
 }
 
+void
+EndpointDirectory::OnOtherAnswered(const std::string& aId)
+{
+  const auto it = mEntries.find(aId);
+  if (it != mEntries.end() && !it->second.mIsReplaced) {
+    it->second.mIsReplaced = true;
+    mOnChange.emit(it->second.mRecord, EndpointChange::Replaced);
+  }
+}
+
+bool
+EndpointDirectory::IsUsable(const std::string& aId) const
+{
+  const auto it = mEntries.find(aId);
+  return it != mEntries.end() && IsUsable(it->second);
+}
+
 void
 EndpointDirectory::OnRegistryBack(Instant aNow)
 {
@@ -170,9 +192,9 @@
     return usable;
   }
   for (const auto& it : ids->second) {
-    const EndpointRecord& record = mEntries.at(it).mRecord;
-    if (!record.mIsDraining && record.mRole == aRole) {
-      usable.push_back(&record);
+    const Entry& entry = mEntries.at(it);
+    if (IsUsable(entry) && entry.mRecord.mRole == aRole) {
+      usable.push_back(&entry.mRecord);
     }
   }
   return usable;
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -40,6 +40,15 @@
   std::uint32_t mSlots = 1;
   /** Start of the process; tells a restarted endpoint from its predecessor. */
   std::int64_t mIncarnation = 0;
+
+  bool operator==(const EndpointRecord& aOther) const
+  {
+    return mId == aOther.mId && mService == aOther.mService &&
+           mAddress == aOther.mAddress &&
+           mFailureDomain == aOther.mFailureDomain && mRole == aOther.mRole &&
+           mIsDraining == aOther.mIsDraining && mSlots == aOther.mSlots &&
+           mIncarnation == aOther.mIncarnation;
+  }
 };
 
 /** How the directory's belief of an endpoint changed. */
@@ -54,6 +63,8 @@
   Returned,
   /** Its entry is missing after an outage of the registry; it may come back. */
   InDoubt,
+  /** Another endpoint answered at its address. */
+  Replaced,
   Gone,
 };
 
@@ -82,6 +93,11 @@
            Instant aNow);
   /** The entry aId was removed, or no longer names an endpoint. */
   void Remove(const std::string& aId, std::uint64_t aRevision, Instant aNow);
+  /**
+   * Another endpoint answered at the address of aId, so the entry is out of
+   * date. It is not used until the registry says something new of it.
+   */
+  void OnOtherAnswered(const std::string& aId);
   /** The registry answers again after an outage. */
   void OnRegistryBack(Instant aNow);
   /** Drops entries whose grace period is over. */
@@ -91,6 +107,8 @@
 
   /** Null when aId is not known. */
   const EndpointRecord* Find(const std::string& aId) const;
+  /** aId may get new requests. */
+  bool IsUsable(const std::string& aId) const;
   /** Endpoints of aService that may get new requests. */
   std::vector<const EndpointRecord*> Usable(const std::string& aService,
                                             EndpointRole aRole) const;
@@ -105,7 +123,13 @@
     EndpointRecord mRecord;
     /** Set while the entry is missing in the registry. */
     std::optional<Instant> mGoneAt;
+    /** Another endpoint has its address. */
+    bool mIsReplaced = false;
   };
+  static bool IsUsable(const Entry& aEntry)
+  {
+    return !aEntry.mRecord.mIsDraining && !aEntry.mIsReplaced;
+  }
   bool InGrace(Instant aNow) const { return aNow < mGraceEnds; }
   void Drop(const std::string& aId);
 
--- a/Source/Routing/PeerTable.cxx
+++ b/Source/Routing/PeerTable.cxx
@@ -7,8 +7,6 @@
 namespace {
 constexpr Duration kFirstTrial = std::chrono::milliseconds(300);
 constexpr Duration kLongestTrial = std::chrono::seconds(8);
-/** A registered peer counts as possibly alive for this long. */
-constexpr Duration kBenefitOfDoubt = std::chrono::seconds(5);
 } // namespace
 
 void
@@ -81,13 +79,4 @@
     }));
 }
 
-std::size_t
-PeerTable::Possible(Instant aNow) const
-{
-  return static_cast<std::size_t>(
-    std::count_if(mPeers.begin(), mPeers.end(), [aNow](const auto& aIt) {
-      return aIt.second.mIsLive || aNow - aIt.second.mHeardAt < kBenefitOfDoubt;
-    }));
-}
-
 } // namespace bulrushfold
--- a/Source/Routing/PeerTable.h
+++ b/Source/Routing/PeerTable.h
@@ -51,8 +51,9 @@
   std::vector<PeerAddress> TakeTargets(Instant aNow);
   /** Live peers. */
   std::size_t Live() const;
-  /** Peers that are live or may soon be. */
-  std::size_t Possible(Instant aNow) const;
+  /** Peers that are not forgotten. A silent one may be cut off from this
+   * daemon only, and still serve. */
+  std::size_t Known() const { return mPeers.size(); }
 
 private:
   struct Peer
