Move runs away from engines that run full or leave

Most came after a daemon got SIGTERM: its peers forgot its streams although they went on.

Change: StreamScheduler proposes moves, StreamCall stops the run, copies its cache and takes it up at the target; a stopping daemon tells of its streams until it ends. Streams are relayed in whole events if they are event streams.

--- a/Source/Router/CallerSide.cxx
+++ b/Source/Router/CallerSide.cxx
@@ -1,5 +1,6 @@
 #include "Router/CallerSide.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace bulrushfold {
@@ -55,6 +56,12 @@
 CallerSide::Send(std::string_view aData)
 {
   NoteFirstByte();
+  const Instant now = mServices.mClock.Now();
+  if (mLastPartAt != Instant()) {
+    mRequest->mLongestPause =
+      std::max(mRequest->mLongestPause, now - mLastPartAt);
+  }
+  mLastPartAt = now;
   mRequest->mExchange->SendChunk(aData);
 }
 
--- a/Source/Router/CallerSide.h
+++ b/Source/Router/CallerSide.h
@@ -29,6 +29,7 @@
   RouterServices& mServices;
   RoutedRequestPointer mRequest;
   int mStreamStatus = 0;
+  Instant mLastPartAt;
 };
 
 } // namespace bulrushfold
--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -48,9 +48,11 @@
   std::optional<ReportedLoad> mLoad;
 };
 
-/** A KV cache that a prefill engine keeps for a decode engine. */
+/** A KV cache that an engine keeps for a decode engine to take. */
 struct KvCache
 {
+  /** Endpoint that keeps it, and its address. */
+  std::string mEndpoint;
   SocketAddress mEngine;
   std::string mHandle;
 };
@@ -94,6 +96,11 @@
   virtual HttpCallRequest Prefill(const HttpRequest& aRequest,
                                   const EndpointRecord& aEndpoint,
                                   const SendTerms& aTerms) const = 0;
+  /** Stops the run of a request at aEndpoint and copies its KV cache to
+   * aTarget. */
+  virtual HttpCallRequest Move(const EndpointRecord& aEndpoint,
+                               const std::string& aRequestId,
+                               const EndpointRecord& aTarget) const = 0;
   virtual HttpCallRequest DropCache(const EndpointRecord& aEndpoint,
                                     const std::string& aHandle) const = 0;
   virtual HttpCallRequest Reserve(const EndpointRecord& aEndpoint,
@@ -106,7 +113,8 @@
   // Answers of endpoints.
   virtual AnswerFacts ReadAnswer(int aStatus,
                                  const HttpHeaders& aHeaders) const = 0;
-  /** Handle in the answer to Prefill; InvalidArgument names what is wrong. */
+  /** Handle in the answer to Prefill or Move; InvalidArgument names what is
+   * wrong. */
   virtual absl::StatusOr<std::string> ReadCacheHandle(
     const std::string& aBody) const = 0;
   virtual absl::StatusOr<std::string> ReadReservation(
--- a/Source/Router/EventRelay.cxx
+++ b/Source/Router/EventRelay.cxx
@@ -59,9 +59,8 @@
 
 } // namespace
 
-EventRelay::EventRelay(RelayMode aMode, std::size_t aMaxEventBytes, Sink aSink)
-  : mMode(aMode)
-  , mMaxEventBytes(aMaxEventBytes)
+EventRelay::EventRelay(std::size_t aMaxEventBytes, Sink aSink)
+  : mMaxEventBytes(aMaxEventBytes)
   , mSink(std::move(aSink))
 {
 }
--- a/Source/Router/EventRelay.h
+++ b/Source/Router/EventRelay.h
@@ -29,7 +29,10 @@
   using Sink = std::function<void(std::string_view)>;
 
   /** aMaxEventBytes bounds the bytes that wait for the end of an event. */
-  EventRelay(RelayMode aMode, std::size_t aMaxEventBytes, Sink aSink);
+  EventRelay(std::size_t aMaxEventBytes, Sink aSink);
+
+  /** WholeEvents at first. */
+  void SetMode(RelayMode aMode) { mMode = aMode; }
 
   /** The caller already has everything up to aId. */
   void SetLastId(const std::string& aId);
@@ -50,7 +53,7 @@
 private:
   void TakeEvent(std::string_view aEvent);
 
-  RelayMode mMode;
+  RelayMode mMode = RelayMode::WholeEvents;
   std::size_t mMaxEventBytes;
   Sink mSink;
   std::string mPending;
--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -208,9 +208,9 @@
                { "reason", std::string(status.status().message()) } });
     return;
   }
-  if (status->mIsStopping) {
+  if (status->mIsLeaving) {
     Forget(aSender);
-    mPeers.OnStopping(aSender);
+    mPeers.OnLeft(aSender);
     CountDaemons();
     mOnNews();
     return;
@@ -273,7 +273,7 @@
   status.mWorks = mBeliefs.mLoads.OwnWorks();
   status.mRetries = mBeliefs.mRetries.OwnUses(now);
   status.mSuspects = mBeliefs.mGuard.OwnSuspects(now);
-  status.mIsStopping = mIsStopping;
+  status.mIsLeaving = mIsLeaving;
   status.mAddress = mSettings.mPeerAddress;
   return status;
 }
@@ -300,12 +300,8 @@
 }
 
 void
-PeerController::Stop()
+PeerController::BeginStop()
 {
-  if (!mLinks || std::exchange(mIsStopping, true)) {
-    return;
-  }
-  Broadcast();
   mStore.Delete(mSettings.mDaemonPrefix + mSettings.mName,
                 [](const absl::StatusOr<std::uint64_t>& aResult) {
                   if (!aResult.ok()) {
@@ -316,4 +312,13 @@
                 });
 }
 
+void
+PeerController::Leave()
+{
+  if (mLinks) {
+    mIsLeaving = true;
+    Broadcast();
+  }
+}
+
 } // namespace bulrushfold
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -43,8 +43,11 @@
                  std::function<void()> aOnNews);
 
   void Start();
-  /** The daemon stops: tells its peers and removes its address. */
-  void Stop();
+  /** The daemon will stop: removes its address from the registry. Its streams
+   * still count, so it goes on telling of them. */
+  void BeginStop();
+  /** The daemon ends now: its peers forget it. */
+  void Leave();
   std::size_t Live() const { return mPeers.Live(); }
 
 private:
@@ -77,7 +80,7 @@
   WakeTimer mTimer;
   EventHandle mRetryTimer;
   Instant mSentAt;
-  bool mIsStopping = false;
+  bool mIsLeaving = false;
 };
 
 } // namespace bulrushfold
--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -55,7 +55,7 @@
     suspect.ageMs = WholeMilliseconds(it.mAge);
     message.suspects.push_back(std::move(suspect));
   }
-  message.isStopping = aStatus.mIsStopping;
+  message.isLeaving = aStatus.mIsLeaving;
   message.address = FormatAddress(aStatus.mAddress);
   return EncodeThrift(message);
 }
@@ -71,7 +71,7 @@
   if (!ParseAddress(message->address, status.mAddress)) {
     return absl::InvalidArgumentError("address: expected IPv4:PORT");
   }
-  status.mIsStopping = message->isStopping;
+  status.mIsLeaving = message->isLeaving;
   for (const auto& it : message->runs) {
     StreamRun run{ static_cast<std::uint64_t>(it.number),
                    it.endpoint,
--- a/Source/Router/PeerStatus.h
+++ b/Source/Router/PeerStatus.h
@@ -22,7 +22,8 @@
   EndpointWorks mWorks;
   RetryUses mRetries;
   std::vector<CrashSuspect> mSuspects;
-  bool mIsStopping = false;
+  /** The daemon ends now. */
+  bool mIsLeaving = false;
   SocketAddress mAddress;
 };
 
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -177,6 +177,7 @@
       { "sends", aRequest.mSends },
       { "first_ms",
         hasFirst ? ToMilliseconds(aRequest.mFirstByteAt - arrival) : -1 },
+      { "longest_pause_ms", ToMilliseconds(aRequest.mLongestPause) },
       { "took_ms", ToMilliseconds(now - arrival) },
       { "config", Version(aRequest) } });
 }
--- a/Source/Router/RoutedRequest.h
+++ b/Source/Router/RoutedRequest.h
@@ -43,6 +43,8 @@
   std::uint32_t mSends = 0;
   /** First byte of the answer went to the caller; zero: not yet. */
   Instant mFirstByteAt;
+  /** Longest time between two parts of a streamed answer. */
+  Duration mLongestPause{};
 
   const HttpRequest& Message() const { return mExchange->Request(); }
 };
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -15,6 +15,8 @@
 /** Descriptors kept for connections to endpoints, peers and the store. */
 constexpr std::size_t kOtherDescriptors = 400;
 constexpr std::size_t kLeastDescriptors = 100;
+/** Time in which the last message to the peers is written. */
+constexpr Duration kLeaveTime = std::chrono::milliseconds(20);
 /** A caller that accepts no byte of its answer for this long is cut off. */
 constexpr Duration kCallerWriteTimeout = std::chrono::seconds(10);
 
@@ -102,10 +104,13 @@
            },
             [this] {
               mCallerServer.BeginDraining();
-              mPeers.Stop();
+              mPeers.BeginStop();
               NoteReadiness();
             },
-            [this] { mLoop.Stop(); } })
+            [this] {
+              mPeers.Leave();
+              mEndTimer = mLoop.After(kLeaveTime, [this] { mLoop.Stop(); });
+            } })
 {
   AddFilters();
   mDirectory.OnChange().connect(
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -108,6 +108,7 @@
   HttpServer mMetricsServer;
   StopController mStop;
   EventHandle mExpiryTimer;
+  EventHandle mEndTimer;
   std::uint64_t mNextNumber = 1;
   /** Requests that are not over. */
   std::shared_ptr<std::size_t> mOpen = std::make_shared<std::size_t>(0);
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -34,8 +34,19 @@
 constexpr Duration kReserveLimit = std::chrono::milliseconds(300);
 /** Time after which a prefill is taken for lost. */
 constexpr Duration kPrefillLimit = std::chrono::milliseconds(1500);
+/** Time in which a run is stopped and copied. */
+constexpr Duration kMoveLimit = std::chrono::milliseconds(800);
+constexpr std::uint32_t kMaxMoves = 3;
 /** Time after which a run that could go on elsewhere is taken for lost. */
 constexpr Duration kStallLimit = std::chrono::milliseconds(1200);
+
+bool
+IsEventStream(const HttpHeaders& aHeaders)
+{
+  constexpr std::string_view kType = "text/event-stream";
+  const std::string type = aHeaders.Find("Content-Type").value_or("");
+  return type.compare(0, kType.size(), kType) == 0;
+}
 } // namespace
 
 std::string_view
@@ -50,9 +61,7 @@
   : mPort(aPort)
   , mRetries(aRetries)
   , mTerms(std::move(aTerms))
-  , mRelay(mTerms.mCall.mRoute->mIsResumable ? RelayMode::WholeEvents
-                                             : RelayMode::Bytes,
-           kMaxEventBytes,
+  , mRelay(kMaxEventBytes,
            [this](std::string_view aEvent) { mPort.SendAnswer(aEvent); })
 {
   mRelay.SetLastId(mTerms.mLastEventId);
@@ -183,9 +192,14 @@
     Retry(SendEnd::NotSent, repeats, aNow);
     return;
   }
+  SendDecode(aNow);
+}
+
+void
+StreamCall::SendDecode(Instant aNow)
+{
   mState = StreamState::Starting;
-  const bool isWatched = mTerms.mCall.mRoute->mIsResumable;
-  if (isWatched) {
+  if (mTerms.mCall.mRoute->mIsResumable || !mMoveSource.empty()) {
     SetStallLimit(kStallLimit, aNow);
   } else {
     mPort.WakeAt(mTerms.mCall.mDeadline);
@@ -219,11 +233,16 @@
     return;
   }
   mState = StreamState::Streaming;
+  mMoveSource.clear();
   mPort.NoteStarted();
+  mPort.WakeAt(mTerms.mCall.mDeadline);
   if (std::exchange(mHasAnswer, true)) {
     mIsOneRun = false;
   } else {
     mFirstEventAt = aNow;
+    if (!IsEventStream(aHeaders)) {
+      mRelay.SetMode(RelayMode::Bytes);
+    }
     mPort.StartAnswer(aStatus, aHeaders);
   }
 }
@@ -238,7 +257,7 @@
   if (mState != StreamState::Streaming) {
     return;
   }
-  if (mTerms.mCall.mRoute->mIsResumable) {
+  if (mTerms.mCall.mRoute->mIsResumable && !mMove) {
     SetStallLimit(kStallLimit, aNow);
   }
   if (!mRelay.Feed(aData)) {
@@ -264,6 +283,14 @@
     mPort.EndAnswer();
     return;
   }
+  if (mMove && mState == StreamState::Streaming && !isWhole) {
+    mMove->mHasEnded = true;
+    ContinueMove(aNow);
+    return;
+  }
+  if (IsCertainlyNotRun(aEnd) && ReturnToSource(aNow)) {
+    return;
+  }
   const bool hasFailure = mState == StreamState::Failing && isWhole;
   if (!IsCertainlyNotRun(aEnd)) {
     ++mRuns;
@@ -274,12 +301,86 @@
   const std::uint32_t repeats =
     (aEnd == SendEnd::NotSent ? 0 : 1) + RepeatsToDecode();
   ReleaseAll();
-  if (hasFailure && !mHasAnswer && !MayRunAgain()) {
+  if (hasFailure && !mHasAnswer &&
+      (!MayRunAgain() ||
+       !mRetries.Take(mTerms.mCall.mService, repeats, aNow))) {
     mState = StreamState::Over;
     mPort.Deliver(mFailure);
     return;
   }
-  Retry(aEnd, repeats, aNow);
+  Retry(aEnd, hasFailure && !mHasAnswer ? 0 : repeats, aNow);
+}
+
+void
+StreamCall::StartMove(const std::string& aTarget, Instant aNow)
+{
+  if (mState != StreamState::Streaming || mMove || mMoves >= kMaxMoves ||
+      mRelay.Events() == 0 || mRelay.LastId().empty() ||
+      !mRetries.Take(mTerms.mCall.mService, 1, aNow)) {
+    return;
+  }
+  ++mMoves;
+  mMove = RunMove{ mPlacement.mDecode, aTarget, false, false, {}, false };
+  mPort.NoteMoved(aTarget);
+  SetStallLimit(kMoveLimit, aNow);
+  mPort.Move(mPlacement.mDecode, aTarget);
+}
+
+void
+StreamCall::OnMoveAnswered(const std::optional<KvCache>& aCache,
+                           bool aIsCopied,
+                           Instant aNow)
+{
+  if (!mMove) {
+    if (aCache) {
+      mPort.DropCache(*aCache);
+    }
+    return;
+  }
+  mMove->mIsAnswered = true;
+  mMove->mCache = aCache;
+  mMove->mIsCopied = aIsCopied;
+  ContinueMove(aNow);
+}
+
+void
+StreamCall::ContinueMove(Instant aNow)
+{
+  if (mMove->mIsAnswered && !mMove->mCache) {
+    // The run goes on where it was, or it ended meanwhile.
+    const RunMove move = *std::exchange(mMove, std::nullopt);
+    mPort.NoteMoved(move.mSource);
+    if (move.mHasEnded) {
+      OnAnswerEnded(SendEnd::Unknown, aNow);
+    } else {
+      mPort.WakeAt(mTerms.mCall.mDeadline);
+    }
+    return;
+  }
+  if (!mMove->mIsAnswered || !mMove->mHasEnded) {
+    return;
+  }
+  const RunMove move = *std::exchange(mMove, std::nullopt);
+  mRelay.Restart();
+  mCache = move.mCache;
+  mPlacement.mPrefill.clear();
+  mPlacement.mDecode = move.mIsCopied ? move.mTarget : move.mSource;
+  mMoveSource = move.mIsCopied ? move.mSource : std::string();
+  mPort.NoteMoved(mPlacement.mDecode);
+  SendDecode(aNow);
+}
+
+bool
+StreamCall::ReturnToSource(Instant aNow)
+{
+  if (mState != StreamState::Starting || mMoveSource.empty() || !mCache ||
+      !mRetries.Take(mTerms.mCall.mService, 1, aNow)) {
+    return false;
+  }
+  mPlacement.mDecode = std::exchange(mMoveSource, std::string());
+  mPort.NoteMoved(mPlacement.mDecode);
+  SendDecode(aNow);
+  return true;
 }
 
 std::uint32_t
@@ -316,7 +417,7 @@
   mPort.ReleasePrefill(Duration::zero());
   mPort.ReleaseDecode();
   if (mCache) {
-    mPort.DropCache(mPlacement.mPrefill, mCache->mHandle);
+    mPort.DropCache(*mCache);
     mCache.reset();
   }
   if (!mReservation.empty()) {
@@ -356,6 +457,7 @@
     case StreamState::Starting:
     case StreamState::Streaming:
     case StreamState::Failing:
+      mMove.reset();
       mPort.CancelSend(SendResult::Slow);
       OnAnswerEnded(SendEnd::Unknown, aNow);
       return;
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -58,14 +58,18 @@
   /** The whole answer came: events, and the time between first and last. */
   virtual void NoteAnswer(std::uint64_t aEvents, Duration aTook) = 0;
   virtual void NoteDecodeFull(const std::string& aEndpoint) = 0;
+  /** The run is now counted at aEndpoint. */
+  virtual void NoteMoved(const std::string& aEndpoint) = 0;
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
   // Engines. Each call ends with its event, or with CancelSend.
   virtual void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) = 0;
   virtual void Prefill(const std::string& aEndpoint, Instant aDeadline) = 0;
   virtual void Decode(const DecodeOrder& aOrder, Instant aDeadline) = 0;
   virtual void CancelSend(SendResult aReason) = 0;
-  virtual void DropCache(const std::string& aEndpoint,
-                         const std::string& aHandle) = 0;
+  /** Stops the run and copies its cache; ends with OnMoveAnswered. */
+  virtual void Move(const std::string& aEndpoint,
+                    const std::string& aTarget) = 0;
+  virtual void DropCache(const KvCache& aCache) = 0;
   virtual void DropReservation(const std::string& aEndpoint,
                                const std::string& aReservation) = 0;
   // Caller.
@@ -122,17 +126,42 @@
   void OnAnswerData(std::string_view aData, Instant aNow);
   /** The call to the decode engine ended. */
   void OnAnswerEnded(SendEnd aEnd, Instant aNow);
+  /** Begins a move of the run to aTarget, if that is possible now. */
+  void StartMove(const std::string& aTarget, Instant aNow);
+  /** aCache: where the stopped run can be taken up; empty when it goes on or
+   * is lost. aIsCopied: the target has it. */
+  void OnMoveAnswered(const std::optional<KvCache>& aCache,
+                      bool aIsCopied,
+                      Instant aNow);
   void OnWake(Instant aNow);
   void OnCallerGone(Instant aNow);
 
   StreamState State() const { return mState; }
   const StreamPlacement& Placement() const { return mPlacement; }
-  std::uint64_t Events() const { return mRelay.Events(); }
+  /** The run is being moved, so that its stream may end early. */
+  bool IsMoving() const { return mMove.has_value(); }
 
 private:
+  /** A move in progress. */
+  struct RunMove
+  {
+    std::string mSource;
+    std::string mTarget;
+    /** The stream of the stopped run has ended. */
+    bool mHasEnded = false;
+    bool mIsAnswered = false;
+    std::optional<KvCache> mCache;
+    bool mIsCopied = false;
+  };
+
   void Submit(Instant aNow);
   void StartPrefill(Instant aNow);
   void StartDecode(Instant aNow);
+  /** Takes the moved run up once it has stopped and its cache is known. */
+  void ContinueMove(Instant aNow);
+  /** The target did not take the run: takes it up where it was stopped. */
+  bool ReturnToSource(Instant aNow);
+  void SendDecode(Instant aNow);
   /** Gives back all that is held at engines. */
   void ReleaseAll();
   /** Goes on at other engines, or ends. aRepeats: sends that count as repeated
@@ -154,6 +183,10 @@
   std::set<std::string> mTried;
   std::string mReservation;
   std::optional<KvCache> mCache;
+  std::optional<RunMove> mMove;
+  /** Where a moved run was stopped, until it goes on. */
+  std::string mMoveSource;
+  std::uint32_t mMoves = 0;
   EndpointAnswer mFailure;
   /** Runs at decode engines that may have begun. */
   std::uint32_t mRuns = 0;
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -4,6 +4,11 @@
 
 namespace bulrushfold {
 
+namespace {
+/** Interval at which the engines' memory is looked at while streams run. */
+constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
+} // namespace
+
 StreamDispatcher::StreamDispatcher(EventLoop& aLoop,
                                    const Clock& aClock,
                                    StreamScheduler& aScheduler)
@@ -11,13 +16,14 @@
   , mClock(aClock)
   , mScheduler(aScheduler)
   , mTimer(aLoop, aClock, [this] { Run(); })
+  , mMoveTimer(aLoop, aClock, [this] { RunMoves(); })
 {
 }
 
 void
-StreamDispatcher::Submit(StreamDemand aDemand, PlacementHook aHook)
+StreamDispatcher::Submit(StreamDemand aDemand, DispatchedStream& aStream)
 {
-  mHooks[aDemand.mNumber] = std::move(aHook);
+  mKnown[aDemand.mNumber] = &aStream;
   mScheduler.Submit(std::move(aDemand));
   Kick();
 }
@@ -26,7 +32,25 @@
 StreamDispatcher::Withdraw(std::uint64_t aNumber)
 {
   mScheduler.Withdraw(aNumber);
-  mHooks.erase(aNumber);
+}
+
+void
+StreamDispatcher::Forget(std::uint64_t aNumber)
+{
+  mKnown.erase(aNumber);
+}
+
+DispatchedStream*
+StreamDispatcher::Find(std::uint64_t aNumber) const
+{
+  const auto it = mKnown.find(aNumber);
+  return it == mKnown.end() ? nullptr : it->second;
+}
+
+void
+StreamDispatcher::OnMoved(std::uint64_t aNumber, const std::string& aEndpoint)
+{
+  mScheduler.OnMoved(aNumber, aEndpoint);
 }
 
 void
@@ -40,6 +64,7 @@
 StreamDispatcher::OnDecodeStarted(std::uint64_t aNumber)
 {
   mScheduler.OnDecodeStarted(aNumber, mClock.Now());
+  mMoveTimer.WakeAt(mClock.Now() + kMoveInterval);
 }
 
 void
@@ -79,19 +104,17 @@
 {
   const Instant now = mClock.Now();
   for (const auto number : mScheduler.TakeExpired(now)) {
-    // An earlier hook of this run may have withdrawn the stream.
-    if (const auto hook = mHooks.extract(number); !hook.empty()) {
-      hook.mapped()(nullptr);
+    if (DispatchedStream* stream = Find(number); stream != nullptr) {
+      stream->HandlePlacement(nullptr);
     }
   }
   for (const auto& it : mScheduler.Dispatch(now)) {
-    const auto hook = mHooks.extract(it.mNumber);
-    if (hook.empty()) {
-      // An earlier hook of this run withdrew the stream.
+    if (DispatchedStream* stream = Find(it.mNumber); stream != nullptr) {
+      stream->HandlePlacement(&it);
+    } else {
+      // An earlier stream of this run ended this one.
       mScheduler.OnPrefillEnded(it.mNumber, Duration::zero());
       mScheduler.OnDecodeEnded(it.mNumber);
-    } else {
-      hook.mapped()(&it);
     }
   }
   if (const auto next = mScheduler.NextWake(now); next) {
@@ -99,4 +122,18 @@
   }
 }
 
+void
+StreamDispatcher::RunMoves()
+{
+  const Instant now = mClock.Now();
+  for (const auto& it : mScheduler.Rebalance(now)) {
+    if (DispatchedStream* stream = Find(it.mNumber); stream != nullptr) {
+      stream->HandleMove(it.mTarget);
+    }
+  }
+  if (mScheduler.Running() > 0) {
+    mMoveTimer.WakeAt(now + kMoveInterval);
+  }
+}
+
 } // namespace bulrushfold
--- a/Source/Router/StreamDispatcher.h
+++ b/Source/Router/StreamDispatcher.h
@@ -2,16 +2,24 @@
 #define BULRUSHFOLD_ROUTER_STREAMDISPATCHER_H
 
 #include <cstdint>
-#include <functional>
 #include <map>
+#include <string>
 
 #include "Router/WakeTimer.h"
 #include "Routing/StreamScheduler.h"
 
 namespace bulrushfold {
 
-/** Called with the placement, or with null when the stream was given up. */
-using PlacementHook = std::function<void(const StreamPlacement*)>;
+/** A stream that the dispatcher places and moves. */
+class DispatchedStream
+{
+public:
+  virtual ~DispatchedStream() = default;
+  /** aPlacement: null when the stream was given up. */
+  virtual void HandlePlacement(const StreamPlacement* aPlacement) = 0;
+  /** The run should go on at aTarget. */
+  virtual void HandleMove(const std::string& aTarget) = 0;
+};
 
 /** Controller that runs the scheduler of streams on the event loop. */
 class StreamDispatcher
@@ -21,11 +29,14 @@
                    const Clock& aClock,
                    StreamScheduler& aScheduler);
 
-  void Submit(StreamDemand aDemand, PlacementHook aHook);
+  /** aStream stays known until Forget. */
+  void Submit(StreamDemand aDemand, DispatchedStream& aStream);
   void Withdraw(std::uint64_t aNumber);
+  void Forget(std::uint64_t aNumber);
   void OnPrefillEnded(std::uint64_t aNumber, Duration aTook);
   void OnDecodeStarted(std::uint64_t aNumber);
   void OnDecodeEnded(std::uint64_t aNumber);
+  void OnMoved(std::uint64_t aNumber, const std::string& aEndpoint);
   void OnProgress(std::uint64_t aEvents,
                   std::uint32_t aTokensPerEvent,
                   Duration aTook);
@@ -37,12 +48,15 @@
 
 private:
   void Run();
+  void RunMoves();
+  DispatchedStream* Find(std::uint64_t aNumber) const;
 
   EventLoop& mLoop;
   const Clock& mClock;
   StreamScheduler& mScheduler;
-  std::map<std::uint64_t, PlacementHook> mHooks;
+  std::map<std::uint64_t, DispatchedStream*> mKnown;
   WakeTimer mTimer;
+  WakeTimer mMoveTimer;
   bool mIsKicked = false;
 };
 
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "Base/Log.h"
-#include "Router/StreamDispatcher.h"
 
 namespace bulrushfold {
 
@@ -41,16 +40,13 @@
 StreamSession::RequestPlacement(StreamDemand aDemand)
 {
   mServices.mLog.Queued(*mRequest, mServices.mStreams.Waiting());
-  mServices.mStreams.Submit(
-    std::move(aDemand),
-    [this, self = mSelf](const StreamPlacement* aPlacement) {
-      HandlePlacement(aPlacement);
-    });
+  mServices.mStreams.Submit(std::move(aDemand), *this);
 }
 
 void
 StreamSession::HandlePlacement(const StreamPlacement* aPlacement)
 {
+  const auto self = mSelf;
   const Instant now = mServices.mClock.Now();
   if (aPlacement == nullptr) {
     mCall.OnNoPlacement(now);
@@ -98,6 +94,12 @@
   mServices.mStreams.OnDecodeFull(aEndpoint);
 }
 
+void
+StreamSession::NoteMoved(const std::string& aEndpoint)
+{
+  mServices.mStreams.OnMoved(mNumber, aEndpoint);
+}
+
 bool
 StreamSession::IsUsable(const std::string& aEndpoint) const
 {
@@ -124,6 +126,11 @@
     mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders);
   const SendEnd end = JudgeSend(aReply.mResult, facts, mRequest->mFacts.mId);
   const SendResult health = HealthOf(aReply.mResult, end, aReply.mStatus);
+  if (mCall.IsMoving() && end != SendEnd::Answered) {
+    // The engine stopped the run because it was told to.
+    NoteSendEnd(SendResult::Answered, "moved", aReply.mStatus);
+    return end;
+  }
   if (end == SendEnd::OtherEndpoint) {
     mServices.mDirectory.OnOtherAnswered(mEndpoint);
   }
@@ -225,7 +232,7 @@
     auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
     if (handle.ok() && endpoint != nullptr) {
       end = SendEnd::Answered;
-      cache = { endpoint->mAddress, *std::move(handle) };
+      cache = { mEndpoint, endpoint->mAddress, *std::move(handle) };
     }
     NoteSendEnd(end == SendEnd::Answered ? SendResult::Answered
                                          : SendResult::Broken,
@@ -312,12 +319,67 @@
 }
 
 void
-StreamSession::DropCache(const std::string& aEndpoint,
-                         const std::string& aHandle)
+StreamSession::DropCache(const KvCache& aCache)
 {
-  if (const auto* endpoint = mServices.mDirectory.Find(aEndpoint); endpoint) {
-    SendAside(mServices.mProtocol.DropCache(*endpoint, aHandle));
+  if (const auto* endpoint = mServices.mDirectory.Find(aCache.mEndpoint);
+      endpoint != nullptr) {
+    SendAside(mServices.mProtocol.DropCache(*endpoint, aCache.mHandle));
+  }
+}
+
+void
+StreamSession::HandleMove(const std::string& aTarget)
+{
+  const auto self = mSelf;
+  mCall.StartMove(aTarget, mServices.mClock.Now());
+}
+
+void
+StreamSession::Move(const std::string& aEndpoint, const std::string& aTarget)
+{
+  const EndpointRecord* source = mServices.mDirectory.Find(aEndpoint);
+  const EndpointRecord* target = mServices.mDirectory.Find(aTarget);
+  const Instant now = mServices.mClock.Now();
+  mServices.mLog.Sent(*mRequest, "move", aEndpoint, 0, 0);
+  if (source == nullptr || target == nullptr) {
+    mServices.mLoop.Defer([this, self = mSelf, now] {
+      mCall.OnMoveAnswered(std::nullopt, false, now);
+    });
+    return;
+  }
+  HttpCallHooks hooks;
+  hooks.mOnDone = [this, aEndpoint, now](const HttpCallReply& aReply) {
+    HandleMoveAnswer(aReply, aEndpoint, now);
+  };
+  mMoveCall = mServices.mClient.Start(
+    mServices.mProtocol.Move(*source, mRequest->mFacts.mId, *target),
+    std::move(hooks));
+}
+
+void
+StreamSession::HandleMoveAnswer(const HttpCallReply& aReply,
+                                const std::string& aSource,
+                                Instant aSentAt)
+{
+  const auto self = mSelf;
+  constexpr int kOk = 200;
+  const Instant now = mServices.mClock.Now();
+  mMoveCall.reset();
+  mServices.mLog.SendEnded(*mRequest,
+                           "move",
+                           aSource,
+                           HttpCallResultName(aReply.mResult),
+                           aReply.mStatus,
+                           now - aSentAt);
+  std::optional<KvCache> cache;
+  const EndpointRecord* source = mServices.mDirectory.Find(aSource);
+  if (aReply.mResult == HttpCallResult::Complete && source != nullptr) {
+    if (auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
+        handle.ok()) {
+      cache = KvCache{ aSource, source->mAddress, *std::move(handle) };
+    }
   }
+  mCall.OnMoveAnswered(cache, aReply.mStatus == kOk, now);
 }
 
 void
@@ -387,6 +449,7 @@
 StreamSession::Close()
 {
   mTimer.Cancel();
+  mServices.mStreams.Forget(mNumber);
   mRequest->mExchange->OnClosed(nullptr);
   mSelf.reset();
 }
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -8,6 +8,7 @@
 #include "Router/CallerSide.h"
 #include "Router/RouterServices.h"
 #include "Router/StreamCall.h"
+#include "Router/StreamDispatcher.h"
 #include "Router/WakeTimer.h"
 
 namespace bulrushfold {
@@ -15,6 +16,7 @@
 /** Carries out the orders of one StreamCall; lives until the call is over. */
 class StreamSession
   : private StreamCallPort
+  , private DispatchedStream
   , public std::enable_shared_from_this<StreamSession>
 {
 public:
@@ -31,13 +33,14 @@
   void ReleaseDecode() override;
   void NoteAnswer(std::uint64_t aEvents, Duration aTook) override;
   void NoteDecodeFull(const std::string& aEndpoint) override;
+  void NoteMoved(const std::string& aEndpoint) override;
   bool IsUsable(const std::string& aEndpoint) const override;
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override;
   void Prefill(const std::string& aEndpoint, Instant aDeadline) override;
   void Decode(const DecodeOrder& aOrder, Instant aDeadline) override;
   void CancelSend(SendResult aReason) override;
-  void DropCache(const std::string& aEndpoint,
-                 const std::string& aHandle) override;
+  void Move(const std::string& aEndpoint, const std::string& aTarget) override;
+  void DropCache(const KvCache& aCache) override;
   void DropReservation(const std::string& aEndpoint,
                        const std::string& aReservation) override;
   void StartAnswer(int aStatus, const HttpHeaders& aHeaders) override;
@@ -48,7 +51,11 @@
   void Refuse(const Refusal& aRefusal) override;
   void WakeAt(Instant aTime) override { mTimer.WakeAt(aTime); }
 
-  void HandlePlacement(const StreamPlacement* aPlacement);
+  void HandlePlacement(const StreamPlacement* aPlacement) override;
+  void HandleMove(const std::string& aTarget) override;
+  void HandleMoveAnswer(const HttpCallReply& aReply,
+                        const std::string& aSource,
+                        Instant aSentAt);
   void HandleReserved(const HttpCallReply& aReply);
   void HandlePrefilled(const HttpCallReply& aReply);
   void HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders);
@@ -73,6 +80,7 @@
   StreamCall mCall;
   WakeTimer mTimer;
   std::unique_ptr<HttpCall> mSend;
+  std::unique_ptr<HttpCall> mMoveCall;
   /** Step and endpoint of the send in progress or the last one. */
   std::string mStep;
   std::string mEndpoint;
--- a/Source/Routing/PeerTable.cxx
+++ b/Source/Routing/PeerTable.cxx
@@ -31,12 +31,6 @@
   return !wasLive;
 }
 
-void
-PeerTable::OnStopping(const std::string& aName)
-{
-  mPeers.erase(aName);
-}
-
 std::vector<std::string>
 PeerTable::TakeSilent(Instant aNow)
 {
--- a/Source/Routing/PeerTable.h
+++ b/Source/Routing/PeerTable.h
@@ -41,8 +41,8 @@
   bool OnHeard(const std::string& aName,
                const SocketAddress& aAddress,
                Instant aNow);
-  /** The peer says that it stops; it is no longer live. */
-  void OnStopping(const std::string& aName);
+  /** The peer says that it ends. */
+  void OnLeft(const std::string& aName) { mPeers.erase(aName); }
   /** Peers that became silent since the last call. */
   std::vector<std::string> TakeSilent(Instant aNow);
 
--- a/Source/Routing/StreamRuns.cxx
+++ b/Source/Routing/StreamRuns.cxx
@@ -14,12 +14,22 @@
 void
 StreamRuns::OnStarted(std::uint64_t aNumber, Instant aNow)
 {
-  if (const auto it = mOwn.find(aNumber); it != mOwn.end()) {
+  const auto it = mOwn.find(aNumber);
+  if (it != mOwn.end() && !it->second.mStartedAt) {
     it->second.mStartedAt = aNow;
     mOnOwnChange.emit();
   }
 }
 
+void
+StreamRuns::OnMoved(std::uint64_t aNumber, const std::string& aEndpoint)
+{
+  if (const auto it = mOwn.find(aNumber); it != mOwn.end()) {
+    it->second.mEndpoint = aEndpoint;
+    mOnOwnChange.emit();
+  }
+}
+
 void
 StreamRuns::Remove(std::uint64_t aNumber)
 {
--- a/Source/Routing/StreamRuns.h
+++ b/Source/Routing/StreamRuns.h
@@ -32,6 +32,8 @@
 public:
   void Add(const StreamRun& aRun);
   void OnStarted(std::uint64_t aNumber, Instant aNow);
+  /** The run goes on at another engine. */
+  void OnMoved(std::uint64_t aNumber, const std::string& aEndpoint);
   void Remove(std::uint64_t aNumber);
   const StreamRun* FindOwn(std::uint64_t aNumber) const;
 
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -12,7 +12,17 @@
 /** Part of an engine's memory that is given away; blocks are not filled. */
 constexpr double kMemoryPart = 0.97;
 /** Standard deviations above the expected need that must fit. */
-constexpr double kNeedDeviations = 1.0;
+constexpr double kNeedDeviations = 1.8;
+/** An engine is relieved if it is expected to be full after this time, */
+constexpr Duration kMoveHorizon = std::chrono::milliseconds(300);
+/** with so many standard deviations above the expected need. */
+constexpr double kMoveDeviations = 0.5;
+/** A target must have room for so many standard deviations. */
+constexpr double kTargetDeviations = 1.0;
+/** Time until a move shows in what the daemons tell each other. */
+constexpr Duration kMoveEffect = std::chrono::milliseconds(80);
+/** A run at a leaving engine stays if it is expected to end this soon. */
+constexpr Duration kLeastRemaining = std::chrono::milliseconds(1000);
 /** Growth of a run that is assumed before the first answer, tokens/ms. */
 constexpr double kFirstGrowth = 1.5;
 /** Least events that tell the growth of a run. */
@@ -52,6 +62,7 @@
 void
 StreamScheduler::Submit(StreamDemand aDemand)
 {
+  mProfiles[aDemand.mService] = aDemand.mProfile;
   mWaiting.push_back(std::move(aDemand));
 }
 
@@ -266,6 +277,89 @@
   mRuns.Remove(aNumber);
 }
 
+double
+StreamScheduler::MemoryOf(const std::string& aService) const
+{
+  const auto it = mProfiles.find(aService);
+  return it == mProfiles.end()
+           ? 0
+           : kMemoryPart * static_cast<double>(it->second.mMemoryTokens);
+}
+
+bool
+StreamScheduler::MustLeave(const StreamRun& aRun, Instant aNow) const
+{
+  const EndpointRecord* engine = mDirectory.Find(aRun.mEndpoint);
+  if (engine == nullptr || !aRun.mStartedAt) {
+    return false;
+  }
+  if (engine->mIsDraining) {
+    const double left =
+      static_cast<double>(aRun.mAnswerTokens) - mForecast.Generated(aRun, aNow);
+    return left > ToMilliseconds(kLeastRemaining) * mForecast.Rate();
+  }
+  const auto moved = mMovedAt.find(aRun.mEndpoint);
+  if (moved != mMovedAt.end() && aNow - moved->second < kMoveEffect) {
+    return false;
+  }
+  const auto runs = mRuns.At(aRun.mEndpoint);
+  const MemoryNeed need = mForecast.NeedAfter(runs, kMoveHorizon, aNow);
+  const bool isFull =
+    need.mMean + kMoveDeviations * need.mDeviation > MemoryOf(engine->mService);
+  return isFull &&
+         std::none_of(runs.begin(), runs.end(), [&](const StreamRun* aOther) {
+           return aOther->mStartedAt && *aOther->mStartedAt > *aRun.mStartedAt;
+         });
+}
+
+std::string
+StreamScheduler::ChooseTarget(const StreamRun& aRun, Instant aNow) const
+{
+  const EndpointRecord* engine = mDirectory.Find(aRun.mEndpoint);
+  const double memory = MemoryOf(engine->mService);
+  std::string best;
+  double bestPeak = memory;
+  for (const EndpointRecord* it :
+       mDirectory.Usable(engine->mService, EndpointRole::Decode)) {
+    auto runs = mRuns.At(it->mId);
+    if (it->mId == aRun.mEndpoint || runs.size() >= it->mSlots ||
+        mHealth.IsAvoided(it->mId, aNow)) {
+      continue;
+    }
+    runs.push_back(&aRun);
+    const double peak = mForecast.Peak(runs, kTargetDeviations, aNow);
+    if (peak < bestPeak) {
+      bestPeak = peak;
+      best = it->mId;
+    }
+  }
+  return best;
+}
+
+std::vector<MoveProposal>
+StreamScheduler::Rebalance(Instant aNow)
+{
+  std::vector<MoveProposal> proposals;
+  const auto own = mRuns.Own();
+  for (const auto& [number, run] : own) {
+    if (!MustLeave(run, aNow)) {
+      continue;
+    }
+    const std::string target = ChooseTarget(run, aNow);
+    if (!target.empty()) {
+      mMovedAt[run.mEndpoint] = aNow;
+      proposals.push_back({ number, target });
+    }
+  }
+  return proposals;
+}
+
+void
+StreamScheduler::OnMoved(std::uint64_t aNumber, const std::string& aEndpoint)
+{
+  mRuns.OnMoved(aNumber, aEndpoint);
+}
+
 void
 StreamScheduler::OnProgress(std::uint64_t aEvents,
                             std::uint32_t aTokensPerEvent,
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -53,6 +53,13 @@
   EndpointWork mPrefillLoad;
 };
 
+/** A run that should go on at another engine. */
+struct MoveProposal
+{
+  std::uint64_t mNumber = 0;
+  std::string mTarget;
+};
+
 /**
  * Places streams on engines. A stream starts when a decode engine has room
  * for what it is expected to need and a prefill engine has nearly nothing to
@@ -61,7 +68,13 @@
  *
  * Events to deliver: Submit; Dispatch after every event that may have made
  * room (an own stream ended, a peer told its loads, endpoints changed) and at
- * NextWake; OnPrefillEnded and OnDecodeEnded exactly once for each placement.
+ * NextWake; OnPrefillEnded and OnDecodeEnded exactly once for each placement;
+ * Rebalance several times a second while streams run, and OnMoved when a
+ * proposed move begins or is taken back.
+ *
+ * An engine that runs out of memory stops its newest run and reads its prompt
+ * again, which delays all its runs. So a run is moved away before: the newest
+ * one, by the daemon that owns it. Runs at a leaving engine are moved too.
  */
 class StreamScheduler
 {
@@ -87,6 +100,9 @@
   /** The decode engine generates; its memory grows from now on. */
   void OnDecodeStarted(std::uint64_t aNumber, Instant aNow);
   void OnDecodeEnded(std::uint64_t aNumber);
+  /** Runs of this daemon that should move. */
+  std::vector<MoveProposal> Rebalance(Instant aNow);
+  void OnMoved(std::uint64_t aNumber, const std::string& aEndpoint);
   /** aEvents of aTokensPerEvent tokens came in aTook. */
   void OnProgress(std::uint64_t aEvents,
                   std::uint32_t aTokensPerEvent,
@@ -97,6 +113,8 @@
   /** When Dispatch or TakeExpired may have something to do. */
   std::optional<Instant> NextWake(Instant aNow) const;
   std::size_t Waiting() const { return mWaiting.size(); }
+  /** Placed streams of this daemon. */
+  std::size_t Running() const { return mRuns.Own().size(); }
   /** Expected time to compute a prompt on an idle engine. */
   Duration PrefillTime(std::uint64_t aTokens) const;
 
@@ -107,6 +125,11 @@
     EndpointWork mWork;
   };
 
+  /** True when aRun should leave its engine. */
+  bool MustLeave(const StreamRun& aRun, Instant aNow) const;
+  /** Engine with room for aRun; empty when there is none. */
+  std::string ChooseTarget(const StreamRun& aRun, Instant aNow) const;
+  double MemoryOf(const std::string& aService) const;
   /** The waiting stream that goes next. */
   std::list<StreamDemand>::iterator Next(Instant aNow);
   std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
@@ -129,6 +152,10 @@
   MemoryForecast mForecast;
   std::list<StreamDemand> mWaiting;
   std::map<std::uint64_t, Held> mPrefills;
+  /** By service, from the latest demand. */
+  std::map<std::string, EngineProfile> mProfiles;
+  /** Moves from an engine in the last moments, to see their effect first. */
+  std::map<std::string, Instant> mMovedAt;
   /** Engines that refused a reservation, until when they are left alone. */
   std::map<std::string, Instant> mFullUntil;
   /** Learned from prefills that ended. */
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -41,7 +41,8 @@
   2: required list<EndpointShare> shares,
   3: required list<RetryUse> retries,
   4: required list<CrashSuspect> suspects,
-  5: required bool isStopping,
+  // The sender ends now.
+  5: required bool isLeaving,
   // Where the sender takes messages, IPv4:PORT.
   6: required string address,
 }
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -632,8 +632,8 @@
   this->suspects = val;
 }
 
-void RoutingStatus::__set_isStopping(const bool val) {
-  this->isStopping = val;
+void RoutingStatus::__set_isLeaving(const bool val) {
+  this->isLeaving = val;
 }
 
 void RoutingStatus::__set_address(const std::string& val) {
@@ -662,7 +662,7 @@
   bool isset_shares = false;
   bool isset_retries = false;
   bool isset_suspects = false;
-  bool isset_isStopping = false;
+  bool isset_isLeaving = false;
   bool isset_address = false;
 
   while (true)
@@ -755,8 +755,8 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->isStopping);
-          isset_isStopping = true;
+          xfer += iprot->readBool(this->isLeaving);
+          isset_isLeaving = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -786,7 +786,7 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_suspects)
     throw TProtocolException(TProtocolException::INVALID_DATA);
-  if (!isset_isStopping)
+  if (!isset_isLeaving)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_address)
     throw TProtocolException(TProtocolException::INVALID_DATA);
@@ -846,8 +846,8 @@
   }
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("isStopping", ::apache::thrift::protocol::T_BOOL, 5);
-  xfer += oprot->writeBool(this->isStopping);
+  xfer += oprot->writeFieldBegin("isLeaving", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->isLeaving);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("address", ::apache::thrift::protocol::T_STRING, 6);
@@ -865,7 +865,7 @@
   swap(a.shares, b.shares);
   swap(a.retries, b.retries);
   swap(a.suspects, b.suspects);
-  swap(a.isStopping, b.isStopping);
+  swap(a.isLeaving, b.isLeaving);
   swap(a.address, b.address);
 }
 
@@ -874,7 +874,7 @@
   shares = other32.shares;
   retries = other32.retries;
   suspects = other32.suspects;
-  isStopping = other32.isStopping;
+  isLeaving = other32.isLeaving;
   address = other32.address;
 }
 RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other33) {
@@ -882,7 +882,7 @@
   shares = other33.shares;
   retries = other33.retries;
   suspects = other33.suspects;
-  isStopping = other33.isStopping;
+  isLeaving = other33.isLeaving;
   address = other33.address;
   return *this;
 }
@@ -893,7 +893,7 @@
   out << ", " << "shares=" << to_string(shares);
   out << ", " << "retries=" << to_string(retries);
   out << ", " << "suspects=" << to_string(suspects);
-  out << ", " << "isStopping=" << to_string(isStopping);
+  out << ", " << "isLeaving=" << to_string(isLeaving);
   out << ", " << "address=" << to_string(address);
   out << ")";
 }
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -246,7 +246,7 @@
   RoutingStatus(const RoutingStatus&);
   RoutingStatus& operator=(const RoutingStatus&);
   RoutingStatus() noexcept
-                : isStopping(0),
+                : isLeaving(0),
                   address() {
   }
 
@@ -255,7 +255,7 @@
   std::vector<EndpointShare>  shares;
   std::vector<RetryUse>  retries;
   std::vector<CrashSuspect>  suspects;
-  bool isStopping;
+  bool isLeaving;
   std::string address;
 
   void __set_runs(const std::vector<StreamRun> & val);
@@ -266,7 +266,7 @@
 
   void __set_suspects(const std::vector<CrashSuspect> & val);
 
-  void __set_isStopping(const bool val);
+  void __set_isLeaving(const bool val);
 
   void __set_address(const std::string& val);
 
@@ -280,7 +280,7 @@
       return false;
     if (!(suspects == rhs.suspects))
       return false;
-    if (!(isStopping == rhs.isStopping))
+    if (!(isLeaving == rhs.isLeaving))
       return false;
     if (!(address == rhs.address))
       return false;
