--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -108,6 +108,9 @@
               NoteReadiness();
             },
             [this] {
+              // A request that is read from now on would be cut.
+              mCallerServer.StopListening();
+              mCallerServer.CloseIdle();
               mPeers.Leave();
               mEndTimer = mLoop.After(kLeaveTime, [this] { mLoop.Stop(); });
             } })
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -38,7 +38,7 @@
 /** Costs below are in units of a full engine. */
 constexpr double kOtherDomainCost = 0.05;
 constexpr double kFailureCost = 1;
-constexpr double kAvoidedCost = 10;
+constexpr double kTriedCost = 10;
 constexpr double kJitter = 0.05;
 } // namespace
 
@@ -145,6 +145,16 @@
   return placement;
 }
 
+bool
+StreamScheduler::HasSoundOne(const std::vector<const EndpointRecord*>& aEngines,
+                             Instant aNow) const
+{
+  return std::any_of(
+    aEngines.begin(), aEngines.end(), [&](const EndpointRecord* aEngine) {
+      return !mHealth.IsAvoided(aEngine->mId, aNow);
+    });
+}
+
 bool
 StreamScheduler::ChooseDecode(const StreamDemand& aDemand,
                               Instant aNow,
@@ -156,8 +166,10 @@
   candidate.mPromptTokens = aDemand.mPromptTokens;
   candidate.mAnswerTokens = aDemand.mAnswerTokens;
   double bestCost = 0;
-  for (const EndpointRecord* it :
-       mDirectory.Usable(aDemand.mService, EndpointRole::Decode)) {
+  const auto engines =
+    mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
+  const bool mustSpare = HasSoundOne(engines, aNow);
+  for (const EndpointRecord* it : engines) {
     auto runs = mRuns.At(it->mId);
     const std::size_t before = runs.size();
     const auto full = mFullUntil.find(it->mId);
@@ -166,15 +178,15 @@
     const double peak = mForecast.Peak(runs, kNeedDeviations, aNow);
     // A request that exceeds an empty engine is the engine's to refuse.
     const bool hasRoom = before == 0 || peak <= memory;
-    if (before >= it->mSlots || !hasRoom || isBlocked) {
+    if (before >= it->mSlots || !hasRoom || isBlocked ||
+        (mustSpare && mHealth.IsAvoided(it->mId, aNow))) {
       continue;
     }
     const double cost =
       peak / std::max(memory, 1.0) +
       (it->mFailureDomain == mFailureDomain ? 0 : kOtherDomainCost) +
       kFailureCost * mHealth.FailureShare(it->mId) +
-      (mHealth.IsAvoided(it->mId, aNow) ? kAvoidedCost : 0) +
-      (aDemand.mTried.count(it->mId) > 0 ? kAvoidedCost : 0) +
+      (aDemand.mTried.count(it->mId) > 0 ? kTriedCost : 0) +
       kJitter * mRandom.Unit();
     if (aPlacement.mDecode.empty() || cost < bestCost) {
       bestCost = cost;
@@ -193,10 +205,13 @@
 {
   const EndpointRecord* best = nullptr;
   double bestCost = 0;
-  for (const EndpointRecord* it :
-       mDirectory.Usable(aDemand.mService, EndpointRole::Prefill)) {
+  const auto engines =
+    mDirectory.Usable(aDemand.mService, EndpointRole::Prefill);
+  const bool mustSpare = HasSoundOne(engines, aNow);
+  for (const EndpointRecord* it : engines) {
     const EndpointWork load = mLoads.Total(it->mId);
-    if (load.mRequests >= kPrefillDepth) {
+    if (load.mRequests >= kPrefillDepth ||
+        (mustSpare && mHealth.IsAvoided(it->mId, aNow))) {
       continue;
     }
     const double cost =
@@ -204,8 +219,7 @@
         static_cast<double>(std::max<std::uint64_t>(aDemand.mPromptTokens, 1)) +
       (it->mFailureDomain == aFailureDomain ? 0 : kOtherDomainCost) +
       kFailureCost * mHealth.FailureShare(it->mId) +
-      (mHealth.IsAvoided(it->mId, aNow) ? kAvoidedCost : 0) +
-      (aDemand.mTried.count(it->mId) > 0 ? kAvoidedCost : 0) +
+      (aDemand.mTried.count(it->mId) > 0 ? kTriedCost : 0) +
       kJitter * mRandom.Unit();
     if (best == nullptr || cost < bestCost) {
       best = it;
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -134,6 +134,9 @@
   std::list<StreamDemand>::iterator Next(Instant aNow);
   std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
                                        Instant aNow) const;
+  /** At least one of aEngines is not avoided, so the others are spared. */
+  bool HasSoundOne(const std::vector<const EndpointRecord*>& aEngines,
+                   Instant aNow) const;
   /** Chooses the decode engine of aPlacement; false when none has room. */
   bool ChooseDecode(const StreamDemand& aDemand,
                     Instant aNow,
