Keep a stopping daemon in the registry until it ends

Change: the entry is deleted at the end, only in the version that this process wrote, and the registry is read again every 30 s.

--- a/Source/Daemon/BookingController.cxx
+++ b/Source/Daemon/BookingController.cxx
@@ -242,6 +242,7 @@
 {
   mStore.Delete(
     aAction.mKey,
+    std::nullopt,
     [this, aShard, operation = aAction.mOperation](
       const absl::StatusOr<std::uint64_t>& aAnswer) {
       Carry(aShard, mShards[aShard]->OnDeleted(operation, aAnswer.status()));
--- a/Source/Emulator/StoreEmulator.cxx
+++ b/Source/Emulator/StoreEmulator.cxx
@@ -204,6 +204,13 @@
   if (!Admit(aCall, "delete", mWrites)) {
     return;
   }
+  const StoredObject* object = mContent.Find(aKey);
+  const auto expected = ExpectedVersion(aCall->Request());
+  if (object != nullptr && expected && object->mVersion != *expected) {
+    ++mCounts["conflicts"];
+    aCall->Reply(HttpStatus::Conflict, VersionHeader(object->mVersion), "");
+    return;
+  }
   if (!mContent.Delete(aKey)) {
     aCall->ReplyProblem(HttpStatus::NotFound, "not_found", aKey);
     return;
--- a/Source/Platform/HttpObjectStore.cxx
+++ b/Source/Platform/HttpObjectStore.cxx
@@ -258,11 +258,17 @@
 }
 
 void
-HttpObjectStore::Delete(const std::string& aKey, PutHook aHook)
+HttpObjectStore::Delete(const std::string& aKey,
+                        std::optional<std::uint64_t> aExpected,
+                        PutHook aHook)
 {
+  HttpHeaders headers;
+  if (aExpected) {
+    headers.Add("If-Match", absl::StrCat(*aExpected));
+  }
   Send(HttpMethod::Delete,
        absl::StrCat("/objects/", aKey),
-       {},
+       std::move(headers),
        "",
        [aKey, hook = std::move(aHook)](const HttpCallReply& aReply) {
          const auto status = StatusOf(aReply, aKey);
--- a/Source/Platform/HttpObjectStore.h
+++ b/Source/Platform/HttpObjectStore.h
@@ -25,7 +25,9 @@
            const std::string& aBody,
            std::optional<std::uint64_t> aExpected,
            PutHook aHook) override;
-  void Delete(const std::string& aKey, PutHook aHook) override;
+  void Delete(const std::string& aKey,
+              std::optional<std::uint64_t> aExpected,
+              PutHook aHook) override;
   void List(const std::string& aPrefix, ListHook aHook) override;
   std::unique_ptr<StoreWatch> Watch(const std::string& aPrefix,
                                     std::uint64_t aRevision,
--- a/Source/Platform/ObjectStore.h
+++ b/Source/Platform/ObjectStore.h
@@ -104,7 +104,10 @@
                    const std::string& aBody,
                    std::optional<std::uint64_t> aExpected,
                    PutHook aHook) = 0;
-  virtual void Delete(const std::string& aKey, PutHook aHook) = 0;
+  /** Deletes the object; with a value only if it has version aExpected. */
+  virtual void Delete(const std::string& aKey,
+                      std::optional<std::uint64_t> aExpected,
+                      PutHook aHook) = 0;
   virtual void List(const std::string& aPrefix, ListHook aHook) = 0;
   virtual std::unique_ptr<StoreWatch> Watch(const std::string& aPrefix,
                                             std::uint64_t aRevision,
--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -27,6 +27,8 @@
 constexpr Duration kLongestInterval = std::chrono::milliseconds(400);
 /** A message is sent after this time even if nothing changed. */
 constexpr Duration kHeartbeat = std::chrono::milliseconds(500);
+/** Finds peers whose first message was lost. */
+constexpr Duration kRegistryRefresh = std::chrono::seconds(30);
 constexpr Duration kRegistryRetry = std::chrono::milliseconds(700);
 } // namespace
 
@@ -79,6 +81,7 @@
   }.dump();
   const auto done = [this](const absl::StatusOr<std::uint64_t>& aVersion) {
     if (aVersion.ok()) {
+      mEntryVersion = *aVersion;
       ReadRegistry();
     } else {
       RetryLater(aVersion.status(), &PeerController::Register);
@@ -139,12 +142,15 @@
         LogLevel::Warning, "peer_entry_unreadable", { { "key", it.mKey } });
     }
   }
-  if (key.size() == kKeyBytes) {
-    OpenLinks(key);
-  } else {
+  if (key.size() != kKeyBytes) {
     CreateKey();
+  } else if (!mLinks) {
+    OpenLinks(key);
   }
   CountDaemons();
+  mRefreshTimer = mLoop.After(
+    FromSeconds(ToSeconds(kRegistryRefresh) * (0.75 + mRandom.Unit() / 2)),
+    [this] { ReadRegistry(); });
 }
 
 void
@@ -300,9 +306,18 @@
 }
 
 void
-PeerController::BeginStop()
+PeerController::Leave()
 {
+  if (mLinks) {
+    mIsLeaving = true;
+    Broadcast();
+  }
+  if (mEntryVersion == 0) {
+    return;
+  }
+  // Only this process's entry: the next one may already have written its own.
   mStore.Delete(mSettings.mDaemonPrefix + mSettings.mName,
+                mEntryVersion,
                 [](const absl::StatusOr<std::uint64_t>& aResult) {
                   if (!aResult.ok()) {
                     LogEvent(LogLevel::Warning,
@@ -312,13 +327,4 @@
                 });
 }
 
-void
-PeerController::Leave()
-{
-  if (mLinks) {
-    mIsLeaving = true;
-    Broadcast();
-  }
-}
-
 } // namespace bulrushfold
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -43,10 +43,9 @@
                  std::function<void()> aOnNews);
 
   void Start();
-  /** The daemon will stop: removes its address from the registry. Its streams
-   * still count, so it goes on telling of them. */
-  void BeginStop();
-  /** The daemon ends now: its peers forget it. */
+  /** The daemon ends now: its peers forget it, and its address goes from the
+   * registry. A daemon that only begins to stop still has streams to tell of.
+   */
   void Leave();
   std::size_t Live() const { return mPeers.Live(); }
 
@@ -79,6 +78,9 @@
   std::unique_ptr<PeerLinks> mLinks;
   WakeTimer mTimer;
   EventHandle mRetryTimer;
+  EventHandle mRefreshTimer;
+  /** Version of this daemon's entry in the registry; 0: not written. */
+  std::uint64_t mEntryVersion = 0;
   Instant mSentAt;
   bool mIsLeaving = false;
 };
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -15,8 +15,8 @@
 /** Descriptors kept for connections to endpoints, peers and the store. */
 constexpr std::size_t kOtherDescriptors = 400;
 constexpr std::size_t kLeastDescriptors = 100;
-/** Time in which the last message to the peers is written. */
-constexpr Duration kLeaveTime = std::chrono::milliseconds(20);
+/** Time for the last message to the peers and the last call to the store. */
+constexpr Duration kLeaveTime = std::chrono::milliseconds(50);
 /** A caller that accepts no byte of its answer for this long is cut off. */
 constexpr Duration kCallerWriteTimeout = std::chrono::seconds(10);
 
@@ -104,7 +104,6 @@
            },
             [this] {
               mCallerServer.BeginDraining();
-              mPeers.BeginStop();
               NoteReadiness();
             },
             [this] {
