Tell streams that cannot begin in time when to come back

Cause: in a burst streams were held 2.5 s and refused; a caller that came back counted as new although its patience had begun with the first attempt.

Change: StreamAdmission compares the expected wait with the time that is left; daemons tell each other whom they turned away (ReturnTable), so that a request that comes back keeps its first arrival. The forecast knows the longest answer.

--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -234,6 +234,7 @@
   mBeliefs.mRuns.SetPeer(aSender, std::move(status->mRuns));
   mBeliefs.mRetries.SetPeer(aSender, std::move(status->mRetries));
   mBeliefs.mGuard.SetPeer(aSender, status->mSuspects, now);
+  mBeliefs.mReturns.SetPeer(aSender, status->mTurnedAway, now);
   mOnNews();
 }
 
@@ -244,6 +245,7 @@
   mBeliefs.mRuns.RemovePeer(aName);
   mBeliefs.mRetries.RemovePeer(aName);
   mBeliefs.mGuard.RemovePeer(aName);
+  mBeliefs.mReturns.RemovePeer(aName);
 }
 
 void
@@ -279,6 +281,7 @@
   status.mWorks = mBeliefs.mLoads.OwnWorks();
   status.mRetries = mBeliefs.mRetries.OwnUses(now);
   status.mSuspects = mBeliefs.mGuard.OwnSuspects(now);
+  status.mTurnedAway = mBeliefs.mReturns.Own(now);
   status.mIsLeaving = mIsLeaving;
   status.mAddress = mSettings.mPeerAddress;
   return status;
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -23,6 +23,7 @@
   StreamRuns& mRuns;
   RetryAllowance& mRetries;
   CrashGuard& mGuard;
+  ReturnTable& mReturns;
 };
 
 /**
--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -30,6 +30,7 @@
     run.endpoint = it.mEndpoint;
     run.promptTokens = static_cast<std::int32_t>(it.mPromptTokens);
     run.answerTokens = static_cast<std::int32_t>(it.mAnswerTokens);
+    run.mostTokens = static_cast<std::int32_t>(it.mMostTokens);
     run.ageMs =
       it.mStartedAt ? WholeMilliseconds(aNow - *it.mStartedAt) : kNotStarted;
     message.runs.push_back(std::move(run));
@@ -50,11 +51,17 @@
   }
   for (const auto& it : aStatus.mSuspects) {
     wire::CrashSuspect suspect;
-    suspect.digest = it.mDigest;
+    suspect.requestHash = static_cast<std::int64_t>(it.mHash);
     suspect.losses = static_cast<std::int32_t>(it.mLosses);
     suspect.ageMs = WholeMilliseconds(it.mAge);
     message.suspects.push_back(std::move(suspect));
   }
+  for (const auto& it : aStatus.mTurnedAway) {
+    wire::TurnedAway request;
+    request.requestHash = static_cast<std::int64_t>(it.mHash);
+    request.ageMs = WholeMilliseconds(it.mAge);
+    message.turnedAway.push_back(request);
+  }
   message.isLeaving = aStatus.mIsLeaving;
   message.address = FormatAddress(aStatus.mAddress);
   return EncodeThrift(message);
@@ -77,6 +84,7 @@
                    it.endpoint,
                    static_cast<std::uint64_t>(std::max(it.promptTokens, 0)),
                    static_cast<std::uint64_t>(std::max(it.answerTokens, 0)),
+                   static_cast<std::uint64_t>(std::max(it.mostTokens, 0)),
                    std::nullopt };
     if (it.ageMs != kNotStarted) {
       run.mStartedAt = aNow - std::chrono::milliseconds(it.ageMs);
@@ -97,10 +105,14 @@
   }
   for (const auto& it : message->suspects) {
     status.mSuspects.push_back(
-      { it.digest,
+      { static_cast<std::uint64_t>(it.requestHash),
         static_cast<std::uint32_t>(std::max(it.losses, 0)),
         std::chrono::milliseconds(it.ageMs) });
   }
+  for (const auto& it : message->turnedAway) {
+    status.mTurnedAway.push_back({ static_cast<std::uint64_t>(it.requestHash),
+                                   std::chrono::milliseconds(it.ageMs) });
+  }
   return status;
 }
 
--- a/Source/Router/PeerStatus.h
+++ b/Source/Router/PeerStatus.h
@@ -9,6 +9,7 @@
 #include "Routing/CrashGuard.h"
 #include "Routing/EndpointLoads.h"
 #include "Routing/RetryAllowance.h"
+#include "Routing/ReturnTable.h"
 #include "Routing/StreamRuns.h"
 #include "Settings/Settings.h"
 #include "absl/status/statusor.h"
@@ -22,6 +23,7 @@
   EndpointWorks mWorks;
   RetryUses mRetries;
   std::vector<CrashSuspect> mSuspects;
+  std::vector<TurnedAway> mTurnedAway;
   /** The daemon ends now. */
   bool mIsLeaving = false;
   SocketAddress mAddress;
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -76,9 +76,9 @@
     mServices.mDirectory.OnOtherAnswered(mEndpoint);
   }
   if (end == SendEnd::Answered) {
-    mServices.mGuard.OnAnswered(mRequest->mDigest);
+    mServices.mGuard.OnAnswered(mRequest->mHash);
   } else if (aReply.mResult == HttpCallResult::ConnectionLost) {
-    mServices.mGuard.OnLost(mRequest->mDigest, now);
+    mServices.mGuard.OnLost(mRequest->mHash, now);
   }
   if (end != SendEnd::Answered) {
     mServices.mLog.SendEnded(*mRequest,
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -110,20 +110,23 @@
 void
 RequestLog::Queued(const RoutedRequest& aRequest, std::size_t aWaiting)
 {
-  LogEvent(LogLevel::Info,
-           "request_queued",
-           { { "id", aRequest.mFacts.mId },
-             { "route", RouteName(aRequest) },
-             { "service", aRequest.mTerms.mService },
-             { "prompt_tokens",
-               aRequest.mFacts.mTokens ? aRequest.mFacts.mTokens->mPrompt : 0 },
-             { "guessed_answer_tokens",
-               aRequest.mFacts.mTokens
-                 ? aRequest.mFacts.mTokens->mGuessedAnswer.value_or(0)
-                 : 0 },
-             { "waiting", aWaiting },
-             { "config", Version(aRequest) },
-             { "registry", mDirectory.Revision() } });
+  LogEvent(
+    LogLevel::Info,
+    "request_queued",
+    { { "id", aRequest.mFacts.mId },
+      { "route", RouteName(aRequest) },
+      { "service", aRequest.mTerms.mService },
+      { "prompt_tokens",
+        aRequest.mFacts.mTokens ? aRequest.mFacts.mTokens->mPrompt : 0 },
+      { "guessed_answer_tokens",
+        aRequest.mFacts.mTokens
+          ? aRequest.mFacts.mTokens->mGuessedAnswer.value_or(0)
+          : 0 },
+      { "patience_ms",
+        ToMilliseconds(aRequest.mFacts.mPatience.value_or(Duration::zero())) },
+      { "waiting", aWaiting },
+      { "config", Version(aRequest) },
+      { "registry", mDirectory.Revision() } });
 }
 
 void
--- a/Source/Router/RoutedRequest.h
+++ b/Source/Router/RoutedRequest.h
@@ -37,8 +37,8 @@
   /** Configuration that the request is handled by. */
   std::shared_ptr<const RouteTable> mTable;
   CallTerms mTerms;
-  /** Digest of path, caller and body. */
-  std::string mDigest;
+  /** Hash of path, caller and body: the same for all attempts of a caller. */
+  std::uint64_t mHash = 0;
   /** Sends to endpoints so far, for the log. */
   std::uint32_t mSends = 0;
   /** First byte of the answer went to the caller; zero: not yet. */
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -61,15 +61,15 @@
                mRandom)
   , mStreams(aLoop, mClock, mScheduler)
   , mLog(mClock, mDirectory, mMetrics)
-  , mServices{ aLoop,     mClock,   aClient,  aProtocol, mDirectory,
-               mLoads,    mHealth,  mRetries, mGuard,    mAnswerLengths,
-               mSelector, mStreams, mLog }
+  , mServices{ aLoop,          mClock,    aClient,  aProtocol, mDirectory,
+               mLoads,         mHealth,   mRetries, mGuard,    mReturns,
+               mAnswerLengths, mSelector, mStreams, mLog }
   , mPeers(aLoop,
            mClock,
            mRandom,
            aStore,
            mSettings,
-           { mLoads, mRuns, mRetries, mGuard },
+           { mLoads, mRuns, mRetries, mGuard, mReturns },
            [this] { mStreams.Kick(); })
   , mConfigFollower(aLoop,
                     aStore,
@@ -214,11 +214,11 @@
   request->mNumber = mNextNumber++;
   request->mTerms.mArrival = aExchange->Arrival();
   request->mFacts = mProtocol.ReadRequest(aExchange->Request());
-  request->mDigest = DigestHex(absl::StrCat(aExchange->Request().mTarget,
-                                            "\n",
-                                            aExchange->Caller(),
-                                            "\n",
-                                            aExchange->Request().mBody));
+  request->mHash = Hash64(absl::StrCat(aExchange->Request().mTarget,
+                                       "\n",
+                                       aExchange->Caller(),
+                                       "\n",
+                                       aExchange->Request().mBody));
   request->mExchange = std::move(aExchange);
   mChain.Run(request);
 }
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -91,6 +91,7 @@
   EndpointHealth mHealth;
   RetryAllowance mRetries;
   CrashGuard mGuard;
+  ReturnTable mReturns;
   PlainSelector mSelector;
   StreamScheduler mScheduler;
   StreamDispatcher mStreams;
--- a/Source/Router/RouterFilters.cxx
+++ b/Source/Router/RouterFilters.cxx
@@ -77,7 +77,7 @@
 bool
 CrashFilter::Handle(const RoutedRequestPointer& aRequest)
 {
-  if (!mGuard.IsRefused(aRequest->mDigest, mServices.mClock.Now())) {
+  if (!mGuard.IsRefused(aRequest->mHash, mServices.mClock.Now())) {
     return true;
   }
   CallerSide(mServices, aRequest)
@@ -138,6 +138,8 @@
                                     terms.mTokens.mGuessedAnswer,
                                     terms.mTokens.mMaxAnswer);
   terms.mLastEventId = aRequest->mFacts.mLastEventId;
+  terms.mFirstArrival =
+    mServices.mReturns.FirstArrival(aRequest->mHash, aRequest->mTerms.mArrival);
   std::make_shared<StreamSession>(mServices, aRequest, std::move(terms))
     ->Start();
 }
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -13,6 +13,7 @@
 #include "Routing/EndpointLoads.h"
 #include "Routing/PlainSelector.h"
 #include "Routing/RetryAllowance.h"
+#include "Routing/ReturnTable.h"
 
 namespace bulrushfold {
 
@@ -30,6 +31,7 @@
   EndpointHealth& mHealth;
   RetryAllowance& mRetries;
   CrashGuard& mGuard;
+  ReturnTable& mReturns;
   AnswerLengths& mAnswerLengths;
   PlainSelector& mSelector;
   StreamDispatcher& mStreams;
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -28,6 +28,8 @@
 /** Longest wait of a stream that is late already. */
 constexpr Duration kLateWait = std::chrono::milliseconds(2500);
 constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
+/** Callers that come in a burst are asked back after it. */
+constexpr Duration kOverloadRetry = std::chrono::milliseconds(2500);
 /** Part of the expected answer that is reserved with the prompt. */
 constexpr double kReservedPart = 0.3;
 /** Time in which an idle engine answers a reservation. */
@@ -71,28 +73,42 @@
 StreamCall::Start(Instant aNow)
 {
   mRetries.OnRequest(mTerms.mCall.mService, aNow);
+  // A caller that came back does not come again.
+  if (!mTerms.mFirstArrival && !mPort.Admits(MakeDemand(aNow))) {
+    mState = StreamState::Over;
+    mPort.Refuse({ kUnavailable, RefusalReason::Overload, kOverloadRetry });
+    return;
+  }
   Submit(aNow);
 }
 
-void
-StreamCall::Submit(Instant aNow)
+StreamDemand
+StreamCall::MakeDemand(Instant aNow) const
 {
-  mState = StreamState::Waiting;
   StreamDemand demand;
   demand.mNumber = mTerms.mNumber;
   demand.mService = mTerms.mCall.mService;
   demand.mProfile = mTerms.mProfile;
   demand.mPromptTokens = mTerms.mTokens.mPrompt;
   demand.mAnswerTokens = mTerms.mAnswerTokens;
-  demand.mDue = mTerms.mCall.mArrival + mTerms.mCall.mRoute->mLatencyGoal;
+  demand.mMostTokens = mTerms.mTokens.mMaxAnswer;
+  demand.mDue = mTerms.mFirstArrival.value_or(mTerms.mCall.mArrival) +
+                mTerms.mCall.mRoute->mLatencyGoal;
   demand.mGiveUp =
     std::min(mTerms.mCall.mDeadline, mTerms.mCall.mArrival + kLateWait);
   if (mHasAnswer) {
     demand.mGiveUp = std::min(mTerms.mCall.mDeadline, aNow + kLateWait);
   }
   demand.mTried = mTried;
+  return demand;
+}
+
+void
+StreamCall::Submit(Instant aNow)
+{
+  mState = StreamState::Waiting;
   mPort.WakeAt(mTerms.mCall.mDeadline);
-  mPort.RequestPlacement(std::move(demand));
+  mPort.RequestPlacement(MakeDemand(aNow));
 }
 
 void
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -48,6 +48,8 @@
 public:
   virtual ~StreamCallPort() = default;
   // Scheduler.
+  /** False when a stream could not begin in time. */
+  virtual bool Admits(const StreamDemand& aDemand) = 0;
   virtual void RequestPlacement(StreamDemand aDemand) = 0;
   virtual void WithdrawPlacement() = 0;
   /** The prompt is computed or given up; zero: it failed. */
@@ -94,6 +96,8 @@
   std::uint64_t mAnswerTokens = 0;
   /** Last event that the caller already has. */
   std::string mLastEventId;
+  /** When the caller first came, if it was told to come back. */
+  std::optional<Instant> mFirstArrival;
 };
 
 /**
@@ -154,6 +158,7 @@
     bool mIsCopied = false;
   };
 
+  StreamDemand MakeDemand(Instant aNow) const;
   void Submit(Instant aNow);
   void StartPrefill(Instant aNow);
   void StartDecode(Instant aNow);
--- a/Source/Router/StreamDispatcher.h
+++ b/Source/Router/StreamDispatcher.h
@@ -29,6 +29,10 @@
                    const Clock& aClock,
                    StreamScheduler& aScheduler);
 
+  bool Admits(const StreamDemand& aDemand)
+  {
+    return mScheduler.Admits(aDemand, mClock.Now());
+  }
   /** aStream stays known until Forget. */
   void Submit(StreamDemand aDemand, DispatchedStream& aStream);
   void Withdraw(std::uint64_t aNumber);
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -36,6 +36,12 @@
   mCall.Start(mServices.mClock.Now());
 }
 
+bool
+StreamSession::Admits(const StreamDemand& aDemand)
+{
+  return mServices.mStreams.Admits(aDemand);
+}
+
 void
 StreamSession::RequestPlacement(StreamDemand aDemand)
 {
@@ -135,9 +141,9 @@
     mServices.mDirectory.OnOtherAnswered(mEndpoint);
   }
   if (end == SendEnd::Answered) {
-    mServices.mGuard.OnAnswered(mRequest->mDigest);
+    mServices.mGuard.OnAnswered(mRequest->mHash);
   } else if (aReply.mResult == HttpCallResult::ConnectionLost) {
-    mServices.mGuard.OnLost(mRequest->mDigest, mServices.mClock.Now());
+    mServices.mGuard.OnLost(mRequest->mHash, mServices.mClock.Now());
   }
   NoteSendEnd(health,
               end == SendEnd::Unknown ? HttpCallResultName(aReply.mResult)
@@ -432,6 +438,14 @@
 void
 StreamSession::Refuse(const Refusal& aRefusal)
 {
+  if (aRefusal.mRetryAfter > Duration::zero()) {
+    const Instant now = mServices.mClock.Now();
+    mServices.mReturns.OnTurnedAway(
+      mRequest->mHash,
+      mServices.mReturns.FirstArrival(mRequest->mHash, now)
+        .value_or(mRequest->mTerms.mArrival),
+      now);
+  }
   mCaller.Refuse(aRefusal, mEndpoint);
   Close();
 }
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -26,6 +26,7 @@
   void Start();
 
 private:
+  bool Admits(const StreamDemand& aDemand) override;
   void RequestPlacement(StreamDemand aDemand) override;
   void WithdrawPlacement() override;
   void ReleasePrefill(Duration aTook) override;
--- a/Source/Routing/AnswerLengths.cxx
+++ b/Source/Routing/AnswerLengths.cxx
@@ -11,7 +11,7 @@
 /** Answers of which the mean is taken; older ones fade. */
 constexpr std::uint32_t kMemory = 200;
 /** Weight of a caller's guess against the mean of the route. */
-constexpr double kGuessWeight = 0.5;
+constexpr double kGuessWeight = 0.4;
 /** Part of the most that is expected when nothing is known. */
 constexpr double kUnknownPart = 0.6;
 } // namespace
--- a/Source/Routing/CrashGuard.cxx
+++ b/Source/Routing/CrashGuard.cxx
@@ -13,24 +13,24 @@
 } // namespace
 
 void
-CrashGuard::OnLost(const std::string& aDigest, Instant aNow)
+CrashGuard::OnLost(std::uint64_t aHash, Instant aNow)
 {
   if (mOwn.size() >= kMaxEntries) {
     Expire(aNow);
   }
-  if (mOwn.size() < kMaxEntries || mOwn.count(aDigest) > 0) {
-    Entry& entry = mOwn[aDigest];
+  if (mOwn.size() < kMaxEntries || mOwn.count(aHash) > 0) {
+    Entry& entry = mOwn[aHash];
     ++entry.mLosses;
     entry.mLastAt = aNow;
   }
 }
 
 bool
-CrashGuard::IsRefused(const std::string& aDigest, Instant aNow) const
+CrashGuard::IsRefused(std::uint64_t aHash, Instant aNow) const
 {
   std::uint32_t losses = 0;
   const auto add = [&](const Entries& aEntries) {
-    const auto it = aEntries.find(aDigest);
+    const auto it = aEntries.find(aHash);
     if (it != aEntries.end() && aNow - it->second.mLastAt < kLifetime) {
       losses += it->second.mLosses;
     }
@@ -50,7 +50,7 @@
   Entries& entries = mPeers[aPeer];
   entries.clear();
   for (const auto& it : aSuspects) {
-    entries[it.mDigest] = { it.mLosses, aNow - it.mAge };
+    entries[it.mHash] = { it.mLosses, aNow - it.mAge };
   }
 }
 
@@ -58,9 +58,9 @@
 CrashGuard::OwnSuspects(Instant aNow) const
 {
   std::vector<CrashSuspect> suspects;
-  for (const auto& [digest, entry] : mOwn) {
+  for (const auto& [hash, entry] : mOwn) {
     if (aNow - entry.mLastAt < kLifetime) {
-      suspects.push_back({ digest, entry.mLosses, aNow - entry.mLastAt });
+      suspects.push_back({ hash, entry.mLosses, aNow - entry.mLastAt });
     }
   }
   std::sort(suspects.begin(),
--- a/Source/Routing/CrashGuard.h
+++ b/Source/Routing/CrashGuard.h
@@ -13,8 +13,8 @@
 /** A request that was running when its endpoint broke the connection. */
 struct CrashSuspect
 {
-  /** Digest of path, caller and body. */
-  std::string mDigest;
+  /** Hash of path, caller and body. */
+  std::uint64_t mHash = 0;
   /** Broken runs that one daemon saw. */
   std::uint32_t mLosses = 0;
   /** Time since the last of them. */
@@ -32,10 +32,10 @@
   static constexpr std::uint32_t kLossLimit = 3;
 
   /** An endpoint broke the connection while it ran the request. */
-  void OnLost(const std::string& aDigest, Instant aNow);
+  void OnLost(std::uint64_t aHash, Instant aNow);
   /** An endpoint answered the request, so it does not crash endpoints. */
-  void OnAnswered(const std::string& aDigest) { mOwn.erase(aDigest); }
-  bool IsRefused(const std::string& aDigest, Instant aNow) const;
+  void OnAnswered(std::uint64_t aHash) { mOwn.erase(aHash); }
+  bool IsRefused(std::uint64_t aHash, Instant aNow) const;
 
   /** Replaces what aPeer told before. */
   void SetPeer(const std::string& aPeer,
@@ -53,7 +53,7 @@
     std::uint32_t mLosses = 0;
     Instant mLastAt;
   };
-  using Entries = std::map<std::string, Entry>;
+  using Entries = std::map<std::uint64_t, Entry>;
 
   Entries mOwn;
   std::map<std::string, Entries> mPeers;
--- a/Source/Routing/MemoryForecast.cxx
+++ b/Source/Routing/MemoryForecast.cxx
@@ -8,20 +8,24 @@
 namespace {
 /** Standard deviation of the logarithm of an answer's length around what is
  * expected. */
-constexpr double kLengthSpread = 0.4;
+constexpr double kLengthSpread = 0.43;
 /** Points in time at which a peak is looked for, and their distance. */
 constexpr int kPeakPoints = 9;
 constexpr Duration kPeakStep = std::chrono::milliseconds(350);
 
-/** Probability that an answer is longer than aTokens. */
+/** Probability that the answer of aRun is longer than aTokens. */
 double
-LongerThan(double aTokens, double aExpected)
+LongerThan(double aTokens, const StreamRun& aRun)
 {
   if (aTokens <= 1) {
     return 1;
   }
-  const double distance =
-    std::log(aTokens / std::max(aExpected, 1.0)) / kLengthSpread;
+  if (aTokens >= static_cast<double>(aRun.mMostTokens)) {
+    return 0;
+  }
+  const double expected =
+    std::max(static_cast<double>(aRun.mAnswerTokens), 1.0);
+  const double distance = std::log(aTokens / expected) / kLengthSpread;
   return 0.5 * std::erfc(distance / std::sqrt(2.0));
 }
 } // namespace
@@ -48,11 +52,13 @@
   double variance = 0;
   const double growth = ToMilliseconds(aAhead) * mRate;
   for (const StreamRun* it : aRuns) {
-    const double generated = Generated(*it, aNow);
-    const double expected = static_cast<double>(it->mAnswerTokens);
-    const double now = std::max(LongerThan(generated, expected), 1e-9);
+    // A run that is there has not reached its last token.
+    const double generated =
+      std::min(Generated(*it, aNow),
+               std::max(static_cast<double>(it->mMostTokens) - 1, 0.0));
+    const double now = std::max(LongerThan(generated, *it), 1e-9);
     const double alive =
-      std::min(1.0, LongerThan(generated + growth, expected) / now);
+      std::min(1.0, LongerThan(generated + growth, *it) / now);
     const double size =
       static_cast<double>(it->mPromptTokens) + generated + growth;
     need.mMean += alive * size;
--- /dev/null
+++ b/Source/Routing/StreamAdmission.cxx
@@ -0,0 +1,44 @@
+#include "Routing/StreamAdmission.h"
+
+#include <algorithm>
+
+namespace bulrushfold {
+
+namespace {
+/** Time over which the rate of placements is taken. */
+constexpr Duration kRateWindow = std::chrono::milliseconds(1500);
+/** Streams may always wait in this number: a rate taken from fewer placements
+ * says little. */
+constexpr std::size_t kAlwaysWaiting = 1;
+} // namespace
+
+void
+StreamAdmission::Expire(Instant aNow)
+{
+  while (!mPlacements.empty() && aNow - mPlacements.front() > kRateWindow) {
+    mPlacements.pop_front();
+  }
+}
+
+void
+StreamAdmission::OnPlaced(Instant aNow)
+{
+  mPlacements.push_back(aNow);
+  Expire(aNow);
+}
+
+Duration
+StreamAdmission::ExpectedWait(std::size_t aWaiting, Instant aNow)
+{
+  Expire(aNow);
+  const std::size_t placed = std::max<std::size_t>(mPlacements.size(), 1);
+  return kRateWindow * static_cast<int>(aWaiting) / static_cast<int>(placed);
+}
+
+bool
+StreamAdmission::Admits(std::size_t aWaiting, Duration aLeft, Instant aNow)
+{
+  return aWaiting <= kAlwaysWaiting || ExpectedWait(aWaiting, aNow) <= aLeft;
+}
+
+} // namespace bulrushfold
--- a/Source/Routing/StreamRuns.h
+++ b/Source/Routing/StreamRuns.h
@@ -22,6 +22,8 @@
   std::uint64_t mPromptTokens = 0;
   /** Expected length of the whole answer. */
   std::uint64_t mAnswerTokens = 0;
+  /** Length at which the answer ends in any case. */
+  std::uint64_t mMostTokens = 0;
   /** When the engine began to generate; empty before. */
   std::optional<Instant> mStartedAt;
 };
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -12,7 +12,7 @@
 /** Part of an engine's memory that is given away; blocks are not filled. */
 constexpr double kMemoryPart = 0.97;
 /** Standard deviations above the expected need that must fit. */
-constexpr double kNeedDeviations = 1.8;
+constexpr double kNeedDeviations = 2.0;
 /** An engine is relieved if it is expected to be full after this time, */
 constexpr Duration kMoveHorizon = std::chrono::milliseconds(300);
 /** with so many standard deviations above the expected need. */
@@ -33,6 +33,9 @@
 constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
 /** Prefill rate assumed before the first one ended. */
 constexpr double kFirstTokensPerMillisecond = 40;
+/** Time from a placement to the first event, without the prefill: reservation,
+ * transfer and the first token, with room for a prompt that is read before. */
+constexpr Duration kStartTime = std::chrono::milliseconds(140);
 /** Weight of a new reading of the prefill rate. */
 constexpr double kRateWeight = 0.1;
 /** Costs below are in units of a full engine. */
@@ -87,11 +90,28 @@
                      1000);
 }
 
+Instant
+StreamScheduler::LatestStart(const StreamDemand& aDemand) const
+{
+  return aDemand.mDue - kStartTime - PrefillTime(aDemand.mPromptTokens);
+}
+
+bool
+StreamScheduler::Admits(const StreamDemand& aDemand, Instant aNow)
+{
+  const auto waiting =
+    std::count_if(mWaiting.begin(), mWaiting.end(), [&](const auto& aIt) {
+      return aNow <= LatestStart(aIt);
+    });
+  return mAdmission.Admits(
+    static_cast<std::size_t>(waiting), LatestStart(aDemand) - aNow, aNow);
+}
+
 std::list<StreamDemand>::iterator
 StreamScheduler::Next(Instant aNow)
 {
   const auto isLate = [&](const StreamDemand& aDemand) {
-    return aNow + PrefillTime(aDemand.mPromptTokens) > aDemand.mDue;
+    return aNow > LatestStart(aDemand);
   };
   return std::min_element(mWaiting.begin(),
                           mWaiting.end(),
@@ -114,6 +134,7 @@
       break;
     }
     Hold(*it, *placement);
+    mAdmission.OnPlaced(aNow);
     placements.push_back(std::move(*placement));
     mWaiting.erase(it);
   }
@@ -165,6 +186,7 @@
   StreamRun candidate;
   candidate.mPromptTokens = aDemand.mPromptTokens;
   candidate.mAnswerTokens = aDemand.mAnswerTokens;
+  candidate.mMostTokens = aDemand.mMostTokens;
   double bestCost = 0;
   const auto engines =
     mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
@@ -237,6 +259,7 @@
               aPlacement.mDecode,
               aDemand.mPromptTokens,
               aDemand.mAnswerTokens,
+              aDemand.mMostTokens,
               std::nullopt });
   Held& held = mPrefills[aDemand.mNumber];
   held.mEndpoint =
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -16,6 +16,7 @@
 #include "Routing/EndpointLoads.h"
 #include "Routing/MemoryForecast.h"
 #include "Routing/RoutingConfig.h"
+#include "Routing/StreamAdmission.h"
 #include "Routing/StreamRuns.h"
 
 namespace bulrushfold {
@@ -30,6 +31,8 @@
   std::uint64_t mPromptTokens = 0;
   /** Expected length of the answer. */
   std::uint64_t mAnswerTokens = 0;
+  /** Length at which the answer ends in any case. */
+  std::uint64_t mMostTokens = 0;
   /** The first event is late after this time. */
   Instant mDue;
   /** It leaves the queue unserved at this time. */
@@ -86,6 +89,9 @@
                   std::string aFailureDomain,
                   Random& aRandom);
 
+  /** False when aDemand could not begin in time, so that it should rather
+   * come back later. */
+  bool Admits(const StreamDemand& aDemand, Instant aNow);
   void Submit(StreamDemand aDemand);
   /** Removes a waiting stream; false when it does not wait. */
   bool Withdraw(std::uint64_t aNumber);
@@ -130,6 +136,8 @@
   /** Engine with room for aRun; empty when there is none. */
   std::string ChooseTarget(const StreamRun& aRun, Instant aNow) const;
   double MemoryOf(const std::string& aService) const;
+  /** Latest time at which aDemand must be placed to be on time. */
+  Instant LatestStart(const StreamDemand& aDemand) const;
   /** The waiting stream that goes next. */
   std::list<StreamDemand>::iterator Next(Instant aNow);
   std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
@@ -153,6 +161,7 @@
   std::string mFailureDomain;
   Random& mRandom;
   MemoryForecast mForecast;
+  StreamAdmission mAdmission;
   std::list<StreamDemand> mWaiting;
   std::map<std::uint64_t, Held> mPrefills;
   /** By service, from the latest demand. */
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -8,6 +8,8 @@
   3: required i32 promptTokens,
   // Expected length of the whole answer.
   4: required i32 answerTokens,
+  // Length at which the answer ends in any case.
+  6: required i32 mostTokens,
   // Milliseconds since the engine began to generate; -1: it has not.
   5: required i32 ageMs,
 }
@@ -29,11 +31,18 @@
 
 // A request whose endpoint broke the connection while it ran.
 struct CrashSuspect {
-  1: required string digest,
+  1: required i64 requestHash,
   2: required i32 losses,
   3: required i32 ageMs,
 }
 
+// A request that was told to come back.
+struct TurnedAway {
+  1: required i64 requestHash,
+  // Since it came first.
+  2: required i32 ageMs,
+}
+
 // ROUTING_STATUS: all that a daemon tells its peers; each message replaces the
 // one before.
 struct RoutingStatus {
@@ -45,4 +54,5 @@
   5: required bool isLeaving,
   // Where the sender takes messages, IPv4:PORT.
   6: required string address,
+  7: required list<TurnedAway> turnedAway,
 }
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -34,6 +34,10 @@
   this->answerTokens = val;
 }
 
+void StreamRun::__set_mostTokens(const int32_t val) {
+  this->mostTokens = val;
+}
+
 void StreamRun::__set_ageMs(const int32_t val) {
   this->ageMs = val;
 }
@@ -60,6 +64,7 @@
   bool isset_endpoint = false;
   bool isset_promptTokens = false;
   bool isset_answerTokens = false;
+  bool isset_mostTokens = false;
   bool isset_ageMs = false;
 
   while (true)
@@ -102,6 +107,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->mostTokens);
+          isset_mostTokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->ageMs);
@@ -127,6 +140,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_answerTokens)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_mostTokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_ageMs)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
@@ -157,6 +172,10 @@
   xfer += oprot->writeI32(this->ageMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("mostTokens", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->mostTokens);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -168,6 +187,7 @@
   swap(a.endpoint, b.endpoint);
   swap(a.promptTokens, b.promptTokens);
   swap(a.answerTokens, b.answerTokens);
+  swap(a.mostTokens, b.mostTokens);
   swap(a.ageMs, b.ageMs);
 }
 
@@ -176,6 +196,7 @@
   endpoint = other0.endpoint;
   promptTokens = other0.promptTokens;
   answerTokens = other0.answerTokens;
+  mostTokens = other0.mostTokens;
   ageMs = other0.ageMs;
 }
 StreamRun& StreamRun::operator=(const StreamRun& other1) {
@@ -183,6 +204,7 @@
   endpoint = other1.endpoint;
   promptTokens = other1.promptTokens;
   answerTokens = other1.answerTokens;
+  mostTokens = other1.mostTokens;
   ageMs = other1.ageMs;
   return *this;
 }
@@ -193,6 +215,7 @@
   out << ", " << "endpoint=" << to_string(endpoint);
   out << ", " << "promptTokens=" << to_string(promptTokens);
   out << ", " << "answerTokens=" << to_string(answerTokens);
+  out << ", " << "mostTokens=" << to_string(mostTokens);
   out << ", " << "ageMs=" << to_string(ageMs);
   out << ")";
 }
@@ -478,8 +501,8 @@
 }
 
 
-void CrashSuspect::__set_digest(const std::string& val) {
-  this->digest = val;
+void CrashSuspect::__set_requestHash(const int64_t val) {
+  this->requestHash = val;
 }
 
 void CrashSuspect::__set_losses(const int32_t val) {
@@ -508,7 +531,7 @@
 
   using ::apache::thrift::protocol::TProtocolException;
 
-  bool isset_digest = false;
+  bool isset_requestHash = false;
   bool isset_losses = false;
   bool isset_ageMs = false;
 
@@ -521,9 +544,9 @@
     switch (fid)
     {
       case 1:
-        if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->digest);
-          isset_digest = true;
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestHash);
+          isset_requestHash = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -553,7 +576,7 @@
 
   xfer += iprot->readStructEnd();
 
-  if (!isset_digest)
+  if (!isset_requestHash)
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_losses)
     throw TProtocolException(TProtocolException::INVALID_DATA);
@@ -567,8 +590,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("CrashSuspect");
 
-  xfer += oprot->writeFieldBegin("digest", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->digest);
+  xfer += oprot->writeFieldBegin("requestHash", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->requestHash);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("losses", ::apache::thrift::protocol::T_I32, 2);
@@ -586,18 +609,18 @@
 
 void swap(CrashSuspect &a, CrashSuspect &b) {
   using ::std::swap;
-  swap(a.digest, b.digest);
+  swap(a.requestHash, b.requestHash);
   swap(a.losses, b.losses);
   swap(a.ageMs, b.ageMs);
 }
 
-CrashSuspect::CrashSuspect(const CrashSuspect& other6) {
-  digest = other6.digest;
+CrashSuspect::CrashSuspect(const CrashSuspect& other6) noexcept {
+  requestHash = other6.requestHash;
   losses = other6.losses;
   ageMs = other6.ageMs;
 }
-CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other7) {
-  digest = other7.digest;
+CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other7) noexcept {
+  requestHash = other7.requestHash;
   losses = other7.losses;
   ageMs = other7.ageMs;
   return *this;
@@ -605,13 +628,128 @@
 void CrashSuspect::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "CrashSuspect(";
-  out << "digest=" << to_string(digest);
+  out << "requestHash=" << to_string(requestHash);
   out << ", " << "losses=" << to_string(losses);
   out << ", " << "ageMs=" << to_string(ageMs);
   out << ")";
 }
 
 
+TurnedAway::~TurnedAway() noexcept {
+}
+
+
+void TurnedAway::__set_requestHash(const int64_t val) {
+  this->requestHash = val;
+}
+
+void TurnedAway::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const TurnedAway& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TurnedAway::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_requestHash = false;
+  bool isset_ageMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestHash);
+          isset_requestHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          isset_ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_requestHash)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t TurnedAway::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TurnedAway");
+
+  xfer += oprot->writeFieldBegin("requestHash", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->requestHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TurnedAway &a, TurnedAway &b) {
+  using ::std::swap;
+  swap(a.requestHash, b.requestHash);
+  swap(a.ageMs, b.ageMs);
+}
+
+TurnedAway::TurnedAway(const TurnedAway& other8) noexcept {
+  requestHash = other8.requestHash;
+  ageMs = other8.ageMs;
+}
+TurnedAway& TurnedAway::operator=(const TurnedAway& other9) noexcept {
+  requestHash = other9.requestHash;
+  ageMs = other9.ageMs;
+  return *this;
+}
+void TurnedAway::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TurnedAway(";
+  out << "requestHash=" << to_string(requestHash);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
 RoutingStatus::~RoutingStatus() noexcept {
 }
 
@@ -639,6 +777,10 @@
 void RoutingStatus::__set_address(const std::string& val) {
   this->address = val;
 }
+
+void RoutingStatus::__set_turnedAway(const std::vector<TurnedAway> & val) {
+  this->turnedAway = val;
+}
 std::ostream& operator<<(std::ostream& out, const RoutingStatus& obj)
 {
   obj.printTo(out);
@@ -664,6 +806,7 @@
   bool isset_suspects = false;
   bool isset_isLeaving = false;
   bool isset_address = false;
+  bool isset_turnedAway = false;
 
   while (true)
   {
@@ -677,14 +820,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size8;
-            ::apache::thrift::protocol::TType _etype11;
-            xfer += iprot->readListBegin(_etype11, _size8);
-            this->runs.resize(_size8);
-            uint32_t _i12;
-            for (_i12 = 0; _i12 < _size8; ++_i12)
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _etype13;
+            xfer += iprot->readListBegin(_etype13, _size10);
+            this->runs.resize(_size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
             {
-              xfer += this->runs[_i12].read(iprot);
+              xfer += this->runs[_i14].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -697,14 +840,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size13;
-            ::apache::thrift::protocol::TType _etype16;
-            xfer += iprot->readListBegin(_etype16, _size13);
-            this->shares.resize(_size13);
-            uint32_t _i17;
-            for (_i17 = 0; _i17 < _size13; ++_i17)
+            uint32_t _size15;
+            ::apache::thrift::protocol::TType _etype18;
+            xfer += iprot->readListBegin(_etype18, _size15);
+            this->shares.resize(_size15);
+            uint32_t _i19;
+            for (_i19 = 0; _i19 < _size15; ++_i19)
             {
-              xfer += this->shares[_i17].read(iprot);
+              xfer += this->shares[_i19].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -717,14 +860,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retries.clear();
-            uint32_t _size18;
-            ::apache::thrift::protocol::TType _etype21;
-            xfer += iprot->readListBegin(_etype21, _size18);
-            this->retries.resize(_size18);
-            uint32_t _i22;
-            for (_i22 = 0; _i22 < _size18; ++_i22)
+            uint32_t _size20;
+            ::apache::thrift::protocol::TType _etype23;
+            xfer += iprot->readListBegin(_etype23, _size20);
+            this->retries.resize(_size20);
+            uint32_t _i24;
+            for (_i24 = 0; _i24 < _size20; ++_i24)
             {
-              xfer += this->retries[_i22].read(iprot);
+              xfer += this->retries[_i24].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -737,14 +880,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size23;
-            ::apache::thrift::protocol::TType _etype26;
-            xfer += iprot->readListBegin(_etype26, _size23);
-            this->suspects.resize(_size23);
-            uint32_t _i27;
-            for (_i27 = 0; _i27 < _size23; ++_i27)
+            uint32_t _size25;
+            ::apache::thrift::protocol::TType _etype28;
+            xfer += iprot->readListBegin(_etype28, _size25);
+            this->suspects.resize(_size25);
+            uint32_t _i29;
+            for (_i29 = 0; _i29 < _size25; ++_i29)
             {
-              xfer += this->suspects[_i27].read(iprot);
+              xfer += this->suspects[_i29].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -769,6 +912,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->turnedAway.clear();
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->turnedAway.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
+            {
+              xfer += this->turnedAway[_i34].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_turnedAway = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -790,6 +953,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_address)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_turnedAway)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -801,10 +966,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<StreamRun> ::const_iterator _iter28;
-    for (_iter28 = this->runs.begin(); _iter28 != this->runs.end(); ++_iter28)
+    std::vector<StreamRun> ::const_iterator _iter35;
+    for (_iter35 = this->runs.begin(); _iter35 != this->runs.end(); ++_iter35)
     {
-      xfer += (*_iter28).write(oprot);
+      xfer += (*_iter35).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -813,10 +978,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<EndpointShare> ::const_iterator _iter29;
-    for (_iter29 = this->shares.begin(); _iter29 != this->shares.end(); ++_iter29)
+    std::vector<EndpointShare> ::const_iterator _iter36;
+    for (_iter36 = this->shares.begin(); _iter36 != this->shares.end(); ++_iter36)
     {
-      xfer += (*_iter29).write(oprot);
+      xfer += (*_iter36).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -825,10 +990,10 @@
   xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retries.size()));
-    std::vector<RetryUse> ::const_iterator _iter30;
-    for (_iter30 = this->retries.begin(); _iter30 != this->retries.end(); ++_iter30)
+    std::vector<RetryUse> ::const_iterator _iter37;
+    for (_iter37 = this->retries.begin(); _iter37 != this->retries.end(); ++_iter37)
     {
-      xfer += (*_iter30).write(oprot);
+      xfer += (*_iter37).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -837,10 +1002,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter31;
-    for (_iter31 = this->suspects.begin(); _iter31 != this->suspects.end(); ++_iter31)
+    std::vector<CrashSuspect> ::const_iterator _iter38;
+    for (_iter38 = this->suspects.begin(); _iter38 != this->suspects.end(); ++_iter38)
     {
-      xfer += (*_iter31).write(oprot);
+      xfer += (*_iter38).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -854,6 +1019,18 @@
   xfer += oprot->writeString(this->address);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("turnedAway", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->turnedAway.size()));
+    std::vector<TurnedAway> ::const_iterator _iter39;
+    for (_iter39 = this->turnedAway.begin(); _iter39 != this->turnedAway.end(); ++_iter39)
+    {
+      xfer += (*_iter39).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -867,23 +1044,26 @@
   swap(a.suspects, b.suspects);
   swap(a.isLeaving, b.isLeaving);
   swap(a.address, b.address);
+  swap(a.turnedAway, b.turnedAway);
 }
 
-RoutingStatus::RoutingStatus(const RoutingStatus& other32) {
-  runs = other32.runs;
-  shares = other32.shares;
-  retries = other32.retries;
-  suspects = other32.suspects;
-  isLeaving = other32.isLeaving;
-  address = other32.address;
-}
-RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other33) {
-  runs = other33.runs;
-  shares = other33.shares;
-  retries = other33.retries;
-  suspects = other33.suspects;
-  isLeaving = other33.isLeaving;
-  address = other33.address;
+RoutingStatus::RoutingStatus(const RoutingStatus& other40) {
+  runs = other40.runs;
+  shares = other40.shares;
+  retries = other40.retries;
+  suspects = other40.suspects;
+  isLeaving = other40.isLeaving;
+  address = other40.address;
+  turnedAway = other40.turnedAway;
+}
+RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other41) {
+  runs = other41.runs;
+  shares = other41.shares;
+  retries = other41.retries;
+  suspects = other41.suspects;
+  isLeaving = other41.isLeaving;
+  address = other41.address;
+  turnedAway = other41.turnedAway;
   return *this;
 }
 void RoutingStatus::printTo(std::ostream& out) const {
@@ -895,6 +1075,7 @@
   out << ", " << "suspects=" << to_string(suspects);
   out << ", " << "isLeaving=" << to_string(isLeaving);
   out << ", " << "address=" << to_string(address);
+  out << ", " << "turnedAway=" << to_string(turnedAway);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -29,6 +29,8 @@
 
 class CrashSuspect;
 
+class TurnedAway;
+
 class RoutingStatus;
 
 
@@ -42,6 +44,7 @@
               endpoint(),
               promptTokens(0),
               answerTokens(0),
+              mostTokens(0),
               ageMs(0) {
   }
 
@@ -50,6 +53,7 @@
   std::string endpoint;
   int32_t promptTokens;
   int32_t answerTokens;
+  int32_t mostTokens;
   int32_t ageMs;
 
   void __set_number(const int64_t val);
@@ -60,6 +64,8 @@
 
   void __set_answerTokens(const int32_t val);
 
+  void __set_mostTokens(const int32_t val);
+
   void __set_ageMs(const int32_t val);
 
   bool operator == (const StreamRun & rhs) const
@@ -72,6 +78,8 @@
       return false;
     if (!(answerTokens == rhs.answerTokens))
       return false;
+    if (!(mostTokens == rhs.mostTokens))
+      return false;
     if (!(ageMs == rhs.ageMs))
       return false;
     return true;
@@ -194,20 +202,20 @@
 class CrashSuspect : public virtual ::apache::thrift::TBase {
  public:
 
-  CrashSuspect(const CrashSuspect&);
-  CrashSuspect& operator=(const CrashSuspect&);
+  CrashSuspect(const CrashSuspect&) noexcept;
+  CrashSuspect& operator=(const CrashSuspect&) noexcept;
   CrashSuspect() noexcept
-               : digest(),
+               : requestHash(0),
                  losses(0),
                  ageMs(0) {
   }
 
   virtual ~CrashSuspect() noexcept;
-  std::string digest;
+  int64_t requestHash;
   int32_t losses;
   int32_t ageMs;
 
-  void __set_digest(const std::string& val);
+  void __set_requestHash(const int64_t val);
 
   void __set_losses(const int32_t val);
 
@@ -215,7 +223,7 @@
 
   bool operator == (const CrashSuspect & rhs) const
   {
-    if (!(digest == rhs.digest))
+    if (!(requestHash == rhs.requestHash))
       return false;
     if (!(losses == rhs.losses))
       return false;
@@ -240,6 +248,49 @@
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
 
 
+class TurnedAway : public virtual ::apache::thrift::TBase {
+ public:
+
+  TurnedAway(const TurnedAway&) noexcept;
+  TurnedAway& operator=(const TurnedAway&) noexcept;
+  TurnedAway() noexcept
+             : requestHash(0),
+               ageMs(0) {
+  }
+
+  virtual ~TurnedAway() noexcept;
+  int64_t requestHash;
+  int32_t ageMs;
+
+  void __set_requestHash(const int64_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const TurnedAway & rhs) const
+  {
+    if (!(requestHash == rhs.requestHash))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const TurnedAway &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const TurnedAway & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(TurnedAway &a, TurnedAway &b);
+
+std::ostream& operator<<(std::ostream& out, const TurnedAway& obj);
+
+
 class RoutingStatus : public virtual ::apache::thrift::TBase {
  public:
 
@@ -257,6 +308,7 @@
   std::vector<CrashSuspect>  suspects;
   bool isLeaving;
   std::string address;
+  std::vector<TurnedAway>  turnedAway;
 
   void __set_runs(const std::vector<StreamRun> & val);
 
@@ -270,6 +322,8 @@
 
   void __set_address(const std::string& val);
 
+  void __set_turnedAway(const std::vector<TurnedAway> & val);
+
   bool operator == (const RoutingStatus & rhs) const
   {
     if (!(runs == rhs.runs))
@@ -284,6 +338,8 @@
       return false;
     if (!(address == rhs.address))
       return false;
+    if (!(turnedAway == rhs.turnedAway))
+      return false;
     return true;
   }
   bool operator != (const RoutingStatus &rhs) const {
