Do not ask an endpoint again that refused the request

Change: PlainCall goes on only with an endpoint that has not refused the request; a process uses half of the slack in its first window.

--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -53,7 +53,12 @@
 PlainCall::Start(Instant aNow)
 {
   mRetries.OnRequest(mTerms.mService, aNow);
-  Dispatch(aNow);
+  const auto choice = mSelector.Choose(mTerms.mService, mTried, aNow);
+  if (choice && aNow < mTerms.mDeadline) {
+    Send(*choice, aNow);
+  } else {
+    Finish();
+  }
 }
 
 bool
@@ -67,27 +72,18 @@
 }
 
 void
-PlainCall::Dispatch(Instant aNow)
+PlainCall::Send(const EndpointChoice& aChoice, Instant aNow)
 {
-  if (aNow >= mTerms.mDeadline) {
-    Finish();
-    return;
-  }
-  const auto choice = mSelector.Choose(mTerms.mService, mTried, aNow);
-  if (!choice) {
-    Finish();
-    return;
-  }
   ++mSends;
-  mTried.insert(choice->mEndpoint);
+  mTried.insert(aChoice.mEndpoint);
   mIsSending = true;
   // A request that may run again is given up at its goal, because its endpoint
   // may never answer.
   const bool hasSecondTry = mTerms.mRoute->mKind == RequestKind::Idempotent &&
                             mRuns + 1 < mTerms.mRoute->mMaxAttempts &&
-                            choice->mCandidates > 1;
+                            aChoice.mCandidates > 1;
   const Instant giveUp = aNow + mTerms.mRoute->mLatencyGoal;
-  mPort.Send(*choice, mTerms.mDeadline);
+  mPort.Send(aChoice, mTerms.mDeadline);
   if (mIsSending) {
     mPort.WakeAt(hasSecondTry ? std::min(giveUp, mTerms.mDeadline)
                               : mTerms.mDeadline);
@@ -121,10 +117,16 @@
 {
   const bool isUseful = aNow + kLeastUsefulTime < mTerms.mDeadline &&
                         mSends < kMaxSends && MayRunAgain();
+  const auto choice = mSelector.Choose(mTerms.mService, mTried, aNow);
+  // An endpoint that refused the request is full; asking it again at once only
+  // adds to its load.
+  const bool hasOther = choice && !(IsCertainlyNotRun(mLastEnd) &&
+                                    mTried.count(choice->mEndpoint) > 0);
   // A send that reached nobody counts nowhere.
-  if (isUseful && (mLastEnd == SendEnd::NotSent ||
-                   mRetries.Take(mTerms.mService, 1, aNow))) {
-    Dispatch(aNow);
+  if (isUseful && hasOther &&
+      (mLastEnd == SendEnd::NotSent ||
+       mRetries.Take(mTerms.mService, 1, aNow))) {
+    Send(*choice, aNow);
     return;
   }
   Finish();
@@ -137,7 +139,9 @@
     return;
   }
   const bool isTimeout = aNow >= mTerms.mDeadline;
-  if (!isTimeout && !mRetries.Take(mTerms.mService, 1, aNow)) {
+  const auto choice = mSelector.Choose(mTerms.mService, mTried, aNow);
+  const bool hasOther = choice && mTried.count(choice->mEndpoint) == 0;
+  if (!isTimeout && (!hasOther || !mRetries.Take(mTerms.mService, 1, aNow))) {
     mPort.WakeAt(mTerms.mDeadline);
     return;
   }
@@ -148,7 +152,7 @@
   if (isTimeout) {
     FinishWith({ kGatewayTimeout, RefusalReason::Timeout, Duration::zero() });
   } else {
-    Dispatch(aNow);
+    Send(*choice, aNow);
   }
 }
 
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -103,8 +103,7 @@
   void OnWake(Instant aNow);
 
 private:
-  /** Sends the request to the best endpoint, or ends the call. */
-  void Dispatch(Instant aNow);
+  void Send(const EndpointChoice& aChoice, Instant aNow);
   /** Sends it again if that is allowed, else ends the call. */
   void Retry(Instant aNow);
   bool MayRunAgain() const;
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -51,7 +51,7 @@
   , mCodec(std::move(aCodec))
   , mDirectory(aSettings.mEndpointGrace)
   , mHealth(mRandom)
-  , mRetries(aSettings.mRetryBounds)
+  , mRetries(aSettings.mRetryBounds, mClock.Now())
   , mSelector(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
   , mScheduler(mDirectory,
                mLoads,
--- a/Source/Routing/RetryAllowance.cxx
+++ b/Source/Routing/RetryAllowance.cxx
@@ -9,6 +9,8 @@
 /** Part of the bound that is used; the rest covers the age of what is known
  * of the peers. */
 constexpr double kUsedPart = 0.9;
+/** Part of the slack that is used in the first window of a process. */
+constexpr double kFirstPart = 0.5;
 /** Sends that each peer may have made since it told of its use. */
 constexpr double kUnseenPerPeer = 1;
 } // namespace
@@ -60,11 +62,20 @@
   return Sum(aNow, kSteps);
 }
 
-RetryAllowance::RetryAllowance(const RetryBounds& aBounds)
+RetryAllowance::RetryAllowance(const RetryBounds& aBounds, Instant aStart)
   : mBounds(aBounds)
+  , mStart(aStart)
 {
 }
 
+double
+RetryAllowance::Slack(Instant aNow) const
+{
+  // What the process before this one used is not known.
+  return aNow - mStart < mBounds.mWindow ? kFirstPart * mBounds.mSlack
+                                         : mBounds.mSlack;
+}
+
 RetryAllowance::Use&
 RetryAllowance::UseOf(const std::string& aService)
 {
@@ -96,7 +107,7 @@
                             std::uint32_t aSends,
                             Instant aNow) const
 {
-  const double slack = mBounds.mSlack / static_cast<double>(mDaemons);
+  const double slack = Slack(aNow) / static_cast<double>(mDaemons);
   const double allowed =
     kUsedPart * (mBounds.mRatio * aUse.mRequests.AtLeast(aNow) + slack);
   return aUse.mRetries.AtMost(aNow) + aSends <= allowed;
@@ -121,7 +132,7 @@
     }
   }
   return retries + aSends <=
-         kUsedPart * (mBounds.mRatio * requests + mBounds.mSlack);
+         kUsedPart * (mBounds.mRatio * requests + Slack(aNow));
 }
 
 void
--- a/Source/Routing/RetryAllowance.h
+++ b/Source/Routing/RetryAllowance.h
@@ -64,7 +64,8 @@
 class RetryAllowance
 {
 public:
-  explicit RetryAllowance(const RetryBounds& aBounds);
+  /** aStart: start of the process. */
+  RetryAllowance(const RetryBounds& aBounds, Instant aStart);
 
   /** A request for aService arrived from a caller. */
   void OnRequest(const std::string& aService, Instant aNow);
@@ -98,7 +99,10 @@
                  std::uint32_t aSends,
                  Instant aNow) const;
 
+  double Slack(Instant aNow) const;
+
   RetryBounds mBounds;
+  Instant mStart;
   std::size_t mDaemons = 1;
   std::map<std::string, Use> mUses;
   std::map<std::string, RetryUses> mPeers;
--- a/Source/Routing/StreamAdmission.cxx
+++ b/Source/Routing/StreamAdmission.cxx
@@ -9,7 +9,9 @@
 constexpr Duration kRateWindow = std::chrono::milliseconds(1500);
 /** Streams may always wait in this number: a rate taken from fewer placements
  * says little. */
-constexpr std::size_t kAlwaysWaiting = 1;
+constexpr std::size_t kAlwaysWaiting = 0;
+/** Part of the time left that the expected wait may take. */
+constexpr double kUsablePart = 1.0;
 } // namespace
 
 void
@@ -38,7 +40,9 @@
 bool
 StreamAdmission::Admits(std::size_t aWaiting, Duration aLeft, Instant aNow)
 {
-  return aWaiting <= kAlwaysWaiting || ExpectedWait(aWaiting, aNow) <= aLeft;
+  return aWaiting <= kAlwaysWaiting ||
+         ToSeconds(ExpectedWait(aWaiting + 1, aNow)) <=
+           kUsablePart * ToSeconds(aLeft);
 }
 
 } // namespace bulrushfold
