Infer unknown use of engines from refused reservations

Cause: after all daemons lose power the engines go on with runs that no daemon tells of; a refused reservation says so, but was only waited out. Streams that come back after a restart were refused as new ones.

Change: what a refused engine must hold beyond the known runs counts for 3 s; in the first 4 s of a process every stream may wait; a stream that is resumed is late already.

--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -58,7 +58,8 @@
                mRuns,
                mHealth,
                aSettings.mFailureDomain,
-               mRandom)
+               mRandom,
+               mClock.Now())
   , mStreams(aLoop, mClock, mScheduler)
   , mLog(mClock, mDirectory, mMetrics)
   , mServices{ aLoop,          mClock,    aClient,  aProtocol, mDirectory,
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -129,10 +129,15 @@
   }
   mState = StreamState::Reserving;
   SetStallLimit(kReserveLimit, aNow);
-  mPort.Reserve(mPlacement.mDecode,
-                mTerms.mTokens.mPrompt +
-                  static_cast<std::uint64_t>(
-                    kReservedPart * static_cast<double>(mTerms.mAnswerTokens)));
+  mPort.Reserve(mPlacement.mDecode, ReservedTokens());
+}
+
+std::uint64_t
+StreamCall::ReservedTokens() const
+{
+  return mTerms.mTokens.mPrompt +
+         static_cast<std::uint64_t>(kReservedPart *
+                                    static_cast<double>(mTerms.mAnswerTokens));
 }
 
 void
@@ -154,7 +159,7 @@
     StartPrefill(aNow);
     return;
   }
-  mPort.NoteDecodeFull(mPlacement.mDecode);
+  mPort.NoteDecodeFull(mPlacement.mDecode, ReservedTokens());
   ReleaseAll();
   Retry(SendEnd::NotSent, 0, aNow);
 }
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -59,7 +59,8 @@
   virtual void ReleaseDecode() = 0;
   /** The whole answer came: events, and the time between first and last. */
   virtual void NoteAnswer(std::uint64_t aEvents, Duration aTook) = 0;
-  virtual void NoteDecodeFull(const std::string& aEndpoint) = 0;
+  virtual void NoteDecodeFull(const std::string& aEndpoint,
+                              std::uint64_t aTokens) = 0;
   /** The run is now counted at aEndpoint. */
   virtual void NoteMoved(const std::string& aEndpoint) = 0;
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
@@ -160,6 +161,7 @@
 
   StreamDemand MakeDemand(Instant aNow) const;
   void Submit(Instant aNow);
+  std::uint64_t ReservedTokens() const;
   void StartPrefill(Instant aNow);
   void StartDecode(Instant aNow);
   /** Takes the moved run up once it has stopped and its cache is known. */
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -83,9 +83,10 @@
 }
 
 void
-StreamDispatcher::OnDecodeFull(const std::string& aEndpoint)
+StreamDispatcher::OnDecodeFull(const std::string& aEndpoint,
+                               std::uint64_t aTokens)
 {
-  mScheduler.OnDecodeFull(aEndpoint, mClock.Now());
+  mScheduler.OnDecodeFull(aEndpoint, aTokens, mClock.Now());
 }
 
 void
--- a/Source/Router/StreamDispatcher.h
+++ b/Source/Router/StreamDispatcher.h
@@ -44,7 +44,7 @@
   void OnProgress(std::uint64_t aEvents,
                   std::uint32_t aTokensPerEvent,
                   Duration aTook);
-  void OnDecodeFull(const std::string& aEndpoint);
+  void OnDecodeFull(const std::string& aEndpoint, std::uint64_t aTokens);
   /** Something may have made room: places what can be placed, in a later
    * turn of the loop. */
   void Kick();
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -95,9 +95,10 @@
 }
 
 void
-StreamSession::NoteDecodeFull(const std::string& aEndpoint)
+StreamSession::NoteDecodeFull(const std::string& aEndpoint,
+                              std::uint64_t aTokens)
 {
-  mServices.mStreams.OnDecodeFull(aEndpoint);
+  mServices.mStreams.OnDecodeFull(aEndpoint, aTokens);
 }
 
 void
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -33,7 +33,8 @@
   void NoteStarted() override;
   void ReleaseDecode() override;
   void NoteAnswer(std::uint64_t aEvents, Duration aTook) override;
-  void NoteDecodeFull(const std::string& aEndpoint) override;
+  void NoteDecodeFull(const std::string& aEndpoint,
+                      std::uint64_t aTokens) override;
   void NoteMoved(const std::string& aEndpoint) override;
   bool IsUsable(const std::string& aEndpoint) const override;
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override;
--- a/Source/Routing/StreamAdmission.cxx
+++ b/Source/Routing/StreamAdmission.cxx
@@ -10,6 +10,9 @@
 /** Streams may always wait in this number: a rate taken from fewer placements
  * says little. */
 constexpr std::size_t kAlwaysWaiting = 0;
+/** After a start callers come back whom an earlier process served; they are
+ * not known, and do not come a third time. */
+constexpr Duration kSettlingTime = std::chrono::seconds(4);
 /** Part of the time left that the expected wait may take. */
 constexpr double kUsablePart = 1.0;
 } // namespace
@@ -40,7 +43,7 @@
 bool
 StreamAdmission::Admits(std::size_t aWaiting, Duration aLeft, Instant aNow)
 {
-  return aWaiting <= kAlwaysWaiting ||
+  return aNow - mStart < kSettlingTime || aWaiting <= kAlwaysWaiting ||
          ToSeconds(ExpectedWait(aWaiting + 1, aNow)) <=
            kUsablePart * ToSeconds(aLeft);
 }
--- a/Source/Routing/StreamAdmission.h
+++ b/Source/Routing/StreamAdmission.h
@@ -17,6 +17,12 @@
 class StreamAdmission
 {
 public:
+  /** aStart: start of the process. */
+  explicit StreamAdmission(Instant aStart)
+    : mStart(aStart)
+  {
+  }
+
   void OnPlaced(Instant aNow);
   /**
    * aWaiting: streams of this daemon that wait and can still be on time.
@@ -29,6 +35,7 @@
 private:
   void Expire(Instant aNow);
 
+  Instant mStart;
   /** Placements of the last moments. */
   std::deque<Instant> mPlacements;
 };
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -29,6 +29,8 @@
 constexpr std::uint64_t kLeastEvents = 5;
 /** Time for which an engine that had no room is left alone. */
 constexpr Duration kFullTime = std::chrono::milliseconds(60);
+/** Time in which runs that no daemon tells of end. */
+constexpr Duration kUnknownTime = std::chrono::seconds(3);
 /** Interval of attempts while streams wait and nothing else happens. */
 constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
 /** Prefill rate assumed before the first one ended. */
@@ -50,7 +52,8 @@
                                  StreamRuns& aRuns,
                                  const EndpointHealth& aHealth,
                                  std::string aFailureDomain,
-                                 Random& aRandom)
+                                 Random& aRandom,
+                                 Instant aStart)
   : mDirectory(aDirectory)
   , mLoads(aLoads)
   , mRuns(aRuns)
@@ -58,6 +61,7 @@
   , mFailureDomain(std::move(aFailureDomain))
   , mRandom(aRandom)
   , mForecast(kFirstGrowth)
+  , mAdmission(aStart)
   , mTokensPerMillisecond(kFirstTokensPerMillisecond)
 {
 }
@@ -197,7 +201,8 @@
     const auto full = mFullUntil.find(it->mId);
     const bool isBlocked = full != mFullUntil.end() && aNow < full->second;
     runs.push_back(&candidate);
-    const double peak = mForecast.Peak(runs, kNeedDeviations, aNow);
+    const double peak = mForecast.Peak(runs, kNeedDeviations, aNow) +
+                        UnknownTokens(it->mId, aNow);
     // A request that exceeds an empty engine is the engine's to refuse.
     const bool hasRoom = before == 0 || peak <= memory;
     if (before >= it->mSlots || !hasRoom || isBlocked ||
@@ -364,7 +369,8 @@
       continue;
     }
     runs.push_back(&aRun);
-    const double peak = mForecast.Peak(runs, kTargetDeviations, aNow);
+    const double peak = mForecast.Peak(runs, kTargetDeviations, aNow) +
+                        UnknownTokens(it->mId, aNow);
     if (peak < bestPeak) {
       bestPeak = peak;
       best = it->mId;
@@ -411,9 +417,33 @@
 }
 
 void
-StreamScheduler::OnDecodeFull(const std::string& aEndpoint, Instant aNow)
+StreamScheduler::OnDecodeFull(const std::string& aEndpoint,
+                              std::uint64_t aTokens,
+                              Instant aNow)
 {
   mFullUntil[aEndpoint] = aNow + kFullTime;
+  const EndpointRecord* engine = mDirectory.Find(aEndpoint);
+  if (engine == nullptr) {
+    return;
+  }
+  const double known =
+    mForecast.NeedAfter(mRuns.At(aEndpoint), Duration::zero(), aNow).mMean;
+  const double unknown =
+    MemoryOf(engine->mService) - known - static_cast<double>(aTokens);
+  if (unknown > UnknownTokens(aEndpoint, aNow)) {
+    mUnknown[aEndpoint] = { unknown, aNow };
+  }
+}
+
+double
+StreamScheduler::UnknownTokens(const std::string& aEndpoint, Instant aNow) const
+{
+  const auto it = mUnknown.find(aEndpoint);
+  if (it == mUnknown.end()) {
+    return 0;
+  }
+  const double age = ToSeconds(aNow - it->second.mSeenAt);
+  return it->second.mTokens * std::max(0.0, 1 - age / ToSeconds(kUnknownTime));
 }
 
 std::optional<Instant>
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -87,7 +87,8 @@
                   StreamRuns& aRuns,
                   const EndpointHealth& aHealth,
                   std::string aFailureDomain,
-                  Random& aRandom);
+                  Random& aRandom,
+                  Instant aStart);
 
   /** False when aDemand could not begin in time, so that it should rather
    * come back later. */
@@ -113,8 +114,10 @@
   void OnProgress(std::uint64_t aEvents,
                   std::uint32_t aTokensPerEvent,
                   Duration aTook);
-  /** aEndpoint had no room for a reservation. */
-  void OnDecodeFull(const std::string& aEndpoint, Instant aNow);
+  /** aEndpoint had no room to reserve aTokens. */
+  void OnDecodeFull(const std::string& aEndpoint,
+                    std::uint64_t aTokens,
+                    Instant aNow);
 
   /** When Dispatch or TakeExpired may have something to do. */
   std::optional<Instant> NextWake(Instant aNow) const;
@@ -168,6 +171,17 @@
   std::map<std::string, EngineProfile> mProfiles;
   /** Moves from an engine in the last moments, to see their effect first. */
   std::map<std::string, Instant> mMovedAt;
+  /** Memory of an engine that is used although no daemon tells of it: by runs
+   * of a daemon that died or is cut off. */
+  struct UnknownUse
+  {
+    double mTokens = 0;
+    Instant mSeenAt;
+  };
+  double UnknownTokens(const std::string& aEndpoint, Instant aNow) const;
+
+  /** By engine that refused a reservation. */
+  std::map<std::string, UnknownUse> mUnknown;
   /** Engines that refused a reservation, until when they are left alone. */
   std::map<std::string, Instant> mFullUntil;
   /** Learned from prefills that ended. */
