Start the streams first that use memory for the shortest time

Cause: in bursts decode memory is the limit, and a short stream gives as much benefit for a fraction of it.

Change: among the streams that can still be on time the one with the least expected memory times duration goes first.

--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -94,6 +94,13 @@
                      1000);
 }
 
+double
+MemoryTime(const StreamDemand& aDemand)
+{
+  const double answer = static_cast<double>(aDemand.mAnswerTokens);
+  return (static_cast<double>(aDemand.mPromptTokens) + answer / 2) * answer;
+}
+
 Instant
 StreamScheduler::LatestStart(const StreamDemand& aDemand) const
 {
@@ -122,8 +129,9 @@
                           [&](const auto& aLeft, const auto& aRight) {
                             const bool left = isLate(aLeft);
                             const bool right = isLate(aRight);
-                            return left != right ? right
-                                                 : aLeft.mDue < aRight.mDue;
+                            return left != right
+                                     ? right
+                                     : MemoryTime(aLeft) < MemoryTime(aRight);
                           });
 }
 
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -41,6 +41,10 @@
   std::set<std::string> mTried;
 };
 
+/** Memory that aDemand is expected to use, times the tokens for which it does.
+ */
+double MemoryTime(const StreamDemand& aDemand);
+
 /** Engines for a stream. */
 struct StreamPlacement
 {
