--- a/Source/Routing/StreamAdmission.cxx
+++ b/Source/Routing/StreamAdmission.cxx
@@ -14,7 +14,7 @@
  * not known, and do not come a third time. */
 constexpr Duration kSettlingTime = std::chrono::seconds(4);
 /** Part of the time left that the expected wait may take. */
-constexpr double kUsablePart = 1.0;
+constexpr double kUsablePart = 1.5;
 } // namespace
 
 void
