Change the roles of engines so that both pools carry the same rate

Cause: decode memory limits both deployments in bursts (17 and 12.5 streams a second) while their prefill engines could compute 31.

Change: RoleBalance compares the rates that the pools carry with the present streams; the first live daemon orders an engine to the other pool under a lease in the store (OrderLease, now wired), with the lease's version as fencing number and the engine's count of orders; daemons tell each other of engines that change. Time is CLOCK_BOOTTIME, so that leases also run out while the machine is suspended.

--- a/Source/Base/Clock.cxx
+++ b/Source/Base/Clock.cxx
@@ -1,6 +1,7 @@
 #include "Base/Clock.h"
 
 #include <cmath>
+#include <ctime>
 
 namespace bulrushfold {
 
@@ -15,8 +16,12 @@
 Instant
 SystemClock::Now() const
 {
-  return std::chrono::time_point_cast<Duration>(
-    std::chrono::steady_clock::now());
+  // Unlike the steady clock of the library, this one counts the time for which
+  // the machine was suspended, in which leases and deadlines run out.
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Instant(std::chrono::duration_cast<Duration>(
+    std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec)));
 }
 
 WallTime
--- a/Source/Bench/PolicyRouter.cxx
+++ b/Source/Bench/PolicyRouter.cxx
@@ -130,11 +130,6 @@
 {
 }
 
-void
-PolicyRouter::Do(std::size_t, const ChangeRoleAction&)
-{
-}
-
 void
 PolicyRouter::Do(std::size_t aDaemon, const ReserveAction& aAction)
 {
--- a/Source/Bench/PolicyRouter.h
+++ b/Source/Bench/PolicyRouter.h
@@ -56,7 +56,6 @@
   void Do(std::size_t aDaemon, const StartTransferAction& aAction);
   void Do(std::size_t aDaemon, const StartDecodeAction& aAction);
   void Do(std::size_t aDaemon, const CancelAction& aAction);
-  void Do(std::size_t aDaemon, const ChangeRoleAction& aAction);
   EngineWork WorkOf(const std::string& aRequest, std::uint32_t aAttempt) const;
   FakeEngine::FailHook FailHook(std::size_t aDaemon,
                                 const std::string& aRequest,
--- a/Source/Cluster/EndpointCancels.h
+++ b/Source/Cluster/EndpointCancels.h
@@ -10,7 +10,7 @@
 
 #include "Base/Clock.h"
 #include "Cluster/Membership.h"
-#include "Cluster/OrderLease.h"
+#include "Routing/OrderLease.h"
 
 namespace bulrushfold {
 
--- a/Source/Cluster/EndpointOrders.h
+++ b/Source/Cluster/EndpointOrders.h
@@ -12,7 +12,7 @@
 
 #include "Base/Clock.h"
 #include "Cluster/Configuration.h"
-#include "Cluster/OrderLease.h"
+#include "Routing/OrderLease.h"
 
 namespace bulrushfold {
 
--- a/Source/Daemon/RoutingController.cxx
+++ b/Source/Daemon/RoutingController.cxx
@@ -181,15 +181,6 @@
   Cancel(aAction.mRequest, aAction.mAttempt, aAction.mEndpoint);
 }
 
-void
-RoutingController::Do(const ChangeRoleAction& aAction)
-{
-  LogEvent(LogLevel::Info,
-           "role_change_wanted",
-           { { "endpoint", aAction.mEndpoint },
-             { "role", std::string(EngineRoleName(aAction.mRole)) } });
-}
-
 void
 RoutingController::Cancel(const std::string& aRequest,
                           std::uint32_t aAttempt,
--- a/Source/Daemon/RoutingController.h
+++ b/Source/Daemon/RoutingController.h
@@ -74,7 +74,6 @@
   void Do(const StartTransferAction& aAction);
   void Do(const StartDecodeAction& aAction);
   void Do(const CancelAction& aAction);
-  void Do(const ChangeRoleAction& aAction);
   RoutedRequest* Find(const std::string& aRequest) const;
 
   EventLoop& mLoop;
--- a/Source/Policy/PolicyTypes.h
+++ b/Source/Policy/PolicyTypes.h
@@ -251,13 +251,6 @@
   std::string mEndpoint;
 };
 
-/** Order an engine to change its role; only for the order holder. */
-struct ChangeRoleAction
-{
-  std::string mEndpoint;
-  EngineRole mRole = EngineRole::Both;
-};
-
 /** What the daemon must do. */
 using Action = std::variant<RejectAction,
                             QueueAction,
@@ -267,8 +260,7 @@
                             StartPrefillAction,
                             StartTransferAction,
                             StartDecodeAction,
-                            CancelAction,
-                            ChangeRoleAction>;
+                            CancelAction>;
 using Actions = std::vector<Action>;
 
 } // namespace bulrushfold
--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -57,6 +57,16 @@
   std::string mHandle;
 };
 
+/** What an engine says of itself. */
+struct EngineState
+{
+  EndpointRole mRole = EndpointRole::Decode;
+  /** An order is being carried out. */
+  bool mIsBusy = false;
+  /** Orders that the engine accepted since its start. */
+  std::uint64_t mOrdersAccepted = 0;
+};
+
 /** Terms of one send of a caller's request. */
 struct SendTerms
 {
@@ -110,6 +120,14 @@
     const EndpointRecord& aEndpoint,
     const std::string& aReservation) const = 0;
 
+  virtual HttpCallRequest State(const EndpointRecord& aEndpoint) const = 0;
+  /** aOrdersAccepted: the order is void if the engine accepted others since. */
+  virtual HttpCallRequest OrderRole(const EndpointRecord& aEndpoint,
+                                    EndpointRole aRole,
+                                    const std::string& aHolder,
+                                    std::uint64_t aFence,
+                                    std::uint64_t aOrdersAccepted) const = 0;
+
   // Answers of endpoints.
   virtual AnswerFacts ReadAnswer(int aStatus,
                                  const HttpHeaders& aHeaders) const = 0;
@@ -119,6 +137,8 @@
     const std::string& aBody) const = 0;
   virtual absl::StatusOr<std::string> ReadReservation(
     const std::string& aBody) const = 0;
+  virtual absl::StatusOr<EngineState> ReadState(
+    const std::string& aBody) const = 0;
 };
 
 } // namespace bulrushfold
--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -235,6 +235,9 @@
   mBeliefs.mRetries.SetPeer(aSender, std::move(status->mRetries));
   mBeliefs.mGuard.SetPeer(aSender, status->mSuspects, now);
   mBeliefs.mReturns.SetPeer(aSender, status->mTurnedAway, now);
+  for (const auto& [endpoint, order] : status->mRoleOrders) {
+    mBeliefs.mDirectory.OnRoleOrdered(endpoint, order, now);
+  }
   mOnNews();
 }
 
@@ -282,6 +285,7 @@
   status.mRetries = mBeliefs.mRetries.OwnUses(now);
   status.mSuspects = mBeliefs.mGuard.OwnSuspects(now);
   status.mTurnedAway = mBeliefs.mReturns.Own(now);
+  status.mRoleOrders = mBeliefs.mDirectory.RoleOrders(now);
   status.mIsLeaving = mIsLeaving;
   status.mAddress = mSettings.mPeerAddress;
   return status;
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -12,6 +12,7 @@
 #include "Router/PeerStatus.h"
 #include "Router/RouterSettings.h"
 #include "Router/WakeTimer.h"
+#include "Routing/EndpointDirectory.h"
 #include "Routing/PeerTable.h"
 
 namespace bulrushfold {
@@ -24,6 +25,7 @@
   RetryAllowance& mRetries;
   CrashGuard& mGuard;
   ReturnTable& mReturns;
+  EndpointDirectory& mDirectory;
 };
 
 /**
@@ -48,7 +50,12 @@
    * registry. A daemon that only begins to stop still has streams to tell of.
    */
   void Leave();
-  std::size_t Live() const { return mPeers.Live(); }
+  /** No live peer has a lower name. */
+  bool IsFirst() const { return mLinks && mPeers.IsFirst(mSettings.mName); }
+  /** "NAME/INCARNATION". */
+  std::string Id() const { return mSettings.mName + "/" + mIncarnation; }
+  /** Something else that peers should know changed. */
+  void MarkChanged();
 
 private:
   // Registry.
@@ -62,7 +69,6 @@
   void HandleStatus(const std::string& aSender, const std::string& aPayload);
   void Forget(const std::string& aName);
   void CountDaemons();
-  void MarkChanged();
   void Broadcast();
   PeerStatus MakeStatus() const;
   Duration LeastInterval() const;
--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -62,6 +62,13 @@
     request.ageMs = WholeMilliseconds(it.mAge);
     message.turnedAway.push_back(request);
   }
+  for (const auto& [endpoint, order] : aStatus.mRoleOrders) {
+    wire::RoleOrder item;
+    item.endpoint = endpoint;
+    item.isToDecode = order.mRole == EndpointRole::Decode;
+    item.leftMs = WholeMilliseconds(order.mUntil - aNow);
+    message.roleOrders.push_back(std::move(item));
+  }
   message.isLeaving = aStatus.mIsLeaving;
   message.address = FormatAddress(aStatus.mAddress);
   return EncodeThrift(message);
@@ -113,6 +120,12 @@
     status.mTurnedAway.push_back({ static_cast<std::uint64_t>(it.requestHash),
                                    std::chrono::milliseconds(it.ageMs) });
   }
+  for (const auto& it : message->roleOrders) {
+    status.mRoleOrders[it.endpoint] = {
+      it.isToDecode ? EndpointRole::Decode : EndpointRole::Prefill,
+      aNow + std::chrono::milliseconds(it.leftMs)
+    };
+  }
   return status;
 }
 
--- a/Source/Router/PeerStatus.h
+++ b/Source/Router/PeerStatus.h
@@ -1,12 +1,14 @@
 #ifndef BULRUSHFOLD_ROUTER_PEERSTATUS_H
 #define BULRUSHFOLD_ROUTER_PEERSTATUS_H
 
+#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "Base/Clock.h"
 #include "Routing/CrashGuard.h"
+#include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointLoads.h"
 #include "Routing/RetryAllowance.h"
 #include "Routing/ReturnTable.h"
@@ -24,6 +26,8 @@
   RetryUses mRetries;
   std::vector<CrashSuspect> mSuspects;
   std::vector<TurnedAway> mTurnedAway;
+  /** Engines that change their role. */
+  std::map<std::string, RoleOrder> mRoleOrders;
   /** The daemon ends now. */
   bool mIsLeaving = false;
   SocketAddress mAddress;
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -70,8 +70,30 @@
            mRandom,
            aStore,
            mSettings,
-           { mLoads, mRuns, mRetries, mGuard, mReturns },
-           [this] { mStreams.Kick(); })
+           { mLoads, mRuns, mRetries, mGuard, mReturns, mDirectory },
+           [this] {
+             ArmExpiry();
+             mStreams.Kick();
+           })
+  , mRoles(aLoop,
+           mClock,
+           aStore,
+           aClient,
+           aProtocol,
+           mDirectory,
+           RoleBalance(mDirectory, mLoads, mRuns),
+           mScheduler,
+           mSettings,
+           mPeers.Id(),
+           { [this] { return mTable; },
+             [this] { return mPeers.IsFirst() && !mStop.IsStopping(); },
+             [this](const std::string& aEndpoint, EndpointRole aRole) {
+               const Instant now = mClock.Now();
+               mDirectory.OnRoleOrdered(
+                 aEndpoint, { aRole, now + mSettings.mRoleChangeTime }, now);
+               mPeers.MarkChanged();
+               ArmExpiry();
+             } })
   , mConfigFollower(aLoop,
                     aStore,
                     mRandom,
@@ -111,6 +133,7 @@
               // A request that is read from now on would be cut.
               mCallerServer.StopListening();
               mCallerServer.CloseIdle();
+              mRoles.Stop();
               mPeers.Leave();
               mEndTimer = mLoop.After(kLeaveTime, [this] { mLoop.Stop(); });
             } })
@@ -158,6 +181,7 @@
   mConfigFollower.Start();
   mEndpointFollower.Start();
   mPeers.Start();
+  mRoles.Start();
   LogEvent(LogLevel::Info,
            "router_started",
            { { "name", mSettings.mName },
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -18,6 +18,7 @@
 #include "Router/EndpointProtocol.h"
 #include "Router/PeerController.h"
 #include "Router/RequestLog.h"
+#include "Router/RoleController.h"
 #include "Router/RouterFilters.h"
 #include "Router/RouterServices.h"
 #include "Router/RouterSettings.h"
@@ -98,6 +99,7 @@
   RequestLog mLog;
   RouterServices mServices;
   PeerController mPeers;
+  RoleController mRoles;
   std::shared_ptr<const RouteTable> mTable;
   bool mHasEndpoints = false;
   bool mWasReady = false;
--- a/Source/Router/RouterSettings.h
+++ b/Source/Router/RouterSettings.h
@@ -32,6 +32,10 @@
   std::string mEndpointPrefix;
   /** Objects of this product: one for each daemon. */
   std::string mDaemonPrefix;
+  /** Objects of this product: the holder of the orders of each service. */
+  std::string mOrderPrefix;
+  /** Longest time in which an engine changes its role. */
+  Duration mRoleChangeTime = std::chrono::seconds(12);
   std::size_t mMaxDescriptors = 1024;
   std::size_t mMemoryBytes = 128 * 1024 * 1024;
   RetryBounds mRetryBounds;
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -13,13 +13,15 @@
   { EndpointRole::Prefill, "prefill" },
   { EndpointRole::Decode, "decode" },
 } };
-constexpr EnumNames<EndpointChange, 7> kChangeNames{ {
+constexpr EnumNames<EndpointChange, 9> kChangeNames{ {
   { EndpointChange::Added, "added" },
   { EndpointChange::Restarted, "restarted" },
   { EndpointChange::Leaving, "leaving" },
   { EndpointChange::Returned, "returned" },
   { EndpointChange::InDoubt, "in_doubt" },
   { EndpointChange::Replaced, "replaced" },
+  { EndpointChange::ChangingRole, "changing_role" },
+  { EndpointChange::RoleChanged, "role_changed" },
   { EndpointChange::Gone, "gone" },
 } };
 } // namespace
@@ -73,7 +75,7 @@
     return;
   }
   if (it == mEntries.end()) {
-    mEntries[aRecord.mId] = { aRecord, std::nullopt, false };
+    mEntries[aRecord.mId] = { aRecord, std::nullopt, false, std::nullopt };
     mServices[aRecord.mService].push_back(aRecord.mId);
     mOnChange.emit(aRecord, EndpointChange::Added);
     if (aRecord.mIsDraining) {
@@ -91,6 +93,10 @@
   if (before.mIncarnation != aRecord.mIncarnation) {
     mOnChange.emit(aRecord, EndpointChange::Restarted);
   }
+  if (before.mRole != aRecord.mRole) {
+    it->second.mRoleOrder.reset();
+    mOnChange.emit(aRecord, EndpointChange::RoleChanged);
+  }
   if (aRecord.mIsDraining && !before.mIsDraining) {
     mOnChange.emit(aRecord, EndpointChange::Leaving);
   } else if (!aRecord.mIsDraining && (before.mIsDraining || wasMissing)) {
@@ -137,6 +143,36 @@
   }
 }
 
+void
+EndpointDirectory::OnRoleOrdered(const std::string& aId,
+                                 const RoleOrder& aOrder,
+                                 Instant aNow)
+{
+  // A peer may tell of an order that has taken effect already.
+  const auto it = mEntries.find(aId);
+  if (it == mEntries.end() || aOrder.mUntil <= aNow ||
+      it->second.mRecord.mRole == aOrder.mRole) {
+    return;
+  }
+  const bool isNew = !it->second.mRoleOrder;
+  it->second.mRoleOrder = aOrder;
+  if (isNew) {
+    mOnChange.emit(it->second.mRecord, EndpointChange::ChangingRole);
+  }
+}
+
+std::map<std::string, RoleOrder>
+EndpointDirectory::RoleOrders(Instant aNow) const
+{
+  std::map<std::string, RoleOrder> orders;
+  for (const auto& [id, entry] : mEntries) {
+    if (entry.mRoleOrder && entry.mRoleOrder->mUntil > aNow) {
+      orders[id] = *entry.mRoleOrder;
+    }
+  }
+  return orders;
+}
+
 bool
 EndpointDirectory::IsUsable(const std::string& aId) const
 {
@@ -154,7 +190,11 @@
 EndpointDirectory::Expire(Instant aNow)
 {
   std::vector<std::string> gone;
-  for (const auto& [id, entry] : mEntries) {
+  for (auto& [id, entry] : mEntries) {
+    if (entry.mRoleOrder && entry.mRoleOrder->mUntil <= aNow) {
+      entry.mRoleOrder.reset();
+      mOnChange.emit(entry.mRecord, EndpointChange::Returned);
+    }
     if (entry.mGoneAt && *entry.mGoneAt <= aNow) {
       gone.push_back(id);
     }
@@ -172,6 +212,9 @@
     if (entry.mGoneAt && (!next || *entry.mGoneAt < *next)) {
       next = entry.mGoneAt;
     }
+    if (entry.mRoleOrder && (!next || entry.mRoleOrder->mUntil < *next)) {
+      next = entry.mRoleOrder->mUntil;
+    }
   }
   return next;
 }
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -51,6 +51,14 @@
   }
 };
 
+/** A change of an endpoint's role that is being carried out. */
+struct RoleOrder
+{
+  EndpointRole mRole = EndpointRole::Decode;
+  /** Without effect by then the endpoint counts as it did before. */
+  Instant mUntil;
+};
+
 /** How the directory's belief of an endpoint changed. */
 enum class EndpointChange
 {
@@ -65,6 +73,9 @@
   InDoubt,
   /** Another endpoint answered at its address. */
   Replaced,
+  /** It was ordered to change its role and takes no new work until it has. */
+  ChangingRole,
+  RoleChanged,
   Gone,
 };
 
@@ -98,6 +109,12 @@
    * date. It is not used until the registry says something new of it.
    */
   void OnOtherAnswered(const std::string& aId);
+  /** aId was ordered to change its role. */
+  void OnRoleOrdered(const std::string& aId,
+                     const RoleOrder& aOrder,
+                     Instant aNow);
+  /** Endpoints that change their role. */
+  std::map<std::string, RoleOrder> RoleOrders(Instant aNow) const;
   /** The registry answers again after an outage. */
   void OnRegistryBack(Instant aNow);
   /** Drops entries whose grace period is over. */
@@ -125,10 +142,12 @@
     std::optional<Instant> mGoneAt;
     /** Another endpoint has its address. */
     bool mIsReplaced = false;
+    std::optional<RoleOrder> mRoleOrder;
   };
   static bool IsUsable(const Entry& aEntry)
   {
-    return !aEntry.mRecord.mIsDraining && !aEntry.mIsReplaced;
+    return !aEntry.mRecord.mIsDraining && !aEntry.mIsReplaced &&
+           !aEntry.mRoleOrder;
   }
   bool InGrace(Instant aNow) const { return aNow < mGraceEnds; }
   void Drop(const std::string& aId);
--- a/Source/Cluster/OrderLease.cxx
+++ b/Source/Routing/OrderLease.cxx
@@ -1,4 +1,4 @@
-#include "Cluster/OrderLease.h"
+#include "Routing/OrderLease.h"
 
 #include <algorithm>
 #include <utility>
--- a/Source/Routing/PeerTable.cxx
+++ b/Source/Routing/PeerTable.cxx
@@ -64,6 +64,14 @@
   return targets;
 }
 
+bool
+PeerTable::IsFirst(const std::string& aName) const
+{
+  return std::none_of(mPeers.begin(), mPeers.end(), [&](const auto& aIt) {
+    return aIt.second.mIsLive && aIt.first < aName;
+  });
+}
+
 std::size_t
 PeerTable::Live() const
 {
--- a/Source/Routing/PeerTable.h
+++ b/Source/Routing/PeerTable.h
@@ -49,6 +49,8 @@
   /** Peers to which a message goes now: the live ones, and those of the others
    * that are due for a trial, which this call notes as made. */
   std::vector<PeerAddress> TakeTargets(Instant aNow);
+  /** No live peer has a name before aName. */
+  bool IsFirst(const std::string& aName) const;
   /** Live peers. */
   std::size_t Live() const;
   /** Peers that are not forgotten. A silent one may be cut off from this
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -128,6 +128,10 @@
   std::size_t Waiting() const { return mWaiting.size(); }
   /** Placed streams of this daemon. */
   std::size_t Running() const { return mRuns.Own().size(); }
+  /** Tokens by which a run grows in a millisecond. */
+  double Growth() const { return mForecast.Rate(); }
+  /** Prompt tokens that a prefill engine computes in a millisecond. */
+  double PrefillRate() const { return mTokensPerMillisecond; }
   /** Expected time to compute a prompt on an idle engine. */
   Duration PrefillTime(std::uint64_t aTokens) const;
 
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -43,6 +43,15 @@
   2: required i32 ageMs,
 }
 
+// An engine that was ordered to change its role.
+struct RoleOrder {
+  1: required string endpoint,
+  // True: from prefill to decode.
+  2: required bool isToDecode,
+  // Time until the change should be done.
+  3: required i32 leftMs,
+}
+
 // ROUTING_STATUS: all that a daemon tells its peers; each message replaces the
 // one before.
 struct RoutingStatus {
@@ -55,4 +64,5 @@
   // Where the sender takes messages, IPv4:PORT.
   6: required string address,
   7: required list<TurnedAway> turnedAway,
+  8: required list<RoleOrder> roleOrders,
 }
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -750,6 +750,144 @@
 }
 
 
+RoleOrder::~RoleOrder() noexcept {
+}
+
+
+void RoleOrder::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void RoleOrder::__set_isToDecode(const bool val) {
+  this->isToDecode = val;
+}
+
+void RoleOrder::__set_leftMs(const int32_t val) {
+  this->leftMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const RoleOrder& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RoleOrder::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_endpoint = false;
+  bool isset_isToDecode = false;
+  bool isset_leftMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          isset_endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isToDecode);
+          isset_isToDecode = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->leftMs);
+          isset_leftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_endpoint)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_isToDecode)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_leftMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t RoleOrder::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RoleOrder");
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("isToDecode", ::apache::thrift::protocol::T_BOOL, 2);
+  xfer += oprot->writeBool(this->isToDecode);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leftMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->leftMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RoleOrder &a, RoleOrder &b) {
+  using ::std::swap;
+  swap(a.endpoint, b.endpoint);
+  swap(a.isToDecode, b.isToDecode);
+  swap(a.leftMs, b.leftMs);
+}
+
+RoleOrder::RoleOrder(const RoleOrder& other10) {
+  endpoint = other10.endpoint;
+  isToDecode = other10.isToDecode;
+  leftMs = other10.leftMs;
+}
+RoleOrder& RoleOrder::operator=(const RoleOrder& other11) {
+  endpoint = other11.endpoint;
+  isToDecode = other11.isToDecode;
+  leftMs = other11.leftMs;
+  return *this;
+}
+void RoleOrder::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RoleOrder(";
+  out << "endpoint=" << to_string(endpoint);
+  out << ", " << "isToDecode=" << to_string(isToDecode);
+  out << ", " << "leftMs=" << to_string(leftMs);
+  out << ")";
+}
+
+
 RoutingStatus::~RoutingStatus() noexcept {
 }
 
@@ -781,6 +919,10 @@
 void RoutingStatus::__set_turnedAway(const std::vector<TurnedAway> & val) {
   this->turnedAway = val;
 }
+
+void RoutingStatus::__set_roleOrders(const std::vector<RoleOrder> & val) {
+  this->roleOrders = val;
+}
 std::ostream& operator<<(std::ostream& out, const RoutingStatus& obj)
 {
   obj.printTo(out);
@@ -807,6 +949,7 @@
   bool isset_isLeaving = false;
   bool isset_address = false;
   bool isset_turnedAway = false;
+  bool isset_roleOrders = false;
 
   while (true)
   {
@@ -820,14 +963,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->runs.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->runs.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += this->runs[_i14].read(iprot);
+              xfer += this->runs[_i16].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -840,14 +983,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size15;
-            ::apache::thrift::protocol::TType _etype18;
-            xfer += iprot->readListBegin(_etype18, _size15);
-            this->shares.resize(_size15);
-            uint32_t _i19;
-            for (_i19 = 0; _i19 < _size15; ++_i19)
+            uint32_t _size17;
+            ::apache::thrift::protocol::TType _etype20;
+            xfer += iprot->readListBegin(_etype20, _size17);
+            this->shares.resize(_size17);
+            uint32_t _i21;
+            for (_i21 = 0; _i21 < _size17; ++_i21)
             {
-              xfer += this->shares[_i19].read(iprot);
+              xfer += this->shares[_i21].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -860,14 +1003,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retries.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->retries.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size22;
+            ::apache::thrift::protocol::TType _etype25;
+            xfer += iprot->readListBegin(_etype25, _size22);
+            this->retries.resize(_size22);
+            uint32_t _i26;
+            for (_i26 = 0; _i26 < _size22; ++_i26)
             {
-              xfer += this->retries[_i24].read(iprot);
+              xfer += this->retries[_i26].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -880,14 +1023,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size25;
-            ::apache::thrift::protocol::TType _etype28;
-            xfer += iprot->readListBegin(_etype28, _size25);
-            this->suspects.resize(_size25);
-            uint32_t _i29;
-            for (_i29 = 0; _i29 < _size25; ++_i29)
+            uint32_t _size27;
+            ::apache::thrift::protocol::TType _etype30;
+            xfer += iprot->readListBegin(_etype30, _size27);
+            this->suspects.resize(_size27);
+            uint32_t _i31;
+            for (_i31 = 0; _i31 < _size27; ++_i31)
             {
-              xfer += this->suspects[_i29].read(iprot);
+              xfer += this->suspects[_i31].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -916,14 +1059,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->turnedAway.clear();
-            uint32_t _size30;
-            ::apache::thrift::protocol::TType _etype33;
-            xfer += iprot->readListBegin(_etype33, _size30);
-            this->turnedAway.resize(_size30);
-            uint32_t _i34;
-            for (_i34 = 0; _i34 < _size30; ++_i34)
+            uint32_t _size32;
+            ::apache::thrift::protocol::TType _etype35;
+            xfer += iprot->readListBegin(_etype35, _size32);
+            this->turnedAway.resize(_size32);
+            uint32_t _i36;
+            for (_i36 = 0; _i36 < _size32; ++_i36)
             {
-              xfer += this->turnedAway[_i34].read(iprot);
+              xfer += this->turnedAway[_i36].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -932,6 +1075,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->roleOrders.clear();
+            uint32_t _size37;
+            ::apache::thrift::protocol::TType _etype40;
+            xfer += iprot->readListBegin(_etype40, _size37);
+            this->roleOrders.resize(_size37);
+            uint32_t _i41;
+            for (_i41 = 0; _i41 < _size37; ++_i41)
+            {
+              xfer += this->roleOrders[_i41].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_roleOrders = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -955,6 +1118,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_turnedAway)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_roleOrders)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -966,10 +1131,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<StreamRun> ::const_iterator _iter35;
-    for (_iter35 = this->runs.begin(); _iter35 != this->runs.end(); ++_iter35)
+    std::vector<StreamRun> ::const_iterator _iter42;
+    for (_iter42 = this->runs.begin(); _iter42 != this->runs.end(); ++_iter42)
     {
-      xfer += (*_iter35).write(oprot);
+      xfer += (*_iter42).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -978,10 +1143,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<EndpointShare> ::const_iterator _iter36;
-    for (_iter36 = this->shares.begin(); _iter36 != this->shares.end(); ++_iter36)
+    std::vector<EndpointShare> ::const_iterator _iter43;
+    for (_iter43 = this->shares.begin(); _iter43 != this->shares.end(); ++_iter43)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter43).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -990,10 +1155,10 @@
   xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retries.size()));
-    std::vector<RetryUse> ::const_iterator _iter37;
-    for (_iter37 = this->retries.begin(); _iter37 != this->retries.end(); ++_iter37)
+    std::vector<RetryUse> ::const_iterator _iter44;
+    for (_iter44 = this->retries.begin(); _iter44 != this->retries.end(); ++_iter44)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter44).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1002,10 +1167,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter38;
-    for (_iter38 = this->suspects.begin(); _iter38 != this->suspects.end(); ++_iter38)
+    std::vector<CrashSuspect> ::const_iterator _iter45;
+    for (_iter45 = this->suspects.begin(); _iter45 != this->suspects.end(); ++_iter45)
     {
-      xfer += (*_iter38).write(oprot);
+      xfer += (*_iter45).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1022,10 +1187,22 @@
   xfer += oprot->writeFieldBegin("turnedAway", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->turnedAway.size()));
-    std::vector<TurnedAway> ::const_iterator _iter39;
-    for (_iter39 = this->turnedAway.begin(); _iter39 != this->turnedAway.end(); ++_iter39)
+    std::vector<TurnedAway> ::const_iterator _iter46;
+    for (_iter46 = this->turnedAway.begin(); _iter46 != this->turnedAway.end(); ++_iter46)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter46).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("roleOrders", ::apache::thrift::protocol::T_LIST, 8);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->roleOrders.size()));
+    std::vector<RoleOrder> ::const_iterator _iter47;
+    for (_iter47 = this->roleOrders.begin(); _iter47 != this->roleOrders.end(); ++_iter47)
+    {
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1045,25 +1222,28 @@
   swap(a.isLeaving, b.isLeaving);
   swap(a.address, b.address);
   swap(a.turnedAway, b.turnedAway);
-}
-
-RoutingStatus::RoutingStatus(const RoutingStatus& other40) {
-  runs = other40.runs;
-  shares = other40.shares;
-  retries = other40.retries;
-  suspects = other40.suspects;
-  isLeaving = other40.isLeaving;
-  address = other40.address;
-  turnedAway = other40.turnedAway;
-}
-RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other41) {
-  runs = other41.runs;
-  shares = other41.shares;
-  retries = other41.retries;
-  suspects = other41.suspects;
-  isLeaving = other41.isLeaving;
-  address = other41.address;
-  turnedAway = other41.turnedAway;
+  swap(a.roleOrders, b.roleOrders);
+}
+
+RoutingStatus::RoutingStatus(const RoutingStatus& other48) {
+  runs = other48.runs;
+  shares = other48.shares;
+  retries = other48.retries;
+  suspects = other48.suspects;
+  isLeaving = other48.isLeaving;
+  address = other48.address;
+  turnedAway = other48.turnedAway;
+  roleOrders = other48.roleOrders;
+}
+RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other49) {
+  runs = other49.runs;
+  shares = other49.shares;
+  retries = other49.retries;
+  suspects = other49.suspects;
+  isLeaving = other49.isLeaving;
+  address = other49.address;
+  turnedAway = other49.turnedAway;
+  roleOrders = other49.roleOrders;
   return *this;
 }
 void RoutingStatus::printTo(std::ostream& out) const {
@@ -1076,6 +1256,7 @@
   out << ", " << "isLeaving=" << to_string(isLeaving);
   out << ", " << "address=" << to_string(address);
   out << ", " << "turnedAway=" << to_string(turnedAway);
+  out << ", " << "roleOrders=" << to_string(roleOrders);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -31,6 +31,8 @@
 
 class TurnedAway;
 
+class RoleOrder;
+
 class RoutingStatus;
 
 
@@ -291,6 +293,55 @@
 std::ostream& operator<<(std::ostream& out, const TurnedAway& obj);
 
 
+class RoleOrder : public virtual ::apache::thrift::TBase {
+ public:
+
+  RoleOrder(const RoleOrder&);
+  RoleOrder& operator=(const RoleOrder&);
+  RoleOrder() noexcept
+            : endpoint(),
+              isToDecode(0),
+              leftMs(0) {
+  }
+
+  virtual ~RoleOrder() noexcept;
+  std::string endpoint;
+  bool isToDecode;
+  int32_t leftMs;
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_isToDecode(const bool val);
+
+  void __set_leftMs(const int32_t val);
+
+  bool operator == (const RoleOrder & rhs) const
+  {
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(isToDecode == rhs.isToDecode))
+      return false;
+    if (!(leftMs == rhs.leftMs))
+      return false;
+    return true;
+  }
+  bool operator != (const RoleOrder &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RoleOrder & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RoleOrder &a, RoleOrder &b);
+
+std::ostream& operator<<(std::ostream& out, const RoleOrder& obj);
+
+
 class RoutingStatus : public virtual ::apache::thrift::TBase {
  public:
 
@@ -309,6 +360,7 @@
   bool isLeaving;
   std::string address;
   std::vector<TurnedAway>  turnedAway;
+  std::vector<RoleOrder>  roleOrders;
 
   void __set_runs(const std::vector<StreamRun> & val);
 
@@ -324,6 +376,8 @@
 
   void __set_turnedAway(const std::vector<TurnedAway> & val);
 
+  void __set_roleOrders(const std::vector<RoleOrder> & val);
+
   bool operator == (const RoutingStatus & rhs) const
   {
     if (!(runs == rhs.runs))
@@ -340,6 +394,8 @@
       return false;
     if (!(turnedAway == rhs.turnedAway))
       return false;
+    if (!(roleOrders == rhs.roleOrders))
+      return false;
     return true;
   }
   bool operator != (const RoutingStatus &rhs) const {
