--- a/Source/Routing/RetryAllowance.cxx
+++ b/Source/Routing/RetryAllowance.cxx
@@ -11,8 +11,6 @@
 constexpr double kUsedPart = 0.9;
 /** Part of the slack that is used in the first window of a process. */
 constexpr double kFirstPart = 0.5;
-/** Sends that each peer may have made since it told of its use. */
-constexpr double kUnseenPerPeer = 1;
 } // namespace
 
 WindowCount::WindowCount(Duration aWindow)
@@ -56,6 +54,12 @@
   return Sum(aNow, kSteps + 1);
 }
 
+std::uint32_t
+WindowCount::Since(Duration aSpan, Instant aNow) const
+{
+  return Sum(aNow, aSpan / mStep + 2);
+}
+
 std::uint32_t
 WindowCount::AtLeast(Instant aNow) const
 {
@@ -94,8 +98,10 @@
                      Instant aNow)
 {
   Use& use = UseOf(aService);
-  if (aSends > 0 && !FitsOwnPart(use, aSends, aNow) &&
-      !FitsTotal(aService, use, aSends, aNow)) {
+  const bool hearsAll = mPeers.size() + 1 >= mDaemons;
+  const bool fits = hearsAll ? FitsTotal(aService, use, aSends, aNow)
+                             : FitsOwnPart(use, aSends, aNow);
+  if (aSends > 0 && !fits) {
     return false;
   }
   use.mRetries.Add(aNow, aSends);
@@ -119,20 +125,19 @@
                           std::uint32_t aSends,
                           Instant aNow) const
 {
-  if (mPeers.size() + 1 < mDaemons) {
-    return false;
-  }
   double requests = aUse.mRequests.AtLeast(aNow);
   double retries = aUse.mRetries.AtMost(aNow);
   for (const auto& [peer, uses] : mPeers) {
-    retries += kUnseenPerPeer;
     if (const auto it = uses.find(aService); it != uses.end()) {
       requests += it->second.mRequests;
       retries += it->second.mRetries;
     }
   }
-  return retries + aSends <=
-         kUsedPart * (mBounds.mRatio * requests + Slack(aNow));
+  // The peers see the same rest and take their parts of it at the same time.
+  const double recent = aUse.mRetries.Since(kNewsAge, aNow);
+  const double left =
+    kUsedPart * (mBounds.mRatio * requests + Slack(aNow)) - retries + recent;
+  return recent + aSends <= left / static_cast<double>(mDaemons);
 }
 
 void
--- a/Source/Routing/RetryAllowance.h
+++ b/Source/Routing/RetryAllowance.h
@@ -20,6 +20,8 @@
   void Add(Instant aNow, std::uint32_t aCount = 1);
   /** Events of the last window; the oldest step counts as a whole. */
   std::uint32_t AtMost(Instant aNow) const;
+  /** Events of at least the last aSpan. */
+  std::uint32_t Since(Duration aSpan, Instant aNow) const;
   /** Events of the last window without its oldest, partial step. */
   std::uint32_t AtLeast(Instant aNow) const;
 
@@ -57,9 +59,10 @@
 using RetryUses = std::map<std::string, RetryUse>;
 
 /**
- * Holds all daemons together to a bound on repeated sends. Each daemon has an
- * equal part of the slack; what peers tell of their use lets a daemon with
- * more failures use what others do not.
+ * Holds all daemons together to a bound on repeated sends. While all peers tell
+ * of their use, each daemon takes an equal part of what is left at the time of
+ * the last messages. A daemon that does not hear all peers keeps to an equal
+ * part of the whole.
  */
 class RetryAllowance
 {
@@ -75,6 +78,8 @@
 
   /** Daemons that share the bound, this one included. */
   void SetDaemons(std::size_t aCount);
+  /** Longest time between two messages of a live peer. */
+  static constexpr Duration kNewsAge = std::chrono::milliseconds(600);
   /** Replaces what aPeer told before. */
   void SetPeer(const std::string& aPeer, RetryUses aUses);
   void RemovePeer(const std::string& aPeer);
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -209,10 +209,10 @@
     const auto full = mFullUntil.find(it->mId);
     const bool isBlocked = full != mFullUntil.end() && aNow < full->second;
     runs.push_back(&candidate);
-    const double peak = mForecast.Peak(runs, kNeedDeviations, aNow) +
-                        UnknownTokens(it->mId, aNow);
+    const double unknown = UnknownTokens(it->mId, aNow);
+    const double peak = mForecast.Peak(runs, kNeedDeviations, aNow) + unknown;
     // A request that exceeds an empty engine is the engine's to refuse.
-    const bool hasRoom = before == 0 || peak <= memory;
+    const bool hasRoom = (before == 0 && unknown == 0) || peak <= memory;
     if (before >= it->mSlots || !hasRoom || isBlocked ||
         (mustSpare && mHealth.IsAvoided(it->mId, aNow))) {
       continue;
