Bound the log, never wait for its reader, and mark late answers

Cause: each event was written to standard output synchronously: a reader that stopped blocked the loop, and the volume had no bound. The log did not say which answers were late.

--- a/Source/Base/Log.cxx
+++ b/Source/Base/Log.cxx
@@ -2,6 +2,8 @@
 
 #include <easylogging++.h>
 
+#include <unistd.h>
+
 #include "absl/strings/escaping.h"
 #include "absl/strings/str_cat.h"
 
@@ -33,6 +35,28 @@
   }
   return absl::StrCat("\"", absl::CEscape(value), "\"");
 }
+
+LogWriter&
+StandardOutput()
+{
+  static const SystemClock sClock;
+  static LogWriter sWriter(STDOUT_FILENO, sClock, LogBounds{});
+  return sWriter;
+}
+
+/** Hands the lines of the library to the writer. */
+class LogDispatch : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    const el::LogMessage& message = *aData->logMessage();
+    const el::Level level = message.level();
+    StandardOutput().Write(
+      message.logger()->logBuilder()->build(&message, false),
+      level == el::Level::Warning || level == el::Level::Error);
+  }
+};
 } // namespace
 
 void
@@ -41,7 +65,7 @@
   el::Configurations config;
   config.setToDefault();
   config.setGlobally(el::ConfigurationType::ToFile, "false");
-  config.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  config.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   config.setGlobally(el::ConfigurationType::Format,
                      "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} level=%level %msg");
   const auto disable = [&config](el::Level aDisabled) {
@@ -57,6 +81,26 @@
     disable(el::Level::Warning);
   }
   el::Loggers::reconfigureAllLoggers(config);
+  el::Helpers::installLogDispatchCallback<LogDispatch>("LogDispatch");
+}
+
+void
+FlushLog()
+{
+  LogWriter& writer = StandardOutput();
+  writer.Flush();
+  if (writer.TakeNewDrops()) {
+    LogEvent(LogLevel::Warning,
+             "log_lines_left_out",
+             { { "ordinary_total", writer.Drops().mOrdinary },
+               { "urgent_total", writer.Drops().mUrgent } });
+  }
+}
+
+LogDrops
+CountLogDrops()
+{
+  return StandardOutput().Drops();
 }
 
 std::string
--- a/Source/Base/Log.h
+++ b/Source/Base/Log.h
@@ -5,6 +5,9 @@
 #include <string>
 #include <string_view>
 
+#include "Base/LogWriter.h"
+#include "absl/strings/str_cat.h"
+
 namespace bulrushfold {
 
 /** Severity of a log event. */
@@ -37,7 +40,7 @@
   template<typename Number>
   LogField(std::string_view aKey, Number aValue)
     : mKey(aKey)
-    , mValue(std::to_string(aValue))
+    , mValue(absl::StrCat(aValue))
   {
   }
 
@@ -47,10 +50,20 @@
 
 /**
  * Prepares the logging library: one line per event on standard output, events
- * below aLevel dropped. Called once by each program's main function.
+ * below aLevel dropped. Called once by each program's main function. Lines
+ * beyond LogBounds are left out; FlushLog reports their number.
  */
 void ConfigureLog(LogLevel aLevel);
 
+/**
+ * Writes lines that the reader of standard output did not accept before, and
+ * an event with the number of lines left out since the last call, if any.
+ */
+void FlushLog();
+
+/** Lines left out since the start of the process. */
+LogDrops CountLogDrops();
+
 /**
  * Writes one event as a line of key=value pairs. Values with spaces, quotes or
  * control characters are quoted and escaped, so that an event stays one line.
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -16,6 +16,9 @@
 const MetricInfo kRequests{ "bulrushfold_requests_total",
                             "Requests by route and outcome.",
                             { "route", "outcome", "reason" } };
+const MetricInfo kLate{ "bulrushfold_late_answers_total",
+                        "Answers by route and the goal that they missed.",
+                        { "route", "late" } };
 const MetricInfo kLatency{
   "bulrushfold_request_seconds",
   "Time from arrival to the end of the answer, by route.",
@@ -59,6 +62,27 @@
   return aRequest.mTable ? aRequest.mTable->Config().mVersion : 0;
 }
 
+std::string_view
+RequestLog::Lateness(const RoutedRequest& aRequest, Instant aNow)
+{
+  const Route* route = aRequest.mTerms.mRoute;
+  if (route == nullptr) {
+    return "no";
+  }
+  const bool isStream = route->mKind == RequestKind::Stream;
+  const Instant answered = isStream && aRequest.mFirstByteAt != Instant()
+                             ? aRequest.mFirstByteAt
+                             : aNow;
+  if (answered - aRequest.mTerms.mArrival > route->mLatencyGoal) {
+    return isStream ? "first_event" : "answer";
+  }
+  if (route->mPauseGoal > Duration::zero() &&
+      aRequest.mLongestPause > route->mPauseGoal) {
+    return "pause";
+  }
+  return "no";
+}
+
 Duration
 RequestLog::Since(Instant aTime) const
 {
@@ -168,8 +192,15 @@
     mMetrics.GetSummary(kFirstByte, { route })
       .Record(aRequest.mFirstByteAt - arrival, now);
   }
+  const std::string_view late =
+    aOutcome == RequestOutcome::Answered ? Lateness(aRequest, now) : "no";
+  if (aOutcome == RequestOutcome::Answered) {
+    mMetrics.GetCounter(kLate, { route, std::string(late) }).Add();
+  }
+  // Only lines of ordinary answers may be left out of the log.
+  const bool isOrdinary = aOutcome == RequestOutcome::Answered && late == "no";
   LogEvent(
-    aOutcome == RequestOutcome::Answered ? LogLevel::Info : LogLevel::Warning,
+    isOrdinary ? LogLevel::Info : LogLevel::Warning,
     "request_ended",
     { { "id", aRequest.mFacts.mId },
       { "route", route },
@@ -178,6 +209,7 @@
       { "status", aStatus },
       { "endpoint", aEndpoint },
       { "sends", aRequest.mSends },
+      { "late", late },
       { "first_ms",
         hasFirst ? ToMilliseconds(aRequest.mFirstByteAt - arrival) : -1 },
       { "longest_pause_ms", ToMilliseconds(aRequest.mLongestPause) },
--- a/Source/Router/RequestLog.h
+++ b/Source/Router/RequestLog.h
@@ -43,6 +43,8 @@
              const std::string& aEndpoint);
 
 private:
+  /** Which goal of its route the answer missed; "no" if none. */
+  static std::string_view Lateness(const RoutedRequest& aRequest, Instant aNow);
   std::uint64_t Version(const RoutedRequest& aRequest) const;
   Duration Since(Instant aTime) const;
 
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -17,9 +17,15 @@
 constexpr std::size_t kLeastDescriptors = 100;
 /** Time for the last message to the peers and the last call to the store. */
 constexpr Duration kLeaveTime = std::chrono::milliseconds(50);
+/** Time between two attempts to write log lines that were held back. */
+constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 /** A caller that accepts no byte of its answer for this long is cut off. */
 constexpr Duration kCallerWriteTimeout = std::chrono::seconds(10);
 
+const MetricInfo kLogDrops{ "bulrushfold_log_lines_left_out_total",
+                            "Log lines left out, by urgency.",
+                            { "urgency" } };
+
 HttpServerLimits
 ServerLimits(const CallerLimits& aLimits, std::size_t aDescriptors)
 {
@@ -182,6 +188,7 @@
   mEndpointFollower.Start();
   mPeers.Start();
   mRoles.Start();
+  FlushLogs();
   LogEvent(LogLevel::Info,
            "router_started",
            { { "name", mSettings.mName },
@@ -218,9 +225,22 @@
   aExchange.Reply(isReady ? kOk : kUnavailable, {}, isReady ? "ready\n" : "");
 }
 
+void
+Router::FlushLogs()
+{
+  FlushLog();
+  mLogTimer = mLoop.After(kLogFlushInterval, [this] { FlushLogs(); });
+}
+
 void
 Router::HandleMetrics(HttpExchange& aExchange)
 {
+  const LogDrops drops = CountLogDrops();
+  mMetrics.GetCounter(kLogDrops, { "ordinary" })
+    .Add(drops.mOrdinary - mShownDrops.mOrdinary);
+  mMetrics.GetCounter(kLogDrops, { "urgent" })
+    .Add(drops.mUrgent - mShownDrops.mUrgent);
+  mShownDrops = drops;
   aExchange.Reply(kOk,
                   { { "Content-Type", "text/plain; version=0.0.4" } },
                   mMetrics.Format(mClock.Now()));
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "Base/Clock.h"
+#include "Base/LogWriter.h"
 #include "Base/Random.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
@@ -62,6 +63,7 @@
   void HandleCaller(std::shared_ptr<HttpExchange> aExchange);
   void HandleReadiness(HttpExchange& aExchange);
   void HandleMetrics(HttpExchange& aExchange);
+  void FlushLogs();
   bool IsReady() const;
   void NoteReadiness();
 
@@ -112,6 +114,9 @@
   StopController mStop;
   EventHandle mExpiryTimer;
   EventHandle mEndTimer;
+  EventHandle mLogTimer;
+  /** Lines left out that the metrics show already. */
+  LogDrops mShownDrops;
   std::uint64_t mNextNumber = 1;
   /** Requests that are not over. */
   std::shared_ptr<std::size_t> mOpen = std::make_shared<std::size_t>(0);
