Change the roles of several engines of a large pool, count use known later once

Change: RoleBalance looks for the best split, changes up to half of the giving pool in one batch and counts changing engines where they go. Unknown use falls by what peers tell of later. StreamRuns keeps an index by endpoint, and news of peers that arrive within 10 ms are looked at together.

--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -79,7 +79,7 @@
            { mLoads, mRuns, mRetries, mGuard, mReturns, mDirectory },
            [this] {
              ArmExpiry();
-             mStreams.Kick();
+             mStreams.KickSoon();
            })
   , mRoles(aLoop,
            mClock,
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -7,6 +7,8 @@
 namespace {
 /** Interval at which the engines' memory is looked at while streams run. */
 constexpr Duration kMoveInterval = std::chrono::milliseconds(100);
+/** Peers' news that arrive within this time are looked at together. */
+constexpr Duration kNewsDelay = std::chrono::milliseconds(10);
 } // namespace
 
 StreamDispatcher::StreamDispatcher(EventLoop& aLoop,
@@ -100,6 +102,17 @@
   }
 }
 
+void
+StreamDispatcher::KickSoon()
+{
+  if (mScheduler.Waiting() > 0 && !std::exchange(mHasNews, true)) {
+    mNewsTimer = mLoop.After(kNewsDelay, [this] {
+      mHasNews = false;
+      Kick();
+    });
+  }
+}
+
 void
 StreamDispatcher::Run()
 {
--- a/Source/Router/StreamDispatcher.h
+++ b/Source/Router/StreamDispatcher.h
@@ -48,6 +48,8 @@
   /** Something may have made room: places what can be placed, in a later
    * turn of the loop. */
   void Kick();
+  /** Something was learned from a peer. */
+  void KickSoon();
   std::size_t Waiting() const { return mScheduler.Waiting(); }
 
 private:
@@ -62,6 +64,8 @@
   WakeTimer mTimer;
   WakeTimer mMoveTimer;
   bool mIsKicked = false;
+  bool mHasNews = false;
+  EventHandle mNewsTimer;
 };
 
 } // namespace bulrushfold
--- a/Source/Routing/RoleBalance.cxx
+++ b/Source/Routing/RoleBalance.cxx
@@ -89,6 +89,21 @@
   return best == nullptr ? std::string() : best->mId;
 }
 
+RoleBalance::Pools
+RoleBalance::CountPools(const std::string& aService, Instant aNow) const
+{
+  Pools pools{ mDirectory.Usable(aService, EndpointRole::Prefill).size(),
+               mDirectory.Usable(aService, EndpointRole::Decode).size() };
+  for (const auto& [id, order] : mDirectory.RoleOrders(aNow)) {
+    const EndpointRecord* engine = mDirectory.Find(id);
+    if (engine != nullptr && engine->mService == aService) {
+      ++(order.mRole == EndpointRole::Decode ? pools.mDecodes
+                                             : pools.mPrefills);
+    }
+  }
+  return pools;
+}
+
 std::optional<RoleChange>
 RoleBalance::Decide(const std::string& aService,
                     const EngineProfile& aProfile,
@@ -99,35 +114,53 @@
   if (aNow < mNextChange || mSamples < kLeastSamples) {
     return std::nullopt;
   }
-  const std::size_t prefills =
-    mDirectory.Usable(aService, EndpointRole::Prefill).size();
-  const std::size_t decodes =
-    mDirectory.Usable(aService, EndpointRole::Decode).size();
+  const Pools pools = CountPools(aService, aNow);
+  const std::size_t total = pools.mPrefills + pools.mDecodes;
   const StreamNeeds needs{
     mPromptSum / mSamples, mAnswerSum / mSamples, aPrefillRate, aGrowth
   };
-  const std::size_t least = prefills + decodes >= kLargePool ? 2 : 1;
-  const double before = Rate(needs, aProfile, prefills, decodes);
   RoleChange change;
-  change.mRateBefore = before;
-  change.mRateAfter = before * kLeastGain;
-  if (prefills > least) {
-    const double after = Rate(needs, aProfile, prefills - 1, decodes + 1);
-    if (after >= change.mRateAfter) {
-      change.mRateAfter = after;
-      change.mRole = EndpointRole::Decode;
-      change.mEndpoint = ChooseEngine(aService, EndpointRole::Prefill);
+  change.mRateBefore = Rate(needs, aProfile, pools.mPrefills, pools.mDecodes);
+  std::size_t best = pools.mPrefills;
+  const std::size_t least = total >= kLargePool ? 2 : 1;
+  for (std::size_t n = least; n < total; ++n) {
+    const double rate = Rate(needs, aProfile, n, total - n);
+    if (rate > change.mRateAfter) {
+      change.mRateAfter = rate;
+      best = n;
     }
   }
-  if (decodes > 1) {
-    const double after = Rate(needs, aProfile, prefills + 1, decodes - 1);
-    if (after >= change.mRateAfter) {
-      change.mRateAfter = after;
-      change.mRole = EndpointRole::Prefill;
-      change.mEndpoint = ChooseEngine(aService, EndpointRole::Decode);
-    }
+  if (best == pools.mPrefills ||
+      change.mRateAfter < change.mRateBefore * kLeastGain) {
+    mLeftOfBatch = 0;
+    return std::nullopt;
+  }
+  const bool isToDecode = best < pools.mPrefills;
+  change.mRole = isToDecode ? EndpointRole::Decode : EndpointRole::Prefill;
+  change.mEndpoint = ChooseEngine(
+    aService, isToDecode ? EndpointRole::Prefill : EndpointRole::Decode);
+  if (change.mEndpoint.empty()) {
+    return std::nullopt;
+  }
+  if (mLeftOfBatch == 0) {
+    const std::size_t giving = isToDecode ? pools.mPrefills : pools.mDecodes;
+    const std::size_t wanted =
+      isToDecode ? pools.mPrefills - best : best - pools.mPrefills;
+    mLeftOfBatch = std::min(wanted, std::max<std::size_t>(giving / 2, 1));
+  }
+  return change;
+}
+
+void
+RoleBalance::OnOrdered(Instant aNow)
+{
+  // The engines of a batch change together; then their effect is awaited.
+  if (mLeftOfBatch > 0) {
+    --mLeftOfBatch;
+  }
+  if (mLeftOfBatch == 0) {
+    mNextChange = aNow + kChangeInterval;
   }
-  return change.mEndpoint.empty() ? std::nullopt : std::make_optional(change);
 }
 
 } // namespace bulrushfold
--- a/Source/Routing/RoleBalance.h
+++ b/Source/Routing/RoleBalance.h
@@ -55,8 +55,8 @@
                                    double aGrowth,
                                    double aPrefillRate,
                                    Instant aNow);
-  /** An order for aService was sent, or could not be. */
-  void OnOrdered(Instant aNow) { mNextChange = aNow + kChangeInterval; }
+  /** The order of the last decision was sent, or could not be. */
+  void OnOrdered(Instant aNow);
 
   /** Streams per second that aPrefills and aDecodes engines carry. */
   static double Rate(const StreamNeeds& aNeeds,
@@ -68,6 +68,13 @@
   /** Time in which a change shows its effect before the next one. */
   static constexpr Duration kChangeInterval = std::chrono::seconds(15);
 
+  /** Engines of both pools, those included that change to one. */
+  struct Pools
+  {
+    std::size_t mPrefills = 0;
+    std::size_t mDecodes = 0;
+  };
+  Pools CountPools(const std::string& aService, Instant aNow) const;
   std::string ChooseEngine(const std::string& aService,
                            EndpointRole aFrom) const;
 
@@ -78,6 +85,8 @@
   double mSamples = 0;
   double mPromptSum = 0;
   double mAnswerSum = 0;
+  /** Engines that the last decision still wants to change. */
+  std::size_t mLeftOfBatch = 0;
   Instant mNextChange;
 };
 
--- a/Source/Routing/StreamRuns.cxx
+++ b/Source/Routing/StreamRuns.cxx
@@ -8,7 +8,7 @@
 StreamRuns::Add(const StreamRun& aRun)
 {
   mOwn[aRun.mNumber] = aRun;
-  mOnOwnChange.emit();
+  HandleOwnChange();
 }
 
 void
@@ -17,7 +17,7 @@
   const auto it = mOwn.find(aNumber);
   if (it != mOwn.end() && !it->second.mStartedAt) {
     it->second.mStartedAt = aNow;
-    mOnOwnChange.emit();
+    HandleOwnChange();
   }
 }
 
@@ -26,7 +26,7 @@
 {
   if (const auto it = mOwn.find(aNumber); it != mOwn.end()) {
     it->second.mEndpoint = aEndpoint;
-    mOnOwnChange.emit();
+    HandleOwnChange();
   }
 }
 
@@ -34,7 +34,7 @@
 StreamRuns::Remove(std::uint64_t aNumber)
 {
   if (mOwn.erase(aNumber) > 0) {
-    mOnOwnChange.emit();
+    HandleOwnChange();
   }
 }
 
@@ -45,35 +45,45 @@
   return it == mOwn.end() ? nullptr : &it->second;
 }
 
+void
+StreamRuns::HandleOwnChange()
+{
+  mIsIndexed = false;
+  mOnOwnChange.emit();
+}
+
 void
 StreamRuns::SetPeer(const std::string& aPeer, std::vector<StreamRun> aRuns)
 {
+  mIsIndexed = false;
   mPeers[aPeer] = std::move(aRuns);
 }
 
-std::vector<const StreamRun*>
+void
+StreamRuns::RemovePeer(const std::string& aPeer)
+{
+  mIsIndexed = false;
+  mPeers.erase(aPeer);
+}
+
+const std::vector<const StreamRun*>&
 StreamRuns::At(const std::string& aEndpoint) const
 {
-  std::vector<const StreamRun*> runs;
-  for (const auto& [number, run] : mOwn) {
-    if (run.mEndpoint == aEndpoint) {
-      runs.push_back(&run);
+  if (!mIsIndexed) {
+    mIsIndexed = true;
+    mIndex.clear();
+    for (const auto& [number, run] : mOwn) {
+      mIndex[run.mEndpoint].push_back(&run);
     }
-  }
-  for (const auto& [peer, peerRuns] : mPeers) {
-    for (const auto& it : peerRuns) {
-      if (it.mEndpoint == aEndpoint) {
-        runs.push_back(&it);
+    for (const auto& [peer, runs] : mPeers) {
+      for (const auto& it : runs) {
+        mIndex[it.mEndpoint].push_back(&it);
       }
     }
   }
-  return runs;
-}
-
-std::size_t
-StreamRuns::CountAt(const std::string& aEndpoint) const
-{
-  return At(aEndpoint).size();
+  static const std::vector<const StreamRun*> sNone;
+  const auto it = mIndex.find(aEndpoint);
+  return it == mIndex.end() ? sNone : it->second;
 }
 
 } // namespace bulrushfold
--- a/Source/Routing/StreamRuns.h
+++ b/Source/Routing/StreamRuns.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include <sigc++/sigc++.h>
@@ -41,19 +42,27 @@
 
   /** Replaces what aPeer told before. */
   void SetPeer(const std::string& aPeer, std::vector<StreamRun> aRuns);
-  void RemovePeer(const std::string& aPeer) { mPeers.erase(aPeer); }
+  void RemovePeer(const std::string& aPeer);
 
-  /** All runs at aEndpoint. */
-  std::vector<const StreamRun*> At(const std::string& aEndpoint) const;
-  std::size_t CountAt(const std::string& aEndpoint) const;
+  /** All runs at aEndpoint, valid until the next change. */
+  const std::vector<const StreamRun*>& At(const std::string& aEndpoint) const;
+  std::size_t CountAt(const std::string& aEndpoint) const
+  {
+    return At(aEndpoint).size();
+  }
   /** Runs of this daemon, by number. */
   const std::map<std::uint64_t, StreamRun>& Own() const { return mOwn; }
   /** Emitted when the runs of this daemon changed. */
   sigc::signal<void()>& OnOwnChange() { return mOnOwnChange; }
 
 private:
+  void HandleOwnChange();
+
   std::map<std::uint64_t, StreamRun> mOwn;
   std::map<std::string, std::vector<StreamRun>> mPeers;
+  /** Runs by endpoint, rebuilt when it is asked for after a change. */
+  mutable std::unordered_map<std::string, std::vector<const StreamRun*>> mIndex;
+  mutable bool mIsIndexed = true;
   sigc::signal<void()> mOnOwnChange;
 };
 
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -138,6 +138,7 @@
 std::vector<StreamPlacement>
 StreamScheduler::Dispatch(Instant aNow)
 {
+  CountNewlyKnown();
   std::vector<StreamPlacement> placements;
   while (!mWaiting.empty()) {
     const auto it = Next(aNow);
@@ -439,7 +440,30 @@
   const double unknown =
     MemoryOf(engine->mService) - known - static_cast<double>(aTokens);
   if (unknown > UnknownTokens(aEndpoint, aNow)) {
-    mUnknown[aEndpoint] = { unknown, aNow };
+    mUnknown[aEndpoint] = { unknown, aNow, ExpectedNeed(aEndpoint) };
+  }
+}
+
+double
+StreamScheduler::ExpectedNeed(const std::string& aEndpoint) const
+{
+  // Does not change while a run goes on, so that only new runs raise it.
+  double need = 0;
+  for (const StreamRun* it : mRuns.At(aEndpoint)) {
+    need += static_cast<double>(it->mPromptTokens) +
+            static_cast<double>(it->mAnswerTokens) / 2;
+  }
+  return need;
+}
+
+void
+StreamScheduler::CountNewlyKnown()
+{
+  for (auto it = mUnknown.begin(); it != mUnknown.end();) {
+    const double known = ExpectedNeed(it->first);
+    it->second.mTokens -= std::max(0.0, known - it->second.mKnown);
+    it->second.mKnown = known;
+    it = it->second.mTokens <= 0 ? mUnknown.erase(it) : std::next(it);
   }
 }
 
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -185,7 +185,12 @@
   {
     double mTokens = 0;
     Instant mSeenAt;
+    /** Expected need of the known runs when it was last looked at. */
+    double mKnown = 0;
   };
+  /** Use that a peer told of since is known now and counts once. */
+  void CountNewlyKnown();
+  double ExpectedNeed(const std::string& aEndpoint) const;
   double UnknownTokens(const std::string& aEndpoint, Instant aNow) const;
 
   /** By engine that refused a reservation. */
--- a/Tests/Routing/StreamSchedulerTest.cxx
+++ b/Tests/Routing/StreamSchedulerTest.cxx
@@ -173,6 +173,20 @@
     CHECK(pool.Place().size() == 1);
   }
   // 2,511 reservations went to a crashed engine that was still registered.
+  // Guards against use that counts twice: as unknown and as a peer's.
+  SUBCASE("use that a peer tells of later is no longer unknown")
+  {
+    pool.mDirectory.Remove("d2", 2, pool.mNow);
+    pool.mScheduler.OnDecodeFull("d1", 1000, pool.mNow);
+    pool.Submit(1, 3000, 1000);
+    CHECK(pool.Place().empty());
+    pool.mRuns.SetPeer("p",
+                       { { 7, "d1", kMemory - 2000, 2000, 2000, pool.mNow } });
+    CHECK(pool.Place().empty());
+    pool.mRuns.SetPeer("p", {});
+    pool.mNow += milliseconds(100);
+    CHECK(pool.Place().size() == 1);
+  }
   SUBCASE("an engine that cannot be reached is spared while another is sound")
   {
     pool.mHealth.OnResult("s", "d1", SendResult::ConnectFailed, pool.mNow);
@@ -382,6 +396,44 @@
     REQUIRE(change);
     CHECK(change->mRole == EndpointRole::Prefill);
   }
+  // Guards against a pool that stays out of balance because one engine of
+  // many changes little.
+  SUBCASE("in a large pool several follow each other")
+  {
+    for (int i = 0; i < 12; ++i) {
+      pool.Add("q" + std::to_string(i), EndpointRole::Prefill, "x");
+      pool.Add("e" + std::to_string(i), EndpointRole::Decode, "y");
+    }
+    observe(5000, 5000);
+    int changed = 0;
+    while (const auto change = decide()) {
+      REQUIRE(changed < 15);
+      CHECK(change->mRole == EndpointRole::Decode);
+      pool.mDirectory.OnRoleOrdered(
+        change->mEndpoint,
+        { EndpointRole::Decode, pool.mNow + seconds(60) },
+        pool.mNow);
+      balance.OnOrdered(pool.mNow);
+      ++changed;
+    }
+    CHECK(changed > 3);
+    // No more than half of a pool changes at once.
+    CHECK(changed <= 7);
+    // The engines that change are counted where they go.
+    pool.mNow += seconds(16);
+    while (const auto change = decide()) {
+      REQUIRE(changed < 15);
+      pool.mDirectory.OnRoleOrdered(
+        change->mEndpoint,
+        { EndpointRole::Decode, pool.mNow + seconds(60) },
+        pool.mNow);
+      balance.OnOrdered(pool.mNow);
+      ++changed;
+    }
+    CHECK(changed <= 12);
+    pool.mNow += seconds(16);
+    CHECK_FALSE(decide());
+  }
   SUBCASE("pools in balance stay")
   {
     observe(5000, 3600);
