--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -22,9 +22,12 @@
 constexpr std::size_t kMaxFrameBytes = 1024 * 1024;
 /** Least time between two messages, for each peer: bounds the processor time
  * that many peers cost. */
-constexpr Duration kIntervalPerPeer = std::chrono::milliseconds(2);
+constexpr Duration kIntervalPerPeer = std::chrono::milliseconds(1);
 constexpr Duration kShortestInterval = std::chrono::milliseconds(5);
 constexpr Duration kLongestInterval = std::chrono::milliseconds(400);
+/** Plain requests are short: at longer intervals they are over before peers
+ * hear of them, so they cause no message of their own. */
+constexpr Duration kPlainNewsInterval = std::chrono::milliseconds(30);
 /** A message is sent after this time even if nothing changed. */
 constexpr Duration kHeartbeat = std::chrono::milliseconds(500);
 /** Finds peers whose first message was lost. */
@@ -49,7 +52,11 @@
   , mIncarnation(MakeUuidV7(aClock.Wall(), aRandom))
   , mTimer(aLoop, aClock, [this] { Broadcast(); })
 {
-  mBeliefs.mLoads.OnOwnChange().connect([this] { MarkChanged(); });
+  mBeliefs.mLoads.OnOwnChange().connect([this](const EndpointWork& aWork) {
+    if (aWork.mPrefillTokens > 0 || LeastInterval() <= kPlainNewsInterval) {
+      MarkChanged();
+    }
+  });
   mBeliefs.mRuns.OnOwnChange().connect([this] { MarkChanged(); });
 }
 
--- a/Source/Routing/EndpointLoads.cxx
+++ b/Source/Routing/EndpointLoads.cxx
@@ -23,7 +23,7 @@
   EndpointWork& own = mOwn[aEndpoint];
   own.mRequests += aWork.mRequests;
   own.mPrefillTokens += aWork.mPrefillTokens;
-  mOnOwnChange.emit();
+  mOnOwnChange.emit(aWork);
 }
 
 void
@@ -38,7 +38,7 @@
   if (it->second.IsEmpty()) {
     mOwn.erase(it);
   }
-  mOnOwnChange.emit();
+  mOnOwnChange.emit(aWork);
 }
 
 void
--- a/Source/Routing/EndpointLoads.h
+++ b/Source/Routing/EndpointLoads.h
@@ -62,8 +62,11 @@
   /** Requests at the endpoint, from all sources; the best estimate. */
   double Requests(const std::string& aEndpoint, Instant aNow) const;
   const EndpointWorks& OwnWorks() const { return mOwn; }
-  /** Emitted when the work of this daemon changed. */
-  sigc::signal<void()>& OnOwnChange() { return mOnOwnChange; }
+  /** Emitted with the work of this daemon that began or ended. */
+  sigc::signal<void(const EndpointWork&)>& OnOwnChange()
+  {
+    return mOnOwnChange;
+  }
 
 private:
   struct Report
@@ -77,7 +80,7 @@
   EndpointWorks mOwn;
   std::map<std::string, EndpointWorks> mPeers;
   std::map<std::string, Report> mReports;
-  sigc::signal<void()> mOnOwnChange;
+  sigc::signal<void(const EndpointWork&)> mOnOwnChange;
 };
 
 } // namespace bulrushfold
--- a/Tests/Adapter/PlatformStoreTest.cxx
+++ b/Tests/Adapter/PlatformStoreTest.cxx
@@ -20,7 +20,7 @@
   EventLoop loop;
   HttpClient client(loop);
   StandInStore standIn(loop);
-  platform::PlatformStore store(client, standIn.Address());
+  platform::PlatformStore store(loop, client, standIn.Address());
   const auto put = [&](const std::string& aBody,
                        std::optional<std::uint64_t> aExpected) {
     std::optional<absl::StatusOr<std::uint64_t>> result;
@@ -99,7 +99,7 @@
   HttpClient client(loop);
   Random random(1);
   StandInStore standIn(loop);
-  platform::PlatformStore store(client, standIn.Address());
+  platform::PlatformStore store(loop, client, standIn.Address());
   std::set<std::string> known;
   int lost = 0;
   int back = 0;
@@ -137,6 +137,22 @@
     CHECK(knows({ "k/2" }));
     CHECK(lost == 0);
   }
+  // Guards against a priced call for each entry when all runners start.
+  SUBCASE("with few calls when many change at once")
+  {
+    const std::size_t before = standIn.Calls("GET");
+    std::set<std::string> all{ "k/1" };
+    int next = 2;
+    const auto writer = loop.Every(milliseconds(10), [&] {
+      if (next < 32) {
+        const std::string key = "k/" + std::to_string(next++);
+        standIn.Write(key, Json::object());
+        all.insert(key);
+      }
+    });
+    REQUIRE(RunUntil(loop, [&] { return all.size() == 31 && known == all; }));
+    CHECK(standIn.Calls("GET") - before <= 4);
+  }
   // Watches hear nothing while changes are made, then the history is gone.
   SUBCASE("after the history was dropped")
   {
--- a/Tests/Adapter/RouterStoryTest.cxx
+++ b/Tests/Adapter/RouterStoryTest.cxx
@@ -147,6 +147,13 @@
     REQUIRE(RunUntil(mLoop, [&] { return client.IsClosedByServer(); }));
     return client.Received();
   }
+  /** Changes the store while the router watches, and lets it notice. */
+  void Announce(const std::function<void()>& aChange)
+  {
+    REQUIRE(Wait([this] { return mStore.WaitingWatches() == 2; }));
+    aChange();
+    Ask("/");
+  }
   bool Wait(const std::function<bool()>& aCondition)
   {
     return RunUntil(mLoop, aCondition);
@@ -155,7 +162,7 @@
   EventLoop mLoop;
   StandInStore mStore{ mLoop };
   HttpClient mClient{ mLoop };
-  platform::PlatformStore mPlatformStore{ mClient, mStore.Address() };
+  platform::PlatformStore mPlatformStore{ mLoop, mClient, mStore.Address() };
   platform::RunnerProtocol mProtocol;
   RouterSettings mSettings;
   std::map<std::string, std::unique_ptr<StandInRunner>> mRunners;
@@ -272,15 +279,15 @@
   }
   SUBCASE("get no runner that leaves or is gone")
   {
-    platform.mStore.Write("servers/i-a",
-                          Json::parse(a.Entry("app", "draining")));
-    platform.Ask("/");
+    platform.Announce([&] {
+      platform.mStore.Write("servers/i-a",
+                            Json::parse(a.Entry("app", "draining")));
+    });
     for (int i = 0; i < 4; ++i) {
       CHECK(HasStatus(platform.Call("/unsafe/1", "r1"), 200));
     }
     CHECK(a.Received().empty());
-    platform.mStore.Remove("servers/i-b");
-    platform.Ask("/");
+    platform.Announce([&] { platform.mStore.Remove("servers/i-b"); });
     CHECK(HasStatus(platform.Call("/unsafe/1", "r1"), 503));
   }
   SUBCASE("are served while the store is away")
@@ -293,15 +300,15 @@
   {
     Json config = MakeConfig(9);
     config["routes"].push_back(MakeRoute("new", "safe", "app"));
-    platform.mStore.Write("config/main", config);
-    platform.Ask("/");
+    platform.Announce([&] { platform.mStore.Write("config/main", config); });
     CHECK(HasStatus(platform.Call("/new/1", "r1"), 200));
-    platform.mStore.Write("config/main", MakeConfig(5));
-    platform.Ask("/");
+    platform.Announce(
+      [&] { platform.mStore.Write("config/main", MakeConfig(5)); });
     CHECK(HasStatus(platform.Call("/new/1", "r1"), 200));
     // An unreadable one changes nothing either.
-    platform.mStore.Write("config/main", Json{ { "version", 12 } });
-    platform.Ask("/");
+    platform.Announce([&] {
+      platform.mStore.Write("config/main", Json{ { "version", 12 } });
+    });
     CHECK(HasStatus(platform.Call("/new/1", "r1"), 200));
   }
   SUBCASE("that are no proper HTTP are refused and reach nobody")
--- a/Tests/Routing/EndpointChoiceTest.cxx
+++ b/Tests/Routing/EndpointChoiceTest.cxx
@@ -18,7 +18,7 @@
   EndpointLoads loads;
   const Instant now{ seconds(100) };
   int changes = 0;
-  loads.OnOwnChange().connect([&] { ++changes; });
+  loads.OnOwnChange().connect([&](const EndpointWork&) { ++changes; });
   loads.Begin("a", { 1, 0 });
   loads.Begin("a", { 1, 500 });
   CHECK(loads.Own("a").mRequests == 2);
