--- a/Source/Router/RoleController.cxx
+++ b/Source/Router/RoleController.cxx
@@ -68,6 +68,13 @@
     mWanted.reset();
     mCall.reset();
   }
+  if (mWanted && !mCall && !RoleBalance::Holds(*mWanted, now)) {
+    LogEvent(
+      LogLevel::Info,
+      "role_change_dropped",
+      { { "endpoint", mWanted->mEndpoint }, { "reason", "no lease in time" } });
+    mWanted.reset();
+  }
   const auto table = mHooks.mTable();
   if (!table) {
     return;
--- a/Source/Routing/RoleBalance.cxx
+++ b/Source/Routing/RoleBalance.cxx
@@ -120,6 +120,7 @@
     mPromptSum / mSamples, mAnswerSum / mSamples, aPrefillRate, aGrowth
   };
   RoleChange change;
+  change.mDecidedAt = aNow;
   change.mRateBefore = Rate(needs, aProfile, pools.mPrefills, pools.mDecodes);
   std::size_t best = pools.mPrefills;
   const std::size_t least = total >= kLargePool ? 2 : 1;
--- a/Source/Routing/RoleBalance.h
+++ b/Source/Routing/RoleBalance.h
@@ -34,6 +34,7 @@
   /** Streams per second that the pools carry now and after the change. */
   double mRateBefore = 0;
   double mRateAfter = 0;
+  Instant mDecidedAt;
 };
 
 /**
@@ -55,6 +56,11 @@
                                    double aGrowth,
                                    double aPrefillRate,
                                    Instant aNow);
+  /** False when the streams may have changed since aChange was decided. */
+  static bool Holds(const RoleChange& aChange, Instant aNow)
+  {
+    return aNow - aChange.mDecidedAt <= kDecisionLifetime;
+  }
   /** The order of the last decision was sent, or could not be. */
   void OnOrdered(Instant aNow);
 
@@ -75,6 +81,9 @@
     std::size_t mDecodes = 0;
   };
   Pools CountPools(const std::string& aService, Instant aNow) const;
+  /** A store that is away can delay an order for as long as it likes. */
+  static constexpr Duration kDecisionLifetime = std::chrono::seconds(2);
+
   std::string ChooseEngine(const std::string& aService,
                            EndpointRole aFrom) const;
 
--- a/Tests/Routing/StreamSchedulerTest.cxx
+++ b/Tests/Routing/StreamSchedulerTest.cxx
@@ -376,6 +376,12 @@
     // From the failure domain that has two.
     CHECK((change->mEndpoint == "p1" || change->mEndpoint == "p3"));
     CHECK(change->mRateAfter > change->mRateBefore);
+    // Guards against an order that was decided before an outage of the store.
+    SUBCASE("but not by a decision of long ago")
+    {
+      CHECK(RoleBalance::Holds(*change, pool.mNow + seconds(1)));
+      CHECK_FALSE(RoleBalance::Holds(*change, pool.mNow + seconds(3)));
+    }
     SUBCASE("one at a time")
     {
       balance.OnOrdered(pool.mNow);
