Serve request latencies as histograms, never leave out sends without an answer

Cause: the metrics address served quantiles of the last minutes only, which cannot be added up over daemons; a send that got no answer was an ordinary line.

--- a/Source/Outcome/Metrics.cxx
+++ b/Source/Outcome/Metrics.cxx
@@ -134,6 +134,29 @@
     aText, aInfo.mName + "_count", labels, absl::StrCat(aSummary.Count()));
 }
 
+void
+AppendSeries(std::string& aText,
+             const MetricInfo& aInfo,
+             const LabelValues& aValues,
+             const LatencyHistogram& aHistogram,
+             Instant /*aNow*/)
+{
+  const auto labels = PairLabels(aInfo, aValues);
+  const auto append = [&](const std::string& aBound, std::uint64_t aCount) {
+    auto bucket = labels;
+    bucket.emplace_back("le", aBound);
+    AppendSample(aText, aInfo.mName + "_bucket", bucket, absl::StrCat(aCount));
+  };
+  for (std::size_t i = 0; i < kHistogramBounds.size(); ++i) {
+    append(FormatNumber(kHistogramBounds[i]), aHistogram.CountUpTo(i));
+  }
+  append("+Inf", aHistogram.Count());
+  AppendSample(
+    aText, aInfo.mName + "_sum", labels, FormatNumber(aHistogram.SumSeconds()));
+  AppendSample(
+    aText, aInfo.mName + "_count", labels, absl::StrCat(aHistogram.Count()));
+}
+
 template<typename Families>
 void
 AppendFamilies(std::string& aText,
@@ -201,6 +224,14 @@
                                   : mStrayGauge;
 }
 
+LatencyHistogram&
+Metrics::GetHistogram(const MetricInfo& aInfo, const LabelValues& aLabels)
+{
+  const auto kind = mKindOfName.emplace(aInfo.mName, &mHistograms).first;
+  return kind->second == &mHistograms ? GetSeries(mHistograms, aInfo, aLabels)
+                                      : mStrayHistogram;
+}
+
 LatencySummary&
 Metrics::GetSummary(const MetricInfo& aInfo, const LabelValues& aLabels)
 {
@@ -215,6 +246,7 @@
   std::string text;
   AppendFamilies(text, mCounters, "counter", aNow);
   AppendFamilies(text, mGauges, "gauge", aNow);
+  AppendFamilies(text, mHistograms, "histogram", aNow);
   AppendFamilies(text, mSummaries, "summary", aNow);
   return text;
 }
--- a/Source/Outcome/Metrics.h
+++ b/Source/Outcome/Metrics.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "Base/Clock.h"
+#include "Outcome/LatencyHistogram.h"
 #include "Outcome/LatencySummary.h"
 
 namespace bulrushfold {
@@ -77,6 +78,8 @@
    */
   Counter& GetCounter(const MetricInfo& aInfo, const LabelValues& aLabels = {});
   Gauge& GetGauge(const MetricInfo& aInfo, const LabelValues& aLabels = {});
+  LatencyHistogram& GetHistogram(const MetricInfo& aInfo,
+                                 const LabelValues& aLabels = {});
   LatencySummary& GetSummary(const MetricInfo& aInfo,
                              const LabelValues& aLabels = {});
 
@@ -102,9 +105,11 @@
   std::map<std::string, const void*> mKindOfName;
   Families<Counter> mCounters;
   Families<Gauge> mGauges;
+  Families<LatencyHistogram> mHistograms;
   Families<LatencySummary> mSummaries;
   Counter mStrayCounter;
   Gauge mStrayGauge;
+  LatencyHistogram mStrayHistogram;
   LatencySummary mStraySummary;
 };
 
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -121,7 +121,9 @@
                       Duration aTook)
 {
   mMetrics.GetCounter(kSends, { std::string(aStep), std::string(aEnd) }).Add();
-  LogEvent(LogLevel::Info,
+  // A send without an answer explains a failure, so it is not left out.
+  LogEvent(aStatus == 0 && aEnd != "answered" ? LogLevel::Warning
+                                              : LogLevel::Info,
            "send_ended",
            { { "id", aRequest.mFacts.mId },
              { "step", aStep },
@@ -186,11 +188,11 @@
                   std::string(RequestOutcomeName(aOutcome)),
                   std::string(aReason) })
     .Add();
-  mMetrics.GetSummary(kLatency, { route }).Record(now - arrival, now);
+  mMetrics.GetHistogram(kLatency, { route }).Record(now - arrival);
   const bool hasFirst = aRequest.mFirstByteAt != Instant();
   if (hasFirst) {
-    mMetrics.GetSummary(kFirstByte, { route })
-      .Record(aRequest.mFirstByteAt - arrival, now);
+    mMetrics.GetHistogram(kFirstByte, { route })
+      .Record(aRequest.mFirstByteAt - arrival);
   }
   const std::string_view late =
     aOutcome == RequestOutcome::Answered ? Lateness(aRequest, now) : "no";
--- a/Tests/Outcome/MetricsTest.cxx
+++ b/Tests/Outcome/MetricsTest.cxx
@@ -213,6 +213,32 @@
   }
 }
 
+TEST_CASE("A latency histogram")
+{
+  Metrics metrics;
+  const MetricInfo info{ "bulrushfold_x_seconds", "X.", { "route" } };
+  LatencyHistogram& histogram = metrics.GetHistogram(info, { "r" });
+  using std::chrono::milliseconds;
+  for (const int it : { 1, 5, 6, 50, 51, 70'000 }) {
+    histogram.Record(milliseconds(it));
+  }
+  CHECK(histogram.Count() == 6);
+  CHECK(histogram.SumSeconds() == doctest::Approx(70.113));
+  // The bounds belong to their buckets.
+  CHECK(histogram.CountUpTo(0) == 2);
+  CHECK(histogram.CountUpTo(3) == 4);
+  CHECK(histogram.CountUpTo(kHistogramBounds.size() - 1) == 5);
+  const std::string text = metrics.Format(Instant());
+  CHECK(text.find("# TYPE bulrushfold_x_seconds histogram") !=
+        std::string::npos);
+  CHECK(text.find("bulrushfold_x_seconds_bucket{route=\"r\",le=\"0.005\"} 2") !=
+        std::string::npos);
+  CHECK(text.find("bulrushfold_x_seconds_bucket{route=\"r\",le=\"+Inf\"} 6") !=
+        std::string::npos);
+  CHECK(text.find("bulrushfold_x_seconds_count{route=\"r\"} 6") !=
+        std::string::npos);
+}
+
 TEST_CASE("A latency summary")
 {
   ManualClock clock;
