Spare engines at which the stream failed while a sound one is usable

Change: an engine serves a stream only if no usable engine has a better rank (sound, tried, avoided), also when that one has no room yet.

--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -43,7 +43,6 @@
 /** Costs below are in units of a full engine. */
 constexpr double kOtherDomainCost = 0.05;
 constexpr double kFailureCost = 1;
-constexpr double kTriedCost = 10;
 constexpr double kJitter = 0.05;
 } // namespace
 
@@ -179,14 +178,27 @@
   return placement;
 }
 
-bool
-StreamScheduler::HasSoundOne(const std::vector<const EndpointRecord*>& aEngines,
-                             Instant aNow) const
+StreamScheduler::Rank
+StreamScheduler::RankOf(const std::string& aEngine,
+                        const StreamDemand& aDemand,
+                        Instant aNow) const
 {
-  return std::any_of(
-    aEngines.begin(), aEngines.end(), [&](const EndpointRecord* aEngine) {
-      return !mHealth.IsAvoided(aEngine->mId, aNow);
-    });
+  if (mHealth.IsAvoided(aEngine, aNow)) {
+    return Rank::Avoided;
+  }
+  return aDemand.mTried.count(aEngine) > 0 ? Rank::Tried : Rank::Sound;
+}
+
+StreamScheduler::Rank
+StreamScheduler::BestRank(const std::vector<const EndpointRecord*>& aEngines,
+                          const StreamDemand& aDemand,
+                          Instant aNow) const
+{
+  Rank best = Rank::Avoided;
+  for (const EndpointRecord* it : aEngines) {
+    best = std::min(best, RankOf(it->mId, aDemand, aNow));
+  }
+  return best;
 }
 
 bool
@@ -203,7 +215,7 @@
   double bestCost = 0;
   const auto engines =
     mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
-  const bool mustSpare = HasSoundOne(engines, aNow);
+  const Rank bestRank = BestRank(engines, aDemand, aNow);
   for (const EndpointRecord* it : engines) {
     auto runs = mRuns.At(it->mId);
     const std::size_t before = runs.size();
@@ -215,15 +227,13 @@
     // A request that exceeds an empty engine is the engine's to refuse.
     const bool hasRoom = (before == 0 && unknown == 0) || peak <= memory;
     if (before >= it->mSlots || !hasRoom || isBlocked ||
-        (mustSpare && mHealth.IsAvoided(it->mId, aNow))) {
+        RankOf(it->mId, aDemand, aNow) > bestRank) {
       continue;
     }
     const double cost =
       peak / std::max(memory, 1.0) +
       (it->mFailureDomain == mFailureDomain ? 0 : kOtherDomainCost) +
-      kFailureCost * mHealth.FailureShare(it->mId) +
-      (aDemand.mTried.count(it->mId) > 0 ? kTriedCost : 0) +
-      kJitter * mRandom.Unit();
+      kFailureCost * mHealth.FailureShare(it->mId) + kJitter * mRandom.Unit();
     if (aPlacement.mDecode.empty() || cost < bestCost) {
       bestCost = cost;
       aPlacement.mDecode = it->mId;
@@ -243,20 +253,18 @@
   double bestCost = 0;
   const auto engines =
     mDirectory.Usable(aDemand.mService, EndpointRole::Prefill);
-  const bool mustSpare = HasSoundOne(engines, aNow);
+  const Rank bestRank = BestRank(engines, aDemand, aNow);
   for (const EndpointRecord* it : engines) {
     const EndpointWork load = mLoads.Total(it->mId);
     if (load.mRequests >= kPrefillDepth ||
-        (mustSpare && mHealth.IsAvoided(it->mId, aNow))) {
+        RankOf(it->mId, aDemand, aNow) > bestRank) {
       continue;
     }
     const double cost =
       static_cast<double>(load.mPrefillTokens) /
         static_cast<double>(std::max<std::uint64_t>(aDemand.mPromptTokens, 1)) +
       (it->mFailureDomain == aFailureDomain ? 0 : kOtherDomainCost) +
-      kFailureCost * mHealth.FailureShare(it->mId) +
-      (aDemand.mTried.count(it->mId) > 0 ? kTriedCost : 0) +
-      kJitter * mRandom.Unit();
+      kFailureCost * mHealth.FailureShare(it->mId) + kJitter * mRandom.Unit();
     if (best == nullptr || cost < bestCost) {
       best = it;
       bestCost = cost;
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -153,9 +153,21 @@
   std::list<StreamDemand>::iterator Next(Instant aNow);
   std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
                                        Instant aNow) const;
-  /** At least one of aEngines is not avoided, so the others are spared. */
-  bool HasSoundOne(const std::vector<const EndpointRecord*>& aEngines,
-                   Instant aNow) const;
+  /** Lower is better; an engine serves aDemand only if no usable engine has a
+   * better rank, also when that one has no room yet. */
+  enum class Rank
+  {
+    Sound,
+    /** aDemand failed there. */
+    Tried,
+    Avoided,
+  };
+  Rank RankOf(const std::string& aEngine,
+              const StreamDemand& aDemand,
+              Instant aNow) const;
+  Rank BestRank(const std::vector<const EndpointRecord*>& aEngines,
+                const StreamDemand& aDemand,
+                Instant aNow) const;
   /** Chooses the decode engine of aPlacement; false when none has room. */
   bool ChooseDecode(const StreamDemand& aDemand,
                     Instant aNow,
--- a/Tests/Routing/StreamSchedulerTest.cxx
+++ b/Tests/Routing/StreamSchedulerTest.cxx
@@ -40,10 +40,10 @@
   {
     mDirectory.Put(Record(aId, aRole, aIn), 1, mNow);
   }
-  void Submit(std::uint64_t aNumber,
-              std::uint64_t aPrompt,
-              std::uint64_t aAnswer,
-              Duration aGoal = milliseconds(900))
+  StreamDemand Demand(std::uint64_t aNumber,
+                      std::uint64_t aPrompt,
+                      std::uint64_t aAnswer,
+                      Duration aGoal = milliseconds(900)) const
   {
     StreamDemand demand;
     demand.mNumber = aNumber;
@@ -55,7 +55,14 @@
     demand.mMostTokens = 10'000;
     demand.mDue = mNow + aGoal;
     demand.mGiveUp = mNow + seconds(3);
-    mScheduler.Submit(std::move(demand));
+    return demand;
+  }
+  void Submit(std::uint64_t aNumber,
+              std::uint64_t aPrompt,
+              std::uint64_t aAnswer,
+              Duration aGoal = milliseconds(900))
+  {
+    mScheduler.Submit(Demand(aNumber, aPrompt, aAnswer, aGoal));
   }
   std::vector<std::uint64_t> Place()
   {
@@ -197,6 +204,19 @@
     pool.mHealth.OnResult("s", "d2", SendResult::ConnectFailed, pool.mNow);
     pool.Run(5, 5000, 2000);
   }
+  // Guards against a stream that fails three times at the same dead engine
+  // because the others are busy for a moment.
+  SUBCASE("an engine at which the stream failed is spared as well")
+  {
+    pool.mLoads.SetPeer("p", { { "p2", { 2, 4000 } } });
+    StreamDemand demand = pool.Demand(1, 1000, 1000);
+    demand.mTried = { "p1" };
+    pool.mScheduler.Submit(demand);
+    CHECK(pool.Place().empty());
+    pool.mLoads.SetPeer("p", {});
+    REQUIRE(pool.Place().size() == 1);
+    CHECK(pool.mPlacements[1].mPrefill == "p2");
+  }
   SUBCASE("without prefill engines a decode engine reads one prompt at a time")
   {
     pool.mDirectory.Remove("p1", 2, pool.mNow);
