--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -313,12 +313,14 @@
   auto call = std::make_shared<std::unique_ptr<HttpCall>>();
   HttpCallHooks hooks;
   hooks.mOnDone = [call,
+                   id = mRequest->mFacts.mId,
                    target = aRequest.mTarget](const HttpCallReply& aReply) {
     call->reset();
     if (aReply.mResult != HttpCallResult::Complete) {
       LogEvent(LogLevel::Info,
                "release_failed",
-               { { "target", target },
+               { { "id", id },
+                 { "target", target },
                  { "result", HttpCallResultName(aReply.mResult) } });
     }
   };
