Split the scheduler, the stream call, its session and the router by job

Change: moves, memory and ends of streams and the registry of the router have files of their own; ServerLimits is a member of Router. Unused parameters of StreamCall::Finish and Retry and unused settings (readiness path, memory) go.

--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -25,9 +25,10 @@
 const MetricInfo kLogDrops{ "bulrushfold_log_lines_left_out_total",
                             "Log lines left out, by urgency.",
                             { "urgency" } };
+} // namespace
 
 HttpServerLimits
-ServerLimits(const CallerLimits& aLimits, std::size_t aDescriptors)
+Router::ServerLimits(const CallerLimits& aLimits, std::size_t aDescriptors)
 {
   HttpServerLimits limits;
   limits.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
@@ -41,7 +42,6 @@
                              : kLeastDescriptors;
   return limits;
 }
-} // namespace
 
 Router::Router(EventLoop& aLoop,
                const RouterSettings& aSettings,
@@ -268,158 +268,4 @@
   mChain.Run(request);
 }
 
-void
-Router::NoteStore(std::string_view aPrefix, const absl::Status* aLost)
-{
-  LogEvent(aLost != nullptr ? LogLevel::Warning : LogLevel::Info,
-           aLost != nullptr ? "store_lost" : "store_back",
-           { { "objects", aPrefix },
-             { "reason", aLost != nullptr ? aLost->ToString() : "" } });
-}
-
-ObjectFollowerHooks
-Router::ConfigHooks()
-{
-  ObjectFollowerHooks hooks;
-  hooks.mOnListing = [this](const StoreListing& aListing) {
-    for (const auto& it : aListing.mObjects) {
-      TakeConfig(it);
-    }
-  };
-  hooks.mOnChange = [this](const StoredObject& aObject) {
-    TakeConfig(aObject);
-  };
-  hooks.mOnLost = [this](const absl::Status& aStatus) {
-    NoteStore(mSettings.mConfigPrefix, &aStatus);
-  };
-  hooks.mOnBack = [this] { NoteStore(mSettings.mConfigPrefix, nullptr); };
-  return hooks;
-}
-
-void
-Router::TakeConfig(const StoredObject& aObject)
-{
-  if (aObject.mKey != mSettings.mConfigKey || aObject.mIsDeleted) {
-    return;
-  }
-  auto config = mCodec.mReadConfig(aObject);
-  if (!config.ok()) {
-    LogEvent(LogLevel::Error,
-             "config_unreadable",
-             { { "revision", aObject.mVersion },
-               { "reason", std::string(config.status().message()) } });
-    return;
-  }
-  if (mTable && config->mVersion <= mTable->Config().mVersion) {
-    return;
-  }
-  LogEvent(LogLevel::Info,
-           "config_in_force",
-           { { "version", config->mVersion },
-             { "revision", aObject.mVersion },
-             { "routes", config->mRoutes.size() },
-             { "services", config->mServices.size() } });
-  mTable = std::make_shared<const RouteTable>(*std::move(config));
-  mCallerServer.SetLimits(
-    ServerLimits(mTable->Config().mLimits, mSettings.mMaxDescriptors));
-  mStreams.Kick();
-  NoteReadiness();
-}
-
-ObjectFollowerHooks
-Router::EndpointHooks()
-{
-  ObjectFollowerHooks hooks;
-  hooks.mOnListing = [this](const StoreListing& aListing) {
-    TakeEndpoints(aListing);
-  };
-  hooks.mOnChange = [this](const StoredObject& aObject) {
-    TakeEndpoint(aObject);
-  };
-  hooks.mOnLost = [this](const absl::Status& aStatus) {
-    NoteStore(mSettings.mEndpointPrefix, &aStatus);
-  };
-  hooks.mOnBack = [this] {
-    NoteStore(mSettings.mEndpointPrefix, nullptr);
-    mDirectory.OnRegistryBack(mClock.Now());
-  };
-  return hooks;
-}
-
-void
-Router::TakeEndpoints(const StoreListing& aListing)
-{
-  std::vector<EndpointRecord> records;
-  for (const auto& it : aListing.mObjects) {
-    if (auto record = mCodec.mReadEndpoint(it); record.ok()) {
-      records.push_back(*std::move(record));
-    } else {
-      LogEvent(LogLevel::Warning,
-               "endpoint_unreadable",
-               { { "key", it.mKey },
-                 { "reason", std::string(record.status().message()) } });
-    }
-  }
-  mDirectory.Replace(records, aListing.mRevision, mClock.Now());
-  mHasEndpoints = true;
-  ArmExpiry();
-  mStreams.Kick();
-  NoteReadiness();
-}
-
-void
-Router::TakeEndpoint(const StoredObject& aObject)
-{
-  const Instant now = mClock.Now();
-  const std::string id = aObject.mKey.substr(mSettings.mEndpointPrefix.size());
-  auto record = aObject.mIsDeleted
-                  ? absl::StatusOr<EndpointRecord>(absl::NotFoundError(""))
-                  : mCodec.mReadEndpoint(aObject);
-  if (record.ok()) {
-    mDirectory.Put(*record, aObject.mVersion, now);
-  } else {
-    if (!aObject.mIsDeleted) {
-      LogEvent(LogLevel::Warning,
-               "endpoint_unreadable",
-               { { "key", aObject.mKey },
-                 { "reason", std::string(record.status().message()) } });
-    }
-    mDirectory.Remove(id, aObject.mVersion, now);
-  }
-  ArmExpiry();
-  mStreams.Kick();
-}
-
-void
-Router::HandleEndpointChange(const EndpointRecord& aEndpoint,
-                             EndpointChange aChange)
-{
-  LogEvent(LogLevel::Info,
-           "endpoint_changed",
-           { { "endpoint", aEndpoint.mId },
-             { "change", EndpointChangeName(aChange) },
-             { "service", aEndpoint.mService },
-             { "role", EndpointRoleName(aEndpoint.mRole) },
-             { "address", FormatAddress(aEndpoint.mAddress) },
-             { "failure_domain", aEndpoint.mFailureDomain },
-             { "registry", mDirectory.Revision() } });
-  if (aChange == EndpointChange::Gone || aChange == EndpointChange::Restarted) {
-    mHealth.Forget(aEndpoint.mId);
-    mLoads.Forget(aEndpoint.mId);
-    mClient.DropIdle(aEndpoint.mAddress);
-  }
-}
-
-void
-Router::ArmExpiry()
-{
-  if (const auto next = mDirectory.NextExpiry(); next) {
-    mExpiryTimer =
-      mLoop.After(std::max(*next - mClock.Now(), Duration::zero()), [this] {
-        mDirectory.Expire(mClock.Now());
-        ArmExpiry();
-      });
-  }
-}
-
 } // namespace bulrushfold
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -59,6 +59,8 @@
   void Stop() { mStop.Begin(); }
 
 private:
+  static HttpServerLimits ServerLimits(const CallerLimits& aLimits,
+                                       std::size_t aDescriptors);
   void AddFilters();
   void HandleCaller(std::shared_ptr<HttpExchange> aExchange);
   void HandleReadiness(HttpExchange& aExchange);
--- a/Source/Router/RouterSettings.h
+++ b/Source/Router/RouterSettings.h
@@ -21,7 +21,6 @@
   SocketAddress mCallerAddress;
   /** Where the balancer asks whether the daemon takes new connections. */
   SocketAddress mReadinessAddress;
-  std::string mReadinessPath;
   SocketAddress mPeerAddress;
   SocketAddress mStoreAddress;
   /** Not served when empty. */
@@ -37,7 +36,6 @@
   /** Longest time in which an engine changes its role. */
   Duration mRoleChangeTime = std::chrono::seconds(12);
   std::size_t mMaxDescriptors = 1024;
-  std::size_t mMemoryBytes = 128 * 1024 * 1024;
   RetryBounds mRetryBounds;
   /** Time after an outage of the store for which missing entries are kept. */
   Duration mEndpointGrace = std::chrono::seconds(2);
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -19,15 +19,10 @@
 } };
 
 constexpr int kOk = 200;
-constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
-/** Placements of one stream; bounds a loop of refusals. */
-constexpr std::uint32_t kMaxPlacements = 40;
 /** Longest wait of a stream that is late already. */
 constexpr Duration kLateWait = std::chrono::milliseconds(2500);
-constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
 /** Callers that come in a burst are asked back after it. */
 constexpr Duration kOverloadRetry = std::chrono::milliseconds(2500);
 /** Part of the expected answer that is reserved with the prompt. */
@@ -36,9 +31,6 @@
 constexpr Duration kReserveLimit = std::chrono::milliseconds(300);
 /** Time after which a prefill is taken for lost. */
 constexpr Duration kPrefillLimit = std::chrono::milliseconds(1500);
-/** Time in which a run is stopped and copied. */
-constexpr Duration kMoveLimit = std::chrono::milliseconds(800);
-constexpr std::uint32_t kMaxMoves = 3;
 /** Time after which a run that could go on elsewhere is taken for lost. */
 constexpr Duration kStallLimit = std::chrono::milliseconds(1200);
 
@@ -144,7 +136,7 @@
 StreamCall::OnNoPlacement(Instant)
 {
   if (mState == StreamState::Waiting) {
-    Finish(SendEnd::NotSent, RefusalReason::WaitedTooLong, false);
+    Finish(RefusalReason::WaitedTooLong, false);
   }
 }
 
@@ -161,7 +153,7 @@
   }
   mPort.NoteDecodeFull(mPlacement.mDecode, ReservedTokens());
   ReleaseAll();
-  Retry(SendEnd::NotSent, 0, aNow);
+  Retry(0, aNow);
 }
 
 void
@@ -173,7 +165,7 @@
   }
   if (!mPort.IsUsable(mPlacement.mPrefill)) {
     ReleaseAll();
-    Retry(SendEnd::NotSent, 0, aNow);
+    Retry(0, aNow);
     return;
   }
   mState = StreamState::Prefilling;
@@ -200,7 +192,7 @@
   mTried.insert(mPlacement.mPrefill);
   ReleaseAll();
   // The call that failed, or the one that repeats it, counts as repeated.
-  Retry(aEnd, aEnd == SendEnd::NotSent ? 0 : 1, aNow);
+  Retry(aEnd == SendEnd::NotSent ? 0 : 1, aNow);
 }
 
 void
@@ -210,7 +202,7 @@
     mTried.insert(mPlacement.mDecode);
     const std::uint32_t repeats = RepeatsToDecode();
     ReleaseAll();
-    Retry(SendEnd::NotSent, repeats, aNow);
+    Retry(repeats, aNow);
     return;
   }
   SendDecode(aNow);
@@ -329,200 +321,7 @@
     mPort.Deliver(mFailure);
     return;
   }
-  Retry(aEnd, hasFailure && !mHasAnswer ? 0 : repeats, aNow);
-}
-
-void
-StreamCall::StartMove(const std::string& aTarget, Instant aNow)
-{
-  if (mState != StreamState::Streaming || mMove || mMoves >= kMaxMoves ||
-      mRelay.Events() == 0 || mRelay.LastId().empty() ||
-      !mRetries.Take(mTerms.mCall.mService, 1, aNow)) {
-    return;
-  }
-  ++mMoves;
-  mMove = RunMove{ mPlacement.mDecode, aTarget, false, false, {}, false };
-  mPort.NoteMoved(aTarget);
-  SetStallLimit(kMoveLimit, aNow);
-  mPort.Move(mPlacement.mDecode, aTarget);
-}
-
-void
-StreamCall::OnMoveAnswered(const std::optional<KvCache>& aCache,
-                           bool aIsCopied,
-                           Instant aNow)
-{
-  if (!mMove) {
-    if (aCache) {
-      mPort.DropCache(*aCache);
-    }
-    return;
-  }
-  mMove->mIsAnswered = true;
-  mMove->mCache = aCache;
-  mMove->mIsCopied = aIsCopied;
-  ContinueMove(aNow);
-}
-
-void
-StreamCall::ContinueMove(Instant aNow)
-{
-  if (mMove->mIsAnswered && !mMove->mCache) {
-    // The run goes on where it was, or it ended meanwhile.
-    const RunMove move = *std::exchange(mMove, std::nullopt);
-    mPort.NoteMoved(move.mSource);
-    if (move.mHasEnded) {
-      OnAnswerEnded(SendEnd::Unknown, aNow);
-    } else {
-      mPort.WakeAt(mTerms.mCall.mDeadline);
-    }
-    return;
-  }
-  if (!mMove->mIsAnswered || !mMove->mHasEnded) {
-    return;
-  }
-  const RunMove move = *std::exchange(mMove, std::nullopt);
-  mRelay.Restart();
-  mCache = move.mCache;
-  mPlacement.mPrefill.clear();
-  mPlacement.mDecode = move.mIsCopied ? move.mTarget : move.mSource;
-  mMoveSource = move.mIsCopied ? move.mSource : std::string();
-  mPort.NoteMoved(mPlacement.mDecode);
-  SendDecode(aNow);
-}
-
-bool
-StreamCall::ReturnToSource(Instant aNow)
-{
-  if (mState != StreamState::Starting || mMoveSource.empty() || !mCache ||
-      !mRetries.Take(mTerms.mCall.mService, 1, aNow)) {
-    return false;
-  }
-  mPlacement.mDecode = std::exchange(mMoveSource, std::string());
-  mPort.NoteMoved(mPlacement.mDecode);
-  SendDecode(aNow);
-  return true;
-}
-
-std::uint32_t
-StreamCall::RepeatsToDecode() const
-{
-  return mPlacement.mPrefill.empty() ? 0 : 1;
-}
-
-bool
-StreamCall::MayRunAgain() const
-{
-  if (mRuns == 0) {
-    return true;
-  }
-  const Route& route = *mTerms.mCall.mRoute;
-  return route.mIsResumable && mRuns < route.mMaxAttempts;
-}
-
-void
-StreamCall::Retry(SendEnd aEnd, std::uint32_t aRepeats, Instant aNow)
-{
-  const bool isUseful = aNow < mTerms.mCall.mDeadline &&
-                        mPlacements < kMaxPlacements && MayRunAgain();
-  if (isUseful && mRetries.Take(mTerms.mCall.mService, aRepeats, aNow)) {
-    Submit(aNow);
-    return;
-  }
-  Finish(aEnd, RefusalReason::EndpointsFull, false);
-}
-
-void
-StreamCall::ReleaseAll()
-{
-  mPort.ReleasePrefill(Duration::zero());
-  mPort.ReleaseDecode();
-  if (mCache) {
-    mPort.DropCache(*mCache);
-    mCache.reset();
-  }
-  if (!mReservation.empty()) {
-    mPort.DropReservation(mPlacement.mDecode, mReservation);
-    mReservation.clear();
-  }
-}
-
-void
-StreamCall::Finish(SendEnd, RefusalReason aReason, bool aIsTimeout)
-{
-  mState = StreamState::Over;
-  if (mHasAnswer) {
-    mPort.BreakAnswer(aReason);
-  } else if (mRuns > 0) {
-    mPort.Refuse(
-      { aIsTimeout ? kGatewayTimeout : kBadGateway,
-        aIsTimeout ? RefusalReason::Timeout : RefusalReason::OutcomeUnknown,
-        Duration::zero() });
-  } else {
-    mPort.Refuse({ kUnavailable, aReason, kRetryAfter });
-  }
-}
-
-void
-StreamCall::HandleStall(Instant aNow)
-{
-  switch (mState) {
-    case StreamState::Reserving:
-      mPort.CancelSend(SendResult::Slow);
-      OnReserved("", aNow);
-      return;
-    case StreamState::Prefilling:
-      mPort.CancelSend(SendResult::Slow);
-      OnPrefilled(SendEnd::Unknown, {}, Duration::zero(), aNow);
-      return;
-    case StreamState::Starting:
-    case StreamState::Streaming:
-    case StreamState::Failing:
-      mMove.reset();
-      mPort.CancelSend(SendResult::Slow);
-      OnAnswerEnded(SendEnd::Unknown, aNow);
-      return;
-    case StreamState::Waiting:
-    case StreamState::Over:
-      return;
-  }
-}
-
-void
-StreamCall::OnWake(Instant aNow)
-{
-  if (mState == StreamState::Over) {
-    return;
-  }
-  if (aNow < mTerms.mCall.mDeadline) {
-    HandleStall(aNow);
-    return;
-  }
-  if (mState == StreamState::Waiting) {
-    mPort.WithdrawPlacement();
-  } else {
-    if (mState != StreamState::Reserving && mState != StreamState::Prefilling) {
-      ++mRuns;
-    }
-    mPort.CancelSend(SendResult::Slow);
-  }
-  ReleaseAll();
-  Finish(SendEnd::Unknown, RefusalReason::Timeout, true);
-}
-
-void
-StreamCall::OnCallerGone(Instant)
-{
-  if (mState == StreamState::Over) {
-    return;
-  }
-  if (mState == StreamState::Waiting) {
-    mPort.WithdrawPlacement();
-  } else {
-    mPort.CancelSend(SendResult::Answered);
-  }
-  ReleaseAll();
-  mState = StreamState::Over;
+  Retry(hasFailure && !mHasAnswer ? 0 : repeats, aNow);
 }
 
 } // namespace bulrushfold
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -173,11 +173,11 @@
   void ReleaseAll();
   /** Goes on at other engines, or ends. aRepeats: sends that count as repeated
    * if it goes on. */
-  void Retry(SendEnd aEnd, std::uint32_t aRepeats, Instant aNow);
+  void Retry(std::uint32_t aRepeats, Instant aNow);
   /** Calls before the decode that another run repeats. */
   std::uint32_t RepeatsToDecode() const;
   bool MayRunAgain() const;
-  void Finish(SendEnd aEnd, RefusalReason aReason, bool aIsTimeout);
+  void Finish(RefusalReason aReason, bool aIsTimeout);
   void HandleStall(Instant aNow);
   void SetStallLimit(Duration aLimit, Instant aNow);
 
--- /dev/null
+++ b/Source/Router/StreamSessionMoves.cxx
@@ -0,0 +1,99 @@
+#include "Router/StreamSession.h"
+
+#include <utility>
+
+namespace bulrushfold {
+
+void
+StreamSession::HandleMove(const std::string& aTarget)
+{
+  const auto self = mSelf;
+  mCall.StartMove(aTarget, mServices.mClock.Now());
+}
+
+void
+StreamSession::Move(const std::string& aEndpoint, const std::string& aTarget)
+{
+  const EndpointRecord* source = mServices.mDirectory.Find(aEndpoint);
+  const EndpointRecord* target = mServices.mDirectory.Find(aTarget);
+  const Instant now = mServices.mClock.Now();
+  mServices.mLog.Sent(*mRequest, "move", aEndpoint, 0, 0);
+  if (source == nullptr || target == nullptr) {
+    mServices.mLoop.Defer([this, self = mSelf, now] {
+      mCall.OnMoveAnswered(std::nullopt, false, now);
+    });
+    return;
+  }
+  HttpCallHooks hooks;
+  hooks.mOnDone = [this, aEndpoint, now](const HttpCallReply& aReply) {
+    HandleMoveAnswer(aReply, aEndpoint, now);
+  };
+  mMoveCall = mServices.mClient.Start(
+    mServices.mProtocol.Move(*source, mRequest->mFacts.mId, *target),
+    std::move(hooks));
+}
+
+void
+StreamSession::HandleMoveAnswer(const HttpCallReply& aReply,
+                                const std::string& aSource,
+                                Instant aSentAt)
+{
+  const auto self = mSelf;
+  constexpr int kOk = 200;
+  const Instant now = mServices.mClock.Now();
+  mMoveCall.reset();
+  mServices.mLog.SendEnded(*mRequest,
+                           "move",
+                           aSource,
+                           HttpCallResultName(aReply.mResult),
+                           aReply.mStatus,
+                           now - aSentAt);
+  std::optional<KvCache> cache;
+  const EndpointRecord* source = mServices.mDirectory.Find(aSource);
+  if (aReply.mResult == HttpCallResult::Complete && source != nullptr) {
+    if (auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
+        handle.ok()) {
+      cache = KvCache{ aSource, source->mAddress, *std::move(handle) };
+    }
+  }
+  mCall.OnMoveAnswered(cache, aReply.mStatus == kOk, now);
+}
+
+void
+StreamSession::DropReservation(const std::string& aEndpoint,
+                               const std::string& aReservation)
+{
+  if (const auto* endpoint = mServices.mDirectory.Find(aEndpoint); endpoint) {
+    SendAside(mServices.mProtocol.DropReservation(*endpoint, aReservation));
+  }
+}
+
+void
+StreamSession::SendAside(HttpCallRequest aRequest)
+{
+  auto call = std::make_shared<std::unique_ptr<HttpCall>>();
+  HttpCallHooks hooks;
+  hooks.mOnDone = [call, id = mRequest->mFacts.mId, target = aRequest.mTarget](
+                    const HttpCallReply& aReply) {
+    call->reset();
+    if (aReply.mResult != HttpCallResult::Complete) {
+      LogEvent(LogLevel::Info,
+               "release_failed",
+               { { "id", id },
+                 { "target", target },
+                 { "result", HttpCallResultName(aReply.mResult) } });
+    }
+  };
+  *call = mServices.mClient.Start(std::move(aRequest), std::move(hooks));
+}
+
+void
+StreamSession::DropCache(const KvCache& aCache)
+{
+  if (const auto* endpoint = mServices.mDirectory.Find(aCache.mEndpoint);
+      endpoint != nullptr) {
+    SendAside(mServices.mProtocol.DropCache(*endpoint, aCache.mHandle));
+  }
+}
+
+} // namespace bulrushfold
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -9,28 +9,10 @@
 /** Prompts at one prefill engine, of all daemons; two keep it busy while a
  * finished one is fetched. */
 constexpr std::uint32_t kPrefillDepth = 2;
-/** Part of an engine's memory that is given away; blocks are not filled. */
-constexpr double kMemoryPart = 0.97;
 /** Standard deviations above the expected need that must fit. */
 constexpr double kNeedDeviations = 2.0;
-/** An engine is relieved if it is expected to be full after this time, */
-constexpr Duration kMoveHorizon = std::chrono::milliseconds(300);
-/** with so many standard deviations above the expected need. */
-constexpr double kMoveDeviations = 0.5;
-/** A target must have room for so many standard deviations. */
-constexpr double kTargetDeviations = 1.0;
-/** Time until a move shows in what the daemons tell each other. */
-constexpr Duration kMoveEffect = std::chrono::milliseconds(80);
-/** A run at a leaving engine stays if it is expected to end this soon. */
-constexpr Duration kLeastRemaining = std::chrono::milliseconds(1000);
 /** Growth of a run that is assumed before the first answer, tokens/ms. */
 constexpr double kFirstGrowth = 1.5;
-/** Least events that tell the growth of a run. */
-constexpr std::uint64_t kLeastEvents = 5;
-/** Time for which an engine that had no room is left alone. */
-constexpr Duration kFullTime = std::chrono::milliseconds(60);
-/** Time in which runs that no daemon tells of end. */
-constexpr Duration kUnknownTime = std::chrono::seconds(3);
 /** Interval of attempts while streams wait and nothing else happens. */
 constexpr Duration kRetryInterval = std::chrono::milliseconds(50);
 /** Prefill rate assumed before the first one ended. */
@@ -206,8 +188,7 @@
                               Instant aNow,
                               StreamPlacement& aPlacement) const
 {
-  const double memory =
-    kMemoryPart * static_cast<double>(aDemand.mProfile.mMemoryTokens);
+  const double memory = MemoryOf(aDemand.mService);
   StreamRun candidate;
   candidate.mPromptTokens = aDemand.mPromptTokens;
   candidate.mAnswerTokens = aDemand.mAnswerTokens;
@@ -336,156 +317,6 @@
   mRuns.Remove(aNumber);
 }
 
-double
-StreamScheduler::MemoryOf(const std::string& aService) const
-{
-  const auto it = mProfiles.find(aService);
-  return it == mProfiles.end()
-           ? 0
-           : kMemoryPart * static_cast<double>(it->second.mMemoryTokens);
-}
-
-bool
-StreamScheduler::MustLeave(const StreamRun& aRun, Instant aNow) const
-{
-  const EndpointRecord* engine = mDirectory.Find(aRun.mEndpoint);
-  if (engine == nullptr || !aRun.mStartedAt) {
-    return false;
-  }
-  if (engine->mIsDraining) {
-    const double left =
-      static_cast<double>(aRun.mAnswerTokens) - mForecast.Generated(aRun, aNow);
-    return left > ToMilliseconds(kLeastRemaining) * mForecast.Rate();
-  }
-  const auto moved = mMovedAt.find(aRun.mEndpoint);
-  if (moved != mMovedAt.end() && aNow - moved->second < kMoveEffect) {
-    return false;
-  }
-  const auto runs = mRuns.At(aRun.mEndpoint);
-  const MemoryNeed need = mForecast.NeedAfter(runs, kMoveHorizon, aNow);
-  const bool isFull =
-    need.mMean + kMoveDeviations * need.mDeviation > MemoryOf(engine->mService);
-  return isFull &&
-         std::none_of(runs.begin(), runs.end(), [&](const StreamRun* aOther) {
-           return aOther->mStartedAt && *aOther->mStartedAt > *aRun.mStartedAt;
-         });
-}
-
-std::string
-StreamScheduler::ChooseTarget(const StreamRun& aRun, Instant aNow) const
-{
-  const EndpointRecord* engine = mDirectory.Find(aRun.mEndpoint);
-  const double memory = MemoryOf(engine->mService);
-  std::string best;
-  double bestPeak = memory;
-  for (const EndpointRecord* it :
-       mDirectory.Usable(engine->mService, EndpointRole::Decode)) {
-    auto runs = mRuns.At(it->mId);
-    if (it->mId == aRun.mEndpoint || runs.size() >= it->mSlots ||
-        mHealth.IsAvoided(it->mId, aNow)) {
-      continue;
-    }
-    runs.push_back(&aRun);
-    const double peak = mForecast.Peak(runs, kTargetDeviations, aNow) +
-                        UnknownTokens(it->mId, aNow);
-    if (peak < bestPeak) {
-      bestPeak = peak;
-      best = it->mId;
-    }
-  }
-  return best;
-}
-
-std::vector<MoveProposal>
-StreamScheduler::Rebalance(Instant aNow)
-{
-  std::vector<MoveProposal> proposals;
-  const auto own = mRuns.Own();
-  for (const auto& [number, run] : own) {
-    if (!MustLeave(run, aNow)) {
-      continue;
-    }
-    const std::string target = ChooseTarget(run, aNow);
-    if (!target.empty()) {
-      mMovedAt[run.mEndpoint] = aNow;
-      proposals.push_back({ number, target });
-    }
-  }
-  return proposals;
-}
-
-void
-StreamScheduler::OnMoved(std::uint64_t aNumber, const std::string& aEndpoint)
-{
-  mRuns.OnMoved(aNumber, aEndpoint);
-}
-
-void
-StreamScheduler::OnProgress(std::uint64_t aEvents,
-                            std::uint32_t aTokensPerEvent,
-                            Duration aTook)
-{
-  if (aEvents >= kLeastEvents && aTook > Duration::zero()) {
-    const double rate =
-      static_cast<double>(aEvents * aTokensPerEvent) / ToMilliseconds(aTook);
-    mForecast.SetRate(mForecast.Rate() +
-                      kRateWeight * (rate - mForecast.Rate()));
-  }
-}
-
-void
-StreamScheduler::OnDecodeFull(const std::string& aEndpoint,
-                              std::uint64_t aTokens,
-                              Instant aNow)
-{
-  mFullUntil[aEndpoint] = aNow + kFullTime;
-  const EndpointRecord* engine = mDirectory.Find(aEndpoint);
-  if (engine == nullptr) {
-    return;
-  }
-  const double known =
-    mForecast.NeedAfter(mRuns.At(aEndpoint), Duration::zero(), aNow).mMean;
-  const double unknown =
-    MemoryOf(engine->mService) - known - static_cast<double>(aTokens);
-  if (unknown > UnknownTokens(aEndpoint, aNow)) {
-    mUnknown[aEndpoint] = { unknown, aNow, ExpectedNeed(aEndpoint) };
-  }
-}
-
-double
-StreamScheduler::ExpectedNeed(const std::string& aEndpoint) const
-{
-  // Does not change while a run goes on, so that only new runs raise it.
-  double need = 0;
-  for (const StreamRun* it : mRuns.At(aEndpoint)) {
-    need += static_cast<double>(it->mPromptTokens) +
-            static_cast<double>(it->mAnswerTokens) / 2;
-  }
-  return need;
-}
-
-void
-StreamScheduler::CountNewlyKnown()
-{
-  for (auto it = mUnknown.begin(); it != mUnknown.end();) {
-    const double known = ExpectedNeed(it->first);
-    it->second.mTokens -= std::max(0.0, known - it->second.mKnown);
-    it->second.mKnown = known;
-    it = it->second.mTokens <= 0 ? mUnknown.erase(it) : std::next(it);
-  }
-}
-
-double
-StreamScheduler::UnknownTokens(const std::string& aEndpoint, Instant aNow) const
-{
-  const auto it = mUnknown.find(aEndpoint);
-  if (it == mUnknown.end()) {
-    return 0;
-  }
-  const double age = ToSeconds(aNow - it->second.mSeenAt);
-  return it->second.mTokens * std::max(0.0, 1 - age / ToSeconds(kUnknownTime));
-}
-
 std::optional<Instant>
 StreamScheduler::NextWake(Instant aNow) const
 {
--- /dev/null
+++ b/Source/Routing/StreamSchedulerMoves.cxx
@@ -0,0 +1,95 @@
+#include "Routing/StreamScheduler.h"
+
+#include <algorithm>
+
+namespace bulrushfold {
+
+namespace {
+/** An engine is relieved if it is expected to be full after this time, */
+constexpr Duration kMoveHorizon = std::chrono::milliseconds(300);
+/** with so many standard deviations above the expected need. */
+constexpr double kMoveDeviations = 0.5;
+/** A target must have room for so many standard deviations. */
+constexpr double kTargetDeviations = 1.0;
+/** Time until a move shows in what the daemons tell each other. */
+constexpr Duration kMoveEffect = std::chrono::milliseconds(80);
+/** A run at a leaving engine stays if it is expected to end this soon. */
+constexpr Duration kLeastRemaining = std::chrono::milliseconds(1000);
+} // namespace
+
+bool
+StreamScheduler::MustLeave(const StreamRun& aRun, Instant aNow) const
+{
+  const EndpointRecord* engine = mDirectory.Find(aRun.mEndpoint);
+  if (engine == nullptr || !aRun.mStartedAt) {
+    return false;
+  }
+  if (engine->mIsDraining) {
+    const double left =
+      static_cast<double>(aRun.mAnswerTokens) - mForecast.Generated(aRun, aNow);
+    return left > ToMilliseconds(kLeastRemaining) * mForecast.Rate();
+  }
+  const auto moved = mMovedAt.find(aRun.mEndpoint);
+  if (moved != mMovedAt.end() && aNow - moved->second < kMoveEffect) {
+    return false;
+  }
+  const auto runs = mRuns.At(aRun.mEndpoint);
+  const MemoryNeed need = mForecast.NeedAfter(runs, kMoveHorizon, aNow);
+  const bool isFull =
+    need.mMean + kMoveDeviations * need.mDeviation > MemoryOf(engine->mService);
+  return isFull &&
+         std::none_of(runs.begin(), runs.end(), [&](const StreamRun* aOther) {
+           return aOther->mStartedAt && *aOther->mStartedAt > *aRun.mStartedAt;
+         });
+}
+
+std::string
+StreamScheduler::ChooseTarget(const StreamRun& aRun, Instant aNow) const
+{
+  const EndpointRecord* engine = mDirectory.Find(aRun.mEndpoint);
+  const double memory = MemoryOf(engine->mService);
+  std::string best;
+  double bestPeak = memory;
+  for (const EndpointRecord* it :
+       mDirectory.Usable(engine->mService, EndpointRole::Decode)) {
+    auto runs = mRuns.At(it->mId);
+    if (it->mId == aRun.mEndpoint || runs.size() >= it->mSlots ||
+        mHealth.IsAvoided(it->mId, aNow)) {
+      continue;
+    }
+    runs.push_back(&aRun);
+    const double peak = mForecast.Peak(runs, kTargetDeviations, aNow) +
+                        UnknownTokens(it->mId, aNow);
+    if (peak < bestPeak) {
+      bestPeak = peak;
+      best = it->mId;
+    }
+  }
+  return best;
+}
+
+std::vector<MoveProposal>
+StreamScheduler::Rebalance(Instant aNow)
+{
+  std::vector<MoveProposal> proposals;
+  const auto own = mRuns.Own();
+  for (const auto& [number, run] : own) {
+    if (!MustLeave(run, aNow)) {
+      continue;
+    }
+    const std::string target = ChooseTarget(run, aNow);
+    if (!target.empty()) {
+      mMovedAt[run.mEndpoint] = aNow;
+      proposals.push_back({ number, target });
+    }
+  }
+  return proposals;
+}
+
+void
+StreamScheduler::OnMoved(std::uint64_t aNumber, const std::string& aEndpoint)
+{
+  mRuns.OnMoved(aNumber, aEndpoint);
+}
+
+} // namespace bulrushfold
--- a/Tests/Adapter/RouterStoryTest.cxx
+++ b/Tests/Adapter/RouterStoryTest.cxx
@@ -64,7 +64,6 @@
     mSettings.mName = "front-1";
     mSettings.mCallerAddress = FreeAddress();
     mSettings.mReadinessAddress = FreeAddress();
-    mSettings.mReadinessPath = "/api/ready";
     mSettings.mPeerAddress = FreeAddress();
     mSettings.mStoreAddress = mStore.Address();
     mSettings.mConfigPrefix = "config/";
