--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -71,7 +71,8 @@
  * Places streams on engines. A stream starts when a decode engine has room
  * for what it is expected to need and a prefill engine has nearly nothing to
  * do, so that a computed prompt never waits for memory. Waiting streams that
- * can still be on time go first, the earliest due first; late ones follow.
+ * can still be on time go first, those that use memory for the shortest time
+ * before the others; late ones follow.
  *
  * Events to deliver: Submit; Dispatch after every event that may have made
  * room (an own stream ended, a peer told its loads, endpoints changed) and at
