--- a/Source/Routing/RoleBalance.cxx
+++ b/Source/Routing/RoleBalance.cxx
@@ -82,6 +82,11 @@
       domains.size() - domains[aEngine.mFailureDomain], load, aEngine.mId);
   };
   for (const EndpointRecord* it : engines) {
+    // An engine that leaves the decode pool drops its runs, and their prompts
+    // are read again elsewhere.
+    if (aFrom == EndpointRole::Decode && mRuns.CountAt(it->mId) > 0) {
+      continue;
+    }
     if (best == nullptr || rank(*it) < rank(*best)) {
       best = it;
     }
--- a/Source/Routing/RoleBalance.h
+++ b/Source/Routing/RoleBalance.h
@@ -84,6 +84,7 @@
   /** A store that is away can delay an order for as long as it likes. */
   static constexpr Duration kDecisionLifetime = std::chrono::seconds(2);
 
+  /** Empty when no engine can be spared now. */
   std::string ChooseEngine(const std::string& aService,
                            EndpointRole aFrom) const;
 
--- a/Tests/Routing/StreamSchedulerTest.cxx
+++ b/Tests/Routing/StreamSchedulerTest.cxx
@@ -421,6 +421,17 @@
     const auto change = decide();
     REQUIRE(change);
     CHECK(change->mRole == EndpointRole::Prefill);
+    CHECK(change->mEndpoint != "d1");
+    // Guards against an order that makes a busy engine drop its runs.
+    SUBCASE("but engines that run streams stay")
+    {
+      std::vector<StreamRun> runs;
+      for (const std::string id : { "d1", "d2", "d3", "d4", "d5", "d6" }) {
+        runs.push_back({ runs.size(), id, 20'000, 500, 10'000, pool.mNow });
+      }
+      pool.mRuns.SetPeer("p", runs);
+      CHECK_FALSE(decide());
+    }
   }
   // Guards against a pool that stays out of balance because one engine of
   // many changes little.
