Share the calls to a store between both store clients

Cause: PlatformStore repeated HttpObjectStore's mapping of status codes, the calls under way and the counts of traffic. Change: Source/Platform/StoreCalls holds both; Source/Net/HttpStatus.h names the status codes.

--- a/Source/Platform/HttpObjectStore.cxx
+++ b/Source/Platform/HttpObjectStore.cxx
@@ -13,13 +13,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int kStatusOk = 200;
-constexpr int kStatusCreated = 201;
-constexpr int kStatusNotFound = 404;
-constexpr int kStatusConflict = 409;
-constexpr int kStatusGone = 410;
-constexpr int kStatusTooManyRequests = 429;
-constexpr int kStatusUnavailable = 503;
 // A watch sends an empty line at least this often; silence for three times as
 // long means that the connection is dead.
 constexpr Duration kWatchKeepAlive = std::chrono::seconds(2);
@@ -27,31 +20,7 @@
 absl::Status
 StatusOf(const HttpCallReply& aReply, const std::string& aTarget)
 {
-  const std::string place = absl::StrCat("object API ", aTarget, ": ");
-  if (aReply.mResult == HttpCallResult::ConnectFailed) {
-    return absl::UnavailableError(place + "no connection");
-  }
-  if (aReply.mResult != HttpCallResult::Complete) {
-    return absl::UnknownError(place +
-                              std::string(HttpCallResultName(aReply.mResult)));
-  }
-  switch (aReply.mStatus) {
-    case kStatusOk:
-    case kStatusCreated:
-      return absl::OkStatus();
-    case kStatusNotFound:
-      return absl::NotFoundError(place + "no such object");
-    case kStatusConflict:
-      return absl::FailedPreconditionError(place + "the version differs");
-    case kStatusGone:
-      return absl::OutOfRangeError(place + "the revision is gone");
-    case kStatusTooManyRequests:
-      return absl::ResourceExhaustedError(place + "rate limit");
-    case kStatusUnavailable:
-      return absl::UnavailableError(place + "outage");
-    default:
-      return absl::UnknownError(absl::StrCat(place, "status ", aReply.mStatus));
-  }
+  return StoreReplyStatus(aReply, "object API " + aTarget);
 }
 
 absl::StatusOr<std::uint64_t>
@@ -170,6 +139,7 @@
                                  const PlatformSettings& aSettings)
   : mClient(aClient)
   , mSettings(aSettings)
+  , mCalls(aClient)
 {
 }
 
@@ -192,26 +162,12 @@
                       const std::string& aTarget,
                       HttpHeaders aHeaders,
                       const std::string& aBody,
-                      ReplyHook aHook)
+                      StoreCalls::ReplyHook aHook)
 {
-  aMethod == HttpMethod::Get ? ++mTraffic.mReads : ++mTraffic.mWrites;
-  const std::uint64_t id = mNextCall++;
   HttpCallRequest request = MakeRequest(aMethod, aTarget);
   request.mHeaders = std::move(aHeaders);
   request.mBody = aBody;
-  HttpCallHooks hooks;
-  hooks.mOnDone = [this, id, hook = std::move(aHook)](HttpCallReply aReply) {
-    mTraffic.mIsUp = aReply.mResult == HttpCallResult::Complete &&
-                     aReply.mStatus != kStatusUnavailable;
-    if (mTraffic.mIsUp) {
-      mTraffic.mLastAnswer = mClock.Wall();
-    } else {
-      ++mTraffic.mFailures;
-    }
-    auto call = mCalls.extract(id);
-    hook(std::move(aReply));
-  };
-  mCalls[id] = mClient.Start(std::move(request), std::move(hooks));
+  mCalls.Send(std::move(request), std::move(aHook));
 }
 
 void
@@ -294,7 +250,7 @@
                        std::uint64_t aRevision,
                        StoreWatchHooks aHooks)
 {
-  ++mTraffic.mWatches;
+  mCalls.CountWatch();
   auto watch = std::make_unique<HttpStoreWatch>(aRevision, std::move(aHooks));
   HttpCallRequest request =
     MakeRequest(HttpMethod::Get,
--- a/Source/Platform/HttpObjectStore.h
+++ b/Source/Platform/HttpObjectStore.h
@@ -1,12 +1,12 @@
 #ifndef BULRUSHFOLD_PLATFORM_HTTPOBJECTSTORE_H
 #define BULRUSHFOLD_PLATFORM_HTTPOBJECTSTORE_H
 
-#include <map>
 #include <memory>
 #include <string>
 
 #include "Net/HttpClient.h"
 #include "Platform/ObjectStore.h"
+#include "Platform/StoreCalls.h"
 #include "Settings/Settings.h"
 
 namespace bulrushfold {
@@ -33,23 +33,19 @@
                                     std::uint64_t aRevision,
                                     StoreWatchHooks aHooks) override;
   void ListVms(VmHook aHook) override;
-  const StoreTraffic& Traffic() const override { return mTraffic; }
+  const StoreTraffic& Traffic() const override { return mCalls.Traffic(); }
 
 private:
-  using ReplyHook = std::function<void(HttpCallReply)>;
   void Send(HttpMethod aMethod,
             const std::string& aTarget,
             HttpHeaders aHeaders,
             const std::string& aBody,
-            ReplyHook aHook);
+            StoreCalls::ReplyHook aHook);
   HttpCallRequest MakeRequest(HttpMethod aMethod, const std::string& aTarget);
 
   HttpClient& mClient;
   PlatformSettings mSettings;
-  SystemClock mClock;
-  StoreTraffic mTraffic;
-  std::uint64_t mNextCall = 1;
-  std::map<std::uint64_t, std::unique_ptr<HttpCall>> mCalls;
+  StoreCalls mCalls;
 };
 
 } // namespace bulrushfold
