--- a/Source/Net/HttpParser.h
+++ b/Source/Net/HttpParser.h
@@ -104,7 +104,6 @@
   HttpParseError Error() const { return mError; }
   const HttpHead& Head() const { return mHead; }
   HttpHead TakeHead() { return std::move(mHead); }
-  std::size_t BodyBytes() const { return mBodyBytes; }
 
 private:
   struct Library;
--- a/Source/Platform/ObjectFollower.h
+++ b/Source/Platform/ObjectFollower.h
@@ -42,7 +42,6 @@
                  ObjectFollowerHooks aHooks);
 
   void Start() { List(); }
-  bool IsLost() const { return mIsLost; }
 
 private:
   void List();
--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Base/EnumNames.h"
+#include "Net/HttpStatus.h"
 
 namespace bulrushfold {
 
@@ -21,10 +22,6 @@
   { RefusalReason::OutcomeUnknown, "outcome_unknown" },
 } };
 
-constexpr int kFirstServerError = 500;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 /** Sends of one request, refused ones included; bounds a loop. */
 constexpr std::uint32_t kMaxSends = 6;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(200);
@@ -102,7 +99,7 @@
     ++mRuns;
   }
   if (aEnd == SendEnd::Answered) {
-    if (aAnswer.mStatus < kFirstServerError || !MayRunAgain()) {
+    if (aAnswer.mStatus < kHttpFirstServerError || !MayRunAgain()) {
       mIsOver = true;
       mPort.Deliver(aAnswer);
       return;
@@ -150,7 +147,8 @@
   ++mRuns;
   mPort.CancelSend(SendResult::Slow);
   if (isTimeout) {
-    FinishWith({ kGatewayTimeout, RefusalReason::Timeout, Duration::zero() });
+    FinishWith(
+      { kHttpGatewayTimeout, RefusalReason::Timeout, Duration::zero() });
   } else {
     Send(*choice, aNow);
   }
@@ -164,10 +162,10 @@
     mPort.Deliver(*mFailure);
   } else if (mRuns > 0) {
     FinishWith(
-      { kBadGateway, RefusalReason::OutcomeUnknown, Duration::zero() });
+      { kHttpBadGateway, RefusalReason::OutcomeUnknown, Duration::zero() });
   } else {
     FinishWith(
-      { kUnavailable,
+      { kHttpUnavailable,
         mSends == 0 ? RefusalReason::NoEndpoint : RefusalReason::EndpointsFull,
         kRetryAfter });
   }
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -72,21 +72,12 @@
   if (facts.mLoad && end != SendEnd::Unknown && end != SendEnd::OtherEndpoint) {
     mServices.mLoads.OnReported(mEndpoint, *facts.mLoad, now);
   }
-  if (end == SendEnd::OtherEndpoint) {
-    mServices.mDirectory.OnOtherAnswered(mEndpoint);
-  }
-  if (end == SendEnd::Answered) {
-    mServices.mGuard.OnAnswered(mRequest->mHash);
-  } else if (aReply.mResult == HttpCallResult::ConnectionLost) {
-    mServices.mGuard.OnLost(mRequest->mHash, now);
-  }
+  mServices.NoteSendEnd(*mRequest, mEndpoint, end, aReply.mResult);
   if (end != SendEnd::Answered) {
     mServices.mLog.SendEnded(*mRequest,
                              "request",
                              mEndpoint,
-                             end == SendEnd::Unknown
-                               ? HttpCallResultName(aReply.mResult)
-                               : SendEndName(end),
+                             SendEndName(end, aReply.mResult),
                              aReply.mStatus,
                              now - mSentAt);
   }
--- a/Source/Router/RoleController.cxx
+++ b/Source/Router/RoleController.cxx
@@ -3,12 +3,11 @@
 #include <utility>
 
 #include "Base/Log.h"
+#include "Net/HttpStatus.h"
 
 namespace bulrushfold {
 
 namespace {
-constexpr int kOk = 200;
-constexpr int kAccepted = 202;
 constexpr Duration kTickInterval = std::chrono::milliseconds(500);
 /** A turn that comes this late shows that the process was paused. */
 constexpr Duration kClockGapLimit = std::chrono::seconds(1);
@@ -184,7 +183,7 @@
 {
   mCall.reset();
   const auto state =
-    aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kOk
+    aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk
       ? mProtocol.ReadState(aReply.mBody)
       : absl::StatusOr<EngineState>(
           absl::UnavailableError(HttpCallResultName(aReply.mResult).data()));
@@ -224,8 +223,8 @@
 RoleController::HandleOrder(const HttpCallReply& aReply)
 {
   mCall.reset();
-  const bool isAccepted =
-    aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kAccepted;
+  const bool isAccepted = aReply.mResult == HttpCallResult::Complete &&
+                          aReply.mStatus == kHttpAccepted;
   // Without an answer the order may still be carried out.
   if (isAccepted || aReply.mResult != HttpCallResult::Complete) {
     mHooks.mOnOrdered(mWanted->mEndpoint, mWanted->mRole);
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -5,13 +5,12 @@
 
 #include "Base/Digest.h"
 #include "Base/Log.h"
+#include "Net/HttpStatus.h"
 #include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
 
 namespace {
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
 /** Descriptors kept for connections to endpoints, peers and the store. */
 constexpr std::size_t kOtherDescriptors = 400;
 constexpr std::size_t kLeastDescriptors = 100;
@@ -77,10 +76,7 @@
            aStore,
            mSettings,
            { mLoads, mRuns, mRetries, mGuard, mReturns, mDirectory },
-           [this] {
-             ArmExpiry();
-             mStreams.KickSoon();
-           })
+           [this] { mStreams.KickSoon(); })
   , mRoles(aLoop,
            mClock,
            aStore,
@@ -98,7 +94,6 @@
                mDirectory.OnRoleOrdered(
                  aEndpoint, { aRole, now + mSettings.mRoleChangeTime }, now);
                mPeers.MarkChanged();
-               ArmExpiry();
              } })
   , mConfigFollower(aLoop,
                     aStore,
@@ -222,7 +217,8 @@
 Router::HandleReadiness(HttpExchange& aExchange)
 {
   const bool isReady = IsReady();
-  aExchange.Reply(isReady ? kOk : kUnavailable, {}, isReady ? "ready\n" : "");
+  aExchange.Reply(
+    isReady ? kHttpOk : kHttpUnavailable, {}, isReady ? "ready\n" : "");
 }
 
 void
@@ -241,7 +237,7 @@
   mMetrics.GetCounter(kLogDrops, { "urgent" })
     .Add(drops.mUrgent - mShownDrops.mUrgent);
   mShownDrops = drops;
-  aExchange.Reply(kOk,
+  aExchange.Reply(kHttpOk,
                   { { "Content-Type", "text/plain; version=0.0.4" } },
                   mMetrics.Format(mClock.Now()));
 }
--- a/Source/Router/RouterFilters.cxx
+++ b/Source/Router/RouterFilters.cxx
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "Net/HttpStatus.h"
 #include "Router/PlainSession.h"
 #include "Router/StreamSession.h"
 
 namespace bulrushfold {
 
 namespace {
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
 constexpr Duration kConfigurationRetry = std::chrono::milliseconds(300);
 constexpr Duration kStopRetry = std::chrono::milliseconds(50);
 constexpr Duration kEndpointRetry = std::chrono::milliseconds(300);
@@ -50,16 +49,18 @@
   CallTerms& terms = aRequest->mTerms;
   aRequest->mTable = mTable();
   if (!aRequest->mTable) {
-    Refuse(
-      aRequest,
-      { kUnavailable, RefusalReason::NoConfiguration, kConfigurationRetry });
+    Refuse(aRequest,
+           { kHttpUnavailable,
+             RefusalReason::NoConfiguration,
+             kConfigurationRetry });
     return false;
   }
   const HttpRequest& message = aRequest->Message();
   terms.mRoute = aRequest->mTable->Find(
     message.mHeaders.Find("Host").value_or(""), message.mTarget);
   if (terms.mRoute == nullptr) {
-    Refuse(aRequest, { kNotFound, RefusalReason::NoRoute, Duration::zero() });
+    Refuse(aRequest,
+           { kHttpNotFound, RefusalReason::NoRoute, Duration::zero() });
     return false;
   }
   const Duration patience =
@@ -68,7 +69,7 @@
   terms.mService = DrawService(*terms.mRoute, mRandom);
   if (terms.mService.empty()) {
     Refuse(aRequest,
-           { kUnavailable, RefusalReason::NoEndpoint, kEndpointRetry });
+           { kHttpUnavailable, RefusalReason::NoEndpoint, kEndpointRetry });
     return false;
   }
   return true;
@@ -81,7 +82,7 @@
     return true;
   }
   CallerSide(mServices, aRequest)
-    .Refuse({ kUnavailable, RefusalReason::CrashSuspect, Duration::zero() },
+    .Refuse({ kHttpUnavailable, RefusalReason::CrashSuspect, Duration::zero() },
             "");
   return false;
 }
@@ -99,7 +100,7 @@
     return true;
   }
   CallerSide(mServices, aRequest)
-    .Refuse({ kUnavailable, RefusalReason::Stopping, kStopRetry }, "");
+    .Refuse({ kHttpUnavailable, RefusalReason::Stopping, kStopRetry }, "");
   return false;
 }
 
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -99,7 +99,6 @@
   }
   mDirectory.Replace(records, aListing.mRevision, mClock.Now());
   mHasEndpoints = true;
-  ArmExpiry();
   mStreams.Kick();
   NoteReadiness();
 }
@@ -123,7 +122,6 @@
     }
     mDirectory.Remove(id, aObject.mVersion, now);
   }
-  ArmExpiry();
   mStreams.Kick();
 }
 
@@ -145,6 +143,11 @@
     mLoads.Forget(aEndpoint.mId);
     mClient.DropIdle(aEndpoint.mAddress);
   }
+  // The states that end by themselves.
+  if (aChange == EndpointChange::InDoubt ||
+      aChange == EndpointChange::ChangingRole) {
+    ArmExpiry();
+  }
 }
 
 void
--- /dev/null
+++ b/Source/Router/RouterServices.cxx
@@ -0,0 +1,21 @@
+#include "Router/RouterServices.h"
+
+namespace bulrushfold {
+
+void
+RouterServices::NoteSendEnd(const RoutedRequest& aRequest,
+                            const std::string& aEndpoint,
+                            SendEnd aEnd,
+                            HttpCallResult aResult)
+{
+  if (aEnd == SendEnd::OtherEndpoint) {
+    mDirectory.OnOtherAnswered(aEndpoint);
+  }
+  if (aEnd == SendEnd::Answered) {
+    mGuard.OnAnswered(aRequest.mHash);
+  } else if (aResult == HttpCallResult::ConnectionLost) {
+    mGuard.OnLost(aRequest.mHash, mClock.Now());
+  }
+}
+
+} // namespace bulrushfold
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -6,6 +6,8 @@
 #include "Net/HttpClient.h"
 #include "Router/EndpointProtocol.h"
 #include "Router/RequestLog.h"
+#include "Router/RoutedRequest.h"
+#include "Router/SendEnd.h"
 #include "Routing/AnswerLengths.h"
 #include "Routing/CrashGuard.h"
 #include "Routing/EndpointDirectory.h"
@@ -36,6 +38,12 @@
   PlainSelector& mSelector;
   StreamDispatcher& mStreams;
   RequestLog& mLog;
+
+  /** Notes what the end of a send tells of its endpoint and of the request. */
+  void NoteSendEnd(const RoutedRequest& aRequest,
+                   const std::string& aEndpoint,
+                   SendEnd aEnd,
+                   HttpCallResult aResult);
 };
 
 } // namespace bulrushfold
--- a/Source/Router/SendEnd.cxx
+++ b/Source/Router/SendEnd.cxx
@@ -1,11 +1,11 @@
 #include "Router/SendEnd.h"
 
 #include "Base/EnumNames.h"
+#include "Net/HttpStatus.h"
 
 namespace bulrushfold {
 
 namespace {
-constexpr int kFirstServerError = 500;
 constexpr EnumNames<SendEnd, 5> kEndNames{ {
   { SendEnd::Answered, "answered" },
   { SendEnd::NotRun, "not_run" },
@@ -21,6 +21,13 @@
   return FindEnumName(kEndNames, aEnd);
 }
 
+std::string_view
+SendEndName(SendEnd aEnd, HttpCallResult aResult)
+{
+  return aEnd == SendEnd::Unknown ? HttpCallResultName(aResult)
+                                  : SendEndName(aEnd);
+}
+
 bool
 IsCertainlyNotRun(SendEnd aEnd)
 {
@@ -57,8 +64,8 @@
 {
   switch (aEnd) {
     case SendEnd::Answered:
-      return aStatus >= kFirstServerError ? SendResult::ServerError
-                                          : SendResult::Answered;
+      return aStatus >= kHttpFirstServerError ? SendResult::ServerError
+                                              : SendResult::Answered;
     case SendEnd::NotRun:
     case SendEnd::OtherEndpoint:
       return SendResult::Refused;
--- a/Source/Router/SendEnd.h
+++ b/Source/Router/SendEnd.h
@@ -26,6 +26,8 @@
 };
 
 std::string_view SendEndName(SendEnd aEnd);
+/** The same for logs, which say how a reply of unknown outcome broke. */
+std::string_view SendEndName(SendEnd aEnd, HttpCallResult aResult);
 
 /** True when the request certainly did not run. */
 bool IsCertainlyNotRun(SendEnd aEnd);
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -3,23 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-#include "Base/EnumNames.h"
+#include "Net/HttpStatus.h"
 
 namespace bulrushfold {
 
 namespace {
-constexpr EnumNames<StreamState, 7> kStateNames{ {
-  { StreamState::Waiting, "waiting" },
-  { StreamState::Reserving, "reserving" },
-  { StreamState::Prefilling, "prefilling" },
-  { StreamState::Starting, "starting" },
-  { StreamState::Streaming, "streaming" },
-  { StreamState::Failing, "failing" },
-  { StreamState::Over, "over" },
-} };
-
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
 /** Longest wait of a stream that is late already. */
 constexpr Duration kLateWait = std::chrono::milliseconds(2500);
@@ -43,12 +31,6 @@
 }
 } // namespace
 
-std::string_view
-StreamStateName(StreamState aState)
-{
-  return FindEnumName(kStateNames, aState);
-}
-
 StreamCall::StreamCall(StreamCallPort& aPort,
                        RetryAllowance& aRetries,
                        StreamTerms aTerms)
@@ -68,7 +50,7 @@
   // A caller that came back does not come again.
   if (!mTerms.mFirstArrival && !mPort.Admits(MakeDemand(aNow))) {
     mState = StreamState::Over;
-    mPort.Refuse({ kUnavailable, RefusalReason::Overload, kOverloadRetry });
+    mPort.Refuse({ kHttpUnavailable, RefusalReason::Overload, kOverloadRetry });
     return;
   }
   Submit(aNow);
@@ -240,7 +222,7 @@
   mCache.reset();
   mReservation.clear();
   mPort.ReleasePrefill(Duration::zero());
-  if (aStatus != kOk) {
+  if (aStatus != kHttpOk) {
     mState = StreamState::Failing;
     mFailure = { aStatus, aHeaders, std::string() };
     return;
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -31,8 +31,6 @@
   Over,
 };
 
-std::string_view StreamStateName(StreamState aState);
-
 /** A decode engine's part of a stream. */
 struct DecodeOrder
 {
@@ -142,7 +140,6 @@
   void OnCallerGone(Instant aNow);
 
   StreamState State() const { return mState; }
-  const StreamPlacement& Placement() const { return mPlacement; }
   /** The run is being moved, so that its stream may end early. */
   bool IsMoving() const { return mMove.has_value(); }
 
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -3,14 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "Net/HttpStatus.h"
+
 namespace bulrushfold {
 
 namespace {
 /** Placements of one stream; bounds a loop of refusals. */
 constexpr std::uint32_t kMaxPlacements = 40;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
 } // namespace
 
@@ -65,11 +64,11 @@
     mPort.BreakAnswer(aReason);
   } else if (mRuns > 0) {
     mPort.Refuse(
-      { aIsTimeout ? kGatewayTimeout : kBadGateway,
+      { aIsTimeout ? kHttpGatewayTimeout : kHttpBadGateway,
         aIsTimeout ? RefusalReason::Timeout : RefusalReason::OutcomeUnknown,
         Duration::zero() });
   } else {
-    mPort.Refuse({ kUnavailable, aReason, kRetryAfter });
+    mPort.Refuse({ kHttpUnavailable, aReason, kRetryAfter });
   }
 }
 
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "Base/Log.h"
+#include "Net/HttpStatus.h"
 
 namespace bulrushfold {
 
@@ -138,18 +139,8 @@
     NoteSendEnd(SendResult::Answered, "moved", aReply.mStatus);
     return end;
   }
-  if (end == SendEnd::OtherEndpoint) {
-    mServices.mDirectory.OnOtherAnswered(mEndpoint);
-  }
-  if (end == SendEnd::Answered) {
-    mServices.mGuard.OnAnswered(mRequest->mHash);
-  } else if (aReply.mResult == HttpCallResult::ConnectionLost) {
-    mServices.mGuard.OnLost(mRequest->mHash, mServices.mClock.Now());
-  }
-  NoteSendEnd(health,
-              end == SendEnd::Unknown ? HttpCallResultName(aReply.mResult)
-                                      : SendEndName(end),
-              aReply.mStatus);
+  mServices.NoteSendEnd(*mRequest, mEndpoint, end, aReply.mResult);
+  NoteSendEnd(health, SendEndName(end, aReply.mResult), aReply.mStatus);
   return end;
 }
 
@@ -185,11 +176,10 @@
 StreamSession::HandleReserved(const HttpCallReply& aReply)
 {
   const auto self = mSelf;
-  constexpr int kOk = 200;
   const Instant now = mServices.mClock.Now();
   mSend.reset();
   std::string reservation;
-  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kOk) {
+  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
     if (auto parsed = mServices.mProtocol.ReadReservation(aReply.mBody);
         parsed.ok()) {
       reservation = *std::move(parsed);
@@ -230,12 +220,11 @@
 StreamSession::HandlePrefilled(const HttpCallReply& aReply)
 {
   const auto self = mSelf;
-  constexpr int kOk = 200;
   const Duration took = mServices.mClock.Now() - mSentAt;
   const EndpointRecord* endpoint = mServices.mDirectory.Find(mEndpoint);
   SendEnd end = SendEnd::Unknown;
   KvCache cache;
-  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kOk) {
+  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
     auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
     if (handle.ok() && endpoint != nullptr) {
       end = SendEnd::Answered;
--- a/Source/Router/StreamSessionMoves.cxx
+++ b/Source/Router/StreamSessionMoves.cxx
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "Net/HttpStatus.h"
+
 namespace bulrushfold {
 
 void
@@ -39,7 +41,6 @@
                                 Instant aSentAt)
 {
   const auto self = mSelf;
-  constexpr int kOk = 200;
   const Instant now = mServices.mClock.Now();
   mMoveCall.reset();
   mServices.mLog.SendEnded(*mRequest,
@@ -56,7 +57,7 @@
       cache = KvCache{ aSource, source->mAddress, *std::move(handle) };
     }
   }
-  mCall.OnMoveAnswered(cache, aReply.mStatus == kOk, now);
+  mCall.OnMoveAnswered(cache, aReply.mStatus == kHttpOk, now);
 }
 
 void
--- a/Source/Routing/RoutingConfig.h
+++ b/Source/Routing/RoutingConfig.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "Base/Clock.h"
@@ -24,8 +23,6 @@
   Stream,
 };
 
-std::string_view RequestKindName(RequestKind aKind);
-
 /** A service that takes a share of a route's requests. */
 struct ServiceShare
 {
--- a/Source/Routing/StreamAdmission.cxx
+++ b/Source/Routing/StreamAdmission.cxx
@@ -7,9 +7,6 @@
 namespace {
 /** Time over which the rate of placements is taken. */
 constexpr Duration kRateWindow = std::chrono::milliseconds(1500);
-/** Streams may always wait in this number: a rate taken from fewer placements
- * says little. */
-constexpr std::size_t kAlwaysWaiting = 0;
 /** After a start callers come back whom an earlier process served; they are
  * not known, and do not come a third time. */
 constexpr Duration kSettlingTime = std::chrono::seconds(4);
@@ -43,7 +40,7 @@
 bool
 StreamAdmission::Admits(std::size_t aWaiting, Duration aLeft, Instant aNow)
 {
-  return aNow - mStart < kSettlingTime || aWaiting <= kAlwaysWaiting ||
+  return aNow - mStart < kSettlingTime || aWaiting == 0 ||
          ToSeconds(ExpectedWait(aWaiting + 1, aNow)) <=
            kUsablePart * ToSeconds(aLeft);
 }
--- a/Source/Routing/StreamRuns.cxx
+++ b/Source/Routing/StreamRuns.cxx
@@ -38,13 +38,6 @@
   }
 }
 
-const StreamRun*
-StreamRuns::FindOwn(std::uint64_t aNumber) const
-{
-  const auto it = mOwn.find(aNumber);
-  return it == mOwn.end() ? nullptr : &it->second;
-}
-
 void
 StreamRuns::HandleOwnChange()
 {
--- a/Source/Routing/StreamRuns.h
+++ b/Source/Routing/StreamRuns.h
@@ -38,7 +38,6 @@
   /** The run goes on at another engine. */
   void OnMoved(std::uint64_t aNumber, const std::string& aEndpoint);
   void Remove(std::uint64_t aNumber);
-  const StreamRun* FindOwn(std::uint64_t aNumber) const;
 
   /** Replaces what aPeer told before. */
   void SetPeer(const std::string& aPeer, std::vector<StreamRun> aRuns);
--- a/Source/Routing/StreamSchedulerMoves.cxx
+++ b/Source/Routing/StreamSchedulerMoves.cxx
@@ -33,14 +33,17 @@
   if (moved != mMovedAt.end() && aNow - moved->second < kMoveEffect) {
     return false;
   }
-  const auto runs = mRuns.At(aRun.mEndpoint);
+  const auto& runs = mRuns.At(aRun.mEndpoint);
+  const bool isNewest =
+    std::none_of(runs.begin(), runs.end(), [&](const StreamRun* aOther) {
+      return aOther->mStartedAt && *aOther->mStartedAt > *aRun.mStartedAt;
+    });
+  if (!isNewest) {
+    return false;
+  }
   const MemoryNeed need = mForecast.NeedAfter(runs, kMoveHorizon, aNow);
-  const bool isFull =
-    need.mMean + kMoveDeviations * need.mDeviation > MemoryOf(engine->mService);
-  return isFull &&
-         std::none_of(runs.begin(), runs.end(), [&](const StreamRun* aOther) {
-           return aOther->mStartedAt && *aOther->mStartedAt > *aRun.mStartedAt;
-         });
+  return need.mMean + kMoveDeviations * need.mDeviation >
+         MemoryOf(engine->mService);
 }
 
 std::string
@@ -72,8 +75,7 @@
 StreamScheduler::Rebalance(Instant aNow)
 {
   std::vector<MoveProposal> proposals;
-  const auto own = mRuns.Own();
-  for (const auto& [number, run] : own) {
+  for (const auto& [number, run] : mRuns.Own()) {
     if (!MustLeave(run, aNow)) {
       continue;
     }
--- a/Tests/Adapter/RouterStoryTest.cxx
+++ b/Tests/Adapter/RouterStoryTest.cxx
@@ -174,17 +174,6 @@
   return aAnswer.compare(0, 12, "HTTP/1.1 " + std::to_string(aStatus)) == 0;
 }
 
-std::size_t
-Count(const std::string& aText, const std::string& aPart)
-{
-  std::size_t n = 0;
-  for (auto at = aText.find(aPart); at != std::string::npos;
-       at = aText.find(aPart, at + 1)) {
-    ++n;
-  }
-  return n;
-}
-
 } // namespace
 
 TEST_CASE("A router is ready once it knows configuration and endpoints")
--- a/Tests/Net/HttpTest.cxx
+++ b/Tests/Net/HttpTest.cxx
@@ -12,16 +12,6 @@
 namespace {
 const std::string kGet = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
 
-std::size_t
-Count(const std::string& aText, const std::string& aPart)
-{
-  std::size_t n = 0;
-  for (auto at = aText.find(aPart); at != std::string::npos;
-       at = aText.find(aPart, at + 1)) {
-    ++n;
-  }
-  return n;
-}
 } // namespace
 
 TEST_CASE("HTTP server")
--- a/Tests/Net/LoopFixture.h
+++ b/Tests/Net/LoopFixture.h
@@ -49,6 +49,18 @@
   return aCondition();
 }
 
+/** Occurrences of aPart in aText. */
+inline std::size_t
+Count(const std::string& aText, const std::string& aPart)
+{
+  std::size_t n = 0;
+  for (auto at = aText.find(aPart); at != std::string::npos;
+       at = aText.find(aPart, at + 1)) {
+    ++n;
+  }
+  return n;
+}
+
 /** A blocking client socket that sends raw bytes. */
 class RawClient
 {
