Start resumed streams one at a time at a decode engine, and after those on time

All daemons lose power at 34.04 s; the 47 callers whose streams broke off return together 3.6 s later with their last event. A prefill engine computes only the prompt (its answer counts the prompt's tokens); what was generated, up to 7,000 tokens, is computed by the decode engine between the tokens of its runs. Six such streams at each of seven engines held all runs up for 350 to 640 ms: 22 streams that had begun on time were late. The returning ones were also placed as if they could be on time, and their memory was counted without what they had generated. Change: a demand states the generated tokens; they count as memory, are expected work of the decode engine, and an engine takes the next such stream 80 ms after the last one began. Callers that resume are late by definition, and are not refused by admission.

--- a/Source/Router/EventRelay.cxx
+++ b/Source/Router/EventRelay.cxx
@@ -72,6 +72,13 @@
   mLastNumber = ParseNumber(aId);
 }
 
+std::uint64_t
+EventRelay::LastNumber() const
+{
+  return static_cast<std::uint64_t>(
+    std::max<std::int64_t>(mLastNumber.value_or(0), 0));
+}
+
 bool
 EventRelay::Feed(std::string_view aData)
 {
--- a/Source/Router/EventRelay.h
+++ b/Source/Router/EventRelay.h
@@ -43,6 +43,9 @@
 
   /** Id of the last event passed on; empty when there is none. */
   const std::string& LastId() const { return mLastId; }
+  /** Number in the id of the last event; 0 when there is none. */
+  std::uint64_t LastNumber() const;
+  /** Events passed on. */
   std::uint64_t Events() const { return mEvents; }
   /** Part of an event waits for its end and was not passed on. */
   bool HoldsPart() const
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -15,6 +15,9 @@
 constexpr Duration kOverloadRetry = std::chrono::milliseconds(2500);
 /** Part of the expected answer that is reserved with the prompt. */
 constexpr double kReservedPart = 0.3;
+/** Part of what was generated that is expected to follow at least: an answer
+ * that exceeds its expected length is a long one. */
+constexpr double kLeastRest = 0.3;
 /** Time in which an idle engine answers a reservation. */
 constexpr Duration kReserveLimit = std::chrono::milliseconds(300);
 /** Time after which a prefill is taken for lost. */
@@ -22,6 +25,18 @@
 /** Time after which a run that could go on elsewhere is taken for lost. */
 constexpr Duration kStallLimit = std::chrono::milliseconds(1200);
 
+/** Expected tokens after the first aGenerated of an answer that was expected to
+ * have aExpected. */
+std::uint64_t
+RestOfAnswer(std::uint64_t aExpected, std::uint64_t aGenerated)
+{
+  const auto least =
+    static_cast<std::uint64_t>(kLeastRest * static_cast<double>(aGenerated));
+  const std::uint64_t rest =
+    aExpected > aGenerated ? aExpected - aGenerated : 0;
+  return std::max<std::uint64_t>({ rest, least, 1 });
+}
+
 bool
 IsEventStream(const HttpHeaders& aHeaders)
 {
@@ -48,7 +63,8 @@
 {
   mRetries.OnRequest(mTerms.mCall.mService, aNow);
   // A caller that came back does not come again.
-  if (!mTerms.mFirstArrival && !mPort.Admits(MakeDemand(aNow))) {
+  const bool isBack = mTerms.mFirstArrival || !mTerms.mLastEventId.empty();
+  if (!isBack && !mPort.Admits(MakeDemand(aNow))) {
     mState = StreamState::Over;
     mPort.Refuse({ kHttpUnavailable, RefusalReason::Overload, kOverloadRetry });
     return;
@@ -56,23 +72,39 @@
   Submit(aNow);
 }
 
+Instant
+StreamCall::Due(Instant aNow) const
+{
+  const Route& route = *mTerms.mCall.mRoute;
+  if (mHasAnswer) {
+    return aNow + route.mPauseGoal;
+  }
+  // A caller that resumes its stream has waited too long already.
+  return mTerms.mLastEventId.empty()
+           ? mTerms.mFirstArrival.value_or(mTerms.mCall.mArrival) +
+               route.mLatencyGoal
+           : mTerms.mCall.mArrival;
+}
+
 StreamDemand
 StreamCall::MakeDemand(Instant aNow) const
 {
+  const TokenCounts& tokens = mTerms.mTokens;
   StreamDemand demand;
   demand.mNumber = mTerms.mNumber;
   demand.mService = mTerms.mCall.mService;
   demand.mProfile = mTerms.mProfile;
-  demand.mPromptTokens = mTerms.mTokens.mPrompt;
-  demand.mAnswerTokens = mTerms.mAnswerTokens;
-  demand.mMostTokens = mTerms.mTokens.mMaxAnswer;
-  demand.mDue = mTerms.mFirstArrival.value_or(mTerms.mCall.mArrival) +
-                mTerms.mCall.mRoute->mLatencyGoal;
+  demand.mPromptTokens = tokens.mPrompt;
+  demand.mGeneratedTokens = std::min<std::uint64_t>(
+    mRelay.LastNumber() * mTerms.mProfile.mTokensPerEvent, tokens.mMaxAnswer);
+  demand.mMostTokens = tokens.mMaxAnswer - demand.mGeneratedTokens;
+  demand.mAnswerTokens =
+    std::min(RestOfAnswer(mTerms.mAnswerTokens, demand.mGeneratedTokens),
+             std::max<std::uint64_t>(demand.mMostTokens, 1));
+  demand.mDue = Due(aNow);
   demand.mGiveUp =
-    std::min(mTerms.mCall.mDeadline, mTerms.mCall.mArrival + kLateWait);
-  if (mHasAnswer) {
-    demand.mGiveUp = std::min(mTerms.mCall.mDeadline, aNow + kLateWait);
-  }
+    std::min(mTerms.mCall.mDeadline,
+             (mHasAnswer ? aNow : mTerms.mCall.mArrival) + kLateWait);
   demand.mTried = mTried;
   return demand;
 }
@@ -103,15 +135,16 @@
   }
   mState = StreamState::Reserving;
   SetStallLimit(kReserveLimit, aNow);
-  mPort.Reserve(mPlacement.mDecode, ReservedTokens());
+  mPort.Reserve(mPlacement.mDecode, ReservedTokens(aNow));
 }
 
 std::uint64_t
-StreamCall::ReservedTokens() const
+StreamCall::ReservedTokens(Instant aNow) const
 {
-  return mTerms.mTokens.mPrompt +
+  const StreamDemand demand = MakeDemand(aNow);
+  return StartTokens(demand) +
          static_cast<std::uint64_t>(kReservedPart *
-                                    static_cast<double>(mTerms.mAnswerTokens));
+                                    static_cast<double>(demand.mAnswerTokens));
 }
 
 void
@@ -133,7 +166,7 @@
     StartPrefill(aNow);
     return;
   }
-  mPort.NoteDecodeFull(mPlacement.mDecode, ReservedTokens());
+  mPort.NoteDecodeFull(mPlacement.mDecode, ReservedTokens(aNow));
   ReleaseAll();
   Retry(0, aNow);
 }
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -158,7 +158,9 @@
 
   StreamDemand MakeDemand(Instant aNow) const;
   void Submit(Instant aNow);
-  std::uint64_t ReservedTokens() const;
+  /** When the next event is late. */
+  Instant Due(Instant aNow) const;
+  std::uint64_t ReservedTokens(Instant aNow) const;
   void StartPrefill(Instant aNow);
   void StartDecode(Instant aNow);
   /** Takes the moved run up once it has stopped and its cache is known. */
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -80,7 +80,7 @@
 void
 StreamDispatcher::OnDecodeEnded(std::uint64_t aNumber)
 {
-  mScheduler.OnDecodeEnded(aNumber);
+  mScheduler.OnDecodeEnded(aNumber, mClock.Now());
   Kick();
 }
 
@@ -128,7 +128,7 @@
     } else {
       // An earlier stream of this run ended this one.
       mScheduler.OnPrefillEnded(it.mNumber, Duration::zero());
-      mScheduler.OnDecodeEnded(it.mNumber);
+      mScheduler.OnDecodeEnded(it.mNumber, now);
     }
   }
   if (const auto next = mScheduler.NextWake(now); next) {
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -22,6 +22,11 @@
 constexpr Duration kStartTime = std::chrono::milliseconds(140);
 /** Weight of a new reading of the prefill rate. */
 constexpr double kRateWeight = 0.1;
+/** Generated tokens that a decode engine computes again within an event. */
+constexpr std::uint64_t kFreeReadTokens = 300;
+/** Time between two such computations, in which each run of the engine sends
+ * an event: two in a row would hold the runs up for too long. */
+constexpr Duration kReadPause = std::chrono::milliseconds(80);
 /** Costs below are in units of a full engine. */
 constexpr double kOtherDomainCost = 0.05;
 constexpr double kFailureCost = 1;
@@ -75,11 +80,17 @@
                      1000);
 }
 
+std::uint64_t
+StartTokens(const StreamDemand& aDemand)
+{
+  return aDemand.mPromptTokens + aDemand.mGeneratedTokens;
+}
+
 double
 MemoryTime(const StreamDemand& aDemand)
 {
   const double answer = static_cast<double>(aDemand.mAnswerTokens);
-  return (static_cast<double>(aDemand.mPromptTokens) + answer / 2) * answer;
+  return (static_cast<double>(StartTokens(aDemand)) + answer / 2) * answer;
 }
 
 Instant
@@ -121,17 +132,23 @@
 {
   CountNewlyKnown();
   std::vector<StreamPlacement> placements;
+  std::list<StreamDemand> resumed;
   while (!mWaiting.empty()) {
     const auto it = Next(aNow);
     auto placement = Place(*it, aNow);
-    if (!placement) {
+    if (placement) {
+      Hold(*it, *placement);
+      mAdmission.OnPlaced(aNow);
+      placements.push_back(std::move(*placement));
+      mWaiting.erase(it);
+    } else if (it->mGeneratedTokens > kFreeReadTokens) {
+      // It may only wait for its turn at the engines.
+      resumed.splice(resumed.end(), mWaiting, it);
+    } else {
       break;
     }
-    Hold(*it, *placement);
-    mAdmission.OnPlaced(aNow);
-    placements.push_back(std::move(*placement));
-    mWaiting.erase(it);
   }
+  mWaiting.splice(mWaiting.end(), resumed);
   return placements;
 }
 
@@ -190,14 +207,18 @@
 {
   const double memory = MemoryOf(aDemand.mService);
   StreamRun candidate;
-  candidate.mPromptTokens = aDemand.mPromptTokens;
+  candidate.mPromptTokens = StartTokens(aDemand);
   candidate.mAnswerTokens = aDemand.mAnswerTokens;
   candidate.mMostTokens = aDemand.mMostTokens;
   double bestCost = 0;
   const auto engines =
     mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
   const Rank bestRank = BestRank(engines, aDemand, aNow);
+  const bool isRead = aDemand.mGeneratedTokens > kFreeReadTokens;
   for (const EndpointRecord* it : engines) {
+    if (isRead && IsReading(it->mId, aNow)) {
+      continue;
+    }
     auto runs = mRuns.At(it->mId);
     const std::size_t before = runs.size();
     const auto full = mFullUntil.find(it->mId);
@@ -260,15 +281,45 @@
 {
   mRuns.Add({ aDemand.mNumber,
               aPlacement.mDecode,
-              aDemand.mPromptTokens,
+              StartTokens(aDemand),
               aDemand.mAnswerTokens,
               aDemand.mMostTokens,
               std::nullopt });
-  Held& held = mPrefills[aDemand.mNumber];
-  held.mEndpoint =
+  const std::string& reader =
     aPlacement.mPrefill.empty() ? aPlacement.mDecode : aPlacement.mPrefill;
-  held.mWork = { 1, aDemand.mPromptTokens };
-  mLoads.Begin(held.mEndpoint, held.mWork);
+  Begin(mPrefills, aDemand.mNumber, { reader, { 1, aDemand.mPromptTokens } });
+  if (aDemand.mGeneratedTokens > kFreeReadTokens) {
+    Begin(mReads,
+          aDemand.mNumber,
+          { aPlacement.mDecode, { 1, aDemand.mGeneratedTokens } });
+  }
+}
+
+void
+StreamScheduler::Begin(std::map<std::uint64_t, Held>& aWorks,
+                       std::uint64_t aNumber,
+                       const Held& aHeld)
+{
+  aWorks[aNumber] = aHeld;
+  mLoads.Begin(aHeld.mEndpoint, aHeld.mWork);
+}
+
+bool
+StreamScheduler::IsReading(const std::string& aEngine, Instant aNow) const
+{
+  const auto it = mReadAgainAt.find(aEngine);
+  return mLoads.Total(aEngine).mPrefillTokens > 0 ||
+         (it != mReadAgainAt.end() && aNow < it->second);
+}
+
+void
+StreamScheduler::EndRead(std::uint64_t aNumber, Instant aNow)
+{
+  if (const auto it = mReads.find(aNumber); it != mReads.end()) {
+    mReadAgainAt[it->second.mEndpoint] = aNow + kReadPause;
+    mLoads.End(it->second.mEndpoint, it->second.mWork);
+    mReads.erase(it);
+  }
 }
 
 std::vector<std::uint64_t>
@@ -309,12 +360,14 @@
 StreamScheduler::OnDecodeStarted(std::uint64_t aNumber, Instant aNow)
 {
   mRuns.OnStarted(aNumber, aNow);
+  EndRead(aNumber, aNow);
 }
 
 void
-StreamScheduler::OnDecodeEnded(std::uint64_t aNumber)
+StreamScheduler::OnDecodeEnded(std::uint64_t aNumber, Instant aNow)
 {
   mRuns.Remove(aNumber);
+  EndRead(aNumber, aNow);
 }
 
 std::optional<Instant>
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -29,9 +29,12 @@
   std::string mService;
   EngineProfile mProfile;
   std::uint64_t mPromptTokens = 0;
-  /** Expected length of the answer. */
+  /** Tokens of the answer that the caller has already. No prefill engine
+   * computes them: the decode engine does, between the tokens of its runs. */
+  std::uint64_t mGeneratedTokens = 0;
+  /** Expected length of the rest of the answer. */
   std::uint64_t mAnswerTokens = 0;
-  /** Length at which the answer ends in any case. */
+  /** Length of the rest at which the answer ends in any case. */
   std::uint64_t mMostTokens = 0;
   /** The first event is late after this time. */
   Instant mDue;
@@ -41,6 +44,9 @@
   std::set<std::string> mTried;
 };
 
+/** Tokens whose KV cache aDemand needs before it generates. */
+std::uint64_t StartTokens(const StreamDemand& aDemand);
+
 /** Memory that aDemand is expected to use, times the tokens for which it does.
  */
 double MemoryTime(const StreamDemand& aDemand);
@@ -72,7 +78,9 @@
  * for what it is expected to need and a prefill engine has nearly nothing to
  * do, so that a computed prompt never waits for memory. Waiting streams that
  * can still be on time go first, those that use memory for the shortest time
- * before the others; late ones follow.
+ * before the others; late ones follow. Streams that go on after an event make
+ * their decode engine compute what was generated before, which holds up its
+ * runs; so they start there one at a time.
  *
  * Events to deliver: Submit; Dispatch after every event that may have made
  * room (an own stream ended, a peer told its loads, endpoints changed) and at
@@ -111,7 +119,7 @@
   void OnPrefillEnded(std::uint64_t aNumber, Duration aTook);
   /** The decode engine generates; its memory grows from now on. */
   void OnDecodeStarted(std::uint64_t aNumber, Instant aNow);
-  void OnDecodeEnded(std::uint64_t aNumber);
+  void OnDecodeEnded(std::uint64_t aNumber, Instant aNow);
   /** Runs of this daemon that should move. */
   std::vector<MoveProposal> Rebalance(Instant aNow);
   void OnMoved(std::uint64_t aNumber, const std::string& aEndpoint);
@@ -177,6 +185,13 @@
                                       const std::string& aFailureDomain,
                                       Instant aNow) const;
   void Hold(const StreamDemand& aDemand, const StreamPlacement& aPlacement);
+  void Begin(std::map<std::uint64_t, Held>& aWorks,
+             std::uint64_t aNumber,
+             const Held& aHeld);
+  /** aEngine computes, or computed a moment ago, what a resumed stream had
+   * generated. */
+  bool IsReading(const std::string& aEngine, Instant aNow) const;
+  void EndRead(std::uint64_t aNumber, Instant aNow);
 
   const EndpointDirectory& mDirectory;
   EndpointLoads& mLoads;
@@ -188,6 +203,10 @@
   StreamAdmission mAdmission;
   std::list<StreamDemand> mWaiting;
   std::map<std::uint64_t, Held> mPrefills;
+  /** What decode engines compute of resumed streams. */
+  std::map<std::uint64_t, Held> mReads;
+  /** Engines that finished such work, until when they get no more. */
+  std::map<std::string, Instant> mReadAgainAt;
   /** By service, from the latest demand. */
   std::map<std::string, EngineProfile> mProfiles;
   /** Moves from an engine in the last moments, to see their effect first. */
--- a/Tests/Router/StreamCallTest.cxx
+++ b/Tests/Router/StreamCallTest.cxx
@@ -366,6 +366,27 @@
   }
 }
 
+TEST_CASE("A caller that resumes its stream is late already")
+{
+  Story story(true);
+  story.mTerms.mProfile.mTokensPerEvent = 72;
+  story.mTerms.mLastEventId = "50";
+  // Guards against a refusal of a caller that does not come a third time.
+  story.mPort.mAdmits = false;
+  story.Start();
+  REQUIRE(story.mPort.mDemands.size() == 1);
+  const StreamDemand& demand = story.mPort.mDemands[0];
+  CHECK(demand.mDue <= story.mNow);
+  CHECK(demand.mGeneratedTokens == 3600);
+  CHECK(demand.mMostTokens == 5400);
+  // 4,000 were expected; an answer of 3,600 is likely to be a long one.
+  CHECK(demand.mAnswerTokens >= 400);
+  CHECK(demand.mAnswerTokens <= 2000);
+  story.Place("p1", "d1");
+  CHECK(story.mPort.mReserved >= 8600);
+  CHECK(story.mPort.mReserved <= 9200);
+}
+
 TEST_CASE("A stream that may be resumed goes on at another engine")
 {
   Story story(true);
--- a/Tests/Routing/StreamSchedulerTest.cxx
+++ b/Tests/Routing/StreamSchedulerTest.cxx
@@ -110,7 +110,7 @@
     CHECK(pool.mLoads.Total(placement.mPrefill).mPrefillTokens == 5000);
     CHECK(pool.mRuns.CountAt(placement.mDecode) == 1);
     pool.mScheduler.OnPrefillEnded(1, milliseconds(90));
-    pool.mScheduler.OnDecodeEnded(1);
+    pool.mScheduler.OnDecodeEnded(1, pool.mNow);
     CHECK(pool.mLoads.OwnWorks().empty());
     CHECK(pool.mRuns.Own().empty());
   }
@@ -231,6 +231,76 @@
   }
 }
 
+// After all daemons were killed, 47 callers came back at once. Seven decode
+// engines computed what six streams each had generated, and the pauses of 400
+// to 600 ms made all their other runs late.
+TEST_CASE("A resumed stream makes its decode engine compute what it generated")
+{
+  Pool pool;
+  const auto submit = [&](std::uint64_t aNumber, std::uint64_t aGenerated) {
+    StreamDemand demand = pool.Demand(aNumber, 3000, 1000);
+    demand.mGeneratedTokens = aGenerated;
+    pool.mScheduler.Submit(demand);
+  };
+  const auto begin = [&](std::uint64_t aNumber) {
+    pool.mScheduler.OnPrefillEnded(aNumber, milliseconds(60));
+    pool.mScheduler.OnDecodeStarted(aNumber, pool.mNow);
+  };
+
+  SUBCASE("so each engine takes one at a time")
+  {
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      submit(i, 4000);
+    }
+    REQUIRE(pool.Place() == std::vector<std::uint64_t>{ 1, 2 });
+    CHECK(pool.mPlacements[1].mDecode != pool.mPlacements[2].mDecode);
+    CHECK(pool.Place().empty());
+
+    SUBCASE("and lets its runs go on before the next one")
+    {
+      begin(1);
+      CHECK(pool.Place().empty());
+      pool.mNow += milliseconds(100);
+      CHECK(pool.Place() == std::vector<std::uint64_t>{ 3 });
+      CHECK(pool.mPlacements[3].mDecode == pool.mPlacements[1].mDecode);
+    }
+    SUBCASE("also when the first one fails")
+    {
+      pool.mScheduler.OnPrefillEnded(2, Duration::zero());
+      pool.mScheduler.OnDecodeEnded(2, pool.mNow);
+      pool.mNow += milliseconds(100);
+      CHECK(pool.Place() == std::vector<std::uint64_t>{ 3 });
+    }
+    SUBCASE("while streams that begin are not held up")
+    {
+      pool.mScheduler.OnPrefillEnded(1, milliseconds(60));
+      pool.Submit(4, 5000, 2000);
+      CHECK(pool.Place() == std::vector<std::uint64_t>{ 4 });
+    }
+  }
+  SUBCASE("also when a peer's stream is computed there")
+  {
+    pool.mLoads.SetPeer("p", { { "d1", { 1, 4000 } }, { "d2", { 1, 4000 } } });
+    submit(1, 4000);
+    CHECK(pool.Place().empty());
+    pool.mLoads.SetPeer("p", {});
+    CHECK(pool.Place().size() == 1);
+  }
+  SUBCASE("and its memory counts from the start")
+  {
+    submit(1, 4000);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK(pool.mRuns.At(pool.mPlacements[1].mDecode)[0]->mPromptTokens == 7000);
+  }
+  SUBCASE("but a few events are no matter")
+  {
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      submit(i, 200);
+    }
+    CHECK(pool.Place().size() == 3);
+  }
+}
+
 TEST_CASE("Waiting streams go in the order that serves most")
 {
   Pool pool;
