--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Net/HttpClient.h"
 #include "Net/HttpMessage.h"
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointLoads.h"
+#include "Routing/KeptPrompts.h"
 #include "absl/status/statusor.h"
 
 namespace bulrushfold {
@@ -32,6 +34,8 @@
   std::optional<TokenCounts> mTokens;
   /** Last event that the caller has; it resumes a stream after it. */
   std::string mLastEventId;
+  /** The last part of the prompt, which no other caller's prompt has. */
+  std::optional<PromptPart> mOwnPart;
 };
 
 /** What an answer of an endpoint says, apart from its body. */
@@ -121,6 +125,9 @@
     const std::string& aReservation) const = 0;
 
   virtual HttpCallRequest State(const EndpointRecord& aEndpoint) const = 0;
+  /** Asks what the engine's prefix cache keeps. */
+  virtual HttpCallRequest ListKeptParts(
+    const EndpointRecord& aEndpoint) const = 0;
   /** aOrdersAccepted: the order is void if the engine accepted others since. */
   virtual HttpCallRequest OrderRole(const EndpointRecord& aEndpoint,
                                     EndpointRole aRole,
@@ -139,6 +146,8 @@
     const std::string& aBody) const = 0;
   virtual absl::StatusOr<EngineState> ReadState(
     const std::string& aBody) const = 0;
+  virtual absl::StatusOr<std::vector<PromptPart>> ReadKeptParts(
+    const std::string& aBody) const = 0;
 };
 
 } // namespace bulrushfold
--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -243,6 +243,7 @@
   mBeliefs.mRetries.SetPeer(aSender, std::move(status->mRetries));
   mBeliefs.mGuard.SetPeer(aSender, status->mSuspects, now);
   mBeliefs.mReturns.SetPeer(aSender, status->mTurnedAway, now);
+  mBeliefs.mKept.SetPeer(aSender, std::move(status->mKeptPrompts));
   for (const auto& [endpoint, order] : status->mRoleOrders) {
     mBeliefs.mDirectory.OnRoleOrdered(endpoint, order, now);
   }
@@ -252,6 +253,12 @@
 void
 PeerController::Forget(const std::string& aName)
 {
+  // Its callers come back to other daemons.
+  for (const auto& it : mBeliefs.mRuns.RunsOf(aName)) {
+    mBeliefs.mKept.OnBroken(
+      { it.mPromptKey, it.mEndpoint, it.mPromptTokens, mClock.Now() });
+  }
+  mBeliefs.mKept.RemovePeer(aName);
   mBeliefs.mLoads.RemovePeer(aName);
   mBeliefs.mRuns.RemovePeer(aName);
   mBeliefs.mRetries.RemovePeer(aName);
@@ -263,6 +270,7 @@
 PeerController::CountDaemons()
 {
   mBeliefs.mRetries.SetDaemons(mPeers.Known() + 1);
+  mBeliefs.mTurns.SetPeers(mPeers.LiveNames(), LeastInterval());
 }
 
 Duration
@@ -293,6 +301,7 @@
   status.mRetries = mBeliefs.mRetries.OwnUses(now);
   status.mSuspects = mBeliefs.mGuard.OwnSuspects(now);
   status.mTurnedAway = mBeliefs.mReturns.Own(now);
+  status.mKeptPrompts = mBeliefs.mKept.Own(now);
   status.mRoleOrders = mBeliefs.mDirectory.RoleOrders(now);
   status.mIsLeaving = mIsLeaving;
   status.mAddress = mSettings.mPeerAddress;
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -14,6 +14,7 @@
 #include "Router/WakeTimer.h"
 #include "Routing/EndpointDirectory.h"
 #include "Routing/PeerTable.h"
+#include "Routing/ReadTurns.h"
 
 namespace bulrushfold {
 
@@ -25,6 +26,8 @@
   RetryAllowance& mRetries;
   CrashGuard& mGuard;
   ReturnTable& mReturns;
+  KeptPrompts& mKept;
+  ReadTurns& mTurns;
   EndpointDirectory& mDirectory;
 };
 
--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -33,6 +33,7 @@
     run.mostTokens = static_cast<std::int32_t>(it.mMostTokens);
     run.ageMs =
       it.mStartedAt ? WholeMilliseconds(aNow - *it.mStartedAt) : kNotStarted;
+    run.promptKey = static_cast<std::int64_t>(it.mPromptKey);
     message.runs.push_back(std::move(run));
   }
   for (const auto& [endpoint, work] : aStatus.mWorks) {
@@ -62,6 +63,14 @@
     request.ageMs = WholeMilliseconds(it.mAge);
     message.turnedAway.push_back(request);
   }
+  for (const auto& it : aStatus.mKeptPrompts) {
+    wire::KeptPrompt prompt;
+    prompt.promptKey = static_cast<std::int64_t>(it.mKey);
+    prompt.endpoint = it.mEndpoint;
+    prompt.tokens = static_cast<std::int32_t>(it.mTokens);
+    prompt.ageMs = WholeMilliseconds(aNow - it.mSeenAt);
+    message.keptPrompts.push_back(std::move(prompt));
+  }
   for (const auto& [endpoint, order] : aStatus.mRoleOrders) {
     wire::RoleOrder item;
     item.endpoint = endpoint;
@@ -92,7 +101,8 @@
                    static_cast<std::uint64_t>(std::max(it.promptTokens, 0)),
                    static_cast<std::uint64_t>(std::max(it.answerTokens, 0)),
                    static_cast<std::uint64_t>(std::max(it.mostTokens, 0)),
-                   std::nullopt };
+                   std::nullopt,
+                   static_cast<std::uint64_t>(it.promptKey) };
     if (it.ageMs != kNotStarted) {
       run.mStartedAt = aNow - std::chrono::milliseconds(it.ageMs);
     }
@@ -120,6 +130,13 @@
     status.mTurnedAway.push_back({ static_cast<std::uint64_t>(it.requestHash),
                                    std::chrono::milliseconds(it.ageMs) });
   }
+  for (const auto& it : message->keptPrompts) {
+    status.mKeptPrompts.push_back(
+      { static_cast<std::uint64_t>(it.promptKey),
+        it.endpoint,
+        static_cast<std::uint64_t>(std::max(it.tokens, 0)),
+        aNow - std::chrono::milliseconds(it.ageMs) });
+  }
   for (const auto& it : message->roleOrders) {
     status.mRoleOrders[it.endpoint] = {
       it.isToDecode ? EndpointRole::Decode : EndpointRole::Prefill,
--- a/Source/Router/PeerStatus.h
+++ b/Source/Router/PeerStatus.h
@@ -10,6 +10,7 @@
 #include "Routing/CrashGuard.h"
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointLoads.h"
+#include "Routing/KeptPrompts.h"
 #include "Routing/RetryAllowance.h"
 #include "Routing/ReturnTable.h"
 #include "Routing/StreamRuns.h"
@@ -26,6 +27,7 @@
   RetryUses mRetries;
   std::vector<CrashSuspect> mSuspects;
   std::vector<TurnedAway> mTurnedAway;
+  std::vector<KeptPrompt> mKeptPrompts;
   /** Engines that change their role. */
   std::map<std::string, RoleOrder> mRoleOrders;
   /** The daemon ends now. */
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -168,6 +168,7 @@
       { "decode_peak_tokens", aPlacement.mDecodePeak },
       { "prefill", aPlacement.mPrefill },
       { "prefill_requests", aPlacement.mPrefillLoad.mRequests },
+      { "kept_tokens", aPlacement.mKeptTokens },
       { "registry", mDirectory.Revision() },
       { "waited_ms", ToMilliseconds(Since(aRequest.mTerms.mArrival)) } });
 }
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -55,28 +55,35 @@
   , mProtocol(aProtocol)
   , mCodec(std::move(aCodec))
   , mDirectory(aSettings.mEndpointGrace)
+  , mKept(mRuns)
+  , mTurns(mLoads, aSettings.mName)
   , mHealth(mRandom)
   , mRetries(aSettings.mRetryBounds, mClock.Now())
   , mSelector(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
   , mScheduler(mDirectory,
                mLoads,
                mRuns,
+               mKept,
+               mTurns,
                mHealth,
                aSettings.mFailureDomain,
                mRandom,
                mClock.Now())
   , mStreams(aLoop, mClock, mScheduler)
   , mLog(mClock, mDirectory, mMetrics)
-  , mServices{ aLoop,          mClock,    aClient,  aProtocol, mDirectory,
-               mLoads,         mHealth,   mRetries, mGuard,    mReturns,
+  , mKeptQuery(aLoop, mClock, aClient, aProtocol, mDirectory, mKept)
+  , mServices{ aLoop,          mClock,    aClient,  aProtocol,
+               mDirectory,     mLoads,    mHealth,  mRetries,
+               mGuard,         mReturns,  mKept,    mKeptQuery,
                mAnswerLengths, mSelector, mStreams, mLog }
-  , mPeers(aLoop,
-           mClock,
-           mRandom,
-           aStore,
-           mSettings,
-           { mLoads, mRuns, mRetries, mGuard, mReturns, mDirectory },
-           [this] { mStreams.KickSoon(); })
+  , mPeers(
+      aLoop,
+      mClock,
+      mRandom,
+      aStore,
+      mSettings,
+      { mLoads, mRuns, mRetries, mGuard, mReturns, mKept, mTurns, mDirectory },
+      [this] { mStreams.KickSoon(); })
   , mRoles(aLoop,
            mClock,
            aStore,
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -92,6 +92,8 @@
   EndpointDirectory mDirectory;
   EndpointLoads mLoads;
   StreamRuns mRuns;
+  KeptPrompts mKept;
+  ReadTurns mTurns;
   AnswerLengths mAnswerLengths;
   EndpointHealth mHealth;
   RetryAllowance mRetries;
@@ -101,6 +103,7 @@
   StreamScheduler mScheduler;
   StreamDispatcher mStreams;
   RequestLog mLog;
+  KeptPromptQuery mKeptQuery;
   RouterServices mServices;
   PeerController mPeers;
   RoleController mRoles;
--- a/Source/Router/RouterFilters.cxx
+++ b/Source/Router/RouterFilters.cxx
@@ -139,6 +139,8 @@
                                     terms.mTokens.mGuessedAnswer,
                                     terms.mTokens.mMaxAnswer);
   terms.mLastEventId = aRequest->mFacts.mLastEventId;
+  terms.mPromptKey =
+    aRequest->mFacts.mOwnPart ? aRequest->mFacts.mOwnPart->mKey : 0;
   terms.mFirstArrival =
     mServices.mReturns.FirstArrival(aRequest->mHash, aRequest->mTerms.mArrival);
   std::make_shared<StreamSession>(mServices, aRequest, std::move(terms))
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -5,6 +5,7 @@
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
 #include "Router/EndpointProtocol.h"
+#include "Router/KeptPromptQuery.h"
 #include "Router/RequestLog.h"
 #include "Router/RoutedRequest.h"
 #include "Router/SendEnd.h"
@@ -13,6 +14,7 @@
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
+#include "Routing/KeptPrompts.h"
 #include "Routing/PlainSelector.h"
 #include "Routing/RetryAllowance.h"
 #include "Routing/ReturnTable.h"
@@ -34,6 +36,8 @@
   RetryAllowance& mRetries;
   CrashGuard& mGuard;
   ReturnTable& mReturns;
+  KeptPrompts& mKept;
+  KeptPromptQuery& mKeptQuery;
   AnswerLengths& mAnswerLengths;
   PlainSelector& mSelector;
   StreamDispatcher& mStreams;
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -102,10 +102,14 @@
     std::min(RestOfAnswer(mTerms.mAnswerTokens, demand.mGeneratedTokens),
              std::max<std::uint64_t>(demand.mMostTokens, 1));
   demand.mDue = Due(aNow);
+  demand.mSubmittedAt = aNow;
   demand.mGiveUp =
     std::min(mTerms.mCall.mDeadline,
              (mHasAnswer ? aNow : mTerms.mCall.mArrival) + kLateWait);
   demand.mTried = mTried;
+  demand.mPromptKey = mTerms.mPromptKey;
+  demand.mHasRun =
+    (mRuns > 0 || !mTerms.mLastEventId.empty()) && !mIsPromptLost;
   return demand;
 }
 
@@ -322,7 +326,9 @@
   const bool hasFailure = mState == StreamState::Failing && isWhole;
   if (!IsCertainlyNotRun(aEnd)) {
     ++mRuns;
+    mPort.NoteBroken(mPlacement.mDecode);
   }
+  mIsPromptLost = mIsPromptLost || mPlacement.mKeptTokens > 0;
   mTried.insert(mPlacement.mDecode);
   mRelay.Restart();
   // Another run repeats the decode, and the prefill where there was one.
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -59,6 +59,8 @@
   virtual void NoteAnswer(std::uint64_t aEvents, Duration aTook) = 0;
   virtual void NoteDecodeFull(const std::string& aEndpoint,
                               std::uint64_t aTokens) = 0;
+  /** A run ended unfinished, and aEndpoint may still have its prompt. */
+  virtual void NoteBroken(const std::string& aEndpoint) = 0;
   /** The run is now counted at aEndpoint. */
   virtual void NoteMoved(const std::string& aEndpoint) = 0;
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
@@ -95,6 +97,8 @@
   std::uint64_t mAnswerTokens = 0;
   /** Last event that the caller already has. */
   std::string mLastEventId;
+  /** Key of the prompt's own part; 0 when it is unknown. */
+  std::uint64_t mPromptKey = 0;
   /** When the caller first came, if it was told to come back. */
   std::optional<Instant> mFirstArrival;
 };
@@ -197,6 +201,8 @@
   /** Runs at decode engines that may have begun. */
   std::uint32_t mRuns = 0;
   std::uint32_t mPlacements = 0;
+  /** An engine that should have kept the prompt failed. */
+  bool mIsPromptLost = false;
   bool mHasAnswer = false;
   /** The answer came from one run. */
   bool mIsOneRun = true;
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -88,6 +88,8 @@
     case StreamState::Streaming:
     case StreamState::Failing:
       mMove.reset();
+      // A silent engine is not asked again for this stream.
+      mIsPromptLost = true;
       mPort.CancelSend(SendResult::Slow);
       OnAnswerEnded(SendEnd::Unknown, aNow);
       return;
@@ -130,6 +132,9 @@
   } else {
     mPort.CancelSend(SendResult::Answered);
   }
+  if (mState == StreamState::Streaming) {
+    mPort.NoteBroken(mPlacement.mDecode);
+  }
   ReleaseAll();
   mState = StreamState::Over;
 }
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -34,7 +34,30 @@
   mSelf = shared_from_this();
   const auto self = mSelf;
   mRequest->mExchange->OnClosed([this] { HandleCallerGone(); });
-  mCall.Start(mServices.mClock.Now());
+  if (MustAskForPrompt()) {
+    mServices.mKeptQuery.Ask(mRequest->mTerms.mService,
+                             [this, self] { StartCall(); });
+  } else {
+    StartCall();
+  }
+}
+
+bool
+StreamSession::MustAskForPrompt() const
+{
+  const RequestFacts& facts = mRequest->mFacts;
+  return !facts.mLastEventId.empty() && facts.mOwnPart &&
+         mServices.mKept.Find(facts.mOwnPart->mKey, mServices.mClock.Now())
+           .empty();
+}
+
+void
+StreamSession::StartCall()
+{
+  // The caller may have left meanwhile.
+  if (const auto self = mSelf; self) {
+    mCall.Start(mServices.mClock.Now());
+  }
 }
 
 bool
@@ -102,6 +125,18 @@
   mServices.mStreams.OnDecodeFull(aEndpoint, aTokens);
 }
 
+void
+StreamSession::NoteBroken(const std::string& aEndpoint)
+{
+  const RequestFacts& facts = mRequest->mFacts;
+  if (facts.mOwnPart && facts.mTokens) {
+    mServices.mKept.OnBroken({ facts.mOwnPart->mKey,
+                               aEndpoint,
+                               facts.mTokens->mPrompt,
+                               mServices.mClock.Now() });
+  }
+}
+
 void
 StreamSession::NoteMoved(const std::string& aEndpoint)
 {
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -35,6 +35,7 @@
   void NoteAnswer(std::uint64_t aEvents, Duration aTook) override;
   void NoteDecodeFull(const std::string& aEndpoint,
                       std::uint64_t aTokens) override;
+  void NoteBroken(const std::string& aEndpoint) override;
   void NoteMoved(const std::string& aEndpoint) override;
   bool IsUsable(const std::string& aEndpoint) const override;
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override;
@@ -53,6 +54,9 @@
   void Refuse(const Refusal& aRefusal) override;
   void WakeAt(Instant aTime) override { mTimer.WakeAt(aTime); }
 
+  /** The prompt of a returning caller may be kept, and is not known here. */
+  bool MustAskForPrompt() const;
+  void StartCall();
   void HandlePlacement(const StreamPlacement* aPlacement) override;
   void HandleMove(const std::string& aTarget) override;
   void HandleMoveAnswer(const HttpCallReply& aReply,
--- a/Source/Routing/PeerTable.cxx
+++ b/Source/Routing/PeerTable.cxx
@@ -72,6 +72,18 @@
   });
 }
 
+std::vector<std::string>
+PeerTable::LiveNames() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, peer] : mPeers) {
+    if (peer.mIsLive) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
 std::size_t
 PeerTable::Live() const
 {
--- a/Source/Routing/PeerTable.h
+++ b/Source/Routing/PeerTable.h
@@ -53,6 +53,7 @@
   bool IsFirst(const std::string& aName) const;
   /** Live peers. */
   std::size_t Live() const;
+  std::vector<std::string> LiveNames() const;
   /** Peers that are not forgotten. A silent one may be cut off from this
    * daemon only, and still serve. */
   std::size_t Known() const { return mPeers.size(); }
--- a/Source/Routing/StreamRuns.cxx
+++ b/Source/Routing/StreamRuns.cxx
@@ -79,4 +79,30 @@
   return it == mIndex.end() ? sNone : it->second;
 }
 
+std::vector<const StreamRun*>
+StreamRuns::WithPrompt(std::uint64_t aKey) const
+{
+  std::vector<const StreamRun*> found;
+  for (const auto& [number, run] : mOwn) {
+    if (run.mPromptKey == aKey) {
+      found.push_back(&run);
+    }
+  }
+  for (const auto& [peer, runs] : mPeers) {
+    for (const auto& it : runs) {
+      if (it.mPromptKey == aKey) {
+        found.push_back(&it);
+      }
+    }
+  }
+  return found;
+}
+
+std::vector<StreamRun>
+StreamRuns::RunsOf(const std::string& aPeer) const
+{
+  const auto it = mPeers.find(aPeer);
+  return it == mPeers.end() ? std::vector<StreamRun>() : it->second;
+}
+
 } // namespace bulrushfold
--- a/Source/Routing/StreamRuns.h
+++ b/Source/Routing/StreamRuns.h
@@ -20,13 +20,16 @@
   /** Unique in the daemon that placed it. */
   std::uint64_t mNumber = 0;
   std::string mEndpoint;
+  /** Tokens before the first one that it generates there. */
   std::uint64_t mPromptTokens = 0;
-  /** Expected length of the whole answer. */
+  /** Expected number of tokens that it generates. */
   std::uint64_t mAnswerTokens = 0;
-  /** Length at which the answer ends in any case. */
+  /** Number at which the answer ends in any case. */
   std::uint64_t mMostTokens = 0;
   /** When the engine began to generate; empty before. */
   std::optional<Instant> mStartedAt;
+  /** Key of the prompt's own part; 0 when it is unknown. */
+  std::uint64_t mPromptKey = 0;
 };
 
 /** The streams of this daemon and of its peers, by decode engine. */
@@ -49,6 +52,10 @@
   {
     return At(aEndpoint).size();
   }
+  /** Runs with this prompt, valid until the next change. */
+  std::vector<const StreamRun*> WithPrompt(std::uint64_t aKey) const;
+  /** Runs that aPeer told of last. */
+  std::vector<StreamRun> RunsOf(const std::string& aPeer) const;
   /** Runs of this daemon, by number. */
   const std::map<std::uint64_t, StreamRun>& Own() const { return mOwn; }
   /** Emitted when the runs of this daemon changed. */
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -24,9 +24,8 @@
 constexpr double kRateWeight = 0.1;
 /** Generated tokens that a decode engine computes again within an event. */
 constexpr std::uint64_t kFreeReadTokens = 300;
-/** Time between two such computations, in which each run of the engine sends
- * an event: two in a row would hold the runs up for too long. */
-constexpr Duration kReadPause = std::chrono::milliseconds(80);
+/** An engine is used for what it kept if that is one part in so many. */
+constexpr std::uint64_t kLeastKeptDivisor = 2;
 /** Costs below are in units of a full engine. */
 constexpr double kOtherDomainCost = 0.05;
 constexpr double kFailureCost = 1;
@@ -36,6 +35,8 @@
 StreamScheduler::StreamScheduler(const EndpointDirectory& aDirectory,
                                  EndpointLoads& aLoads,
                                  StreamRuns& aRuns,
+                                 const KeptPrompts& aKept,
+                                 ReadTurns& aTurns,
                                  const EndpointHealth& aHealth,
                                  std::string aFailureDomain,
                                  Random& aRandom,
@@ -43,6 +44,8 @@
   : mDirectory(aDirectory)
   , mLoads(aLoads)
   , mRuns(aRuns)
+  , mKept(aKept)
+  , mTurns(aTurns)
   , mHealth(aHealth)
   , mFailureDomain(std::move(aFailureDomain))
   , mRandom(aRandom)
@@ -131,6 +134,7 @@
 StreamScheduler::Dispatch(Instant aNow)
 {
   CountNewlyKnown();
+  mNextTurn.reset();
   std::vector<StreamPlacement> placements;
   std::list<StreamDemand> resumed;
   while (!mWaiting.empty()) {
@@ -141,8 +145,8 @@
       mAdmission.OnPlaced(aNow);
       placements.push_back(std::move(*placement));
       mWaiting.erase(it);
-    } else if (it->mGeneratedTokens > kFreeReadTokens) {
-      // It may only wait for its turn at the engines.
+    } else if (it->mHasRun) {
+      // It may only wait for its turn at an engine.
       resumed.splice(resumed.end(), mWaiting, it);
     } else {
       break;
@@ -153,18 +157,23 @@
 }
 
 std::optional<StreamPlacement>
-StreamScheduler::Place(const StreamDemand& aDemand, Instant aNow) const
+StreamScheduler::Place(const StreamDemand& aDemand, Instant aNow)
 {
   StreamPlacement placement;
   placement.mNumber = aDemand.mNumber;
+  switch (PlaceAtKept(aDemand, aNow, placement)) {
+    case KeptResult::Placed:
+      return placement;
+    case KeptResult::Later:
+      return std::nullopt;
+    case KeptResult::None:
+      break;
+  }
   if (!ChooseDecode(aDemand, aNow, placement)) {
     return std::nullopt;
   }
   if (mDirectory.Usable(aDemand.mService, EndpointRole::Prefill).empty()) {
-    // The engine reads one prompt at a time between its tokens.
-    return mLoads.Total(placement.mDecode).mPrefillTokens > 0
-             ? std::nullopt
-             : std::make_optional(placement);
+    return placement;
   }
   const EndpointRecord* decode = mDirectory.Find(placement.mDecode);
   const EndpointRecord* prefill =
@@ -200,47 +209,100 @@
   return best;
 }
 
-bool
-StreamScheduler::ChooseDecode(const StreamDemand& aDemand,
-                              Instant aNow,
-                              StreamPlacement& aPlacement) const
+std::optional<double>
+StreamScheduler::PeakWith(const StreamDemand& aDemand,
+                          const EndpointRecord& aEngine,
+                          Instant aNow) const
 {
-  const double memory = MemoryOf(aDemand.mService);
+  const auto full = mFullUntil.find(aEngine.mId);
+  auto runs = mRuns.At(aEngine.mId);
+  if (runs.size() >= aEngine.mSlots ||
+      (full != mFullUntil.end() && aNow < full->second)) {
+    return std::nullopt;
+  }
   StreamRun candidate;
   candidate.mPromptTokens = StartTokens(aDemand);
   candidate.mAnswerTokens = aDemand.mAnswerTokens;
   candidate.mMostTokens = aDemand.mMostTokens;
+  runs.push_back(&candidate);
+  const double unknown = UnknownTokens(aEngine.mId, aNow);
+  const double peak = mForecast.Peak(runs, kNeedDeviations, aNow) + unknown;
+  // A request that exceeds an empty engine is the engine's to refuse.
+  const bool isEmpty = runs.size() == 1 && unknown == 0;
+  return isEmpty || peak <= MemoryOf(aDemand.mService)
+           ? std::make_optional(peak)
+           : std::nullopt;
+}
+
+StreamScheduler::KeptResult
+StreamScheduler::PlaceAtKept(const StreamDemand& aDemand,
+                             Instant aNow,
+                             StreamPlacement& aPlacement)
+{
+  if (!aDemand.mHasRun) {
+    return KeptResult::None;
+  }
+  for (const auto& it : mKept.Find(aDemand.mPromptKey, aNow)) {
+    const EndpointRecord* engine = mDirectory.Find(it.mEndpoint);
+    if (engine == nullptr || !mDirectory.IsUsable(it.mEndpoint) ||
+        engine->mRole != EndpointRole::Decode ||
+        engine->mService != aDemand.mService ||
+        mHealth.IsAvoided(it.mEndpoint, aNow) ||
+        it.mTokens * kLeastKeptDivisor < aDemand.mPromptTokens) {
+      continue;
+    }
+    const auto peak = PeakWith(aDemand, *engine, aNow);
+    if (!peak) {
+      continue;
+    }
+    if (!MayRead(it.mEndpoint, aDemand, aNow)) {
+      if (aNow < aDemand.mDue) {
+        continue;
+      }
+      return KeptResult::Later;
+    }
+    aPlacement.mDecode = it.mEndpoint;
+    aPlacement.mDecodeRuns = mRuns.CountAt(it.mEndpoint);
+    aPlacement.mDecodePeak = *peak;
+    // What was generated is computed again, also when the cache has it.
+    aPlacement.mKeptTokens = std::min(it.mTokens, aDemand.mPromptTokens);
+    return KeptResult::Placed;
+  }
+  return KeptResult::None;
+}
+
+bool
+StreamScheduler::ChooseDecode(const StreamDemand& aDemand,
+                              Instant aNow,
+                              StreamPlacement& aPlacement)
+{
+  const double memory = MemoryOf(aDemand.mService);
   double bestCost = 0;
   const auto engines =
     mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
   const Rank bestRank = BestRank(engines, aDemand, aNow);
-  const bool isRead = aDemand.mGeneratedTokens > kFreeReadTokens;
+  // The engine computes one prompt at a time between its tokens.
+  const bool isRead =
+    aDemand.mGeneratedTokens > kFreeReadTokens ||
+    mDirectory.Usable(aDemand.mService, EndpointRole::Prefill).empty();
   for (const EndpointRecord* it : engines) {
-    if (isRead && IsReading(it->mId, aNow)) {
+    if (RankOf(it->mId, aDemand, aNow) > bestRank ||
+        (isRead && !MayRead(it->mId, aDemand, aNow))) {
       continue;
     }
-    auto runs = mRuns.At(it->mId);
-    const std::size_t before = runs.size();
-    const auto full = mFullUntil.find(it->mId);
-    const bool isBlocked = full != mFullUntil.end() && aNow < full->second;
-    runs.push_back(&candidate);
-    const double unknown = UnknownTokens(it->mId, aNow);
-    const double peak = mForecast.Peak(runs, kNeedDeviations, aNow) + unknown;
-    // A request that exceeds an empty engine is the engine's to refuse.
-    const bool hasRoom = (before == 0 && unknown == 0) || peak <= memory;
-    if (before >= it->mSlots || !hasRoom || isBlocked ||
-        RankOf(it->mId, aDemand, aNow) > bestRank) {
+    const auto peak = PeakWith(aDemand, *it, aNow);
+    if (!peak) {
       continue;
     }
     const double cost =
-      peak / std::max(memory, 1.0) +
+      *peak / std::max(memory, 1.0) +
       (it->mFailureDomain == mFailureDomain ? 0 : kOtherDomainCost) +
       kFailureCost * mHealth.FailureShare(it->mId) + kJitter * mRandom.Unit();
     if (aPlacement.mDecode.empty() || cost < bestCost) {
       bestCost = cost;
       aPlacement.mDecode = it->mId;
-      aPlacement.mDecodeRuns = before;
-      aPlacement.mDecodePeak = peak;
+      aPlacement.mDecodeRuns = mRuns.CountAt(it->mId);
+      aPlacement.mDecodePeak = *peak;
     }
   }
   return !aPlacement.mDecode.empty();
@@ -284,14 +346,19 @@
               StartTokens(aDemand),
               aDemand.mAnswerTokens,
               aDemand.mMostTokens,
-              std::nullopt });
-  const std::string& reader =
-    aPlacement.mPrefill.empty() ? aPlacement.mDecode : aPlacement.mPrefill;
-  Begin(mPrefills, aDemand.mNumber, { reader, { 1, aDemand.mPromptTokens } });
-  if (aDemand.mGeneratedTokens > kFreeReadTokens) {
-    Begin(mReads,
+              std::nullopt,
+              aDemand.mPromptKey });
+  // What the decode engine itself has to compute.
+  std::uint64_t read = aDemand.mGeneratedTokens;
+  if (!aPlacement.mPrefill.empty()) {
+    Begin(mPrefills,
           aDemand.mNumber,
-          { aPlacement.mDecode, { 1, aDemand.mGeneratedTokens } });
+          { aPlacement.mPrefill, { 1, aDemand.mPromptTokens } });
+  } else {
+    read = StartTokens(aDemand) - aPlacement.mKeptTokens;
+  }
+  if (read > kFreeReadTokens) {
+    Begin(mReads, aDemand.mNumber, { aPlacement.mDecode, { 1, read } });
   }
 }
 
@@ -305,19 +372,30 @@
 }
 
 bool
-StreamScheduler::IsReading(const std::string& aEngine, Instant aNow) const
+StreamScheduler::MayRead(const std::string& aEngine,
+                         const StreamDemand& aDemand,
+                         Instant aNow)
 {
-  const auto it = mReadAgainAt.find(aEngine);
-  return mLoads.Total(aEngine).mPrefillTokens > 0 ||
-         (it != mReadAgainAt.end() && aNow < it->second);
+  mTurns.Observe(aEngine, aNow);
+  // A single stream that broke off can go on in time; many come late.
+  const Instant turn = aNow < aDemand.mDue
+                         ? mTurns.FreeAt(aEngine, aNow)
+                         : mTurns.NextTurn(aEngine, aDemand.mSubmittedAt, aNow);
+  if (turn <= aNow) {
+    return true;
+  }
+  mNextTurn = std::min(mNextTurn.value_or(turn), turn);
+  return false;
 }
 
 void
 StreamScheduler::EndRead(std::uint64_t aNumber, Instant aNow)
 {
   if (const auto it = mReads.find(aNumber); it != mReads.end()) {
-    mReadAgainAt[it->second.mEndpoint] = aNow + kReadPause;
-    mLoads.End(it->second.mEndpoint, it->second.mWork);
+    const std::string engine = it->second.mEndpoint;
+    mTurns.Observe(engine, aNow);
+    mLoads.End(engine, it->second.mWork);
+    mTurns.Observe(engine, aNow);
     mReads.erase(it);
   }
 }
@@ -377,6 +455,9 @@
     return std::nullopt;
   }
   Instant next = aNow + kRetryInterval;
+  if (mNextTurn) {
+    next = std::min(next, *mNextTurn);
+  }
   for (const auto& it : mWaiting) {
     next = std::min(next, it.mGiveUp);
   }
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -14,7 +14,9 @@
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
+#include "Routing/KeptPrompts.h"
 #include "Routing/MemoryForecast.h"
+#include "Routing/ReadTurns.h"
 #include "Routing/RoutingConfig.h"
 #include "Routing/StreamAdmission.h"
 #include "Routing/StreamRuns.h"
@@ -38,10 +40,16 @@
   std::uint64_t mMostTokens = 0;
   /** The first event is late after this time. */
   Instant mDue;
+  /** It waits since then. */
+  Instant mSubmittedAt;
   /** It leaves the queue unserved at this time. */
   Instant mGiveUp;
   /** Engines that failed it. */
   std::set<std::string> mTried;
+  /** Key of the prompt's own part; 0 when it is unknown. */
+  std::uint64_t mPromptKey = 0;
+  /** A run of it broke off, so that an engine may have its prompt. */
+  bool mHasRun = false;
 };
 
 /** Tokens whose KV cache aDemand needs before it generates. */
@@ -64,6 +72,8 @@
   /** Largest memory that the decode engine is expected to need, in tokens. */
   double mDecodePeak = 0;
   EndpointWork mPrefillLoad;
+  /** Tokens whose KV cache the decode engine should have; 0: not known. */
+  std::uint64_t mKeptTokens = 0;
 };
 
 /** A run that should go on at another engine. */
@@ -80,7 +90,8 @@
  * can still be on time go first, those that use memory for the shortest time
  * before the others; late ones follow. Streams that go on after an event make
  * their decode engine compute what was generated before, which holds up its
- * runs; so they start there one at a time.
+ * runs; so they start there one at a time. If an engine still has the prompt
+ * of a stream that broke off, the stream goes on there without a prefill.
  *
  * Events to deliver: Submit; Dispatch after every event that may have made
  * room (an own stream ended, a peer told its loads, endpoints changed) and at
@@ -98,6 +109,8 @@
   StreamScheduler(const EndpointDirectory& aDirectory,
                   EndpointLoads& aLoads,
                   StreamRuns& aRuns,
+                  const KeptPrompts& aKept,
+                  ReadTurns& aTurns,
                   const EndpointHealth& aHealth,
                   std::string aFailureDomain,
                   Random& aRandom,
@@ -161,7 +174,22 @@
   /** The waiting stream that goes next. */
   std::list<StreamDemand>::iterator Next(Instant aNow);
   std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
-                                       Instant aNow) const;
+                                       Instant aNow);
+  enum class KeptResult
+  {
+    Placed,
+    /** The engine that has the prompt will have time for it. */
+    Later,
+    None,
+  };
+  /** Places aDemand at an engine that has its prompt already. */
+  KeptResult PlaceAtKept(const StreamDemand& aDemand,
+                         Instant aNow,
+                         StreamPlacement& aPlacement);
+  /** Expected peak of the engine's memory with aDemand; empty: no room. */
+  std::optional<double> PeakWith(const StreamDemand& aDemand,
+                                 const EndpointRecord& aEngine,
+                                 Instant aNow) const;
   /** Lower is better; an engine serves aDemand only if no usable engine has a
    * better rank, also when that one has no room yet. */
   enum class Rank
@@ -180,7 +208,7 @@
   /** Chooses the decode engine of aPlacement; false when none has room. */
   bool ChooseDecode(const StreamDemand& aDemand,
                     Instant aNow,
-                    StreamPlacement& aPlacement) const;
+                    StreamPlacement& aPlacement);
   const EndpointRecord* ChoosePrefill(const StreamDemand& aDemand,
                                       const std::string& aFailureDomain,
                                       Instant aNow) const;
@@ -188,14 +216,17 @@
   void Begin(std::map<std::uint64_t, Held>& aWorks,
              std::uint64_t aNumber,
              const Held& aHeld);
-  /** aEngine computes, or computed a moment ago, what a resumed stream had
-   * generated. */
-  bool IsReading(const std::string& aEngine, Instant aNow) const;
+  /** aEngine may compute what aDemand generated; else notes when to try. */
+  bool MayRead(const std::string& aEngine,
+               const StreamDemand& aDemand,
+               Instant aNow);
   void EndRead(std::uint64_t aNumber, Instant aNow);
 
   const EndpointDirectory& mDirectory;
   EndpointLoads& mLoads;
   StreamRuns& mRuns;
+  const KeptPrompts& mKept;
+  ReadTurns& mTurns;
   const EndpointHealth& mHealth;
   std::string mFailureDomain;
   Random& mRandom;
@@ -205,8 +236,8 @@
   std::map<std::uint64_t, Held> mPrefills;
   /** What decode engines compute of resumed streams. */
   std::map<std::uint64_t, Held> mReads;
-  /** Engines that finished such work, until when they get no more. */
-  std::map<std::string, Instant> mReadAgainAt;
+  /** Next turn of this daemon at an engine that a waiting stream needs. */
+  std::optional<Instant> mNextTurn;
   /** By service, from the latest demand. */
   std::map<std::string, EngineProfile> mProfiles;
   /** Moves from an engine in the last moments, to see their effect first. */
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -12,6 +12,16 @@
   6: required i32 mostTokens,
   // Milliseconds since the engine began to generate; -1: it has not.
   5: required i32 ageMs,
+  // Of the part of the prompt that belongs to this stream alone; 0: unknown.
+  7: i64 promptKey,
+}
+
+// A prompt whose KV cache an engine keeps after its run broke off.
+struct KeptPrompt {
+  1: required i64 promptKey,
+  2: required string endpoint,
+  3: required i32 tokens,
+  4: required i32 ageMs,
 }
 
 // Work of one daemon at one endpoint.
@@ -65,4 +75,5 @@
   6: required string address,
   7: required list<TurnedAway> turnedAway,
   8: required list<RoleOrder> roleOrders,
+  9: list<KeptPrompt> keptPrompts,
 }
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -41,6 +41,10 @@
 void StreamRun::__set_ageMs(const int32_t val) {
   this->ageMs = val;
 }
+
+void StreamRun::__set_promptKey(const int64_t val) {
+  this->promptKey = val;
+}
 std::ostream& operator<<(std::ostream& out, const StreamRun& obj)
 {
   obj.printTo(out);
@@ -123,6 +127,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->promptKey);
+          this->__isset.promptKey = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -176,6 +188,10 @@
   xfer += oprot->writeI32(this->mostTokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("promptKey", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->promptKey);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -189,6 +205,8 @@
   swap(a.answerTokens, b.answerTokens);
   swap(a.mostTokens, b.mostTokens);
   swap(a.ageMs, b.ageMs);
+  swap(a.promptKey, b.promptKey);
+  swap(a.__isset, b.__isset);
 }
 
 StreamRun::StreamRun(const StreamRun& other0) {
@@ -198,6 +216,8 @@
   answerTokens = other0.answerTokens;
   mostTokens = other0.mostTokens;
   ageMs = other0.ageMs;
+  promptKey = other0.promptKey;
+  __isset = other0.__isset;
 }
 StreamRun& StreamRun::operator=(const StreamRun& other1) {
   number = other1.number;
@@ -206,6 +226,8 @@
   answerTokens = other1.answerTokens;
   mostTokens = other1.mostTokens;
   ageMs = other1.ageMs;
+  promptKey = other1.promptKey;
+  __isset = other1.__isset;
   return *this;
 }
 void StreamRun::printTo(std::ostream& out) const {
@@ -217,6 +239,168 @@
   out << ", " << "answerTokens=" << to_string(answerTokens);
   out << ", " << "mostTokens=" << to_string(mostTokens);
   out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "promptKey=" << to_string(promptKey);
+  out << ")";
+}
+
+
+KeptPrompt::~KeptPrompt() noexcept {
+}
+
+
+void KeptPrompt::__set_promptKey(const int64_t val) {
+  this->promptKey = val;
+}
+
+void KeptPrompt::__set_endpoint(const std::string& val) {
+  this->endpoint = val;
+}
+
+void KeptPrompt::__set_tokens(const int32_t val) {
+  this->tokens = val;
+}
+
+void KeptPrompt::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const KeptPrompt& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t KeptPrompt::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_promptKey = false;
+  bool isset_endpoint = false;
+  bool isset_tokens = false;
+  bool isset_ageMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->promptKey);
+          isset_promptKey = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->endpoint);
+          isset_endpoint = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tokens);
+          isset_tokens = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          isset_ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_promptKey)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_endpoint)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tokens)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t KeptPrompt::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("KeptPrompt");
+
+  xfer += oprot->writeFieldBegin("promptKey", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->promptKey);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("endpoint", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->endpoint);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tokens", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->tokens);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(KeptPrompt &a, KeptPrompt &b) {
+  using ::std::swap;
+  swap(a.promptKey, b.promptKey);
+  swap(a.endpoint, b.endpoint);
+  swap(a.tokens, b.tokens);
+  swap(a.ageMs, b.ageMs);
+}
+
+KeptPrompt::KeptPrompt(const KeptPrompt& other2) {
+  promptKey = other2.promptKey;
+  endpoint = other2.endpoint;
+  tokens = other2.tokens;
+  ageMs = other2.ageMs;
+}
+KeptPrompt& KeptPrompt::operator=(const KeptPrompt& other3) {
+  promptKey = other3.promptKey;
+  endpoint = other3.endpoint;
+  tokens = other3.tokens;
+  ageMs = other3.ageMs;
+  return *this;
+}
+void KeptPrompt::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "KeptPrompt(";
+  out << "promptKey=" << to_string(promptKey);
+  out << ", " << "endpoint=" << to_string(endpoint);
+  out << ", " << "tokens=" << to_string(tokens);
+  out << ", " << "ageMs=" << to_string(ageMs);
   out << ")";
 }
 
@@ -338,15 +522,15 @@
   swap(a.prefillTokens, b.prefillTokens);
 }
 
-EndpointShare::EndpointShare(const EndpointShare& other2) {
-  endpoint = other2.endpoint;
-  requests = other2.requests;
-  prefillTokens = other2.prefillTokens;
+EndpointShare::EndpointShare(const EndpointShare& other4) {
+  endpoint = other4.endpoint;
+  requests = other4.requests;
+  prefillTokens = other4.prefillTokens;
 }
-EndpointShare& EndpointShare::operator=(const EndpointShare& other3) {
-  endpoint = other3.endpoint;
-  requests = other3.requests;
-  prefillTokens = other3.prefillTokens;
+EndpointShare& EndpointShare::operator=(const EndpointShare& other5) {
+  endpoint = other5.endpoint;
+  requests = other5.requests;
+  prefillTokens = other5.prefillTokens;
   return *this;
 }
 void EndpointShare::printTo(std::ostream& out) const {
@@ -476,15 +660,15 @@
   swap(a.retries, b.retries);
 }
 
-RetryUse::RetryUse(const RetryUse& other4) {
-  serviceName = other4.serviceName;
-  requests = other4.requests;
-  retries = other4.retries;
+RetryUse::RetryUse(const RetryUse& other6) {
+  serviceName = other6.serviceName;
+  requests = other6.requests;
+  retries = other6.retries;
 }
-RetryUse& RetryUse::operator=(const RetryUse& other5) {
-  serviceName = other5.serviceName;
-  requests = other5.requests;
-  retries = other5.retries;
+RetryUse& RetryUse::operator=(const RetryUse& other7) {
+  serviceName = other7.serviceName;
+  requests = other7.requests;
+  retries = other7.retries;
   return *this;
 }
 void RetryUse::printTo(std::ostream& out) const {
@@ -614,15 +798,15 @@
   swap(a.ageMs, b.ageMs);
 }
 
-CrashSuspect::CrashSuspect(const CrashSuspect& other6) noexcept {
-  requestHash = other6.requestHash;
-  losses = other6.losses;
-  ageMs = other6.ageMs;
+CrashSuspect::CrashSuspect(const CrashSuspect& other8) noexcept {
+  requestHash = other8.requestHash;
+  losses = other8.losses;
+  ageMs = other8.ageMs;
 }
-CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other7) noexcept {
-  requestHash = other7.requestHash;
-  losses = other7.losses;
-  ageMs = other7.ageMs;
+CrashSuspect& CrashSuspect::operator=(const CrashSuspect& other9) noexcept {
+  requestHash = other9.requestHash;
+  losses = other9.losses;
+  ageMs = other9.ageMs;
   return *this;
 }
 void CrashSuspect::printTo(std::ostream& out) const {
@@ -732,13 +916,13 @@
   swap(a.ageMs, b.ageMs);
 }
 
-TurnedAway::TurnedAway(const TurnedAway& other8) noexcept {
-  requestHash = other8.requestHash;
-  ageMs = other8.ageMs;
+TurnedAway::TurnedAway(const TurnedAway& other10) noexcept {
+  requestHash = other10.requestHash;
+  ageMs = other10.ageMs;
 }
-TurnedAway& TurnedAway::operator=(const TurnedAway& other9) noexcept {
-  requestHash = other9.requestHash;
-  ageMs = other9.ageMs;
+TurnedAway& TurnedAway::operator=(const TurnedAway& other11) noexcept {
+  requestHash = other11.requestHash;
+  ageMs = other11.ageMs;
   return *this;
 }
 void TurnedAway::printTo(std::ostream& out) const {
@@ -867,15 +1051,15 @@
   swap(a.leftMs, b.leftMs);
 }
 
-RoleOrder::RoleOrder(const RoleOrder& other10) {
-  endpoint = other10.endpoint;
-  isToDecode = other10.isToDecode;
-  leftMs = other10.leftMs;
+RoleOrder::RoleOrder(const RoleOrder& other12) {
+  endpoint = other12.endpoint;
+  isToDecode = other12.isToDecode;
+  leftMs = other12.leftMs;
 }
-RoleOrder& RoleOrder::operator=(const RoleOrder& other11) {
-  endpoint = other11.endpoint;
-  isToDecode = other11.isToDecode;
-  leftMs = other11.leftMs;
+RoleOrder& RoleOrder::operator=(const RoleOrder& other13) {
+  endpoint = other13.endpoint;
+  isToDecode = other13.isToDecode;
+  leftMs = other13.leftMs;
   return *this;
 }
 void RoleOrder::printTo(std::ostream& out) const {
@@ -923,6 +1107,10 @@
 void RoutingStatus::__set_roleOrders(const std::vector<RoleOrder> & val) {
   this->roleOrders = val;
 }
+
+void RoutingStatus::__set_keptPrompts(const std::vector<KeptPrompt> & val) {
+  this->keptPrompts = val;
+}
 std::ostream& operator<<(std::ostream& out, const RoutingStatus& obj)
 {
   obj.printTo(out);
@@ -963,14 +1151,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size12;
-            ::apache::thrift::protocol::TType _etype15;
-            xfer += iprot->readListBegin(_etype15, _size12);
-            this->runs.resize(_size12);
-            uint32_t _i16;
-            for (_i16 = 0; _i16 < _size12; ++_i16)
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->runs.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
             {
-              xfer += this->runs[_i16].read(iprot);
+              xfer += this->runs[_i18].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -983,14 +1171,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size17;
-            ::apache::thrift::protocol::TType _etype20;
-            xfer += iprot->readListBegin(_etype20, _size17);
-            this->shares.resize(_size17);
-            uint32_t _i21;
-            for (_i21 = 0; _i21 < _size17; ++_i21)
+            uint32_t _size19;
+            ::apache::thrift::protocol::TType _etype22;
+            xfer += iprot->readListBegin(_etype22, _size19);
+            this->shares.resize(_size19);
+            uint32_t _i23;
+            for (_i23 = 0; _i23 < _size19; ++_i23)
             {
-              xfer += this->shares[_i21].read(iprot);
+              xfer += this->shares[_i23].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1003,14 +1191,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retries.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->retries.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->retries.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->retries[_i26].read(iprot);
+              xfer += this->retries[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1023,14 +1211,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->suspects.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->suspects.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->suspects[_i31].read(iprot);
+              xfer += this->suspects[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1059,14 +1247,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->turnedAway.clear();
-            uint32_t _size32;
-            ::apache::thrift::protocol::TType _etype35;
-            xfer += iprot->readListBegin(_etype35, _size32);
-            this->turnedAway.resize(_size32);
-            uint32_t _i36;
-            for (_i36 = 0; _i36 < _size32; ++_i36)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->turnedAway.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->turnedAway[_i36].read(iprot);
+              xfer += this->turnedAway[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1079,14 +1267,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->roleOrders.clear();
-            uint32_t _size37;
-            ::apache::thrift::protocol::TType _etype40;
-            xfer += iprot->readListBegin(_etype40, _size37);
-            this->roleOrders.resize(_size37);
-            uint32_t _i41;
-            for (_i41 = 0; _i41 < _size37; ++_i41)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->roleOrders.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->roleOrders[_i41].read(iprot);
+              xfer += this->roleOrders[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1095,6 +1283,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keptPrompts.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->keptPrompts.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->keptPrompts[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.keptPrompts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1131,10 +1339,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<StreamRun> ::const_iterator _iter42;
-    for (_iter42 = this->runs.begin(); _iter42 != this->runs.end(); ++_iter42)
+    std::vector<StreamRun> ::const_iterator _iter49;
+    for (_iter49 = this->runs.begin(); _iter49 != this->runs.end(); ++_iter49)
     {
-      xfer += (*_iter42).write(oprot);
+      xfer += (*_iter49).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1143,10 +1351,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<EndpointShare> ::const_iterator _iter43;
-    for (_iter43 = this->shares.begin(); _iter43 != this->shares.end(); ++_iter43)
+    std::vector<EndpointShare> ::const_iterator _iter50;
+    for (_iter50 = this->shares.begin(); _iter50 != this->shares.end(); ++_iter50)
     {
-      xfer += (*_iter43).write(oprot);
+      xfer += (*_iter50).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1155,10 +1363,10 @@
   xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retries.size()));
-    std::vector<RetryUse> ::const_iterator _iter44;
-    for (_iter44 = this->retries.begin(); _iter44 != this->retries.end(); ++_iter44)
+    std::vector<RetryUse> ::const_iterator _iter51;
+    for (_iter51 = this->retries.begin(); _iter51 != this->retries.end(); ++_iter51)
     {
-      xfer += (*_iter44).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1167,10 +1375,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter45;
-    for (_iter45 = this->suspects.begin(); _iter45 != this->suspects.end(); ++_iter45)
+    std::vector<CrashSuspect> ::const_iterator _iter52;
+    for (_iter52 = this->suspects.begin(); _iter52 != this->suspects.end(); ++_iter52)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter52).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1187,10 +1395,10 @@
   xfer += oprot->writeFieldBegin("turnedAway", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->turnedAway.size()));
-    std::vector<TurnedAway> ::const_iterator _iter46;
-    for (_iter46 = this->turnedAway.begin(); _iter46 != this->turnedAway.end(); ++_iter46)
+    std::vector<TurnedAway> ::const_iterator _iter53;
+    for (_iter53 = this->turnedAway.begin(); _iter53 != this->turnedAway.end(); ++_iter53)
     {
-      xfer += (*_iter46).write(oprot);
+      xfer += (*_iter53).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1199,10 +1407,22 @@
   xfer += oprot->writeFieldBegin("roleOrders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->roleOrders.size()));
-    std::vector<RoleOrder> ::const_iterator _iter47;
-    for (_iter47 = this->roleOrders.begin(); _iter47 != this->roleOrders.end(); ++_iter47)
+    std::vector<RoleOrder> ::const_iterator _iter54;
+    for (_iter54 = this->roleOrders.begin(); _iter54 != this->roleOrders.end(); ++_iter54)
+    {
+      xfer += (*_iter54).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("keptPrompts", ::apache::thrift::protocol::T_LIST, 9);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keptPrompts.size()));
+    std::vector<KeptPrompt> ::const_iterator _iter55;
+    for (_iter55 = this->keptPrompts.begin(); _iter55 != this->keptPrompts.end(); ++_iter55)
     {
-      xfer += (*_iter47).write(oprot);
+      xfer += (*_iter55).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1223,27 +1443,33 @@
   swap(a.address, b.address);
   swap(a.turnedAway, b.turnedAway);
   swap(a.roleOrders, b.roleOrders);
-}
-
-RoutingStatus::RoutingStatus(const RoutingStatus& other48) {
-  runs = other48.runs;
-  shares = other48.shares;
-  retries = other48.retries;
-  suspects = other48.suspects;
-  isLeaving = other48.isLeaving;
-  address = other48.address;
-  turnedAway = other48.turnedAway;
-  roleOrders = other48.roleOrders;
-}
-RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other49) {
-  runs = other49.runs;
-  shares = other49.shares;
-  retries = other49.retries;
-  suspects = other49.suspects;
-  isLeaving = other49.isLeaving;
-  address = other49.address;
-  turnedAway = other49.turnedAway;
-  roleOrders = other49.roleOrders;
+  swap(a.keptPrompts, b.keptPrompts);
+  swap(a.__isset, b.__isset);
+}
+
+RoutingStatus::RoutingStatus(const RoutingStatus& other56) {
+  runs = other56.runs;
+  shares = other56.shares;
+  retries = other56.retries;
+  suspects = other56.suspects;
+  isLeaving = other56.isLeaving;
+  address = other56.address;
+  turnedAway = other56.turnedAway;
+  roleOrders = other56.roleOrders;
+  keptPrompts = other56.keptPrompts;
+  __isset = other56.__isset;
+}
+RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other57) {
+  runs = other57.runs;
+  shares = other57.shares;
+  retries = other57.retries;
+  suspects = other57.suspects;
+  isLeaving = other57.isLeaving;
+  address = other57.address;
+  turnedAway = other57.turnedAway;
+  roleOrders = other57.roleOrders;
+  keptPrompts = other57.keptPrompts;
+  __isset = other57.__isset;
   return *this;
 }
 void RoutingStatus::printTo(std::ostream& out) const {
@@ -1257,6 +1483,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "turnedAway=" << to_string(turnedAway);
   out << ", " << "roleOrders=" << to_string(roleOrders);
+  out << ", " << "keptPrompts=" << to_string(keptPrompts);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -23,6 +23,8 @@
 
 class StreamRun;
 
+class KeptPrompt;
+
 class EndpointShare;
 
 class RetryUse;
@@ -35,6 +37,10 @@
 
 class RoutingStatus;
 
+typedef struct _StreamRun__isset {
+  _StreamRun__isset() : promptKey(false) {}
+  bool promptKey :1;
+} _StreamRun__isset;
 
 class StreamRun : public virtual ::apache::thrift::TBase {
  public:
@@ -47,7 +53,8 @@
               promptTokens(0),
               answerTokens(0),
               mostTokens(0),
-              ageMs(0) {
+              ageMs(0),
+              promptKey(0) {
   }
 
   virtual ~StreamRun() noexcept;
@@ -57,6 +64,9 @@
   int32_t answerTokens;
   int32_t mostTokens;
   int32_t ageMs;
+  int64_t promptKey;
+
+  _StreamRun__isset __isset;
 
   void __set_number(const int64_t val);
 
@@ -70,6 +80,8 @@
 
   void __set_ageMs(const int32_t val);
 
+  void __set_promptKey(const int64_t val);
+
   bool operator == (const StreamRun & rhs) const
   {
     if (!(number == rhs.number))
@@ -84,6 +96,8 @@
       return false;
     if (!(ageMs == rhs.ageMs))
       return false;
+    if (!(promptKey == rhs.promptKey))
+      return false;
     return true;
   }
   bool operator != (const StreamRun &rhs) const {
@@ -103,6 +117,61 @@
 std::ostream& operator<<(std::ostream& out, const StreamRun& obj);
 
 
+class KeptPrompt : public virtual ::apache::thrift::TBase {
+ public:
+
+  KeptPrompt(const KeptPrompt&);
+  KeptPrompt& operator=(const KeptPrompt&);
+  KeptPrompt() noexcept
+             : promptKey(0),
+               endpoint(),
+               tokens(0),
+               ageMs(0) {
+  }
+
+  virtual ~KeptPrompt() noexcept;
+  int64_t promptKey;
+  std::string endpoint;
+  int32_t tokens;
+  int32_t ageMs;
+
+  void __set_promptKey(const int64_t val);
+
+  void __set_endpoint(const std::string& val);
+
+  void __set_tokens(const int32_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const KeptPrompt & rhs) const
+  {
+    if (!(promptKey == rhs.promptKey))
+      return false;
+    if (!(endpoint == rhs.endpoint))
+      return false;
+    if (!(tokens == rhs.tokens))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const KeptPrompt &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const KeptPrompt & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(KeptPrompt &a, KeptPrompt &b);
+
+std::ostream& operator<<(std::ostream& out, const KeptPrompt& obj);
+
+
 class EndpointShare : public virtual ::apache::thrift::TBase {
  public:
 
@@ -341,6 +410,10 @@
 
 std::ostream& operator<<(std::ostream& out, const RoleOrder& obj);
 
+typedef struct _RoutingStatus__isset {
+  _RoutingStatus__isset() : keptPrompts(false) {}
+  bool keptPrompts :1;
+} _RoutingStatus__isset;
 
 class RoutingStatus : public virtual ::apache::thrift::TBase {
  public:
@@ -361,6 +434,9 @@
   std::string address;
   std::vector<TurnedAway>  turnedAway;
   std::vector<RoleOrder>  roleOrders;
+  std::vector<KeptPrompt>  keptPrompts;
+
+  _RoutingStatus__isset __isset;
 
   void __set_runs(const std::vector<StreamRun> & val);
 
@@ -378,6 +454,8 @@
 
   void __set_roleOrders(const std::vector<RoleOrder> & val);
 
+  void __set_keptPrompts(const std::vector<KeptPrompt> & val);
+
   bool operator == (const RoutingStatus & rhs) const
   {
     if (!(runs == rhs.runs))
@@ -396,6 +474,8 @@
       return false;
     if (!(roleOrders == rhs.roleOrders))
       return false;
+    if (!(keptPrompts == rhs.keptPrompts))
+      return false;
     return true;
   }
   bool operator != (const RoutingStatus &rhs) const {
--- a/Tests/Adapter/RouterStoryTest.cxx
+++ b/Tests/Adapter/RouterStoryTest.cxx
@@ -139,10 +139,12 @@
            "Content-Length: 4\r\n\r\nbody";
   }
   /** Sends a request on a new connection and waits for the whole answer. */
-  std::string Call(const std::string& aPath, const std::string& aId)
+  std::string Call(const std::string& aPath,
+                   const std::string& aId,
+                   const std::string& aHeaders = "")
   {
     RawClient client(mSettings.mCallerAddress);
-    client.Send(Request(aPath, aId, "Connection: close\r\n"));
+    client.Send(Request(aPath, aId, "Connection: close\r\n" + aHeaders));
     REQUIRE(RunUntil(mLoop, [&] { return client.IsClosedByServer(); }));
     return client.Received();
   }
@@ -359,6 +361,30 @@
                                    : b.Received()[0];
     CHECK(resumed.mHeaders.Find("Last-Event-Id") == "3");
   }
+  // Guards against a second prefill of all prompts after daemons were killed:
+  // the engines still have them, but no daemon knows which.
+  SUBCASE("that a caller resumes go on at the engine that kept the prompt")
+  {
+    const std::string back = "Last-Event-Id: 3\r\nX-Prompt-Prefix: aa:10,";
+    b.Keep("5c1e07a2", 90);
+    const std::string answer =
+      platform.Call("/resumable/1", "r1", back + "5c1e07a2:90\r\n");
+    CHECK(HasStatus(answer, 200));
+    CHECK(events(answer) == 2);
+    CHECK(prefill.Received().empty());
+    CHECK(a.Received().empty());
+    REQUIRE(b.Received().size() == 1);
+    CHECK_FALSE(b.Received()[0].mHeaders.Find("X-Kv-Source"));
+    CHECK(b.Received()[0].mHeaders.Find("Last-Event-Id") == "3");
+    CHECK(b.Lists() == 1);
+
+    SUBCASE("and engines are not asked again for a while")
+    {
+      platform.Call("/resumable/1", "r2", back + "99:90\r\n");
+      CHECK(prefill.Received().size() == 1);
+      CHECK(b.Lists() == 1);
+    }
+  }
   SUBCASE("of a caller that leaves are cancelled at their engine")
   {
     a.SetEvents(100'000);
--- a/Tests/Adapter/RunnerProtocolTest.cxx
+++ b/Tests/Adapter/RunnerProtocolTest.cxx
@@ -53,9 +53,17 @@
   CHECK(facts.mTokens->mPrompt == 1460);
   CHECK(facts.mTokens->mMaxAnswer == 80);
   CHECK(facts.mTokens->mGuessedAnswer == 50);
+  REQUIRE(facts.mOwnPart);
+  CHECK(facts.mOwnPart->mTokens == 800);
+  HttpRequest shared = MakeRequest();
+  shared.mHeaders = { { "X-Prompt-Prefix", "aa:100, 5c1e07a2:800" } };
+  CHECK(protocol.ReadRequest(shared).mOwnPart->mKey == facts.mOwnPart->mKey);
 
   HttpRequest odd = MakeRequest();
-  odd.mHeaders = { { "X-Deadline-Ms", "soon" }, { "X-Token-Count", "1460" } };
+  odd.mHeaders = { { "X-Deadline-Ms", "soon" },
+                   { "X-Token-Count", "1460" },
+                   { "X-Prompt-Prefix", "5c1e07a2" } };
+  CHECK_FALSE(protocol.ReadRequest(odd).mOwnPart);
   CHECK_FALSE(protocol.ReadRequest(odd).mPatience);
   CHECK_FALSE(protocol.ReadRequest(odd).mTokens);
 }
@@ -166,6 +174,10 @@
                                           { "holder", "front-1" },
                                           { "fence", 41 },
                                           { "expect", 2 } });
+  const auto list = protocol.ListKeptParts(endpoint);
+  CHECK(list.mMethod == HttpMethod::Get);
+  CHECK(list.mTarget == "/api/kv-list");
+  CHECK(list.mHeaders.Find("X-Expect-Instance") == "i-1");
   CHECK(protocol.DropCache(endpoint, "a/b").mTarget == "/api/kv-handle/a%2Fb");
 }
 
@@ -218,6 +230,16 @@
     CHECK(state->mIsBusy);
     CHECK(state->mOrdersAccepted == 2);
     CHECK_FALSE(protocol.ReadState("{}").ok());
+    const auto parts = protocol.ReadKeptParts(
+      R"({"epoch":1,"next":7,"held":[["","5c1e07a2",800,"m"]]})");
+    REQUIRE(parts.ok());
+    REQUIRE(parts->size() == 1);
+    CHECK((*parts)[0].mTokens == 800);
+    // The same key as in the request that has this part.
+    CHECK((*parts)[0].mKey ==
+          protocol.ReadRequest(MakeRequest()).mOwnPart->mKey);
+    CHECK_FALSE(protocol.ReadKeptParts(R"({"held":[["","a"]]})").ok());
+    CHECK_FALSE(protocol.ReadKeptParts("{}").ok());
   }
   SUBCASE("of the router itself tell when to come back")
   {
--- a/Tests/Adapter/StandInRunner.cxx
+++ b/Tests/Adapter/StandInRunner.cxx
@@ -177,6 +177,14 @@
     const bool isFull = mMode == RunnerMode::Shed;
     aExchange->Reply(
       isFull ? 503 : 200, {}, isFull ? "" : Json{ { "hold", "hold1" } }.dump());
+  } else if (request.mPath == "/api/kv-list") {
+    ++mLists;
+    Json held = Json::array();
+    for (const auto& [part, tokens] : mKept) {
+      held.push_back({ "", part, tokens, "m" });
+    }
+    aExchange->Reply(
+      200, {}, Json{ { "epoch", 1 }, { "next", 1 }, { "held", held } }.dump());
   } else if (request.mPath == "/api/report") {
     aExchange->Reply(
       200,
--- a/Tests/Adapter/StandInRunner.h
+++ b/Tests/Adapter/StandInRunner.h
@@ -54,6 +54,11 @@
     mBreakAfter = aBreakAfter;
   }
 
+  /** Name of a prompt's part that the engine lists as kept. */
+  void Keep(const std::string& aPart, int aTokens) { mKept[aPart] = aTokens; }
+  /** Calls for the list of what is kept. */
+  std::size_t Lists() const { return mLists; }
+
   /** The entry that the runner writes into the store. */
   std::string Entry(const std::string& aService,
                     const std::string& aState = "ready") const;
@@ -85,6 +90,8 @@
   int mEvents = 5;
   int mBreakAfter = 1'000'000;
   std::size_t mDropped = 0;
+  std::size_t mLists = 0;
+  std::map<std::string, int> mKept;
   std::vector<std::string> mRan;
   std::vector<HttpRequest> mReceived;
   std::list<Exchange> mOpen;
--- a/Tests/Router/StreamCallTest.cxx
+++ b/Tests/Router/StreamCallTest.cxx
@@ -34,6 +34,10 @@
   {
     mLog.push_back("full " + aEndpoint);
   }
+  void NoteBroken(const std::string& aEndpoint) override
+  {
+    mBroken.push_back(aEndpoint);
+  }
   void NoteMoved(const std::string& aEndpoint) override { mAt = aEndpoint; }
   bool IsUsable(const std::string& aEndpoint) const override
   {
@@ -97,6 +101,7 @@
   std::vector<StreamDemand> mDemands;
   std::vector<std::string> mLog;
   std::vector<DecodeOrder> mDecodes;
+  std::vector<std::string> mBroken;
   std::set<std::string> mUnusable;
   std::string mSent;
   std::string mAt;
@@ -399,6 +404,10 @@
     story.End(SendEnd::Unknown);
     REQUIRE(story.mPort.mDemands.size() == 2);
     CHECK(story.mPort.mDemands[1].mTried.count("d1") == 1);
+    CHECK(story.mPort.mBroken == std::vector<std::string>{ "d1" });
+    CHECK(story.mPort.mDemands[1].mHasRun);
+    CHECK(story.mPort.mBroken == std::vector<std::string>{ "d1" });
+    CHECK(story.mPort.mDemands[1].mHasRun);
     story.Place("p2", "d2");
     story.mCall->OnReserved("hold2", story.mNow);
     story.Prefilled();
@@ -427,6 +436,47 @@
   }
 }
 
+TEST_CASE("The prompt of a run that broke off may be used again")
+{
+  Story story(true, 3);
+  story.mTerms.mPromptKey = 42;
+  story.Start();
+  CHECK_FALSE(story.mPort.mDemands[0].mHasRun);
+  CHECK(story.mPort.mDemands[0].mPromptKey == 42);
+  story.Run("p1", "d1");
+  story.Data(Event(1));
+
+  SUBCASE("but not of an engine that went silent")
+  {
+    story.mNow += seconds(2);
+    story.mCall->OnWake(story.mNow);
+    REQUIRE(story.mPort.mDemands.size() == 2);
+    CHECK_FALSE(story.mPort.mDemands[1].mHasRun);
+  }
+  SUBCASE("without another prefill, and once only")
+  {
+    story.End(SendEnd::Unknown);
+    REQUIRE(story.mPort.mDemands.size() == 2);
+    CHECK(story.mPort.mDemands[1].mHasRun);
+    StreamPlacement placement;
+    placement.mDecode = "d1";
+    placement.mKeptTokens = 5000;
+    story.mCall->OnPlaced(placement, story.mNow);
+    story.mCall->OnReserved("hold2", story.mNow);
+    CHECK(story.mPort.Last() == "decode d1");
+    CHECK_FALSE(story.mPort.mDecodes.back().mCache);
+    CHECK(story.mPort.mDecodes.back().mLastEventId == "1");
+    story.mCall->OnAnswerStarted(SendEnd::NotRun, 503, {}, story.mNow);
+    REQUIRE(story.mPort.mDemands.size() == 3);
+    CHECK_FALSE(story.mPort.mDemands[2].mHasRun);
+  }
+  SUBCASE("by the caller that left and comes back to another daemon")
+  {
+    story.mCall->OnCallerGone(story.mNow);
+    CHECK(story.mPort.mBroken == std::vector<std::string>{ "d1" });
+  }
+}
+
 TEST_CASE("A run moves to another engine and goes on there")
 {
   Story story(false, 1);
--- a/Tests/Routing/StreamSchedulerTest.cxx
+++ b/Tests/Routing/StreamSchedulerTest.cxx
@@ -87,10 +87,12 @@
   EndpointDirectory mDirectory{ seconds(2) };
   EndpointLoads mLoads;
   StreamRuns mRuns;
+  KeptPrompts mKept{ mRuns };
+  ReadTurns mTurns{ mLoads, "daemon" };
   EndpointHealth mHealth{ mRandom };
-  StreamScheduler mScheduler{
-    mDirectory, mLoads, mRuns, mHealth, "x", mRandom, Instant(seconds(0))
-  };
+  StreamScheduler mScheduler{ mDirectory, mLoads,  mRuns,
+                              mKept,      mTurns,  mHealth,
+                              "x",        mRandom, Instant(seconds(0)) };
   std::map<std::uint64_t, StreamPlacement> mPlacements;
 };
 
@@ -226,7 +228,9 @@
     }
     CHECK(pool.Place().size() == 2);
     CHECK(pool.mPlacements[1].mPrefill.empty());
-    pool.mScheduler.OnPrefillEnded(1, Duration::zero());
+    CHECK(pool.Place().empty());
+    pool.mScheduler.OnDecodeStarted(1, pool.mNow);
+    pool.mNow += milliseconds(100);
     CHECK(pool.Place().size() == 1);
   }
 }
@@ -240,6 +244,9 @@
   const auto submit = [&](std::uint64_t aNumber, std::uint64_t aGenerated) {
     StreamDemand demand = pool.Demand(aNumber, 3000, 1000);
     demand.mGeneratedTokens = aGenerated;
+    demand.mHasRun = true;
+    demand.mPromptKey = aNumber;
+    demand.mDue = pool.mNow;
     pool.mScheduler.Submit(demand);
   };
   const auto begin = [&](std::uint64_t aNumber) {
@@ -284,8 +291,79 @@
     submit(1, 4000);
     CHECK(pool.Place().empty());
     pool.mLoads.SetPeer("p", {});
+    CHECK(pool.Place().empty());
+    pool.mNow += milliseconds(100);
     CHECK(pool.Place().size() == 1);
   }
+  SUBCASE("without a prefill at the engine that kept its prompt")
+  {
+    pool.mKept.OnBroken({ 1, "d2", 3000, pool.mNow });
+    submit(1, 4000);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK(pool.mPlacements[1].mDecode == "d2");
+    CHECK(pool.mPlacements[1].mPrefill.empty());
+    CHECK(pool.mPlacements[1].mKeptTokens == 3000);
+    CHECK(pool.mLoads.Total("d2").mPrefillTokens == 4000);
+
+    SUBCASE("for whose turn it waits")
+    {
+      pool.mKept.OnBroken({ 2, "d2", 3000, pool.mNow });
+      submit(2, 4000);
+      CHECK(pool.Place().empty());
+      begin(1);
+      pool.mNow += milliseconds(100);
+      REQUIRE(pool.Place().size() == 1);
+      CHECK(pool.mPlacements[2].mDecode == "d2");
+    }
+  }
+  // A stream whose engine broke it off has 300 ms to go on.
+  SUBCASE("unless it can be on time elsewhere")
+  {
+    pool.mKept.OnBroken({ 1, "d2", 3000, pool.mNow });
+    pool.mLoads.SetPeer("p", { { "d2", { 1, 4000 } } });
+    StreamDemand demand = pool.Demand(1, 3000, 1000, milliseconds(300));
+    demand.mGeneratedTokens = 4000;
+    demand.mHasRun = true;
+    demand.mPromptKey = 1;
+    pool.mScheduler.Submit(demand);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK(pool.mPlacements[1].mDecode == "d1");
+  }
+  SUBCASE("but elsewhere with a prefill")
+  {
+    pool.mKept.OnBroken({ 1, "d2", 3000, pool.mNow });
+    SUBCASE("if that engine leaves")
+    {
+      EndpointRecord record = pool.Record("d2", EndpointRole::Decode, "y");
+      record.mIsDraining = true;
+      pool.mDirectory.Put(record, 2, pool.mNow);
+    }
+    SUBCASE("if it prefills now")
+    {
+      pool.mDirectory.Put(
+        pool.Record("d2", EndpointRole::Prefill, "y"), 2, pool.mNow);
+    }
+    SUBCASE("if it is full")
+    {
+      pool.mScheduler.OnDecodeFull("d2", 3000, pool.mNow);
+    }
+    SUBCASE("if it cannot be reached")
+    {
+      pool.mHealth.OnResult("s", "d2", SendResult::ConnectFailed, pool.mNow);
+    }
+    submit(1, 4000);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK(pool.mPlacements[1].mDecode == "d1");
+    CHECK_FALSE(pool.mPlacements[1].mPrefill.empty());
+    CHECK(pool.mPlacements[1].mKeptTokens == 0);
+  }
+  SUBCASE("and a small part that was kept is not worth a way round")
+  {
+    pool.mKept.OnBroken({ 1, "d2", 1000, pool.mNow });
+    submit(1, 4000);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK_FALSE(pool.mPlacements[1].mPrefill.empty());
+  }
   SUBCASE("and its memory counts from the start")
   {
     submit(1, 4000);
