Decide roles again while a decision waits, and set busy decode engines aside

A decision taken before an engine was in doubt was carried out after it (an order at 24.5 s took the second of three prefill engines while the third was gone from the store). Change: pools do not count engines in doubt or avoided; a change must be wanted three times in a row, and one that waits is decided again every 500 ms. If no decode engine is idle and the rate would rise by 30%, the one with the fewest runs gets no new ones and is ordered when they have ended or moved. The lease names the VM and lasts lease_ms and a second. A prefill engine that refuses a prompt is avoided at once. Samples are kept for each service.

--- a/Source/Router/RoleController.cxx
+++ b/Source/Router/RoleController.cxx
@@ -12,11 +12,16 @@
 /** A turn that comes this late shows that the process was paused. */
 constexpr Duration kClockGapLimit = std::chrono::seconds(1);
 constexpr Duration kCallTimeout = std::chrono::milliseconds(800);
+/** Time in which the runs of an engine that is set aside end or move. */
+constexpr Duration kDrainLimit = std::chrono::seconds(8);
 
+/** A lease is as short as the interval between the orders of two holders
+ * allows, because the next holder waits until it has run out. */
 OrderTiming
-Timing()
+Timing(const RouterSettings& aSettings)
 {
   OrderTiming timing;
+  timing.mLease = aSettings.mOrderInterval + kClockGapLimit;
   timing.mClockGapLimit = kClockGapLimit;
   timing.mOrderTimeout = 2 * kCallTimeout;
   return timing;
@@ -32,7 +37,6 @@
                                RoleBalance aBalance,
                                const StreamScheduler& aScheduler,
                                const RouterSettings& aSettings,
-                               std::string aHolder,
                                Hooks aHooks)
   : mLoop(aLoop)
   , mClock(aClock)
@@ -40,12 +44,11 @@
   , mClient(aClient)
   , mProtocol(aProtocol)
   , mDirectory(aDirectory)
-  , mBalance(aBalance)
+  , mBalance(std::move(aBalance))
   , mScheduler(aScheduler)
   , mSettings(aSettings)
-  , mHolder(std::move(aHolder))
   , mHooks(std::move(aHooks))
-  , mLease(mHolder, Timing())
+  , mLease(aSettings.mName, Timing(aSettings))
 {
 }
 
@@ -64,23 +67,24 @@
     LogEvent(
       LogLevel::Warning, "order_lease_dropped", { { "reason", "pause" } });
     mLease.OnClockGap(now);
-    mWanted.reset();
     mCall.reset();
-  }
-  if (mWanted && !mCall && !RoleBalance::Holds(*mWanted, now)) {
-    LogEvent(
-      LogLevel::Info,
-      "role_change_dropped",
-      { { "endpoint", mWanted->mEndpoint }, { "reason", "no lease in time" } });
-    mWanted.reset();
+    if (mWanted) {
+      Drop("pause");
+    }
   }
   const auto table = mHooks.mTable();
   if (!table) {
     return;
   }
+  if (mWanted && !mCall && table->FindService(mWantedService) == nullptr) {
+    Drop("service removed");
+  }
   for (const auto& [name, service] : table->Config().mServices) {
     if (service.mEngine) {
       mBalance.Observe(name, now);
+      if (mWanted && mWantedService == name) {
+        Reconsider(*service.mEngine);
+      }
       if (!mWanted && mHooks.mIsFirst()) {
         Consider(name, *service.mEngine);
       }
@@ -89,6 +93,43 @@
   RunLease(mWanted.has_value());
 }
 
+void
+RoleController::Reconsider(const EngineProfile& aProfile)
+{
+  const Instant now = mClock.Now();
+  if (mCall) {
+    return;
+  }
+  if (mDrainUntil && now >= *mDrainUntil) {
+    Drop("not drained in time");
+  } else if (!mBalance.Holds(*mWanted,
+                             mWantedService,
+                             aProfile,
+                             mScheduler.Growth(),
+                             mScheduler.PrefillRate(),
+                             now)) {
+    // A store that is away can delay an order for as long as it likes.
+    Drop("not needed any more");
+  }
+}
+
+void
+RoleController::Drop(std::string_view aReason)
+{
+  LogEvent(LogLevel::Info,
+           "role_change_dropped",
+           { { "endpoint", mWanted->mEndpoint },
+             { "role", EndpointRoleName(mWanted->mRole) },
+             { "reason", aReason },
+             { "registry", mDirectory.Revision() } });
+  // An engine that was set aside gets work again when the time to drain it is
+  // over; peers know that time, too.
+  if (std::exchange(mDrainUntil, std::nullopt)) {
+    mBalance.OnOrdered(mWantedService, mClock.Now());
+  }
+  mWanted.reset();
+}
+
 void
 RoleController::Consider(const std::string& aService,
                          const EngineProfile& aProfile)
@@ -110,6 +151,9 @@
              { "role", EndpointRoleName(change->mRole) },
              { "rate_before", change->mRateBefore },
              { "rate_after", change->mRateAfter },
+             { "prefill_rate", mScheduler.PrefillRate() },
+             { "growth", mScheduler.Growth() },
+             { "runs", mBalance.RunsAt(change->mEndpoint) },
              { "registry", mDirectory.Revision() } });
 }
 
@@ -123,13 +167,20 @@
 RoleController::RunLease(bool aIsNeeded)
 {
   const Instant now = mClock.Now();
+  const bool isDraining =
+    mDrainUntil && mBalance.RunsAt(mWanted->mEndpoint) > 0;
+  if (isDraining) {
+    return;
+  }
   // A lease that is not needed any more runs out by itself, so that another
   // holder's orders do not follow this one's closely.
   if (!aIsNeeded) {
     return;
   }
   if (mLease.CanOrder(now)) {
-    if (!mCall) {
+    if (mWanted->mMustDrain && !mDrainUntil) {
+      SetAside();
+    } else if (!mCall) {
       BeginOrder();
     }
     return;
@@ -163,11 +214,24 @@
   }
 }
 
+void
+RoleController::SetAside()
+{
+  const Instant now = mClock.Now();
+  mDrainUntil = now + kDrainLimit;
+  LogEvent(LogLevel::Info,
+           "engine_set_aside",
+           { { "endpoint", mWanted->mEndpoint },
+             { "role", EndpointRoleName(mWanted->mRole) },
+             { "runs", mBalance.RunsAt(mWanted->mEndpoint) } });
+  mHooks.mOnOrdered(mWanted->mEndpoint, { mWanted->mRole, *mDrainUntil });
+}
+
 void
 RoleController::BeginOrder()
 {
   const EndpointRecord* endpoint = mDirectory.Find(mWanted->mEndpoint);
-  if (endpoint == nullptr || !mDirectory.IsUsable(mWanted->mEndpoint)) {
+  if (endpoint == nullptr || endpoint->mIsDraining) {
     EndOrder("endpoint_left");
     return;
   }
@@ -227,7 +291,9 @@
                           aReply.mStatus == kHttpAccepted;
   // Without an answer the order may still be carried out.
   if (isAccepted || aReply.mResult != HttpCallResult::Complete) {
-    mHooks.mOnOrdered(mWanted->mEndpoint, mWanted->mRole);
+    mHooks.mOnOrdered(
+      mWanted->mEndpoint,
+      { mWanted->mRole, mClock.Now() + mSettings.mRoleChangeTime });
   }
   EndOrder(aReply.mResult == HttpCallResult::Complete
              ? (isAccepted ? "accepted" : "refused")
@@ -243,7 +309,8 @@
              { "role", EndpointRoleName(mWanted->mRole) },
              { "fence", mLease.Fencing() },
              { "result", aResult } });
-  mBalance.OnOrdered(mClock.Now());
+  mDrainUntil.reset();
+  mBalance.OnOrdered(mWantedService, mClock.Now());
   mWanted.reset();
 }
 
--- a/Source/Router/RoleController.h
+++ b/Source/Router/RoleController.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Net/EventLoop.h"
@@ -21,8 +22,10 @@
 /**
  * Orders engines to change their role. One daemon acts for a service at a
  * time: the one with the first name among the live daemons, and only under a
- * lease in the store, whose version is the fencing number of its orders. An
- * order is sent once: whether it was accepted shows in the registry.
+ * lease in the store, whose version is the fencing number of its orders. The
+ * lease names the VM, so that a restarted daemon need not wait for the lease
+ * of the process before it. An order is sent once: whether it was accepted
+ * shows in the registry.
  */
 class RoleController
 {
@@ -35,7 +38,7 @@
     /** True while no live daemon has a lower name. */
     std::function<bool()> mIsFirst;
     /** The engine changes its role and takes no new work meanwhile. */
-    std::function<void(const std::string& aEndpoint, EndpointRole aRole)>
+    std::function<void(const std::string& aEndpoint, const RoleOrder& aOrder)>
       mOnOrdered;
   };
 
@@ -48,7 +51,6 @@
                  RoleBalance aBalance,
                  const StreamScheduler& aScheduler,
                  const RouterSettings& aSettings,
-                 std::string aHolder,
                  Hooks aHooks);
 
   void Start();
@@ -58,6 +60,11 @@
   void Tick();
   /** The change to make in aService, if any. */
   void Consider(const std::string& aService, const EngineProfile& aProfile);
+  /** Drops the wanted change if it is not worth it any more. */
+  void Reconsider(const EngineProfile& aProfile);
+  void Drop(std::string_view aReason);
+  /** Keeps new work away from the engine until its runs are over. */
+  void SetAside();
   void RunLease(bool aIsNeeded);
   void Do(const LeaseStep& aStep);
   /** Reads the engine's state, then sends the order. */
@@ -77,12 +84,13 @@
   RoleBalance mBalance;
   const StreamScheduler& mScheduler;
   const RouterSettings& mSettings;
-  std::string mHolder;
   Hooks mHooks;
   OrderLease mLease;
   /** Change that waits for the lease. */
   std::optional<RoleChange> mWanted;
   std::string mWantedService;
+  /** Set while the engine is set aside; its runs must be over by then. */
+  std::optional<Instant> mDrainUntil;
   std::unique_ptr<HttpCall> mCall;
   EventHandle mTimer;
   Instant mLastTick;
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -90,16 +90,13 @@
            aClient,
            aProtocol,
            mDirectory,
-           RoleBalance(mDirectory, mLoads, mRuns),
+           RoleBalance(mDirectory, mLoads, mRuns, mHealth),
            mScheduler,
            mSettings,
-           mPeers.Id(),
            { [this] { return mTable; },
              [this] { return mPeers.IsFirst() && !mStop.IsStopping(); },
-             [this](const std::string& aEndpoint, EndpointRole aRole) {
-               const Instant now = mClock.Now();
-               mDirectory.OnRoleOrdered(
-                 aEndpoint, { aRole, now + mSettings.mRoleChangeTime }, now);
+             [this](const std::string& aEndpoint, const RoleOrder& aOrder) {
+               mDirectory.OnRoleOrdered(aEndpoint, aOrder, mClock.Now());
                mPeers.MarkChanged();
              } })
   , mConfigFollower(aLoop,
--- a/Source/Router/RouterSettings.h
+++ b/Source/Router/RouterSettings.h
@@ -35,6 +35,8 @@
   std::string mOrderPrefix;
   /** Longest time in which an engine changes its role. */
   Duration mRoleChangeTime = std::chrono::seconds(12);
+  /** Least time between orders of two daemons to one engine. */
+  Duration mOrderInterval = std::chrono::seconds(3);
   std::size_t mMaxDescriptors = 1024;
   RetryBounds mRetryBounds;
   /** Time after an outage of the store for which missing entries are kept. */
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -168,7 +168,11 @@
   const AnswerFacts facts =
     mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders);
   const SendEnd end = JudgeSend(aReply.mResult, facts, mRequest->mFacts.mId);
-  const SendResult health = HealthOf(aReply.mResult, end, aReply.mStatus);
+  // A prefill engine is never given so much that it is full.
+  const SendResult health =
+    mCall.State() == StreamState::Prefilling && end == SendEnd::NotRun
+      ? SendResult::Unready
+      : HealthOf(aReply.mResult, end, aReply.mStatus);
   if (mCall.IsMoving() && end != SendEnd::Answered) {
     // The engine stopped the run because it was told to.
     NoteSendEnd(SendResult::Answered, "moved", aReply.mStatus);
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -161,6 +161,13 @@
   }
 }
 
+bool
+EndpointDirectory::IsChangingRole(const std::string& aId) const
+{
+  const auto it = mEntries.find(aId);
+  return it != mEntries.end() && it->second.mRoleOrder.has_value();
+}
+
 std::map<std::string, RoleOrder>
 EndpointDirectory::RoleOrders(Instant aNow) const
 {
@@ -173,6 +180,13 @@
   return orders;
 }
 
+bool
+EndpointDirectory::IsInDoubt(const std::string& aId) const
+{
+  const auto it = mEntries.find(aId);
+  return it != mEntries.end() && it->second.mGoneAt.has_value();
+}
+
 bool
 EndpointDirectory::IsUsable(const std::string& aId) const
 {
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -113,6 +113,8 @@
   void OnRoleOrdered(const std::string& aId,
                      const RoleOrder& aOrder,
                      Instant aNow);
+  /** aId takes no new work because it is to change its role. */
+  bool IsChangingRole(const std::string& aId) const;
   /** Endpoints that change their role. */
   std::map<std::string, RoleOrder> RoleOrders(Instant aNow) const;
   /** The registry answers again after an outage. */
@@ -124,6 +126,8 @@
 
   /** Null when aId is not known. */
   const EndpointRecord* Find(const std::string& aId) const;
+  /** The entry of aId is missing after an outage of the registry. */
+  bool IsInDoubt(const std::string& aId) const;
   /** aId may get new requests. */
   bool IsUsable(const std::string& aId) const;
   /** Endpoints of aService that may get new requests. */
--- a/Source/Routing/EndpointHealth.cxx
+++ b/Source/Routing/EndpointHealth.cxx
@@ -7,10 +7,11 @@
 namespace bulrushfold {
 
 namespace {
-constexpr EnumNames<SendResult, 6> kResultNames{ {
+constexpr EnumNames<SendResult, 7> kResultNames{ {
   { SendResult::Answered, "answered" },
   { SendResult::ServerError, "server_error" },
   { SendResult::Refused, "refused" },
+  { SendResult::Unready, "unready" },
   { SendResult::ConnectFailed, "connect_failed" },
   { SendResult::Broken, "broken" },
   { SendResult::Slow, "slow" },
@@ -76,8 +77,9 @@
   const double expected = service.mFailures / service.mRequests;
   const bool isOutlier = state.mFailures >= kMinFailures &&
                          FailureShare(aEndpoint) > expected + kExcessShare;
-  if (aResult == SendResult::ConnectFailed || aResult == SendResult::Slow ||
-      state.mConsecutive >= kConsecutiveLimit || isOutlier) {
+  if (aResult == SendResult::Unready || aResult == SendResult::ConnectFailed ||
+      aResult == SendResult::Slow || state.mConsecutive >= kConsecutiveLimit ||
+      isOutlier) {
     Avoid(state, aNow);
   }
 }
--- a/Source/Routing/EndpointHealth.h
+++ b/Source/Routing/EndpointHealth.h
@@ -20,6 +20,8 @@
   ServerError,
   /** It has not run: the endpoint was full or is another one. */
   Refused,
+  /** It refuses all work for a while: it changes its role, or stops. */
+  Unready,
   /** No connection came about. */
   ConnectFailed,
   /** The connection ended, or what arrived was no answer to the request. */
--- a/Source/Routing/RoleBalance.h
+++ b/Source/Routing/RoleBalance.h
@@ -3,12 +3,14 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "Base/Clock.h"
 #include "Routing/EndpointDirectory.h"
+#include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
 #include "Routing/RoutingConfig.h"
 #include "Routing/StreamRuns.h"
@@ -34,7 +36,8 @@
   /** Streams per second that the pools carry now and after the change. */
   double mRateBefore = 0;
   double mRateAfter = 0;
-  Instant mDecidedAt;
+  /** The engine runs streams, which have to end or move first. */
+  bool mMustDrain = false;
 };
 
 /**
@@ -46,7 +49,8 @@
 public:
   RoleBalance(const EndpointDirectory& aDirectory,
               const EndpointLoads& aLoads,
-              const StreamRuns& aRuns);
+              const StreamRuns& aRuns,
+              const EndpointHealth& aHealth);
 
   /** Takes a sample of the present streams of aService. */
   void Observe(const std::string& aService, Instant aNow);
@@ -56,13 +60,20 @@
                                    double aGrowth,
                                    double aPrefillRate,
                                    Instant aNow);
-  /** False when the streams may have changed since aChange was decided. */
-  static bool Holds(const RoleChange& aChange, Instant aNow)
+  /** True while aChange is still worth it, and its engine still there. */
+  bool Holds(const RoleChange& aChange,
+             const std::string& aService,
+             const EngineProfile& aProfile,
+             double aGrowth,
+             double aPrefillRate,
+             Instant aNow) const;
+  /** Streams that run at aEndpoint. */
+  std::size_t RunsAt(const std::string& aEndpoint) const
   {
-    return aNow - aChange.mDecidedAt <= kDecisionLifetime;
+    return mRuns.CountAt(aEndpoint);
   }
   /** The order of the last decision was sent, or could not be. */
-  void OnOrdered(Instant aNow);
+  void OnOrdered(const std::string& aService, Instant aNow);
 
   /** Streams per second that aPrefills and aDecodes engines carry. */
   static double Rate(const StreamNeeds& aNeeds,
@@ -74,30 +85,56 @@
   /** Time in which a change shows its effect before the next one. */
   static constexpr Duration kChangeInterval = std::chrono::seconds(15);
 
-  /** Engines of both pools, those included that change to one. */
+  struct ServiceState
+  {
+    /** Decaying sums over the samples. */
+    double mSamples = 0;
+    double mPromptSum = 0;
+    double mAnswerSum = 0;
+    /** Engines that the last decision still wants to change. */
+    std::size_t mLeftOfBatch = 0;
+    Instant mNextChange;
+    /** Role that engines should take, and for how many decisions in a row. */
+    std::optional<EndpointRole> mWanted;
+    std::uint32_t mConfirmations = 0;
+  };
+  /** aRole is wanted, or none: true when that was so for long enough. */
+  static bool Confirm(ServiceState& aState, std::optional<EndpointRole> aRole);
+  /** Engines of both pools. */
   struct Pools
   {
     std::size_t mPrefills = 0;
     std::size_t mDecodes = 0;
   };
-  Pools CountPools(const std::string& aService, Instant aNow) const;
-  /** A store that is away can delay an order for as long as it likes. */
-  static constexpr Duration kDecisionLifetime = std::chrono::seconds(2);
-
-  /** Empty when no engine can be spared now. */
+  /** The best division of the engines. */
+  struct Division
+  {
+    std::size_t mPrefills = 0;
+    double mRateBefore = 0;
+    double mRateAfter = 0;
+  };
+  /** Engines that change count where they go, unless it is aExcept; those in
+   * doubt or avoided do not count. */
+  bool Counts(const EndpointRecord& aEngine, Instant aNow) const;
+  Pools CountPools(const std::string& aService,
+                   const std::string& aExcept,
+                   Instant aNow) const;
+  static Division BestDivision(const ServiceState& aState,
+                               const Pools& aPools,
+                               const EngineProfile& aProfile,
+                               double aGrowth,
+                               double aPrefillRate);
+  /** The engine of aFrom that gives its role up most easily; empty when there
+   * is none. */
   std::string ChooseEngine(const std::string& aService,
-                           EndpointRole aFrom) const;
+                           EndpointRole aFrom,
+                           Instant aNow) const;
 
   const EndpointDirectory& mDirectory;
   const EndpointLoads& mLoads;
   const StreamRuns& mRuns;
-  /** Decaying sums over the samples. */
-  double mSamples = 0;
-  double mPromptSum = 0;
-  double mAnswerSum = 0;
-  /** Engines that the last decision still wants to change. */
-  std::size_t mLeftOfBatch = 0;
-  Instant mNextChange;
+  const EndpointHealth& mHealth;
+  std::map<std::string, ServiceState> mServices;
 };
 
 } // namespace bulrushfold
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -20,8 +20,6 @@
 /** Time from a placement to the first event, without the prefill: reservation,
  * transfer and the first token, with room for a prompt that is read before. */
 constexpr Duration kStartTime = std::chrono::milliseconds(140);
-/** Weight of a new reading of the prefill rate. */
-constexpr double kRateWeight = 0.1;
 /** Generated tokens that a decode engine computes again within an event. */
 constexpr std::uint64_t kFreeReadTokens = 300;
 /** An engine is used for what it kept if that is one part in so many. */
@@ -49,9 +47,10 @@
   , mHealth(aHealth)
   , mFailureDomain(std::move(aFailureDomain))
   , mRandom(aRandom)
+  , mGrowth(kFirstGrowth)
   , mForecast(kFirstGrowth)
   , mAdmission(aStart)
-  , mTokensPerMillisecond(kFirstTokensPerMillisecond)
+  , mPrefillRate(kFirstTokensPerMillisecond)
 {
 }
 
@@ -79,7 +78,7 @@
 Duration
 StreamScheduler::PrefillTime(std::uint64_t aTokens) const
 {
-  return FromSeconds(static_cast<double>(aTokens) / mTokensPerMillisecond /
+  return FromSeconds(static_cast<double>(aTokens) / mPrefillRate.Value() /
                      1000);
 }
 
@@ -353,12 +352,14 @@
   if (!aPlacement.mPrefill.empty()) {
     Begin(mPrefills,
           aDemand.mNumber,
-          { aPlacement.mPrefill, { 1, aDemand.mPromptTokens } });
+          { aPlacement.mPrefill,
+            { 1, aDemand.mPromptTokens },
+            aPlacement.mPrefillLoad.mRequests == 0 && !aDemand.mHasRun });
   } else {
     read = StartTokens(aDemand) - aPlacement.mKeptTokens;
   }
   if (read > kFreeReadTokens) {
-    Begin(mReads, aDemand.mNumber, { aPlacement.mDecode, { 1, read } });
+    Begin(mReads, aDemand.mNumber, { aPlacement.mDecode, { 1, read }, false });
   }
 }
 
@@ -419,14 +420,10 @@
 StreamScheduler::OnPrefillEnded(std::uint64_t aNumber, Duration aTook)
 {
   const auto it = mPrefills.find(aNumber);
-  if (it != mPrefills.end() && aTook > Duration::zero()) {
-    // The engine may have worked on another prompt first, so a reading is a
-    // lower bound of the rate; slow ones count less.
-    const double rate = static_cast<double>(it->second.mWork.mPrefillTokens) /
-                        ToMilliseconds(aTook);
-    const double weight =
-      rate > mTokensPerMillisecond ? kRateWeight : kRateWeight / 4;
-    mTokensPerMillisecond += weight * (rate - mTokensPerMillisecond);
+  if (it != mPrefills.end() && it->second.mIsAlone &&
+      aTook > Duration::zero()) {
+    mPrefillRate.Add(static_cast<double>(it->second.mWork.mPrefillTokens) /
+                     ToMilliseconds(aTook));
   }
   if (it != mPrefills.end()) {
     mLoads.End(it->second.mEndpoint, it->second.mWork);
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -16,6 +16,7 @@
 #include "Routing/EndpointLoads.h"
 #include "Routing/KeptPrompts.h"
 #include "Routing/MemoryForecast.h"
+#include "Routing/MovingEstimate.h"
 #include "Routing/ReadTurns.h"
 #include "Routing/RoutingConfig.h"
 #include "Routing/StreamAdmission.h"
@@ -101,7 +102,8 @@
  *
  * An engine that runs out of memory stops its newest run and reads its prompt
  * again, which delays all its runs. So a run is moved away before: the newest
- * one, by the daemon that owns it. Runs at a leaving engine are moved too.
+ * one, by the daemon that owns it. Runs at an engine that leaves or changes its
+ * role are moved too.
  */
 class StreamScheduler
 {
@@ -151,9 +153,9 @@
   /** Placed streams of this daemon. */
   std::size_t Running() const { return mRuns.Own().size(); }
   /** Tokens by which a run grows in a millisecond. */
-  double Growth() const { return mForecast.Rate(); }
+  double Growth() const { return mGrowth.Value(); }
   /** Prompt tokens that a prefill engine computes in a millisecond. */
-  double PrefillRate() const { return mTokensPerMillisecond; }
+  double PrefillRate() const { return mPrefillRate.Value(); }
   /** Expected time to compute a prompt on an idle engine. */
   Duration PrefillTime(std::uint64_t aTokens) const;
 
@@ -162,6 +164,8 @@
   {
     std::string mEndpoint;
     EndpointWork mWork;
+    /** The engine computes the whole prompt and nothing else. */
+    bool mIsAlone = false;
   };
 
   /** True when aRun should leave its engine. */
@@ -230,6 +234,8 @@
   const EndpointHealth& mHealth;
   std::string mFailureDomain;
   Random& mRandom;
+  /** Tokens by which a run grows in a millisecond. */
+  MovingEstimate mGrowth;
   MemoryForecast mForecast;
   StreamAdmission mAdmission;
   std::list<StreamDemand> mWaiting;
@@ -260,8 +266,8 @@
   std::map<std::string, UnknownUse> mUnknown;
   /** Engines that refused a reservation, until when they are left alone. */
   std::map<std::string, Instant> mFullUntil;
-  /** Learned from prefills that ended. */
-  double mTokensPerMillisecond;
+  /** Learned from prefills at engines that had nothing else to do. */
+  MovingEstimate mPrefillRate;
 };
 
 } // namespace bulrushfold
--- a/Source/Routing/StreamSchedulerMemory.cxx
+++ b/Source/Routing/StreamSchedulerMemory.cxx
@@ -6,8 +6,6 @@
 namespace bulrushfold {
 
 namespace {
-/** Weight of a new reading of the growth of runs. */
-constexpr double kGrowthWeight = 0.1;
 /** Part of an engine's memory that is given away; blocks are not filled. */
 constexpr double kMemoryPart = 0.97;
 /** Least events that tell the growth of a run. */
@@ -33,10 +31,9 @@
                             Duration aTook)
 {
   if (aEvents >= kLeastEvents && aTook > Duration::zero()) {
-    const double rate =
-      static_cast<double>(aEvents * aTokensPerEvent) / ToMilliseconds(aTook);
-    mForecast.SetRate(mForecast.Rate() +
-                      kGrowthWeight * (rate - mForecast.Rate()));
+    mGrowth.Add(static_cast<double>(aEvents * aTokensPerEvent) /
+                ToMilliseconds(aTook));
+    mForecast.SetRate(mGrowth.Value());
   }
 }
 
--- a/Source/Routing/StreamSchedulerMoves.cxx
+++ b/Source/Routing/StreamSchedulerMoves.cxx
@@ -24,7 +24,7 @@
   if (engine == nullptr || !aRun.mStartedAt) {
     return false;
   }
-  if (engine->mIsDraining) {
+  if (engine->mIsDraining || mDirectory.IsChangingRole(aRun.mEndpoint)) {
     const double left =
       static_cast<double>(aRun.mAnswerTokens) - mForecast.Generated(aRun, aNow);
     return left > ToMilliseconds(kLeastRemaining) * mForecast.Rate();
--- a/Tests/Adapter/RouterStoryTest.cxx
+++ b/Tests/Adapter/RouterStoryTest.cxx
@@ -1,17 +1,10 @@
-#include "RegistryReader.h"
 #include "Router/Router.h"
-#include "RunnerProtocol.h"
 
-#include <map>
-#include <memory>
 #include <string>
 
 #include <doctest/doctest.h>
 
-#include "Net/LoopFixture.h"
-#include "PlatformStore.h"
-#include "StandInRunner.h"
-#include "StandInStore.h"
+#include "PlatformFixture.h"
 
 namespace bulrushfold {
 
@@ -20,167 +13,11 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-Json
-MakeRoute(const std::string& aName,
-          const std::string& aKind,
-          const std::string& aService)
-{
-  return { { "name", aName },
-           { "host", "h.example" },
-           { "path_prefix", "/" + aName + "/" },
-           { "kind", aKind },
-           { "timeout_ms", 3000 },
-           { "target_latency_ms", 300 },
-           { "service", aService },
-           { "max_attempts", 2 } };
-}
-
-Json
-MakeConfig(std::uint64_t aVersion)
-{
-  Json resumable = MakeRoute("resumable", "streaming", "llm");
-  resumable["resumable"] = true;
-  return { { "version", aVersion },
-           { "routes",
-             { MakeRoute("safe", "safe", "app"),
-               MakeRoute("unsafe", "unsafe", "app"),
-               MakeRoute("stream", "streaming", "llm"),
-               resumable } },
-           { "services",
-             { { { "name", "app" } },
-               { { "name", "llm" },
-                 { "engine",
-                   { { "slots", 8 },
-                     { "kv_capacity_tokens", 100000 },
-                     { "hold_ms", 1000 } } } } } } };
-}
-
-/** A router with a store and runners, all on one loop. */
-class Platform
-{
-public:
-  Platform()
-  {
-    mSettings.mName = "front-1";
-    mSettings.mCallerAddress = FreeAddress();
-    mSettings.mReadinessAddress = FreeAddress();
-    mSettings.mPeerAddress = FreeAddress();
-    mSettings.mStoreAddress = mStore.Address();
-    mSettings.mConfigPrefix = "config/";
-    mSettings.mConfigKey = "config/main";
-    mSettings.mEndpointPrefix = "servers/";
-    mSettings.mDaemonPrefix = "bulrushfold-daemons/";
-    mSettings.mOrderPrefix = "bulrushfold-orders/";
-    mSettings.mRetryBounds.mSlack = 50;
-  }
-
-  StandInRunner& Add(const std::string& aId,
-                     const std::string& aService,
-                     const std::string& aStage = "")
-  {
-    auto& runner = mRunners[aId];
-    runner = std::make_unique<StandInRunner>(mLoop, aId, aStage);
-    mStore.Write("servers/" + aId, Json::parse(runner->Entry(aService)));
-    return *runner;
-  }
-  void StartRouter()
-  {
-    mRouter = std::make_unique<Router>(
-      mLoop,
-      mSettings,
-      mClient,
-      mPlatformStore,
-      mProtocol,
-      RegistryCodec{ &platform::ReadConfig, &platform::ReadRunner });
-    REQUIRE(mRouter->Start().ok());
-  }
-  void Start(std::uint64_t aVersion = 3)
-  {
-    mStore.Write("config/main", MakeConfig(aVersion));
-    StartRouter();
-    REQUIRE(BecomesReady());
-  }
-  /** Waits until the router is ready; false when it is not in 2 s. */
-  bool BecomesReady()
-  {
-    for (int i = 0; i < 400; ++i) {
-      if (IsReady()) {
-        return true;
-      }
-    }
-    return false;
-  }
-  bool IsReady()
-  {
-    return Ask("/api/ready").find(" 200 ") != std::string::npos;
-  }
-  /** Answer of the readiness address. */
-  std::string Ask(const std::string& aPath)
-  {
-    RawClient client(mSettings.mReadinessAddress);
-    client.Send("GET " + aPath + " HTTP/1.1\r\nHost: x\r\n\r\n");
-    bool due = false;
-    const auto timer = mLoop.After(milliseconds(5), [&] {
-      due = true;
-      mLoop.Stop();
-    });
-    while (!due) {
-      mLoop.Run();
-    }
-    return client.Received();
-  }
-  static std::string Request(const std::string& aPath,
-                             const std::string& aId,
-                             const std::string& aHeaders = "")
-  {
-    return "POST " + aPath +
-           " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + aId +
-           "\r\nX-Token-Count: 100,50\r\nX-Deadline-Ms: 5000\r\n" + aHeaders +
-           "Content-Length: 4\r\n\r\nbody";
-  }
-  /** Sends a request on a new connection and waits for the whole answer. */
-  std::string Call(const std::string& aPath,
-                   const std::string& aId,
-                   const std::string& aHeaders = "")
-  {
-    RawClient client(mSettings.mCallerAddress);
-    client.Send(Request(aPath, aId, "Connection: close\r\n" + aHeaders));
-    REQUIRE(RunUntil(mLoop, [&] { return client.IsClosedByServer(); }));
-    return client.Received();
-  }
-  /** Changes the store while the router watches, and lets it notice. */
-  void Announce(const std::function<void()>& aChange)
-  {
-    REQUIRE(Wait([this] { return mStore.WaitingWatches() == 2; }));
-    aChange();
-    Ask("/");
-  }
-  bool Wait(const std::function<bool()>& aCondition)
-  {
-    return RunUntil(mLoop, aCondition);
-  }
-
-  EventLoop mLoop;
-  StandInStore mStore{ mLoop };
-  HttpClient mClient{ mLoop };
-  platform::PlatformStore mPlatformStore{ mLoop, mClient, mStore.Address() };
-  platform::RunnerProtocol mProtocol;
-  RouterSettings mSettings;
-  std::map<std::string, std::unique_ptr<StandInRunner>> mRunners;
-  std::unique_ptr<Router> mRouter;
-};
-
-bool
-HasStatus(const std::string& aAnswer, int aStatus)
-{
-  return aAnswer.compare(0, 12, "HTTP/1.1 " + std::to_string(aStatus)) == 0;
-}
-
 } // namespace
 
 TEST_CASE("A router is ready once it knows configuration and endpoints")
 {
-  Platform platform;
+  PlatformFixture platform;
   platform.StartRouter();
   CHECK_FALSE(platform.IsReady());
   // Guards against 404 for what a configuration may allow.
@@ -194,7 +31,7 @@
 
 TEST_CASE("Plain requests")
 {
-  Platform platform;
+  PlatformFixture platform;
   StandInRunner& a = platform.Add("i-a", "app");
   StandInRunner& b = platform.Add("i-b", "app");
   platform.Start();
@@ -262,7 +99,7 @@
   {
     setModes(RunnerMode::Mute);
     RawClient client(platform.mSettings.mCallerAddress);
-    client.Send(Platform::Request("/unsafe/1", "r1"));
+    client.Send(PlatformFixture::Request("/unsafe/1", "r1"));
     REQUIRE(platform.Wait([&] { return a.Open() + b.Open() == 1; }));
     client.Close();
     CHECK(platform.Wait([&] { return a.Dropped() + b.Dropped() == 1; }));
@@ -315,7 +152,7 @@
 
 TEST_CASE("Streams")
 {
-  Platform platform;
+  PlatformFixture platform;
   StandInRunner& prefill = platform.Add("i-p", "llm", "prefill");
   StandInRunner& a = platform.Add("i-a", "llm", "decode");
   StandInRunner& b = platform.Add("i-b", "llm", "decode");
@@ -390,7 +227,7 @@
     a.SetEvents(100'000);
     b.SetEvents(100'000);
     RawClient client(platform.mSettings.mCallerAddress);
-    client.Send(Platform::Request("/stream/1", "r1"));
+    client.Send(PlatformFixture::Request("/stream/1", "r1"));
     REQUIRE(platform.Wait([&] { return events(client.Received()) > 2; }));
     client.Close();
     CHECK(platform.Wait([&] { return a.Dropped() + b.Dropped() == 1; }));
@@ -400,7 +237,7 @@
     a.SetMode(RunnerMode::Shed);
     b.SetMode(RunnerMode::Shed);
     RawClient client(platform.mSettings.mCallerAddress);
-    client.Send(Platform::Request("/stream/1", "r1"));
+    client.Send(PlatformFixture::Request("/stream/1", "r1"));
     platform.Ask("/");
     CHECK(prefill.Received().empty());
     b.SetMode(RunnerMode::Answer);
@@ -411,23 +248,23 @@
 
 TEST_CASE("A planned stop cuts nothing")
 {
-  Platform platform;
+  PlatformFixture platform;
   StandInRunner& runner = platform.Add("i-a", "app");
   platform.Start();
   RawClient kept(platform.mSettings.mCallerAddress);
-  kept.Send(Platform::Request("/unsafe/1", "r1"));
+  kept.Send(PlatformFixture::Request("/unsafe/1", "r1"));
   REQUIRE(
     platform.Wait([&] { return Count(kept.Received(), "HTTP/1.1 200") == 1; }));
   runner.SetMode(RunnerMode::Mute);
   RawClient open(platform.mSettings.mCallerAddress);
-  open.Send(Platform::Request("/unsafe/2", "r2"));
+  open.Send(PlatformFixture::Request("/unsafe/2", "r2"));
   REQUIRE(platform.Wait([&] { return runner.Open() == 1; }));
 
   platform.mRouter->Stop();
   CHECK_FALSE(platform.IsReady());
   // The balancer has not noticed yet: requests still come and are served.
   runner.SetMode(RunnerMode::Answer);
-  kept.Send(Platform::Request("/unsafe/3", "r3"));
+  kept.Send(PlatformFixture::Request("/unsafe/3", "r3"));
   REQUIRE(
     platform.Wait([&] { return Count(kept.Received(), "HTTP/1.1 200") == 2; }));
   CHECK(Count(kept.Received(), "Connection: close") == 1);
--- a/Tests/Adapter/StandInRunner.cxx
+++ b/Tests/Adapter/StandInRunner.cxx
@@ -100,11 +100,7 @@
       aExchange->Abort();
       return;
     }
-    aExchange->Reply(
-      200,
-      { { "X-Request-Id", id } },
-      Json{ { "handle", "h" + id }, { "tokens", 10 }, { "version", 1 } }
-        .dump());
+    Prefill(aExchange);
     return;
   }
   mRan.push_back(id);
@@ -129,6 +125,25 @@
   }
 }
 
+void
+StandInRunner::Prefill(const Exchange& aExchange)
+{
+  const std::string id =
+    aExchange->Request().mHeaders.Find("X-Request-Id").value_or("");
+  const auto answer = [aExchange, id] {
+    aExchange->Reply(
+      200,
+      { { "X-Request-Id", id } },
+      Json{ { "handle", "h" + id }, { "tokens", 10 }, { "version", 1 } }
+        .dump());
+  };
+  if (mPrefillTime <= Duration::zero()) {
+    answer();
+    return;
+  }
+  mTimers[aExchange.get()] = mLoop.After(mPrefillTime, answer);
+}
+
 void
 StandInRunner::Stream(const Exchange& aExchange)
 {
@@ -177,6 +192,9 @@
     const bool isFull = mMode == RunnerMode::Shed;
     aExchange->Reply(
       isFull ? 503 : 200, {}, isFull ? "" : Json{ { "hold", "hold1" } }.dump());
+  } else if (request.mPath == "/api/order") {
+    mOrders.push_back(request);
+    aExchange->Reply(202, {}, "{}");
   } else if (request.mPath == "/api/kv-list") {
     ++mLists;
     Json held = Json::array();
--- a/Tests/Adapter/StandInRunner.h
+++ b/Tests/Adapter/StandInRunner.h
@@ -47,6 +47,8 @@
   void SetMode(RunnerMode aMode) { mMode = aMode; }
   /** Time between two events of a stream. */
   void SetPace(Duration aPace) { mPace = aPace; }
+  /** Time that a prompt takes. */
+  void SetPrefillTime(Duration aTime) { mPrefillTime = aTime; }
   /** Events of a stream; the stream breaks off after aBreakAfter of them. */
   void SetEvents(int aEvents, int aBreakAfter = 1'000'000)
   {
@@ -58,6 +60,8 @@
   void Keep(const std::string& aPart, int aTokens) { mKept[aPart] = aTokens; }
   /** Calls for the list of what is kept. */
   std::size_t Lists() const { return mLists; }
+  /** Orders that arrived, as they were sent. */
+  const std::vector<HttpRequest>& Orders() const { return mOrders; }
 
   /** The entry that the runner writes into the store. */
   std::string Entry(const std::string& aService,
@@ -76,6 +80,7 @@
   void Handle(const Exchange& aExchange);
   void HandleRequest(const Exchange& aExchange);
   void HandleCall(const Exchange& aExchange);
+  void Prefill(const Exchange& aExchange);
   void Stream(const Exchange& aExchange);
   void NextEvent(const Exchange& aExchange, int aId);
   HttpHeaders Headers(const Exchange& aExchange) const;
@@ -87,10 +92,12 @@
   SocketAddress mAddress;
   RunnerMode mMode = RunnerMode::Answer;
   Duration mPace = std::chrono::milliseconds(2);
+  Duration mPrefillTime{};
   int mEvents = 5;
   int mBreakAfter = 1'000'000;
   std::size_t mDropped = 0;
   std::size_t mLists = 0;
+  std::vector<HttpRequest> mOrders;
   std::map<std::string, int> mKept;
   std::vector<std::string> mRan;
   std::vector<HttpRequest> mReceived;
--- a/Tests/Routing/ResumptionTest.cxx
+++ b/Tests/Routing/ResumptionTest.cxx
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include "EnginePool.h"
+
 namespace bulrushfold {
 
 namespace {
@@ -133,4 +135,148 @@
   }
 }
 
+// After all daemons were killed, 47 callers came back at once. Seven decode
+// engines computed what six streams each had generated, and the pauses of 400
+// to 600 ms made all their other runs late.
+TEST_CASE("A resumed stream makes its decode engine compute what it generated")
+{
+  EnginePool pool;
+  const auto submit = [&](std::uint64_t aNumber, std::uint64_t aGenerated) {
+    StreamDemand demand = pool.Demand(aNumber, 3000, 1000);
+    demand.mGeneratedTokens = aGenerated;
+    demand.mHasRun = true;
+    demand.mPromptKey = aNumber;
+    demand.mDue = pool.mNow;
+    pool.mScheduler.Submit(demand);
+  };
+  const auto begin = [&](std::uint64_t aNumber) {
+    pool.mScheduler.OnPrefillEnded(aNumber, milliseconds(60));
+    pool.mScheduler.OnDecodeStarted(aNumber, pool.mNow);
+  };
+
+  SUBCASE("so each engine takes one at a time")
+  {
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      submit(i, 4000);
+    }
+    REQUIRE(pool.Place() == std::vector<std::uint64_t>{ 1, 2 });
+    CHECK(pool.mPlacements[1].mDecode != pool.mPlacements[2].mDecode);
+    CHECK(pool.Place().empty());
+
+    SUBCASE("and lets its runs go on before the next one")
+    {
+      begin(1);
+      CHECK(pool.Place().empty());
+      pool.mNow += milliseconds(100);
+      CHECK(pool.Place() == std::vector<std::uint64_t>{ 3 });
+      CHECK(pool.mPlacements[3].mDecode == pool.mPlacements[1].mDecode);
+    }
+    SUBCASE("also when the first one fails")
+    {
+      pool.mScheduler.OnPrefillEnded(2, Duration::zero());
+      pool.mScheduler.OnDecodeEnded(2, pool.mNow);
+      pool.mNow += milliseconds(100);
+      CHECK(pool.Place() == std::vector<std::uint64_t>{ 3 });
+    }
+    SUBCASE("while streams that begin are not held up")
+    {
+      pool.mScheduler.OnPrefillEnded(1, milliseconds(60));
+      pool.Submit(4, 5000, 2000);
+      CHECK(pool.Place() == std::vector<std::uint64_t>{ 4 });
+    }
+  }
+  SUBCASE("also when a peer's stream is computed there")
+  {
+    pool.mLoads.SetPeer("p", { { "d1", { 1, 4000 } }, { "d2", { 1, 4000 } } });
+    submit(1, 4000);
+    CHECK(pool.Place().empty());
+    pool.mLoads.SetPeer("p", {});
+    CHECK(pool.Place().empty());
+    pool.mNow += milliseconds(100);
+    CHECK(pool.Place().size() == 1);
+  }
+  SUBCASE("without a prefill at the engine that kept its prompt")
+  {
+    pool.mKept.OnBroken({ 1, "d2", 3000, pool.mNow });
+    submit(1, 4000);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK(pool.mPlacements[1].mDecode == "d2");
+    CHECK(pool.mPlacements[1].mPrefill.empty());
+    CHECK(pool.mPlacements[1].mKeptTokens == 3000);
+    CHECK(pool.mLoads.Total("d2").mPrefillTokens == 4000);
+
+    SUBCASE("for whose turn it waits")
+    {
+      pool.mKept.OnBroken({ 2, "d2", 3000, pool.mNow });
+      submit(2, 4000);
+      CHECK(pool.Place().empty());
+      begin(1);
+      pool.mNow += milliseconds(100);
+      REQUIRE(pool.Place().size() == 1);
+      CHECK(pool.mPlacements[2].mDecode == "d2");
+    }
+  }
+  // A stream whose engine broke it off has 300 ms to go on.
+  SUBCASE("unless it can be on time elsewhere")
+  {
+    pool.mKept.OnBroken({ 1, "d2", 3000, pool.mNow });
+    pool.mLoads.SetPeer("p", { { "d2", { 1, 4000 } } });
+    StreamDemand demand = pool.Demand(1, 3000, 1000, milliseconds(300));
+    demand.mGeneratedTokens = 4000;
+    demand.mHasRun = true;
+    demand.mPromptKey = 1;
+    pool.mScheduler.Submit(demand);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK(pool.mPlacements[1].mDecode == "d1");
+  }
+  SUBCASE("but elsewhere with a prefill")
+  {
+    pool.mKept.OnBroken({ 1, "d2", 3000, pool.mNow });
+    SUBCASE("if that engine leaves")
+    {
+      EndpointRecord record = pool.Record("d2", EndpointRole::Decode, "y");
+      record.mIsDraining = true;
+      pool.mDirectory.Put(record, 2, pool.mNow);
+    }
+    SUBCASE("if it prefills now")
+    {
+      pool.mDirectory.Put(
+        pool.Record("d2", EndpointRole::Prefill, "y"), 2, pool.mNow);
+    }
+    SUBCASE("if it is full")
+    {
+      pool.mScheduler.OnDecodeFull("d2", 3000, pool.mNow);
+    }
+    SUBCASE("if it cannot be reached")
+    {
+      pool.mHealth.OnResult("s", "d2", SendResult::ConnectFailed, pool.mNow);
+    }
+    submit(1, 4000);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK(pool.mPlacements[1].mDecode == "d1");
+    CHECK_FALSE(pool.mPlacements[1].mPrefill.empty());
+    CHECK(pool.mPlacements[1].mKeptTokens == 0);
+  }
+  SUBCASE("and a small part that was kept is not worth a way round")
+  {
+    pool.mKept.OnBroken({ 1, "d2", 1000, pool.mNow });
+    submit(1, 4000);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK_FALSE(pool.mPlacements[1].mPrefill.empty());
+  }
+  SUBCASE("and its memory counts from the start")
+  {
+    submit(1, 4000);
+    REQUIRE(pool.Place().size() == 1);
+    CHECK(pool.mRuns.At(pool.mPlacements[1].mDecode)[0]->mPromptTokens == 7000);
+  }
+  SUBCASE("but a few events are no matter")
+  {
+    for (std::uint64_t i = 1; i <= 3; ++i) {
+      submit(i, 200);
+    }
+    CHECK(pool.Place().size() == 3);
+  }
+}
+
 } // namespace bulrushfold
--- /dev/null
+++ b/Tests/Routing/RoleBalanceTest.cxx
@@ -0,0 +1,205 @@
+#include "Routing/RoleBalance.h"
+
+#include <doctest/doctest.h>
+
+#include "EnginePool.h"
+
+namespace bulrushfold {
+
+namespace {
+using std::chrono::seconds;
+} // namespace
+
+TEST_CASE("Engines change their roles so that both pools carry the same rate")
+{
+  EnginePool pool;
+  pool.Add("p3", EndpointRole::Prefill, "x");
+  for (const std::string id : { "d3", "d4", "d5", "d6" }) {
+    pool.Add(id, EndpointRole::Decode, "y");
+  }
+  EngineProfile profile;
+  profile.mMemoryTokens = kMemory;
+  profile.mSlots = 64;
+  RoleBalance balance(pool.mDirectory, pool.mLoads, pool.mRuns, pool.mHealth);
+  const auto observe = [&](std::uint64_t aPrompt, std::uint64_t aAnswer) {
+    std::vector<StreamRun> runs;
+    for (std::uint64_t i = 0; i < 20; ++i) {
+      runs.push_back({ i, "d1", aPrompt, aAnswer, 10'000, pool.mNow });
+    }
+    pool.mRuns.SetPeer("p", runs);
+    for (int i = 0; i < 10; ++i) {
+      balance.Observe("s", pool.mNow);
+    }
+  };
+  /** Decides as often as a change needs to be confirmed. */
+  const auto decide = [&] {
+    std::optional<RoleChange> change;
+    for (int i = 0; i < 3; ++i) {
+      change = balance.Decide("s", profile, 1.5, 55, pool.mNow);
+    }
+    return change;
+  };
+  const auto holds = [&](const RoleChange& aChange) {
+    return balance.Holds(aChange, "s", profile, 1.5, 55, pool.mNow);
+  };
+
+  SUBCASE("nothing is known yet: nothing changes")
+  {
+    CHECK_FALSE(decide());
+  }
+  SUBCASE("long answers need decode engines")
+  {
+    observe(5000, 5000);
+    const auto change = decide();
+    REQUIRE(change);
+    CHECK(change->mRole == EndpointRole::Decode);
+    // From the failure domain that has two.
+    CHECK((change->mEndpoint == "p1" || change->mEndpoint == "p3"));
+    CHECK(change->mRateAfter > change->mRateBefore);
+    CHECK_FALSE(change->mMustDrain);
+    // Guards against an order that was decided before an outage of the store.
+    SUBCASE("but not by a decision that holds no more")
+    {
+      CHECK(holds(*change));
+      SUBCASE("because the streams have changed")
+      {
+        for (int i = 0; i < 10; ++i) {
+          observe(20'000, 500);
+        }
+      }
+      SUBCASE("because another prefill engine has left")
+      {
+        pool.mDirectory.Remove(
+          change->mEndpoint == "p1" ? "p3" : "p1", 2, pool.mNow);
+      }
+      SUBCASE("because another one is in doubt")
+      {
+        pool.mDirectory.OnRegistryBack(pool.mNow);
+        pool.mDirectory.Remove("p2", 2, pool.mNow);
+      }
+      SUBCASE("because another one takes no work")
+      {
+        pool.mHealth.OnResult("s", "p2", SendResult::Unready, pool.mNow);
+      }
+      SUBCASE("because the engine leaves")
+      {
+        EndpointRecord record =
+          pool.Record(change->mEndpoint, EndpointRole::Prefill, "x");
+        record.mIsDraining = true;
+        pool.mDirectory.Put(record, 2, pool.mNow);
+      }
+      CHECK_FALSE(holds(*change));
+    }
+    SUBCASE("nor by what was seen only once")
+    {
+      RoleBalance other(pool.mDirectory, pool.mLoads, pool.mRuns, pool.mHealth);
+      for (int i = 0; i < 10; ++i) {
+        other.Observe("s", pool.mNow);
+      }
+      CHECK_FALSE(other.Decide("s", profile, 1.5, 55, pool.mNow));
+      CHECK_FALSE(other.Decide("s", profile, 1.5, 55, pool.mNow));
+      CHECK(other.Decide("s", profile, 1.5, 55, pool.mNow));
+    }
+    // Guards against one service's streams deciding for another one's engines.
+    SUBCASE("and other services decide by their own streams")
+    {
+      CHECK_FALSE(balance.Decide("other", profile, 1.5, 55, pool.mNow));
+    }
+    SUBCASE("one at a time")
+    {
+      balance.OnOrdered("s", pool.mNow);
+      CHECK_FALSE(decide());
+      pool.mNow += seconds(16);
+      CHECK(decide());
+    }
+    SUBCASE("but two stay, because one may fail")
+    {
+      pool.mDirectory.Remove("p3", 2, pool.mNow);
+      CHECK_FALSE(decide());
+    }
+  }
+  SUBCASE("long prompts need prefill engines")
+  {
+    observe(20'000, 500);
+    const auto change = decide();
+    REQUIRE(change);
+    CHECK(change->mRole == EndpointRole::Prefill);
+    CHECK(change->mEndpoint != "d1");
+    CHECK_FALSE(change->mMustDrain);
+    // Guards against an order that makes a busy engine drop its runs, and
+    // against pools that stay out of balance because no engine is ever idle.
+    SUBCASE("and when all engines run streams, the one with the fewest runs "
+            "has to end them first")
+    {
+      std::vector<StreamRun> runs;
+      for (const std::string id :
+           { "d1", "d2", "d3", "d4", "d5", "d6", "d1" }) {
+        runs.push_back({ runs.size(), id, 20'000, 500, 10'000, pool.mNow });
+      }
+      pool.mRuns.SetPeer("p", runs);
+      const auto drained = decide();
+      REQUIRE(drained);
+      CHECK(drained->mMustDrain);
+      CHECK(drained->mEndpoint != "d1");
+      CHECK(holds(*drained));
+    }
+  }
+  // A run that ends first takes an engine out of service for longer.
+  SUBCASE("engines that run streams stay for a small gain")
+  {
+    observe(8000, 2600);
+    std::vector<StreamRun> runs;
+    for (const std::string id : { "d1", "d2", "d3", "d4", "d5", "d6" }) {
+      runs.push_back({ runs.size(), id, 8000, 2600, 10'000, pool.mNow });
+    }
+    pool.mRuns.SetPeer("p", runs);
+    CHECK_FALSE(decide());
+    pool.mRuns.SetPeer("p", {});
+    CHECK(decide());
+  }
+  // Guards against a pool that stays out of balance because one engine of
+  // many changes little.
+  SUBCASE("in a large pool several follow each other")
+  {
+    for (int i = 0; i < 12; ++i) {
+      pool.Add("q" + std::to_string(i), EndpointRole::Prefill, "x");
+      pool.Add("e" + std::to_string(i), EndpointRole::Decode, "y");
+    }
+    observe(5000, 5000);
+    int changed = 0;
+    while (const auto change = decide()) {
+      REQUIRE(changed < 15);
+      CHECK(change->mRole == EndpointRole::Decode);
+      pool.mDirectory.OnRoleOrdered(
+        change->mEndpoint,
+        { EndpointRole::Decode, pool.mNow + seconds(60) },
+        pool.mNow);
+      balance.OnOrdered("s", pool.mNow);
+      ++changed;
+    }
+    CHECK(changed > 3);
+    // No more than half of a pool changes at once.
+    CHECK(changed <= 7);
+    // The engines that change are counted where they go.
+    pool.mNow += seconds(16);
+    while (const auto change = decide()) {
+      REQUIRE(changed < 15);
+      pool.mDirectory.OnRoleOrdered(
+        change->mEndpoint,
+        { EndpointRole::Decode, pool.mNow + seconds(60) },
+        pool.mNow);
+      balance.OnOrdered("s", pool.mNow);
+      ++changed;
+    }
+    CHECK(changed <= 12);
+    pool.mNow += seconds(16);
+    CHECK_FALSE(decide());
+  }
+  SUBCASE("pools in balance stay")
+  {
+    observe(5000, 3600);
+    CHECK_FALSE(decide());
+  }
+}
+
+} // namespace bulrushfold
