Log unsent bytes and busy connections at the end of a stop

Change: stop_ended also has busy_connections and unsent_bytes, which the caller server reports with UnfinishedWork.

--- a/Source/Net/HttpServer.cxx
+++ b/Source/Net/HttpServer.cxx
@@ -112,6 +112,17 @@
   }
 }
 
+HttpServerWork
+HttpServer::UnfinishedWork() const
+{
+  HttpServerWork work;
+  for (const auto& [connectionId, connection] : mConnections) {
+    work.mBusyConnections += connection->IsBusy() ? 1 : 0;
+    work.mUnsentBytes += connection->PendingBytes();
+  }
+  return work;
+}
+
 void
 HttpServer::HandleExchange(std::shared_ptr<HttpExchange> aExchange)
 {
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -48,6 +48,15 @@
   const HttpHead& mHead;
 };
 
+/** Work of a server that is not finished. */
+struct HttpServerWork
+{
+  /** Connections that receive a request or send a reply. */
+  std::size_t mBusyConnections = 0;
+  /** Reply bytes that are not yet written to the sockets. */
+  std::size_t mUnsentBytes = 0;
+};
+
 /** HTTP/1.1 server on the event loop. */
 class HttpServer
 {
@@ -76,6 +85,8 @@
   const HttpServerLimits& Limits() const { return mLimits; }
   bool IsDraining() const { return mIsDraining; }
   std::size_t Connections() const { return mConnections.size(); }
+  /** Takes time in proportion to the number of connections. */
+  HttpServerWork UnfinishedWork() const;
 
   // Called by HttpServerConnection.
   void HandleExchange(std::shared_ptr<HttpExchange> aExchange);
--- a/Source/Net/HttpServerConnection.cxx
+++ b/Source/Net/HttpServerConnection.cxx
@@ -87,6 +87,13 @@
          mParser.CurrentState() == HttpParser::State::Idle;
 }
 
+bool
+HttpServerConnection::IsBusy() const
+{
+  return HasExchange() || PendingBytes() > 0 ||
+         (!mIsLingering && mParser.CurrentState() != HttpParser::State::Idle);
+}
+
 void
 HttpServerConnection::HandleRead(bufferevent*, void* aSelf)
 {
--- a/Source/Net/HttpServerConnection.h
+++ b/Source/Net/HttpServerConnection.h
@@ -52,6 +52,9 @@
 
   /** True while no request is being received or answered. */
   bool IsIdle() const;
+  /** True while a request is being received, or while a reply is not completely
+   * written to the socket. */
+  bool IsBusy() const;
   void Close();
 
 private:
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -147,7 +147,11 @@
           mClock,
           aSettings.mStopTimeout,
           { [this] {
-             return OpenWork{ *mOpenRequests, mCallerServer.Connections() };
+             const HttpServerWork work = mCallerServer.UnfinishedWork();
+             return OpenWork{ *mOpenRequests,
+                              mCallerServer.Connections(),
+                              work.mBusyConnections,
+                              work.mUnsentBytes };
            },
             [this] {
               mCallerServer.BeginDraining();
--- a/Source/Router/StopController.cxx
+++ b/Source/Router/StopController.cxx
@@ -73,6 +73,8 @@
            "stop_ended",
            { { "requests", work.mRequests },
              { "connections", work.mConnections },
+             { "busy_connections", work.mBusyConnections },
+             { "unsent_bytes", work.mUnsentBytes },
              { "took_ms", ToMilliseconds(age) } });
   mTimer = EventHandle();
   mHooks.mOnEnd();
--- a/Source/Router/StopController.h
+++ b/Source/Router/StopController.h
@@ -10,11 +10,15 @@
 
 namespace bulrushfold {
 
-/** Number of open requests and connections during a graceful shutdown. */
+/** What a graceful shutdown still has to finish. */
 struct OpenWork
 {
   std::size_t mRequests = 0;
   std::size_t mConnections = 0;
+  /** Connections that receive a request or send an answer. */
+  std::size_t mBusyConnections = 0;
+  /** Answer bytes that are not yet written to the sockets. */
+  std::size_t mUnsentBytes = 0;
 };
 
 /**
