Send buffered answers before a server closes their connections

Callers saw a stream (200) that ended without its last bytes when the daemon that served it got SIGTERM, and, at a slow caller, answers cut by the idle timeout, for example after a configuration with a shorter one.

Cause: a reply counted as finished when its last bytes were in the output buffer. From then on the connection was idle, so CloseIdle at the end of a stop, the idle timeout and the linger timeout closed it and dropped the bytes that were not yet written. Streams whose head was sent before the signal were exposed, because their connection is kept after the answer.

Change: a connection is idle only when its output buffer is empty. CloseIdle closes the others after their reply has been sent. The idle and the linger timeout start when the reply is sent; the write timeout still limits the time for sending. The stop waits until no connection receives a request or sends an answer, and after its end until the last answers are sent, but ends 80 ms before the process would be killed.

--- a/Source/Net/HttpServer.cxx
+++ b/Source/Net/HttpServer.cxx
@@ -106,9 +106,7 @@
 HttpServer::CloseIdle()
 {
   for (const auto& [connectionId, connection] : mConnections) {
-    if (connection->IsIdle()) {
-      connection->Close();
-    }
+    connection->CloseWhenSent();
   }
 }
 
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -76,7 +76,8 @@
   /** Makes each further reply carry "Connection: close" and close its
    * connection. */
   void BeginDraining() { mIsDraining = true; }
-  /** Closes the connections without a request in progress. */
+  /** Closes the connections without a request in progress, and each of the
+   * others after its reply has been sent. */
   void CloseIdle();
   /** Sets a hook that is called for each refused request. */
   void OnRefused(RefusalHook aHook) { mRefusalHook = std::move(aHook); }
--- a/Source/Net/HttpServerConnection.cxx
+++ b/Source/Net/HttpServerConnection.cxx
@@ -83,8 +83,7 @@
 bool
 HttpServerConnection::IsIdle() const
 {
-  return !HasExchange() && !mIsLingering &&
-         mParser.CurrentState() == HttpParser::State::Idle;
+  return !mIsLingering && !IsBusy();
 }
 
 bool
@@ -94,6 +93,21 @@
          (!mIsLingering && mParser.CurrentState() != HttpParser::State::Idle);
 }
 
+void
+HttpServerConnection::CloseWhenSent()
+{
+  if (IsIdle()) {
+    Close();
+    return;
+  }
+  mClosesAfterReply = true;
+  const bool isReplyBuffered =
+    !HasExchange() && mParser.CurrentState() == HttpParser::State::Idle;
+  if (isReplyBuffered && !mIsLingering) {
+    BeginLingeringClose();
+  }
+}
+
 void
 HttpServerConnection::HandleRead(bufferevent*, void* aSelf)
 {
@@ -104,8 +118,15 @@
 HttpServerConnection::HandleWritten(bufferevent*, void* aSelf)
 {
   auto* self = static_cast<HttpServerConnection*>(aSelf);
-  if (self->mIsLingering && self->PendingBytes() == 0) {
+  if (self->HasExchange() || self->PendingBytes() > 0) {
+    return;
+  }
+  // The idle and the linger timeout start when the whole reply is sent.
+  if (self->mIsLingering) {
     shutdown(bufferevent_getfd(self->mBufferevent), SHUT_WR);
+    self->SetDeadline(self->mClock.Now() + kLingerTimeout);
+  } else if (self->IsIdle()) {
+    self->SetDeadline(self->mClock.Now() + self->mServer.Limits().mIdleTimeout);
   }
 }
 
@@ -194,7 +215,7 @@
   request.mHeaders = std::move(head.mHeaders);
   request.mBody = std::exchange(mBody, std::string());
   DecodeTarget(request);
-  mClosesAfterReply = !head.mKeepsAlive;
+  mClosesAfterReply = mClosesAfterReply || !head.mKeepsAlive;
   mParser.Restart();
   auto exchange = std::make_shared<HttpExchange>(
     *this, mCallerAddress, std::move(request), mArrival, head.mIsVersion11);
@@ -320,7 +341,8 @@
 {
   mTimerDueAt.reset();
   const Instant now = mClock.Now();
-  if (HasExchange()) {
+  // The write timeout limits the time for sending a reply.
+  if (HasExchange() || PendingBytes() > 0) {
     ArmTimer(now + mServer.Limits().mIdleTimeout);
     return;
   }
--- a/Source/Net/HttpServerConnection.h
+++ b/Source/Net/HttpServerConnection.h
@@ -56,6 +56,9 @@
    * written to the socket. */
   bool IsBusy() const;
   void Close();
+  /** Closes the connection at once if it is idle, else after the reply to the
+   * present request has been sent. */
+  void CloseWhenSent();
 
 private:
   static void HandleRead(bufferevent* aBufferevent, void* aSelf);
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -16,8 +16,6 @@
 constexpr std::size_t kReservedDescriptors = 400;
 /** Minimum number of caller connections. */
 constexpr std::size_t kMinCallerConnections = 100;
-/** Time for the last message to the peers and the last call to the store. */
-constexpr Duration kShutdownTime = std::chrono::milliseconds(50);
 /** Interval at which buffered log lines are written. */
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 /** The connection is closed when a caller accepts no byte of its answer for
@@ -163,9 +161,8 @@
               mCallerServer.CloseIdle();
               mRoles.Stop();
               mPeers.AnnounceStop();
-              mShutdownTimer =
-                mLoop.After(kShutdownTime, [this] { mLoop.Stop(); });
-            } })
+            },
+            [this] { mLoop.Stop(); } })
 {
   AddFilters();
   mDirectory.OnChange().connect(
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -118,7 +118,6 @@
   HttpServer mMetricsServer;
   StopController mStop;
   EventHandle mExpiryTimer;
-  EventHandle mShutdownTimer;
   EventHandle mLogTimer;
   /** Dropped log lines that the metrics already include. */
   LogDrops mReportedDrops;
--- a/Source/Router/StopController.cxx
+++ b/Source/Router/StopController.cxx
@@ -19,7 +19,12 @@
 constexpr Duration kPlainRefuseTime = std::chrono::milliseconds(1800);
 /** Time that is reserved for closing connections at the end of the stop. */
 constexpr Duration kCloseMargin = std::chrono::milliseconds(300);
+/** Part of that time in which the process ends. */
+constexpr Duration kExitMargin = std::chrono::milliseconds(80);
+/** Time for the last message to the peers and the last call to the store. */
+constexpr Duration kMinCloseTime = std::chrono::milliseconds(50);
 constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kCloseCheckInterval = std::chrono::milliseconds(10);
 } // namespace
 
 StopController::StopController(EventLoop& aLoop,
@@ -65,19 +70,39 @@
 {
   const Duration age = mClock.Now() - *mBegunAt;
   const OpenWork work = mHooks.mOpenWork();
-  const bool isIdle = work.mRequests == 0 && age >= kReadinessNoticeTime;
-  if (!isIdle && age < mStopTimeout - kCloseMargin) {
+  const bool isIdle = work.mRequests == 0 && work.mBusyConnections == 0 &&
+                      age >= kReadinessNoticeTime;
+  if (isIdle || age >= mStopTimeout - kCloseMargin) {
+    LogEvent(LogLevel::Info,
+             "stop_ended",
+             { { "requests", work.mRequests },
+               { "connections", work.mConnections },
+               { "busy_connections", work.mBusyConnections },
+               { "unsent_bytes", work.mUnsentBytes },
+               { "took_ms", ToMilliseconds(age) } });
+    mEndedAt = mClock.Now();
+    mHooks.mOnEnd();
+    mTimer = mLoop.Every(kCloseCheckInterval, [this] { CheckSent(); });
+  }
+}
+
+void
+StopController::CheckSent()
+{
+  const Instant now = mClock.Now();
+  const OpenWork work = mHooks.mOpenWork();
+  const bool isSent =
+    work.mBusyConnections == 0 && now - *mEndedAt >= kMinCloseTime;
+  if (!isSent && now - *mBegunAt < mStopTimeout - kExitMargin) {
     return;
   }
-  LogEvent(LogLevel::Info,
-           "stop_ended",
-           { { "requests", work.mRequests },
-             { "connections", work.mConnections },
-             { "busy_connections", work.mBusyConnections },
+  LogEvent(work.mUnsentBytes == 0 ? LogLevel::Info : LogLevel::Warning,
+           "stop_closed",
+           { { "busy_connections", work.mBusyConnections },
              { "unsent_bytes", work.mUnsentBytes },
-             { "took_ms", ToMilliseconds(age) } });
+             { "took_ms", ToMilliseconds(now - *mBegunAt) } });
   mTimer = EventHandle();
-  mHooks.mOnEnd();
+  mHooks.mOnClosed();
 }
 
 } // namespace bulrushfold
--- a/Source/Router/StopController.h
+++ b/Source/Router/StopController.h
@@ -34,8 +34,11 @@
     std::function<OpenWork()> mOpenWork;
     /** The stop begins; announces it on persistent connections. */
     std::function<void()> mOnBegin;
-    /** No open request is left, or the stop time is nearly over. */
+    /** No open request is left, or the stop time is nearly over; closes the
+     * connections. */
     std::function<void()> mOnEnd;
+    /** The answers are sent, or the stop time is over; ends the process. */
+    std::function<void()> mOnClosed;
   };
 
   StopController(EventLoop& aLoop,
@@ -50,13 +53,17 @@
   bool Refuses(RequestKind aKind) const;
 
 private:
+  /** Ends the stop when nothing is left to do. */
   void Check();
+  /** Ends the process when the last answers are sent. */
+  void CheckSent();
 
   EventLoop& mLoop;
   const Clock& mClock;
   Duration mStopTimeout;
   Hooks mHooks;
   std::optional<Instant> mBegunAt;
+  std::optional<Instant> mEndedAt;
   EventHandle mTimer;
 };
 
