Refuse requests that are read after the end of a stop

Callers saw a connection that was closed with no answer although the daemon had passed their request on, some 10 ms after the stop had ended.

Cause: after the decision to end, the process runs on for 50 ms, for the last messages to its peers. A request whose last byte arrived in this time on a connection that was not idle was passed on to an endpoint and cut when the process ended; below 6.2 s after the signal nothing refused it.

Change: StopController refuses every request after the end of the stop, with 503 and a time after which another daemon serves it.

--- a/Source/Router/StopController.cxx
+++ b/Source/Router/StopController.cxx
@@ -60,6 +60,9 @@
   if (!mBegunAt) {
     return false;
   }
+  if (mEndedAt) {
+    return true;
+  }
   const Duration age = mClock.Now() - *mBegunAt;
   return aKind == RequestKind::Stream ? age > kStreamAcceptTime
                                       : age > mStopTimeout - kPlainRefuseTime;
