Answer the requests that are open when the stop time is over

Callers saw neither an answer nor a refusal for a request that was still open when the daemon had to end: the process just exited and its connections broke.

Cause: the end of a stop closed idle connections only. No part of the router ended the requests that were waiting, being prefilled or running.

Change: the end of a stop emits a signal to which each session is connected. What has not run is refused with 503 and Retry-After, what may have run ends with 502, a started stream is aborted visibly, and the log has a line request_ended with reason stopping for each. The calls to the endpoints are cancelled and their memory is released.

--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -163,6 +163,25 @@
   }
 }
 
+void
+PlainCall::OnStopEnd()
+{
+  if (mIsFinished) {
+    return;
+  }
+  if (std::exchange(mIsSending, false)) {
+    ++mPossibleRuns;
+    mDelegate.CancelSend(SendResult::Answered);
+  }
+  if (mErrorAnswer) {
+    Finish();
+  } else if (mPossibleRuns > 0) {
+    FinishWith({ kHttpBadGateway, RefusalReason::Stopping, Duration::zero() });
+  } else {
+    FinishWith({ kHttpUnavailable, RefusalReason::Stopping, kRetryAfter });
+  }
+}
+
 void
 PlainCall::Finish()
 {
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -103,6 +103,8 @@
   /** aAnswer: set when aOutcome is Answered. */
   void OnSendEnded(SendOutcome aOutcome, EndpointAnswer aAnswer, Instant aNow);
   void OnWake(Instant aNow);
+  /** The process ends; answers the request. */
+  void OnStopEnd();
 
 private:
   void Send(const EndpointChoice& aChoice, Instant aNow);
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -38,6 +38,8 @@
   mSelf = shared_from_this();
   const auto self = mSelf;
   mRequest->mExchange->OnClosed([this] { HandleCallerDisconnected(); });
+  mStopConnection = mServices.mOnStopEnd.connect(
+    sigc::mem_fun(*this, &PlainSession::HandleStopEnd));
   mCall.Start(mServices.mClock.Now());
 }
 
@@ -142,9 +144,17 @@
   Close();
 }
 
+void
+PlainSession::HandleStopEnd()
+{
+  const auto self = mSelf;
+  mCall.OnStopEnd();
+}
+
 void
 PlainSession::Close()
 {
+  mStopConnection.disconnect();
   mTimer.Cancel();
   mRequest->mExchange->OnClosed(nullptr);
   mSelf.reset();
--- a/Source/Router/PlainSession.h
+++ b/Source/Router/PlainSession.h
@@ -29,6 +29,7 @@
 
   void HandleReply(HttpCallReply aReply);
   void HandleCallerDisconnected();
+  void HandleStopEnd();
   void FinishSend(SendResult aResult);
   void Close();
 
@@ -40,6 +41,7 @@
   std::unique_ptr<HttpCall> mSend;
   std::string mEndpoint;
   Instant mSentAt;
+  sigc::connection mStopConnection;
   /** Keeps the session alive until the call has ended. */
   std::shared_ptr<PlainSession> mSelf;
 };
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -86,7 +86,8 @@
                mGuard,         mDeferredRequests,
                mCachedPrompts, mCachedPromptQuery,
                mAnswerLengths, mSelector,
-               mStreams,       mLog }
+               mStreams,       mLog,
+               mOnStopEnd }
   , mPeers(aLoop,
            mClock,
            mRandom,
@@ -158,6 +159,7 @@
             [this] {
               // A request that is read from now on could not be finished.
               mCallerServer.StopListening();
+              mOnStopEnd.emit();
               mCallerServer.CloseIdle();
               mRoles.Stop();
               mPeers.AnnounceStop();
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -103,6 +103,7 @@
   StreamScheduler mScheduler;
   StreamDispatcher mStreams;
   RequestLog mLog;
+  sigc::signal<void()> mOnStopEnd;
   CachedPromptQuery mCachedPromptQuery;
   RouterServices mServices;
   PeerController mPeers;
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -1,6 +1,8 @@
 #ifndef BULRUSHFOLD_ROUTER_ROUTERSERVICES_H
 #define BULRUSHFOLD_ROUTER_ROUTERSERVICES_H
 
+#include <sigc++/sigc++.h>
+
 #include "Base/Clock.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpClient.h"
@@ -42,6 +44,8 @@
   PlainSelector& mSelector;
   StreamDispatcher& mStreams;
   RequestLog& mLog;
+  /** Emitted when the stop time is over; each open request must end. */
+  sigc::signal<void()>& mOnStopEnd;
 
   /** Updates the endpoint directory and the crash guard after a send. */
   void RecordSendOutcome(const RoutedRequest& aRequest,
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -162,7 +162,7 @@
 StreamCall::OnPlacementExpired(Instant)
 {
   if (mState == StreamState::Waiting) {
-    Finish(RefusalReason::WaitedTooLong, false);
+    Finish(RefusalReason::WaitedTooLong);
   }
 }
 
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -148,6 +148,8 @@
                       Instant aNow);
   void OnWake(Instant aNow);
   void OnCallerDisconnected(Instant aNow);
+  /** The process ends; answers the request, or aborts a started answer. */
+  void OnStopEnd();
 
   StreamState State() const { return mState; }
   /** The run is being moved, so the answer of its engine may end early. */
@@ -188,7 +190,11 @@
   /** Number of calls before the decode that a further attempt repeats. */
   std::uint32_t RepeatedPrefills() const;
   bool MayRunAgain() const;
-  void Finish(RefusalReason aReason, bool aIsTimeout);
+  /** Cancels the present step, releases everything, and ends the stream.
+   * aSendResult: result of the cancelled send in the health record. */
+  void EndEarly(RefusalReason aReason, SendResult aSendResult);
+  /** Aborts a started answer, else refuses the request. */
+  void Finish(RefusalReason aReason);
   void HandleStall(Instant aNow);
   void SetStallTimeout(Duration aTimeout, Instant aNow);
 
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -39,7 +39,7 @@
     Submit(aNow);
     return;
   }
-  Finish(RefusalReason::EndpointsFull, false);
+  Finish(RefusalReason::EndpointsFull);
 }
 
 void
@@ -58,16 +58,17 @@
 }
 
 void
-StreamCall::Finish(RefusalReason aReason, bool aIsTimeout)
+StreamCall::Finish(RefusalReason aReason)
 {
   mState = StreamState::Finished;
+  const bool isTimeout = aReason == RefusalReason::Timeout;
   if (mHasStartedAnswer) {
     mDelegate.AbortAnswer(aReason);
   } else if (mPossibleRuns > 0) {
-    mDelegate.Refuse(
-      { aIsTimeout ? kHttpGatewayTimeout : kHttpBadGateway,
-        aIsTimeout ? RefusalReason::Timeout : RefusalReason::OutcomeUnknown,
-        Duration::zero() });
+    const bool isNamed = isTimeout || aReason == RefusalReason::Stopping;
+    mDelegate.Refuse({ isTimeout ? kHttpGatewayTimeout : kHttpBadGateway,
+                       isNamed ? aReason : RefusalReason::OutcomeUnknown,
+                       Duration::zero() });
   } else {
     mDelegate.Refuse({ kHttpUnavailable, aReason, kRetryAfter });
   }
@@ -111,16 +112,30 @@
     HandleStall(aNow);
     return;
   }
+  EndEarly(RefusalReason::Timeout, SendResult::Slow);
+}
+
+void
+StreamCall::OnStopEnd()
+{
+  if (mState != StreamState::Finished) {
+    EndEarly(RefusalReason::Stopping, SendResult::Answered);
+  }
+}
+
+void
+StreamCall::EndEarly(RefusalReason aReason, SendResult aSendResult)
+{
   if (mState == StreamState::Waiting) {
     mDelegate.WithdrawPlacement();
   } else {
     if (mState != StreamState::Reserving && mState != StreamState::Prefilling) {
       ++mPossibleRuns;
     }
-    mDelegate.CancelSend(SendResult::Slow);
+    mDelegate.CancelSend(aSendResult);
   }
   ReleaseAll();
-  Finish(RefusalReason::Timeout, true);
+  Finish(aReason);
 }
 
 void
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -35,6 +35,8 @@
   mSelf = shared_from_this();
   const auto self = mSelf;
   mRequest->mExchange->OnClosed([this] { HandleCallerDisconnected(); });
+  mStopConnection = mServices.mOnStopEnd.connect(
+    sigc::mem_fun(*this, &StreamSession::HandleStopEnd));
   if (NeedsCachedPromptQuery()) {
     mServices.mCachedPromptQuery.Start(mRequest->mParameters.mService,
                                        [this, self] { StartCall(); });
@@ -409,9 +411,17 @@
   Close();
 }
 
+void
+StreamSession::HandleStopEnd()
+{
+  const auto self = mSelf;
+  mCall.OnStopEnd();
+}
+
 void
 StreamSession::Close()
 {
+  mStopConnection.disconnect();
   mTimer.Cancel();
   mServices.mStreams.Unregister(mNumber);
   mRequest->mExchange->OnClosed(nullptr);
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -68,6 +68,7 @@
   void HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders);
   void HandleDecodeEnd(const HttpCallReply& aReply);
   void HandleCallerDisconnected();
+  void HandleStopEnd();
   /** Sends a call without waiting for its answer; failures are only logged. */
   void SendDetached(HttpCallRequest aRequest);
   void StartSend(std::string_view aStep,
@@ -91,6 +92,7 @@
   /** Step and endpoint of the current or last send. */
   std::string mStep;
   std::string mEndpoint;
+  sigc::connection mStopConnection;
   Instant mSentAt;
   SendOutcome mHeadOutcome = SendOutcome::Unknown;
   bool mIsReadPaused = false;
