--- a/Tests/Adapter/FakePlatformStore.cxx
+++ b/Tests/Adapter/FakePlatformStore.cxx
@@ -3,6 +3,8 @@
 #include <utility>
 
 #include "Net/LoopFixture.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
 
 namespace bulrushfold {
 
@@ -59,6 +61,14 @@
   NotifyWatches();
 }
 
+void
+FakePlatformStore::WriteText(const std::string& aKey, const std::string& aSpec)
+{
+  const std::string placeholder = absl::StrCat("text-", mTexts.size());
+  mTexts[Json(placeholder).dump()] = aSpec;
+  Write(aKey, placeholder);
+}
+
 void
 FakePlatformStore::Remove(const std::string& aKey)
 {
@@ -87,7 +97,8 @@
 {
   aExchange->Reply(aStatus,
                    { { "Content-Type", "application/json" } },
-                   aBody.is_null() ? std::string() : aBody.dump());
+                   aBody.is_null() ? std::string()
+                                   : absl::StrReplaceAll(aBody.dump(), mTexts));
 }
 
 bool
--- a/Tests/Adapter/FakePlatformStore.h
+++ b/Tests/Adapter/FakePlatformStore.h
@@ -47,6 +47,9 @@
 
   /** Writes an object unconditionally, as the platform itself does. */
   void Write(const std::string& aKey, const nlohmann::json& aSpec);
+  /** Writes an object whose "spec" is sent as the text aSpec, which need not be
+   * valid JSON. */
+  void WriteText(const std::string& aKey, const std::string& aSpec);
   void Remove(const std::string& aKey);
   /** "spec" of the object; null when there is none. */
   nlohmann::json Spec(const std::string& aKey) const;
@@ -85,6 +88,8 @@
   EventLoop& mLoop;
   SocketAddress mAddress;
   StoreContent mContent{ 1000 };
+  /** Texts of WriteText by the JSON string that stands for each in mContent. */
+  std::map<std::string, std::string> mTexts;
   std::uint64_t mOldestRevision = 0;
   StoreFault mFault = StoreFault::None;
   std::map<std::string, std::size_t> mCalls;
