Reject numbers out of range in entries, configurations and engine states

Counts in the configuration and in the engines' answers were converted in the same way, and a long time in the configuration overflowed when it was converted to microseconds.

--- a/Tests/Adapter/PlatformProtocolTest.cxx
+++ b/Tests/Adapter/PlatformProtocolTest.cxx
@@ -231,6 +231,11 @@
     CHECK(state->mIsBusy);
     CHECK(state->mOrdersAccepted == 2);
     CHECK_FALSE(protocol.ReadState("{}").ok());
+    // Guards against a negative count that is read as a huge one.
+    CHECK_FALSE(
+      protocol.ReadState(R"({"stage":"decode","busy":true,"sequence":-2})")
+        .ok());
+    CHECK_FALSE(protocol.ReadCachedParts(R"({"held":[["","a",-7,"m"]]})").ok());
     const auto parts = protocol.ReadCachedParts(
       R"({"epoch":1,"next":7,"held":[["","5c1e07a2",800,"m"]]})");
     REQUIRE(parts.ok());
--- a/Tests/Adapter/RegistryReaderTest.cxx
+++ b/Tests/Adapter/RegistryReaderTest.cxx
@@ -113,6 +113,23 @@
     CHECK(result.status().message().find("host") != std::string::npos);
     CHECK(result.status().message().find("config/main") != std::string::npos);
   }
+  // Guards against numbers that wrap when they are converted.
+  SUBCASE("numbers out of range are rejected")
+  {
+    const auto isValid = [](const char* aPointer, const Json& aValue) {
+      Json odd = kConfig;
+      odd[Json::json_pointer(aPointer)] = aValue;
+      return platform::ReadConfig({ "config/main", 5, odd.dump(), false }).ok();
+    };
+    CHECK(isValid("/routes/0/max_attempts", 3.0));
+    CHECK_FALSE(isValid("/routes/0/max_attempts", -1));
+    CHECK_FALSE(isValid("/routes/0/priority", 5e9));
+    CHECK_FALSE(isValid("/routes/0/timeout_ms", 1e200));
+    CHECK_FALSE(isValid("/services/0/engine/slots", 5'000'000'000));
+    CHECK_FALSE(isValid("/services/0/engine/handle_ttl_s", 1e200));
+    CHECK_FALSE(isValid("/limits/max_body_bytes", -1));
+    CHECK_FALSE(isValid("/version", 1.5));
+  }
 }
 
 TEST_CASE("Entries of endpoints are parsed, and invalid entries rejected")
