Ignore fields of another type in the entries of other daemons

The router read the address of another daemon, and the shared key, with value(), which throws type_error for a field of another type. Nothing caught it: an entry {"address": 5} ended the router each time it read the list.

Before the change, "A router runs on despite odd entries of other daemons" ended with "[json.exception.type_error.302] type must be string, but is number".

--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -8,6 +8,7 @@
 #include "Base/Identifiers.h"
 #include "Base/Log.h"
 #include "Base/Secret.h"
+#include "Base/UntrustedJson.h"
 #include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
@@ -35,6 +36,15 @@
  * message was lost. */
 constexpr Duration kRegistryRefresh = std::chrono::seconds(30);
 constexpr Duration kRegistryRetry = std::chrono::milliseconds(700);
+
+/** Text of a field; empty if the field is missing or has another type. */
+std::string
+TextOf(const Json& aEntry, const char* aField)
+{
+  const bool isText =
+    aEntry.is_object() && aEntry.contains(aField) && aEntry[aField].is_string();
+  return isText ? aEntry[aField].get<std::string>() : std::string();
+}
 } // namespace
 
 PeerController::PeerController(EventLoop& aLoop,
@@ -139,12 +149,11 @@
   std::string key;
   for (const auto& it : aListing.mObjects) {
     const std::string name = it.mKey.substr(mSettings.mDaemonPrefix.size());
-    const Json body = Json::parse(it.mBody, nullptr, false);
+    const Json body = ParseUntrustedJson(it.mBody);
     SocketAddress address;
     if (body.is_object() && name == kKeyName) {
-      key = FromHex(body.value("key", "")).value_or("");
-    } else if (body.is_object() &&
-               ParseAddress(body.value("address", ""), address)) {
+      key = FromHex(TextOf(body, "key")).value_or("");
+    } else if (ParseAddress(TextOf(body, "address"), address)) {
       if (name != mSettings.mName) {
         mPeers.OnRegistered(name, address, now);
       }
--- a/Tests/Adapter/OddEntryTest.cxx
+++ b/Tests/Adapter/OddEntryTest.cxx
@@ -145,4 +145,15 @@
   }
 }
 
+// Guards against an odd entry of a daemon that ends the process.
+TEST_CASE("A router runs on despite odd entries of other daemons")
+{
+  PlatformFixture platform;
+  platform.AddEndpoint("i-a", "app");
+  platform.mFakeStore.Write("bulrushfold-daemons/front-2",
+                            { { "address", 5 } });
+  platform.Start();
+  CHECK(HasStatus(platform.Call("/unsafe/1", "r1"), 200));
+}
+
 } // namespace bulrushfold
