Wait before reading an unreadable shared key again

While the object with the shared key existed but was unreadable, the router tried to create it, was told that it exists, read the list and tried again, without a pause. The platform charges for each call.

Only a missing key is created. An unreadable one is logged and read again at the next refresh of the registry. It is not replaced: other daemons may use the key that it contained before.

--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -147,13 +147,19 @@
 {
   const Instant now = mClock.Now();
   std::string key;
+  bool hasKeyEntry = false;
   for (const auto& it : aListing.mObjects) {
     const std::string name = it.mKey.substr(mSettings.mDaemonPrefix.size());
     const Json body = ParseUntrustedJson(it.mBody);
     SocketAddress address;
-    if (body.is_object() && name == kKeyName) {
+    if (name == kKeyName) {
+      hasKeyEntry = true;
       key = FromHex(TextOf(body, "key")).value_or("");
-    } else if (ParseAddress(TextOf(body, "address"), address)) {
+    }
+    if (name == kKeyName && key.size() == kKeyBytes) {
+      continue;
+    }
+    if (name != kKeyName && ParseAddress(TextOf(body, "address"), address)) {
       if (name != mSettings.mName) {
         mPeers.OnRegistered(name, address, now);
       }
@@ -162,9 +168,11 @@
         LogLevel::Warning, "peer_entry_unreadable", { { "key", it.mKey } });
     }
   }
-  if (key.size() != kKeyBytes) {
+  // An unreadable key is read again, not replaced: other daemons may use the
+  // key that it contained before.
+  if (!hasKeyEntry) {
     CreateKey();
-  } else if (!mTransport) {
+  } else if (key.size() == kKeyBytes && !mTransport) {
     OpenLinks(key);
   }
   UpdatePeerCount();
--- a/Tests/Adapter/OddEntryTest.cxx
+++ b/Tests/Adapter/OddEntryTest.cxx
@@ -145,15 +145,31 @@
   }
 }
 
-// Guards against an odd entry of a daemon that ends the process.
+// Guards against an odd entry of a daemon that ends the process, or that makes
+// it call the store without a pause.
 TEST_CASE("A router runs on despite odd entries of other daemons")
 {
   PlatformFixture platform;
   platform.AddEndpoint("i-a", "app");
-  platform.mFakeStore.Write("bulrushfold-daemons/front-2",
-                            { { "address", 5 } });
+  std::string key = R"({"key":"00"})";
+  SUBCASE("an address that is a number")
+  {
+    platform.mFakeStore.Write("bulrushfold-daemons/front-2",
+                              { { "address", 5 } });
+  }
+  SUBCASE("a key that is a list")
+  {
+    key = R"({"key":["00"]})";
+  }
+  SUBCASE("a key of the wrong length") {}
+  platform.mFakeStore.WriteText("bulrushfold-daemons/shared-key", key);
   platform.Start();
   CHECK(HasStatus(platform.Call("/unsafe/1", "r1"), 200));
+  const std::size_t before = platform.mFakeStore.CountCalls("POST");
+  for (int i = 0; i < 20; ++i) {
+    CHECK(platform.IsReady());
+  }
+  CHECK(platform.mFakeStore.CountCalls("POST") - before <= 1);
 }
 
 } // namespace bulrushfold
