Log an unreadable entry once for each reason

A writer that repeats an odd entry with each heartbeat caused an endpoint_unreadable line each time, and so did each new listing.

The router keeps the last reason for each unreadable entry and logs it again only when the reason changes or the entry was readable or deleted in between.

Before the change, "An unreadable entry is logged again only for another reason" counted 3, 4 and 5 lines instead of 1, 2 and 3.

--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -76,6 +77,10 @@
   ObjectWatcherHooks EndpointHooks();
   void ApplyEndpointListing(const StoreListing& aListing);
   void ApplyEndpoint(const StoredObject& aObject);
+  /** Logs the reason once until it changes or the entry becomes readable: some
+   * writers repeat an entry with each heartbeat. */
+  void LogUnreadableEndpoint(const std::string& aKey,
+                             const absl::Status& aStatus);
   void HandleEndpointChange(const EndpointRecord& aEndpoint,
                             EndpointChange aChange);
   void ScheduleExpiry();
@@ -109,6 +114,8 @@
   RoleController mRoles;
   std::shared_ptr<const RouteTable> mTable;
   bool mHasEndpoints = false;
+  /** Logged reasons by the keys of unreadable entries. */
+  std::map<std::string, std::string> mUnreadableEndpoints;
   bool mWasReady = false;
   ObjectWatcher mConfigFollower;
   ObjectWatcher mEndpointFollower;
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -89,14 +89,15 @@
 Router::ApplyEndpointListing(const StoreListing& aListing)
 {
   std::vector<EndpointRecord> records;
+  const auto logged = std::exchange(mUnreadableEndpoints, {});
   for (const auto& it : aListing.mObjects) {
     if (auto record = mCodec.mReadEndpoint(it); record.ok()) {
       records.push_back(*std::move(record));
     } else {
-      LogEvent(LogLevel::Warning,
-               "endpoint_unreadable",
-               { { "key", it.mKey },
-                 { "reason", std::string(record.status().message()) } });
+      if (const auto known = logged.find(it.mKey); known != logged.end()) {
+        mUnreadableEndpoints.insert(*known);
+      }
+      LogUnreadableEndpoint(it.mKey, record.status());
     }
   }
   mDirectory.Replace(records, aListing.mRevision, mClock.Now());
@@ -113,20 +114,33 @@
   auto record = aObject.mIsDeleted
                   ? absl::StatusOr<EndpointRecord>(absl::NotFoundError(""))
                   : mCodec.mReadEndpoint(aObject);
+  if (record.ok() || aObject.mIsDeleted) {
+    mUnreadableEndpoints.erase(aObject.mKey);
+  } else {
+    LogUnreadableEndpoint(aObject.mKey, record.status());
+  }
   if (record.ok()) {
     mDirectory.Put(*record, aObject.mVersion, now);
   } else {
-    if (!aObject.mIsDeleted) {
-      LogEvent(LogLevel::Warning,
-               "endpoint_unreadable",
-               { { "key", aObject.mKey },
-                 { "reason", std::string(record.status().message()) } });
-    }
     mDirectory.Remove(id, aObject.mVersion, now);
   }
   mStreams.ScheduleDispatch();
 }
 
+void
+Router::LogUnreadableEndpoint(const std::string& aKey,
+                              const absl::Status& aStatus)
+{
+  std::string reason(aStatus.message());
+  std::string& logged = mUnreadableEndpoints[aKey];
+  if (logged != reason) {
+    LogEvent(LogLevel::Warning,
+             "endpoint_unreadable",
+             { { "key", aKey }, { "reason", reason } });
+    logged = std::move(reason);
+  }
+}
+
 void
 Router::HandleEndpointChange(const EndpointRecord& aEndpoint,
                              EndpointChange aChange)
--- a/Tests/Adapter/OddEntryTest.cxx
+++ b/Tests/Adapter/OddEntryTest.cxx
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include "LogCounter.h"
 #include "PlatformFixture.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_replace.h"
@@ -172,4 +173,28 @@
   CHECK(platform.mFakeStore.CountCalls("POST") - before <= 1);
 }
 
+// Guards against a log that fills with one entry that its writer repeats.
+TEST_CASE("An unreadable entry is logged again only for another reason")
+{
+  PlatformFixture platform;
+  platform.AddEndpoint("i-a", "app");
+  platform.mFakeStore.WriteText("servers/i-b", "[1]");
+  const LogCounter counter("event=endpoint_unreadable");
+  platform.Start();
+  const auto write = [&](const std::string& aText) {
+    platform.ChangeStore(
+      [&] { platform.mFakeStore.WriteText("servers/i-b", aText); });
+    REQUIRE(platform.WaitUntil(
+      [&] { return platform.mFakeStore.PendingWatches() == 2; }));
+  };
+  write("[2]");
+  write("[3]");
+  CHECK(counter.Count() == 1);
+  write("{}");
+  CHECK(counter.Count() == 2);
+  write(Replaced("v1", "v1"));
+  write("{}");
+  CHECK(counter.Count() == 3);
+}
+
 } // namespace bulrushfold
