--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -8,6 +8,7 @@
 #include "Base/Identifiers.h"
 #include "Base/Log.h"
 #include "Base/Secret.h"
+#include "Base/UntrustedJson.h"
 #include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
@@ -35,6 +36,15 @@
  * message was lost. */
 constexpr Duration kRegistryRefresh = std::chrono::seconds(30);
 constexpr Duration kRegistryRetry = std::chrono::milliseconds(700);
+
+/** Text of a field; empty if the field is missing or has another type. */
+std::string
+TextOf(const Json& aEntry, const char* aField)
+{
+  const bool isText =
+    aEntry.is_object() && aEntry.contains(aField) && aEntry[aField].is_string();
+  return isText ? aEntry[aField].get<std::string>() : std::string();
+}
 } // namespace
 
 PeerController::PeerController(EventLoop& aLoop,
@@ -137,14 +147,19 @@
 {
   const Instant now = mClock.Now();
   std::string key;
+  bool hasKeyEntry = false;
   for (const auto& it : aListing.mObjects) {
     const std::string name = it.mKey.substr(mSettings.mDaemonPrefix.size());
-    const Json body = Json::parse(it.mBody, nullptr, false);
+    const Json body = ParseUntrustedJson(it.mBody);
     SocketAddress address;
-    if (body.is_object() && name == kKeyName) {
-      key = FromHex(body.value("key", "")).value_or("");
-    } else if (body.is_object() &&
-               ParseAddress(body.value("address", ""), address)) {
+    if (name == kKeyName) {
+      hasKeyEntry = true;
+      key = FromHex(TextOf(body, "key")).value_or("");
+    }
+    if (name == kKeyName && key.size() == kKeyBytes) {
+      continue;
+    }
+    if (name != kKeyName && ParseAddress(TextOf(body, "address"), address)) {
       if (name != mSettings.mName) {
         mPeers.OnRegistered(name, address, now);
       }
@@ -153,9 +168,11 @@
         LogLevel::Warning, "peer_entry_unreadable", { { "key", it.mKey } });
     }
   }
-  if (key.size() != kKeyBytes) {
+  // An unreadable key is read again, not replaced: other daemons may use the
+  // key that it contained before.
+  if (!hasKeyEntry) {
     CreateKey();
-  } else if (!mTransport) {
+  } else if (key.size() == kKeyBytes && !mTransport) {
     OpenLinks(key);
   }
   UpdatePeerCount();
