Send no new requests to endpoints that announce that they leave

Cause: the router learnt only from the registry that an endpoint leaves. An endpoint that says so in its answers (Server-Leaving: 1), before its entry says it or without that, went on getting requests, reservations and prefills.

Change: all calls to endpoints go through EndpointClient, which reads the head of each answer and enters a leaving endpoint into EndpointDirectory before the session sees the answer. The endpoint is out of use for new work until its entry names another incarnation or is removed. Its streams go on, or move away like those of an endpoint whose entry says draining, and its KV caches may still be fetched. A stream is placed anew when its decode engine leaves between reservation and prefill, or when the target of a move leaves. Role orders check the same state.

RoutingTest, RouterTest and AdapterTest pass.

--- a/Source/Router/CachedPromptQuery.cxx
+++ b/Source/Router/CachedPromptQuery.cxx
@@ -17,7 +17,7 @@
 
 CachedPromptQuery::CachedPromptQuery(EventLoop& aLoop,
                                      const Clock& aClock,
-                                     HttpClient& aClient,
+                                     EndpointClient& aClient,
                                      const EndpointProtocol& aProtocol,
                                      const EndpointDirectory& aDirectory,
                                      CachedPrompts& aCachedPrompts)
@@ -63,7 +63,8 @@
   hooks.mOnDone = [this, engine = aEngine.mId](const HttpCallReply& aReply) {
     HandleReply(engine, aReply);
   };
-  mCalls[aEngine.mId] = mClient.Start(std::move(request), std::move(hooks));
+  mCalls[aEngine.mId] =
+    mClient.Start(aEngine, std::move(request), std::move(hooks));
 }
 
 void
--- a/Source/Router/CachedPromptQuery.h
+++ b/Source/Router/CachedPromptQuery.h
@@ -9,7 +9,7 @@
 
 #include "Base/Clock.h"
 #include "Net/EventLoop.h"
-#include "Net/HttpClient.h"
+#include "Router/EndpointClient.h"
 #include "Router/EndpointProtocol.h"
 #include "Routing/CachedPrompts.h"
 #include "Routing/EndpointDirectory.h"
@@ -27,7 +27,7 @@
 public:
   CachedPromptQuery(EventLoop& aLoop,
                     const Clock& aClock,
-                    HttpClient& aClient,
+                    EndpointClient& aClient,
                     const EndpointProtocol& aProtocol,
                     const EndpointDirectory& aDirectory,
                     CachedPrompts& aCachedPrompts);
@@ -43,7 +43,7 @@
 
   EventLoop& mLoop;
   const Clock& mClock;
-  HttpClient& mClient;
+  EndpointClient& mClient;
   const EndpointProtocol& mProtocol;
   const EndpointDirectory& mDirectory;
   CachedPrompts& mCachedPrompts;
--- /dev/null
+++ b/Source/Router/EndpointClient.cxx
@@ -0,0 +1,47 @@
+#include "Router/EndpointClient.h"
+
+#include <utility>
+
+namespace bulrushfold {
+
+EndpointClient::EndpointClient(HttpClient& aClient,
+                               const EndpointProtocol& aProtocol,
+                               EndpointDirectory& aDirectory)
+  : mClient(aClient)
+  , mProtocol(aProtocol)
+  , mDirectory(aDirectory)
+{
+}
+
+std::unique_ptr<HttpCall>
+EndpointClient::Start(const EndpointRecord& aEndpoint,
+                      HttpCallRequest aRequest,
+                      HttpCallHooks aHooks)
+{
+  aHooks.mOnHeaders = [this,
+                       id = aEndpoint.mId,
+                       incarnation = aEndpoint.mIncarnation,
+                       next = std::move(aHooks.mOnHeaders)](
+                        int aStatus, const HttpHeaders& aHeaders) {
+    HandleHead(id, incarnation, aStatus, aHeaders);
+    if (next) {
+      next(aStatus, aHeaders);
+    }
+  };
+  return mClient.Start(std::move(aRequest), std::move(aHooks));
+}
+
+void
+EndpointClient::HandleHead(const std::string& aEndpoint,
+                           std::int64_t aIncarnation,
+                           int aStatus,
+                           const HttpHeaders& aHeaders)
+{
+  const AnswerMetadata metadata = mProtocol.ReadAnswer(aStatus, aHeaders);
+  // A misdirected call was answered by another endpoint.
+  if (metadata.mIsLeaving && !metadata.mIsMisdirected) {
+    mDirectory.OnLeavingAnnounced(aEndpoint, aIncarnation);
+  }
+}
+
+} // namespace bulrushfold
--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -48,6 +48,8 @@
   bool mIsNotRun = false;
   /** Another endpoint than the expected one answered; it ran no request. */
   bool mIsMisdirected = false;
+  /** The endpoint states that it leaves and wants no new requests. */
+  bool mIsLeaving = false;
   /** Request that the answer belongs to; empty when the answer names none. */
   std::string mRequestId;
   std::optional<ReportedLoad> mLoad;
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -63,7 +63,8 @@
   mServices.mLoads.Begin(mEndpoint, { 1, 0 });
   mServices.mLog.Sent(
     *mRequest, "request", mEndpoint, aChoice.mLoad, aChoice.mCandidateCount);
-  mSend = mServices.mClient.Start(std::move(request), std::move(hooks));
+  mSend =
+    mServices.mClient.Start(*endpoint, std::move(request), std::move(hooks));
 }
 
 void
--- a/Source/Router/RoleController.cxx
+++ b/Source/Router/RoleController.cxx
@@ -31,7 +31,7 @@
 RoleController::RoleController(EventLoop& aLoop,
                                const Clock& aClock,
                                ObjectStore& aStore,
-                               HttpClient& aClient,
+                               EndpointClient& aClient,
                                const EndpointProtocol& aProtocol,
                                EndpointDirectory& aDirectory,
                                RoleBalancer aBalancer,
@@ -234,7 +234,7 @@
 RoleController::StartOrder()
 {
   const EndpointRecord* endpoint = mDirectory.Find(mPendingChange->mEndpoint);
-  if (endpoint == nullptr || endpoint->mIsDraining) {
+  if (endpoint == nullptr || mDirectory.IsLeaving(endpoint->mId)) {
     EndOrder("endpoint_left");
     return;
   }
@@ -242,7 +242,7 @@
   request.mReadTimeout = kCallTimeout;
   HttpCallHooks hooks;
   hooks.mOnDone = [this](const HttpCallReply& aReply) { HandleState(aReply); };
-  mCall = mClient.Start(std::move(request), std::move(hooks));
+  mCall = mClient.Start(*endpoint, std::move(request), std::move(hooks));
 }
 
 void
@@ -269,7 +269,7 @@
 RoleController::SendOrder(std::uint64_t aOrdersAccepted)
 {
   const EndpointRecord* endpoint = mDirectory.Find(mPendingChange->mEndpoint);
-  if (endpoint == nullptr) {
+  if (endpoint == nullptr || mDirectory.IsLeaving(endpoint->mId)) {
     EndOrder("endpoint_left");
     return;
   }
@@ -284,7 +284,7 @@
   request.mConnectTimeout = kCallTimeout;
   HttpCallHooks hooks;
   hooks.mOnDone = [this](const HttpCallReply& aReply) { HandleOrder(aReply); };
-  mCall = mClient.Start(std::move(request), std::move(hooks));
+  mCall = mClient.Start(*endpoint, std::move(request), std::move(hooks));
 }
 
 void
--- a/Source/Router/RoleController.h
+++ b/Source/Router/RoleController.h
@@ -8,8 +8,8 @@
 #include <string>
 
 #include "Net/EventLoop.h"
-#include "Net/HttpClient.h"
 #include "Platform/ObjectStore.h"
+#include "Router/EndpointClient.h"
 #include "Router/EndpointProtocol.h"
 #include "Router/RouterSettings.h"
 #include "Routing/OrderLease.h"
@@ -45,7 +45,7 @@
   RoleController(EventLoop& aLoop,
                  const Clock& aClock,
                  ObjectStore& aStore,
-                 HttpClient& aClient,
+                 EndpointClient& aClient,
                  const EndpointProtocol& aProtocol,
                  EndpointDirectory& aDirectory,
                  RoleBalancer aBalancer,
@@ -79,7 +79,7 @@
   EventLoop& mLoop;
   const Clock& mClock;
   ObjectStore& mStore;
-  HttpClient& mClient;
+  EndpointClient& mClient;
   const EndpointProtocol& mProtocol;
   EndpointDirectory& mDirectory;
   RoleBalancer mBalancer;
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -16,6 +16,7 @@
 #include "Outcome/Metrics.h"
 #include "Platform/ObjectStore.h"
 #include "Platform/ObjectWatcher.h"
+#include "Router/EndpointClient.h"
 #include "Router/EndpointProtocol.h"
 #include "Router/PeerController.h"
 #include "Router/RequestLog.h"
@@ -102,6 +103,7 @@
   PlainSelector mSelector;
   StreamScheduler mScheduler;
   StreamDispatcher mStreams;
+  EndpointClient mEndpointClient;
   RequestLog mLog;
   CachedPromptQuery mCachedPromptQuery;
   RouterServices mServices;
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -146,6 +146,9 @@
     mLoads.RemoveReport(aEndpoint.mId);
     mClient.CloseIdle(aEndpoint.mAddress);
   }
+  if (aChange == EndpointChange::LeavingAnnounced) {
+    mStreams.ScheduleDispatch();
+  }
   // These states end at a time that the directory sets.
   if (aChange == EndpointChange::Missing ||
       aChange == EndpointChange::ChangingRole) {
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -3,8 +3,8 @@
 
 #include "Base/Clock.h"
 #include "Net/EventLoop.h"
-#include "Net/HttpClient.h"
 #include "Router/CachedPromptQuery.h"
+#include "Router/EndpointClient.h"
 #include "Router/EndpointProtocol.h"
 #include "Router/RequestLog.h"
 #include "Router/RoutedRequest.h"
@@ -28,7 +28,7 @@
 {
   EventLoop& mLoop;
   const Clock& mClock;
-  HttpClient& mClient;
+  EndpointClient& mClient;
   const EndpointProtocol& mProtocol;
   EndpointDirectory& mDirectory;
   EndpointLoads& mLoads;
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -166,6 +166,14 @@
   }
 }
 
+void
+StreamCall::OnUnservable(Instant)
+{
+  if (mState == StreamState::Waiting) {
+    Finish(RefusalReason::NoEndpoint, false);
+  }
+}
+
 void
 StreamCall::OnReserved(const std::string& aReservation, Instant aNow)
 {
@@ -174,7 +182,13 @@
   }
   if (!aReservation.empty()) {
     mReservation = aReservation;
-    StartPrefill(aNow);
+    if (mDelegate.IsUsable(mPlacement.mDecode)) {
+      StartPrefill(aNow);
+    } else {
+      // A prefill for this engine would be repeated for the next one.
+      ReleaseAll();
+      Retry(0, aNow);
+    }
     return;
   }
   mDelegate.ReportDecodeFull(mPlacement.mDecode, ReservedTokens(aNow));
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -125,6 +125,8 @@
   void OnPlaced(const StreamPlacement& aPlacement, Instant aNow);
   /** The stream expired in the scheduler's queue. */
   void OnPlacementExpired(Instant aNow);
+  /** No engine will accept the stream. */
+  void OnUnservable(Instant aNow);
   /** aReservation: empty when the engine granted none. */
   void OnReserved(const std::string& aReservation, Instant aNow);
   /** aCache: set when aOutcome is Answered. */
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -63,8 +63,10 @@
   mRelay.DiscardPartialEvent();
   mCache = move.mCache;
   mPlacement.mPrefill.clear();
-  mPlacement.mDecode = move.mIsCopied ? move.mTarget : move.mSource;
-  mMoveSource = move.mIsCopied ? move.mSource : std::string();
+  // The source keeps its cache after the copy.
+  const bool usesTarget = move.mIsCopied && mDelegate.IsUsable(move.mTarget);
+  mPlacement.mDecode = usesTarget ? move.mTarget : move.mSource;
+  mMoveSource = usesTarget ? move.mSource : std::string();
   mDelegate.ReportMoved(mPlacement.mDecode);
   SendDecode(aNow);
 }
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -124,6 +124,11 @@
       stream->HandlePlacement(nullptr);
     }
   }
+  for (const auto number : mScheduler.RemoveUnservable()) {
+    if (DispatchedStream* stream = Find(number); stream != nullptr) {
+      stream->HandleUnservable();
+    }
+  }
   for (const auto& it : mScheduler.Dispatch(now)) {
     if (DispatchedStream* stream = Find(it.mNumber); stream != nullptr) {
       stream->HandlePlacement(&it);
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -88,6 +88,13 @@
   mCall.OnPlaced(*aPlacement, now);
 }
 
+void
+StreamSession::HandleUnservable()
+{
+  const auto self = mSelf;
+  mCall.OnUnservable(mServices.mClock.Now());
+}
+
 void
 StreamSession::WithdrawPlacement()
 {
@@ -153,15 +160,16 @@
 
 void
 StreamSession::StartSend(std::string_view aStep,
-                         const std::string& aEndpoint,
+                         const EndpointRecord& aEndpoint,
                          HttpCallRequest aRequest,
                          HttpCallHooks aHooks)
 {
   mStep = aStep;
-  mEndpoint = aEndpoint;
+  mEndpoint = aEndpoint.mId;
   mSentAt = mServices.mClock.Now();
   ++mRequest->mSends;
-  mSend = mServices.mClient.Start(std::move(aRequest), std::move(aHooks));
+  mSend =
+    mServices.mClient.Start(aEndpoint, std::move(aRequest), std::move(aHooks));
 }
 
 SendOutcome
@@ -207,12 +215,12 @@
   hooks.mOnDone = [this](const HttpCallReply& aReply) {
     HandleReserved(aReply);
   };
-  StartSend("reserve",
-            aEndpoint,
-            mServices.mProtocol.Reserve(*mServices.mDirectory.Find(aEndpoint),
-                                        aTokens,
-                                        mProfile.mMaxReservation),
-            std::move(hooks));
+  const EndpointRecord& endpoint = *mServices.mDirectory.Find(aEndpoint);
+  StartSend(
+    "reserve",
+    endpoint,
+    mServices.mProtocol.Reserve(endpoint, aTokens, mProfile.mMaxReservation),
+    std::move(hooks));
 }
 
 void
@@ -251,12 +259,12 @@
   hooks.mOnDone = [this](const HttpCallReply& aReply) {
     HandlePrefilled(aReply);
   };
-  StartSend("prefill",
-            aEndpoint,
-            mServices.mProtocol.Prefill(mRequest->Message(),
-                                        *mServices.mDirectory.Find(aEndpoint),
-                                        parameters),
-            std::move(hooks));
+  const EndpointRecord& endpoint = *mServices.mDirectory.Find(aEndpoint);
+  StartSend(
+    "prefill",
+    endpoint,
+    mServices.mProtocol.Prefill(mRequest->Message(), endpoint, parameters),
+    std::move(hooks));
 }
 
 void
@@ -294,10 +302,10 @@
   parameters.mCache = aParameters.mCache;
   parameters.mReservation = aParameters.mReservation;
   parameters.mLastEventId = aParameters.mLastEventId;
-  HttpCallRequest request = mServices.mProtocol.Forward(
-    mRequest->Message(),
-    *mServices.mDirectory.Find(aParameters.mEndpoint),
-    parameters);
+  const EndpointRecord& endpoint =
+    *mServices.mDirectory.Find(aParameters.mEndpoint);
+  HttpCallRequest request =
+    mServices.mProtocol.Forward(mRequest->Message(), endpoint, parameters);
   HttpCallHooks hooks;
   hooks.mOnHeaders = [this](int aStatus, const HttpHeaders& aHeaders) {
     HandleDecodeHead(aStatus, aHeaders);
@@ -311,8 +319,7 @@
   };
   mHeadOutcome = SendOutcome::Unknown;
   mIsReadPaused = false;
-  StartSend(
-    "decode", aParameters.mEndpoint, std::move(request), std::move(hooks));
+  StartSend("decode", endpoint, std::move(request), std::move(hooks));
 }
 
 void
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -58,6 +58,7 @@
    * has the prompt in its cache. */
   bool NeedsCachedPromptQuery() const;
   void StartCall();
+  void HandleUnservable() override;
   void HandlePlacement(const StreamPlacement* aPlacement) override;
   void HandleMove(const std::string& aTarget) override;
   void HandleMoveAnswer(const HttpCallReply& aReply,
@@ -69,9 +70,9 @@
   void HandleDecodeEnd(const HttpCallReply& aReply);
   void HandleCallerDisconnected();
   /** Sends a call without waiting for its answer; failures are only logged. */
-  void SendDetached(HttpCallRequest aRequest);
+  void SendDetached(const EndpointRecord& aEndpoint, HttpCallRequest aRequest);
   void StartSend(std::string_view aStep,
-                 const std::string& aEndpoint,
+                 const EndpointRecord& aEndpoint,
                  HttpCallRequest aRequest,
                  HttpCallHooks aHooks);
   /** Determines the outcome of the send that aReply ends, and finishes it. */
--- a/Source/Router/StreamSessionMoves.cxx
+++ b/Source/Router/StreamSessionMoves.cxx
@@ -31,6 +31,7 @@
     HandleMoveAnswer(aReply, aEndpoint, now);
   };
   mMoveCall = mServices.mClient.Start(
+    *source,
     mServices.mProtocol.MoveCache(*source, mRequest->mMetadata.mId, *target),
     std::move(hooks));
 }
@@ -65,12 +66,14 @@
                                const std::string& aReservation)
 {
   if (const auto* endpoint = mServices.mDirectory.Find(aEndpoint); endpoint) {
-    SendDetached(mServices.mProtocol.DropReservation(*endpoint, aReservation));
+    SendDetached(*endpoint,
+                 mServices.mProtocol.DropReservation(*endpoint, aReservation));
   }
 }
 
 void
-StreamSession::SendDetached(HttpCallRequest aRequest)
+StreamSession::SendDetached(const EndpointRecord& aEndpoint,
+                            HttpCallRequest aRequest)
 {
   auto call = std::make_shared<std::unique_ptr<HttpCall>>();
   HttpCallHooks hooks;
@@ -86,7 +89,8 @@
                  { "result", HttpCallResultName(aReply.mResult) } });
     }
   };
-  *call = mServices.mClient.Start(std::move(aRequest), std::move(hooks));
+  *call =
+    mServices.mClient.Start(aEndpoint, std::move(aRequest), std::move(hooks));
 }
 
 void
@@ -94,7 +98,8 @@
 {
   if (const auto* endpoint = mServices.mDirectory.Find(aCache.mEndpoint);
       endpoint != nullptr) {
-    SendDetached(mServices.mProtocol.DropCache(*endpoint, aCache.mHandle));
+    SendDetached(*endpoint,
+                 mServices.mProtocol.DropCache(*endpoint, aCache.mHandle));
   }
 }
 
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -13,10 +13,11 @@
   { EndpointRole::Prefill, "prefill" },
   { EndpointRole::Decode, "decode" },
 } };
-constexpr EnumNames<EndpointChange, 9> kChangeNames{ {
+constexpr EnumNames<EndpointChange, 10> kChangeNames{ {
   { EndpointChange::Added, "added" },
   { EndpointChange::Restarted, "restarted" },
   { EndpointChange::Draining, "leaving" },
+  { EndpointChange::LeavingAnnounced, "leaving_announced" },
   { EndpointChange::Returned, "returned" },
   { EndpointChange::Missing, "in_doubt" },
   { EndpointChange::Replaced, "replaced" },
@@ -75,7 +76,7 @@
     return;
   }
   if (it == mEntries.end()) {
-    mEntries[aRecord.mId] = { aRecord, std::nullopt, false, std::nullopt };
+    mEntries[aRecord.mId].mRecord = aRecord;
     mServices[aRecord.mService].push_back(aRecord.mId);
     mOnChange.emit(aRecord, EndpointChange::Added);
     if (aRecord.mIsDraining) {
@@ -91,6 +92,7 @@
     it->second.mIsReplaced = false;
   }
   if (before.mIncarnation != aRecord.mIncarnation) {
+    it->second.mHasAnnouncedLeaving = false;
     mOnChange.emit(aRecord, EndpointChange::Restarted);
   }
   if (before.mRole != aRecord.mRole) {
@@ -99,7 +101,7 @@
   }
   if (aRecord.mIsDraining && !before.mIsDraining) {
     mOnChange.emit(aRecord, EndpointChange::Draining);
-  } else if (!aRecord.mIsDraining && (before.mIsDraining || wasMissing)) {
+  } else if (!IsLeaving(it->second) && (before.mIsDraining || wasMissing)) {
     mOnChange.emit(aRecord, EndpointChange::Returned);
   }
 }
@@ -143,6 +145,18 @@
   }
 }
 
+void
+EndpointDirectory::OnLeavingAnnounced(const std::string& aId,
+                                      std::int64_t aIncarnation)
+{
+  const auto it = mEntries.find(aId);
+  if (it != mEntries.end() && !it->second.mHasAnnouncedLeaving &&
+      it->second.mRecord.mIncarnation == aIncarnation) {
+    it->second.mHasAnnouncedLeaving = true;
+    mOnChange.emit(it->second.mRecord, EndpointChange::LeavingAnnounced);
+  }
+}
+
 void
 EndpointDirectory::OnRoleOrdered(const std::string& aId,
                                  const RoleOrder& aOrder,
@@ -187,6 +201,35 @@
   return it != mEntries.end() && it->second.mDropAt.has_value();
 }
 
+bool
+EndpointDirectory::IsLeaving(const std::string& aId) const
+{
+  const auto it = mEntries.find(aId);
+  return it != mEntries.end() && IsLeaving(it->second);
+}
+
+bool
+EndpointDirectory::AreAllLeaving(const std::string& aService,
+                                 EndpointRole aRole) const
+{
+  const auto ids = mServices.find(aService);
+  if (ids == mServices.end()) {
+    return false;
+  }
+  std::size_t leaving = 0;
+  for (const auto& it : ids->second) {
+    const Entry& entry = mEntries.at(it);
+    if (entry.mRecord.mRole != aRole) {
+      continue;
+    }
+    if (!IsLeaving(entry)) {
+      return false;
+    }
+    ++leaving;
+  }
+  return leaving > 0;
+}
+
 bool
 EndpointDirectory::IsUsable(const std::string& aId) const
 {
@@ -207,7 +250,9 @@
   for (auto& [id, entry] : mEntries) {
     if (entry.mRoleOrder && entry.mRoleOrder->mDeadline <= aNow) {
       entry.mRoleOrder.reset();
-      mOnChange.emit(entry.mRecord, EndpointChange::Returned);
+      if (IsUsable(entry)) {
+        mOnChange.emit(entry.mRecord, EndpointChange::Returned);
+      }
     }
     if (entry.mDropAt && *entry.mDropAt <= aNow) {
       expired.push_back(id);
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -68,6 +68,9 @@
   Restarted,
   /** The endpoint drains and gets no new requests. */
   Draining,
+  /** An answer of the endpoint states that it leaves; it gets no new requests,
+   * whatever its entry says. */
+  LeavingAnnounced,
   /** The endpoint may get new requests again. */
   Returned,
   /** The entry is missing after an outage of the registry and is kept for the
@@ -112,6 +115,12 @@
    * out of date. aId is not used until its entry in the registry changes.
    */
   void OnAddressReused(const std::string& aId);
+  /**
+   * An answer of aId stated that the process aIncarnation leaves. aId gets no
+   * new requests until its entry names another process or is removed. Without
+   * effect when the entry names another process already.
+   */
+  void OnLeavingAnnounced(const std::string& aId, std::int64_t aIncarnation);
   /** aId was ordered to change its role. */
   void OnRoleOrdered(const std::string& aId,
                      const RoleOrder& aOrder,
@@ -132,8 +141,12 @@
   const EndpointRecord* Find(const std::string& aId) const;
   /** The entry of aId is missing after an outage of the registry. */
   bool IsMissing(const std::string& aId) const;
+  /** aId leaves, by its entry or by one of its answers. */
+  bool IsLeaving(const std::string& aId) const;
   /** aId may get new requests. */
   bool IsUsable(const std::string& aId) const;
+  /** aService has endpoints of aRole, and all of them leave. */
+  bool AreAllLeaving(const std::string& aService, EndpointRole aRole) const;
   /** Endpoints of aService that may get new requests. */
   std::vector<const EndpointRecord*> Usable(const std::string& aService,
                                             EndpointRole aRole) const;
@@ -151,11 +164,16 @@
     /** Another endpoint answered at the address of this one. */
     bool mIsReplaced = false;
     std::optional<RoleOrder> mRoleOrder;
+    /** An answer of the endpoint stated that it leaves. */
+    bool mHasAnnouncedLeaving = false;
   };
+  static bool IsLeaving(const Entry& aEntry)
+  {
+    return aEntry.mRecord.mIsDraining || aEntry.mHasAnnouncedLeaving;
+  }
   static bool IsUsable(const Entry& aEntry)
   {
-    return !aEntry.mRecord.mIsDraining && !aEntry.mIsReplaced &&
-           !aEntry.mRoleOrder;
+    return !IsLeaving(aEntry) && !aEntry.mIsReplaced && !aEntry.mRoleOrder;
   }
   bool IsInGracePeriod(Instant aNow) const { return aNow < mGracePeriodEnd; }
   void Drop(const std::string& aId);
--- a/Source/Routing/RoleBalancer.cxx
+++ b/Source/Routing/RoleBalancer.cxx
@@ -234,7 +234,8 @@
 {
   const auto it = mServices.find(aService);
   const EndpointRecord* engine = mDirectory.Find(aChange.mEndpoint);
-  if (it == mServices.end() || engine == nullptr || engine->mIsDraining ||
+  if (it == mServices.end() || engine == nullptr ||
+      mDirectory.IsLeaving(aChange.mEndpoint) ||
       mDirectory.IsMissing(aChange.mEndpoint) ||
       engine->mRole == aChange.mRole) {
     return false;
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -432,6 +432,22 @@
   return expired;
 }
 
+std::vector<std::uint64_t>
+StreamScheduler::RemoveUnservable()
+{
+  std::vector<std::uint64_t> unservable;
+  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
+    if (!it->mWasInterrupted &&
+        mDirectory.AreAllLeaving(it->mService, EndpointRole::Decode)) {
+      unservable.push_back(it->mNumber);
+      it = mWaiting.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return unservable;
+}
+
 void
 StreamScheduler::OnPrefillEnded(std::uint64_t aNumber, Duration aElapsed)
 {
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -103,11 +103,12 @@
  * newest run is moved to another engine before, by the daemon that owns it.
  * Runs at an engine that drains or changes its role are moved too.
  *
- * Events to deliver: Submit; Dispatch after every event that may have freed
- * capacity (a stream of this daemon ended, a peer reported its loads, endpoints
- * changed) and at NextWake; OnPrefillEnded and OnDecodeEnded exactly once for
- * each placement; Rebalance several times a second while streams run, and
- * OnMoved when a proposed move begins or is reverted.
+ * Events to deliver: Submit; RemoveUnservable and Dispatch after every event
+ * that may have freed capacity (a stream of this daemon ended, a peer reported
+ * its loads, endpoints changed) and at NextWake; OnPrefillEnded and
+ * OnDecodeEnded exactly once for each placement; Rebalance several times a
+ * second while streams run, and OnMoved when a proposed move begins or is
+ * reverted.
  */
 class StreamScheduler
 {
@@ -132,6 +133,10 @@
   std::vector<StreamPlacement> Dispatch(Instant aNow);
   /** Removes and returns the streams that have waited for too long. */
   std::vector<std::uint64_t> RemoveExpired(Instant aNow);
+  /** Removes and returns the streams that no engine will accept, because all
+   * decode engines of their service leave. Streams that resume an answer keep
+   * waiting for an engine that is added. */
+  std::vector<std::uint64_t> RemoveUnservable();
 
   /** The prefill engine computed the prompt in aElapsed, or failed: then
    * aElapsed is zero. */
--- a/Source/Routing/StreamSchedulerMoves.cxx
+++ b/Source/Routing/StreamSchedulerMoves.cxx
@@ -25,7 +25,8 @@
   if (engine == nullptr || !aRun.mStartedAt) {
     return false;
   }
-  if (engine->mIsDraining || mDirectory.IsChangingRole(aRun.mEndpoint)) {
+  if (mDirectory.IsLeaving(aRun.mEndpoint) ||
+      mDirectory.IsChangingRole(aRun.mEndpoint)) {
     const double remaining =
       static_cast<double>(aRun.mAnswerTokens) - mForecast.Generated(aRun, aNow);
     return remaining > ToMilliseconds(kMinRemaining) * mForecast.Rate();
--- a/Tests/Adapter/FakeEndpoint.cxx
+++ b/Tests/Adapter/FakeEndpoint.cxx
@@ -27,14 +27,15 @@
 
 std::string
 FakeEndpoint::RegistryEntry(const std::string& aService,
-                            const std::string& aState) const
+                            const std::string& aState,
+                            std::int64_t aStartTime) const
 {
   Json entry = {
-    { "service", aService },  { "address", FormatAddress(mAddress) },
-    { "zone", "z" },          { "version", "v1" },
-    { "slots", 8 },           { "state", aState },
-    { "cold_left_ms", 0 },    { "sequence", 3 },
-    { "born", 1700000000000 }
+    { "service", aService }, { "address", FormatAddress(mAddress) },
+    { "zone", "z" },         { "version", "v1" },
+    { "slots", 8 },          { "state", aState },
+    { "cold_left_ms", 0 },   { "sequence", 3 },
+    { "born", aStartTime }
   };
   if (!mStage.empty()) {
     entry["stage"] = mStage;
@@ -53,7 +54,26 @@
   if (mMode != FakeEndpointMode::NoStamp) {
     headers.Add("X-Server-Stamp", "stamp." + mId);
   }
-  return headers;
+  return WithLeaving(std::move(headers));
+}
+
+HttpHeaders
+FakeEndpoint::RefusalHeaders() const
+{
+  HttpHeaders headers{ { "X-Not-Run", "1" } };
+  if (!mRetryAfter.empty()) {
+    headers.Add("Retry-After", mRetryAfter);
+  }
+  return WithLeaving(std::move(headers));
+}
+
+HttpHeaders
+FakeEndpoint::WithLeaving(HttpHeaders aHeaders) const
+{
+  if (mIsLeaving) {
+    aHeaders.Add("Server-Leaving", "1");
+  }
+  return aHeaders;
 }
 
 void
@@ -95,7 +115,7 @@
   const HttpRequest& request = aExchange->Request();
   const std::string id = request.mHeaders.Find("X-Request-Id").value_or("");
   if (mMode == FakeEndpointMode::Refuse) {
-    aExchange->Reply(503, { { "X-Not-Run", "1" } }, "");
+    aExchange->Reply(503, RefusalHeaders(), "");
     return;
   }
   if (request.mHeaders.Find("X-Serving-Stage") == "prefill") {
@@ -133,10 +153,10 @@
 {
   const std::string id =
     aExchange->Request().mHeaders.Find("X-Request-Id").value_or("");
-  const auto answer = [aExchange, id] {
+  const auto answer = [this, aExchange, id] {
     aExchange->Reply(
       200,
-      { { "X-Request-Id", id } },
+      WithLeaving({ { "X-Request-Id", id } }),
       Json{ { "handle", "h" + id }, { "tokens", 10 }, { "version", 1 } }
         .dump());
   };
@@ -192,12 +212,14 @@
 {
   const HttpRequest& request = aExchange->Request();
   if (request.mPath == "/api/hold-take") {
+    ++mReserveCalls;
     const bool isFull = mMode == FakeEndpointMode::Refuse;
-    aExchange->Reply(
-      isFull ? 503 : 200, {}, isFull ? "" : Json{ { "hold", "hold1" } }.dump());
+    aExchange->Reply(isFull ? 503 : 200,
+                     isFull ? RefusalHeaders() : WithLeaving({}),
+                     isFull ? "" : Json{ { "hold", "hold1" } }.dump());
   } else if (request.mPath == "/api/order") {
     mOrders.push_back(request);
-    aExchange->Reply(202, {}, "{}");
+    aExchange->Reply(202, WithLeaving({}), "{}");
   } else if (request.mPath == "/api/kv-list") {
     ++mCacheListCalls;
     Json held = Json::array();
@@ -205,14 +227,16 @@
       held.push_back({ "", part, tokens, "m" });
     }
     aExchange->Reply(
-      200, {}, Json{ { "epoch", 1 }, { "next", 1 }, { "held", held } }.dump());
+      200,
+      WithLeaving({}),
+      Json{ { "epoch", 1 }, { "next", 1 }, { "held", held } }.dump());
   } else if (request.mPath == "/api/report") {
     aExchange->Reply(
       200,
-      {},
+      WithLeaving({}),
       Json{ { "stage", mStage }, { "busy", false }, { "sequence", 0 } }.dump());
   } else {
-    aExchange->Reply(200, {}, "{}");
+    aExchange->Reply(200, WithLeaving({}), "{}");
   }
 }
 
--- a/Tests/Adapter/FakeEndpoint.h
+++ b/Tests/Adapter/FakeEndpoint.h
@@ -2,11 +2,13 @@
 #define BULRUSHFOLD_TESTS_ADAPTER_FAKEENDPOINT_H
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Net/EventLoop.h"
@@ -45,6 +47,13 @@
   const SocketAddress& Address() const { return mAddress; }
   const std::string& Id() const { return mId; }
   void SetMode(FakeEndpointMode aMode) { mMode = aMode; }
+  /** All answers state that the endpoint leaves. */
+  void SetLeaving(bool aIsLeaving) { mIsLeaving = aIsLeaving; }
+  /** Value of the Retry-After header of refusals; empty: no such header. */
+  void SetRetryAfter(std::string aRetryAfter)
+  {
+    mRetryAfter = std::move(aRetryAfter);
+  }
   /** Time between two events of a stream. */
   void SetEventInterval(Duration aInterval) { mEventInterval = aInterval; }
   /** Time for the prefill of one prompt. */
@@ -64,12 +73,15 @@
   }
   /** Number of calls that requested that list. */
   std::size_t CacheListCalls() const { return mCacheListCalls; }
+  /** Number of calls to reserve memory. */
+  std::size_t ReserveCalls() const { return mReserveCalls; }
   /** Order calls that arrived. */
   const std::vector<HttpRequest>& Orders() const { return mOrders; }
 
   /** Registry entry that the endpoint writes into the store, a JSON text. */
   std::string RegistryEntry(const std::string& aService,
-                            const std::string& aState = "ready") const;
+                            const std::string& aState = "ready",
+                            std::int64_t aStartTime = 1700000000000) const;
   /** Ids of the requests that this endpoint ran. */
   const std::vector<std::string>& RunIds() const { return mRunIds; }
   /** All requests that arrived, including refused ones. */
@@ -89,6 +101,9 @@
   void Stream(const Exchange& aExchange);
   void SendEvent(const Exchange& aExchange, int aId);
   HttpHeaders AnswerHeaders(const Exchange& aExchange) const;
+  HttpHeaders RefusalHeaders() const;
+  /** aHeaders with the header that announces that the endpoint leaves. */
+  HttpHeaders WithLeaving(HttpHeaders aHeaders) const;
   void AddOpenRequest(const Exchange& aExchange);
 
   EventLoop& mLoop;
@@ -102,6 +117,9 @@
   int mAbortAfter = 1'000'000;
   std::size_t mCancelled = 0;
   std::size_t mCacheListCalls = 0;
+  std::size_t mReserveCalls = 0;
+  bool mIsLeaving = false;
+  std::string mRetryAfter;
   std::vector<HttpRequest> mOrders;
   std::map<std::string, int> mCachedParts;
   std::vector<std::string> mRunIds;
--- a/Tests/Adapter/PlatformProtocolTest.cxx
+++ b/Tests/Adapter/PlatformProtocolTest.cxx
@@ -205,6 +205,17 @@
     CHECK(protocol.ReadAnswer(421, {}).mIsMisdirected);
     CHECK_FALSE(protocol.ReadAnswer(503, {}).mIsNotRun);
   }
+  SUBCASE("of endpoints may state that the endpoint leaves")
+  {
+    CHECK(protocol.ReadAnswer(200, { { "Server-Leaving", "1" } }).mIsLeaving);
+    CHECK(protocol.ReadAnswer(503, { { "server-leaving", "1" } }).mIsLeaving);
+    CHECK_FALSE(
+      protocol.ReadAnswer(200, { { "Server-Leaving", "0" } }).mIsLeaving);
+    CHECK_FALSE(protocol.ReadAnswer(200, {}).mIsLeaving);
+    // The caller gets the header as well.
+    CHECK(protocol.ForwardedHeaders({ { "Server-Leaving", "1" } })
+            .Find("Server-Leaving") == "1");
+  }
   SUBCASE("are forwarded without connection headers and the load")
   {
     const HttpHeaders headers =
--- a/Tests/Router/StreamCallTest.cxx
+++ b/Tests/Router/StreamCallTest.cxx
@@ -324,6 +324,24 @@
     CHECK_FALSE(fixture.mDelegate.HasAction("prefill p1"));
     CHECK(fixture.mDelegate.mDemands.size() == 2);
   }
+  SUBCASE("it is refused at once when no engine will accept it")
+  {
+    fixture.mCall->OnUnservable(fixture.mNow);
+    CHECK(fixture.mDelegate.LastAction() == "refuse 503");
+    CHECK(fixture.mDelegate.mRefusal.mReason == RefusalReason::NoEndpoint);
+    CHECK(fixture.mDelegate.mRefusal.mRetryAfter > Duration::zero());
+  }
+  // Guards against a prefill for a decode engine that announced in the answer
+  // to the reservation that it leaves.
+  SUBCASE("a prompt is not prefilled for a decode engine that leaves")
+  {
+    fixture.Place("p1", "d1");
+    fixture.mDelegate.mUnusable = { "d1" };
+    fixture.mCall->OnReserved("hold", fixture.mNow);
+    CHECK_FALSE(fixture.mDelegate.HasAction("prefill p1"));
+    CHECK(fixture.mDelegate.HasAction("unreserve hold"));
+    CHECK(fixture.mDelegate.mDemands.size() == 2);
+  }
   SUBCASE("a decode engine that was removed is not used")
   {
     fixture.Place("p1", "d1");
@@ -543,6 +561,17 @@
       CHECK(fixture.mDelegate.mRunEndpoint == "d1");
     }
   }
+  // Guards against a decode at an engine that announced during the move that
+  // it leaves.
+  SUBCASE("it resumes at its source when the target leaves")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mDelegate.mUnusable = { "d2" };
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
+    CHECK(fixture.mDelegate.mDecodes[1].mEndpoint == "d1");
+    CHECK(fixture.mDelegate.mRunEndpoint == "d1");
+  }
   SUBCASE("it resumes at its source when the target has no free memory")
   {
     fixture.EndAnswer(SendOutcome::Unknown);
--- a/Tests/Routing/EndpointDirectoryTest.cxx
+++ b/Tests/Routing/EndpointDirectoryTest.cxx
@@ -59,6 +59,45 @@
       CHECK(directory.Find("a") == nullptr);
     }
   }
+  // Guards against requests to an endpoint that stated in an answer that it
+  // leaves: its heartbeats may still say that it is ready.
+  SUBCASE("an endpoint whose answer states that it leaves gets no requests")
+  {
+    directory.OnLeavingAnnounced("a", 1);
+    directory.OnLeavingAnnounced("a", 1);
+    CHECK(usable() == 1);
+    CHECK(directory.IsLeaving("a"));
+    CHECK_FALSE(directory.AreAllLeaving("s", EndpointRole::General));
+    CHECK(changes == std::vector{ EndpointChange::LeavingAnnounced });
+
+    SUBCASE("also after its entry was written again or drained for a time")
+    {
+      directory.Replace({ a, b }, 6, now);
+      EndpointRecord draining = a;
+      draining.mIsDraining = true;
+      directory.Put(draining, 7, now);
+      changes.clear();
+      directory.Put(a, 8, now);
+      CHECK(usable() == 1);
+      CHECK(changes.empty());
+    }
+    SUBCASE("until another process runs under the same id")
+    {
+      EndpointRecord again = a;
+      again.mIncarnation = 2;
+      directory.Put(again, 6, now);
+      CHECK(directory.IsUsable("a"));
+      // An answer of the former process that arrives late.
+      directory.OnLeavingAnnounced("a", 1);
+      CHECK(directory.IsUsable("a"));
+    }
+    SUBCASE("and all leave when the others state it too")
+    {
+      directory.OnLeavingAnnounced("b", 1);
+      CHECK(directory.AreAllLeaving("s", EndpointRole::General));
+      CHECK_FALSE(directory.AreAllLeaving("s", EndpointRole::Decode));
+    }
+  }
   SUBCASE("an endpoint is removed at once with its entry")
   {
     directory.Remove("a", 6, now);
--- a/Tests/Routing/StreamSchedulerTest.cxx
+++ b/Tests/Routing/StreamSchedulerTest.cxx
@@ -198,6 +198,28 @@
   }
 }
 
+// Guards against streams that wait in the queue for engines that all leave.
+TEST_CASE("Streams are not queued when all decode engines leave")
+{
+  EnginePool pool;
+  pool.mDirectory.OnLeavingAnnounced("d1", 0);
+  pool.Submit(1, 5000, 1000);
+  CHECK(pool.mScheduler.RemoveUnservable().empty());
+  CHECK(pool.Place() == std::vector<std::uint64_t>{ 1 });
+  CHECK(pool.mPlacements[1].mDecode == "d2");
+
+  pool.mDirectory.OnLeavingAnnounced("d2", 0);
+  pool.Submit(2, 5000, 1000);
+  StreamDemand resumed = pool.Demand(3, 5000, 1000);
+  resumed.mWasInterrupted = true;
+  pool.mScheduler.Submit(resumed);
+  CHECK(pool.mScheduler.RemoveUnservable() == std::vector<std::uint64_t>{ 2 });
+  CHECK(pool.Place().empty());
+  // The resumed stream waits for an engine that is added.
+  pool.Add("d3", EndpointRole::Decode, "x");
+  CHECK(pool.Place() == std::vector<std::uint64_t>{ 3 });
+}
+
 TEST_CASE("Runs move before their engine is out of memory")
 {
   EnginePool pool;
@@ -242,6 +264,11 @@
     // A run that is expected to end soon stays.
     CHECK(pool.mScheduler.Rebalance(pool.mNow + seconds(8)).empty());
   }
+  SUBCASE("and from an engine whose answer stated that it leaves")
+  {
+    pool.mDirectory.OnLeavingAnnounced("d1", 0);
+    CHECK(pool.mScheduler.Rebalance(pool.mNow).size() == 1);
+  }
 }
 
 TEST_CASE("The memory forecast predicts the growth and the end of runs")
