Send no requests to endpoints before the end of their Retry-After

Cause: an endpoint that refuses a request with 503 and Retry-After wants no others from this VM for that time. The router did not read the header. Refusals only made an endpoint less preferred in EndpointHealth, which still uses avoided endpoints when there are no others, and reservations were repeated every 50 ms.

Change: ReadAnswer decodes Retry-After of a 503, in seconds with fractions. EndpointClient enters the time into EndpointDirectory, which takes the endpoint out of use until it has passed or the entry names another incarnation. This covers plain requests, reservations, prefills, decodes, moves from and to the endpoint and the resumption at the source of a move. Status checks, role orders and the release of caches and reservations are still sent. The end of the time wakes the stream scheduler. When all endpoints of a service back off, requests that can't be served in time are refused at once with a Retry-After that ends when the first one accepts requests again; a stream that can still be on time waits. Engines that back off still count in the division of roles. A 503 that the endpoint ran is passed on with its own header. The queue functions of StreamScheduler move to StreamSchedulerQueue.cxx.

RoutingTest, RouterTest and AdapterTest pass.

--- a/Source/Router/EndpointClient.cxx
+++ b/Source/Router/EndpointClient.cxx
@@ -4,10 +4,12 @@
 
 namespace bulrushfold {
 
-EndpointClient::EndpointClient(HttpClient& aClient,
+EndpointClient::EndpointClient(const Clock& aClock,
+                               HttpClient& aClient,
                                const EndpointProtocol& aProtocol,
                                EndpointDirectory& aDirectory)
-  : mClient(aClient)
+  : mClock(aClock)
+  , mClient(aClient)
   , mProtocol(aProtocol)
   , mDirectory(aDirectory)
 {
@@ -39,9 +41,16 @@
 {
   const AnswerMetadata metadata = mProtocol.ReadAnswer(aStatus, aHeaders);
   // A misdirected call was answered by another endpoint.
-  if (metadata.mIsLeaving && !metadata.mIsMisdirected) {
+  if (metadata.mIsMisdirected) {
+    return;
+  }
+  if (metadata.mIsLeaving) {
     mDirectory.OnLeavingAnnounced(aEndpoint, aIncarnation);
   }
+  if (metadata.mRetryAfter) {
+    mDirectory.OnBackoffRequested(
+      aEndpoint, aIncarnation, mClock.Now() + *metadata.mRetryAfter);
+  }
 }
 
 } // namespace bulrushfold
--- a/Source/Router/EndpointClient.h
+++ b/Source/Router/EndpointClient.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "Base/Clock.h"
 #include "Net/HttpClient.h"
 #include "Router/EndpointProtocol.h"
 #include "Routing/EndpointDirectory.h"
@@ -19,7 +20,8 @@
 class EndpointClient
 {
 public:
-  EndpointClient(HttpClient& aClient,
+  EndpointClient(const Clock& aClock,
+                 HttpClient& aClient,
                  const EndpointProtocol& aProtocol,
                  EndpointDirectory& aDirectory);
 
@@ -35,6 +37,7 @@
                   int aStatus,
                   const HttpHeaders& aHeaders);
 
+  const Clock& mClock;
   HttpClient& mClient;
   const EndpointProtocol& mProtocol;
   EndpointDirectory& mDirectory;
--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -50,6 +50,8 @@
   bool mIsMisdirected = false;
   /** The endpoint states that it leaves and wants no new requests. */
   bool mIsLeaving = false;
+  /** The endpoint refused the request and wants no others for this time. */
+  std::optional<Duration> mRetryAfter;
   /** Request that the answer belongs to; empty when the answer names none. */
   std::string mRequestId;
   std::optional<ReportedLoad> mLoad;
--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -55,7 +55,7 @@
   if (choice && aNow < mParameters.mDeadline) {
     Send(*choice, aNow);
   } else {
-    Finish();
+    Finish(aNow);
   }
 }
 
@@ -132,7 +132,7 @@
     Send(*choice, aNow);
     return;
   }
-  Finish();
+  Finish(aNow);
 }
 
 void
@@ -164,7 +164,7 @@
 }
 
 void
-PlainCall::Finish()
+PlainCall::Finish(Instant aNow)
 {
   if (mErrorAnswer) {
     mIsFinished = true;
@@ -173,10 +173,12 @@
     FinishWith(
       { kHttpBadGateway, RefusalReason::OutcomeUnknown, Duration::zero() });
   } else {
+    const Instant accepted =
+      mSelector.FirstBackoffEnd(mParameters.mService).value_or(aNow);
     FinishWith(
       { kHttpUnavailable,
         mSends == 0 ? RefusalReason::NoEndpoint : RefusalReason::EndpointsFull,
-        kRetryAfter });
+        std::max(kRetryAfter, accepted - aNow) });
   }
 }
 
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -109,7 +109,7 @@
   /** Sends the request again if that is allowed; otherwise ends the call. */
   void Retry(Instant aNow);
   bool MayRunAgain() const;
-  void Finish();
+  void Finish(Instant aNow);
   void FinishWith(const Refusal& aRefusal);
 
   PlainCallDelegate& mDelegate;
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -74,7 +74,7 @@
                mRandom,
                mClock.Now())
   , mStreams(aLoop, mClock, mScheduler)
-  , mEndpointClient(aClient, aProtocol, mDirectory)
+  , mEndpointClient(mClock, aClient, aProtocol, mDirectory)
   , mLog(mClock, mDirectory, mMetrics)
   , mCachedPromptQuery(aLoop,
                        mClock,
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -80,6 +80,8 @@
   void HandleEndpointChange(const EndpointRecord& aEndpoint,
                             EndpointChange aChange);
   void ScheduleExpiry();
+  /** Time for which aEndpoint wants no requests. */
+  Duration RemainingBackoff(const std::string& aEndpoint) const;
   void LogStoreState(std::string_view aPrefix, const absl::Status* aLost);
 
   EventLoop& mLoop;
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -139,6 +139,7 @@
              { "role", EndpointRoleName(aEndpoint.mRole) },
              { "address", FormatAddress(aEndpoint.mAddress) },
              { "failure_domain", aEndpoint.mFailureDomain },
+             { "backoff_ms", ToMilliseconds(RemainingBackoff(aEndpoint.mId)) },
              { "registry", mDirectory.Revision() } });
   if (aChange == EndpointChange::Removed ||
       aChange == EndpointChange::Restarted) {
@@ -146,16 +147,26 @@
     mLoads.RemoveReport(aEndpoint.mId);
     mClient.CloseIdle(aEndpoint.mAddress);
   }
-  if (aChange == EndpointChange::LeavingAnnounced) {
+  if (aChange == EndpointChange::LeavingAnnounced ||
+      aChange == EndpointChange::BackoffStarted ||
+      aChange == EndpointChange::Returned) {
     mStreams.ScheduleDispatch();
   }
   // These states end at a time that the directory sets.
   if (aChange == EndpointChange::Missing ||
-      aChange == EndpointChange::ChangingRole) {
+      aChange == EndpointChange::ChangingRole ||
+      aChange == EndpointChange::BackoffStarted) {
     ScheduleExpiry();
   }
 }
 
+Duration
+Router::RemainingBackoff(const std::string& aEndpoint) const
+{
+  const Instant now = mClock.Now();
+  return mDirectory.BackoffEnd(aEndpoint).value_or(now) - now;
+}
+
 void
 Router::ScheduleExpiry()
 {
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -167,10 +167,10 @@
 }
 
 void
-StreamCall::OnUnservable(Instant)
+StreamCall::OnUnservable(Duration aRetryAfter, Instant)
 {
   if (mState == StreamState::Waiting) {
-    Finish(RefusalReason::NoEndpoint, false);
+    Finish(RefusalReason::NoEndpoint, false, aRetryAfter);
   }
 }
 
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -65,6 +65,8 @@
   /** The run counts towards the load of aEndpoint from now on. */
   virtual void ReportMoved(const std::string& aEndpoint) = 0;
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
+  /** aEndpoint asked for no requests at present. */
+  virtual bool IsInBackoff(const std::string& aEndpoint) const = 0;
   // Engines. The session reports the end of each call with the matching On...
   // function of StreamCall, unless CancelSend cancels it.
   virtual void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) = 0;
@@ -125,8 +127,9 @@
   void OnPlaced(const StreamPlacement& aPlacement, Instant aNow);
   /** The stream expired in the scheduler's queue. */
   void OnPlacementExpired(Instant aNow);
-  /** No engine will accept the stream. */
-  void OnUnservable(Instant aNow);
+  /** No engine will accept the stream in time. aRetryAfter: time until one
+   * accepts streams again; zero when it is unknown. */
+  void OnUnservable(Duration aRetryAfter, Instant aNow);
   /** aReservation: empty when the engine granted none. */
   void OnReserved(const std::string& aReservation, Instant aNow);
   /** aCache: set when aOutcome is Answered. */
@@ -190,7 +193,10 @@
   /** Number of calls before the decode that a further attempt repeats. */
   std::uint32_t RepeatedPrefills() const;
   bool MayRunAgain() const;
-  void Finish(RefusalReason aReason, bool aIsTimeout);
+  /** aMinRetryAfter: minimum time for which a refused caller should wait. */
+  void Finish(RefusalReason aReason,
+              bool aIsTimeout,
+              Duration aMinRetryAfter = Duration::zero());
   void HandleStall(Instant aNow);
   void SetStallTimeout(Duration aTimeout, Instant aNow);
 
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -58,7 +58,9 @@
 }
 
 void
-StreamCall::Finish(RefusalReason aReason, bool aIsTimeout)
+StreamCall::Finish(RefusalReason aReason,
+                   bool aIsTimeout,
+                   Duration aMinRetryAfter)
 {
   mState = StreamState::Finished;
   if (mHasStartedAnswer) {
@@ -69,7 +71,8 @@
         aIsTimeout ? RefusalReason::Timeout : RefusalReason::OutcomeUnknown,
         Duration::zero() });
   } else {
-    mDelegate.Refuse({ kHttpUnavailable, aReason, kRetryAfter });
+    mDelegate.Refuse(
+      { kHttpUnavailable, aReason, std::max(kRetryAfter, aMinRetryAfter) });
   }
 }
 
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -124,9 +124,9 @@
       stream->HandlePlacement(nullptr);
     }
   }
-  for (const auto number : mScheduler.RemoveUnservable()) {
-    if (DispatchedStream* stream = Find(number); stream != nullptr) {
-      stream->HandleUnservable();
+  for (const auto& it : mScheduler.RemoveUnservable(now)) {
+    if (DispatchedStream* stream = Find(it.mNumber); stream != nullptr) {
+      stream->HandleUnservable(it.mRetryAfter);
     }
   }
   for (const auto& it : mScheduler.Dispatch(now)) {
--- a/Source/Router/StreamDispatcher.h
+++ b/Source/Router/StreamDispatcher.h
@@ -17,8 +17,9 @@
   virtual ~DispatchedStream() = default;
   /** aPlacement: null when the stream expired in the queue. */
   virtual void HandlePlacement(const StreamPlacement* aPlacement) = 0;
-  /** No engine will accept the stream. */
-  virtual void HandleUnservable() = 0;
+  /** No engine will accept the stream in time. aRetryAfter: time until one
+   * accepts streams again; zero when it is unknown. */
+  virtual void HandleUnservable(Duration aRetryAfter) = 0;
   /** The scheduler proposes to move the run to aTarget. */
   virtual void HandleMove(const std::string& aTarget) = 0;
 };
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -89,10 +89,10 @@
 }
 
 void
-StreamSession::HandleUnservable()
+StreamSession::HandleUnservable(Duration aRetryAfter)
 {
   const auto self = mSelf;
-  mCall.OnUnservable(mServices.mClock.Now());
+  mCall.OnUnservable(aRetryAfter, mServices.mClock.Now());
 }
 
 void
@@ -158,6 +158,12 @@
   return mServices.mDirectory.IsUsable(aEndpoint);
 }
 
+bool
+StreamSession::IsInBackoff(const std::string& aEndpoint) const
+{
+  return mServices.mDirectory.IsInBackoff(aEndpoint);
+}
+
 void
 StreamSession::StartSend(std::string_view aStep,
                          const EndpointRecord& aEndpoint,
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -38,6 +38,7 @@
   void ReportInterruptedRun(const std::string& aEndpoint) override;
   void ReportMoved(const std::string& aEndpoint) override;
   bool IsUsable(const std::string& aEndpoint) const override;
+  bool IsInBackoff(const std::string& aEndpoint) const override;
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override;
   void Prefill(const std::string& aEndpoint, Instant aDeadline) override;
   void Decode(const DecodeParameters& aParameters, Instant aDeadline) override;
@@ -58,7 +59,7 @@
    * has the prompt in its cache. */
   bool NeedsCachedPromptQuery() const;
   void StartCall();
-  void HandleUnservable() override;
+  void HandleUnservable(Duration aRetryAfter) override;
   void HandlePlacement(const StreamPlacement* aPlacement) override;
   void HandleMove(const std::string& aTarget) override;
   void HandleMoveAnswer(const HttpCallReply& aReply,
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -13,11 +13,12 @@
   { EndpointRole::Prefill, "prefill" },
   { EndpointRole::Decode, "decode" },
 } };
-constexpr EnumNames<EndpointChange, 10> kChangeNames{ {
+constexpr EnumNames<EndpointChange, 11> kChangeNames{ {
   { EndpointChange::Added, "added" },
   { EndpointChange::Restarted, "restarted" },
   { EndpointChange::Draining, "leaving" },
   { EndpointChange::LeavingAnnounced, "leaving_announced" },
+  { EndpointChange::BackoffStarted, "backing_off" },
   { EndpointChange::Returned, "returned" },
   { EndpointChange::Missing, "in_doubt" },
   { EndpointChange::Replaced, "replaced" },
@@ -93,6 +94,7 @@
   }
   if (before.mIncarnation != aRecord.mIncarnation) {
     it->second.mHasAnnouncedLeaving = false;
+    it->second.mBackoffEnd.reset();
     mOnChange.emit(aRecord, EndpointChange::Restarted);
   }
   if (before.mRole != aRecord.mRole) {
@@ -101,7 +103,8 @@
   }
   if (aRecord.mIsDraining && !before.mIsDraining) {
     mOnChange.emit(aRecord, EndpointChange::Draining);
-  } else if (!IsLeaving(it->second) && (before.mIsDraining || wasMissing)) {
+  } else if (!IsLeaving(it->second) && !it->second.mBackoffEnd &&
+             (before.mIsDraining || wasMissing)) {
     mOnChange.emit(aRecord, EndpointChange::Returned);
   }
 }
@@ -157,6 +160,20 @@
   }
 }
 
+void
+EndpointDirectory::OnBackoffRequested(const std::string& aId,
+                                      std::int64_t aIncarnation,
+                                      Instant aUntil)
+{
+  const auto it = mEntries.find(aId);
+  if (it == mEntries.end() || it->second.mRecord.mIncarnation != aIncarnation ||
+      it->second.mBackoffEnd >= aUntil) {
+    return;
+  }
+  it->second.mBackoffEnd = aUntil;
+  mOnChange.emit(it->second.mRecord, EndpointChange::BackoffStarted);
+}
+
 void
 EndpointDirectory::OnRoleOrdered(const std::string& aId,
                                  const RoleOrder& aOrder,
@@ -212,22 +229,40 @@
 EndpointDirectory::AreAllLeaving(const std::string& aService,
                                  EndpointRole aRole) const
 {
-  const auto ids = mServices.find(aService);
-  if (ids == mServices.end()) {
-    return false;
-  }
-  std::size_t leaving = 0;
-  for (const auto& it : ids->second) {
-    const Entry& entry = mEntries.at(it);
-    if (entry.mRecord.mRole != aRole) {
-      continue;
+  const auto entries = EntriesOf(aService, aRole);
+  return !entries.empty() &&
+         std::all_of(entries.begin(), entries.end(), [](const Entry* aIt) {
+           return IsLeaving(*aIt);
+         });
+}
+
+bool
+EndpointDirectory::IsInBackoff(const std::string& aId) const
+{
+  return BackoffEnd(aId).has_value();
+}
+
+std::optional<Instant>
+EndpointDirectory::BackoffEnd(const std::string& aId) const
+{
+  const auto it = mEntries.find(aId);
+  return it == mEntries.end() ? std::nullopt : it->second.mBackoffEnd;
+}
+
+std::optional<Instant>
+EndpointDirectory::FirstBackoffEnd(const std::string& aService,
+                                   EndpointRole aRole) const
+{
+  std::optional<Instant> first;
+  for (const Entry* it : EntriesOf(aService, aRole)) {
+    if (IsUsable(*it)) {
+      return std::nullopt;
     }
-    if (!IsLeaving(entry)) {
-      return false;
+    if (IsUsableOrInBackoff(*it)) {
+      first = std::min(first.value_or(*it->mBackoffEnd), *it->mBackoffEnd);
     }
-    ++leaving;
   }
-  return leaving > 0;
+  return first;
 }
 
 bool
@@ -254,6 +289,12 @@
         mOnChange.emit(entry.mRecord, EndpointChange::Returned);
       }
     }
+    if (entry.mBackoffEnd && *entry.mBackoffEnd <= aNow) {
+      entry.mBackoffEnd.reset();
+      if (IsUsable(entry)) {
+        mOnChange.emit(entry.mRecord, EndpointChange::Returned);
+      }
+    }
     if (entry.mDropAt && *entry.mDropAt <= aNow) {
       expired.push_back(id);
     }
@@ -271,6 +312,9 @@
     if (entry.mDropAt && (!next || *entry.mDropAt < *next)) {
       next = entry.mDropAt;
     }
+    if (entry.mBackoffEnd && (!next || *entry.mBackoffEnd < *next)) {
+      next = entry.mBackoffEnd;
+    }
     if (entry.mRoleOrder && (!next || entry.mRoleOrder->mDeadline < *next)) {
       next = entry.mRoleOrder->mDeadline;
     }
@@ -285,21 +329,47 @@
   return it == mEntries.end() ? nullptr : &it->second.mRecord;
 }
 
-std::vector<const EndpointRecord*>
-EndpointDirectory::Usable(const std::string& aService, EndpointRole aRole) const
+std::vector<const EndpointDirectory::Entry*>
+EndpointDirectory::EntriesOf(const std::string& aService,
+                             EndpointRole aRole) const
 {
-  std::vector<const EndpointRecord*> usable;
+  std::vector<const Entry*> entries;
   const auto ids = mServices.find(aService);
   if (ids == mServices.end()) {
-    return usable;
+    return entries;
   }
   for (const auto& it : ids->second) {
     const Entry& entry = mEntries.at(it);
-    if (IsUsable(entry) && entry.mRecord.mRole == aRole) {
-      usable.push_back(&entry.mRecord);
+    if (entry.mRecord.mRole == aRole) {
+      entries.push_back(&entry);
+    }
+  }
+  return entries;
+}
+
+std::vector<const EndpointRecord*>
+EndpointDirectory::Usable(const std::string& aService, EndpointRole aRole) const
+{
+  std::vector<const EndpointRecord*> usable;
+  for (const Entry* it : EntriesOf(aService, aRole)) {
+    if (IsUsable(*it)) {
+      usable.push_back(&it->mRecord);
     }
   }
   return usable;
 }
 
+std::vector<const EndpointRecord*>
+EndpointDirectory::UsableOrInBackoff(const std::string& aService,
+                                     EndpointRole aRole) const
+{
+  std::vector<const EndpointRecord*> endpoints;
+  for (const Entry* it : EntriesOf(aService, aRole)) {
+    if (IsUsableOrInBackoff(*it)) {
+      endpoints.push_back(&it->mRecord);
+    }
+  }
+  return endpoints;
+}
+
 } // namespace bulrushfold
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -71,6 +71,8 @@
   /** An answer of the endpoint states that it leaves; it gets no new requests,
    * whatever its entry says. */
   LeavingAnnounced,
+  /** The endpoint asked for no requests for a time. */
+  BackoffStarted,
   /** The endpoint may get new requests again. */
   Returned,
   /** The entry is missing after an outage of the registry and is kept for the
@@ -121,6 +123,14 @@
    * effect when the entry names another process already.
    */
   void OnLeavingAnnounced(const std::string& aId, std::int64_t aIncarnation);
+  /**
+   * The process aIncarnation of aId asked for no requests before aUntil. The
+   * time is never shortened; it ends when the entry names another process.
+   * Without effect when the entry names another process already.
+   */
+  void OnBackoffRequested(const std::string& aId,
+                          std::int64_t aIncarnation,
+                          Instant aUntil);
   /** aId was ordered to change its role. */
   void OnRoleOrdered(const std::string& aId,
                      const RoleOrder& aOrder,
@@ -132,7 +142,7 @@
   /** The registry answers again after an outage. */
   void OnRegistryRecovered(Instant aNow);
   /** Drops missing entries after their grace period and role orders that had
-   * no effect in time. */
+   * no effect in time, and ends backoffs. */
   void Expire(Instant aNow);
   /** Time at which Expire must be called; empty when nothing can expire. */
   std::optional<Instant> NextExpiry() const;
@@ -141,6 +151,15 @@
   const EndpointRecord* Find(const std::string& aId) const;
   /** The entry of aId is missing after an outage of the registry. */
   bool IsMissing(const std::string& aId) const;
+  /** aId asked for no requests at present. */
+  bool IsInBackoff(const std::string& aId) const;
+  /** End of the backoff of aId; empty when there is none. */
+  std::optional<Instant> BackoffEnd(const std::string& aId) const;
+  /** Earliest time at which a backoff ends and aService has an endpoint of
+   * aRole that may get new requests; empty when it has one already, and when no
+   * end of a backoff gives it one. */
+  std::optional<Instant> FirstBackoffEnd(const std::string& aService,
+                                         EndpointRole aRole) const;
   /** aId leaves, by its entry or by one of its answers. */
   bool IsLeaving(const std::string& aId) const;
   /** aId may get new requests. */
@@ -150,6 +169,11 @@
   /** Endpoints of aService that may get new requests. */
   std::vector<const EndpointRecord*> Usable(const std::string& aService,
                                             EndpointRole aRole) const;
+  /** Endpoints of aService that may get new requests, or may get them after a
+   * backoff. */
+  std::vector<const EndpointRecord*> UsableOrInBackoff(
+    const std::string& aService,
+    EndpointRole aRole) const;
   std::size_t Size() const { return mEntries.size(); }
   /** Revision of the registry that the content reflects. */
   std::uint64_t Revision() const { return mRevision; }
@@ -166,15 +190,24 @@
     std::optional<RoleOrder> mRoleOrder;
     /** An answer of the endpoint stated that it leaves. */
     bool mHasAnnouncedLeaving = false;
+    /** Set while the endpoint wants no requests. */
+    std::optional<Instant> mBackoffEnd;
   };
   static bool IsLeaving(const Entry& aEntry)
   {
     return aEntry.mRecord.mIsDraining || aEntry.mHasAnnouncedLeaving;
   }
-  static bool IsUsable(const Entry& aEntry)
+  static bool IsUsableOrInBackoff(const Entry& aEntry)
   {
     return !IsLeaving(aEntry) && !aEntry.mIsReplaced && !aEntry.mRoleOrder;
   }
+  static bool IsUsable(const Entry& aEntry)
+  {
+    return IsUsableOrInBackoff(aEntry) && !aEntry.mBackoffEnd;
+  }
+  /** Entries of aService with aRole. */
+  std::vector<const Entry*> EntriesOf(const std::string& aService,
+                                      EndpointRole aRole) const;
   bool IsInGracePeriod(Instant aNow) const { return aNow < mGracePeriodEnd; }
   void Drop(const std::string& aId);
 
--- a/Source/Routing/PlainSelector.h
+++ b/Source/Routing/PlainSelector.h
@@ -41,6 +41,13 @@
                                        const std::set<std::string>& aAttempted,
                                        Instant aNow) const;
 
+  /** Time at which an endpoint of aService accepts requests again, if there is
+   * none that does and the time is known. */
+  std::optional<Instant> FirstBackoffEnd(const std::string& aService) const
+  {
+    return mDirectory.FirstBackoffEnd(aService, EndpointRole::General);
+  }
+
 private:
   double Cost(const EndpointRecord& aEndpoint,
               const std::set<std::string>& aAttempted,
--- a/Source/Routing/RoleBalancer.cxx
+++ b/Source/Routing/RoleBalancer.cxx
@@ -118,7 +118,8 @@
                          Instant aNow) const
 {
   const auto count = [&](EndpointRole aRole) {
-    const auto engines = mDirectory.Usable(aService, aRole);
+    // An engine that backs off keeps its role, so no other engine replaces it.
+    const auto engines = mDirectory.UsableOrInBackoff(aService, aRole);
     return static_cast<std::size_t>(
       std::count_if(engines.begin(), engines.end(), [&](const auto* aIt) {
         return IsCounted(*aIt, aNow);
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -417,37 +417,6 @@
   }
 }
 
-std::vector<std::uint64_t>
-StreamScheduler::RemoveExpired(Instant aNow)
-{
-  std::vector<std::uint64_t> expired;
-  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
-    if (it->mQueueDeadline <= aNow) {
-      expired.push_back(it->mNumber);
-      it = mWaiting.erase(it);
-    } else {
-      ++it;
-    }
-  }
-  return expired;
-}
-
-std::vector<std::uint64_t>
-StreamScheduler::RemoveUnservable()
-{
-  std::vector<std::uint64_t> unservable;
-  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
-    if (!it->mWasInterrupted &&
-        mDirectory.AreAllLeaving(it->mService, EndpointRole::Decode)) {
-      unservable.push_back(it->mNumber);
-      it = mWaiting.erase(it);
-    } else {
-      ++it;
-    }
-  }
-  return unservable;
-}
-
 void
 StreamScheduler::OnPrefillEnded(std::uint64_t aNumber, Duration aElapsed)
 {
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -78,6 +78,19 @@
   std::uint64_t mCachedTokens = 0;
 };
 
+/** A waiting stream that no engine will accept in time. */
+struct UnservableStream
+{
+  std::uint64_t mNumber = 0;
+  /** Time until an engine accepts streams again; zero when it is unknown. */
+  Duration mRetryAfter{};
+
+  bool operator==(const UnservableStream& aOther) const
+  {
+    return mNumber == aOther.mNumber && mRetryAfter == aOther.mRetryAfter;
+  }
+};
+
 /** A run that should move to another engine. */
 struct MoveProposal
 {
@@ -133,10 +146,10 @@
   std::vector<StreamPlacement> Dispatch(Instant aNow);
   /** Removes and returns the streams that have waited for too long. */
   std::vector<std::uint64_t> RemoveExpired(Instant aNow);
-  /** Removes and returns the streams that no engine will accept, because all
-   * decode engines of their service leave. Streams that resume an answer keep
-   * waiting for an engine that is added. */
-  std::vector<std::uint64_t> RemoveUnservable();
+  /** Removes and returns the streams that no engine will accept in time,
+   * because all decode engines of their service leave or back off. Streams that
+   * resume an answer keep waiting for an engine that is added. */
+  std::vector<UnservableStream> RemoveUnservable(Instant aNow);
 
   /** The prefill engine computed the prompt in aElapsed, or failed: then
    * aElapsed is zero. */
@@ -186,6 +199,9 @@
   double UsableMemory(const std::string& aService) const;
   /** Latest time at which aDemand must be placed to be on time. */
   Instant LatestStart(const StreamDemand& aDemand) const;
+  /** Set when no engine will accept aDemand in time. */
+  std::optional<UnservableStream> FindUnservable(const StreamDemand& aDemand,
+                                                 Instant aNow) const;
   /** The waiting stream to be placed next. */
   std::list<StreamDemand>::iterator NextToPlace(Instant aNow);
   std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
--- a/Source/Routing/StreamSchedulerMoves.cxx
+++ b/Source/Routing/StreamSchedulerMoves.cxx
@@ -22,7 +22,8 @@
 StreamScheduler::ShouldMove(const StreamRun& aRun, Instant aNow) const
 {
   const EndpointRecord* engine = mDirectory.Find(aRun.mEndpoint);
-  if (engine == nullptr || !aRun.mStartedAt) {
+  if (engine == nullptr || !aRun.mStartedAt ||
+      mDirectory.IsInBackoff(aRun.mEndpoint)) {
     return false;
   }
   if (mDirectory.IsLeaving(aRun.mEndpoint) ||
--- /dev/null
+++ b/Source/Routing/StreamSchedulerQueue.cxx
@@ -0,0 +1,54 @@
+#include "Routing/StreamScheduler.h"
+
+namespace bulrushfold {
+
+std::vector<std::uint64_t>
+StreamScheduler::RemoveExpired(Instant aNow)
+{
+  std::vector<std::uint64_t> expired;
+  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
+    if (it->mQueueDeadline <= aNow) {
+      expired.push_back(it->mNumber);
+      it = mWaiting.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return expired;
+}
+
+std::optional<UnservableStream>
+StreamScheduler::FindUnservable(const StreamDemand& aDemand, Instant aNow) const
+{
+  if (aDemand.mWasInterrupted) {
+    return std::nullopt;
+  }
+  if (mDirectory.AreAllLeaving(aDemand.mService, EndpointRole::Decode)) {
+    return UnservableStream{ aDemand.mNumber, Duration::zero() };
+  }
+  const auto end =
+    mDirectory.FirstBackoffEnd(aDemand.mService, EndpointRole::Decode);
+  const Instant latest = LatestStart(aDemand);
+  // A stream that is late already may wait until it expires.
+  if (end && *end > (aNow <= latest ? latest : aDemand.mQueueDeadline)) {
+    return UnservableStream{ aDemand.mNumber, *end - aNow };
+  }
+  return std::nullopt;
+}
+
+std::vector<UnservableStream>
+StreamScheduler::RemoveUnservable(Instant aNow)
+{
+  std::vector<UnservableStream> unservable;
+  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
+    if (const auto stream = FindUnservable(*it, aNow); stream) {
+      unservable.push_back(*stream);
+      it = mWaiting.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return unservable;
+}
+
+} // namespace bulrushfold
--- a/Tests/Adapter/PlatformProtocolTest.cxx
+++ b/Tests/Adapter/PlatformProtocolTest.cxx
@@ -205,6 +205,33 @@
     CHECK(protocol.ReadAnswer(421, {}).mIsMisdirected);
     CHECK_FALSE(protocol.ReadAnswer(503, {}).mIsNotRun);
   }
+  SUBCASE("of endpoints that refuse a request may keep others away")
+  {
+    const auto read = [&](int aStatus, const std::string& aText) {
+      return protocol.ReadAnswer(aStatus, { { "Retry-After", aText } })
+        .mRetryAfter;
+    };
+    CHECK(read(503, "3") == std::chrono::seconds(3));
+    CHECK(read(503, "0.25") == std::chrono::milliseconds(250));
+    CHECK(read(503, "7200") == std::chrono::minutes(10));
+    CHECK_FALSE(read(200, "3"));
+    CHECK_FALSE(read(429, "3"));
+    for (const std::string text : { "",
+                                    "0",
+                                    "-3",
+                                    "1e9",
+                                    "nan",
+                                    "inf",
+                                    "99999999999",
+                                    "1.2.3",
+                                    "Fri, 31 Dec 1999 23:59:59 GMT" }) {
+      CAPTURE(text);
+      CHECK_FALSE(read(503, text));
+    }
+    // The caller gets the header as it is.
+    CHECK(protocol.ForwardedHeaders({ { "Retry-After", "3" } })
+            .Find("Retry-After") == "3");
+  }
   SUBCASE("of endpoints may state that the endpoint leaves")
   {
     CHECK(protocol.ReadAnswer(200, { { "Server-Leaving", "1" } }).mIsLeaving);
--- a/Tests/Router/StreamCallTest.cxx
+++ b/Tests/Router/StreamCallTest.cxx
@@ -46,6 +46,10 @@
   {
     return mUnusable.count(aEndpoint) == 0;
   }
+  bool IsInBackoff(const std::string& aEndpoint) const override
+  {
+    return mInBackoff.count(aEndpoint) > 0;
+  }
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override
   {
     mActions.push_back("reserve " + aEndpoint);
@@ -113,6 +117,7 @@
   std::vector<DecodeParameters> mDecodes;
   std::vector<std::string> mInterruptedAt;
   std::set<std::string> mUnusable;
+  std::set<std::string> mInBackoff;
   std::string mAnswerData;
   std::string mRunEndpoint;
   std::uint64_t mReservedTokens = 0;
@@ -326,10 +331,10 @@
   }
   SUBCASE("it is refused at once when no engine will accept it")
   {
-    fixture.mCall->OnUnservable(fixture.mNow);
+    fixture.mCall->OnUnservable(seconds(7), fixture.mNow);
     CHECK(fixture.mDelegate.LastAction() == "refuse 503");
     CHECK(fixture.mDelegate.mRefusal.mReason == RefusalReason::NoEndpoint);
-    CHECK(fixture.mDelegate.mRefusal.mRetryAfter > Duration::zero());
+    CHECK(fixture.mDelegate.mRefusal.mRetryAfter == seconds(7));
   }
   // Guards against a prefill for a decode engine that announced in the answer
   // to the reservation that it leaves.
@@ -561,6 +566,17 @@
       CHECK(fixture.mDelegate.mRunEndpoint == "d1");
     }
   }
+  // Guards against a decode at an engine that asked for no requests.
+  SUBCASE("it is placed anew when neither target nor source accepts it")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mDelegate.mUnusable = { "d2" };
+    fixture.mDelegate.mInBackoff = { "d1" };
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    CHECK(fixture.mDelegate.mDecodes.size() == 1);
+    CHECK(fixture.mDelegate.HasAction("drop moved"));
+    CHECK(fixture.mDelegate.mDemands.size() == 2);
+  }
   // Guards against a decode at an engine that announced during the move that
   // it leaves.
   SUBCASE("it resumes at its source when the target leaves")
--- a/Tests/Routing/EndpointDirectoryTest.cxx
+++ b/Tests/Routing/EndpointDirectoryTest.cxx
@@ -98,6 +98,55 @@
       CHECK_FALSE(directory.AreAllLeaving("s", EndpointRole::Decode));
     }
   }
+  // Guards against requests to an endpoint that refused one with a time for
+  // which it wants no others.
+  SUBCASE("an endpoint that asked for no requests gets none for that time")
+  {
+    directory.OnBackoffRequested("a", 1, now + seconds(3));
+    CHECK(usable() == 1);
+    CHECK(directory.IsInBackoff("a"));
+    CHECK(directory.UsableOrInBackoff("s", EndpointRole::General).size() == 2);
+    CHECK(changes == std::vector{ EndpointChange::BackoffStarted });
+    REQUIRE(directory.NextExpiry() == now + seconds(3));
+    CHECK_FALSE(directory.FirstBackoffEnd("s", EndpointRole::General));
+
+    SUBCASE("and may get requests after it")
+    {
+      directory.Put(a, 6, now + seconds(1));
+      directory.Expire(now + milliseconds(2999));
+      CHECK_FALSE(directory.IsUsable("a"));
+      directory.Expire(now + seconds(3));
+      CHECK(directory.IsUsable("a"));
+      CHECK(changes.back() == EndpointChange::Returned);
+      CHECK_FALSE(directory.NextExpiry());
+    }
+    SUBCASE("which a later answer extends and does not shorten")
+    {
+      directory.OnBackoffRequested("a", 1, now + seconds(2));
+      CHECK(directory.BackoffEnd("a") == now + seconds(3));
+      directory.OnBackoffRequested("a", 1, now + seconds(5));
+      CHECK(directory.BackoffEnd("a") == now + seconds(5));
+    }
+    SUBCASE("and another process under the same id is used at once")
+    {
+      EndpointRecord again = a;
+      again.mIncarnation = 2;
+      directory.Put(again, 6, now);
+      CHECK(directory.IsUsable("a"));
+      directory.OnBackoffRequested("a", 1, now + seconds(5));
+      CHECK(directory.IsUsable("a"));
+    }
+    SUBCASE("the service knows when the first of its endpoints is usable again")
+    {
+      directory.OnBackoffRequested("b", 1, now + seconds(2));
+      CHECK(directory.FirstBackoffEnd("s", EndpointRole::General) ==
+            now + seconds(2));
+      directory.OnLeavingAnnounced("b", 1);
+      CHECK(directory.FirstBackoffEnd("s", EndpointRole::General) ==
+            now + seconds(3));
+      CHECK_FALSE(directory.FirstBackoffEnd("s", EndpointRole::Decode));
+    }
+  }
   SUBCASE("an endpoint is removed at once with its entry")
   {
     directory.Remove("a", 6, now);
--- a/Tests/Routing/StreamSchedulerTest.cxx
+++ b/Tests/Routing/StreamSchedulerTest.cxx
@@ -204,7 +204,7 @@
   EnginePool pool;
   pool.mDirectory.OnLeavingAnnounced("d1", 0);
   pool.Submit(1, 5000, 1000);
-  CHECK(pool.mScheduler.RemoveUnservable().empty());
+  CHECK(pool.mScheduler.RemoveUnservable(pool.mNow).empty());
   CHECK(pool.Place() == std::vector<std::uint64_t>{ 1 });
   CHECK(pool.mPlacements[1].mDecode == "d2");
 
@@ -213,13 +213,54 @@
   StreamDemand resumed = pool.Demand(3, 5000, 1000);
   resumed.mWasInterrupted = true;
   pool.mScheduler.Submit(resumed);
-  CHECK(pool.mScheduler.RemoveUnservable() == std::vector<std::uint64_t>{ 2 });
+  CHECK(pool.mScheduler.RemoveUnservable(pool.mNow) ==
+        std::vector<UnservableStream>{ { 2, Duration::zero() } });
   CHECK(pool.Place().empty());
   // The resumed stream waits for an engine that is added.
   pool.Add("d3", EndpointRole::Decode, "x");
   CHECK(pool.Place() == std::vector<std::uint64_t>{ 3 });
 }
 
+// Guards against streams at engines that asked for none, and against streams
+// that wait although no engine accepts them in time.
+TEST_CASE("Streams are not placed at engines that back off")
+{
+  EnginePool pool;
+  pool.mDirectory.OnBackoffRequested("d1", 0, pool.mNow + milliseconds(400));
+  pool.Submit(1, 5000, 1000);
+  CHECK(pool.Place() == std::vector<std::uint64_t>{ 1 });
+  CHECK(pool.mPlacements[1].mDecode == "d2");
+  pool.mDirectory.OnBackoffRequested("d2", 0, pool.mNow + seconds(2));
+
+  SUBCASE("a stream waits when one accepts it in time")
+  {
+    pool.Submit(2, 5000, 1000);
+    CHECK(pool.mScheduler.RemoveUnservable(pool.mNow).empty());
+    CHECK(pool.Place().empty());
+    pool.mNow += milliseconds(400);
+    pool.mDirectory.Expire(pool.mNow);
+    CHECK(pool.Place() == std::vector<std::uint64_t>{ 2 });
+    CHECK(pool.mPlacements[2].mDecode == "d1");
+  }
+  SUBCASE("a stream is refused at once when none accepts it in time")
+  {
+    pool.Submit(2, 5000, 1000, milliseconds(500));
+    CHECK(pool.mScheduler.RemoveUnservable(pool.mNow) ==
+          std::vector<UnservableStream>{ { 2, milliseconds(400) } });
+  }
+  SUBCASE("prompts are not prefilled at engines that back off")
+  {
+    pool.mDirectory.Expire(pool.mNow + seconds(2));
+    pool.mDirectory.OnBackoffRequested("p1", 0, pool.mNow + seconds(5));
+    for (std::uint64_t i = 2; i < 4; ++i) {
+      pool.Submit(i, 5000, 1000);
+      REQUIRE(pool.Place() == std::vector{ i });
+      CHECK(pool.mPlacements[i].mPrefill == "p2");
+      pool.mScheduler.OnPrefillEnded(i, milliseconds(100));
+    }
+  }
+}
+
 TEST_CASE("Runs move before their engine is out of memory")
 {
   EnginePool pool;
@@ -264,6 +305,21 @@
     // A run that is expected to end soon stays.
     CHECK(pool.mScheduler.Rebalance(pool.mNow + seconds(8)).empty());
   }
+  // A move is a call to the source as well.
+  SUBCASE("no run moves from or to an engine that backs off")
+  {
+    pool.mRuns.SetPeer("p", peerRuns(11, pool.mNow - seconds(1)));
+    SUBCASE("as the source")
+    {
+      pool.mDirectory.OnBackoffRequested("d1", 0, pool.mNow + seconds(1));
+      CHECK(pool.mScheduler.Rebalance(pool.mNow).empty());
+    }
+    SUBCASE("as the target")
+    {
+      pool.mDirectory.OnBackoffRequested("d2", 0, pool.mNow + seconds(1));
+      CHECK(pool.mScheduler.Rebalance(pool.mNow).empty());
+    }
+  }
   SUBCASE("and from an engine whose answer stated that it leaves")
   {
     pool.mDirectory.OnLeavingAnnounced("d1", 0);
