--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -55,7 +55,7 @@
   if (choice && aNow < mParameters.mDeadline) {
     Send(*choice, aNow);
   } else {
-    Finish();
+    Finish(aNow);
   }
 }
 
@@ -132,7 +132,7 @@
     Send(*choice, aNow);
     return;
   }
-  Finish();
+  Finish(aNow);
 }
 
 void
@@ -164,7 +164,7 @@
 }
 
 void
-PlainCall::OnStopEnd()
+PlainCall::OnStopEnd(Instant aNow)
 {
   if (mIsFinished) {
     return;
@@ -174,7 +174,7 @@
     mDelegate.CancelSend(SendResult::Answered);
   }
   if (mErrorAnswer) {
-    Finish();
+    Finish(aNow);
   } else if (mPossibleRuns > 0) {
     FinishWith({ kHttpBadGateway, RefusalReason::Stopping, Duration::zero() });
   } else {
@@ -183,7 +183,7 @@
 }
 
 void
-PlainCall::Finish()
+PlainCall::Finish(Instant aNow)
 {
   if (mErrorAnswer) {
     mIsFinished = true;
@@ -192,10 +192,12 @@
     FinishWith(
       { kHttpBadGateway, RefusalReason::OutcomeUnknown, Duration::zero() });
   } else {
+    const Instant accepted =
+      mSelector.FirstBackoffEnd(mParameters.mService).value_or(aNow);
     FinishWith(
       { kHttpUnavailable,
         mSends == 0 ? RefusalReason::NoEndpoint : RefusalReason::EndpointsFull,
-        kRetryAfter });
+        std::max(kRetryAfter, accepted - aNow) });
   }
 }
 
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -104,14 +104,14 @@
   void OnSendEnded(SendOutcome aOutcome, EndpointAnswer aAnswer, Instant aNow);
   void OnWake(Instant aNow);
   /** The process ends; answers the request. */
-  void OnStopEnd();
+  void OnStopEnd(Instant aNow);
 
 private:
   void Send(const EndpointChoice& aChoice, Instant aNow);
   /** Sends the request again if that is allowed; otherwise ends the call. */
   void Retry(Instant aNow);
   bool MayRunAgain() const;
-  void Finish();
+  void Finish(Instant aNow);
   void FinishWith(const Refusal& aRefusal);
 
   PlainCallDelegate& mDelegate;
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -65,7 +65,8 @@
   mServices.mLoads.Begin(mEndpoint, { 1, 0 });
   mServices.mLog.Sent(
     *mRequest, "request", mEndpoint, aChoice.mLoad, aChoice.mCandidateCount);
-  mSend = mServices.mClient.Start(std::move(request), std::move(hooks));
+  mSend =
+    mServices.mClient.Start(*endpoint, std::move(request), std::move(hooks));
 }
 
 void
@@ -148,7 +149,7 @@
 PlainSession::HandleStopEnd()
 {
   const auto self = mSelf;
-  mCall.OnStopEnd();
+  mCall.OnStopEnd(mServices.mClock.Now());
 }
 
 void
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -17,6 +17,7 @@
 #include "Outcome/Metrics.h"
 #include "Platform/ObjectStore.h"
 #include "Platform/ObjectWatcher.h"
+#include "Router/EndpointClient.h"
 #include "Router/EndpointProtocol.h"
 #include "Router/PeerController.h"
 #include "Router/RequestLog.h"
@@ -84,6 +85,8 @@
   void HandleEndpointChange(const EndpointRecord& aEndpoint,
                             EndpointChange aChange);
   void ScheduleExpiry();
+  /** Time for which aEndpoint wants no requests. */
+  Duration RemainingBackoff(const std::string& aEndpoint) const;
   void LogStoreState(std::string_view aPrefix, const absl::Status* aLost);
 
   EventLoop& mLoop;
@@ -107,6 +110,7 @@
   PlainSelector mSelector;
   StreamScheduler mScheduler;
   StreamDispatcher mStreams;
+  EndpointClient mEndpointClient;
   RequestLog mLog;
   sigc::signal<void()> mOnStopEnd;
   CachedPromptQuery mCachedPromptQuery;
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -58,7 +58,7 @@
 }
 
 void
-StreamCall::Finish(RefusalReason aReason)
+StreamCall::Finish(RefusalReason aReason, Duration aMinRetryAfter)
 {
   mState = StreamState::Finished;
   const bool isTimeout = aReason == RefusalReason::Timeout;
@@ -70,7 +70,8 @@
                        isNamed ? aReason : RefusalReason::OutcomeUnknown,
                        Duration::zero() });
   } else {
-    mDelegate.Refuse({ kHttpUnavailable, aReason, kRetryAfter });
+    mDelegate.Refuse(
+      { kHttpUnavailable, aReason, std::max(kRetryAfter, aMinRetryAfter) });
   }
 }
 
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -63,9 +63,18 @@
   mRelay.DiscardPartialEvent();
   mCache = move.mCache;
   mPlacement.mPrefill.clear();
-  mPlacement.mDecode = move.mIsCopied ? move.mTarget : move.mSource;
-  mMoveSource = move.mIsCopied ? move.mSource : std::string();
+  // The source keeps its cache after the copy.
+  const bool usesTarget = move.mIsCopied && mDelegate.IsUsable(move.mTarget);
+  mPlacement.mDecode = usesTarget ? move.mTarget : move.mSource;
+  mMoveSource = usesTarget ? move.mSource : std::string();
   mDelegate.ReportMoved(mPlacement.mDecode);
+  if (mDelegate.IsInBackoff(mPlacement.mDecode)) {
+    // Neither target nor source accepts the run, so its KV cache is lost.
+    mFailedEndpoints.insert(mPlacement.mDecode);
+    ReleaseAll();
+    Retry(1, aNow);
+    return;
+  }
   SendDecode(aNow);
 }
 
@@ -73,6 +82,7 @@
 StreamCall::ResumeAtSource(Instant aNow)
 {
   if (mState != StreamState::Starting || mMoveSource.empty() || !mCache ||
+      mDelegate.IsInBackoff(mMoveSource) ||
       !mRetryBudget.TryConsume(mParameters.mCall.mService, 1, aNow)) {
     return false;
   }
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -124,6 +124,11 @@
       stream->HandlePlacement(nullptr);
     }
   }
+  for (const auto& it : mScheduler.RemoveUnservable(now)) {
+    if (DispatchedStream* stream = Find(it.mNumber); stream != nullptr) {
+      stream->HandleUnservable(it.mRetryAfter);
+    }
+  }
   for (const auto& it : mScheduler.Dispatch(now)) {
     if (DispatchedStream* stream = Find(it.mNumber); stream != nullptr) {
       stream->HandlePlacement(&it);
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -13,10 +13,12 @@
   { EndpointRole::Prefill, "prefill" },
   { EndpointRole::Decode, "decode" },
 } };
-constexpr EnumNames<EndpointChange, 9> kChangeNames{ {
+constexpr EnumNames<EndpointChange, 11> kChangeNames{ {
   { EndpointChange::Added, "added" },
   { EndpointChange::Restarted, "restarted" },
   { EndpointChange::Draining, "leaving" },
+  { EndpointChange::LeavingAnnounced, "leaving_announced" },
+  { EndpointChange::BackoffStarted, "backing_off" },
   { EndpointChange::Returned, "returned" },
   { EndpointChange::Missing, "in_doubt" },
   { EndpointChange::Replaced, "replaced" },
@@ -75,7 +77,7 @@
     return;
   }
   if (it == mEntries.end()) {
-    mEntries[aRecord.mId] = { aRecord, std::nullopt, false, std::nullopt };
+    mEntries[aRecord.mId].mRecord = aRecord;
     mServices[aRecord.mService].push_back(aRecord.mId);
     mOnChange.emit(aRecord, EndpointChange::Added);
     if (aRecord.mIsDraining) {
@@ -91,6 +93,8 @@
     it->second.mIsReplaced = false;
   }
   if (before.mIncarnation != aRecord.mIncarnation) {
+    it->second.mHasAnnouncedLeaving = false;
+    it->second.mBackoffEnd.reset();
     mOnChange.emit(aRecord, EndpointChange::Restarted);
   }
   if (before.mRole != aRecord.mRole) {
@@ -99,7 +103,8 @@
   }
   if (aRecord.mIsDraining && !before.mIsDraining) {
     mOnChange.emit(aRecord, EndpointChange::Draining);
-  } else if (!aRecord.mIsDraining && (before.mIsDraining || wasMissing)) {
+  } else if (!IsLeaving(it->second) && !it->second.mBackoffEnd &&
+             (before.mIsDraining || wasMissing)) {
     mOnChange.emit(aRecord, EndpointChange::Returned);
   }
 }
@@ -143,6 +148,32 @@
   }
 }
 
+void
+EndpointDirectory::OnLeavingAnnounced(const std::string& aId,
+                                      std::int64_t aIncarnation)
+{
+  const auto it = mEntries.find(aId);
+  if (it != mEntries.end() && !it->second.mHasAnnouncedLeaving &&
+      it->second.mRecord.mIncarnation == aIncarnation) {
+    it->second.mHasAnnouncedLeaving = true;
+    mOnChange.emit(it->second.mRecord, EndpointChange::LeavingAnnounced);
+  }
+}
+
+void
+EndpointDirectory::OnBackoffRequested(const std::string& aId,
+                                      std::int64_t aIncarnation,
+                                      Instant aUntil)
+{
+  const auto it = mEntries.find(aId);
+  if (it == mEntries.end() || it->second.mRecord.mIncarnation != aIncarnation ||
+      it->second.mBackoffEnd >= aUntil) {
+    return;
+  }
+  it->second.mBackoffEnd = aUntil;
+  mOnChange.emit(it->second.mRecord, EndpointChange::BackoffStarted);
+}
+
 void
 EndpointDirectory::OnRoleOrdered(const std::string& aId,
                                  const RoleOrder& aOrder,
@@ -187,6 +218,53 @@
   return it != mEntries.end() && it->second.mDropAt.has_value();
 }
 
+bool
+EndpointDirectory::IsLeaving(const std::string& aId) const
+{
+  const auto it = mEntries.find(aId);
+  return it != mEntries.end() && IsLeaving(it->second);
+}
+
+bool
+EndpointDirectory::AreAllLeaving(const std::string& aService,
+                                 EndpointRole aRole) const
+{
+  const auto entries = EntriesOf(aService, aRole);
+  return !entries.empty() &&
+         std::all_of(entries.begin(), entries.end(), [](const Entry* aIt) {
+           return IsLeaving(*aIt);
+         });
+}
+
+bool
+EndpointDirectory::IsInBackoff(const std::string& aId) const
+{
+  return BackoffEnd(aId).has_value();
+}
+
+std::optional<Instant>
+EndpointDirectory::BackoffEnd(const std::string& aId) const
+{
+  const auto it = mEntries.find(aId);
+  return it == mEntries.end() ? std::nullopt : it->second.mBackoffEnd;
+}
+
+std::optional<Instant>
+EndpointDirectory::FirstBackoffEnd(const std::string& aService,
+                                   EndpointRole aRole) const
+{
+  std::optional<Instant> first;
+  for (const Entry* it : EntriesOf(aService, aRole)) {
+    if (IsUsable(*it)) {
+      return std::nullopt;
+    }
+    if (IsUsableOrInBackoff(*it)) {
+      first = std::min(first.value_or(*it->mBackoffEnd), *it->mBackoffEnd);
+    }
+  }
+  return first;
+}
+
 bool
 EndpointDirectory::IsUsable(const std::string& aId) const
 {
@@ -207,7 +285,15 @@
   for (auto& [id, entry] : mEntries) {
     if (entry.mRoleOrder && entry.mRoleOrder->mDeadline <= aNow) {
       entry.mRoleOrder.reset();
-      mOnChange.emit(entry.mRecord, EndpointChange::Returned);
+      if (IsUsable(entry)) {
+        mOnChange.emit(entry.mRecord, EndpointChange::Returned);
+      }
+    }
+    if (entry.mBackoffEnd && *entry.mBackoffEnd <= aNow) {
+      entry.mBackoffEnd.reset();
+      if (IsUsable(entry)) {
+        mOnChange.emit(entry.mRecord, EndpointChange::Returned);
+      }
     }
     if (entry.mDropAt && *entry.mDropAt <= aNow) {
       expired.push_back(id);
@@ -226,6 +312,9 @@
     if (entry.mDropAt && (!next || *entry.mDropAt < *next)) {
       next = entry.mDropAt;
     }
+    if (entry.mBackoffEnd && (!next || *entry.mBackoffEnd < *next)) {
+      next = entry.mBackoffEnd;
+    }
     if (entry.mRoleOrder && (!next || entry.mRoleOrder->mDeadline < *next)) {
       next = entry.mRoleOrder->mDeadline;
     }
@@ -240,21 +329,47 @@
   return it == mEntries.end() ? nullptr : &it->second.mRecord;
 }
 
-std::vector<const EndpointRecord*>
-EndpointDirectory::Usable(const std::string& aService, EndpointRole aRole) const
+std::vector<const EndpointDirectory::Entry*>
+EndpointDirectory::EntriesOf(const std::string& aService,
+                             EndpointRole aRole) const
 {
-  std::vector<const EndpointRecord*> usable;
+  std::vector<const Entry*> entries;
   const auto ids = mServices.find(aService);
   if (ids == mServices.end()) {
-    return usable;
+    return entries;
   }
   for (const auto& it : ids->second) {
     const Entry& entry = mEntries.at(it);
-    if (IsUsable(entry) && entry.mRecord.mRole == aRole) {
-      usable.push_back(&entry.mRecord);
+    if (entry.mRecord.mRole == aRole) {
+      entries.push_back(&entry);
+    }
+  }
+  return entries;
+}
+
+std::vector<const EndpointRecord*>
+EndpointDirectory::Usable(const std::string& aService, EndpointRole aRole) const
+{
+  std::vector<const EndpointRecord*> usable;
+  for (const Entry* it : EntriesOf(aService, aRole)) {
+    if (IsUsable(*it)) {
+      usable.push_back(&it->mRecord);
     }
   }
   return usable;
 }
 
+std::vector<const EndpointRecord*>
+EndpointDirectory::UsableOrInBackoff(const std::string& aService,
+                                     EndpointRole aRole) const
+{
+  std::vector<const EndpointRecord*> endpoints;
+  for (const Entry* it : EntriesOf(aService, aRole)) {
+    if (IsUsableOrInBackoff(*it)) {
+      endpoints.push_back(&it->mRecord);
+    }
+  }
+  return endpoints;
+}
+
 } // namespace bulrushfold
--- a/Source/Routing/StreamSchedulerMoves.cxx
+++ b/Source/Routing/StreamSchedulerMoves.cxx
@@ -22,10 +22,12 @@
 StreamScheduler::ShouldMove(const StreamRun& aRun, Instant aNow) const
 {
   const EndpointRecord* engine = mDirectory.Find(aRun.mEndpoint);
-  if (engine == nullptr || !aRun.mStartedAt) {
+  if (engine == nullptr || !aRun.mStartedAt ||
+      mDirectory.IsInBackoff(aRun.mEndpoint)) {
     return false;
   }
-  if (engine->mIsDraining || mDirectory.IsChangingRole(aRun.mEndpoint)) {
+  if (mDirectory.IsLeaving(aRun.mEndpoint) ||
+      mDirectory.IsChangingRole(aRun.mEndpoint)) {
     const double remaining =
       static_cast<double>(aRun.mAnswerTokens) - mForecast.Generated(aRun, aNow);
     return remaining > ToMilliseconds(kMinRemaining) * mForecast.Rate();
--- a/Tests/Router/StreamCallTest.cxx
+++ b/Tests/Router/StreamCallTest.cxx
@@ -46,6 +46,10 @@
   {
     return mUnusable.count(aEndpoint) == 0;
   }
+  bool IsInBackoff(const std::string& aEndpoint) const override
+  {
+    return mInBackoff.count(aEndpoint) > 0;
+  }
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override
   {
     mActions.push_back("reserve " + aEndpoint);
@@ -113,6 +117,7 @@
   std::vector<DecodeParameters> mDecodes;
   std::vector<std::string> mInterruptedAt;
   std::set<std::string> mUnusable;
+  std::set<std::string> mInBackoff;
   std::string mAnswerData;
   std::string mRunEndpoint;
   std::uint64_t mReservedTokens = 0;
@@ -324,6 +329,24 @@
     CHECK_FALSE(fixture.mDelegate.HasAction("prefill p1"));
     CHECK(fixture.mDelegate.mDemands.size() == 2);
   }
+  SUBCASE("it is refused at once when no engine will accept it")
+  {
+    fixture.mCall->OnUnservable(seconds(7), fixture.mNow);
+    CHECK(fixture.mDelegate.LastAction() == "refuse 503");
+    CHECK(fixture.mDelegate.mRefusal.mReason == RefusalReason::NoEndpoint);
+    CHECK(fixture.mDelegate.mRefusal.mRetryAfter == seconds(7));
+  }
+  // Guards against a prefill for a decode engine that announced in the answer
+  // to the reservation that it leaves.
+  SUBCASE("a prompt is not prefilled for a decode engine that leaves")
+  {
+    fixture.Place("p1", "d1");
+    fixture.mDelegate.mUnusable = { "d1" };
+    fixture.mCall->OnReserved("hold", fixture.mNow);
+    CHECK_FALSE(fixture.mDelegate.HasAction("prefill p1"));
+    CHECK(fixture.mDelegate.HasAction("unreserve hold"));
+    CHECK(fixture.mDelegate.mDemands.size() == 2);
+  }
   SUBCASE("a decode engine that was removed is not used")
   {
     fixture.Place("p1", "d1");
@@ -543,6 +566,28 @@
       CHECK(fixture.mDelegate.mRunEndpoint == "d1");
     }
   }
+  // Guards against a decode at an engine that asked for no requests.
+  SUBCASE("it is placed anew when neither target nor source accepts it")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mDelegate.mUnusable = { "d2" };
+    fixture.mDelegate.mInBackoff = { "d1" };
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    CHECK(fixture.mDelegate.mDecodes.size() == 1);
+    CHECK(fixture.mDelegate.HasAction("drop moved"));
+    CHECK(fixture.mDelegate.mDemands.size() == 2);
+  }
+  // Guards against a decode at an engine that announced during the move that
+  // it leaves.
+  SUBCASE("it resumes at its source when the target leaves")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mDelegate.mUnusable = { "d2" };
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
+    CHECK(fixture.mDelegate.mDecodes[1].mEndpoint == "d1");
+    CHECK(fixture.mDelegate.mRunEndpoint == "d1");
+  }
   SUBCASE("it resumes at its source when the target has no free memory")
   {
     fixture.EndAnswer(SendOutcome::Unknown);
