Log the prompt parts of a run that was lost with its engine

The logs named neither the parts of a prompt nor how long a lost run had been answering, so they could not tell which of the runs lost in a crash caused it.

--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -37,6 +37,9 @@
   std::string mLastEventId;
   /** The last part of the prompt, which no other caller's prompt contains. */
   std::optional<PromptPart> mUniquePromptPart;
+  /** Keys of the parts before the last one, which other prompts may contain, in
+   * the order of the prompt; limited in number. */
+  std::vector<std::uint64_t> mSharedPromptParts;
 };
 
 /** Properties of an endpoint's answer other than its body. */
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -2,6 +2,8 @@
 
 #include "Base/EnumNames.h"
 #include "Base/Log.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 namespace bulrushfold {
 
@@ -33,6 +35,16 @@
                          "Sends to endpoints that ended, by step and end.",
                          { "step", "end" } };
 
+/** Keys of prompt parts, as log lines name them. */
+std::string
+FormatParts(const std::vector<std::uint64_t>& aParts)
+{
+  return absl::StrJoin(
+    aParts, ",", [](std::string* aText, std::uint64_t aPart) {
+      absl::StrAppend(aText, absl::Hex(aPart, absl::kZeroPad16));
+    });
+}
+
 std::string
 RouteName(const RoutedRequest& aRequest)
 {
@@ -137,6 +149,19 @@
              { "took_ms", ToMilliseconds(aDuration) } });
 }
 
+void
+RequestLog::RunLost(const RoutedRequest& aRequest,
+                    const std::string& aEndpoint,
+                    Duration aAnswering)
+{
+  LogEvent(LogLevel::Warning,
+           "run_lost",
+           { { "id", aRequest.mMetadata.mId },
+             { "endpoint", aEndpoint },
+             { "parts", FormatParts(aRequest.mMetadata.mSharedPromptParts) },
+             { "answering_ms", ToMilliseconds(aAnswering) } });
+}
+
 void
 RequestLog::Queued(const RoutedRequest& aRequest, std::size_t aWaiting)
 {
--- a/Source/Router/RequestLog.h
+++ b/Source/Router/RequestLog.h
@@ -34,6 +34,11 @@
                  std::string_view aOutcome,
                  int aStatus,
                  Duration aDuration);
+  /** A run at a decode engine was lost with the connection. aAnswering: time
+   * since the start of its answer; zero when it had not started. */
+  void RunLost(const RoutedRequest& aRequest,
+               const std::string& aEndpoint,
+               Duration aAnswering);
   void Queued(const RoutedRequest& aRequest, std::size_t aWaiting);
   void Placed(const RoutedRequest& aRequest, const StreamPlacement& aPlacement);
   /** The request has ended. aReason: empty unless the router ended it. */
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -286,58 +286,6 @@
   mCall.OnPrefilled(outcome, cache, duration, mServices.mClock.Now());
 }
 
-void
-StreamSession::Decode(const DecodeParameters& aParameters, Instant aDeadline)
-{
-  SendParameters parameters;
-  parameters.mTimeLeft = aDeadline - mServices.mClock.Now();
-  parameters.mCache = aParameters.mCache;
-  parameters.mReservation = aParameters.mReservation;
-  parameters.mLastEventId = aParameters.mLastEventId;
-  HttpCallRequest request = mServices.mProtocol.Forward(
-    mRequest->Message(),
-    *mServices.mDirectory.Find(aParameters.mEndpoint),
-    parameters);
-  HttpCallHooks hooks;
-  hooks.mOnHeaders = [this](int aStatus, const HttpHeaders& aHeaders) {
-    HandleDecodeHead(aStatus, aHeaders);
-  };
-  hooks.mOnChunk = [this](std::string_view aData) {
-    const auto self = mSelf;
-    mCall.OnAnswerData(aData, mServices.mClock.Now());
-  };
-  hooks.mOnDone = [this](const HttpCallReply& aReply) {
-    HandleDecodeEnd(aReply);
-  };
-  mHeadOutcome = SendOutcome::Unknown;
-  mIsReadPaused = false;
-  StartSend(
-    "decode", aParameters.mEndpoint, std::move(request), std::move(hooks));
-}
-
-void
-StreamSession::HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders)
-{
-  const auto self = mSelf;
-  const AnswerMetadata metadata =
-    mServices.mProtocol.ReadAnswer(aStatus, aHeaders);
-  mHeadOutcome =
-    ClassifySend(HttpCallResult::Complete, metadata, mRequest->mMetadata.mId);
-  if (mHeadOutcome == SendOutcome::OtherEndpoint) {
-    mServices.mDirectory.OnAddressReused(mEndpoint);
-  }
-  mCall.OnAnswerStarted(
-    mHeadOutcome, aStatus, aHeaders, mServices.mClock.Now());
-}
-
-void
-StreamSession::HandleDecodeEnd(const HttpCallReply& aReply)
-{
-  const auto self = mSelf;
-  const SendOutcome outcome = HandleSendReply(aReply);
-  mCall.OnAnswerEnded(outcome, mServices.mClock.Now());
-}
-
 void
 StreamSession::CancelSend(SendResult aReason)
 {
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -67,6 +67,8 @@
   void HandlePrefilled(const HttpCallReply& aReply);
   void HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders);
   void HandleDecodeEnd(const HttpCallReply& aReply);
+  /** The connection was lost while the decode engine ran the stream. */
+  void RecordLostRun();
   void HandleCallerDisconnected();
   /** Sends a call without waiting for its answer; failures are only logged. */
   void SendDetached(HttpCallRequest aRequest);
@@ -94,6 +96,8 @@
   Instant mSentAt;
   SendOutcome mHeadOutcome = SendOutcome::Unknown;
   bool mIsReadPaused = false;
+  /** When the head of the decode engine's answer arrived; zero before. */
+  Instant mAnswerStartedAt;
   /** Keeps the session alive until the call has ended. */
   std::shared_ptr<StreamSession> mSelf;
 };
--- a/Tests/Adapter/PlatformProtocolTest.cxx
+++ b/Tests/Adapter/PlatformProtocolTest.cxx
@@ -59,6 +59,13 @@
   shared.mHeaders = { { "X-Prompt-Prefix", "aa:100, 5c1e07a2:800" } };
   CHECK(protocol.ReadRequest(shared).mUniquePromptPart->mKey ==
         metadata.mUniquePromptPart->mKey);
+  REQUIRE(protocol.ReadRequest(shared).mSharedPromptParts.size() == 1);
+  CHECK(metadata.mSharedPromptParts.empty());
+  HttpRequest reordered = MakeRequest();
+  reordered.mHeaders = { { "X-Prompt-Prefix", "bb:7, aa:100 ,cc, dd:1" } };
+  REQUIRE(protocol.ReadRequest(reordered).mSharedPromptParts.size() == 2);
+  CHECK(protocol.ReadRequest(reordered).mSharedPromptParts[1] ==
+        protocol.ReadRequest(shared).mSharedPromptParts[0]);
 
   HttpRequest malformed = MakeRequest();
   malformed.mHeaders = { { "X-Deadline-Ms", "soon" },
