Refuse prompt parts that crash engines

Callers saw engines crash one after the other, each crash ending all streams of its engine: one part of a prompt crashed each engine that began to answer it, in requests that were never alike. CrashGuard counts lost connections by the hash of path, caller and body, so these crashes never added up.

PromptCrashGuard counts crashes by the shared parts of the prompts. Daemons pass on all they know, at once after a loss, in optional fields that older peers skip. Streams check again before each further step: 502 if they may have run, otherwise 503 without a retry time.

--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -60,6 +60,7 @@
     }
   });
   mTables.mRuns.OnOwnChange().connect([this] { ScheduleBroadcast(); });
+  mTables.mPromptGuard.OnOwnLoss().connect([this] { ScheduleBroadcast(); });
 }
 
 void
@@ -247,6 +248,7 @@
   mTables.mRuns.SetPeer(aSender, std::move(status->mRuns));
   mTables.mRetryBudget.SetPeer(aSender, std::move(status->mRetries));
   mTables.mGuard.SetPeer(aSender, status->mSuspects, now);
+  mTables.mPromptGuard.Merge(status->mLostPrompts, status->mAnsweredParts, now);
   mTables.mDeferredRequests.SetPeer(aSender, status->mDeferredRequests, now);
   mTables.mCachedPrompts.SetPeer(aSender, std::move(status->mCachedPrompts));
   for (const auto& [endpoint, order] : status->mRoleOrders) {
@@ -306,6 +308,8 @@
   status.mWorks = mTables.mLoads.OwnWorks();
   status.mRetries = mTables.mRetryBudget.OwnUses(now);
   status.mSuspects = mTables.mGuard.OwnSuspects(now);
+  status.mLostPrompts = mTables.mPromptGuard.Lost(now);
+  status.mAnsweredParts = mTables.mPromptGuard.Answered(now);
   status.mDeferredRequests = mTables.mDeferredRequests.Own(now);
   status.mCachedPrompts = mTables.mCachedPrompts.Own(now);
   status.mRoleOrders = mTables.mDirectory.RoleOrders(now);
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -25,6 +25,7 @@
   StreamRuns& mRuns;
   SharedRetryBudget& mRetryBudget;
   CrashGuard& mGuard;
+  PromptCrashGuard& mPromptGuard;
   DeferredRequests& mDeferredRequests;
   CachedPrompts& mCachedPrompts;
   LocalPrefillTurns& mPrefillTurns;
--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -18,6 +18,41 @@
   return static_cast<std::int32_t>(
     std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count());
 }
+void
+EncodeCrashes(const PeerStatus& aStatus, wire::RoutingStatus& aMessage)
+{
+  for (const auto& it : aStatus.mLostPrompts) {
+    wire::LostPrompt lost;
+    lost.engine = static_cast<std::int64_t>(it.mEngine);
+    lost.parts.assign(it.mParts.begin(), it.mParts.end());
+    lost.ageMs = WholeMilliseconds(it.mAge);
+    aMessage.lostPrompts.push_back(std::move(lost));
+  }
+  for (const auto& it : aStatus.mAnsweredParts) {
+    wire::AnsweredPart answered;
+    answered.part = static_cast<std::int64_t>(it.mPart);
+    answered.ageMs = WholeMilliseconds(it.mAge);
+    aMessage.answeredParts.push_back(std::move(answered));
+  }
+  aMessage.__isset.lostPrompts = true;
+  aMessage.__isset.answeredParts = true;
+}
+
+void
+DecodeCrashes(const wire::RoutingStatus& aMessage, PeerStatus& aStatus)
+{
+  for (const auto& it : aMessage.lostPrompts) {
+    aStatus.mLostPrompts.push_back(
+      { static_cast<std::uint64_t>(it.engine),
+        { it.parts.begin(), it.parts.end() },
+        std::chrono::milliseconds(std::max(it.ageMs, 0)) });
+  }
+  for (const auto& it : aMessage.answeredParts) {
+    aStatus.mAnsweredParts.push_back(
+      { static_cast<std::uint64_t>(it.part),
+        std::chrono::milliseconds(std::max(it.ageMs, 0)) });
+  }
+}
 } // namespace
 
 std::string
@@ -57,6 +92,7 @@
     suspect.ageMs = WholeMilliseconds(it.mAge);
     message.suspects.push_back(std::move(suspect));
   }
+  EncodeCrashes(aStatus, message);
   for (const auto& it : aStatus.mDeferredRequests) {
     wire::TurnedAway request;
     request.requestHash = static_cast<std::int64_t>(it.mHash);
@@ -126,6 +162,7 @@
         static_cast<std::uint32_t>(std::max(it.losses, 0)),
         std::chrono::milliseconds(it.ageMs) });
   }
+  DecodeCrashes(*message, status);
   for (const auto& it : message->turnedAway) {
     status.mDeferredRequests.push_back(
       { static_cast<std::uint64_t>(it.requestHash),
--- a/Source/Router/PeerStatus.h
+++ b/Source/Router/PeerStatus.h
@@ -12,6 +12,7 @@
 #include "Routing/DeferredRequests.h"
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointLoads.h"
+#include "Routing/PromptCrashGuard.h"
 #include "Routing/SharedRetryBudget.h"
 #include "Routing/StreamRuns.h"
 #include "Settings/Settings.h"
@@ -26,6 +27,8 @@
   EndpointWorks mWorks;
   RetryUses mRetries;
   std::vector<CrashSuspect> mSuspects;
+  std::vector<LostPrompt> mLostPrompts;
+  std::vector<AnsweredPart> mAnsweredParts;
   std::vector<DeferredRequest> mDeferredRequests;
   std::vector<CachedPrompt> mCachedPrompts;
   /** Role orders in progress, by engine. */
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -35,6 +35,12 @@
                          "Sends to endpoints that ended, by step and end.",
                          { "step", "end" } };
 
+const MetricInfo kPartDecisions{
+  "bulrushfold_prompt_part_decisions_total",
+  "Prompt parts that became refused or accepted again.",
+  { "change" }
+};
+
 /** Keys of prompt parts, as log lines name them. */
 std::string
 FormatParts(const std::vector<std::uint64_t>& aParts)
@@ -162,6 +168,34 @@
              { "answering_ms", ToMilliseconds(aAnswering) } });
 }
 
+void
+RequestLog::PromptRefused(const RoutedRequest& aRequest,
+                          const RefusedPart& aPart)
+{
+  LogEvent(LogLevel::Warning,
+           "prompt_refused",
+           { { "id", aRequest.mMetadata.mId },
+             { "part", FormatParts({ aPart.mPart }) },
+             { "crashes", aPart.mCrashes },
+             { "lost_runs", aPart.mOwnRuns + aPart.mPeerRuns } });
+}
+
+void
+RequestLog::PartDecided(const RefusedPart& aPart, bool aIsRefused, Instant aNow)
+{
+  const std::string change = aIsRefused ? "refused" : "accepted";
+  mMetrics.GetCounter(kPartDecisions, { change }).Add();
+  LogEvent(LogLevel::Warning,
+           "prompt_part_decided",
+           { { "part", FormatParts({ aPart.mPart }) },
+             { "change", change },
+             { "crashes", aPart.mCrashes },
+             { "own_runs", aPart.mOwnRuns },
+             { "peer_runs", aPart.mPeerRuns },
+             { "first_age_ms", ToMilliseconds(aNow - aPart.mFirstLossAt) },
+             { "last_age_ms", ToMilliseconds(aNow - aPart.mLastLossAt) } });
+}
+
 void
 RequestLog::Queued(const RoutedRequest& aRequest, std::size_t aWaiting)
 {
--- a/Source/Router/RequestLog.h
+++ b/Source/Router/RequestLog.h
@@ -9,6 +9,7 @@
 #include "Router/RoutedRequest.h"
 #include "Router/StreamCall.h"
 #include "Routing/EndpointDirectory.h"
+#include "Routing/PromptCrashGuard.h"
 
 namespace bulrushfold {
 
@@ -39,6 +40,10 @@
   void RunLost(const RoutedRequest& aRequest,
                const std::string& aEndpoint,
                Duration aAnswering);
+  /** The request is refused because of aPart. */
+  void PromptRefused(const RoutedRequest& aRequest, const RefusedPart& aPart);
+  /** A prompt part is refused from now on, or accepted again. */
+  void PartDecided(const RefusedPart& aPart, bool aIsRefused, Instant aNow);
   void Queued(const RoutedRequest& aRequest, std::size_t aWaiting);
   void Placed(const RoutedRequest& aRequest, const StreamPlacement& aPlacement);
   /** The request has ended. aReason: empty unless the router ended it. */
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -81,14 +81,23 @@
                        aProtocol,
                        mDirectory,
                        mCachedPrompts)
-  , mServices{ aLoop,          mClock,
-               aClient,        aProtocol,
-               mDirectory,     mLoads,
-               mHealth,        mRetryBudget,
-               mGuard,         mDeferredRequests,
-               mCachedPrompts, mCachedPromptQuery,
-               mAnswerLengths, mSelector,
-               mStreams,       mLog }
+  , mServices{ aLoop,
+               mClock,
+               aClient,
+               aProtocol,
+               mDirectory,
+               mLoads,
+               mHealth,
+               mRetryBudget,
+               mGuard,
+               mPromptGuard,
+               mDeferredRequests,
+               mCachedPrompts,
+               mCachedPromptQuery,
+               mAnswerLengths,
+               mSelector,
+               mStreams,
+               mLog }
   , mPeers(aLoop,
            mClock,
            mRandom,
@@ -98,6 +107,7 @@
              mRuns,
              mRetryBudget,
              mGuard,
+             mPromptGuard,
              mDeferredRequests,
              mCachedPrompts,
              mPrefillTurns,
@@ -166,6 +176,8 @@
   AddFilters();
   mDirectory.OnChange().connect(
     sigc::mem_fun(*this, &Router::HandleEndpointChange));
+  mPromptGuard.OnDecision().connect(
+    sigc::mem_fun(mLog, &RequestLog::PartDecided));
   mCallerServer.OnRefused([](const HttpRefusal& aRefusal) {
     LogEvent(LogLevel::Warning,
              "request_unreadable",
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -98,6 +98,7 @@
   EndpointHealth mHealth;
   SharedRetryBudget mRetryBudget;
   CrashGuard mGuard;
+  PromptCrashGuard mPromptGuard;
   DeferredRequests mDeferredRequests;
   PlainSelector mSelector;
   StreamScheduler mScheduler;
--- a/Source/Router/RouterFilters.cxx
+++ b/Source/Router/RouterFilters.cxx
@@ -80,7 +80,8 @@
 bool
 CrashFilter::Handle(const RoutedRequestPointer& aRequest)
 {
-  if (!mGuard.IsRefused(aRequest->mHash, mServices.mClock.Now())) {
+  if (!mGuard.IsRefused(aRequest->mHash, mServices.mClock.Now()) &&
+      !mServices.RefusesPrompt(*aRequest)) {
     return true;
   }
   AnswerWriter(mServices, aRequest)
--- a/Source/Router/RouterFilters.h
+++ b/Source/Router/RouterFilters.h
@@ -55,7 +55,8 @@
   TableSource mTable;
 };
 
-/** Refuses requests that have crashed endpoints. */
+/** Refuses requests that have crashed endpoints, and those with a prompt part
+ * that did. */
 class CrashFilter : public RouterFilter
 {
 public:
--- a/Source/Router/RouterServices.cxx
+++ b/Source/Router/RouterServices.cxx
@@ -18,4 +18,15 @@
   }
 }
 
+bool
+RouterServices::RefusesPrompt(const RoutedRequest& aRequest)
+{
+  const RefusedPart* part = mPromptGuard.FindRefused(
+    aRequest.mMetadata.mSharedPromptParts, mClock.Now());
+  if (part != nullptr) {
+    mLog.PromptRefused(aRequest, *part);
+  }
+  return part != nullptr;
+}
+
 } // namespace bulrushfold
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -17,6 +17,7 @@
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
 #include "Routing/PlainSelector.h"
+#include "Routing/PromptCrashGuard.h"
 #include "Routing/SharedRetryBudget.h"
 
 namespace bulrushfold {
@@ -35,6 +36,7 @@
   EndpointHealth& mHealth;
   SharedRetryBudget& mRetryBudget;
   CrashGuard& mGuard;
+  PromptCrashGuard& mPromptGuard;
   DeferredRequests& mDeferredRequests;
   CachedPrompts& mCachedPrompts;
   CachedPromptQuery& mCachedPromptQuery;
@@ -48,6 +50,8 @@
                          const std::string& aEndpoint,
                          SendOutcome aOutcome,
                          HttpCallResult aResult);
+  /** True when a part of the prompt crashes engines; logs the reason. */
+  bool RefusesPrompt(const RoutedRequest& aRequest);
 };
 
 } // namespace bulrushfold
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -140,6 +140,9 @@
 {
   mPlacement = aPlacement;
   ++mPlacementCount;
+  if (EndIfPromptRefused()) {
+    return;
+  }
   if (mParameters.mProfile.mMaxReservation <= Duration::zero()) {
     StartPrefill(aNow);
     return;
@@ -185,6 +188,9 @@
 void
 StreamCall::StartPrefill(Instant aNow)
 {
+  if (EndIfPromptRefused()) {
+    return;
+  }
   if (mPlacement.mPrefill.empty()) {
     StartDecode(aNow);
     return;
@@ -224,6 +230,9 @@
 void
 StreamCall::StartDecode(Instant aNow)
 {
+  if (EndIfPromptRefused()) {
+    return;
+  }
   if (!mDelegate.IsUsable(mPlacement.mDecode)) {
     mFailedEndpoints.insert(mPlacement.mDecode);
     const std::uint32_t repeats = RepeatedPrefills();
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -65,6 +65,8 @@
   /** The run counts towards the load of aEndpoint from now on. */
   virtual void ReportMoved(const std::string& aEndpoint) = 0;
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
+  /** A part of the prompt crashes engines, so it must not be sent to one. */
+  virtual bool IsPromptRefused() = 0;
   // Engines. The session reports the end of each call with the matching On...
   // function of StreamCall, unless CancelSend cancels it.
   virtual void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) = 0;
@@ -188,6 +190,8 @@
   /** Number of calls before the decode that a further attempt repeats. */
   std::uint32_t RepeatedPrefills() const;
   bool MayRunAgain() const;
+  /** Ends the stream if a part of its prompt crashes engines. */
+  bool EndIfPromptRefused();
   void Finish(RefusalReason aReason, bool aIsTimeout);
   void HandleStall(Instant aNow);
   void SetStallTimeout(Duration aTimeout, Instant aNow);
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -29,9 +29,23 @@
   return route.mIsResumable && mPossibleRuns < route.mMaxAttempts;
 }
 
+bool
+StreamCall::EndIfPromptRefused()
+{
+  if (!mDelegate.IsPromptRefused()) {
+    return false;
+  }
+  ReleaseAll();
+  Finish(RefusalReason::CrashSuspect, false);
+  return true;
+}
+
 void
 StreamCall::Retry(std::uint32_t aRepeatedSends, Instant aNow)
 {
+  if (EndIfPromptRefused()) {
+    return;
+  }
   const bool isUseful = aNow < mParameters.mCall.mDeadline &&
                         mPlacementCount < kMaxPlacements && MayRunAgain();
   if (isUseful && mRetryBudget.TryConsume(
@@ -69,7 +83,11 @@
         aIsTimeout ? RefusalReason::Timeout : RefusalReason::OutcomeUnknown,
         Duration::zero() });
   } else {
-    mDelegate.Refuse({ kHttpUnavailable, aReason, kRetryAfter });
+    // A retry of a prompt that crashes engines does not help.
+    const bool isRetryUseful = aReason != RefusalReason::CrashSuspect;
+    mDelegate.Refuse({ kHttpUnavailable,
+                       aReason,
+                       isRetryUseful ? kRetryAfter : Duration::zero() });
   }
 }
 
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -315,6 +315,7 @@
 void
 StreamSession::EndAnswer()
 {
+  RecordWholeAnswer();
   mAnswerWriter.EndStream(mEndpoint);
   Close();
 }
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -38,6 +38,7 @@
   void ReportInterruptedRun(const std::string& aEndpoint) override;
   void ReportMoved(const std::string& aEndpoint) override;
   bool IsUsable(const std::string& aEndpoint) const override;
+  bool IsPromptRefused() override;
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override;
   void Prefill(const std::string& aEndpoint, Instant aDeadline) override;
   void Decode(const DecodeParameters& aParameters, Instant aDeadline) override;
@@ -67,6 +68,8 @@
   void HandlePrefilled(const HttpCallReply& aReply);
   void HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders);
   void HandleDecodeEnd(const HttpCallReply& aReply);
+  /** The answer was passed on as a whole. */
+  void RecordWholeAnswer();
   /** The connection was lost while the decode engine ran the stream. */
   void RecordLostRun();
   void HandleCallerDisconnected();
@@ -98,6 +101,10 @@
   bool mIsReadPaused = false;
   /** When the head of the decode engine's answer arrived; zero before. */
   Instant mAnswerStartedAt;
+  /** Hash of id and incarnation of the decode engine. */
+  std::uint64_t mEngineHash = 0;
+  /** The answer of the decode engine states its end. */
+  bool mIsAnswerFramed = false;
   /** Keeps the session alive until the call has ended. */
   std::shared_ptr<StreamSession> mSelf;
 };
--- a/Source/Router/StreamSessionDecode.cxx
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -2,8 +2,17 @@
 
 #include <utility>
 
+#include "Base/Digest.h"
+#include "absl/strings/str_cat.h"
+
 namespace bulrushfold {
 
+namespace {
+/** An engine that a prompt crashes does so when it begins to write the answer.
+ * A run that was lost later did not cause the crash. */
+constexpr Duration kAnswerBeginning = std::chrono::milliseconds(500);
+} // namespace
+
 void
 StreamSession::Decode(const DecodeParameters& aParameters, Instant aDeadline)
 {
@@ -12,10 +21,11 @@
   parameters.mCache = aParameters.mCache;
   parameters.mReservation = aParameters.mReservation;
   parameters.mLastEventId = aParameters.mLastEventId;
-  HttpCallRequest request = mServices.mProtocol.Forward(
-    mRequest->Message(),
-    *mServices.mDirectory.Find(aParameters.mEndpoint),
-    parameters);
+  const EndpointRecord& endpoint =
+    *mServices.mDirectory.Find(aParameters.mEndpoint);
+  mEngineHash = Hash64(absl::StrCat(endpoint.mId, "/", endpoint.mIncarnation));
+  HttpCallRequest request =
+    mServices.mProtocol.Forward(mRequest->Message(), endpoint, parameters);
   HttpCallHooks hooks;
   hooks.mOnHeaders = [this](int aStatus, const HttpHeaders& aHeaders) {
     HandleDecodeHead(aStatus, aHeaders);
@@ -39,6 +49,8 @@
 {
   const auto self = mSelf;
   mAnswerStartedAt = mServices.mClock.Now();
+  mIsAnswerFramed = aHeaders.Count("Content-Length") > 0 ||
+                    aHeaders.Count("Transfer-Encoding") > 0;
   const AnswerMetadata metadata =
     mServices.mProtocol.ReadAnswer(aStatus, aHeaders);
   mHeadOutcome =
@@ -69,6 +81,28 @@
                                ? Duration::zero()
                                : mServices.mClock.Now() - mAnswerStartedAt;
   mServices.mLog.RunLost(*mRequest, mEndpoint, answering);
+  if (answering < kAnswerBeginning) {
+    mServices.mPromptGuard.OnRunLost(mEngineHash,
+                                     mRequest->mMetadata.mSharedPromptParts,
+                                     mServices.mClock.Now());
+  }
+}
+
+void
+StreamSession::RecordWholeAnswer()
+{
+  // A crash also ends an answer without framing, and looks like its end.
+  const Instant now = mServices.mClock.Now();
+  if (mIsAnswerFramed || now - mAnswerStartedAt >= kAnswerBeginning) {
+    mServices.mPromptGuard.OnAnswered(mRequest->mMetadata.mSharedPromptParts,
+                                      now);
+  }
+}
+
+bool
+StreamSession::IsPromptRefused()
+{
+  return mServices.RefusesPrompt(*mRequest);
 }
 
 } // namespace bulrushfold
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -46,6 +46,21 @@
   3: required i32 ageMs,
 }
 
+// A run that was lost with its engine while its answer was starting.
+struct LostPrompt {
+  // Hash of the id and incarnation of the engine.
+  1: required i64 engine,
+  // Keys of the shared prompt parts, in the order of the prompt.
+  2: required list<i64> parts,
+  3: required i32 ageMs,
+}
+
+// A prompt part in a whole answer that ended after runs with it were lost.
+struct AnsweredPart {
+  1: required i64 part,
+  2: required i32 ageMs,
+}
+
 // A deferred request: it was refused with a retry time.
 struct TurnedAway {
   1: required i64 requestHash,
@@ -76,4 +91,6 @@
   7: required list<TurnedAway> turnedAway,
   8: required list<RoleOrder> roleOrders,
   9: list<KeptPrompt> keptPrompts,
+  10: list<LostPrompt> lostPrompts,
+  11: list<AnsweredPart> answeredParts,
 }
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -819,6 +819,279 @@
 }
 
 
+LostPrompt::~LostPrompt() noexcept {
+}
+
+
+void LostPrompt::__set_engine(const int64_t val) {
+  this->engine = val;
+}
+
+void LostPrompt::__set_parts(const std::vector<int64_t> & val) {
+  this->parts = val;
+}
+
+void LostPrompt::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const LostPrompt& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LostPrompt::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_engine = false;
+  bool isset_parts = false;
+  bool isset_ageMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->engine);
+          isset_engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->parts.clear();
+            uint32_t _size0;
+            ::apache::thrift::protocol::TType _etype3;
+            xfer += iprot->readListBegin(_etype3, _size0);
+            this->parts.resize(_size0);
+            uint32_t _i4;
+            for (_i4 = 0; _i4 < _size0; ++_i4)
+            {
+              xfer += iprot->readI64(this->parts[_i4]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_parts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          isset_ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_engine)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_parts)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t LostPrompt::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LostPrompt");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
+    std::vector<int64_t> ::const_iterator _iter5;
+    for (_iter5 = this->parts.begin(); _iter5 != this->parts.end(); ++_iter5)
+    {
+      xfer += oprot->writeI64((*_iter5));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LostPrompt &a, LostPrompt &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.parts, b.parts);
+  swap(a.ageMs, b.ageMs);
+}
+
+LostPrompt::LostPrompt(const LostPrompt& other10) {
+  engine = other10.engine;
+  parts = other10.parts;
+  ageMs = other10.ageMs;
+}
+LostPrompt& LostPrompt::operator=(const LostPrompt& other11) {
+  engine = other11.engine;
+  parts = other11.parts;
+  ageMs = other11.ageMs;
+  return *this;
+}
+void LostPrompt::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LostPrompt(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "parts=" << to_string(parts);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
+AnsweredPart::~AnsweredPart() noexcept {
+}
+
+
+void AnsweredPart::__set_part(const int64_t val) {
+  this->part = val;
+}
+
+void AnsweredPart::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const AnsweredPart& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t AnsweredPart::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_part = false;
+  bool isset_ageMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->part);
+          isset_part = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          isset_ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_part)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t AnsweredPart::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("AnsweredPart");
+
+  xfer += oprot->writeFieldBegin("part", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->part);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(AnsweredPart &a, AnsweredPart &b) {
+  using ::std::swap;
+  swap(a.part, b.part);
+  swap(a.ageMs, b.ageMs);
+}
+
+AnsweredPart::AnsweredPart(const AnsweredPart& other10) noexcept {
+  part = other10.part;
+  ageMs = other10.ageMs;
+}
+AnsweredPart& AnsweredPart::operator=(const AnsweredPart& other11) noexcept {
+  part = other11.part;
+  ageMs = other11.ageMs;
+  return *this;
+}
+void AnsweredPart::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "AnsweredPart(";
+  out << "part=" << to_string(part);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ")";
+}
+
+
 TurnedAway::~TurnedAway() noexcept {
 }
 
@@ -1111,6 +1384,14 @@
 void RoutingStatus::__set_keptPrompts(const std::vector<KeptPrompt> & val) {
   this->keptPrompts = val;
 }
+
+void RoutingStatus::__set_lostPrompts(const std::vector<LostPrompt> & val) {
+  this->lostPrompts = val;
+}
+
+void RoutingStatus::__set_answeredParts(const std::vector<AnsweredPart> & val) {
+  this->answeredParts = val;
+}
 std::ostream& operator<<(std::ostream& out, const RoutingStatus& obj)
 {
   obj.printTo(out);
@@ -1303,6 +1584,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->lostPrompts.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->lostPrompts.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->lostPrompts[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.lostPrompts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->answeredParts.clear();
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->answeredParts.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
+            {
+              xfer += this->answeredParts[_i48].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.answeredParts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1428,6 +1749,30 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lostPrompts", ::apache::thrift::protocol::T_LIST, 10);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lostPrompts.size()));
+    std::vector<LostPrompt> ::const_iterator _iter55;
+    for (_iter55 = this->lostPrompts.begin(); _iter55 != this->lostPrompts.end(); ++_iter55)
+    {
+      xfer += (*_iter55).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("answeredParts", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answeredParts.size()));
+    std::vector<AnsweredPart> ::const_iterator _iter55;
+    for (_iter55 = this->answeredParts.begin(); _iter55 != this->answeredParts.end(); ++_iter55)
+    {
+      xfer += (*_iter55).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1444,6 +1789,8 @@
   swap(a.turnedAway, b.turnedAway);
   swap(a.roleOrders, b.roleOrders);
   swap(a.keptPrompts, b.keptPrompts);
+  swap(a.lostPrompts, b.lostPrompts);
+  swap(a.answeredParts, b.answeredParts);
   swap(a.__isset, b.__isset);
 }
 
@@ -1457,6 +1804,8 @@
   turnedAway = other56.turnedAway;
   roleOrders = other56.roleOrders;
   keptPrompts = other56.keptPrompts;
+  lostPrompts = other56.lostPrompts;
+  answeredParts = other56.answeredParts;
   __isset = other56.__isset;
 }
 RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other57) {
@@ -1469,6 +1818,8 @@
   turnedAway = other57.turnedAway;
   roleOrders = other57.roleOrders;
   keptPrompts = other57.keptPrompts;
+  lostPrompts = other57.lostPrompts;
+  answeredParts = other57.answeredParts;
   __isset = other57.__isset;
   return *this;
 }
@@ -1484,6 +1835,8 @@
   out << ", " << "turnedAway=" << to_string(turnedAway);
   out << ", " << "roleOrders=" << to_string(roleOrders);
   out << ", " << "keptPrompts=" << to_string(keptPrompts);
+  out << ", " << "lostPrompts=" << to_string(lostPrompts);
+  out << ", " << "answeredParts=" << to_string(answeredParts);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -31,6 +31,10 @@
 
 class CrashSuspect;
 
+class LostPrompt;
+
+class AnsweredPart;
+
 class TurnedAway;
 
 class RoleOrder;
@@ -319,6 +323,97 @@
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
 
 
+class LostPrompt : public virtual ::apache::thrift::TBase {
+ public:
+
+  LostPrompt(const LostPrompt&);
+  LostPrompt& operator=(const LostPrompt&);
+  LostPrompt() noexcept
+             : engine(0),
+               ageMs(0) {
+  }
+
+  virtual ~LostPrompt() noexcept;
+  int64_t engine;
+  std::vector<int64_t>  parts;
+  int32_t ageMs;
+
+  void __set_engine(const int64_t val);
+
+  void __set_parts(const std::vector<int64_t> & val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const LostPrompt & rhs) const
+  {
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(parts == rhs.parts))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const LostPrompt &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LostPrompt & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LostPrompt &a, LostPrompt &b);
+
+std::ostream& operator<<(std::ostream& out, const LostPrompt& obj);
+
+
+class AnsweredPart : public virtual ::apache::thrift::TBase {
+ public:
+
+  AnsweredPart(const AnsweredPart&) noexcept;
+  AnsweredPart& operator=(const AnsweredPart&) noexcept;
+  AnsweredPart() noexcept
+               : part(0),
+                 ageMs(0) {
+  }
+
+  virtual ~AnsweredPart() noexcept;
+  int64_t part;
+  int32_t ageMs;
+
+  void __set_part(const int64_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  bool operator == (const AnsweredPart & rhs) const
+  {
+    if (!(part == rhs.part))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    return true;
+  }
+  bool operator != (const AnsweredPart &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const AnsweredPart & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(AnsweredPart &a, AnsweredPart &b);
+
+std::ostream& operator<<(std::ostream& out, const AnsweredPart& obj);
+
+
 class TurnedAway : public virtual ::apache::thrift::TBase {
  public:
 
@@ -411,8 +506,10 @@
 std::ostream& operator<<(std::ostream& out, const RoleOrder& obj);
 
 typedef struct _RoutingStatus__isset {
-  _RoutingStatus__isset() : keptPrompts(false) {}
+  _RoutingStatus__isset() : keptPrompts(false), lostPrompts(false), answeredParts(false) {}
   bool keptPrompts :1;
+  bool lostPrompts :1;
+  bool answeredParts :1;
 } _RoutingStatus__isset;
 
 class RoutingStatus : public virtual ::apache::thrift::TBase {
@@ -435,6 +532,8 @@
   std::vector<TurnedAway>  turnedAway;
   std::vector<RoleOrder>  roleOrders;
   std::vector<KeptPrompt>  keptPrompts;
+  std::vector<LostPrompt>  lostPrompts;
+  std::vector<AnsweredPart>  answeredParts;
 
   _RoutingStatus__isset __isset;
 
@@ -456,6 +555,10 @@
 
   void __set_keptPrompts(const std::vector<KeptPrompt> & val);
 
+  void __set_lostPrompts(const std::vector<LostPrompt> & val);
+
+  void __set_answeredParts(const std::vector<AnsweredPart> & val);
+
   bool operator == (const RoutingStatus & rhs) const
   {
     if (!(runs == rhs.runs))
@@ -476,6 +579,10 @@
       return false;
     if (!(keptPrompts == rhs.keptPrompts))
       return false;
+    if (!(lostPrompts == rhs.lostPrompts))
+      return false;
+    if (!(answeredParts == rhs.answeredParts))
+      return false;
     return true;
   }
   bool operator != (const RoutingStatus &rhs) const {
--- a/Tests/Router/PeerStatusTest.cxx
+++ b/Tests/Router/PeerStatusTest.cxx
@@ -20,6 +20,8 @@
   status.mWorks = { { "p1", { 2, 9000 } } };
   status.mRetries = { { "s", { 10, 3 } } };
   status.mSuspects = { { 77, 2, seconds(1) } };
+  status.mLostPrompts = { { 91, { 1, ~0ULL }, seconds(2) } };
+  status.mAnsweredParts = { { 92, seconds(3) } };
   status.mCachedPrompts = { { 43, "d3", 5000, here - seconds(1) } };
   status.mDeferredRequests = { { 88, milliseconds(1500) } };
   status.mRoleOrders = { { "p2",
@@ -42,6 +44,13 @@
   CHECK(read->mWorks.at("p1").mPrefillTokens == 9000);
   CHECK(read->mRetries.at("s").mRetries == 3);
   CHECK(read->mSuspects[0].mHash == 77);
+  REQUIRE(read->mLostPrompts.size() == 1);
+  CHECK(read->mLostPrompts[0].mEngine == 91);
+  CHECK(read->mLostPrompts[0].mParts == std::vector<std::uint64_t>{ 1, ~0ULL });
+  CHECK(read->mLostPrompts[0].mAge == seconds(2));
+  REQUIRE(read->mAnsweredParts.size() == 1);
+  CHECK(read->mAnsweredParts[0].mPart == 92);
+  CHECK(read->mAnsweredParts[0].mAge == seconds(3));
   CHECK(read->mDeferredRequests[0].mAge == milliseconds(1500));
   CHECK(read->mRoleOrders.at("p2").mDeadline == there + seconds(6));
   CHECK(read->mAddress == status.mAddress);
--- a/Tests/Router/StreamCallTest.cxx
+++ b/Tests/Router/StreamCallTest.cxx
@@ -46,6 +46,7 @@
   {
     return mUnusable.count(aEndpoint) == 0;
   }
+  bool IsPromptRefused() override { return mIsPromptRefused; }
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override
   {
     mActions.push_back("reserve " + aEndpoint);
@@ -113,6 +114,7 @@
   std::vector<DecodeParameters> mDecodes;
   std::vector<std::string> mInterruptedAt;
   std::set<std::string> mUnusable;
+  bool mIsPromptRefused = false;
   std::string mAnswerData;
   std::string mRunEndpoint;
   std::uint64_t mReservedTokens = 0;
@@ -286,6 +288,42 @@
   }
 }
 
+TEST_CASE("A stream in progress crashed engines after its part was known")
+{
+  StreamCallFixture fixture(true, 3);
+  fixture.Start();
+  SUBCASE("a stream in the queue is refused without a retry time")
+  {
+    fixture.mDelegate.mIsPromptRefused = true;
+    fixture.Place("p1", "d1");
+    CHECK(fixture.mDelegate.LastAction() == "refuse 503");
+    CHECK(fixture.mDelegate.mRefusal.mReason == RefusalReason::CrashSuspect);
+    CHECK(fixture.mDelegate.mRefusal.mRetryAfter == Duration::zero());
+    CHECK_FALSE(fixture.mDelegate.HasAction("reserve d1"));
+  }
+  SUBCASE("a stream is not decoded after its prefill")
+  {
+    fixture.Place("p1", "d1");
+    fixture.mCall->OnReserved("hold", fixture.mNow);
+    fixture.mDelegate.mIsPromptRefused = true;
+    fixture.FinishPrefill();
+    CHECK(fixture.mDelegate.LastAction() == "refuse 503");
+    CHECK(fixture.mDelegate.mDecodes.empty());
+    CHECK(fixture.mDelegate.HasAction("drop kv"));
+    CHECK(fixture.mDelegate.HasAction("unreserve hold"));
+  }
+  SUBCASE("a stream that may have run is not placed again")
+  {
+    fixture.Place("p1", "d1");
+    fixture.mCall->OnReserved("hold", fixture.mNow);
+    fixture.FinishPrefill();
+    fixture.mDelegate.mIsPromptRefused = true;
+    fixture.EndAnswer(SendOutcome::Unknown);
+    CHECK(fixture.mDelegate.LastAction() == "refuse 502");
+    CHECK(fixture.mDelegate.mDemands.size() == 1);
+  }
+}
+
 TEST_CASE("A stream that fails before the decode has not run")
 {
   StreamCallFixture fixture(false, 1);
