--- a/Tests/Routing/PromptCrashGuardTest.cxx
+++ b/Tests/Routing/PromptCrashGuardTest.cxx
@@ -17,12 +17,12 @@
 /** Crashes aCount engines, each 200 ms after the other, with runs of the deadly
  * part and of a sound one. */
 Instant
-Crash(PromptCrashGuard& aGuard, int aCount)
+Crash(PromptCrashGuard& aGuard, std::uint64_t aCount)
 {
   Instant now = kStart;
-  for (int i = 0; i < aCount; ++i) {
+  for (std::uint64_t i = 0; i < aCount; ++i) {
     now += milliseconds(200);
-    const auto engine = static_cast<std::uint64_t>(100 + i);
+    const std::uint64_t engine = 100 + i;
     aGuard.OnRunLost(engine, { kFirst, kDeadly }, now);
     aGuard.OnRunLost(engine, { kFirst, kSound }, now);
   }
