--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -19,6 +19,7 @@
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
 #include "Routing/PlainSelector.h"
+#include "Routing/PromptCrashGuard.h"
 #include "Routing/SharedRetryBudget.h"
 
 namespace bulrushfold {
@@ -37,6 +38,7 @@
   EndpointHealth& mHealth;
   SharedRetryBudget& mRetryBudget;
   CrashGuard& mGuard;
+  PromptCrashGuard& mPromptGuard;
   DeferredRequests& mDeferredRequests;
   CachedPrompts& mCachedPrompts;
   CachedPromptQuery& mCachedPromptQuery;
@@ -52,6 +54,8 @@
                          const std::string& aEndpoint,
                          SendOutcome aOutcome,
                          HttpCallResult aResult);
+  /** True when a part of the prompt crashes engines; logs the reason. */
+  bool RefusesPrompt(const RoutedRequest& aRequest);
 };
 
 } // namespace bulrushfold
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -67,6 +67,8 @@
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
   /** aEndpoint asked for no requests at present. */
   virtual bool IsInBackoff(const std::string& aEndpoint) const = 0;
+  /** A part of the prompt crashes engines, so it must not be sent to one. */
+  virtual bool IsPromptRefused() = 0;
   // Engines. The session reports the end of each call with the matching On...
   // function of StreamCall, unless CancelSend cancels it.
   virtual void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) = 0;
@@ -195,6 +197,8 @@
   /** Number of calls before the decode that a further attempt repeats. */
   std::uint32_t RepeatedPrefills() const;
   bool MayRunAgain() const;
+  /** Ends the stream if a part of its prompt crashes engines. */
+  bool EndIfPromptRefused();
   /** Cancels the present step, releases everything, and ends the stream.
    * aSendResult: result of the cancelled send in the health record. */
   void EndEarly(RefusalReason aReason, SendResult aSendResult);
--- /dev/null
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -0,0 +1,107 @@
+#include "Router/StreamSession.h"
+
+#include <utility>
+
+#include "Base/Digest.h"
+#include "absl/strings/str_cat.h"
+
+namespace bulrushfold {
+
+namespace {
+/** An engine that a prompt crashes does so when it begins to write the answer.
+ * A run that was lost later did not cause the crash. */
+constexpr Duration kAnswerBeginning = std::chrono::milliseconds(500);
+} // namespace
+
+void
+StreamSession::Decode(const DecodeParameters& aParameters, Instant aDeadline)
+{
+  SendParameters parameters;
+  parameters.mTimeLeft = aDeadline - mServices.mClock.Now();
+  parameters.mCache = aParameters.mCache;
+  parameters.mReservation = aParameters.mReservation;
+  parameters.mLastEventId = aParameters.mLastEventId;
+  const EndpointRecord& endpoint =
+    *mServices.mDirectory.Find(aParameters.mEndpoint);
+  mEngineHash = Hash64(absl::StrCat(endpoint.mId, "/", endpoint.mIncarnation));
+  HttpCallRequest request =
+    mServices.mProtocol.Forward(mRequest->Message(), endpoint, parameters);
+  HttpCallHooks hooks;
+  hooks.mOnHeaders = [this](int aStatus, const HttpHeaders& aHeaders) {
+    HandleDecodeHead(aStatus, aHeaders);
+  };
+  hooks.mOnChunk = [this](std::string_view aData) {
+    const auto self = mSelf;
+    mCall.OnAnswerData(aData, mServices.mClock.Now());
+  };
+  hooks.mOnDone = [this](const HttpCallReply& aReply) {
+    HandleDecodeEnd(aReply);
+  };
+  mHeadOutcome = SendOutcome::Unknown;
+  mIsReadPaused = false;
+  mAnswerStartedAt = Instant();
+  StartSend("decode", endpoint, std::move(request), std::move(hooks));
+}
+
+void
+StreamSession::HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders)
+{
+  const auto self = mSelf;
+  mAnswerStartedAt = mServices.mClock.Now();
+  mIsAnswerFramed = aHeaders.Count("Content-Length") > 0 ||
+                    aHeaders.Count("Transfer-Encoding") > 0;
+  const AnswerMetadata metadata =
+    mServices.mProtocol.ReadAnswer(aStatus, aHeaders);
+  mHeadOutcome =
+    ClassifySend(HttpCallResult::Complete, metadata, mRequest->mMetadata.mId);
+  if (mHeadOutcome == SendOutcome::OtherEndpoint) {
+    mServices.mDirectory.OnAddressReused(mEndpoint);
+  }
+  mCall.OnAnswerStarted(
+    mHeadOutcome, aStatus, aHeaders, mServices.mClock.Now());
+}
+
+void
+StreamSession::HandleDecodeEnd(const HttpCallReply& aReply)
+{
+  const auto self = mSelf;
+  const bool isMoving = mCall.IsMoving();
+  const SendOutcome outcome = HandleSendReply(aReply);
+  if (!isMoving && aReply.mResult == HttpCallResult::ConnectionLost) {
+    RecordLostRun();
+  }
+  mCall.OnAnswerEnded(outcome, mServices.mClock.Now());
+}
+
+void
+StreamSession::RecordLostRun()
+{
+  const Duration answering = mAnswerStartedAt == Instant()
+                               ? Duration::zero()
+                               : mServices.mClock.Now() - mAnswerStartedAt;
+  mServices.mLog.RunLost(*mRequest, mEndpoint, answering);
+  if (answering < kAnswerBeginning) {
+    mServices.mPromptGuard.OnRunLost(mEngineHash,
+                                     mRequest->mMetadata.mSharedPromptParts,
+                                     mServices.mClock.Now());
+  }
+}
+
+void
+StreamSession::RecordWholeAnswer()
+{
+  // A crash also ends an answer without framing, and looks like its end.
+  const Instant now = mServices.mClock.Now();
+  if (mIsAnswerFramed || now - mAnswerStartedAt >= kAnswerBeginning) {
+    mServices.mPromptGuard.OnAnswered(mRequest->mMetadata.mSharedPromptParts,
+                                      now);
+  }
+}
+
+bool
+StreamSession::IsPromptRefused()
+{
+  return mServices.RefusesPrompt(*mRequest);
+}
+
+} // namespace bulrushfold
