--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "Base/Log.h"
-#include "Net/HttpStatus.h"
 
 namespace bulrushfold {
 
@@ -200,92 +199,6 @@
     *mRequest, mStep, mEndpoint, aOutcome, aStatus, now - mSentAt);
 }
 
-void
-StreamSession::Reserve(const std::string& aEndpoint, std::uint64_t aTokens)
-{
-  HttpCallHooks hooks;
-  hooks.mOnDone = [this](const HttpCallReply& aReply) {
-    HandleReserved(aReply);
-  };
-  StartSend("reserve",
-            aEndpoint,
-            mServices.mProtocol.Reserve(*mServices.mDirectory.Find(aEndpoint),
-                                        aTokens,
-                                        mProfile.mMaxReservation),
-            std::move(hooks));
-}
-
-void
-StreamSession::HandleReserved(const HttpCallReply& aReply)
-{
-  const auto self = mSelf;
-  const Instant now = mServices.mClock.Now();
-  mSend.reset();
-  std::string reservation;
-  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
-    if (auto parsed = mServices.mProtocol.ReadReservation(aReply.mBody);
-        parsed.ok()) {
-      reservation = *std::move(parsed);
-    }
-  }
-  if (mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders)
-        .mIsMisdirected) {
-    mServices.mDirectory.OnAddressReused(mEndpoint);
-  }
-  if (reservation.empty()) {
-    FinishSend(aReply.mResult == HttpCallResult::Complete
-                 ? SendResult::Refused
-                 : HealthResultOf(aReply.mResult, SendOutcome::Unknown, 0),
-               HttpCallResultName(aReply.mResult),
-               aReply.mStatus);
-  }
-  mCall.OnReserved(reservation, now);
-}
-
-void
-StreamSession::Prefill(const std::string& aEndpoint, Instant aDeadline)
-{
-  SendParameters parameters;
-  parameters.mTimeLeft = aDeadline - mServices.mClock.Now();
-  HttpCallHooks hooks;
-  hooks.mOnDone = [this](const HttpCallReply& aReply) {
-    HandlePrefilled(aReply);
-  };
-  StartSend("prefill",
-            aEndpoint,
-            mServices.mProtocol.Prefill(mRequest->Message(),
-                                        *mServices.mDirectory.Find(aEndpoint),
-                                        parameters),
-            std::move(hooks));
-}
-
-void
-StreamSession::HandlePrefilled(const HttpCallReply& aReply)
-{
-  const auto self = mSelf;
-  const Duration duration = mServices.mClock.Now() - mSentAt;
-  const EndpointRecord* endpoint = mServices.mDirectory.Find(mEndpoint);
-  SendOutcome outcome = SendOutcome::Unknown;
-  KvCache cache;
-  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
-    auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
-    if (handle.ok() && endpoint != nullptr) {
-      outcome = SendOutcome::Answered;
-      cache = { mEndpoint, endpoint->mAddress, *std::move(handle) };
-    }
-    FinishSend(outcome == SendOutcome::Answered ? SendResult::Answered
-                                                : SendResult::Interrupted,
-               outcome == SendOutcome::Answered ? SendOutcomeName(outcome)
-                                                : "no_handle",
-               aReply.mStatus);
-  } else {
-    outcome = HandleSendReply(aReply);
-    // Without a handle the stream cannot be decoded, even if the prefill ran.
-    outcome = outcome == SendOutcome::Answered ? SendOutcome::Unknown : outcome;
-  }
-  mCall.OnPrefilled(outcome, cache, duration, mServices.mClock.Now());
-}
-
 void
 StreamSession::Decode(const DecodeParameters& aParameters, Instant aDeadline)
 {
