Keep requests off connections with an unconfirmed error reply

What callers saw: "not run, try again" for a request that an endpoint ran. A faulty endpoint sent an earlier refusal once more on a kept connection, and the refusal named no request, so ClassifySend took it for the refusal of the present request. A refused reservation names no request either, and its connection went on to carry the decode.

A connection that received an error reply is now reused by requests only if the session confirmed that the reply named its own request. Control calls may still use it. A repeated refusal that names an earlier request was and is found by its id (outcome unknown).

--- a/Source/Net/HttpClient.cxx
+++ b/Source/Net/HttpClient.cxx
@@ -45,6 +45,14 @@
   }
 }
 
+void
+HttpCall::ConfirmReply()
+{
+  if (const auto connection = mConnection.lock(); connection) {
+    connection->ConfirmReply(mCallId);
+  }
+}
+
 HttpClient::HttpClient(EventLoop& aLoop)
   : mLoop(aLoop)
 {
@@ -54,7 +62,8 @@
 HttpClient::Start(HttpCallRequest aRequest, HttpCallHooks aHooks)
 {
   std::shared_ptr<HttpClientConnection> connection = AcquireIdle(aRequest);
-  if (connection) {
+  const bool isReused = connection != nullptr;
+  if (isReused) {
     ++mStatistics.mReusedConnections;
   } else {
     ++mStatistics.mOpenedConnections;
@@ -63,7 +72,7 @@
   mBusyConnections[connection.get()] = connection;
   const std::uint64_t callId =
     connection->Start(std::move(aRequest), std::move(aHooks));
-  return std::make_unique<HttpCall>(connection, callId);
+  return std::make_unique<HttpCall>(connection, callId, isReused);
 }
 
 std::shared_ptr<HttpClientConnection>
@@ -75,12 +84,16 @@
     return nullptr;
   }
   const Instant now = mClock.Now();
-  while (!it->second.empty()) {
-    auto connection = it->second.back();
+  ConnectionList& idle = it->second;
+  for (auto at = idle.end(); at != idle.begin();) {
+    auto connection = *--at;
     if (now - connection->IdleSince() >= aRequest.mMaxIdleTime) {
       return nullptr; // the remaining connections have been idle even longer
     }
-    it->second.pop_back();
+    if (aRequest.mNeedsUnambiguousReply && connection->HasUnconfirmedError()) {
+      continue;
+    }
+    at = idle.erase(at);
     if (now < connection->ExpiresAt()) {
       return connection;
     }
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -64,6 +64,10 @@
    * request.
    */
   Duration mMaxIdleTime = std::chrono::seconds(5);
+  /** The call does not reuse a connection that received an error reply that
+   * was not confirmed with HttpCall::ConfirmReply, because a faulty server may
+   * send that reply once more. */
+  bool mNeedsUnambiguousReply = false;
   std::size_t mMaxBodyBytes = 256 * 1024 * 1024;
   /** Rate limit for reading the reply, to test slow readers; 0: unlimited. */
   std::size_t mReadBytesPerSecond = 0;
@@ -100,11 +104,14 @@
 class HttpCall
 {
 public:
-  /** aCallId: identifies the call among the calls of aConnection. */
+  /** aCallId: identifies the call among the calls of aConnection. aIsReused:
+   * aConnection is from the pool. */
   HttpCall(std::weak_ptr<HttpClientConnection> aConnection,
-           std::uint64_t aCallId)
+           std::uint64_t aCallId,
+           bool aIsReused)
     : mConnection(std::move(aConnection))
     , mCallId(aCallId)
+    , mIsReused(aIsReused)
   {
   }
   HttpCall(const HttpCall&) = delete;
@@ -114,10 +121,16 @@
   /** Pauses or resumes reading of the reply, as backpressure from a receiver
    * that is slower than the server. */
   void SetReading(bool aIsReading);
+  /** States that the error reply of this call names its request, so that the
+   * reply cannot be mistaken for that of a later call. */
+  void ConfirmReply();
+  /** The call uses a connection from the pool. */
+  bool IsReused() const { return mIsReused; }
 
 private:
   std::weak_ptr<HttpClientConnection> mConnection;
   std::uint64_t mCallId;
+  bool mIsReused;
 };
 
 /** Counters of a client since its construction. */
--- a/Source/Net/HttpClientConnection.cxx
+++ b/Source/Net/HttpClientConnection.cxx
@@ -16,6 +16,7 @@
 namespace bulrushfold {
 
 namespace {
+constexpr int kFirstErrorStatus = 400;
 constexpr std::size_t kMaxReplyHeaderBytes = 64 * 1024;
 /** Idle timeout of a server that sends none in a Keep-Alive field. */
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(5);
@@ -162,6 +163,14 @@
   }
 }
 
+void
+HttpClientConnection::ConfirmReply(std::uint64_t aCallId)
+{
+  if (aCallId == mLastCallId) {
+    mHasUnconfirmedError = mHadUnconfirmedError;
+  }
+}
+
 void
 HttpClientConnection::HandleRead(bufferevent*, void* aSelf)
 {
@@ -201,6 +210,9 @@
 HttpClientConnection::HandleHead()
 {
   mReply.mStatus = mParser.Head().mStatus;
+  mHadUnconfirmedError = mHasUnconfirmedError;
+  mHasUnconfirmedError =
+    mHasUnconfirmedError || mReply.mStatus >= kFirstErrorStatus;
   mReply.mHeaders = mParser.Head().mHeaders;
   if (mHooks.mOnHeaders) {
     mHooks.mOnHeaders(mReply.mStatus, mReply.mHeaders);
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -33,12 +33,16 @@
   /** Cancels call aCallId without callbacks, unless it has already ended. */
   void Cancel(std::uint64_t aCallId);
   void SetReading(std::uint64_t aCallId, bool aIsReading);
+  /** See HttpCall::ConfirmReply. */
+  void ConfirmReply(std::uint64_t aCallId);
   /** Closes the connection and removes it from the client. */
   void Close();
 
   const SocketAddress& Address() const { return mRequest.mAddress; }
   const std::string& Server() const { return mRequest.mServer; }
   Instant IdleSince() const { return mIdleSince; }
+  /** An error reply was received that was not confirmed. */
+  bool HasUnconfirmedError() const { return mHasUnconfirmedError; }
   /** Time after which the connection is not reused, because the server is
    * about to close it. */
   Instant ExpiresAt() const { return mExpiresAt; }
@@ -85,6 +89,9 @@
   bool mIsConnected = false;
   bool mIsBusy = false;
   bool mIsClosed = false;
+  bool mHasUnconfirmedError = false;
+  /** Value of mHasUnconfirmedError before the last reply. */
+  bool mHadUnconfirmedError = false;
 };
 
 } // namespace bulrushfold
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -75,6 +75,9 @@
     mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders);
   const SendOutcome outcome =
     ClassifySend(aReply.mResult, metadata, mRequest->mMetadata.mId);
+  if (metadata.mRequestId == mRequest->mMetadata.mId) {
+    mSend->ConfirmReply();
+  }
   FinishSend(HealthResultOf(aReply.mResult, outcome, aReply.mStatus));
   if (metadata.mLoad && outcome != SendOutcome::Unknown &&
       outcome != SendOutcome::OtherEndpoint) {
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -170,6 +170,9 @@
     mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders);
   const SendOutcome outcome =
     ClassifySend(aReply.mResult, metadata, mRequest->mMetadata.mId);
+  if (metadata.mRequestId == mRequest->mMetadata.mId) {
+    mSend->ConfirmReply();
+  }
   // The scheduler never fills a prefill engine, so a refusal means that the
   // engine accepts no work at present.
   const SendResult health =
--- a/Tests/Adapter/PlatformFixture.h
+++ b/Tests/Adapter/PlatformFixture.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 #include <nlohmann/json.hpp>
@@ -14,6 +15,7 @@
 #include "Net/LoopFixture.h"
 #include "PlatformProtocol.h"
 #include "PlatformStore.h"
+#include "RawEndpoint.h"
 #include "RegistryReader.h"
 #include "Router/Router.h"
 
@@ -83,6 +85,16 @@
                      nlohmann::json::parse(endpoint->RegistryEntry(aService)));
     return *endpoint;
   }
+  RawEndpoint& AddRawEndpoint(const std::string& aId,
+                              const std::string& aService,
+                              const std::string& aStage = "")
+  {
+    auto& endpoint = mRawEndpoints[aId];
+    endpoint = std::make_unique<RawEndpoint>(mLoop, aId, aStage);
+    mFakeStore.Write("servers/" + aId,
+                     nlohmann::json::parse(endpoint->RegistryEntry(aService)));
+    return *endpoint;
+  }
   void StartRouter()
   {
     mRouter = std::make_unique<Router>(
@@ -169,6 +181,8 @@
   platform::PlatformProtocol mProtocol;
   RouterSettings mSettings;
   std::map<std::string, std::unique_ptr<FakeEndpoint>> mEndpoints;
+  std::map<std::string, std::unique_ptr<RawEndpoint>> mRawEndpoints;
+  std::vector<EventHandle> mTimers;
   std::unique_ptr<Router> mRouter;
 };
 
--- a/Tests/Net/HttpConnectionTest.cxx
+++ b/Tests/Net/HttpConnectionTest.cxx
@@ -148,6 +148,28 @@
       CHECK_FALSE(replies[2].mIsReused);
     }
   }
+  // Guards against an error reply that the server sends once more and that is
+  // taken for the reply to a later call.
+  SUBCASE("an error reply excludes calls that need an unambiguous reply")
+  {
+    REQUIRE(reply(0, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"));
+    SUBCASE("until the caller has confirmed the reply")
+    {
+      calls[0]->ConfirmReply();
+      request.mNeedsUnambiguousReply = true;
+      start();
+      REQUIRE(reply(0, kOk));
+    }
+    SUBCASE("and no others")
+    {
+      start();
+      REQUIRE(reply(0, kOk));
+      request.mNeedsUnambiguousReply = true;
+      start();
+      REQUIRE(reply(1, kOk));
+      CHECK_FALSE(replies[2].mIsReused);
+    }
+  }
   SUBCASE("bytes after the end of a reply close the connection")
   {
     REQUIRE(reply(0, kOk + "HTTP/1.1 200 OK\r\n"));
