Open a new connection for a second send of a request to an engine

The id of an answer doesn't tell two sends of the same request apart. An engine that sent its first answer to a prefill once more on the kept connection made the second prefill fail too, and its later answer was lost. The second send of a stream's request to an engine opens a new connection. A plain request that may run only once never returns to an endpoint that refused it (PlainCall::Retry), so it needs no such rule.

Evidence: the test "A second send of a request to an engine opens a new connection" fails without the change (no answer with status 200, no decode), and passes with it.

--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -160,6 +160,12 @@
   mEndpoint = aEndpoint;
   mSentAt = mServices.mClock.Now();
   ++mRequest->mSends;
+  // The id of an answer does not distinguish two sends of this request, so a
+  // second one to the same engine opens a new connection.
+  const bool namesRequest = aRequest.mNeedsUnambiguousReply;
+  if (namesRequest && !mSentTo.insert(aEndpoint).second) {
+    aRequest.mMaxIdleTime = Duration::zero();
+  }
   mSend = mServices.mClient.Start(std::move(aRequest), std::move(aHooks));
 }
 
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -2,6 +2,7 @@
 #define BULRUSHFOLD_ROUTER_STREAMSESSION_H
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -92,6 +93,8 @@
   std::string mStep;
   std::string mEndpoint;
   Instant mSentAt;
+  /** Engines to which the request was sent, for a prefill or a decode. */
+  std::set<std::string> mSentTo;
   SendOutcome mHeadOutcome = SendOutcome::Unknown;
   bool mIsReadPaused = false;
   /** Keeps the session alive until the call has ended. */
--- a/Tests/Adapter/RepeatedAnswerTest.cxx
+++ b/Tests/Adapter/RepeatedAnswerTest.cxx
@@ -76,4 +76,32 @@
   }
 }
 
+// Guards against an answer to the first send of a request that is taken for the
+// answer to its second send; both have the id of the request.
+TEST_CASE("A second send of a request to an engine opens a new connection")
+{
+  PlatformFixture platform;
+  RawEndpoint& prefill = platform.AddRawEndpoint("i-p", "llm", "prefill");
+  RawEndpoint& decode = platform.AddRawEndpoint("i-d", "llm", "decode");
+  prefill.OnRequest([&](const RawRequest& aRequest) {
+    const bool hasFailed =
+      prefill.Requests().size() == 1 || aRequest.mIndex > 0;
+    prefill.Send(aRequest.mConnection,
+                 hasFailed
+                   ? RawEndpoint::Answer(500, RawEndpoint::Proof(aRequest), "")
+                   : Handle(aRequest, RawEndpoint::Proof(aRequest)));
+  });
+  decode.OnRequest([&](const RawRequest& aRequest) {
+    decode.Send(aRequest.mConnection,
+                RawEndpoint::Answer(200,
+                                    RawEndpoint::Proof(aRequest) + kStreamType,
+                                    Events(1, 3)));
+  });
+  platform.Start();
+  CHECK(HasStatus(platform.Call("/stream/1", "r1"), 200));
+  REQUIRE(decode.Requests().size() == 1);
+  CHECK(decode.Requests()[0].mBytes.find("/h-r1") != std::string::npos);
+  CHECK(prefill.Requests().size() == 2);
+}
+
 } // namespace bulrushfold
