Reject a repeated grant of a KV cache or a reservation

A late extra answer to an earlier prefill on a kept connection was taken for the answer to the next prefill, whatever request it named. The next request was then decoded from the KV cache of another prompt.

An answer that names a request must name this one.

FakeEndpoint gives each reservation its own name, as the protocol says; it used the same name for all.

--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -102,6 +102,7 @@
   PlainSelector mSelector;
   StreamScheduler mScheduler;
   StreamDispatcher mStreams;
+  RecentGrants mGrants;
   RequestLog mLog;
   CachedPromptQuery mCachedPromptQuery;
   RouterServices mServices;
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -6,6 +6,7 @@
 #include "Net/HttpClient.h"
 #include "Router/CachedPromptQuery.h"
 #include "Router/EndpointProtocol.h"
+#include "Router/RecentGrants.h"
 #include "Router/RequestLog.h"
 #include "Router/RoutedRequest.h"
 #include "Router/SendOutcome.h"
@@ -41,6 +42,7 @@
   AnswerLengthEstimator& mAnswerLengths;
   PlainSelector& mSelector;
   StreamDispatcher& mStreams;
+  RecentGrants& mGrants;
   RequestLog& mLog;
 
   /** Updates the endpoint directory and the crash guard after a send. */
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -65,6 +65,11 @@
                         const std::string& aSource,
                         Instant aSentAt);
   void HandleReserved(const HttpCallReply& aReply);
+  /** False when aReply is a repeated answer to an earlier call, recognized by
+   * its request id or by aHandle, the handle or reservation that it grants. */
+  bool IsOwnGrant(const HttpCallReply& aReply,
+                  std::string_view aStep,
+                  const std::string& aHandle);
   void HandlePrefilled(const HttpCallReply& aReply);
   void HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders);
   void HandleDecodeEnd(const HttpCallReply& aReply);
--- a/Source/Router/StreamSessionGrants.cxx
+++ b/Source/Router/StreamSessionGrants.cxx
@@ -30,7 +30,7 @@
   std::string reservation;
   if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
     if (auto parsed = mServices.mProtocol.ReadReservation(aReply.mBody);
-        parsed.ok()) {
+        parsed.ok() && IsOwnGrant(aReply, "reserve", *parsed)) {
       reservation = *std::move(parsed);
     }
   }
@@ -48,6 +48,18 @@
   mCall.OnReserved(reservation, now);
 }
 
+bool
+StreamSession::IsOwnGrant(const HttpCallReply& aReply,
+                          std::string_view aStep,
+                          const std::string& aHandle)
+{
+  const std::string id =
+    mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders).mRequestId;
+  const bool isNew = mServices.mGrants.Add(aStep, mEndpoint, aHandle);
+  return id.empty() ? isNew || !aReply.mIsReused
+                    : id == mRequest->mMetadata.mId;
+}
+
 void
 StreamSession::Prefill(const std::string& aEndpoint, Instant aDeadline)
 {
@@ -75,7 +87,8 @@
   KvCache cache;
   if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
     auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
-    if (handle.ok() && endpoint != nullptr) {
+    if (handle.ok() && endpoint != nullptr &&
+        IsOwnGrant(aReply, "prefill", *handle)) {
       outcome = SendOutcome::Answered;
       cache = { mEndpoint, endpoint->mAddress, *std::move(handle) };
     }
--- a/Tests/Adapter/FakeEndpoint.cxx
+++ b/Tests/Adapter/FakeEndpoint.cxx
@@ -193,8 +193,9 @@
   const HttpRequest& request = aExchange->Request();
   if (request.mPath == "/api/hold-take") {
     const bool isFull = mMode == FakeEndpointMode::Refuse;
-    aExchange->Reply(
-      isFull ? 503 : 200, {}, isFull ? "" : Json{ { "hold", "hold1" } }.dump());
+    const Json grant = { { "hold", "hold" + std::to_string(mGrants + 1) } };
+    mGrants += isFull ? 0 : 1;
+    aExchange->Reply(isFull ? 503 : 200, {}, isFull ? "" : grant.dump());
   } else if (request.mPath == "/api/order") {
     mOrders.push_back(request);
     aExchange->Reply(202, {}, "{}");
--- a/Tests/Adapter/FakeEndpoint.h
+++ b/Tests/Adapter/FakeEndpoint.h
@@ -102,6 +102,8 @@
   int mAbortAfter = 1'000'000;
   std::size_t mCancelled = 0;
   std::size_t mCacheListCalls = 0;
+  /** Number of reservations granted; each one has its own name. */
+  int mGrants = 0;
   std::vector<HttpRequest> mOrders;
   std::map<std::string, int> mCachedParts;
   std::vector<std::string> mRunIds;
--- a/Tests/Adapter/RepeatedAnswerTest.cxx
+++ b/Tests/Adapter/RepeatedAnswerTest.cxx
@@ -76,6 +76,40 @@
   }
 }
 
+// Guards against an answer that is decoded from the KV cache of another prompt.
+TEST_CASE("A repeated answer to a prefill is not used for another request")
+{
+  PlatformFixture platform;
+  RawEndpoint& prefill = platform.AddRawEndpoint("i-p", "llm", "prefill");
+  RawEndpoint& decode = platform.AddRawEndpoint("i-d", "llm", "decode");
+  bool namesRequest = true;
+  SUBCASE("when it names its request") {}
+  SUBCASE("when it names no request")
+  {
+    namesRequest = false;
+  }
+  prefill.OnRequest([&](const RawRequest& aRequest) {
+    const RawRequest& source =
+      aRequest.mIndex > 0 ? prefill.Requests()[0] : aRequest;
+    prefill.Send(
+      aRequest.mConnection,
+      Handle(source,
+             namesRequest ? "X-Request-Id: " + source.mId + "\r\n" : ""));
+  });
+  decode.OnRequest([&](const RawRequest& aRequest) {
+    decode.Send(aRequest.mConnection,
+                RawEndpoint::Answer(200,
+                                    RawEndpoint::Proof(aRequest) + kStreamType,
+                                    Events(1, 3)));
+  });
+  platform.Start();
+  CHECK(HasStatus(platform.Call("/stream/1", "r1"), 200));
+  const std::string answer = platform.Call("/stream/2", "r2");
+  CHECK(HasStatus(answer, 200));
+  REQUIRE(decode.Requests().size() == 2);
+  CHECK(decode.Requests()[1].mBytes.find("/h-r2") != std::string::npos);
+}
+
 // Guards against an answer to the first send of a request that is taken for the
 // answer to its second send; both have the id of the request.
 TEST_CASE("A second send of a request to an engine opens a new connection")
