Limit the size of answers that are held in memory

An endpoint that sent a body without end filled up to 256 MB for each call: plain answers, error answers to streams (StreamCall::OnAnswerData had no limit of its own), prefills, reservations and other control calls.

A larger answer ends the call; the send counts as interrupted and the request as possibly run.

--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -14,6 +14,8 @@
 /** Maximum idle time of a connection before it is reused for a request that may
  * run again. */
 constexpr Duration kMaxIdle = std::chrono::seconds(4);
+/** Maximum size of an answer, which is held in memory until it is complete. */
+constexpr std::size_t kMaxAnswerBytes = 8 * 1024 * 1024;
 } // namespace
 
 PlainSession::PlainSession(RouterServices& aServices,
@@ -56,6 +58,7 @@
     mRequest->mParameters.mRoute->mKind == RequestKind::Idempotent
       ? kMaxIdle
       : kMaxIdleOnce;
+  request.mMaxBodyBytes = kMaxAnswerBytes;
   HttpCallHooks hooks;
   hooks.mOnDone = [this](HttpCallReply aReply) {
     HandleReply(std::move(aReply));
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -9,6 +9,8 @@
 
 namespace {
 constexpr std::size_t kMaxEventBytes = 1024 * 1024;
+/** Maximum size of an error answer; a longer one counts as interrupted. */
+constexpr std::size_t kMaxErrorBytes = 1024 * 1024;
 /** Maximum time in the queue, also for a stream that is already late. */
 constexpr Duration kMaxQueueTime = std::chrono::milliseconds(2500);
 /** Callers that are refused during a burst are asked to retry after it. */
@@ -293,6 +295,10 @@
 {
   if (mState == StreamState::ReceivingError) {
     mErrorAnswer.mBody.append(aData);
+    if (mErrorAnswer.mBody.size() > kMaxErrorBytes) {
+      mDelegate.CancelSend(SendResult::Interrupted);
+      OnAnswerEnded(SendOutcome::Unknown, aNow);
+    }
     return;
   }
   if (mState != StreamState::Streaming) {
