End calls to endpoints and the store after a total time limit

The read timeout starts anew with each byte, so a peer that dripped bytes kept a call open without end: the list of cached prompts, state and role orders (which then blocked further role orders), moves, releases, and the calls and watches of the store.

The test of the total timeout in HttpConnectionTest is new with the function and was not run without it.

--- a/Source/Daemon/EngineClient.cxx
+++ b/Source/Daemon/EngineClient.cxx
@@ -65,6 +65,7 @@
     case HttpCallResult::ConnectFailed:
       return StepFailure::Unreachable;
     case HttpCallResult::ReadTimeout:
+    case HttpCallResult::TotalTimeout:
       return StepFailure::ReadTimeout;
     case HttpCallResult::ConnectionLost:
     case HttpCallResult::InvalidReply:
--- a/Source/Net/HttpClient.cxx
+++ b/Source/Net/HttpClient.cxx
@@ -14,12 +14,13 @@
 /** Interval at which expired idle connections are closed. */
 constexpr Duration kSweepInterval = std::chrono::seconds(1);
 
-constexpr EnumNames<HttpCallResult, 5> kResultNames{ {
+constexpr EnumNames<HttpCallResult, 6> kResultNames{ {
   { HttpCallResult::Complete, "complete" },
   { HttpCallResult::ConnectFailed, "connect_failed" },
   { HttpCallResult::ReadTimeout, "silent" },
   { HttpCallResult::ConnectionLost, "connection_lost" },
   { HttpCallResult::InvalidReply, "invalid_reply" },
+  { HttpCallResult::TotalTimeout, "total_timeout" },
 } };
 
 } // namespace
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -33,6 +33,8 @@
   ConnectionLost,
   /** The reply is not valid HTTP or is too large. */
   InvalidReply,
+  /** The call did not end within HttpCallRequest::mTotalTimeout. */
+  TotalTimeout,
 };
 
 /** Name of aResult in logs and metrics. */
@@ -57,6 +59,9 @@
   /** Longest time without a byte of the reply received, or without a byte of
    * the request accepted by the server. */
   Duration mReadTimeout = std::chrono::seconds(30);
+  /** Longest time from the start of the call to the end of the reply, however
+   * many bytes arrive; zero for no limit. */
+  Duration mTotalTimeout{};
   /**
    * Longest idle time of a connection that may be reused; with zero, the call
    * always opens a new connection. The server may already have closed a
--- a/Source/Net/HttpClientConnection.cxx
+++ b/Source/Net/HttpClientConnection.cxx
@@ -96,6 +96,11 @@
   mIsBusy = true;
   mParser.SetLimits({ kMaxReplyHeaderBytes, mRequest.mMaxBodyBytes });
   mParser.Restart(mRequest.mMethod == HttpMethod::Head);
+  if (mRequest.mTotalTimeout > Duration::zero()) {
+    mTotalTimer = mLoop.After(mRequest.mTotalTimeout, [this] {
+      Finish(HttpCallResult::TotalTimeout, false);
+    });
+  }
   if (mIsConnected) {
     Send();
   } else {
@@ -314,6 +319,7 @@
   const auto self = shared_from_this();
   mIsBusy = false;
   mConnectTimer = EventHandle();
+  mTotalTimer = EventHandle();
   const HttpCallHooks hooks = std::exchange(mHooks, HttpCallHooks());
   HttpCallReply reply = std::exchange(mReply, HttpCallReply());
   reply.mResult = aResult;
@@ -343,6 +349,7 @@
     return;
   }
   mConnectTimer = EventHandle();
+  mTotalTimer = EventHandle();
   if (mBufferevent != nullptr) {
     bufferevent_disable(mBufferevent, EV_READ | EV_WRITE);
     bufferevent_setcb(mBufferevent, nullptr, nullptr, nullptr, nullptr);
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -81,6 +81,7 @@
   HttpCallHooks mHooks;
   HttpCallReply mReply;
   EventHandle mConnectTimer;
+  EventHandle mTotalTimer;
   std::unique_ptr<ev_token_bucket_cfg, void (*)(ev_token_bucket_cfg*)>
     mReadRateLimit;
   Instant mIdleSince;
--- a/Tests/Adapter/EndlessAnswerTest.cxx
+++ b/Tests/Adapter/EndlessAnswerTest.cxx
@@ -136,6 +136,27 @@
     REQUIRE(platform.WaitUntil([&] { return endless->IsClosed(0); }));
     CHECK(endless->EndlessBytes(0) < kMaxBytes);
   }
+  SUBCASE("in the list of cached prompts, which drips")
+  {
+    platform.AddEndpoint("i-p", "llm", "prefill");
+    RawEndpoint& decode = platform.AddRawEndpoint("i-d", "llm", "decode");
+    decode.OnRequest([&](const RawRequest& aRequest) {
+      if (aRequest.mPath == "/api/kv-list") {
+        decode.Send(aRequest.mConnection, UnframedHead(aRequest, 200));
+        decode.SendWithoutEnd(aRequest.mConnection, " ", milliseconds(20));
+      }
+    });
+    platform.Start();
+    RawClient client(platform.mSettings.mCallerAddress);
+    client.Send(PlatformFixture::Request(
+      "/resumable/1",
+      "r1",
+      "Last-Event-Id: 3\r\nX-Prompt-Prefix: aa:10,5c1e07a2:90\r\n"));
+    REQUIRE(platform.WaitUntil([&] { return !decode.Requests().empty(); }));
+    REQUIRE(decode.Requests()[0].mPath == "/api/kv-list");
+    CHECK(platform.WaitUntil(
+      [&] { return decode.IsClosed(decode.Requests()[0].mConnection); }));
+  }
 }
 
 } // namespace bulrushfold
--- a/Tests/Net/HttpConnectionTest.cxx
+++ b/Tests/Net/HttpConnectionTest.cxx
@@ -170,6 +170,27 @@
       CHECK_FALSE(replies[2].mIsReused);
     }
   }
+  // Guards against a server that keeps a call open by sending a byte before
+  // each read timeout.
+  SUBCASE("a call ends after its total timeout, even while bytes arrive")
+  {
+    REQUIRE(reply(0, kOk));
+    request.mTotalTimeout = std::chrono::milliseconds(150);
+    start();
+    REQUIRE(RunUntil(loop, [&] { return server.HasReceived(0); }));
+    const auto drip = loop.Every(std::chrono::milliseconds(10), [&] {
+      server.Send(0, "HTTP/1.1 100 X\r\n\r\n");
+    });
+    REQUIRE(RunUntil(loop, [&] { return replies.size() == 2; }));
+    CHECK(replies[1].mResult == HttpCallResult::TotalTimeout);
+    SUBCASE("and a call that has ended does not end the next one")
+    {
+      request.mTotalTimeout = Duration::zero();
+      start();
+      REQUIRE(reply(1, kOk));
+      CHECK(replies[2].mResult == HttpCallResult::Complete);
+    }
+  }
   SUBCASE("bytes after the end of a reply close the connection")
   {
     REQUIRE(reply(0, kOk + "HTTP/1.1 200 OK\r\n"));
