Treat an unframed answer that ends inside an event as broken off

A stream without length and chunks whose Content-Type isn't that of an event stream was passed on as complete when its connection ended in order inside an event. The last bytes of such an answer are now checked for the start of an event. Answers with a length or chunks are unchanged.

A stream that ends in order after an event but before its last one can't be told from a complete one, because the protocol has no mark of the last event.

--- a/Source/Router/EventRelay.cxx
+++ b/Source/Router/EventRelay.cxx
@@ -1,6 +1,7 @@
 #include "Router/EventRelay.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "absl/strings/numbers.h"
@@ -100,6 +101,19 @@
   return mPending.size() <= mMaxEventBytes;
 }
 
+bool
+EventRelay::EndsInsideEvent() const
+{
+  constexpr std::array<std::string_view, 4> kFields{
+    "id:", "data:", "event:", "retry:"
+  };
+  return !mPending.empty() &&
+         (mEvents > 0 ||
+          std::any_of(kFields.begin(), kFields.end(), [this](auto aField) {
+            return mPending.compare(0, aField.size(), aField) == 0;
+          }));
+}
+
 void
 EventRelay::HandleEvent(std::string_view aEvent)
 {
--- a/Source/Router/EventRelay.h
+++ b/Source/Router/EventRelay.h
@@ -52,6 +52,8 @@
   {
     return mMode == RelayMode::WholeEvents && !mPending.empty();
   }
+  /** In either mode, the last bytes are the start of an event. */
+  bool EndsInsideEvent() const;
 
 private:
   void HandleEvent(std::string_view aEvent);
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -276,6 +276,8 @@
     return;
   }
   mState = StreamState::Streaming;
+  mIsUnframed =
+    !aHeaders.Find("Content-Length") && !aHeaders.Find("Transfer-Encoding");
   mMoveSource.clear();
   mDelegate.ReportDecodeStarted();
   mDelegate.WakeAt(mParameters.mCall.mDeadline);
@@ -322,7 +324,7 @@
   }
   const bool isComplete = aOutcome == SendOutcome::Answered;
   if (mState == StreamState::Streaming && isComplete &&
-      !mRelay.HasPartialEvent()) {
+      !mRelay.HasPartialEvent() && !(mIsUnframed && mRelay.EndsInsideEvent())) {
     if (mIsSingleRun) {
       mDelegate.ReportAnswer(mRelay.Events(), aNow - mFirstEventAt);
     }
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -212,6 +212,8 @@
   /** An engine whose cache should have the prompt failed. */
   bool mIsPromptLost = false;
   bool mHasStartedAnswer = false;
+  /** The answer of the current run ends with its connection. */
+  bool mIsUnframed = false;
   /** A single run has generated the whole answer. */
   bool mIsSingleRun = true;
   Instant mFirstEventAt;
