Do not resume a stream after a part of an event was passed on

A resumable stream without the content type of event streams is passed on byte by byte. If it broke off inside an event, another run continued after the last whole event, and the caller got an event joined from two runs. Such a stream is now aborted towards the caller.

Evidence: the section "are not resumed after a part of an event was passed on" of UnframedAnswerTest failed before (2 runs in place of 1) and passes now.

--- a/Source/Router/EventRelay.h
+++ b/Source/Router/EventRelay.h
@@ -38,8 +38,20 @@
   void SetLastId(const std::string& aId);
   /** Processes the next bytes; false when an event exceeds the maximum size. */
   bool Feed(std::string_view aData);
-  /** Discards an incomplete event, before the data of another run follows. */
-  void DiscardPartialEvent() { mPending.clear(); }
+  /** Discards an incomplete event that was not passed on, before the data of
+   * another run follows. */
+  void DiscardPartialEvent()
+  {
+    if (mMode == RelayMode::WholeEvents) {
+      mPending.clear();
+    }
+  }
+  /** False when a part of an event was passed on, so that the data of another
+   * run can't follow. */
+  bool MayContinue() const
+  {
+    return mMode == RelayMode::WholeEvents || mPending.empty();
+  }
 
   /** Id of the last event that the caller received; empty if there is none. */
   const std::string& LastId() const { return mLastId; }
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -26,7 +26,8 @@
     return true;
   }
   const Route& route = *mParameters.mCall.mRoute;
-  return route.mIsResumable && mPossibleRuns < route.mMaxAttempts;
+  return route.mIsResumable && mRelay.MayContinue() &&
+         mPossibleRuns < route.mMaxAttempts;
 }
 
 void
--- a/Tests/Adapter/UnframedAnswerTest.cxx
+++ b/Tests/Adapter/UnframedAnswerTest.cxx
@@ -85,6 +85,14 @@
     {
       end = RawClose::Reset;
     }
+    // Guards against an event that is joined from the bytes of two runs.
+    SUBCASE("are not resumed after a part of an event was passed on")
+    {
+      path = "/resumable/1";
+      type = "";
+      body += "id: 4\nda";
+      end = RawClose::Reset;
+    }
     const auto breakOff = [&](RawEndpoint& aEndpoint) {
       return [&](const RawRequest& aRequest) {
         aEndpoint.Send(aRequest.mConnection,
