--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -33,6 +33,8 @@
   ConnectionLost,
   /** The reply is not valid HTTP or is too large. */
   InvalidReply,
+  /** The call did not end within HttpCallRequest::mTotalTimeout. */
+  TotalTimeout,
 };
 
 /** Name of aResult in logs and metrics. */
@@ -57,6 +59,9 @@
   /** Longest time without a byte of the reply received, or without a byte of
    * the request accepted by the server. */
   Duration mReadTimeout = std::chrono::seconds(30);
+  /** Longest time from the start of the call to the end of the reply, however
+   * many bytes arrive; zero for no limit. */
+  Duration mTotalTimeout{};
   /**
    * Longest idle time of a connection that may be reused; with zero, the call
    * always opens a new connection. The server may already have closed a
@@ -64,6 +69,10 @@
    * request.
    */
   Duration mMaxIdleTime = std::chrono::seconds(5);
+  /** The call does not reuse a connection that received an error reply that
+   * was not confirmed with HttpCall::ConfirmReply, because a faulty server may
+   * send that reply once more. */
+  bool mNeedsUnambiguousReply = false;
   std::size_t mMaxBodyBytes = 256 * 1024 * 1024;
   /** Rate limit for reading the reply, to test slow readers; 0: unlimited. */
   std::size_t mReadBytesPerSecond = 0;
@@ -100,11 +109,14 @@
 class HttpCall
 {
 public:
-  /** aCallId: identifies the call among the calls of aConnection. */
+  /** aCallId: identifies the call among the calls of aConnection. aIsReused:
+   * aConnection is from the pool. */
   HttpCall(std::weak_ptr<HttpClientConnection> aConnection,
-           std::uint64_t aCallId)
+           std::uint64_t aCallId,
+           bool aIsReused)
     : mConnection(std::move(aConnection))
     , mCallId(aCallId)
+    , mIsReused(aIsReused)
   {
   }
   HttpCall(const HttpCall&) = delete;
@@ -114,10 +126,16 @@
   /** Pauses or resumes reading of the reply, as backpressure from a receiver
    * that is slower than the server. */
   void SetReading(bool aIsReading);
+  /** States that the error reply of this call names its request, so that the
+   * reply cannot be mistaken for that of a later call. */
+  void ConfirmReply();
+  /** The call uses a connection from the pool. */
+  bool IsReused() const { return mIsReused; }
 
 private:
   std::weak_ptr<HttpClientConnection> mConnection;
   std::uint64_t mCallId;
+  bool mIsReused;
 };
 
 /** Counters of a client since its construction. */
--- a/Source/Net/HttpClientConnection.cxx
+++ b/Source/Net/HttpClientConnection.cxx
@@ -16,6 +16,7 @@
 namespace bulrushfold {
 
 namespace {
+constexpr int kFirstErrorStatus = 400;
 constexpr std::size_t kMaxReplyHeaderBytes = 64 * 1024;
 /** Idle timeout of a server that sends none in a Keep-Alive field. */
 constexpr Duration kDefaultIdleTimeout = std::chrono::seconds(5);
@@ -95,6 +96,11 @@
   mIsBusy = true;
   mParser.SetLimits({ kMaxReplyHeaderBytes, mRequest.mMaxBodyBytes });
   mParser.Restart(mRequest.mMethod == HttpMethod::Head);
+  if (mRequest.mTotalTimeout > Duration::zero()) {
+    mTotalTimer = mLoop.After(mRequest.mTotalTimeout, [this] {
+      Finish(HttpCallResult::TotalTimeout, false);
+    });
+  }
   if (mIsConnected) {
     Send();
   } else {
@@ -162,6 +168,14 @@
   }
 }
 
+void
+HttpClientConnection::ConfirmReply(std::uint64_t aCallId)
+{
+  if (aCallId == mLastCallId) {
+    mHasUnconfirmedError = mHadUnconfirmedError;
+  }
+}
+
 void
 HttpClientConnection::HandleRead(bufferevent*, void* aSelf)
 {
@@ -201,6 +215,9 @@
 HttpClientConnection::HandleHead()
 {
   mReply.mStatus = mParser.Head().mStatus;
+  mHadUnconfirmedError = mHasUnconfirmedError;
+  mHasUnconfirmedError =
+    mHasUnconfirmedError || mReply.mStatus >= kFirstErrorStatus;
   mReply.mHeaders = mParser.Head().mHeaders;
   if (mHooks.mOnHeaders) {
     mHooks.mOnHeaders(mReply.mStatus, mReply.mHeaders);
@@ -302,6 +319,7 @@
   const auto self = shared_from_this();
   mIsBusy = false;
   mConnectTimer = EventHandle();
+  mTotalTimer = EventHandle();
   const HttpCallHooks hooks = std::exchange(mHooks, HttpCallHooks());
   HttpCallReply reply = std::exchange(mReply, HttpCallReply());
   reply.mResult = aResult;
@@ -331,6 +349,7 @@
     return;
   }
   mConnectTimer = EventHandle();
+  mTotalTimer = EventHandle();
   if (mBufferevent != nullptr) {
     bufferevent_disable(mBufferevent, EV_READ | EV_WRITE);
     bufferevent_setcb(mBufferevent, nullptr, nullptr, nullptr, nullptr);
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -96,6 +96,7 @@
                mAnswerLengths,
                mSelector,
                mStreams,
+               mGrants,
                mLog,
                mOnStopEnd }
   , mPeers(aLoop,
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -112,6 +112,7 @@
   StreamScheduler mScheduler;
   StreamDispatcher mStreams;
   EndpointClient mEndpointClient;
+  RecentGrants mGrants;
   RequestLog mLog;
   sigc::signal<void()> mOnStopEnd;
   CachedPromptQuery mCachedPromptQuery;
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -8,6 +8,7 @@
 #include "Router/CachedPromptQuery.h"
 #include "Router/EndpointClient.h"
 #include "Router/EndpointProtocol.h"
+#include "Router/RecentGrants.h"
 #include "Router/RequestLog.h"
 #include "Router/RoutedRequest.h"
 #include "Router/SendOutcome.h"
@@ -45,6 +46,7 @@
   AnswerLengthEstimator& mAnswerLengths;
   PlainSelector& mSelector;
   StreamDispatcher& mStreams;
+  RecentGrants& mGrants;
   RequestLog& mLog;
   /** Emitted when the stop time is over; each open request must end. */
   sigc::signal<void()>& mOnStopEnd;
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -26,7 +26,8 @@
     return true;
   }
   const Route& route = *mParameters.mCall.mRoute;
-  return route.mIsResumable && mPossibleRuns < route.mMaxAttempts;
+  return route.mIsResumable && mRelay.MayContinue() &&
+         mPossibleRuns < route.mMaxAttempts;
 }
 
 bool
@@ -36,7 +37,7 @@
     return false;
   }
   ReleaseAll();
-  Finish(RefusalReason::CrashSuspect, false);
+  Finish(RefusalReason::CrashSuspect);
   return true;
 }
 
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -3,7 +3,6 @@
 #include <utility>
 
 #include "Base/Log.h"
-#include "Net/HttpStatus.h"
 
 namespace bulrushfold {
 
@@ -176,6 +175,12 @@
   mEndpoint = aEndpoint.mId;
   mSentAt = mServices.mClock.Now();
   ++mRequest->mSends;
+  // The id of an answer does not distinguish two sends of this request, so a
+  // second one to the same engine opens a new connection.
+  const bool namesRequest = aRequest.mNeedsUnambiguousReply;
+  if (namesRequest && !mSentTo.insert(mEndpoint).second) {
+    aRequest.mMaxIdleTime = Duration::zero();
+  }
   mSend =
     mServices.mClient.Start(aEndpoint, std::move(aRequest), std::move(aHooks));
 }
@@ -187,6 +192,9 @@
     mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders);
   const SendOutcome outcome =
     ClassifySend(aReply.mResult, metadata, mRequest->mMetadata.mId);
+  if (metadata.mRequestId == mRequest->mMetadata.mId) {
+    mSend->ConfirmReply();
+  }
   // The scheduler never fills a prefill engine, so a refusal means that the
   // engine accepts no work at present.
   const SendResult health =
@@ -216,92 +224,6 @@
     *mRequest, mStep, mEndpoint, aOutcome, aStatus, now - mSentAt);
 }
 
-void
-StreamSession::Reserve(const std::string& aEndpoint, std::uint64_t aTokens)
-{
-  HttpCallHooks hooks;
-  hooks.mOnDone = [this](const HttpCallReply& aReply) {
-    HandleReserved(aReply);
-  };
-  const EndpointRecord& endpoint = *mServices.mDirectory.Find(aEndpoint);
-  StartSend(
-    "reserve",
-    endpoint,
-    mServices.mProtocol.Reserve(endpoint, aTokens, mProfile.mMaxReservation),
-    std::move(hooks));
-}
-
-void
-StreamSession::HandleReserved(const HttpCallReply& aReply)
-{
-  const auto self = mSelf;
-  const Instant now = mServices.mClock.Now();
-  mSend.reset();
-  std::string reservation;
-  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
-    if (auto parsed = mServices.mProtocol.ReadReservation(aReply.mBody);
-        parsed.ok()) {
-      reservation = *std::move(parsed);
-    }
-  }
-  if (mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders)
-        .mIsMisdirected) {
-    mServices.mDirectory.OnAddressReused(mEndpoint);
-  }
-  if (reservation.empty()) {
-    FinishSend(aReply.mResult == HttpCallResult::Complete
-                 ? SendResult::Refused
-                 : HealthResultOf(aReply.mResult, SendOutcome::Unknown, 0),
-               HttpCallResultName(aReply.mResult),
-               aReply.mStatus);
-  }
-  mCall.OnReserved(reservation, now);
-}
-
-void
-StreamSession::Prefill(const std::string& aEndpoint, Instant aDeadline)
-{
-  SendParameters parameters;
-  parameters.mTimeLeft = aDeadline - mServices.mClock.Now();
-  HttpCallHooks hooks;
-  hooks.mOnDone = [this](const HttpCallReply& aReply) {
-    HandlePrefilled(aReply);
-  };
-  const EndpointRecord& endpoint = *mServices.mDirectory.Find(aEndpoint);
-  StartSend(
-    "prefill",
-    endpoint,
-    mServices.mProtocol.Prefill(mRequest->Message(), endpoint, parameters),
-    std::move(hooks));
-}
-
-void
-StreamSession::HandlePrefilled(const HttpCallReply& aReply)
-{
-  const auto self = mSelf;
-  const Duration duration = mServices.mClock.Now() - mSentAt;
-  const EndpointRecord* endpoint = mServices.mDirectory.Find(mEndpoint);
-  SendOutcome outcome = SendOutcome::Unknown;
-  KvCache cache;
-  if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
-    auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
-    if (handle.ok() && endpoint != nullptr) {
-      outcome = SendOutcome::Answered;
-      cache = { mEndpoint, endpoint->mAddress, *std::move(handle) };
-    }
-    FinishSend(outcome == SendOutcome::Answered ? SendResult::Answered
-                                                : SendResult::Interrupted,
-               outcome == SendOutcome::Answered ? SendOutcomeName(outcome)
-                                                : "no_handle",
-               aReply.mStatus);
-  } else {
-    outcome = HandleSendReply(aReply);
-    // Without a handle the stream cannot be decoded, even if the prefill ran.
-    outcome = outcome == SendOutcome::Answered ? SendOutcome::Unknown : outcome;
-  }
-  mCall.OnPrefilled(outcome, cache, duration, mServices.mClock.Now());
-}
-
 void
 StreamSession::CancelSend(SendResult aReason)
 {
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -2,6 +2,7 @@
 #define BULRUSHFOLD_ROUTER_STREAMSESSION_H
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -67,6 +68,11 @@
                         const std::string& aSource,
                         Instant aSentAt);
   void HandleReserved(const HttpCallReply& aReply);
+  /** False when aReply is a repeated answer to an earlier call, recognized by
+   * its request id or by aHandle, the handle or reservation that it grants. */
+  bool IsOwnGrant(const HttpCallReply& aReply,
+                  std::string_view aStep,
+                  const std::string& aHandle);
   void HandlePrefilled(const HttpCallReply& aReply);
   void HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders);
   void HandleDecodeEnd(const HttpCallReply& aReply);
@@ -101,6 +107,8 @@
   std::string mEndpoint;
   sigc::connection mStopConnection;
   Instant mSentAt;
+  /** Engines to which the request was sent, for a prefill or a decode. */
+  std::set<std::string> mSentTo;
   SendOutcome mHeadOutcome = SendOutcome::Unknown;
   bool mIsReadPaused = false;
   /** When the head of the decode engine's answer arrived; zero before. */
--- a/Tests/Adapter/FakeEndpoint.cxx
+++ b/Tests/Adapter/FakeEndpoint.cxx
@@ -214,9 +214,11 @@
   if (request.mPath == "/api/hold-take") {
     ++mReserveCalls;
     const bool isFull = mMode == FakeEndpointMode::Refuse;
+    const Json grant = { { "hold", "hold" + std::to_string(mGrants + 1) } };
+    mGrants += isFull ? 0 : 1;
     aExchange->Reply(isFull ? 503 : 200,
                      isFull ? RefusalHeaders() : WithLeaving({}),
-                     isFull ? "" : Json{ { "hold", "hold1" } }.dump());
+                     isFull ? "" : grant.dump());
   } else if (request.mPath == "/api/order") {
     mOrders.push_back(request);
     aExchange->Reply(202, WithLeaving({}), "{}");
--- a/Tests/Adapter/FakeEndpoint.h
+++ b/Tests/Adapter/FakeEndpoint.h
@@ -120,6 +120,8 @@
   std::size_t mReserveCalls = 0;
   bool mIsLeaving = false;
   std::string mRetryAfter;
+  /** Number of reservations granted; each one has its own name. */
+  int mGrants = 0;
   std::vector<HttpRequest> mOrders;
   std::map<std::string, int> mCachedParts;
   std::vector<std::string> mRunIds;
