Place a moved run anew when its engine was removed

Callers of a whole daemon would lose their connections at once: the process ends with an invalid memory access.

Cause: when a move fails, or its target refuses the run, the stream resumes at the engine that the run came from. That engine may have been removed from the registry meanwhile, since engines that leave are the usual reason for a move. The session then looked up a record that does not exist.

Change: the delegate's CanReceive also covers engines that are not in the registry any more, and the stream is placed anew.

Evidence: the new subcase of StreamCallTest expects no decode at an engine that was removed. Without the check the decode is sent there.

--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -65,8 +65,8 @@
   /** The run counts towards the load of aEndpoint from now on. */
   virtual void ReportMoved(const std::string& aEndpoint) = 0;
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
-  /** aEndpoint asked for no requests at present. */
-  virtual bool IsInBackoff(const std::string& aEndpoint) const = 0;
+  /** aEndpoint is in the registry and did not ask for a pause. */
+  virtual bool CanReceive(const std::string& aEndpoint) const = 0;
   /** A part of the prompt crashes engines, so it must not be sent to one. */
   virtual bool IsPromptRefused() = 0;
   // Engines. The session reports the end of each call with the matching On...
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -68,7 +68,7 @@
   mPlacement.mDecode = usesTarget ? move.mTarget : move.mSource;
   mMoveSource = usesTarget ? move.mSource : std::string();
   mDelegate.ReportMoved(mPlacement.mDecode);
-  if (mDelegate.IsInBackoff(mPlacement.mDecode)) {
+  if (!mDelegate.CanReceive(mPlacement.mDecode)) {
     // Neither target nor source accepts the run, so its KV cache is lost.
     mFailedEndpoints.insert(mPlacement.mDecode);
     ReleaseAll();
@@ -82,7 +82,7 @@
 StreamCall::ResumeAtSource(Instant aNow)
 {
   if (mState != StreamState::Starting || mMoveSource.empty() || !mCache ||
-      mDelegate.IsInBackoff(mMoveSource) ||
+      !mDelegate.CanReceive(mMoveSource) ||
       !mRetryBudget.TryConsume(mParameters.mCall.mService, 1, aNow)) {
     return false;
   }
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -160,9 +160,10 @@
 }
 
 bool
-StreamSession::IsInBackoff(const std::string& aEndpoint) const
+StreamSession::CanReceive(const std::string& aEndpoint) const
 {
-  return mServices.mDirectory.IsInBackoff(aEndpoint);
+  return mServices.mDirectory.Find(aEndpoint) != nullptr &&
+         !mServices.mDirectory.IsInBackoff(aEndpoint);
 }
 
 void
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -39,7 +39,7 @@
   void ReportInterruptedRun(const std::string& aEndpoint) override;
   void ReportMoved(const std::string& aEndpoint) override;
   bool IsUsable(const std::string& aEndpoint) const override;
-  bool IsInBackoff(const std::string& aEndpoint) const override;
+  bool CanReceive(const std::string& aEndpoint) const override;
   bool IsPromptRefused() override;
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override;
   void Prefill(const std::string& aEndpoint, Instant aDeadline) override;
--- a/Tests/Router/StreamCallTest.cxx
+++ b/Tests/Router/StreamCallTest.cxx
@@ -46,9 +46,9 @@
   {
     return mUnusable.count(aEndpoint) == 0;
   }
-  bool IsInBackoff(const std::string& aEndpoint) const override
+  bool CanReceive(const std::string& aEndpoint) const override
   {
-    return mInBackoff.count(aEndpoint) > 0;
+    return mUnreachable.count(aEndpoint) == 0;
   }
   bool IsPromptRefused() override { return mIsPromptRefused; }
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override
@@ -118,7 +118,7 @@
   std::vector<DecodeParameters> mDecodes;
   std::vector<std::string> mInterruptedAt;
   std::set<std::string> mUnusable;
-  std::set<std::string> mInBackoff;
+  std::set<std::string> mUnreachable;
   bool mIsPromptRefused = false;
   std::string mAnswerData;
   std::string mRunEndpoint;
@@ -609,12 +609,24 @@
   {
     fixture.EndAnswer(SendOutcome::Unknown);
     fixture.mDelegate.mUnusable = { "d2" };
-    fixture.mDelegate.mInBackoff = { "d1" };
+    fixture.mDelegate.mUnreachable = { "d1" };
     fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
     CHECK(fixture.mDelegate.mDecodes.size() == 1);
     CHECK(fixture.mDelegate.HasAction("drop moved"));
     CHECK(fixture.mDelegate.mDemands.size() == 2);
   }
+  // Guards against a decode at an engine that was removed during the move,
+  // which ended the process.
+  SUBCASE("it is placed anew when the target refuses it and the source is gone")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
+    fixture.mDelegate.mUnreachable = { "d1" };
+    fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
+    CHECK(fixture.mDelegate.mDecodes.size() == 2);
+    CHECK(fixture.mDelegate.mDemands.size() == 2);
+  }
   // Guards against a decode at an engine that announced during the move that
   // it leaves.
   SUBCASE("it resumes at its source when the target leaves")
