Free the copied KV cache when a stream ends during a move

Engine memory stayed occupied by a copy that nobody would fetch when the caller disconnected, the deadline passed or the daemon stopped between the answer to a move and the end of the source's answer.

Cause: the end of a stream released the reservation and the cache of the prefill, but not the handle of the move. A stop also did not report the interrupted run, so the peers did not learn which engine has its prompt.

Change: CancelStep, which all early ends share, also drops the copy, and OnStopEnd reports the interrupted run as a disconnect does.

Evidence: the new subcase of StreamCallTest; the code before has no call that drops the copy.

--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -199,6 +199,9 @@
   bool MayRunAgain() const;
   /** Ends the stream if a part of its prompt crashes engines. */
   bool EndIfPromptRefused();
+  /** Cancels the present step and releases everything. aSendResult: result of
+   * the cancelled send in the health record. */
+  void CancelStep(SendResult aSendResult);
   /** Cancels the present step, releases everything, and ends the stream.
    * aSendResult: result of the cancelled send in the health record. */
   void EndEarly(RefusalReason aReason, SendResult aSendResult);
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -138,42 +138,52 @@
 void
 StreamCall::OnStopEnd()
 {
-  if (mState != StreamState::Finished) {
-    EndEarly(RefusalReason::Stopping, SendResult::Answered);
+  if (mState == StreamState::Finished) {
+    return;
+  }
+  if (mState == StreamState::Streaming) {
+    mDelegate.ReportInterruptedRun(mPlacement.mDecode);
+  }
+  EndEarly(RefusalReason::Stopping, SendResult::Answered);
+}
+
+void
+StreamCall::OnCallerDisconnected(Instant)
+{
+  if (mState == StreamState::Finished) {
+    return;
+  }
+  if (mState == StreamState::Streaming) {
+    mDelegate.ReportInterruptedRun(mPlacement.mDecode);
   }
+  CancelStep(SendResult::Answered);
+  mState = StreamState::Finished;
 }
 
 void
 StreamCall::EndEarly(RefusalReason aReason, SendResult aSendResult)
 {
-  if (mState == StreamState::Waiting) {
-    mDelegate.WithdrawPlacement();
-  } else {
-    if (mState != StreamState::Reserving && mState != StreamState::Prefilling) {
-      ++mPossibleRuns;
-    }
-    mDelegate.CancelSend(aSendResult);
+  if (mState == StreamState::Starting || mState == StreamState::Streaming ||
+      mState == StreamState::ReceivingError) {
+    ++mPossibleRuns;
   }
-  ReleaseAll();
+  CancelStep(aSendResult);
   Finish(aReason);
 }
 
 void
-StreamCall::OnCallerDisconnected(Instant)
+StreamCall::CancelStep(SendResult aSendResult)
 {
-  if (mState == StreamState::Finished) {
-    return;
-  }
   if (mState == StreamState::Waiting) {
     mDelegate.WithdrawPlacement();
   } else {
-    mDelegate.CancelSend(SendResult::Answered);
+    mDelegate.CancelSend(aSendResult);
   }
-  if (mState == StreamState::Streaming) {
-    mDelegate.ReportInterruptedRun(mPlacement.mDecode);
+  const auto move = std::exchange(mMove, std::nullopt);
+  if (move && move->mCache) {
+    mDelegate.DropCache(*move->mCache);
   }
   ReleaseAll();
-  mState = StreamState::Finished;
 }
 
 } // namespace bulrushfold
--- a/Tests/Router/StreamCallTest.cxx
+++ b/Tests/Router/StreamCallTest.cxx
@@ -627,6 +627,16 @@
     CHECK(fixture.mDelegate.mDecodes.size() == 2);
     CHECK(fixture.mDelegate.mDemands.size() == 2);
   }
+  // Guards against engine memory that stays occupied when the daemon stops
+  // during a move.
+  SUBCASE("the copy is dropped when the daemon stops during the move")
+  {
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    fixture.mCall->OnStopEnd();
+    CHECK(fixture.mDelegate.HasAction("drop moved"));
+    CHECK(fixture.mDelegate.LastAction() == "abort");
+    CHECK(fixture.mDelegate.mInterruptedAt.size() == 1);
+  }
   // Guards against a decode at an engine that announced during the move that
   // it leaves.
   SUBCASE("it resumes at its source when the target leaves")
