Limit the time for sending the rest of a reply

A caller that reads a few bytes at a time could keep a connection for hours: since the idle timeout waits for unsent bytes, only the write timeout of 10 s without any progress was left. An idle timeout of zero also made the timer of a busy connection fire without a pause.

Change: the rest of a reply has 60 s from its end in the output buffer. A busy connection is checked at most once a second.

Result: NetTest passes, 10 of 10 cases; the limit of 60 s has no test of its own.

--- a/Source/Net/HttpServerConnection.cxx
+++ b/Source/Net/HttpServerConnection.cxx
@@ -23,6 +23,11 @@
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 /** Time for the caller to read the reply and to close the connection. */
 constexpr Duration kLingerTimeout = std::chrono::seconds(1);
+/** Time for sending the rest of a reply. Without this limit, a caller that
+ * reads a few bytes at a time keeps its connection for good. */
+constexpr Duration kMaxSendTime = std::chrono::seconds(60);
+/** Minimum time between two checks of a busy connection. */
+constexpr Duration kMinBusyCheckInterval = std::chrono::seconds(1);
 } // namespace
 
 HttpServerConnection::HttpServerConnection(EventLoop& aLoop,
@@ -258,6 +263,7 @@
 HttpServerConnection::FinishExchange()
 {
   mExchange = nullptr;
+  mSendDeadline = mClock.Now() + kMaxSendTime;
   if (mClosesAfterReply) {
     BeginLingeringClose();
     return;
@@ -273,6 +279,7 @@
 HttpServerConnection::BeginLingeringClose()
 {
   mIsLingering = true;
+  mSendDeadline = mClock.Now() + kMaxSendTime;
   bufferevent_setwatermark(mBufferevent, EV_READ, 0, 0);
   evbuffer* input = bufferevent_get_input(mBufferevent);
   evbuffer_drain(input, evbuffer_get_length(input));
@@ -341,9 +348,10 @@
 {
   mTimerDueAt.reset();
   const Instant now = mClock.Now();
-  // The write timeout limits the time for sending a reply.
-  if (HasExchange() || PendingBytes() > 0) {
-    ArmTimer(now + mServer.Limits().mIdleTimeout);
+  const bool isSending = PendingBytes() > 0 && now < mSendDeadline;
+  if (HasExchange() || isSending) {
+    ArmTimer(now +
+             std::max(mServer.Limits().mIdleTimeout, kMinBusyCheckInterval));
     return;
   }
   if (mDeadline > now) {
--- a/Source/Net/HttpServerConnection.h
+++ b/Source/Net/HttpServerConnection.h
@@ -100,6 +100,8 @@
   Instant mArrival;
   /** Time at which the connection times out unless its state changes. */
   Instant mDeadline;
+  /** End of the time for sending the rest of a reply. */
+  Instant mSendDeadline;
   EventHandle mTimer;
   /** Time at which mTimer fires; it may be earlier than mDeadline. */
   std::optional<Instant> mTimerDueAt;
