End the shutdown tests when the router does not end the loop

Cause: the limit of 20 s in RouterShutdownTest only set a flag, so a router that never ends would hang the test instead of failing it.

Change: the limit stops the loop.

Result: the checks are unchanged.

--- a/Tests/Adapter/RouterShutdownTest.cxx
+++ b/Tests/Adapter/RouterShutdownTest.cxx
@@ -16,8 +16,10 @@
 RunUntilRouterEnds(PlatformFixture& aPlatform)
 {
   bool isOver = false;
-  const auto limit =
-    aPlatform.mLoop.After(std::chrono::seconds(20), [&] { isOver = true; });
+  const auto limit = aPlatform.mLoop.After(std::chrono::seconds(20), [&] {
+    isOver = true;
+    aPlatform.mLoop.Stop();
+  });
   aPlatform.mLoop.Run();
   REQUIRE_FALSE(isOver);
 }
