Generate the routing messages with the Thrift compiler

Cause: the codecs of the new fields were extended by a script in a worktree without the compiler, so the numbering of the locals differed.

--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -877,14 +877,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->parts.clear();
-            uint32_t _size0;
-            ::apache::thrift::protocol::TType _etype3;
-            xfer += iprot->readListBegin(_etype3, _size0);
-            this->parts.resize(_size0);
-            uint32_t _i4;
-            for (_i4 = 0; _i4 < _size0; ++_i4)
+            uint32_t _size10;
+            ::apache::thrift::protocol::TType _etype13;
+            xfer += iprot->readListBegin(_etype13, _size10);
+            this->parts.resize(_size10);
+            uint32_t _i14;
+            for (_i14 = 0; _i14 < _size10; ++_i14)
             {
-              xfer += iprot->readI64(this->parts[_i4]);
+              xfer += iprot->readI64(this->parts[_i14]);
             }
             xfer += iprot->readListEnd();
           }
@@ -931,10 +931,10 @@
   xfer += oprot->writeFieldBegin("parts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->parts.size()));
-    std::vector<int64_t> ::const_iterator _iter5;
-    for (_iter5 = this->parts.begin(); _iter5 != this->parts.end(); ++_iter5)
+    std::vector<int64_t> ::const_iterator _iter15;
+    for (_iter15 = this->parts.begin(); _iter15 != this->parts.end(); ++_iter15)
     {
-      xfer += oprot->writeI64((*_iter5));
+      xfer += oprot->writeI64((*_iter15));
     }
     xfer += oprot->writeListEnd();
   }
@@ -956,15 +956,15 @@
   swap(a.ageMs, b.ageMs);
 }
 
-LostPrompt::LostPrompt(const LostPrompt& other10) {
-  engine = other10.engine;
-  parts = other10.parts;
-  ageMs = other10.ageMs;
+LostPrompt::LostPrompt(const LostPrompt& other16) {
+  engine = other16.engine;
+  parts = other16.parts;
+  ageMs = other16.ageMs;
 }
-LostPrompt& LostPrompt::operator=(const LostPrompt& other11) {
-  engine = other11.engine;
-  parts = other11.parts;
-  ageMs = other11.ageMs;
+LostPrompt& LostPrompt::operator=(const LostPrompt& other17) {
+  engine = other17.engine;
+  parts = other17.parts;
+  ageMs = other17.ageMs;
   return *this;
 }
 void LostPrompt::printTo(std::ostream& out) const {
@@ -1074,13 +1074,13 @@
   swap(a.ageMs, b.ageMs);
 }
 
-AnsweredPart::AnsweredPart(const AnsweredPart& other10) noexcept {
-  part = other10.part;
-  ageMs = other10.ageMs;
+AnsweredPart::AnsweredPart(const AnsweredPart& other18) noexcept {
+  part = other18.part;
+  ageMs = other18.ageMs;
 }
-AnsweredPart& AnsweredPart::operator=(const AnsweredPart& other11) noexcept {
-  part = other11.part;
-  ageMs = other11.ageMs;
+AnsweredPart& AnsweredPart::operator=(const AnsweredPart& other19) noexcept {
+  part = other19.part;
+  ageMs = other19.ageMs;
   return *this;
 }
 void AnsweredPart::printTo(std::ostream& out) const {
@@ -1189,13 +1189,13 @@
   swap(a.ageMs, b.ageMs);
 }
 
-TurnedAway::TurnedAway(const TurnedAway& other10) noexcept {
-  requestHash = other10.requestHash;
-  ageMs = other10.ageMs;
+TurnedAway::TurnedAway(const TurnedAway& other20) noexcept {
+  requestHash = other20.requestHash;
+  ageMs = other20.ageMs;
 }
-TurnedAway& TurnedAway::operator=(const TurnedAway& other11) noexcept {
-  requestHash = other11.requestHash;
-  ageMs = other11.ageMs;
+TurnedAway& TurnedAway::operator=(const TurnedAway& other21) noexcept {
+  requestHash = other21.requestHash;
+  ageMs = other21.ageMs;
   return *this;
 }
 void TurnedAway::printTo(std::ostream& out) const {
@@ -1324,15 +1324,15 @@
   swap(a.leftMs, b.leftMs);
 }
 
-RoleOrder::RoleOrder(const RoleOrder& other12) {
-  endpoint = other12.endpoint;
-  isToDecode = other12.isToDecode;
-  leftMs = other12.leftMs;
+RoleOrder::RoleOrder(const RoleOrder& other22) {
+  endpoint = other22.endpoint;
+  isToDecode = other22.isToDecode;
+  leftMs = other22.leftMs;
 }
-RoleOrder& RoleOrder::operator=(const RoleOrder& other13) {
-  endpoint = other13.endpoint;
-  isToDecode = other13.isToDecode;
-  leftMs = other13.leftMs;
+RoleOrder& RoleOrder::operator=(const RoleOrder& other23) {
+  endpoint = other23.endpoint;
+  isToDecode = other23.isToDecode;
+  leftMs = other23.leftMs;
   return *this;
 }
 void RoleOrder::printTo(std::ostream& out) const {
@@ -1432,14 +1432,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size14;
-            ::apache::thrift::protocol::TType _etype17;
-            xfer += iprot->readListBegin(_etype17, _size14);
-            this->runs.resize(_size14);
-            uint32_t _i18;
-            for (_i18 = 0; _i18 < _size14; ++_i18)
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->runs.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
             {
-              xfer += this->runs[_i18].read(iprot);
+              xfer += this->runs[_i28].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1452,14 +1452,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size19;
-            ::apache::thrift::protocol::TType _etype22;
-            xfer += iprot->readListBegin(_etype22, _size19);
-            this->shares.resize(_size19);
-            uint32_t _i23;
-            for (_i23 = 0; _i23 < _size19; ++_i23)
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->shares.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
             {
-              xfer += this->shares[_i23].read(iprot);
+              xfer += this->shares[_i33].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1472,14 +1472,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retries.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->retries.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->retries.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += this->retries[_i28].read(iprot);
+              xfer += this->retries[_i38].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1492,14 +1492,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->suspects.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size39;
+            ::apache::thrift::protocol::TType _etype42;
+            xfer += iprot->readListBegin(_etype42, _size39);
+            this->suspects.resize(_size39);
+            uint32_t _i43;
+            for (_i43 = 0; _i43 < _size39; ++_i43)
             {
-              xfer += this->suspects[_i33].read(iprot);
+              xfer += this->suspects[_i43].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1528,14 +1528,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->turnedAway.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->turnedAway.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size44;
+            ::apache::thrift::protocol::TType _etype47;
+            xfer += iprot->readListBegin(_etype47, _size44);
+            this->turnedAway.resize(_size44);
+            uint32_t _i48;
+            for (_i48 = 0; _i48 < _size44; ++_i48)
             {
-              xfer += this->turnedAway[_i38].read(iprot);
+              xfer += this->turnedAway[_i48].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1548,14 +1548,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->roleOrders.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->roleOrders.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->roleOrders.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
             {
-              xfer += this->roleOrders[_i43].read(iprot);
+              xfer += this->roleOrders[_i53].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1568,14 +1568,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keptPrompts.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->keptPrompts.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size54;
+            ::apache::thrift::protocol::TType _etype57;
+            xfer += iprot->readListBegin(_etype57, _size54);
+            this->keptPrompts.resize(_size54);
+            uint32_t _i58;
+            for (_i58 = 0; _i58 < _size54; ++_i58)
             {
-              xfer += this->keptPrompts[_i48].read(iprot);
+              xfer += this->keptPrompts[_i58].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1588,14 +1588,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lostPrompts.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->lostPrompts.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size59;
+            ::apache::thrift::protocol::TType _etype62;
+            xfer += iprot->readListBegin(_etype62, _size59);
+            this->lostPrompts.resize(_size59);
+            uint32_t _i63;
+            for (_i63 = 0; _i63 < _size59; ++_i63)
             {
-              xfer += this->lostPrompts[_i48].read(iprot);
+              xfer += this->lostPrompts[_i63].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1608,14 +1608,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answeredParts.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->answeredParts.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size64;
+            ::apache::thrift::protocol::TType _etype67;
+            xfer += iprot->readListBegin(_etype67, _size64);
+            this->answeredParts.resize(_size64);
+            uint32_t _i68;
+            for (_i68 = 0; _i68 < _size64; ++_i68)
             {
-              xfer += this->answeredParts[_i48].read(iprot);
+              xfer += this->answeredParts[_i68].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1660,10 +1660,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<StreamRun> ::const_iterator _iter49;
-    for (_iter49 = this->runs.begin(); _iter49 != this->runs.end(); ++_iter49)
+    std::vector<StreamRun> ::const_iterator _iter69;
+    for (_iter69 = this->runs.begin(); _iter69 != this->runs.end(); ++_iter69)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter69).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1672,10 +1672,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<EndpointShare> ::const_iterator _iter50;
-    for (_iter50 = this->shares.begin(); _iter50 != this->shares.end(); ++_iter50)
+    std::vector<EndpointShare> ::const_iterator _iter70;
+    for (_iter70 = this->shares.begin(); _iter70 != this->shares.end(); ++_iter70)
     {
-      xfer += (*_iter50).write(oprot);
+      xfer += (*_iter70).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1684,10 +1684,10 @@
   xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retries.size()));
-    std::vector<RetryUse> ::const_iterator _iter51;
-    for (_iter51 = this->retries.begin(); _iter51 != this->retries.end(); ++_iter51)
+    std::vector<RetryUse> ::const_iterator _iter71;
+    for (_iter71 = this->retries.begin(); _iter71 != this->retries.end(); ++_iter71)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter71).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1696,10 +1696,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter52;
-    for (_iter52 = this->suspects.begin(); _iter52 != this->suspects.end(); ++_iter52)
+    std::vector<CrashSuspect> ::const_iterator _iter72;
+    for (_iter72 = this->suspects.begin(); _iter72 != this->suspects.end(); ++_iter72)
     {
-      xfer += (*_iter52).write(oprot);
+      xfer += (*_iter72).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1716,10 +1716,10 @@
   xfer += oprot->writeFieldBegin("turnedAway", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->turnedAway.size()));
-    std::vector<TurnedAway> ::const_iterator _iter53;
-    for (_iter53 = this->turnedAway.begin(); _iter53 != this->turnedAway.end(); ++_iter53)
+    std::vector<TurnedAway> ::const_iterator _iter73;
+    for (_iter73 = this->turnedAway.begin(); _iter73 != this->turnedAway.end(); ++_iter73)
     {
-      xfer += (*_iter53).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1728,10 +1728,10 @@
   xfer += oprot->writeFieldBegin("roleOrders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->roleOrders.size()));
-    std::vector<RoleOrder> ::const_iterator _iter54;
-    for (_iter54 = this->roleOrders.begin(); _iter54 != this->roleOrders.end(); ++_iter54)
+    std::vector<RoleOrder> ::const_iterator _iter74;
+    for (_iter74 = this->roleOrders.begin(); _iter74 != this->roleOrders.end(); ++_iter74)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter74).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1740,10 +1740,10 @@
   xfer += oprot->writeFieldBegin("keptPrompts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keptPrompts.size()));
-    std::vector<KeptPrompt> ::const_iterator _iter55;
-    for (_iter55 = this->keptPrompts.begin(); _iter55 != this->keptPrompts.end(); ++_iter55)
+    std::vector<KeptPrompt> ::const_iterator _iter75;
+    for (_iter75 = this->keptPrompts.begin(); _iter75 != this->keptPrompts.end(); ++_iter75)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1752,10 +1752,10 @@
   xfer += oprot->writeFieldBegin("lostPrompts", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lostPrompts.size()));
-    std::vector<LostPrompt> ::const_iterator _iter55;
-    for (_iter55 = this->lostPrompts.begin(); _iter55 != this->lostPrompts.end(); ++_iter55)
+    std::vector<LostPrompt> ::const_iterator _iter76;
+    for (_iter76 = this->lostPrompts.begin(); _iter76 != this->lostPrompts.end(); ++_iter76)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1764,10 +1764,10 @@
   xfer += oprot->writeFieldBegin("answeredParts", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answeredParts.size()));
-    std::vector<AnsweredPart> ::const_iterator _iter55;
-    for (_iter55 = this->answeredParts.begin(); _iter55 != this->answeredParts.end(); ++_iter55)
+    std::vector<AnsweredPart> ::const_iterator _iter77;
+    for (_iter77 = this->answeredParts.begin(); _iter77 != this->answeredParts.end(); ++_iter77)
     {
-      xfer += (*_iter55).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1794,33 +1794,33 @@
   swap(a.__isset, b.__isset);
 }
 
-RoutingStatus::RoutingStatus(const RoutingStatus& other56) {
-  runs = other56.runs;
-  shares = other56.shares;
-  retries = other56.retries;
-  suspects = other56.suspects;
-  isLeaving = other56.isLeaving;
-  address = other56.address;
-  turnedAway = other56.turnedAway;
-  roleOrders = other56.roleOrders;
-  keptPrompts = other56.keptPrompts;
-  lostPrompts = other56.lostPrompts;
-  answeredParts = other56.answeredParts;
-  __isset = other56.__isset;
-}
-RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other57) {
-  runs = other57.runs;
-  shares = other57.shares;
-  retries = other57.retries;
-  suspects = other57.suspects;
-  isLeaving = other57.isLeaving;
-  address = other57.address;
-  turnedAway = other57.turnedAway;
-  roleOrders = other57.roleOrders;
-  keptPrompts = other57.keptPrompts;
-  lostPrompts = other57.lostPrompts;
-  answeredParts = other57.answeredParts;
-  __isset = other57.__isset;
+RoutingStatus::RoutingStatus(const RoutingStatus& other78) {
+  runs = other78.runs;
+  shares = other78.shares;
+  retries = other78.retries;
+  suspects = other78.suspects;
+  isLeaving = other78.isLeaving;
+  address = other78.address;
+  turnedAway = other78.turnedAway;
+  roleOrders = other78.roleOrders;
+  keptPrompts = other78.keptPrompts;
+  lostPrompts = other78.lostPrompts;
+  answeredParts = other78.answeredParts;
+  __isset = other78.__isset;
+}
+RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other79) {
+  runs = other79.runs;
+  shares = other79.shares;
+  retries = other79.retries;
+  suspects = other79.suspects;
+  isLeaving = other79.isLeaving;
+  address = other79.address;
+  turnedAway = other79.turnedAway;
+  roleOrders = other79.roleOrders;
+  keptPrompts = other79.keptPrompts;
+  lostPrompts = other79.lostPrompts;
+  answeredParts = other79.answeredParts;
+  __isset = other79.__isset;
   return *this;
 }
 void RoutingStatus::printTo(std::ostream& out) const {
