--- /dev/null
+++ b/Tests/Router/StreamCallMoveTest.cxx
@@ -0,0 +1,223 @@
+#include "Router/StreamCall.h"
+
+#include <doctest/doctest.h>
+
+#include "StreamCallFixture.h"
+
+namespace bulrushfold {
+
+namespace {
+using std::chrono::seconds;
+} // namespace
+
+TEST_CASE("Another engine continues a resumable stream")
+{
+  StreamCallFixture fixture(true);
+  fixture.Start();
+  fixture.RunToAnswer("p1", "d1");
+  fixture.AddData(Event(1) + Event(2) + "id: 3\nda");
+
+  SUBCASE("after the last complete event")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    REQUIRE(fixture.mDelegate.mDemands.size() == 2);
+    CHECK(fixture.mDelegate.mDemands[1].mFailedEndpoints.count("d1") == 1);
+    CHECK(fixture.mDelegate.mInterruptedAt == std::vector<std::string>{ "d1" });
+    CHECK(fixture.mDelegate.mDemands[1].mWasInterrupted);
+    CHECK(fixture.mDelegate.mInterruptedAt == std::vector<std::string>{ "d1" });
+    CHECK(fixture.mDelegate.mDemands[1].mWasInterrupted);
+    fixture.Place("p2", "d2");
+    fixture.mCall->OnReserved("hold2", fixture.mNow);
+    fixture.FinishPrefill();
+    CHECK(fixture.mDelegate.mDecodes.back().mLastEventId == "2");
+    fixture.StartAnswer();
+    fixture.AddData(Event(3));
+    fixture.EndAnswer(SendOutcome::Answered);
+    CHECK(fixture.mDelegate.mAnswerData == Event(1) + Event(2) + Event(3));
+    CHECK(fixture.mDelegate.LastAction() == "end");
+    // The answer of two runs gives no measurement of the engines.
+    CHECK(fixture.mDelegate.mAnswerEvents == 0);
+  }
+  SUBCASE("and cancels the first run when that sends no data")
+  {
+    fixture.mNow = fixture.mDelegate.mWakeTime;
+    fixture.mCall->OnWake(fixture.mNow);
+    CHECK(fixture.mDelegate.HasAction("cancel"));
+    CHECK(fixture.mDelegate.mDemands.size() == 2);
+  }
+  SUBCASE("but on no more engines than the route allows")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.RunToAnswer("p2", "d2");
+    fixture.EndAnswer(SendOutcome::Unknown);
+    CHECK(fixture.mDelegate.LastAction() == "abort");
+  }
+}
+
+TEST_CASE("The cached prompt of an interrupted run is used again")
+{
+  StreamCallFixture fixture(true, 3);
+  fixture.mParameters.mPromptKey = 42;
+  fixture.Start();
+  CHECK_FALSE(fixture.mDelegate.mDemands[0].mWasInterrupted);
+  CHECK(fixture.mDelegate.mDemands[0].mPromptKey == 42);
+  fixture.RunToAnswer("p1", "d1");
+  fixture.AddData(Event(1));
+
+  SUBCASE("but not at an engine that stopped responding")
+  {
+    fixture.mNow += seconds(2);
+    fixture.mCall->OnWake(fixture.mNow);
+    REQUIRE(fixture.mDelegate.mDemands.size() == 2);
+    CHECK_FALSE(fixture.mDelegate.mDemands[1].mWasInterrupted);
+  }
+  SUBCASE("without another prefill, but only once")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    REQUIRE(fixture.mDelegate.mDemands.size() == 2);
+    CHECK(fixture.mDelegate.mDemands[1].mWasInterrupted);
+    StreamPlacement placement;
+    placement.mDecode = "d1";
+    placement.mCachedTokens = 5000;
+    fixture.mCall->OnPlaced(placement, fixture.mNow);
+    fixture.mCall->OnReserved("hold2", fixture.mNow);
+    CHECK(fixture.mDelegate.LastAction() == "decode d1");
+    CHECK_FALSE(fixture.mDelegate.mDecodes.back().mCache);
+    CHECK(fixture.mDelegate.mDecodes.back().mLastEventId == "1");
+    fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
+    REQUIRE(fixture.mDelegate.mDemands.size() == 3);
+    CHECK_FALSE(fixture.mDelegate.mDemands[2].mWasInterrupted);
+  }
+  SUBCASE("and is recorded when the caller disconnects")
+  {
+    fixture.mCall->OnCallerDisconnected(fixture.mNow);
+    CHECK(fixture.mDelegate.mInterruptedAt == std::vector<std::string>{ "d1" });
+  }
+}
+
+TEST_CASE("A run moves to another engine and continues there")
+{
+  StreamCallFixture fixture(false, 1);
+  fixture.Start();
+  fixture.RunToAnswer("p1", "d1");
+  const std::optional<KvCache> cache = MakeCache("moved");
+
+  SUBCASE("it does not move before its first event")
+  {
+    fixture.mCall->StartMove("d2", fixture.mNow);
+    CHECK_FALSE(fixture.mCall->IsMoving());
+  }
+  fixture.AddData(Event(1));
+  fixture.mCall->StartMove("d2", fixture.mNow);
+  REQUIRE(fixture.mDelegate.LastAction() == "move d1 d2");
+  CHECK(fixture.mDelegate.mRunEndpoint == "d2");
+  fixture.AddData(Event(2));
+
+  SUBCASE("when the copy is reported before the answer of the source ends")
+  {
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    CHECK(fixture.mDelegate.mDecodes.size() == 1);
+    fixture.EndAnswer(SendOutcome::Unknown);
+    CHECK(fixture.mDelegate.mDecodes.size() == 2);
+  }
+  SUBCASE("when the answer of the source ends before the copy is reported")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    CHECK(fixture.mDelegate.mDecodes.size() == 1);
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
+    CHECK(fixture.mDelegate.mDecodes[1].mEndpoint == "d2");
+    CHECK(fixture.mDelegate.mDecodes[1].mCache->mHandle == "moved");
+    CHECK(fixture.mDelegate.mDecodes[1].mLastEventId == "2");
+    SUBCASE("and the target completes the answer")
+    {
+      fixture.StartAnswer();
+      fixture.AddData(Event(3));
+      fixture.EndAnswer(SendOutcome::Answered);
+      CHECK(fixture.mDelegate.mAnswerData == Event(1) + Event(2) + Event(3));
+      CHECK(fixture.mDelegate.LastAction() == "end");
+    }
+    SUBCASE("and it returns to the source if the target refuses it")
+    {
+      fixture.mCall->OnAnswerStarted(
+        SendOutcome::NotRun, 503, {}, fixture.mNow);
+      REQUIRE(fixture.mDelegate.mDecodes.size() == 3);
+      CHECK(fixture.mDelegate.mDecodes[2].mEndpoint == "d1");
+      CHECK(fixture.mDelegate.mRunEndpoint == "d1");
+    }
+  }
+  // Guards against a decode at an engine that asked for no requests.
+  SUBCASE("it is placed anew when neither target nor source accepts it")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mDelegate.mUnusable = { "d2" };
+    fixture.mDelegate.mUnreachable = { "d1" };
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    CHECK(fixture.mDelegate.mDecodes.size() == 1);
+    CHECK(fixture.mDelegate.HasAction("drop moved"));
+    CHECK(fixture.mDelegate.mDemands.size() == 2);
+  }
+  // Guards against a decode at an engine that was removed during the move,
+  // which ended the process.
+  SUBCASE("it is placed anew when the target refuses it and the source is gone")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
+    fixture.mDelegate.mUnreachable = { "d1" };
+    fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
+    CHECK(fixture.mDelegate.mDecodes.size() == 2);
+    CHECK(fixture.mDelegate.mDemands.size() == 2);
+  }
+  // Guards against engine memory that stays occupied when the daemon stops
+  // during a move.
+  SUBCASE("the copy is dropped when the daemon stops during the move")
+  {
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    fixture.mCall->OnStopEnd();
+    CHECK(fixture.mDelegate.HasAction("drop moved"));
+    CHECK(fixture.mDelegate.LastAction() == "abort");
+    CHECK(fixture.mDelegate.mInterruptedAt.size() == 1);
+  }
+  // Guards against a decode at an engine that announced during the move that
+  // it leaves.
+  SUBCASE("it resumes at its source when the target leaves")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mDelegate.mUnusable = { "d2" };
+    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
+    CHECK(fixture.mDelegate.mDecodes[1].mEndpoint == "d1");
+    CHECK(fixture.mDelegate.mRunEndpoint == "d1");
+  }
+  SUBCASE("it resumes at its source when the target has no free memory")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mCall->OnMoveAnswered(cache, false, fixture.mNow);
+    REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
+    CHECK(fixture.mDelegate.mDecodes[1].mEndpoint == "d1");
+  }
+  SUBCASE("it continues at its source when that refuses the move")
+  {
+    fixture.mCall->OnMoveAnswered(std::nullopt, false, fixture.mNow);
+    CHECK(fixture.mDelegate.mRunEndpoint == "d1");
+    fixture.AddData(Event(3));
+    fixture.EndAnswer(SendOutcome::Answered);
+    CHECK(fixture.mDelegate.LastAction() == "end");
+  }
+  SUBCASE("an answer that is completed during the move ends normally")
+  {
+    fixture.EndAnswer(SendOutcome::Answered);
+    CHECK(fixture.mDelegate.LastAction() == "end");
+    fixture.mCall->OnMoveAnswered(std::nullopt, false, fixture.mNow);
+    CHECK(fixture.mDelegate.LastAction() == "end");
+  }
+  SUBCASE("the answer is aborted when the run is lost during the move")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.mCall->OnMoveAnswered(std::nullopt, false, fixture.mNow);
+    CHECK(fixture.mDelegate.LastAction() == "abort");
+  }
+}
+
+} // namespace bulrushfold
