Correct the time of a crash that was reported late

Requests with a deadly prompt part would go on to crash engines at a daemon that was frozen or cut off while its peers saw the crashes.

Cause: the daemon reads the waiting reports at once and dates the first report of each crash to that moment. All crashes were then taken for one, and the greater ages in later reports were ignored.

Change: a later report that dates the crash earlier corrects its time.

Evidence: the new case of PromptCrashGuardTest fails without the change (no part is refused after three crashes).

--- a/Source/Routing/PromptCrashGuard.cxx
+++ b/Source/Routing/PromptCrashGuard.cxx
@@ -121,9 +121,18 @@
                          bool aIsOwn,
                          Instant aNow)
 {
-  if (aNow - aLostAt >= kLifetime || mRuns.count(aKey) > 0) {
+  if (aNow - aLostAt >= kLifetime) {
     return false;
   }
+  if (const auto it = mRuns.find(aKey); it != mRuns.end()) {
+    // The first report may have been delayed on its way; a later one, whose age
+    // is greater, then corrects the time.
+    const bool isCorrected = aLostAt + kSameMoment < it->second.mLostAt;
+    if (isCorrected) {
+      it->second.mLostAt = aLostAt;
+    }
+    return isCorrected;
+  }
   mRuns[aKey] = { aLostAt, aIsOwn };
   if (mRuns.size() > kMaxRuns) {
     mRuns.erase(std::min_element(
--- a/Tests/Routing/PromptCrashGuardTest.cxx
+++ b/Tests/Routing/PromptCrashGuardTest.cxx
@@ -111,6 +111,25 @@
   }
 }
 
+// Guards against a daemon that reads the reports of a peer all at once, after a
+// pause or a cut, and takes separate crashes for one.
+TEST_CASE("Delayed reports of crashes keep their distance in time")
+{
+  PromptCrashGuard guard;
+  const std::vector<std::uint64_t> parts{ kFirst, kDeadly };
+  guard.Merge({ { 100, parts, seconds(0) } }, {}, kStart);
+  guard.Merge(
+    { { 100, parts, seconds(2) }, { 101, parts, seconds(0) } }, {}, kStart);
+  CHECK_FALSE(guard.FindRefused(parts, kStart));
+  guard.Merge({ { 100, parts, seconds(4) },
+                { 101, parts, seconds(2) },
+                { 102, parts, seconds(0) } },
+              {},
+              kStart);
+  REQUIRE(guard.FindRefused(parts, kStart));
+  CHECK(guard.FindRefused(parts, kStart)->mPart == kDeadly);
+}
+
 TEST_CASE("A part that only ran beside the deadly one is released")
 {
   PromptCrashGuard guard;
