Count unframed streams that end inside an event as crashes

Requests with a deadly prompt part would keep crashing engines whose answers have neither a length nor chunks.

Cause: such an answer ends in order when its engine crashes. The end was taken for a complete answer: it left no evidence against the prompt part and even cleared the count of the whole request.

Change: an answer that ends inside an event counts as a lost connection, for the log, the health record and both guards.

Evidence: the new case of UnframedAnswerTest fails without the change (the fourth request is sent to the next engine).

--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -346,8 +346,7 @@
     return;
   }
   const bool isComplete = aOutcome == SendOutcome::Answered;
-  if (mState == StreamState::Streaming && isComplete &&
-      !mRelay.HasPartialEvent() && !(mIsUnframed && mRelay.EndsInsideEvent())) {
+  if (mState == StreamState::Streaming && isComplete && !EndsInsideEvent()) {
     if (mIsSingleRun) {
       mDelegate.ReportAnswer(mRelay.Events(), aNow - mFirstEventAt);
     }
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -161,6 +161,14 @@
   StreamState State() const { return mState; }
   /** The run is being moved, so the answer of its engine may end early. */
   bool IsMoving() const { return mMove.has_value(); }
+  /** The data of the present run ends inside an event. If its answer ends now,
+   * the engine has broken it off. */
+  bool EndsInsideEvent() const
+  {
+    return mState == StreamState::Streaming &&
+           (mRelay.HasPartialEvent() ||
+            (mIsUnframed && mRelay.EndsInsideEvent()));
+  }
 
 private:
   /** Move in progress. */
--- a/Source/Router/StreamSessionDecode.cxx
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -66,8 +66,13 @@
 {
   const auto self = mSelf;
   const bool isMoving = mCall.IsMoving();
-  const SendOutcome outcome = HandleSendReply(aReply);
-  if (!isMoving && aReply.mResult == HttpCallResult::ConnectionLost) {
+  HttpCallReply reply = aReply;
+  // An answer without framing also ends in order when its engine crashes.
+  if (reply.mResult == HttpCallResult::Complete && mCall.EndsInsideEvent()) {
+    reply.mResult = HttpCallResult::ConnectionLost;
+  }
+  const SendOutcome outcome = HandleSendReply(reply);
+  if (!isMoving && reply.mResult == HttpCallResult::ConnectionLost) {
     RecordLostRun();
   }
   mCall.OnAnswerEnded(outcome, mServices.mClock.Now());
--- a/Tests/Adapter/UnframedAnswerTest.cxx
+++ b/Tests/Adapter/UnframedAnswerTest.cxx
@@ -155,4 +155,38 @@
   }
 }
 
+// Guards against a prompt part that keeps crashing engines because the crash
+// of an answer without framing looks like its end.
+TEST_CASE("Unframed streams that end inside an event count as crashes")
+{
+  PlatformFixture platform;
+  platform.AddEndpoint("i-s", "app");
+  platform.Start();
+  const auto call = [&](const std::string& aName) {
+    RawEndpoint* endpoint = nullptr;
+    platform.ChangeStore([&] {
+      endpoint = &platform.AddRawEndpoint("i-" + aName, "llm", "decode");
+    });
+    endpoint->OnRequest([&platform, endpoint](const RawRequest& aRequest) {
+      const std::size_t connection = aRequest.mConnection;
+      endpoint->Send(connection,
+                     UnframedHead(aRequest, 200, kStreamType) + "id: 1\nda");
+      platform.mTimers.push_back(
+        platform.mLoop.After(milliseconds(30), [endpoint, connection] {
+          endpoint->Close(connection, RawClose::Orderly);
+        }));
+    });
+    const std::string answer = platform.Call(
+      "/stream/1", aName, "X-Prompt-Prefix: f:10,d:10," + aName + ":80\r\n");
+    platform.ChangeStore(
+      [&] { platform.mFakeStore.Remove("servers/i-" + aName); });
+    return answer;
+  };
+  for (const std::string name : { "a", "b", "c" }) {
+    CHECK_FALSE(IsEndedStream(call(name)));
+  }
+  CHECK(HasStatus(call("e"), 503));
+  CHECK(platform.mRawEndpoints.at("i-e")->Requests().empty());
+}
+
 } // namespace bulrushfold
