--- a/Tests/Adapter/RawEndpoint.cxx
+++ b/Tests/Adapter/RawEndpoint.cxx
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include <doctest/doctest.h>
+
 #include "Net/LoopFixture.h"
 
 namespace bulrushfold {
@@ -36,8 +38,10 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   address.sin_port = htons(mAddress.mPort);
-  bind(mListener, reinterpret_cast<sockaddr*>(&address), sizeof(address));
-  listen(mListener, 16);
+  REQUIRE(bind(mListener,
+               reinterpret_cast<sockaddr*>(&address),
+               sizeof(address)) == 0);
+  REQUIRE(listen(mListener, 16) == 0);
   mTimer = mLoop.Every(kPollInterval, [this] { Poll(); });
 }
 
