--- a/Tests/Adapter/RawEndpoint.cxx
+++ b/Tests/Adapter/RawEndpoint.cxx
@@ -2,9 +2,8 @@
 
 #include <utility>
 
-#include <nlohmann/json.hpp>
-
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include "Net/LoopFixture.h"
 
--- a/Tests/Adapter/UnframedAnswerTest.cxx
+++ b/Tests/Adapter/UnframedAnswerTest.cxx
@@ -176,7 +176,7 @@
           endpoint->Close(connection, RawClose::Orderly);
         }));
     });
-    const std::string answer = platform.Call(
+    std::string answer = platform.Call(
       "/stream/1", aName, "X-Prompt-Prefix: f:10,d:10," + aName + ":80\r\n");
     platform.ChangeStore(
       [&] { platform.mFakeStore.Remove("servers/i-" + aName); });
