Refuse requests whose deadline is after the end of a stop

Cause: late in a stop, plain requests were accepted until 1.8 s before its end, whatever their deadline. One with a longer deadline was passed on and ended with 502 when the stop time was over, although the caller could have sent it to another daemon. Change: after the time in which the load balancer notices the stop, a plain request is refused with 503 when its deadline is after the end of the stop; requests that must be answered before are still accepted. Result: the new case 'A stop refuses the requests that may not finish before its end' does not compile against the old interface, which had no deadline; with the old rule an unsafe request with 5 s left was accepted at 3.1 s of 8 s.

--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -199,7 +199,9 @@
     mServices, mRandom, [this] { return mTable; }));
   mChain.Add(std::make_unique<CrashFilter>(mServices, mGuard));
   mChain.Add(std::make_unique<StopFilter>(
-    mServices, [this](RequestKind aKind) { return mStop.Refuses(aKind); }));
+    mServices, [this](const CallParameters& aParameters) {
+      return mStop.Refuses(aParameters.mRoute->mKind, aParameters.mDeadline);
+    }));
   mChain.Add(std::make_unique<DispatchFilter>(mServices));
 }
 
--- a/Source/Router/RouterFilters.cxx
+++ b/Source/Router/RouterFilters.cxx
@@ -99,7 +99,7 @@
 bool
 StopFilter::Handle(const RoutedRequestPointer& aRequest)
 {
-  if (!mIsRefused(aRequest->mParameters.mRoute->mKind)) {
+  if (!mIsRefused(aRequest->mParameters)) {
     return true;
   }
   AnswerWriter(mServices, aRequest)
--- a/Source/Router/RouterFilters.h
+++ b/Source/Router/RouterFilters.h
@@ -76,8 +76,8 @@
 class StopFilter : public RouterFilter
 {
 public:
-  /** True when a new request of this kind could not be finished. */
-  using RefusalCheck = std::function<bool(RequestKind)>;
+  /** True when a new request with these parameters could not be finished. */
+  using RefusalCheck = std::function<bool(const CallParameters&)>;
 
   StopFilter(RouterServices& aServices, RefusalCheck aIsRefused);
   bool Handle(const RoutedRequestPointer& aRequest) override;
--- a/Source/Router/StopController.cxx
+++ b/Source/Router/StopController.cxx
@@ -14,9 +14,6 @@
 /** Streams that start later than this after the start of the stop may not
  * finish before its end. */
 constexpr Duration kStreamAcceptTime = std::chrono::milliseconds(2800);
-/** Plain requests that start in this last part of the stop time may not
- * finish. */
-constexpr Duration kPlainRefuseTime = std::chrono::milliseconds(1800);
 /** Time that is reserved for closing connections at the end of the stop. */
 constexpr Duration kCloseMargin = std::chrono::milliseconds(300);
 /** Part of that time in which the process ends. */
@@ -55,7 +52,7 @@
 }
 
 bool
-StopController::Refuses(RequestKind aKind) const
+StopController::Refuses(RequestKind aKind, Instant aDeadline) const
 {
   if (!mBegunAt) {
     return false;
@@ -64,8 +61,13 @@
     return true;
   }
   const Duration age = mClock.Now() - *mBegunAt;
-  return aKind == RequestKind::Stream ? age > kStreamAcceptTime
-                                      : age > mStopTimeout - kPlainRefuseTime;
+  if (aKind == RequestKind::Stream) {
+    return age > kStreamAcceptTime;
+  }
+  // Before the load balancer has noticed the stop, a refusal would only make
+  // callers return to this daemon.
+  return age >= kReadinessNoticeTime &&
+         aDeadline > *mBegunAt + mStopTimeout - kCloseMargin;
 }
 
 void
--- a/Source/Router/StopController.h
+++ b/Source/Router/StopController.h
@@ -48,9 +48,10 @@
 
   void Begin();
   bool IsStopping() const { return mBegunAt.has_value(); }
-  /** True when the process may end before a request of this kind that starts
-   * now has finished. */
-  bool Refuses(RequestKind aKind) const;
+  /** True when the process may end before a request that starts now has
+   * finished. aDeadline: time at which the request is answered at the latest.
+   */
+  bool Refuses(RequestKind aKind, Instant aDeadline) const;
 
 private:
   /** Ends the stop when nothing is left to do. */
--- a/Tests/Router/StopControllerTest.cxx
+++ b/Tests/Router/StopControllerTest.cxx
@@ -65,9 +65,10 @@
   CHECK_FALSE(fixture.mIsClosed);
   // Guards against a request that is read after the end and cut by the exit of
   // the process.
-  CHECK(fixture.mStop.Refuses(RequestKind::Idempotent));
-  CHECK(fixture.mStop.Refuses(RequestKind::NonIdempotent));
-  CHECK(fixture.mStop.Refuses(RequestKind::Stream));
+  const Instant deadline = fixture.mClock.Now() + milliseconds(1);
+  CHECK(fixture.mStop.Refuses(RequestKind::Idempotent, deadline));
+  CHECK(fixture.mStop.Refuses(RequestKind::NonIdempotent, deadline));
+  CHECK(fixture.mStop.Refuses(RequestKind::Stream, deadline));
 
   SUBCASE("and the process ends when the last answers are sent")
   {
@@ -86,6 +87,39 @@
   }
 }
 
+// Guards against requests that are passed on late in a stop and cut at its end.
+TEST_CASE("A stop refuses the requests that may not finish before its end")
+{
+  StopFixture fixture;
+  const auto refuses = [&](RequestKind aKind, Duration aTimeLeft) {
+    return fixture.mStop.Refuses(aKind, fixture.mClock.Now() + aTimeLeft);
+  };
+  fixture.mWork.mRequests = 1;
+
+  SUBCASE("but none before the load balancer has noticed the stop")
+  {
+    fixture.mClock.Advance(milliseconds(2700));
+    CHECK_FALSE(refuses(RequestKind::NonIdempotent, seconds(60)));
+    CHECK_FALSE(refuses(RequestKind::Stream, seconds(60)));
+  }
+  SUBCASE("whose deadline is after its end")
+  {
+    fixture.mClock.Advance(milliseconds(3100));
+    CHECK(refuses(RequestKind::NonIdempotent, seconds(5)));
+    CHECK(refuses(RequestKind::Idempotent, seconds(5)));
+    CHECK_FALSE(refuses(RequestKind::NonIdempotent, seconds(4)));
+    CHECK_FALSE(refuses(RequestKind::Idempotent, seconds(4)));
+    fixture.mClock.Advance(seconds(4));
+    CHECK(refuses(RequestKind::NonIdempotent, milliseconds(800)));
+    CHECK_FALSE(refuses(RequestKind::NonIdempotent, milliseconds(500)));
+  }
+  SUBCASE("and all streams")
+  {
+    fixture.mClock.Advance(milliseconds(2900));
+    CHECK(refuses(RequestKind::Stream, seconds(1)));
+  }
+}
+
 TEST_CASE("A stop ends before the process is killed")
 {
   StopFixture fixture;
