Read on from an engine when a slow caller has caught up

Cause: StreamSession stops reading from an engine when more than 1 MiB waits for the caller, and nothing resumed it: the stream stood still until its deadline. If the stream may be resumed, the pause also counted as a stall of the engine, and a second run was started. Change: HttpExchange reports when all written bytes have left; the session then reads on. A paused read is no stall.

--- a/Source/Net/HttpExchange.cxx
+++ b/Source/Net/HttpExchange.cxx
@@ -148,6 +148,15 @@
   return IsFinished() ? 0 : mConnection->PendingBytes();
 }
 
+void
+HttpExchange::HandleWritten()
+{
+  // The hook may replace itself.
+  if (const auto hook = mWrittenHook; hook) {
+    hook();
+  }
+}
+
 void
 HttpExchange::HandleClosed()
 {
--- a/Source/Net/HttpExchange.h
+++ b/Source/Net/HttpExchange.h
@@ -56,11 +56,18 @@
   std::size_t PendingBytes() const;
   /** Called once if the connection closes before the reply is complete. */
   void OnClosed(std::function<void()> aHook) { mClosedHook = std::move(aHook); }
+  /** Called whenever all bytes of an unfinished reply are written to the
+   * socket. */
+  void OnWritten(std::function<void()> aHook)
+  {
+    mWrittenHook = std::move(aHook);
+  }
 
 private:
   friend class HttpServerConnection;
   /** Called by the connection when it closes before the reply is complete. */
   void HandleClosed();
+  void HandleWritten();
   /** Ends the exchange and lets the connection read the next request. */
   void Finish();
   /** Writes the status line and the headers. aFramingField is the header line
@@ -81,6 +88,7 @@
   bool mIsChunked = false;
   bool mIsBodyAllowed = true;
   std::function<void()> mClosedHook;
+  std::function<void()> mWrittenHook;
 };
 
 } // namespace bulrushfold
--- a/Source/Net/HttpServerConnection.cxx
+++ b/Source/Net/HttpServerConnection.cxx
@@ -123,7 +123,11 @@
 HttpServerConnection::HandleWritten(bufferevent*, void* aSelf)
 {
   auto* self = static_cast<HttpServerConnection*>(aSelf);
-  if (self->HasExchange() || self->PendingBytes() > 0) {
+  if (self->PendingBytes() > 0) {
+    return;
+  }
+  if (self->HasExchange()) {
+    self->mExchange->HandleWritten();
     return;
   }
   // The idle and the linger timeout start when the whole reply is sent.
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -25,9 +25,6 @@
 constexpr Duration kReserveTimeout = std::chrono::milliseconds(300);
 /** Time after which a prefill without an answer counts as lost. */
 constexpr Duration kPrefillTimeout = std::chrono::milliseconds(1500);
-/** Time without data after which a run that another engine could continue
- * counts as lost. */
-constexpr Duration kStallTimeout = std::chrono::milliseconds(1200);
 
 /** Expected number of tokens that follow the first aGenerated tokens, if the
  * expected length of the whole answer was aExpected. */
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -87,6 +87,8 @@
   // Caller.
   virtual void StartAnswer(int aStatus, const HttpHeaders& aHeaders) = 0;
   virtual void SendAnswer(std::string_view aData) = 0;
+  /** The engine's answer is not read, because the caller reads too slowly. */
+  virtual bool IsReadPaused() const = 0;
   virtual void EndAnswer() = 0;
   virtual void AbortAnswer(RefusalReason aReason) = 0;
   virtual void Deliver(const EndpointAnswer& aAnswer) = 0;
@@ -171,6 +173,10 @@
   }
 
 private:
+  /** Time without data after which a run that another engine could continue
+   * counts as lost. */
+  static constexpr Duration kStallTimeout = std::chrono::milliseconds(1200);
+
   /** Move in progress. */
   struct RunMove
   {
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -109,6 +109,10 @@
     case StreamState::Starting:
     case StreamState::Streaming:
     case StreamState::ReceivingError:
+      if (mDelegate.IsReadPaused()) {
+        SetStallTimeout(kStallTimeout, aNow);
+        return;
+      }
       mMove.reset();
       // The stream does not return to an engine that stopped responding, even
       // if its cache has the prompt.
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -34,6 +34,7 @@
   mSelf = shared_from_this();
   const auto self = mSelf;
   mRequest->mExchange->OnClosed([this] { HandleCallerDisconnected(); });
+  mRequest->mExchange->OnWritten([this] { ResumeReading(); });
   mStopConnection = mServices.mOnStopEnd.connect(
     sigc::mem_fun(*this, &StreamSession::HandleStopEnd));
   if (NeedsCachedPromptQuery()) {
@@ -251,6 +252,14 @@
   }
 }
 
+void
+StreamSession::ResumeReading()
+{
+  if (std::exchange(mIsReadPaused, false) && mSend) {
+    mSend->SetReading(true);
+  }
+}
+
 void
 StreamSession::EndAnswer()
 {
@@ -311,6 +320,7 @@
   mTimer.Cancel();
   mServices.mStreams.Unregister(mNumber);
   mRequest->mExchange->OnClosed(nullptr);
+  mRequest->mExchange->OnWritten(nullptr);
   mSelf.reset();
 }
 
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -51,6 +51,7 @@
                        const std::string& aReservation) override;
   void StartAnswer(int aStatus, const HttpHeaders& aHeaders) override;
   void SendAnswer(std::string_view aData) override;
+  bool IsReadPaused() const override { return mIsReadPaused; }
   void EndAnswer() override;
   void AbortAnswer(RefusalReason aReason) override;
   void Deliver(const EndpointAnswer& aAnswer) override;
@@ -80,6 +81,8 @@
   void RecordWholeAnswer();
   /** The connection was lost while the decode engine ran the stream. */
   void RecordLostRun();
+  /** The caller has received what was buffered for it. */
+  void ResumeReading();
   void HandleCallerDisconnected();
   void HandleStopEnd();
   /** Sends a call without waiting for its answer; failures are only logged. */
--- a/Tests/Router/StreamCallFixture.h
+++ b/Tests/Router/StreamCallFixture.h
@@ -84,6 +84,7 @@
   {
     mAnswerData.append(aData);
   }
+  bool IsReadPaused() const override { return mIsReadPaused; }
   void EndAnswer() override { mActions.push_back("end"); }
   void AbortAnswer(RefusalReason) override { mActions.push_back("abort"); }
   void Deliver(const EndpointAnswer& aAnswer) override
@@ -117,6 +118,7 @@
   std::set<std::string> mUnusable;
   std::set<std::string> mUnreachable;
   bool mIsPromptRefused = false;
+  bool mIsReadPaused = false;
   std::string mAnswerData;
   std::string mRunEndpoint;
   std::uint64_t mReservedTokens = 0;
--- a/Tests/Router/StreamCallMoveTest.cxx
+++ b/Tests/Router/StreamCallMoveTest.cxx
@@ -45,6 +45,29 @@
     CHECK(fixture.mDelegate.HasAction("cancel"));
     CHECK(fixture.mDelegate.mDemands.size() == 2);
   }
+  // Guards against the text of an error in the middle of a stream.
+  SUBCASE("and the error answer of that engine is not passed on")
+  {
+    fixture.EndAnswer(SendOutcome::Unknown);
+    fixture.Place("p2", "d2");
+    fixture.mCall->OnReserved("hold2", fixture.mNow);
+    fixture.FinishPrefill();
+    fixture.mCall->OnAnswerStarted(
+      SendOutcome::Answered, 500, HttpHeaders(), fixture.mNow);
+    fixture.AddData("error text");
+    fixture.EndAnswer(SendOutcome::Answered);
+    CHECK(fixture.mDelegate.mAnswerData == Event(1) + Event(2));
+    CHECK(fixture.mDelegate.LastAction() == "abort");
+  }
+  // Guards against a second run of a stream whose caller reads slowly.
+  SUBCASE("but not while the first run waits for a slow caller")
+  {
+    fixture.mDelegate.mIsReadPaused = true;
+    fixture.mNow = fixture.mDelegate.mWakeTime;
+    fixture.mCall->OnWake(fixture.mNow);
+    CHECK_FALSE(fixture.mDelegate.HasAction("cancel"));
+    CHECK(fixture.mDelegate.mWakeTime > fixture.mNow);
+  }
   SUBCASE("but on no more engines than the route allows")
   {
     fixture.EndAnswer(SendOutcome::Unknown);
