Deliver an engine's error answer when its prompt part is refused

Cause: an error answer that arrives when a part of its prompt is refused was dropped for a 502 of the router. Change: the answer is passed on, because the stream will not run again. Result: the case 'the error answer of an engine is passed on' failed with 'refuse 502' before and passes.

--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -374,7 +374,7 @@
     (aOutcome == SendOutcome::NotSent ? 0 : 1) + RepeatedPrefills();
   ReleaseAll();
   if (hasErrorAnswer && !mHasStartedAnswer &&
-      (!MayRunAgain() ||
+      (!MayRunAgain() || mDelegate.IsPromptRefused() ||
        !mRetryBudget.TryConsume(mParameters.mCall.mService, repeats, aNow))) {
     mState = StreamState::Finished;
     mDelegate.Deliver(mErrorAnswer);
--- a/Tests/Router/StreamCallTest.cxx
+++ b/Tests/Router/StreamCallTest.cxx
@@ -117,6 +117,19 @@
     CHECK(fixture.mDelegate.HasAction("drop kv"));
     CHECK(fixture.mDelegate.HasAction("unreserve hold"));
   }
+  // Guards against the loss of an answer that an engine has completed.
+  SUBCASE("the error answer of an engine is passed on")
+  {
+    fixture.Place("p1", "d1");
+    fixture.mCall->OnReserved("hold", fixture.mNow);
+    fixture.FinishPrefill();
+    fixture.mCall->OnAnswerStarted(
+      SendOutcome::Answered, 500, HttpHeaders(), fixture.mNow);
+    fixture.AddData("error text");
+    fixture.mDelegate.mIsPromptRefused = true;
+    fixture.EndAnswer(SendOutcome::Answered);
+    CHECK(fixture.mDelegate.LastAction() == "deliver 500 error text");
+  }
   SUBCASE("a stream that may have run is not placed again")
   {
     fixture.Place("p1", "d1");
