--- /dev/null
+++ b/Source/Platform/RelayedStore.cxx
@@ -0,0 +1,158 @@
+#include "Platform/RelayedStore.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bulrushfold {
+
+/** A watch that changes between the store and a feed. */
+class RelayedStore::RelayedWatch : public StoreWatch
+{
+public:
+  RelayedWatch(RelayedStore& aOwner,
+               std::string aPrefix,
+               std::uint64_t aRevision,
+               StoreWatchHooks aHooks)
+    : mOwner(aOwner)
+    , mHooks(std::move(aHooks))
+  {
+    mPosition.mPrefix = std::move(aPrefix);
+    mPosition.mRevision = aRevision;
+    mOwner.mWatches[mPosition.mPrefix] = this;
+    WatchStore();
+  }
+  ~RelayedWatch() override
+  {
+    *mIsAlive = false;
+    if (const auto it = mOwner.mWatches.find(mPosition.mPrefix);
+        it != mOwner.mWatches.end() && it->second == this) {
+      mOwner.mWatches.erase(it);
+    }
+  }
+
+  const FeedPosition& Position() const { return mPosition; }
+  bool IsFed() const { return mPosition.mFeed != 0; }
+
+  void OnFeed(const FeedUpdate& aUpdate)
+  {
+    if (!aUpdate.mIsCurrent) {
+      if (IsFed()) {
+        End(absl::UnavailableError("the daemon with the feed lost the store"));
+      }
+      return;
+    }
+    mStoreWatch.reset();
+    mPosition.mFeed = aUpdate.mFeed;
+    mPosition.mSequence = aUpdate.mSequence;
+    const auto alive = mIsAlive;
+    for (const auto& it : aUpdate.mChanges) {
+      if (it.mIsLarge) {
+        Read(it.mObject.mKey);
+      } else {
+        HandleChange(it.mObject);
+      }
+      if (!*alive) {
+        return;
+      }
+    }
+  }
+  void OnFeedLost()
+  {
+    if (std::exchange(mPosition.mFeed, 0) != 0) {
+      mPosition.mSequence = 0;
+      WatchStore();
+    }
+  }
+
+private:
+  void WatchStore()
+  {
+    StoreWatchHooks hooks;
+    hooks.mOnChange = [this](const StoredObject& aObject) {
+      HandleChange(aObject);
+    };
+    hooks.mOnEnd = [this](absl::Status aStatus, std::uint64_t) {
+      End(std::move(aStatus));
+    };
+    mStoreWatch = mOwner.mStore.Watch(
+      mPosition.mPrefix, mPosition.mRevision, std::move(hooks));
+  }
+  void HandleChange(const StoredObject& aObject)
+  {
+    mPosition.mRevision = std::max(mPosition.mRevision, aObject.mVersion);
+    mHooks.mOnChange(aObject);
+  }
+  void Read(const std::string& aKey)
+  {
+    mOwner.mStore.Get(
+      aKey,
+      [this, alive = mIsAlive](const absl::StatusOr<StoredObject>& aObject) {
+        if (!*alive) {
+          return;
+        }
+        if (aObject.ok()) {
+          HandleChange(*aObject);
+        } else if (!absl::IsNotFound(aObject.status())) {
+          End(aObject.status());
+        }
+      });
+  }
+  void End(absl::Status aStatus)
+  {
+    mPosition.mFeed = 0;
+    if (const auto hook = std::exchange(mHooks.mOnEnd, nullptr); hook) {
+      hook(std::move(aStatus), mPosition.mRevision);
+    }
+  }
+
+  RelayedStore& mOwner;
+  StoreWatchHooks mHooks;
+  FeedPosition mPosition;
+  std::unique_ptr<StoreWatch> mStoreWatch;
+  std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
+};
+
+std::unique_ptr<StoreWatch>
+RelayedStore::Watch(const std::string& aPrefix,
+                    std::uint64_t aRevision,
+                    StoreWatchHooks aHooks)
+{
+  return std::make_unique<RelayedWatch>(
+    *this, aPrefix, aRevision, std::move(aHooks));
+}
+
+std::vector<FeedPosition>
+RelayedStore::Positions() const
+{
+  std::vector<FeedPosition> positions;
+  for (const auto& [prefix, watch] : mWatches) {
+    positions.push_back(watch->Position());
+  }
+  return positions;
+}
+
+void
+RelayedStore::OnFeed(const FeedUpdate& aUpdate)
+{
+  if (const auto it = mWatches.find(aUpdate.mPrefix); it != mWatches.end()) {
+    it->second->OnFeed(aUpdate);
+  }
+}
+
+void
+RelayedStore::OnFeedLost()
+{
+  for (const auto& [prefix, watch] : std::map(mWatches)) {
+    watch->OnFeedLost();
+  }
+}
+
+bool
+RelayedStore::IsFed() const
+{
+  return std::any_of(mWatches.begin(), mWatches.end(), [](const auto& aIt) {
+    return aIt.second->IsFed();
+  });
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Platform/RelayedStore.h
@@ -0,0 +1,73 @@
+#ifndef BULRUSHFOLD_PLATFORM_RELAYEDSTORE_H
+#define BULRUSHFOLD_PLATFORM_RELAYEDSTORE_H
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "Platform/ObjectStore.h"
+#include "Platform/StoreFeed.h"
+
+namespace bulrushfold {
+
+/**
+ * A store whose watches get their changes from the feed of another daemon while
+ * there is one. All other calls, and the watches while there is no feed, go to
+ * the store itself. A watch on one prefix is followed at a time.
+ */
+class RelayedStore : public ObjectStore
+{
+public:
+  explicit RelayedStore(ObjectStore& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  /** Positions of the watches, to be sent to the daemon with the feed. */
+  std::vector<FeedPosition> Positions() const;
+  void OnFeed(const FeedUpdate& aUpdate);
+  /** There is no feed any more; the watches continue at the store. */
+  void OnFeedLost();
+  /** True while some watch gets its changes from a feed. */
+  bool IsFed() const;
+
+  void Get(const std::string& aKey, GetHook aHook) override
+  {
+    mStore.Get(aKey, std::move(aHook));
+  }
+  void Put(const std::string& aKey,
+           const std::string& aBody,
+           std::optional<std::uint64_t> aExpected,
+           PutHook aHook) override
+  {
+    mStore.Put(aKey, aBody, aExpected, std::move(aHook));
+  }
+  void Delete(const std::string& aKey,
+              std::optional<std::uint64_t> aExpected,
+              PutHook aHook) override
+  {
+    mStore.Delete(aKey, aExpected, std::move(aHook));
+  }
+  void List(const std::string& aPrefix, ListHook aHook) override
+  {
+    mStore.List(aPrefix, std::move(aHook));
+  }
+  std::unique_ptr<StoreWatch> Watch(const std::string& aPrefix,
+                                    std::uint64_t aRevision,
+                                    StoreWatchHooks aHooks) override;
+  const StoreStatistics& Statistics() const override
+  {
+    return mStore.Statistics();
+  }
+
+private:
+  class RelayedWatch;
+
+  ObjectStore& mStore;
+  std::map<std::string, RelayedWatch*> mWatches;
+};
+
+} // namespace bulrushfold
+
+#endif
--- /dev/null
+++ b/Source/Platform/StoreFeed.h
@@ -0,0 +1,93 @@
+#ifndef BULRUSHFOLD_PLATFORM_STOREFEED_H
+#define BULRUSHFOLD_PLATFORM_STOREFEED_H
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Platform/ObjectStore.h"
+
+namespace bulrushfold {
+
+/** What a daemon knows of the objects under a prefix. */
+struct FeedPosition
+{
+  std::string mPrefix;
+  /** Revision of the store that the daemon has seen. */
+  std::uint64_t mRevision = 0;
+  /** The feed that sent the last update and its sequence number; 0: none. */
+  std::int64_t mFeed = 0;
+  std::uint64_t mSequence = 0;
+};
+
+struct FeedChange
+{
+  StoredObject mObject;
+  /** The body is left out; it has to be read from the store. */
+  bool mIsLarge = false;
+};
+
+/** Changes after a FeedPosition. */
+struct FeedUpdate
+{
+  std::string mPrefix;
+  /** False while the sender does not reach the store. */
+  bool mIsCurrent = false;
+  std::int64_t mFeed = 0;
+  std::uint64_t mSequence = 0;
+  std::vector<FeedChange> mChanges;
+};
+
+/**
+ * The objects of the store that a daemon passes on to others, so that not each
+ * of them has to watch the store. It holds the latest state of each object, and
+ * deleted ones for a time.
+ */
+class StoreFeed
+{
+public:
+  /** aId: not 0, and different for each process. */
+  explicit StoreFeed(std::int64_t aId)
+    : mId(aId)
+  {
+  }
+
+  // What this daemon learns of the store.
+  void OnListing(const std::string& aPrefix,
+                 const StoreListing& aListing,
+                 Instant aNow);
+  void OnChange(const std::string& aPrefix,
+                const StoredObject& aObject,
+                Instant aNow);
+  void OnLost(const std::string& aPrefix);
+  /** This daemon watches the store from the state that it knows. */
+  void OnWatched(const std::string& aPrefix);
+
+  /** True when Since(aPosition) tells anything new. */
+  bool HasNews(const FeedPosition& aPosition) const;
+  FeedUpdate Since(const FeedPosition& aPosition, Instant aNow) const;
+
+private:
+  struct Entry
+  {
+    StoredObject mObject;
+    std::uint64_t mSequence = 0;
+    Instant mChangedAt;
+  };
+  struct Prefix
+  {
+    bool mIsCurrent = false;
+    std::uint64_t mSequence = 0;
+    std::map<std::string, Entry> mEntries;
+  };
+  static void Put(Prefix& aPrefix, const StoredObject& aObject, Instant aNow);
+
+  std::int64_t mId;
+  std::map<std::string, Prefix> mPrefixes;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -35,6 +35,9 @@
 /** Interval at which the registry is read again, to find peers whose first
  * message was lost. */
 constexpr Duration kRegistryRefresh = std::chrono::seconds(30);
+/** Interval of the first readings, and their number. */
+constexpr Duration kEarlyRegistryRefresh = std::chrono::seconds(3);
+constexpr std::uint32_t kEarlyReads = 2;
 constexpr Duration kRegistryRetry = std::chrono::milliseconds(700);
 
 /** Text of a field; empty if the field is missing or has another type. */
@@ -53,14 +56,14 @@
                                ObjectStore& aStore,
                                const RouterSettings& aSettings,
                                SharedTables aTables,
-                               std::function<void()> aOnPeerUpdate)
+                               Hooks aHooks)
   : mLoop(aLoop)
   , mClock(aClock)
   , mRandom(aRandom)
   , mStore(aStore)
   , mSettings(aSettings)
   , mTables(aTables)
-  , mOnPeerUpdate(std::move(aOnPeerUpdate))
+  , mHooks(std::move(aHooks))
   , mIncarnation(MakeUuidV7(aClock.Wall(), aRandom))
   , mTimer(aLoop, aClock, [this] { Broadcast(); })
 {
@@ -97,7 +100,8 @@
   const std::string key = mSettings.mDaemonPrefix + mSettings.mName;
   const std::string body = Json{
     { "address", FormatAddress(mSettings.mPeerAddress) },
-    { "incarnation", mIncarnation }
+    { "incarnation", mIncarnation },
+    { "capacity", mSettings.mCapacity }
   }.dump();
   const auto done = [this](const absl::StatusOr<std::uint64_t>& aVersion) {
     if (aVersion.ok()) {
@@ -143,28 +147,41 @@
               });
 }
 
+std::optional<FleetMember>
+PeerController::ReadMember(const StoredObject& aEntry) const
+{
+  const Json body = ParseUntrustedJson(aEntry.mBody);
+  FleetMember member;
+  member.mName = aEntry.mKey.substr(mSettings.mDaemonPrefix.size());
+  if (!ParseAddress(TextOf(body, "address"), member.mAddress)) {
+    return std::nullopt;
+  }
+  if (const auto it = body.find("capacity");
+      it != body.end() && it->is_number()) {
+    member.mCapacity = it->get<double>();
+  }
+  return member;
+}
+
 void
 PeerController::HandleRegistry(const StoreListing& aListing)
 {
-  const Instant now = mClock.Now();
+  const std::string keyName = mSettings.mDaemonPrefix + kKeyName;
   std::string key;
   bool hasKeyEntry = false;
+  std::vector<FleetMember> members{
+    { mSettings.mName, mSettings.mPeerAddress, mSettings.mCapacity }
+  };
   for (const auto& it : aListing.mObjects) {
-    const std::string name = it.mKey.substr(mSettings.mDaemonPrefix.size());
-    const Json body = ParseUntrustedJson(it.mBody);
-    SocketAddress address;
-    if (name == kKeyName) {
+    if (it.mKey == keyName) {
       hasKeyEntry = true;
-      key = FromHex(TextOf(body, "key")).value_or("");
+      key = FromHex(TextOf(ParseUntrustedJson(it.mBody), "key")).value_or("");
     }
-    if (name == kKeyName && key.size() == kKeyBytes) {
-      continue;
-    }
-    if (name != kKeyName && ParseAddress(TextOf(body, "address"), address)) {
-      if (name != mSettings.mName) {
-        mPeers.OnRegistered(name, address, now);
-      }
-    } else {
+    const bool isKey = it.mKey == keyName && key.size() == kKeyBytes;
+    const auto member = isKey ? std::nullopt : ReadMember(it);
+    if (member && member->mName != mSettings.mName) {
+      members.push_back(*member);
+    } else if (!member && !isKey) {
       LogEvent(
         LogLevel::Warning, "peer_entry_unreadable", { { "key", it.mKey } });
     }
@@ -176,10 +193,73 @@
   } else if (key.size() == kKeyBytes && !mTransport) {
     OpenLinks(key);
   }
+  if (mTransport) {
+    SetMembers(std::move(members));
+  }
   UpdatePeerCount();
-  mRefreshTimer = mLoop.After(FromSeconds(ToSeconds(kRegistryRefresh) *
-                                          (0.75 + mRandom.UniformReal() / 2)),
-                              [this] { ReadRegistry(); });
+  // Daemons that start at the same time do not find each other at once.
+  const Duration interval =
+    ++mRegistryReads <= kEarlyReads ? kEarlyRegistryRefresh : kRegistryRefresh;
+  mRefreshTimer = mLoop.After(
+    FromSeconds(ToSeconds(interval) * (0.75 + mRandom.UniformReal() / 2)),
+    [this] { ReadRegistry(); });
+}
+
+void
+PeerController::SetMembers(std::vector<FleetMember> aMembers)
+{
+  const Instant now = mClock.Now();
+  const bool wasLarge =
+    std::exchange(mIsLargeFleet, aMembers.size() >= OwnerSelector::kMinFleet);
+  if (mIsLargeFleet && !wasLarge) {
+    for (const auto& it : mPeers.LiveNames()) {
+      RemovePeer(it);
+    }
+    mPeers = PeerTable();
+  }
+  if (!mIsLargeFleet) {
+    for (const auto& it : aMembers) {
+      if (it.mName != mSettings.mName) {
+        mPeers.OnRegistered(it.mName, it.mAddress, now);
+      }
+    }
+    if (wasLarge) {
+      ScheduleBroadcast();
+    }
+  }
+  mHooks.mOnMembers(std::move(aMembers));
+}
+
+PlacementLink
+PeerController::Link()
+{
+  PlacementLink link;
+  link.mCall = [this](const FleetMember& aTarget,
+                      wire::MessageKind::type aKind,
+                      std::string aPayload,
+                      Duration aTimeout,
+                      PlacementLink::ReplyHook aHook) {
+    if (mTransport) {
+      mTransport->Call({ aTarget.mName, aTarget.mAddress },
+                       aKind,
+                       std::move(aPayload),
+                       aTimeout,
+                       std::move(aHook));
+    } else {
+      mLoop.Defer([hook = std::move(aHook)] {
+        hook(absl::AbortedError("no links to other daemons yet"));
+      });
+    }
+  };
+  link.mSend = [this](const FleetMember& aTarget,
+                      wire::MessageKind::type aKind,
+                      std::string aPayload) {
+    if (mTransport) {
+      mTransport->Send(
+        { aTarget.mName, aTarget.mAddress }, aKind, std::move(aPayload));
+    }
+  };
+  return link;
 }
 
 void
@@ -229,6 +309,7 @@
            "peer_links_open",
            { { "address", FormatAddress(mSettings.mPeerAddress) },
              { "registered", mPeers.Count() } });
+  mHooks.mOnLinksOpen(*mTransport);
   Broadcast();
 }
 
@@ -236,6 +317,10 @@
 PeerController::HandleStatus(const std::string& aSender,
                              const std::string& aPayload)
 {
+  // A daemon that has not read the whole registry yet.
+  if (mIsLargeFleet) {
+    return;
+  }
   const Instant now = mClock.Now();
   auto status = DecodePeerStatus(aPayload, now);
   if (!status.ok()) {
@@ -249,7 +334,7 @@
     RemovePeer(aSender);
     mPeers.OnStopped(aSender);
     UpdatePeerCount();
-    mOnPeerUpdate();
+    mHooks.mOnPeerUpdate();
     return;
   }
   if (mPeers.OnMessage(aSender, status->mAddress, now)) {
@@ -271,7 +356,7 @@
   for (const auto& [endpoint, order] : status->mRoleOrders) {
     mTables.mDirectory.OnRoleOrdered(endpoint, order, now);
   }
-  mOnPeerUpdate();
+  mHooks.mOnPeerUpdate();
 }
 
 void
@@ -294,7 +379,9 @@
 void
 PeerController::UpdatePeerCount()
 {
-  mTables.mRetryBudget.SetDaemons(mPeers.Count() + 1);
+  if (!mIsLargeFleet) {
+    mTables.mRetryBudget.SetDaemons(mPeers.Count() + 1);
+  }
   mTables.mPrefillTurns.SetPeers(mPeers.LiveNames(), MinInterval());
 }
 
@@ -309,7 +396,7 @@
 void
 PeerController::ScheduleBroadcast()
 {
-  if (mTransport) {
+  if (mTransport && !mIsLargeFleet) {
     mTimer.WakeAt(mSentAt + MinInterval());
   }
 }
@@ -318,19 +405,27 @@
 PeerController::MakeStatus() const
 {
   const Instant now = mClock.Now();
-  PeerStatus status;
+  PeerStatus status = MakeSummary();
   for (const auto& [number, run] : mTables.mRuns.Own()) {
     status.mRuns.push_back(run);
   }
   status.mWorks = mTables.mLoads.OwnWorks();
-  status.mRetries = mTables.mRetryBudget.OwnUses(now);
-  status.mSuspects = mTables.mGuard.OwnSuspects(now);
-  status.mLostPrompts = mTables.mPromptGuard.Lost(now);
-  status.mAnsweredParts = mTables.mPromptGuard.Answered(now);
   status.mDeferredRequests = mTables.mDeferredRequests.Own(now);
   status.mCachedPrompts = mTables.mCachedPrompts.Own(now);
   status.mRoleOrders = mTables.mDirectory.RoleOrders(now);
   status.mIsStopping = mIsStopping;
+  return status;
+}
+
+PeerStatus
+PeerController::MakeSummary() const
+{
+  const Instant now = mClock.Now();
+  PeerStatus status;
+  status.mRetries = mTables.mRetryBudget.OwnUses(now);
+  status.mSuspects = mTables.mGuard.OwnSuspects(now);
+  status.mLostPrompts = mTables.mPromptGuard.Lost(now);
+  status.mAnsweredParts = mTables.mPromptGuard.Answered(now);
   status.mAddress = mSettings.mPeerAddress;
   return status;
 }
@@ -338,6 +433,9 @@
 void
 PeerController::Broadcast()
 {
+  if (mIsLargeFleet) {
+    return;
+  }
   const Instant now = mClock.Now();
   mSentAt = now;
   for (const auto& it : mPeers.CollectDead(now)) {
@@ -345,7 +443,7 @@
              "peer_silent",
              { { "peer", it }, { "live", mPeers.LiveCount() } });
     RemovePeer(it);
-    mOnPeerUpdate();
+    mHooks.mOnPeerUpdate();
   }
   UpdatePeerCount();
   const std::string payload = EncodePeerStatus(MakeStatus(), now);
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -3,13 +3,16 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <vector>
 
 #include "Base/Random.h"
 #include "Net/EventLoop.h"
 #include "Net/PeerTransport.h"
 #include "Platform/ObjectStore.h"
 #include "Router/PeerStatus.h"
+#include "Router/PlacementMessages.h"
 #include "Router/RouterSettings.h"
 #include "Router/WakeTimer.h"
 #include "Routing/EndpointDirectory.h"
@@ -38,17 +41,29 @@
  * the addresses of the others. Afterwards daemons discover each other by their
  * messages, so that no daemon watches the registry. The messages are signed
  * with a key that is also kept in the store.
+ *
+ * In a large fleet, where each daemon would have to read the messages of all
+ * others, the daemons tell their states to the placement owner instead.
  */
 class PeerController
 {
 public:
+  struct Hooks
+  {
+    /** A peer sent its status, or is not live any more. */
+    std::function<void()> mOnPeerUpdate;
+    /** The registry was read. */
+    std::function<void(std::vector<FleetMember>)> mOnMembers;
+    /** The daemon can send and receive messages from now on. */
+    std::function<void(PeerTransport&)> mOnLinksOpen;
+  };
   PeerController(EventLoop& aLoop,
                  const Clock& aClock,
                  Random& aRandom,
                  ObjectStore& aStore,
                  const RouterSettings& aSettings,
                  SharedTables aTables,
-                 std::function<void()> aOnPeerUpdate);
+                 Hooks aHooks);
 
   void Start();
   /** Announces to the peers that the daemon ends now, and removes its address
@@ -61,8 +76,12 @@
   {
     return mTransport && mPeers.HasLowestName(mSettings.mName);
   }
+  /** Messages to other daemons; a call fails while there are no links. */
+  PlacementLink Link();
   /** "NAME/INCARNATION". */
   std::string Id() const { return mSettings.mName + "/" + mIncarnation; }
+  /** What a daemon of a large fleet reports to the placement owner. */
+  PeerStatus MakeSummary() const;
   /** Sends a status message soon, because other data in it has changed. */
   void ScheduleBroadcast();
 
@@ -71,6 +90,9 @@
   void Register();
   void ReadRegistry();
   void HandleRegistry(const StoreListing& aListing);
+  /** The member that an entry describes; empty when it is unreadable. */
+  std::optional<FleetMember> ReadMember(const StoredObject& aEntry) const;
+  void SetMembers(std::vector<FleetMember> aMembers);
   void CreateKey();
   void ScheduleRetry(const absl::Status& aStatus,
                      void (PeerController::*aStep)());
@@ -89,7 +111,7 @@
   ObjectStore& mStore;
   const RouterSettings& mSettings;
   SharedTables mTables;
-  std::function<void()> mOnPeerUpdate;
+  Hooks mHooks;
   std::string mIncarnation;
   PeerTable mPeers;
   std::unique_ptr<PeerTransport> mTransport;
@@ -100,6 +122,9 @@
   std::uint64_t mEntryVersion = 0;
   Instant mSentAt;
   bool mIsStopping = false;
+  /** The daemons exchange their states through the placement owner. */
+  bool mIsLargeFleet = false;
+  std::uint32_t mRegistryReads = 0;
 };
 
 } // namespace bulrushfold
--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -3,15 +3,12 @@
 #include <algorithm>
 #include <utility>
 
-#include "Routing_types.h"
+#include "Router/PlacementMessages.h"
 #include "Wire/ThriftCodec.h"
 
 namespace bulrushfold {
 
 namespace {
-/** Encoded age of a run that has not started. */
-constexpr std::int32_t kNotStarted = -1;
-
 std::int32_t
 WholeMilliseconds(Duration aSpan)
 {
@@ -55,21 +52,12 @@
 }
 } // namespace
 
-std::string
-EncodePeerStatus(const PeerStatus& aStatus, Instant aNow)
+wire::RoutingStatus
+ToWire(const PeerStatus& aStatus, Instant aNow)
 {
   wire::RoutingStatus message;
   for (const auto& it : aStatus.mRuns) {
-    wire::StreamRun run;
-    run.number = static_cast<std::int64_t>(it.mNumber);
-    run.endpoint = it.mEndpoint;
-    run.promptTokens = static_cast<std::int32_t>(it.mPromptTokens);
-    run.answerTokens = static_cast<std::int32_t>(it.mAnswerTokens);
-    run.mostTokens = static_cast<std::int32_t>(it.mMaxAnswerTokens);
-    run.ageMs =
-      it.mStartedAt ? WholeMilliseconds(aNow - *it.mStartedAt) : kNotStarted;
-    run.promptKey = static_cast<std::int64_t>(it.mPromptKey);
-    message.runs.push_back(std::move(run));
+    message.runs.push_back(ToWire(it, aNow));
   }
   for (const auto& [endpoint, work] : aStatus.mWorks) {
     wire::EndpointShare share;
@@ -116,66 +104,65 @@
   }
   message.isLeaving = aStatus.mIsStopping;
   message.address = FormatAddress(aStatus.mAddress);
-  return EncodeThrift(message);
+  return message;
+}
+
+std::string
+EncodePeerStatus(const PeerStatus& aStatus, Instant aNow)
+{
+  return EncodeThrift(ToWire(aStatus, aNow));
 }
 
 absl::StatusOr<PeerStatus>
 DecodePeerStatus(std::string_view aPayload, Instant aNow)
 {
   const auto message = DecodeThrift<wire::RoutingStatus>(aPayload);
-  if (!message.ok()) {
-    return message.status();
-  }
+  return message.ok() ? FromWire(*message, aNow) : message.status();
+}
+
+absl::StatusOr<PeerStatus>
+FromWire(const wire::RoutingStatus& aMessage, Instant aNow)
+{
   PeerStatus status;
-  if (!ParseAddress(message->address, status.mAddress)) {
+  if (!ParseAddress(aMessage.address, status.mAddress)) {
     return absl::InvalidArgumentError("address: expected IPv4:PORT");
   }
-  status.mIsStopping = message->isLeaving;
-  for (const auto& it : message->runs) {
-    StreamRun run{ static_cast<std::uint64_t>(it.number),
-                   it.endpoint,
-                   static_cast<std::uint64_t>(std::max(it.promptTokens, 0)),
-                   static_cast<std::uint64_t>(std::max(it.answerTokens, 0)),
-                   static_cast<std::uint64_t>(std::max(it.mostTokens, 0)),
-                   std::nullopt,
-                   static_cast<std::uint64_t>(it.promptKey) };
-    if (it.ageMs != kNotStarted) {
-      run.mStartedAt = aNow - std::chrono::milliseconds(it.ageMs);
-    }
-    status.mRuns.push_back(std::move(run));
-  }
-  for (const auto& it : message->shares) {
+  status.mIsStopping = aMessage.isLeaving;
+  for (const auto& it : aMessage.runs) {
+    status.mRuns.push_back(FromWire(it, aNow));
+  }
+  for (const auto& it : aMessage.shares) {
     status.mWorks[it.endpoint] = {
       static_cast<std::uint32_t>(std::max(it.requests, 0)),
       static_cast<std::uint64_t>(std::max(it.prefillTokens, 0))
     };
   }
-  for (const auto& it : message->retries) {
+  for (const auto& it : aMessage.retries) {
     status.mRetries[it.serviceName] = {
       static_cast<std::uint32_t>(std::max(it.requests, 0)),
       static_cast<std::uint32_t>(std::max(it.retries, 0))
     };
   }
-  for (const auto& it : message->suspects) {
+  for (const auto& it : aMessage.suspects) {
     status.mSuspects.push_back(
       { static_cast<std::uint64_t>(it.requestHash),
         static_cast<std::uint32_t>(std::max(it.losses, 0)),
         std::chrono::milliseconds(it.ageMs) });
   }
-  DecodeCrashes(*message, status);
-  for (const auto& it : message->turnedAway) {
+  DecodeCrashes(aMessage, status);
+  for (const auto& it : aMessage.turnedAway) {
     status.mDeferredRequests.push_back(
       { static_cast<std::uint64_t>(it.requestHash),
         std::chrono::milliseconds(it.ageMs) });
   }
-  for (const auto& it : message->keptPrompts) {
+  for (const auto& it : aMessage.keptPrompts) {
     status.mCachedPrompts.push_back(
       { static_cast<std::uint64_t>(it.promptKey),
         it.endpoint,
         static_cast<std::uint64_t>(std::max(it.tokens, 0)),
         aNow - std::chrono::milliseconds(it.ageMs) });
   }
-  for (const auto& it : message->roleOrders) {
+  for (const auto& it : aMessage.roleOrders) {
     status.mRoleOrders[it.endpoint] = {
       it.isToDecode ? EndpointRole::Decode : EndpointRole::Prefill,
       aNow + std::chrono::milliseconds(it.leftMs)
--- a/Source/Router/PeerStatus.h
+++ b/Source/Router/PeerStatus.h
@@ -15,6 +15,7 @@
 #include "Routing/PromptCrashGuard.h"
 #include "Routing/SharedRetryBudget.h"
 #include "Routing/StreamRuns.h"
+#include "Routing_types.h"
 #include "Settings/Settings.h"
 #include "absl/status/statusor.h"
 
@@ -38,6 +39,11 @@
   SocketAddress mAddress;
 };
 
+wire::RoutingStatus ToWire(const PeerStatus& aStatus, Instant aNow);
+/** InvalidArgument when a field of aMessage is not valid. */
+absl::StatusOr<PeerStatus> FromWire(const wire::RoutingStatus& aMessage,
+                                    Instant aNow);
+
 /** Encodes aStatus as a message. Times are encoded as ages, because the clocks
  * of the daemons differ. */
 std::string EncodePeerStatus(const PeerStatus& aStatus, Instant aNow);
--- /dev/null
+++ b/Source/Router/PlacementClient.cxx
@@ -0,0 +1,452 @@
+#include "Router/PlacementClient.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "Base/Log.h"
+#include "Wire/ThriftCodec.h"
+
+namespace bulrushfold {
+
+namespace {
+/** Time for the answer to a plain request: the owner lets it wait for 100 ms at
+ * most. */
+constexpr Duration kPlainTimeout = std::chrono::milliseconds(300);
+/** The owner answers a poll within 400 ms. */
+constexpr Duration kPollTimeout = std::chrono::milliseconds(900);
+/** An owner that was silent for this long when an answer is late has failed. */
+constexpr Duration kSilence = std::chrono::milliseconds(500);
+/** Interval at which an owner that failed is tried again. */
+constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
+} // namespace
+
+PlacementClient::PlacementClient(const Clock& aClock,
+                                 std::string aOwnName,
+                                 std::int64_t aSession,
+                                 PlacementLink aLink,
+                                 PlainPlacer& aPlain,
+                                 StreamPlacer& aStreams,
+                                 Hooks aHooks)
+  : mClock(aClock)
+  , mOwnName(std::move(aOwnName))
+  , mSession(aSession)
+  , mLink(std::move(aLink))
+  , mPlain(aPlain)
+  , mStreams(aStreams)
+  , mHooks(std::move(aHooks))
+  , mSelector(mOwnName)
+{
+}
+
+PlacementClient::~PlacementClient()
+{
+  *mIsAlive = false;
+}
+
+void
+PlacementClient::SetMembers(std::vector<FleetMember> aMembers)
+{
+  mSelector.SetMembers(std::move(aMembers));
+  // A preferred owner that was left out is tried before it is followed again.
+  if (!mOwner) {
+    ChooseOwner();
+  }
+}
+
+void
+PlacementClient::BeginStop()
+{
+  mIsStopping = true;
+  mSelector.OnStopping(mOwnName, mClock.Now());
+  if (mIsOwner) {
+    ChooseOwner();
+  }
+}
+
+void
+PlacementClient::ChooseOwner()
+{
+  const Instant now = mClock.Now();
+  const FleetMember* member = mSelector.Choose(now);
+  const bool isSelf = member != nullptr && member->mName == mOwnName;
+  if (member == nullptr || isSelf) {
+    Follow(std::nullopt, isSelf);
+  } else {
+    Follow(*member, false);
+  }
+  mHooks.mWakeAt(now + kProbeInterval);
+}
+
+void
+PlacementClient::Follow(const std::optional<FleetMember>& aOwner, bool aIsOwner)
+{
+  const std::string former = mOwner ? mOwner->mName : "";
+  if (mIsOwner == aIsOwner && former == (aOwner ? aOwner->mName : "")) {
+    return;
+  }
+  LogEvent(LogLevel::Info,
+           "placement_owner",
+           { { "owner", aOwner ? aOwner->mName : mOwnName },
+             { "former", former },
+             { "is_self", aIsOwner ? "yes" : "no" },
+             { "members", mSelector.MemberCount() },
+             { "streams", mTracked.size() } });
+  std::vector<std::pair<std::uint64_t, TrackedStream::State>> streams;
+  for (const auto& [number, stream] : mTracked) {
+    streams.emplace_back(number, stream->mState);
+    Release(*stream);
+  }
+  SendEvents();
+  mOwner = aOwner;
+  mIsOwner = aIsOwner;
+  ++mSession;
+  ++mPollNumber;
+  mGrantedPlain.clear();
+  mPlain.Queue().SetLimited(mIsOwner);
+  if (!former.empty()) {
+    mHooks.mOnOwnerLeft(former);
+  }
+  mLastHeardAt = mClock.Now();
+  if (mOwner) {
+    SendPoll();
+  }
+  for (const auto& [number, state] : streams) {
+    const auto it = mTracked.find(number);
+    if (it == mTracked.end() || state == TrackedStream::State::Idle) {
+      continue;
+    }
+    // Both calls replace the tracked stream, so they get copies.
+    const StreamDemand demand = it->second->mDemand;
+    const StreamRun run = it->second->mRun;
+    DispatchedStream& stream = *it->second->mStream;
+    if (state == TrackedStream::State::Waiting) {
+      Submit(demand, stream);
+    } else {
+      Adopt(run, stream);
+    }
+  }
+}
+
+bool
+PlacementClient::HandleFailure(const absl::Status& aStatus)
+{
+  const Instant now = mClock.Now();
+  if (!mOwner ||
+      (absl::IsDeadlineExceeded(aStatus) && now - mLastHeardAt < kSilence)) {
+    return false;
+  }
+  LogEvent(LogLevel::Warning,
+           "placement_owner_failed",
+           { { "owner", mOwner->mName },
+             { "reason", std::string(aStatus.message()) },
+             { "silent_ms", ToMilliseconds(now - mLastHeardAt) } });
+  mSelector.OnFailed(mOwner->mName, now);
+  ChooseOwner();
+  return true;
+}
+
+void
+PlacementClient::SendPoll()
+{
+  const Instant now = mClock.Now();
+  wire::PlacementPoll poll;
+  poll.session = mSession;
+  poll.status = ToWire(mHooks.mMakeStatus(), now);
+  poll.isProbe = false;
+  for (const auto& it : mHooks.mFeedPositions()) {
+    poll.positions.push_back(ToWire(it));
+  }
+  const std::uint64_t number = ++mPollNumber;
+  mLink.mCall(*mOwner,
+              wire::MessageKind::PLACEMENT_POLL,
+              EncodeThrift(poll),
+              kPollTimeout,
+              [this, alive = mIsAlive, number](
+                const absl::StatusOr<std::string>& aReply) {
+                // A later poll replaces this one.
+                if (!*alive || number != mPollNumber) {
+                  return;
+                }
+                if (aReply.ok()) {
+                  HandleNews(*aReply);
+                } else if (!HandleFailure(aReply.status())) {
+                  SendPoll();
+                }
+              });
+}
+
+void
+PlacementClient::HandleNews(const std::string& aPayload)
+{
+  const Instant now = mClock.Now();
+  const auto news = DecodeThrift<wire::PlacementNews>(aPayload);
+  const auto status = news.ok() ? FromWire(news->status, now)
+                                : absl::StatusOr<PeerStatus>(news.status());
+  if (!status.ok()) {
+    HandleFailure(status.status());
+    return;
+  }
+  mLastHeardAt = now;
+  if (status->mIsStopping) {
+    mSelector.OnStopping(mOwner->mName, now);
+    ChooseOwner();
+    return;
+  }
+  mSelector.OnAnswered(mOwner->mName);
+  const std::int64_t session = mSession;
+  // The next poll states the positions after the updates.
+  for (const auto& it : news->updates) {
+    mHooks.mOnFeed(FromWire(it));
+  }
+  SendPoll();
+  mHooks.mOnNews(mOwner->mName,
+                 *status,
+                 static_cast<std::size_t>(std::max(news->daemons, 1)));
+  for (const auto& it : news->moves) {
+    TrackedStream* stream = FindRemote(static_cast<std::uint64_t>(it.number));
+    if (session == mSession && stream != nullptr) {
+      stream->HandleMove(it.target);
+    }
+  }
+}
+
+void
+PlacementClient::ReportStatus()
+{
+  if (mOwner) {
+    SendPoll();
+  }
+}
+
+void
+PlacementClient::OnWake()
+{
+  ProbeReturning();
+  if (mSelector.HasOwner()) {
+    mHooks.mWakeAt(mClock.Now() + kProbeInterval);
+  }
+}
+
+void
+PlacementClient::ProbeReturning()
+{
+  const Instant now = mClock.Now();
+  const FleetMember* member =
+    mSelector.FindReturning(mIsOwner ? mOwnName : OwnerName(), now);
+  if (member == nullptr || mIsProbing || member->mName == mOwnName) {
+    if (member != nullptr && !mIsProbing) {
+      ChooseOwner();
+    }
+    return;
+  }
+  wire::PlacementPoll poll;
+  poll.session = 0;
+  poll.status = ToWire(mHooks.mMakeStatus(), now);
+  poll.isProbe = true;
+  mIsProbing = true;
+  mLink.mCall(*member,
+              wire::MessageKind::PLACEMENT_POLL,
+              EncodeThrift(poll),
+              kProbeTimeout,
+              [this, alive = mIsAlive, name = member->mName](
+                const absl::StatusOr<std::string>& aReply) {
+                if (!*alive) {
+                  return;
+                }
+                mIsProbing = false;
+                const Instant answered = mClock.Now();
+                const auto news =
+                  aReply.ok()
+                    ? DecodeThrift<wire::PlacementNews>(*aReply)
+                    : absl::StatusOr<wire::PlacementNews>(aReply.status());
+                if (!news.ok()) {
+                  mSelector.OnFailed(name, answered);
+                } else if (news->status.isLeaving) {
+                  mSelector.OnStopping(name, answered);
+                } else {
+                  mSelector.OnAnswered(name);
+                  ChooseOwner();
+                }
+              });
+}
+
+void
+PlacementClient::RequestPlain(const PlainDemand& aDemand,
+                              PlainPlacer::Hook aHook)
+{
+  if (!mOwner) {
+    mPlain.Request(aDemand, std::move(aHook));
+    return;
+  }
+  const std::uint64_t number = aDemand.mNumber;
+  mWaitingPlain[number] = { aDemand, std::move(aHook) };
+  wire::PlainPlacementRequest request = ToWire(aDemand, mClock.Now());
+  request.session = mSession;
+  // The owner must hear first of requests that have ended.
+  SendEvents();
+  mLink.mCall(*mOwner,
+              wire::MessageKind::PLACE_PLAIN,
+              EncodeThrift(request),
+              kPlainTimeout,
+              [this, alive = mIsAlive, number, session = mSession](
+                const absl::StatusOr<std::string>& aReply) {
+                if (*alive) {
+                  HandlePlainReply(number, session, aReply);
+                }
+              });
+}
+
+void
+PlacementClient::HandlePlainReply(std::uint64_t aNumber,
+                                  std::int64_t aSession,
+                                  const absl::StatusOr<std::string>& aReply)
+{
+  const bool isPresent = aSession == mSession;
+  const auto reply =
+    aReply.ok() ? DecodeThrift<wire::PlainPlacementReply>(*aReply)
+                : absl::StatusOr<wire::PlainPlacementReply>(aReply.status());
+  if (reply.ok() && isPresent) {
+    mLastHeardAt = mClock.Now();
+  } else if (isPresent) {
+    HandleFailure(reply.status());
+  }
+  const auto waiting = mWaitingPlain.extract(aNumber);
+  const PlainGrant grant =
+    reply.ok() ? FromWire(*reply, aNumber) : PlainGrant{ aNumber, {}, {} };
+  const bool isUsable = grant.mChoice && !waiting.empty() &&
+                        mHooks.mIsUsable(grant.mChoice->mEndpoint);
+  if (grant.mChoice && isPresent) {
+    mGrantedPlain.insert(aNumber);
+    if (!isUsable) {
+      OnPlainEnded(aNumber, SendResult::Refused, std::nullopt);
+    }
+  }
+  if (waiting.empty()) {
+    return;
+  }
+  // Without an answer, and if this daemon knows better about the endpoint, it
+  // chooses by itself.
+  if (!reply.ok() || (grant.mChoice && !isUsable)) {
+    mPlain.Request(waiting.mapped().mDemand, waiting.mapped().mHook);
+  } else {
+    waiting.mapped().mHook(grant);
+  }
+}
+
+void
+PlacementClient::WithdrawPlain(std::uint64_t aNumber)
+{
+  mPlain.Withdraw(aNumber);
+  if (mWaitingPlain.erase(aNumber) > 0) {
+    AddEvent(wire::PlacementEventKind::PLAIN_ENDED, aNumber);
+  }
+}
+
+void
+PlacementClient::OnPlainEnded(std::uint64_t aNumber,
+                              SendResult aResult,
+                              const std::optional<ReportedLoad>& aLoad)
+{
+  if (mGrantedPlain.erase(aNumber) == 0) {
+    mPlain.Dispatch();
+    return;
+  }
+  wire::PlacementEvent event;
+  event.kind = wire::PlacementEventKind::PLAIN_ENDED;
+  event.number = static_cast<std::int64_t>(aNumber);
+  event.result = static_cast<std::int32_t>(aResult);
+  if (aLoad) {
+    event.load.running = static_cast<std::int32_t>(aLoad->mRunning);
+    event.load.waiting = static_cast<std::int32_t>(aLoad->mWaiting);
+    event.load.slots = static_cast<std::int32_t>(aLoad->mSlots);
+    event.__isset.load = true;
+  }
+  AddEvent(std::move(event));
+}
+
+void
+PlacementClient::OnSendResult(const std::string& aService,
+                              const std::string& aEndpoint,
+                              SendResult aResult)
+{
+  wire::PlacementEvent event;
+  event.kind = wire::PlacementEventKind::SEND_RESULT;
+  event.serviceName = aService;
+  event.endpoint = aEndpoint;
+  event.result = static_cast<std::int32_t>(aResult);
+  AddEvent(std::move(event));
+}
+
+void
+PlacementClient::OnEndpointChange(const EndpointRecord& aEndpoint,
+                                  EndpointChange aChange,
+                                  Duration aBackoff)
+{
+  using Kind = wire::PlacementEventKind;
+  wire::PlacementEvent event;
+  switch (aChange) {
+    case EndpointChange::LeavingAnnounced:
+      event.kind = Kind::ENDPOINT_LEAVING;
+      break;
+    case EndpointChange::BackoffStarted:
+      event.kind = Kind::ENDPOINT_BACKOFF;
+      break;
+    case EndpointChange::Replaced:
+      event.kind = Kind::ENDPOINT_REPLACED;
+      break;
+    default:
+      return;
+  }
+  event.endpoint = aEndpoint.mId;
+  event.incarnation = aEndpoint.mIncarnation;
+  event.leftMs = static_cast<std::int32_t>(ToMilliseconds(aBackoff));
+  AddEvent(std::move(event));
+}
+
+void
+PlacementClient::AddEvent(wire::PlacementEventKind::type aKind,
+                          std::uint64_t aNumber)
+{
+  wire::PlacementEvent event;
+  event.kind = aKind;
+  event.number = static_cast<std::int64_t>(aNumber);
+  AddEvent(std::move(event));
+}
+
+void
+PlacementClient::AddEvent(wire::PlacementEvent aEvent)
+{
+  if (!mOwner) {
+    return;
+  }
+  mEvents.events.push_back(std::move(aEvent));
+  ScheduleEvents();
+}
+
+void
+PlacementClient::ScheduleEvents()
+{
+  if (!std::exchange(mIsSendScheduled, true)) {
+    mHooks.mDefer([this, alive = mIsAlive] {
+      if (*alive) {
+        mIsSendScheduled = false;
+        SendEvents();
+      }
+    });
+  }
+}
+
+void
+PlacementClient::SendEvents()
+{
+  wire::PlacementEvents events =
+    std::exchange(mEvents, wire::PlacementEvents());
+  if (mOwner && !(events.events.empty() && events.adopted.empty())) {
+    events.session = mSession;
+    mLink.mSend(
+      *mOwner, wire::MessageKind::PLACEMENT_EVENTS, EncodeThrift(events));
+  }
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Router/PlacementMessages.h
@@ -0,0 +1,64 @@
+#ifndef BULRUSHFOLD_ROUTER_PLACEMENTMESSAGES_H
+#define BULRUSHFOLD_ROUTER_PLACEMENTMESSAGES_H
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Envelope_types.h"
+#include "Placement_types.h"
+#include "Platform/StoreFeed.h"
+#include "Router/PeerStatus.h"
+#include "Routing/OwnerSelector.h"
+#include "Routing/PlainQueue.h"
+#include "Routing/StreamScheduler.h"
+#include "absl/status/statusor.h"
+
+namespace bulrushfold {
+
+/** Sends messages to other daemons. */
+struct PlacementLink
+{
+  using ReplyHook = std::function<void(absl::StatusOr<std::string>)>;
+
+  std::function<void(const FleetMember& aTarget,
+                     wire::MessageKind::type aKind,
+                     std::string aPayload,
+                     Duration aTimeout,
+                     ReplyHook aHook)>
+    mCall;
+  std::function<void(const FleetMember& aTarget,
+                     wire::MessageKind::type aKind,
+                     std::string aPayload)>
+    mSend;
+};
+
+/** Milliseconds until aTime, rounded down; negative when it has passed. */
+std::int32_t MillisecondsUntil(Instant aTime, Instant aNow);
+
+wire::PlainPlacementRequest ToWire(const PlainDemand& aDemand, Instant aNow);
+PlainDemand FromWire(const wire::PlainPlacementRequest& aRequest, Instant aNow);
+wire::PlainPlacementReply ToWire(const PlainGrant& aGrant);
+PlainGrant FromWire(const wire::PlainPlacementReply& aReply,
+                    std::uint64_t aNumber);
+
+wire::StreamPlacementRequest ToWire(const StreamDemand& aDemand, Instant aNow);
+StreamDemand FromWire(const wire::StreamPlacementRequest& aRequest,
+                      Instant aNow);
+wire::StreamPlacementReply ToWire(const StreamPlacement& aPlacement);
+StreamPlacement FromWire(const wire::StreamPlacementReply& aReply,
+                         std::uint64_t aNumber);
+
+wire::FeedPosition ToWire(const FeedPosition& aPosition);
+FeedPosition FromWire(const wire::FeedPosition& aPosition);
+wire::FeedUpdate ToWire(const FeedUpdate& aUpdate);
+FeedUpdate FromWire(const wire::FeedUpdate& aUpdate);
+
+wire::StreamRun ToWire(const StreamRun& aRun, Instant aNow);
+StreamRun FromWire(const wire::StreamRun& aRun, Instant aNow);
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -36,11 +36,9 @@
 }
 
 PlainCall::PlainCall(PlainCallDelegate& aDelegate,
-                     const PlainSelector& aSelector,
                      SharedRetryBudget& aRetryBudget,
                      CallParameters aParameters)
   : mDelegate(aDelegate)
-  , mSelector(aSelector)
   , mRetryBudget(aRetryBudget)
   , mParameters(std::move(aParameters))
 {
@@ -50,12 +48,42 @@
 PlainCall::Start(Instant aNow)
 {
   mRetryBudget.OnRequest(mParameters.mService, aNow);
-  const auto choice =
-    mSelector.Choose(mParameters.mService, mTriedEndpoints, aNow);
-  if (choice && aNow < mParameters.mDeadline) {
-    Send(*choice, aNow);
+  if (aNow < mParameters.mDeadline) {
+    mDelegate.WakeAt(mParameters.mDeadline);
+    RequestEndpoint(Purpose::FirstSend, false);
+  } else {
+    Finish();
+  }
+}
+
+void
+PlainCall::RequestEndpoint(Purpose aPurpose, bool aNeedsUntried)
+{
+  mPurpose = aPurpose;
+  PlainDemand demand;
+  demand.mService = mParameters.mService;
+  demand.mAttempted = mTriedEndpoints;
+  demand.mNeedsUntried = aNeedsUntried;
+  demand.mTarget = mParameters.mArrival + mParameters.mRoute->mLatencyTarget;
+  mDelegate.RequestEndpoint(demand);
+}
+
+void
+PlainCall::OnGranted(const PlainGrant& aGrant, Instant aNow)
+{
+  const Purpose purpose = std::exchange(mPurpose, Purpose::None);
+  mRetryAfter = aGrant.mRetryAfter;
+  if (purpose == Purpose::Replacement) {
+    if (!aGrant.mChoice) {
+      mDelegate.WakeAt(mParameters.mDeadline);
+      return;
+    }
+    AbandonSend(SendResult::Slow);
+  }
+  if (aGrant.mChoice) {
+    Send(*aGrant.mChoice, aNow);
   } else {
-    Finish(aNow);
+    Finish();
   }
 }
 
@@ -104,6 +132,9 @@
   }
   if (aOutcome == SendOutcome::Answered) {
     if (aAnswer.mStatus < kHttpFirstServerError || !MayRunAgain()) {
+      if (std::exchange(mPurpose, Purpose::None) != Purpose::None) {
+        mDelegate.WithdrawRequest();
+      }
       mIsFinished = true;
       mDelegate.Deliver(aAnswer);
       return;
@@ -116,65 +147,78 @@
 void
 PlainCall::Retry(Instant aNow)
 {
+  if (mPurpose == Purpose::Replacement && MayRunAgain()) {
+    // The endpoint that was to replace the send serves the retry.
+    mPurpose = Purpose::Retry;
+    return;
+  }
+  if (std::exchange(mPurpose, Purpose::None) != Purpose::None) {
+    mDelegate.WithdrawRequest();
+  }
   const bool isUseful = aNow + kMinUsefulTime < mParameters.mDeadline &&
                         mSends < kMaxSends && MayRunAgain();
-  const auto choice =
-    mSelector.Choose(mParameters.mService, mTriedEndpoints, aNow);
-  // An endpoint that refused the request is full; sending the request there
-  // again immediately only adds to its load.
-  const bool hasCandidate =
-    choice && !(IsCertainlyNotRun(mLastOutcome) &&
-                mTriedEndpoints.count(choice->mEndpoint) > 0);
   // A send without a connection does not count against the retry budget.
-  if (isUseful && hasCandidate &&
-      (mLastOutcome == SendOutcome::NotSent ||
-       mRetryBudget.TryConsume(mParameters.mService, 1, aNow))) {
-    Send(*choice, aNow);
+  if (isUseful && (mLastOutcome == SendOutcome::NotSent ||
+                   mRetryBudget.TryConsume(mParameters.mService, 1, aNow))) {
+    mDelegate.WakeAt(mParameters.mDeadline);
+    // An endpoint that refused the request is full; sending the request there
+    // again immediately only adds to its load.
+    RequestEndpoint(Purpose::Retry, IsCertainlyNotRun(mLastOutcome));
     return;
   }
-  Finish(aNow);
+  Finish();
 }
 
 void
 PlainCall::OnWake(Instant aNow)
 {
-  if (mIsFinished || !mIsSending) {
+  if (mIsFinished) {
     return;
   }
-  const bool isTimeout = aNow >= mParameters.mDeadline;
-  const auto choice =
-    mSelector.Choose(mParameters.mService, mTriedEndpoints, aNow);
-  const bool hasUntriedEndpoint =
-    choice && mTriedEndpoints.count(choice->mEndpoint) == 0;
-  if (!isTimeout && (!hasUntriedEndpoint ||
-                     !mRetryBudget.TryConsume(mParameters.mService, 1, aNow))) {
-    mDelegate.WakeAt(mParameters.mDeadline);
+  if (aNow < mParameters.mDeadline) {
+    if (mIsSending && mPurpose == Purpose::None) {
+      mDelegate.WakeAt(mParameters.mDeadline);
+      if (mRetryBudget.TryConsume(mParameters.mService, 1, aNow)) {
+        RequestEndpoint(Purpose::Replacement, true);
+      }
+    }
     return;
   }
-  mIsSending = false;
-  mLastOutcome = SendOutcome::Unknown;
-  ++mPossibleRuns;
-  mDelegate.CancelSend(SendResult::Slow);
-  if (isTimeout) {
+  if (std::exchange(mPurpose, Purpose::None) != Purpose::None) {
+    mDelegate.WithdrawRequest();
+  }
+  if (mIsSending) {
+    AbandonSend(SendResult::Slow);
     FinishWith(
       { kHttpGatewayTimeout, RefusalReason::Timeout, Duration::zero() });
   } else {
-    Send(*choice, aNow);
+    Finish();
   }
 }
 
 void
-PlainCall::OnStopEnd(Instant aNow)
+PlainCall::AbandonSend(SendResult aReason)
+{
+  mIsSending = false;
+  mLastOutcome = SendOutcome::Unknown;
+  ++mPossibleRuns;
+  mDelegate.CancelSend(aReason);
+}
+
+void
+PlainCall::OnStopEnd(Instant)
 {
   if (mIsFinished) {
     return;
   }
-  if (std::exchange(mIsSending, false)) {
-    ++mPossibleRuns;
-    mDelegate.CancelSend(SendResult::Answered);
+  if (std::exchange(mPurpose, Purpose::None) != Purpose::None) {
+    mDelegate.WithdrawRequest();
+  }
+  if (mIsSending) {
+    AbandonSend(SendResult::Answered);
   }
   if (mErrorAnswer) {
-    Finish(aNow);
+    Finish();
   } else if (mPossibleRuns > 0) {
     FinishWith({ kHttpBadGateway, RefusalReason::Stopping, Duration::zero() });
   } else {
@@ -183,7 +227,7 @@
 }
 
 void
-PlainCall::Finish(Instant aNow)
+PlainCall::Finish()
 {
   if (mErrorAnswer) {
     mIsFinished = true;
@@ -192,12 +236,10 @@
     FinishWith(
       { kHttpBadGateway, RefusalReason::OutcomeUnknown, Duration::zero() });
   } else {
-    const Instant accepted =
-      mSelector.FirstBackoffEnd(mParameters.mService).value_or(aNow);
     FinishWith(
       { kHttpUnavailable,
         mSends == 0 ? RefusalReason::NoEndpoint : RefusalReason::EndpointsFull,
-        std::max(kRetryAfter, accepted - aNow) });
+        std::max(kRetryAfter, mRetryAfter) });
   }
 }
 
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -10,7 +10,8 @@
 #include "Base/Clock.h"
 #include "Net/HttpMessage.h"
 #include "Router/SendOutcome.h"
-#include "Routing/PlainSelector.h"
+#include "Routing/EndpointHealth.h"
+#include "Routing/PlainQueue.h"
 #include "Routing/RoutingConfig.h"
 #include "Routing/SharedRetryBudget.h"
 
@@ -74,6 +75,11 @@
 {
 public:
   virtual ~PlainCallDelegate() = default;
+  /** Asks for an endpoint; the session answers with OnGranted, at once or
+   * later. */
+  virtual void RequestEndpoint(const PlainDemand& aDemand) = 0;
+  /** The answer is not needed any more; OnGranted is not called. */
+  virtual void WithdrawRequest() = 0;
   /** Sends the request; the session reports the end with OnSendEnded. */
   virtual void Send(const EndpointChoice& aChoice, Instant aDeadline) = 0;
   /** Cancels the send in progress, for which OnSendEnded is not called.
@@ -95,11 +101,11 @@
 {
 public:
   PlainCall(PlainCallDelegate& aDelegate,
-            const PlainSelector& aSelector,
             SharedRetryBudget& aRetryBudget,
             CallParameters aParameters);
 
   void Start(Instant aNow);
+  void OnGranted(const PlainGrant& aGrant, Instant aNow);
   /** aAnswer: set when aOutcome is Answered. */
   void OnSendEnded(SendOutcome aOutcome, EndpointAnswer aAnswer, Instant aNow);
   void OnWake(Instant aNow);
@@ -107,21 +113,36 @@
   void OnStopEnd(Instant aNow);
 
 private:
+  /** What an endpoint was asked for. */
+  enum class Purpose
+  {
+    None,
+    FirstSend,
+    Retry,
+    /** To replace a send that has reached the latency target. */
+    Replacement,
+  };
+
+  void RequestEndpoint(Purpose aPurpose, bool aNeedsUntried);
   void Send(const EndpointChoice& aChoice, Instant aNow);
+  /** Cancels the send in progress, which may have run. */
+  void AbandonSend(SendResult aReason);
   /** Sends the request again if that is allowed; otherwise ends the call. */
   void Retry(Instant aNow);
   bool MayRunAgain() const;
-  void Finish(Instant aNow);
+  void Finish();
   void FinishWith(const Refusal& aRefusal);
 
   PlainCallDelegate& mDelegate;
-  const PlainSelector& mSelector;
   SharedRetryBudget& mRetryBudget;
   CallParameters mParameters;
   std::set<std::string> mTriedEndpoints;
   /** Sends after which the request may have run. */
   std::uint32_t mPossibleRuns = 0;
   std::uint32_t mSends = 0;
+  Purpose mPurpose = Purpose::None;
+  /** Time after which the placer of the last demand expects free endpoints. */
+  Duration mRetryAfter{};
   bool mIsSending = false;
   bool mIsFinished = false;
   SendOutcome mLastOutcome = SendOutcome::NotSent;
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -23,10 +23,7 @@
   : mServices(aServices)
   , mRequest(std::move(aRequest))
   , mAnswerWriter(aServices, mRequest)
-  , mCall(*this,
-          aServices.mSelector,
-          aServices.mRetryBudget,
-          mRequest->mParameters)
+  , mCall(*this, aServices.mRetryBudget, mRequest->mParameters)
   , mTimer(aServices.mLoop, aServices.mClock, [this] {
     const auto self = mSelf;
     mCall.OnWake(mServices.mClock.Now());
@@ -45,11 +42,37 @@
   mCall.Start(mServices.mClock.Now());
 }
 
+void
+PlainSession::RequestEndpoint(const PlainDemand& aDemand)
+{
+  PlainDemand demand = aDemand;
+  demand.mNumber = mDemandNumber = mServices.mNextNumber();
+  mServices.mPlacement.RequestPlain(
+    demand,
+    [this, self = mSelf](const PlainGrant& aGrant) { HandleGrant(aGrant); });
+}
+
+void
+PlainSession::HandleGrant(const PlainGrant& aGrant)
+{
+  const auto self = mSelf;
+  mDemandNumber = 0;
+  mGrantNumber = aGrant.mNumber;
+  mCall.OnGranted(aGrant, mServices.mClock.Now());
+}
+
+void
+PlainSession::WithdrawRequest()
+{
+  mServices.mPlacement.WithdrawPlain(std::exchange(mDemandNumber, 0));
+}
+
 void
 PlainSession::Send(const EndpointChoice& aChoice, Instant aDeadline)
 {
   const EndpointRecord* endpoint = mServices.mDirectory.Find(aChoice.mEndpoint);
   mEndpoint = aChoice.mEndpoint;
+  mSendNumber = mGrantNumber;
   mSentAt = mServices.mClock.Now();
   ++mRequest->mSends;
   SendParameters parameters;
@@ -84,11 +107,10 @@
   if (metadata.mRequestId == mRequest->mMetadata.mId) {
     mSend->ConfirmReply();
   }
-  FinishSend(HealthResultOf(aReply.mResult, outcome, aReply.mStatus));
-  if (metadata.mLoad && outcome != SendOutcome::Unknown &&
-      outcome != SendOutcome::OtherEndpoint) {
-    mServices.mLoads.OnLoadReport(mEndpoint, *metadata.mLoad, now);
-  }
+  const bool isLoadValid =
+    outcome != SendOutcome::Unknown && outcome != SendOutcome::OtherEndpoint;
+  FinishSend(HealthResultOf(aReply.mResult, outcome, aReply.mStatus),
+             isLoadValid ? metadata.mLoad : std::nullopt);
   mServices.RecordSendOutcome(*mRequest, mEndpoint, outcome, aReply.mResult);
   if (outcome != SendOutcome::Answered) {
     mServices.mLog.SendEnded(*mRequest,
@@ -105,18 +127,27 @@
 }
 
 void
-PlainSession::FinishSend(SendResult aResult)
+PlainSession::FinishSend(std::optional<SendResult> aResult,
+                         const std::optional<ReportedLoad>& aLoad)
 {
+  const Instant now = mServices.mClock.Now();
   mSend.reset();
   mServices.mLoads.End(mEndpoint, { 1, 0 });
-  mServices.mHealth.OnResult(
-    mRequest->mParameters.mService, mEndpoint, aResult, mServices.mClock.Now());
+  if (aResult) {
+    mServices.mHealth.OnResult(
+      mRequest->mParameters.mService, mEndpoint, *aResult, now);
+  }
+  if (aLoad) {
+    mServices.mLoads.OnLoadReport(mEndpoint, *aLoad, now);
+  }
+  mServices.mPlacement.OnPlainEnded(
+    mSendNumber, aResult.value_or(SendResult::Refused), aLoad);
 }
 
 void
 PlainSession::CancelSend(SendResult aReason)
 {
-  FinishSend(aReason);
+  FinishSend(aReason, std::nullopt);
   mServices.mLog.SendEnded(*mRequest,
                            "request",
                            mEndpoint,
@@ -143,9 +174,11 @@
 PlainSession::HandleCallerDisconnected()
 {
   const auto self = mSelf;
+  if (mDemandNumber != 0) {
+    WithdrawRequest();
+  }
   if (mSend) {
-    mSend.reset();
-    mServices.mLoads.End(mEndpoint, { 1, 0 });
+    FinishSend(std::nullopt, std::nullopt);
   }
   mAnswerWriter.LogCallerDisconnected(mEndpoint);
   Close();
--- a/Source/Router/PlainSession.h
+++ b/Source/Router/PlainSession.h
@@ -1,7 +1,9 @@
 #ifndef BULRUSHFOLD_ROUTER_PLAINSESSION_H
 #define BULRUSHFOLD_ROUTER_PLAINSESSION_H
 
+#include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Router/AnswerWriter.h"
@@ -21,6 +23,8 @@
   void Start();
 
 private:
+  void RequestEndpoint(const PlainDemand& aDemand) override;
+  void WithdrawRequest() override;
   void Send(const EndpointChoice& aChoice, Instant aDeadline) override;
   void CancelSend(SendResult aReason) override;
   void Deliver(const EndpointAnswer& aAnswer) override;
@@ -30,7 +34,10 @@
   void HandleReply(HttpCallReply aReply);
   void HandleCallerDisconnected();
   void HandleStopEnd();
-  void FinishSend(SendResult aResult);
+  void HandleGrant(const PlainGrant& aGrant);
+  /** aResult: empty when it says nothing about the endpoint. */
+  void FinishSend(std::optional<SendResult> aResult,
+                  const std::optional<ReportedLoad>& aLoad);
   void Close();
 
   RouterServices& mServices;
@@ -40,6 +47,12 @@
   WakeTimer mTimer;
   std::unique_ptr<HttpCall> mSend;
   std::string mEndpoint;
+  /** Number of the demand that has no answer yet; 0: none. */
+  std::uint64_t mDemandNumber = 0;
+  /** Number of the last demand that was granted. */
+  std::uint64_t mGrantNumber = 0;
+  /** Number of the demand that the send in progress was granted. */
+  std::uint64_t mSendNumber = 0;
   Instant mSentAt;
   sigc::connection mStopConnection;
   /** Keeps the session alive until the call has ended. */
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -25,6 +25,16 @@
 const MetricInfo kLogDrops{ "bulrushfold_log_lines_left_out_total",
                             "Log lines left out, by urgency.",
                             { "urgency" } };
+
+/** Session number of a process that starts at aWall: greater than those of its
+ * predecessors unless the time of day jumped. */
+std::int64_t
+FirstSession(WallTime aWall)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(
+           aWall.time_since_epoch())
+    .count();
+}
 } // namespace
 
 HttpServerLimits
@@ -54,6 +64,8 @@
   , mSettings(aSettings)
   , mRandom(SystemSeed())
   , mClient(aClient)
+  , mRelayedStore(aStore)
+  , mFeed(FirstSession(mClock.Wall()))
   , mProtocol(aProtocol)
   , mCodec(std::move(aCodec))
   , mDirectory(aSettings.mEndpointGrace)
@@ -62,6 +74,11 @@
   , mHealth(mRandom)
   , mRetryBudget(aSettings.mRetryLimits, mClock.Now())
   , mSelector(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
+  , mPlainQueue(mDirectory, mLoads, mSelector)
+  , mPlainTimer(aLoop, mClock, [this] { mPlainPlacer.Dispatch(); })
+  , mPlainPlacer(mClock,
+                 mPlainQueue,
+                 [this](Instant aTime) { mPlainTimer.WakeAt(aTime); })
   , mScheduler(mDirectory,
                mLoads,
                mRuns,
@@ -71,7 +88,7 @@
                aSettings.mFailureDomain,
                mRandom,
                mClock.Now())
-  , mStreams(aLoop, mClock, mScheduler)
+  , mStreams(aLoop, mClock, mScheduler, mRuns, mCachedPrompts)
   , mEndpointClient(mClock, aClient, aProtocol, mDirectory)
   , mLog(mClock, mDirectory, mMetrics)
   , mCachedPromptQuery(aLoop,
@@ -80,6 +97,48 @@
                        aProtocol,
                        mDirectory,
                        mCachedPrompts)
+  , mPeers(
+      aLoop,
+      mClock,
+      mRandom,
+      aStore,
+      mSettings,
+      { mLoads,
+        mRuns,
+        mRetryBudget,
+        mGuard,
+        mPromptGuard,
+        mDeferredRequests,
+        mCachedPrompts,
+        mPrefillTurns,
+        mDirectory },
+      { [this] { mStreams.ScheduleDispatchAfterUpdate(); },
+        [this](std::vector<FleetMember> aMembers) {
+          mPlacement.SetMembers(std::move(aMembers));
+        },
+        [this](PeerTransport& aTransport) { HandleLinksOpen(aTransport); } })
+  , mOwnerTimer(aLoop, mClock, [this] { mOwner.OnWake(); })
+  , mOwner(mClock,
+           { mPlainPlacer,
+             mStreams,
+             mLoads,
+             mHealth,
+             mRetryBudget,
+             mGuard,
+             mPromptGuard,
+             mDeferredRequests,
+             mDirectory,
+             mFeed },
+           aSettings.mPeerAddress,
+           OwnerHooks())
+  , mPlacementTimer(aLoop, mClock, [this] { mPlacement.OnWake(); })
+  , mPlacement(mClock,
+               aSettings.mName,
+               FirstSession(mClock.Wall()),
+               mPeers.Link(),
+               mPlainPlacer,
+               mStreams,
+               PlacementHooks())
   , mServices{ aLoop,
                mClock,
                mEndpointClient,
@@ -94,26 +153,11 @@
                mCachedPrompts,
                mCachedPromptQuery,
                mAnswerLengths,
-               mSelector,
-               mStreams,
+               mPlacement,
                mGrants,
                mLog,
-               mOnStopEnd }
-  , mPeers(aLoop,
-           mClock,
-           mRandom,
-           aStore,
-           mSettings,
-           { mLoads,
-             mRuns,
-             mRetryBudget,
-             mGuard,
-             mPromptGuard,
-             mDeferredRequests,
-             mCachedPrompts,
-             mPrefillTurns,
-             mDirectory },
-           [this] { mStreams.ScheduleDispatchAfterUpdate(); })
+               mOnStopEnd,
+               [this] { return mNextNumber++; } }
   , mRoles(aLoop,
            mClock,
            aStore,
@@ -124,21 +168,26 @@
            mScheduler,
            mSettings,
            { [this] { return mTable; },
-             [this] { return mPeers.HasLowestName() && !mStop.IsStopping(); },
+             [this] {
+               const bool decides = mPlacement.IsLargeFleet()
+                                      ? mPlacement.IsOwner()
+                                      : mPeers.HasLowestName();
+               return decides && !mStop.IsStopping();
+             },
              [this](const std::string& aEndpoint, const RoleOrder& aOrder) {
                mDirectory.OnRoleOrdered(aEndpoint, aOrder, mClock.Now());
                mPeers.ScheduleBroadcast();
              } })
   , mConfigFollower(aLoop,
-                    aStore,
+                    mRelayedStore,
                     mRandom,
                     aSettings.mConfigPrefix,
-                    ConfigHooks())
+                    WithFeed(aSettings.mConfigPrefix, ConfigHooks()))
   , mEndpointFollower(aLoop,
-                      aStore,
+                      mRelayedStore,
                       mRandom,
                       aSettings.mEndpointPrefix,
-                      EndpointHooks())
+                      WithFeed(aSettings.mEndpointPrefix, EndpointHooks()))
   , mCallerServer(aLoop,
                   ServerLimits({}, aSettings.mMaxDescriptors),
                   [this](std::shared_ptr<HttpExchange> aExchange) {
@@ -166,6 +215,8 @@
            },
             [this] {
               mCallerServer.BeginDraining();
+              mPlacement.BeginStop();
+              mOwner.BeginStop();
               LogReadinessChange();
             },
             [this] {
@@ -181,6 +232,7 @@
   AddFilters();
   mDirectory.OnChange().connect(
     sigc::mem_fun(*this, &Router::HandleEndpointChange));
+  mPromptGuard.OnOwnLoss().connect([this] { mPlacement.ReportStatus(); });
   mPromptGuard.OnDecision().connect(
     sigc::mem_fun(mLog, &RequestLog::PartDecided));
   mCallerServer.OnRefused([](const HttpRefusal& aRefusal) {
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -17,9 +17,14 @@
 #include "Outcome/Metrics.h"
 #include "Platform/ObjectStore.h"
 #include "Platform/ObjectWatcher.h"
+#include "Platform/RelayedStore.h"
+#include "Platform/StoreFeed.h"
 #include "Router/EndpointClient.h"
 #include "Router/EndpointProtocol.h"
 #include "Router/PeerController.h"
+#include "Router/PlacementClient.h"
+#include "Router/PlacementOwner.h"
+#include "Router/PlainPlacer.h"
 #include "Router/RequestLog.h"
 #include "Router/RoleController.h"
 #include "Router/RouterFilters.h"
@@ -71,7 +76,17 @@
   bool IsReady() const;
   void LogReadinessChange();
 
+  // Placement.
+  PlacementOwner::Hooks OwnerHooks();
+  PlacementClient::Hooks PlacementHooks();
+  void HandleLinksOpen(PeerTransport& aTransport);
+  void HandleNews(const std::string& aOwner,
+                  const PeerStatus& aStatus,
+                  std::size_t aDaemons);
   // Configuration.
+  /** aHooks, which also pass on what they get to other daemons. */
+  ObjectWatcherHooks WithFeed(const std::string& aPrefix,
+                              ObjectWatcherHooks aHooks);
   ObjectWatcherHooks ConfigHooks();
   void ApplyConfig(const StoredObject& aObject);
   // Endpoints.
@@ -94,6 +109,8 @@
   SystemClock mClock;
   Random mRandom;
   HttpClient& mClient;
+  RelayedStore mRelayedStore;
+  StoreFeed mFeed;
   const EndpointProtocol& mProtocol;
   RegistryCodec mCodec;
   Metrics mMetrics;
@@ -109,6 +126,9 @@
   PromptCrashGuard mPromptGuard;
   DeferredRequests mDeferredRequests;
   PlainSelector mSelector;
+  PlainQueue mPlainQueue;
+  WakeTimer mPlainTimer;
+  PlainPlacer mPlainPlacer;
   StreamScheduler mScheduler;
   StreamDispatcher mStreams;
   EndpointClient mEndpointClient;
@@ -116,8 +136,12 @@
   RequestLog mLog;
   sigc::signal<void()> mOnStopEnd;
   CachedPromptQuery mCachedPromptQuery;
-  RouterServices mServices;
   PeerController mPeers;
+  WakeTimer mOwnerTimer;
+  PlacementOwner mOwner;
+  WakeTimer mPlacementTimer;
+  PlacementClient mPlacement;
+  RouterServices mServices;
   RoleController mRoles;
   std::shared_ptr<const RouteTable> mTable;
   bool mHasEndpoints = false;
--- /dev/null
+++ b/Source/Router/RouterPlacement.cxx
@@ -0,0 +1,100 @@
+#include "Router/Router.h"
+
+#include <utility>
+
+namespace bulrushfold {
+
+PlacementOwner::Hooks
+Router::OwnerHooks()
+{
+  PlacementOwner::Hooks hooks;
+  hooks.mNextNumber = [this] { return mNextNumber++; };
+  hooks.mMemberCount = [this] { return mPlacement.MemberCount(); };
+  hooks.mWakeAt = [this](Instant aTime) { mOwnerTimer.WakeAt(aTime); };
+  return hooks;
+}
+
+PlacementClient::Hooks
+Router::PlacementHooks()
+{
+  PlacementClient::Hooks hooks;
+  hooks.mMakeStatus = [this] { return mPeers.MakeSummary(); };
+  hooks.mOnNews = [this](const std::string& aOwner,
+                         const PeerStatus& aStatus,
+                         std::size_t aDaemons) {
+    HandleNews(aOwner, aStatus, aDaemons);
+  };
+  hooks.mOnOwnerLeft = [this](const std::string& aOwner) {
+    mRelayedStore.OnFeedLost();
+    for (const auto& it : mRelayedStore.Positions()) {
+      mFeed.OnWatched(it.mPrefix);
+    }
+    mRetryBudget.RemovePeer(aOwner);
+    mGuard.RemovePeer(aOwner);
+  };
+  hooks.mFeedPositions = [this] { return mRelayedStore.Positions(); };
+  hooks.mOnFeed = [this](const FeedUpdate& aUpdate) {
+    mRelayedStore.OnFeed(aUpdate);
+    // Two daemons that pass on each other's feed would both miss changes.
+    if (aUpdate.mIsCurrent) {
+      mFeed.OnLost(aUpdate.mPrefix);
+    }
+  };
+  hooks.mIsUsable = [this](const std::string& aEndpoint) {
+    return mDirectory.IsUsable(aEndpoint);
+  };
+  hooks.mWakeAt = [this](Instant aTime) { mPlacementTimer.WakeAt(aTime); };
+  hooks.mDefer = [this](std::function<void()> aCallback) {
+    mLoop.Defer(std::move(aCallback));
+  };
+  return hooks;
+}
+
+void
+Router::HandleLinksOpen(PeerTransport& aTransport)
+{
+  using Kind = wire::MessageKind;
+  using Responder = PeerTransport::Responder;
+  aTransport.Handle(Kind::PLACE_PLAIN,
+                    [this](const std::string& aSender,
+                           const std::string& aPayload,
+                           Responder aResponder) {
+                      mOwner.HandlePlain(
+                        aSender, aPayload, std::move(aResponder));
+                    });
+  aTransport.Handle(Kind::PLACE_STREAM,
+                    [this](const std::string& aSender,
+                           const std::string& aPayload,
+                           Responder aResponder) {
+                      mOwner.HandleStream(
+                        aSender, aPayload, std::move(aResponder));
+                    });
+  aTransport.Handle(
+    Kind::PLACEMENT_EVENTS,
+    [this](const std::string& aSender,
+           const std::string& aPayload,
+           const Responder&) { mOwner.HandleEvents(aSender, aPayload); });
+  aTransport.Handle(Kind::PLACEMENT_POLL,
+                    [this](const std::string& aSender,
+                           const std::string& aPayload,
+                           Responder aResponder) {
+                      mOwner.HandlePoll(
+                        aSender, aPayload, std::move(aResponder));
+                    });
+}
+
+void
+Router::HandleNews(const std::string& aOwner,
+                   const PeerStatus& aStatus,
+                   std::size_t aDaemons)
+{
+  const Instant now = mClock.Now();
+  mRetryBudget.SetFleet(aOwner, aStatus.mRetries, aDaemons - 1);
+  mGuard.SetPeer(aOwner, aStatus.mSuspects, now);
+  mPromptGuard.Merge(aStatus.mLostPrompts, aStatus.mAnsweredParts, now);
+  for (const auto& [endpoint, order] : aStatus.mRoleOrders) {
+    mDirectory.OnRoleOrdered(endpoint, order, now);
+  }
+}
+
+} // namespace bulrushfold
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -14,6 +14,32 @@
              { "reason", aLost != nullptr ? aLost->ToString() : "" } });
 }
 
+ObjectWatcherHooks
+Router::WithFeed(const std::string& aPrefix, ObjectWatcherHooks aHooks)
+{
+  ObjectWatcherHooks hooks = aHooks;
+  hooks.mOnListing =
+    [this, aPrefix, next = aHooks.mOnListing](const StoreListing& aListing) {
+      mFeed.OnListing(aPrefix, aListing, mClock.Now());
+      mOwner.Announce();
+      next(aListing);
+    };
+  hooks.mOnChange =
+    [this, aPrefix, next = aHooks.mOnChange](const StoredObject& aObject) {
+      mFeed.OnChange(aPrefix, aObject, mClock.Now());
+      mOwner.Announce();
+      next(aObject);
+    };
+  hooks.mOnStoreUnavailable =
+    [this, aPrefix, next = aHooks.mOnStoreUnavailable](
+      const absl::Status& aStatus) {
+      mFeed.OnLost(aPrefix);
+      mOwner.Announce();
+      next(aStatus);
+    };
+  return hooks;
+}
+
 ObjectWatcherHooks
 Router::ConfigHooks()
 {
@@ -155,6 +181,8 @@
              { "failure_domain", aEndpoint.mFailureDomain },
              { "backoff_ms", ToMilliseconds(RemainingBackoff(aEndpoint.mId)) },
              { "registry", mDirectory.Revision() } });
+  mPlacement.OnEndpointChange(
+    aEndpoint, aChange, RemainingBackoff(aEndpoint.mId));
   if (aChange == EndpointChange::Removed ||
       aChange == EndpointChange::Restarted) {
     mHealth.Remove(aEndpoint.mId);
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -1,6 +1,9 @@
 #ifndef BULRUSHFOLD_ROUTER_ROUTERSERVICES_H
 #define BULRUSHFOLD_ROUTER_ROUTERSERVICES_H
 
+#include <cstdint>
+#include <functional>
+
 #include <sigc++/sigc++.h>
 
 #include "Base/Clock.h"
@@ -8,6 +11,7 @@
 #include "Router/CachedPromptQuery.h"
 #include "Router/EndpointClient.h"
 #include "Router/EndpointProtocol.h"
+#include "Router/PlacementClient.h"
 #include "Router/RecentGrants.h"
 #include "Router/RequestLog.h"
 #include "Router/RoutedRequest.h"
@@ -19,14 +23,11 @@
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
-#include "Routing/PlainSelector.h"
 #include "Routing/PromptCrashGuard.h"
 #include "Routing/SharedRetryBudget.h"
 
 namespace bulrushfold {
 
-class StreamDispatcher;
-
 /** Components that the sessions of a router share. */
 struct RouterServices
 {
@@ -44,12 +45,13 @@
   CachedPrompts& mCachedPrompts;
   CachedPromptQuery& mCachedPromptQuery;
   AnswerLengthEstimator& mAnswerLengths;
-  PlainSelector& mSelector;
-  StreamDispatcher& mStreams;
+  PlacementClient& mPlacement;
   RecentGrants& mGrants;
   RequestLog& mLog;
   /** Emitted when the stop time is over; each open request must end. */
   sigc::signal<void()>& mOnStopEnd;
+  /** A number that no other request of this daemon has. */
+  std::function<std::uint64_t()> mNextNumber;
 
   /** Updates the endpoint directory and the crash guard after a send. */
   void RecordSendOutcome(const RoutedRequest& aRequest,
--- a/Source/Router/RouterSettings.h
+++ b/Source/Router/RouterSettings.h
@@ -40,6 +40,9 @@
   /** Minimum time between the orders of two daemons to one engine. */
   Duration mOrderInterval = std::chrono::seconds(3);
   std::size_t mMaxDescriptors = 1024;
+  /** Processor cores that the daemon may use; the larger daemons of a large
+   * fleet place the requests of the others. */
+  double mCapacity = 1;
   RetryLimits mRetryLimits;
   /** Time for which missing endpoint entries are kept after a store outage. */
   Duration mEndpointGrace = std::chrono::seconds(2);
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -67,13 +67,32 @@
   // again.
   const bool isRetry =
     mParameters.mFirstArrival || !mParameters.mLastEventId.empty();
-  if (!isRetry && !mDelegate.Admits(MakeDemand(aNow))) {
-    mState = StreamState::Finished;
-    mDelegate.Refuse(
-      { kHttpUnavailable, RefusalReason::Overload, kOverloadRetryAfter });
+  if (isRetry || mDelegate.Admits(MakeDemand(aNow))) {
+    Submit(aNow);
+  } else {
+    RefuseForOverload();
+  }
+}
+
+void
+StreamCall::OnOverload()
+{
+  if (mState != StreamState::Waiting) {
     return;
   }
-  Submit(aNow);
+  if (mHasStartedAnswer || mPossibleRuns > 0) {
+    Finish(RefusalReason::Overload);
+  } else {
+    RefuseForOverload();
+  }
+}
+
+void
+StreamCall::RefuseForOverload()
+{
+  mState = StreamState::Finished;
+  mDelegate.Refuse(
+    { kHttpUnavailable, RefusalReason::Overload, kOverloadRetryAfter });
 }
 
 Instant
@@ -114,6 +133,8 @@
     (mHasStartedAnswer ? aNow : mParameters.mCall.mArrival) + kMaxQueueTime);
   demand.mFailedEndpoints = mFailedEndpoints;
   demand.mPromptKey = mParameters.mPromptKey;
+  demand.mIsRetry = mParameters.mFirstArrival ||
+                    !mParameters.mLastEventId.empty() || mPlacementCount > 0;
   demand.mWasInterrupted =
     (mPossibleRuns > 0 || !mParameters.mLastEventId.empty()) && !mIsPromptLost;
   return demand;
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -134,6 +134,8 @@
   /** No engine will accept the stream in time. aRetryAfter: time until one
    * accepts streams again; zero when it is unknown. */
   void OnUnservable(Duration aRetryAfter, Instant aNow);
+  /** The placer refused the stream, because it could not begin in time. */
+  void OnOverload();
   /** aReservation: empty when the engine granted none. */
   void OnReserved(const std::string& aReservation, Instant aNow);
   /** aCache: set when aOutcome is Answered. */
@@ -190,6 +192,7 @@
   };
 
   StreamDemand MakeDemand(Instant aNow) const;
+  void RefuseForOverload();
   void Submit(Instant aNow);
   /** Time after which the next event is late. */
   Instant NextEventDue(Instant aNow) const;
--- a/Source/Router/StreamDispatcher.cxx
+++ b/Source/Router/StreamDispatcher.cxx
@@ -14,10 +14,14 @@
 
 StreamDispatcher::StreamDispatcher(EventLoop& aLoop,
                                    const Clock& aClock,
-                                   StreamScheduler& aScheduler)
+                                   StreamScheduler& aScheduler,
+                                   const StreamRuns& aRuns,
+                                   CachedPrompts& aCachedPrompts)
   : mLoop(aLoop)
   , mClock(aClock)
   , mScheduler(aScheduler)
+  , mRuns(aRuns)
+  , mCachedPrompts(aCachedPrompts)
   , mTimer(aLoop, aClock, [this] { Dispatch(); })
   , mMoveTimer(aLoop, aClock, [this] { Rebalance(); })
 {
@@ -31,6 +35,24 @@
   ScheduleDispatch();
 }
 
+void
+StreamDispatcher::Adopt(const StreamRun& aRun, DispatchedStream& aStream)
+{
+  mStreams[aRun.mNumber] = &aStream;
+  mScheduler.Adopt(aRun);
+  mMoveTimer.WakeAt(mClock.Now() + kMoveInterval);
+}
+
+void
+StreamDispatcher::OnRunAbandoned(std::uint64_t aNumber)
+{
+  if (const auto it = mRuns.Own().find(aNumber); it != mRuns.Own().end()) {
+    const StreamRun& run = it->second;
+    mCachedPrompts.OnInterrupted(
+      { run.mPromptKey, run.mEndpoint, run.mPromptTokens, mClock.Now() });
+  }
+}
+
 void
 StreamDispatcher::Withdraw(std::uint64_t aNumber)
 {
@@ -71,7 +93,8 @@
 }
 
 void
-StreamDispatcher::OnProgress(std::uint64_t aEvents,
+StreamDispatcher::OnProgress(const std::string&,
+                             std::uint64_t aEvents,
                              std::uint32_t aTokensPerEvent,
                              Duration aDuration)
 {
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -67,14 +67,15 @@
 bool
 StreamSession::Admits(const StreamDemand& aDemand)
 {
-  return mServices.mStreams.Admits(aDemand);
+  return mServices.mPlacement.Admits(aDemand);
 }
 
 void
 StreamSession::RequestPlacement(StreamDemand aDemand)
 {
-  mServices.mLog.Queued(*mRequest, mServices.mStreams.WaitingCount());
-  mServices.mStreams.Submit(std::move(aDemand), *this);
+  mServices.mLog.Queued(*mRequest, mServices.mPlacement.WaitingCount());
+  aDemand.mRequestHash = mRequest->mHash;
+  mServices.mPlacement.Submit(std::move(aDemand), *this);
 }
 
 void
@@ -97,22 +98,29 @@
   mCall.OnUnservable(aRetryAfter, mServices.mClock.Now());
 }
 
+void
+StreamSession::HandleOverload()
+{
+  const auto self = mSelf;
+  mCall.OnOverload();
+}
+
 void
 StreamSession::WithdrawPlacement()
 {
-  mServices.mStreams.Withdraw(mNumber);
+  mServices.mPlacement.Withdraw(mNumber);
 }
 
 void
 StreamSession::ReleasePrefill(Duration aDuration)
 {
-  mServices.mStreams.OnPrefillEnded(mNumber, aDuration);
+  mServices.mPlacement.OnPrefillEnded(mNumber, aDuration);
 }
 
 void
 StreamSession::ReportDecodeStarted()
 {
-  mServices.mStreams.OnDecodeStarted(mNumber);
+  mServices.mPlacement.OnDecodeStarted(mNumber);
 }
 
 void
@@ -120,20 +128,23 @@
 {
   mServices.mAnswerLengths.OnAnswer(mRequest->mParameters.mRoute->mName,
                                     aEvents * mProfile.mTokensPerEvent);
-  mServices.mStreams.OnProgress(aEvents, mProfile.mTokensPerEvent, aDuration);
+  mServices.mPlacement.OnProgress(mRequest->mParameters.mService,
+                                  aEvents,
+                                  mProfile.mTokensPerEvent,
+                                  aDuration);
 }
 
 void
 StreamSession::ReleaseDecode()
 {
-  mServices.mStreams.OnDecodeEnded(mNumber);
+  mServices.mPlacement.OnDecodeEnded(mNumber);
 }
 
 void
 StreamSession::ReportDecodeFull(const std::string& aEndpoint,
                                 std::uint64_t aTokens)
 {
-  mServices.mStreams.OnReservationRefused(aEndpoint, aTokens);
+  mServices.mPlacement.OnReservationRefused(aEndpoint, aTokens);
 }
 
 void
@@ -141,17 +152,17 @@
 {
   const RequestMetadata& metadata = mRequest->mMetadata;
   if (metadata.mUniquePromptPart && metadata.mTokens) {
-    mServices.mCachedPrompts.OnInterrupted({ metadata.mUniquePromptPart->mKey,
-                                             aEndpoint,
-                                             metadata.mTokens->mPrompt,
-                                             mServices.mClock.Now() });
+    mServices.mPlacement.OnInterrupted({ metadata.mUniquePromptPart->mKey,
+                                         aEndpoint,
+                                         metadata.mTokens->mPrompt,
+                                         mServices.mClock.Now() });
   }
 }
 
 void
 StreamSession::ReportMoved(const std::string& aEndpoint)
 {
-  mServices.mStreams.OnMoved(mNumber, aEndpoint);
+  mServices.mPlacement.OnMoved(mNumber, aEndpoint);
 }
 
 bool
@@ -222,6 +233,8 @@
   mSend.reset();
   mServices.mHealth.OnResult(
     mRequest->mParameters.mService, mEndpoint, aResult, now);
+  mServices.mPlacement.OnSendResult(
+    mRequest->mParameters.mService, mEndpoint, aResult);
   mServices.mLog.SendEnded(
     *mRequest, mStep, mEndpoint, aOutcome, aStatus, now - mSentAt);
 }
@@ -318,7 +331,7 @@
 {
   mStopConnection.disconnect();
   mTimer.Cancel();
-  mServices.mStreams.Unregister(mNumber);
+  mServices.mPlacement.Unregister(mNumber);
   mRequest->mExchange->OnClosed(nullptr);
   mRequest->mExchange->OnWritten(nullptr);
   mSelf.reset();
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -9,7 +9,7 @@
 #include "Router/AnswerWriter.h"
 #include "Router/RouterServices.h"
 #include "Router/StreamCall.h"
-#include "Router/StreamDispatcher.h"
+#include "Router/StreamPlacer.h"
 #include "Router/WakeTimer.h"
 
 namespace bulrushfold {
@@ -63,6 +63,7 @@
   bool NeedsCachedPromptQuery() const;
   void StartCall();
   void HandleUnservable(Duration aRetryAfter) override;
+  void HandleOverload() override;
   void HandlePlacement(const StreamPlacement* aPlacement) override;
   void HandleMove(const std::string& aTarget) override;
   void HandleMoveAnswer(const HttpCallReply& aReply,
--- a/Source/Routing/CrashGuard.cxx
+++ b/Source/Routing/CrashGuard.cxx
@@ -56,9 +56,34 @@
 
 std::vector<CrashSuspect>
 CrashGuard::OwnSuspects(Instant aNow) const
+{
+  return Report(mOwn, aNow);
+}
+
+std::vector<CrashSuspect>
+CrashGuard::SuspectsWithout(const std::string& aExcluded, Instant aNow) const
+{
+  Entries sum = mOwn;
+  for (const auto& [peer, entries] : mPeers) {
+    if (peer == aExcluded) {
+      continue;
+    }
+    for (const auto& [hash, entry] : entries) {
+      if (aNow - entry.mLastLossAt < kLifetime) {
+        Entry& total = sum[hash];
+        total.mLosses += entry.mLosses;
+        total.mLastLossAt = std::max(total.mLastLossAt, entry.mLastLossAt);
+      }
+    }
+  }
+  return Report(sum, aNow);
+}
+
+std::vector<CrashSuspect>
+CrashGuard::Report(const Entries& aEntries, Instant aNow)
 {
   std::vector<CrashSuspect> suspects;
-  for (const auto& [hash, entry] : mOwn) {
+  for (const auto& [hash, entry] : aEntries) {
     if (aNow - entry.mLastLossAt < kLifetime) {
       suspects.push_back({ hash, entry.mLosses, aNow - entry.mLastLossAt });
     }
--- a/Source/Routing/CrashGuard.h
+++ b/Source/Routing/CrashGuard.h
@@ -46,6 +46,9 @@
   /** Suspects of this daemon for its peers: the most recent first, limited in
    * number. */
   std::vector<CrashSuspect> OwnSuspects(Instant aNow) const;
+  /** Suspects of this daemon and of all peers but aExcluded. */
+  std::vector<CrashSuspect> SuspectsWithout(const std::string& aExcluded,
+                                            Instant aNow) const;
   /** Removes entries of this daemon whose lifetime has ended. */
   void Expire(Instant aNow);
 
@@ -57,6 +60,10 @@
   };
   using Entries = std::map<std::uint64_t, Entry>;
 
+  /** Suspects in aEntries: the most recent first, limited in number. */
+  static std::vector<CrashSuspect> Report(const Entries& aEntries,
+                                          Instant aNow);
+
   Entries mOwn;
   std::map<std::string, Entries> mPeers;
 };
--- /dev/null
+++ b/Source/Routing/PlainQueue.cxx
@@ -0,0 +1,153 @@
+#include "Routing/PlainQueue.h"
+
+#include <algorithm>
+
+namespace bulrushfold {
+
+namespace {
+/** Requests beyond the slots of an endpoint that are on their way to it while
+ * others end, so that a slot is not idle for the time of a message. */
+constexpr std::uint32_t kOnTheWay = 1;
+/** Maximum wait. A daemon that waits longer for an answer assumes that the one
+ * that places has failed. */
+constexpr Duration kMaxWait = std::chrono::milliseconds(100);
+/** Time in a slot that is assumed before the first measurement, in ms. */
+constexpr double kInitialServiceTime = 50;
+constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
+} // namespace
+
+PlainQueue::PlainQueue(const EndpointDirectory& aDirectory,
+                       const EndpointLoads& aLoads,
+                       const PlainSelector& aSelector)
+  : mDirectory(aDirectory)
+  , mLoads(aLoads)
+  , mSelector(aSelector)
+{
+}
+
+std::optional<EndpointChoice>
+PlainQueue::ChooseFree(const PlainDemand& aDemand, Instant aNow) const
+{
+  auto choice =
+    mIsLimited ? mSelector.ChooseFree(
+                   aDemand.mService, aDemand.mAttempted, kOnTheWay, aNow)
+               : mSelector.Choose(aDemand.mService, aDemand.mAttempted, aNow);
+  if (choice && aDemand.mNeedsUntried &&
+      aDemand.mAttempted.count(choice->mEndpoint) > 0) {
+    choice.reset();
+  }
+  return choice;
+}
+
+bool
+PlainQueue::HasEndpoint(const PlainDemand& aDemand, Instant aNow) const
+{
+  const auto choice =
+    mSelector.Choose(aDemand.mService, aDemand.mAttempted, aNow);
+  return choice && !(aDemand.mNeedsUntried &&
+                     aDemand.mAttempted.count(choice->mEndpoint) > 0);
+}
+
+Duration
+PlainQueue::ExpectedWait(const PlainDemand& aDemand) const
+{
+  const auto before = static_cast<double>(
+    std::count_if(mWaiting.begin(),
+                  mWaiting.upper_bound(aDemand.mTarget),
+                  [&](const auto& aIt) {
+                    return aIt.second.mDemand.mService == aDemand.mService;
+                  }));
+  const auto time = mServiceTimes.find(aDemand.mService);
+  const double serviceTime =
+    time == mServiceTimes.end() ? kInitialServiceTime : time->second.Value();
+  const double slots = std::max(mSelector.Slots(aDemand.mService), 1u);
+  return FromSeconds((before + 1) * serviceTime / slots / 1000);
+}
+
+PlainGrant
+PlainQueue::Refusal(const PlainDemand& aDemand, Instant aNow) const
+{
+  const auto end = mSelector.FirstBackoffEnd(aDemand.mService);
+  return { aDemand.mNumber,
+           std::nullopt,
+           std::max({ kMinRetryAfter,
+                      ExpectedWait(aDemand),
+                      end ? *end - aNow : Duration::zero() }) };
+}
+
+std::optional<PlainGrant>
+PlainQueue::Submit(const PlainDemand& aDemand, Instant aNow)
+{
+  if (auto choice = ChooseFree(aDemand, aNow); choice) {
+    return PlainGrant{ aDemand.mNumber, std::move(choice), Duration::zero() };
+  }
+  const Duration wait = ExpectedWait(aDemand);
+  if (!mIsLimited || !HasEndpoint(aDemand, aNow) || wait > kMaxWait ||
+      aNow + wait > aDemand.mTarget) {
+    return Refusal(aDemand, aNow);
+  }
+  mWaiting.emplace(
+    aDemand.mTarget,
+    Waiting{ aDemand, std::min(aNow + kMaxWait, aDemand.mTarget) });
+  return std::nullopt;
+}
+
+void
+PlainQueue::Withdraw(std::uint64_t aNumber)
+{
+  const auto it =
+    std::find_if(mWaiting.begin(), mWaiting.end(), [&](const auto& aIt) {
+      return aIt.second.mDemand.mNumber == aNumber;
+    });
+  if (it != mWaiting.end()) {
+    mWaiting.erase(it);
+  }
+}
+
+void
+PlainQueue::Dispatch(Instant aNow,
+                     const std::function<void(const PlainGrant&)>& aOnGrant)
+{
+  // A grant may submit or withdraw demands, so each one is removed before.
+  std::set<std::uint64_t> seen;
+  for (auto it = mWaiting.begin(); it != mWaiting.end();) {
+    const Waiting waiting = it->second;
+    if (!seen.insert(waiting.mDemand.mNumber).second) {
+      ++it;
+      continue;
+    }
+    auto choice = ChooseFree(waiting.mDemand, aNow);
+    const bool isRefused = !choice && (aNow >= waiting.mQueueDeadline ||
+                                       !HasEndpoint(waiting.mDemand, aNow));
+    if (!choice && !isRefused) {
+      ++it;
+      continue;
+    }
+    mWaiting.erase(it);
+    aOnGrant(choice ? PlainGrant{ waiting.mDemand.mNumber,
+                                  std::move(choice),
+                                  Duration::zero() }
+                    : Refusal(waiting.mDemand, aNow));
+    it = mWaiting.begin();
+  }
+}
+
+void
+PlainQueue::OnServed(const std::string& aService, Duration aElapsed)
+{
+  mServiceTimes.try_emplace(aService, kInitialServiceTime)
+    .first->second.Add(ToMilliseconds(aElapsed));
+}
+
+std::optional<Instant>
+PlainQueue::NextWake() const
+{
+  std::optional<Instant> next;
+  for (const auto& [target, waiting] : mWaiting) {
+    next =
+      std::min(next.value_or(waiting.mQueueDeadline), waiting.mQueueDeadline);
+  }
+  return next;
+}
+
+} // namespace bulrushfold
--- /dev/null
+++ b/Source/Routing/PlainQueue.h
@@ -0,0 +1,105 @@
+#ifndef BULRUSHFOLD_ROUTING_PLAINQUEUE_H
+#define BULRUSHFOLD_ROUTING_PLAINQUEUE_H
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Base/Clock.h"
+#include "Routing/EndpointDirectory.h"
+#include "Routing/MovingAverage.h"
+#include "Routing/PlainSelector.h"
+
+namespace bulrushfold {
+
+/** A plain request that needs an endpoint. */
+struct PlainDemand
+{
+  /** Unique in the daemon that places the request. */
+  std::uint64_t mNumber = 0;
+  std::string mService;
+  /** Endpoints of earlier attempts. */
+  std::set<std::string> mAttempted;
+  /** Only an endpoint without an earlier attempt helps. */
+  bool mNeedsUntried = false;
+  /** Time after which an answer is late. */
+  Instant mTarget;
+};
+
+/** The answer to a PlainDemand. */
+struct PlainGrant
+{
+  std::uint64_t mNumber = 0;
+  /** Empty when no endpoint is available in time. */
+  std::optional<EndpointChoice> mChoice;
+  /** Set with an empty choice: when to retry; zero when it is unknown. */
+  Duration mRetryAfter{};
+};
+
+/**
+ * Gives plain requests to endpoints. The daemon that places for a whole fleet
+ * knows the load of each endpoint, so it gives an endpoint only as many
+ * requests as it has slots, and a few that are on their way. In a burst the
+ * others wait here, the one that is late first is served first, and a request
+ * that would be late anyway is refused at once. An endpoint's own queue would
+ * serve them in the order of arrival, late or not, and shed the rest.
+ *
+ * A daemon that places only for itself does not know the loads that well; it
+ * sends each request to the least loaded endpoint without waiting.
+ */
+class PlainQueue
+{
+public:
+  PlainQueue(const EndpointDirectory& aDirectory,
+             const EndpointLoads& aLoads,
+             const PlainSelector& aSelector);
+
+  /** True: this daemon places for the whole fleet. */
+  void SetLimited(bool aIsLimited) { mIsLimited = aIsLimited; }
+  /** Set when the demand is answered at once; otherwise it waits. */
+  std::optional<PlainGrant> Submit(const PlainDemand& aDemand, Instant aNow);
+  /** Removes a waiting demand. */
+  void Withdraw(std::uint64_t aNumber);
+  /** Answers to waiting demands, at a time when endpoints may have free slots
+   * or demands have waited too long. The caller counts each granted request in
+   * aOnGrant, before the next one is chosen. */
+  void Dispatch(Instant aNow,
+                const std::function<void(const PlainGrant&)>& aOnGrant);
+  /** A request that was granted has ended after aElapsed. */
+  void OnServed(const std::string& aService, Duration aElapsed);
+  /** Time at which the next waiting demand is refused. */
+  std::optional<Instant> NextWake() const;
+  std::size_t WaitingCount() const { return mWaiting.size(); }
+
+private:
+  struct Waiting
+  {
+    PlainDemand mDemand;
+    Instant mQueueDeadline;
+  };
+  /** An endpoint with a free slot. */
+  std::optional<EndpointChoice> ChooseFree(const PlainDemand& aDemand,
+                                           Instant aNow) const;
+  /** True when some endpoint could serve aDemand, now or later. */
+  bool HasEndpoint(const PlainDemand& aDemand, Instant aNow) const;
+  /** Time until aDemand gets a slot, if all that wait before it are served. */
+  Duration ExpectedWait(const PlainDemand& aDemand) const;
+  PlainGrant Refusal(const PlainDemand& aDemand, Instant aNow) const;
+
+  const EndpointDirectory& mDirectory;
+  const EndpointLoads& mLoads;
+  const PlainSelector& mSelector;
+  bool mIsLimited = false;
+  /** Waiting demands, the one that is late first at the front. */
+  std::multimap<Instant, Waiting> mWaiting;
+  /** Time that a request occupies a slot, by service, in ms. */
+  std::map<std::string, MovingAverage> mServiceTimes;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Routing/PlainSelector.cxx
+++ b/Source/Routing/PlainSelector.cxx
@@ -55,10 +55,61 @@
                       const std::set<std::string>& aAttempted,
                       Instant aNow) const
 {
-  const auto candidates = mDirectory.Usable(aService, EndpointRole::General);
+  return ChooseOf(
+    mDirectory.Usable(aService, EndpointRole::General), aAttempted, aNow);
+}
+
+std::optional<EndpointChoice>
+PlainSelector::ChooseFree(const std::string& aService,
+                          const std::set<std::string>& aAttempted,
+                          std::uint32_t aExtra,
+                          Instant aNow) const
+{
+  auto candidates = mDirectory.Usable(aService, EndpointRole::General);
+  const std::size_t count = candidates.size();
+  const auto isAvoided = [&](const EndpointRecord* aEndpoint) {
+    return mHealth.IsAvoided(aEndpoint->mId, aNow);
+  };
+  // A free endpoint that fails is no better than a full one that does not.
+  if (!std::all_of(candidates.begin(), candidates.end(), isAvoided)) {
+    candidates.erase(
+      std::remove_if(candidates.begin(), candidates.end(), isAvoided),
+      candidates.end());
+  }
+  candidates.erase(std::remove_if(candidates.begin(),
+                                  candidates.end(),
+                                  [&](const EndpointRecord* aEndpoint) {
+                                    return mLoads.Requests(aEndpoint->mId,
+                                                           aNow) >=
+                                           aEndpoint->mSlots + aExtra;
+                                  }),
+                   candidates.end());
+  auto choice = ChooseOf(candidates, aAttempted, aNow);
+  if (choice) {
+    choice->mCandidateCount = count;
+  }
+  return choice;
+}
+
+std::uint32_t
+PlainSelector::Slots(const std::string& aService) const
+{
+  std::uint32_t slots = 0;
+  for (const EndpointRecord* it :
+       mDirectory.Usable(aService, EndpointRole::General)) {
+    slots += it->mSlots;
+  }
+  return slots;
+}
+
+std::optional<EndpointChoice>
+PlainSelector::ChooseOf(const std::vector<const EndpointRecord*>& aCandidates,
+                        const std::set<std::string>& aAttempted,
+                        Instant aNow) const
+{
   const EndpointRecord* best = nullptr;
   double bestCost = 0;
-  for (const EndpointRecord* it : candidates) {
+  for (const EndpointRecord* it : aCandidates) {
     const double cost = Cost(*it, aAttempted, aNow);
     if (best == nullptr || cost < bestCost) {
       best = it;
@@ -68,7 +119,7 @@
   if (best == nullptr) {
     return std::nullopt;
   }
-  return EndpointChoice{ best->mId, Load(*best, aNow), candidates.size() };
+  return EndpointChoice{ best->mId, Load(*best, aNow), aCandidates.size() };
 }
 
 } // namespace bulrushfold
--- a/Source/Routing/PlainSelector.h
+++ b/Source/Routing/PlainSelector.h
@@ -1,9 +1,11 @@
 #ifndef BULRUSHFOLD_ROUTING_PLAINSELECTOR_H
 #define BULRUSHFOLD_ROUTING_PLAINSELECTOR_H
 
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "Base/Clock.h"
 #include "Base/Random.h"
@@ -40,6 +42,15 @@
   std::optional<EndpointChoice> Choose(const std::string& aService,
                                        const std::set<std::string>& aAttempted,
                                        Instant aNow) const;
+  /** Like Choose, but empty when each endpoint that Choose would consider has
+   * as many requests as slots, and aExtra more. */
+  std::optional<EndpointChoice> ChooseFree(
+    const std::string& aService,
+    const std::set<std::string>& aAttempted,
+    std::uint32_t aExtra,
+    Instant aNow) const;
+  /** Slots of the endpoints of aService that accept requests. */
+  std::uint32_t Slots(const std::string& aService) const;
 
   /** Time at which an endpoint of aService accepts requests again, if there is
    * none that does and the time is known. */
@@ -53,6 +64,10 @@
               const std::set<std::string>& aAttempted,
               Instant aNow) const;
   double Load(const EndpointRecord& aEndpoint, Instant aNow) const;
+  std::optional<EndpointChoice> ChooseOf(
+    const std::vector<const EndpointRecord*>& aCandidates,
+    const std::set<std::string>& aAttempted,
+    Instant aNow) const;
 
   const EndpointDirectory& mDirectory;
   const EndpointLoads& mLoads;
--- a/Source/Routing/SharedRetryBudget.cxx
+++ b/Source/Routing/SharedRetryBudget.cxx
@@ -99,7 +99,7 @@
                               Instant aNow)
 {
   Use& use = UseOf(aService);
-  const bool hasAllReports = mPeers.size() + 1 >= mDaemons;
+  const bool hasAllReports = ReportedDaemons() + 1 >= mDaemons;
   const bool fits = hasAllReports
                       ? FitsSharedBudget(aService, use, aSends, aNow)
                       : FitsOwnShare(use, aSends, aNow);
@@ -154,13 +154,43 @@
 void
 SharedRetryBudget::SetPeer(const std::string& aPeer, RetryUses aUses)
 {
+  if (mFleetDaemons) {
+    mPeers.clear();
+    mFleetDaemons.reset();
+  }
   mPeers[aPeer] = std::move(aUses);
 }
 
+void
+SharedRetryBudget::SetFleet(const std::string& aPeer,
+                            RetryUses aUses,
+                            std::size_t aDaemons)
+{
+  mPeers.clear();
+  mPeers[aPeer] = std::move(aUses);
+  mFleetDaemons = aDaemons;
+  SetDaemons(aDaemons + 1);
+}
+
+RetryUses
+SharedRetryBudget::AllUses(Instant aNow) const
+{
+  RetryUses sum = OwnUses(aNow);
+  for (const auto& [peer, uses] : mPeers) {
+    for (const auto& [service, use] : uses) {
+      sum[service].mRequests += use.mRequests;
+      sum[service].mRetries += use.mRetries;
+    }
+  }
+  return sum;
+}
+
 void
 SharedRetryBudget::RemovePeer(const std::string& aPeer)
 {
-  mPeers.erase(aPeer);
+  if (mPeers.erase(aPeer) > 0) {
+    mFleetDaemons.reset();
+  }
 }
 
 RetryUses
--- a/Source/Routing/SharedRetryBudget.h
+++ b/Source/Routing/SharedRetryBudget.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "Base/Clock.h"
@@ -88,6 +89,13 @@
   /** Replaces the use that aPeer reported before. */
   void SetPeer(const std::string& aPeer, RetryUses aUses);
   void RemovePeer(const std::string& aPeer);
+  /** aPeer reported the use of all aDaemons other daemons together. Replaces
+   * all earlier reports. */
+  void SetFleet(const std::string& aPeer,
+                RetryUses aUses,
+                std::size_t aDaemons);
+  /** Use of this daemon and of all peers together. */
+  RetryUses AllUses(Instant aNow) const;
   /** Use of this daemon, to report to the peers. */
   RetryUses OwnUses(Instant aNow) const;
 
@@ -114,6 +122,13 @@
   RetryLimits mLimits;
   Instant mStart;
   std::size_t mDaemons = 1;
+  /** Number of other daemons whose use mPeers contains. */
+  std::size_t ReportedDaemons() const
+  {
+    return mFleetDaemons.value_or(mPeers.size());
+  }
+  /** Set while mPeers holds one report about all other daemons. */
+  std::optional<std::size_t> mFleetDaemons;
   std::map<std::string, Use> mUses;
   std::map<std::string, RetryUses> mPeers;
 };
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -52,6 +52,10 @@
   std::uint64_t mPromptKey = 0;
   /** An earlier run was interrupted, so an engine may cache its prompt. */
   bool mWasInterrupted = false;
+  /** The caller has retried or resumed the stream. */
+  bool mIsRetry = false;
+  /** Hash of path, caller and body; equal for all attempts of a caller. */
+  std::uint64_t mRequestHash = 0;
 };
 
 /** Tokens whose KV cache aDemand needs before it can generate. */
@@ -140,6 +144,8 @@
    * should retry later. */
   bool Admits(const StreamDemand& aDemand, Instant aNow);
   void Submit(StreamDemand aDemand);
+  /** Counts a run that another daemon placed. OnDecodeEnded ends it. */
+  void Adopt(const StreamRun& aRun) { mRuns.Add(aRun); }
   /** Removes a waiting stream; false when there is none with this number. */
   bool Withdraw(std::uint64_t aNumber);
   /** Placements of waiting streams that can be made now. */
--- a/Source/Wire/Envelope.thrift
+++ b/Source/Wire/Envelope.thrift
@@ -20,6 +20,10 @@
   ADMIN = 15,
   LIMIT_LEASE = 16,
   ROUTING_STATUS = 17,
+  PLACE_PLAIN = 18,
+  PLACE_STREAM = 19,
+  PLACEMENT_EVENTS = 20,
+  PLACEMENT_POLL = 21,
 }
 
 enum FrameRole {
--- a/Source/Wire/gen-cpp/Envelope_types.cpp
+++ b/Source/Wire/gen-cpp/Envelope_types.cpp
@@ -30,7 +30,11 @@
   MessageKind::MEMBERSHIP,
   MessageKind::ADMIN,
   MessageKind::LIMIT_LEASE,
-  MessageKind::ROUTING_STATUS
+  MessageKind::ROUTING_STATUS,
+  MessageKind::PLACE_PLAIN,
+  MessageKind::PLACE_STREAM,
+  MessageKind::PLACEMENT_EVENTS,
+  MessageKind::PLACEMENT_POLL
 };
 const char* _kMessageKindNames[] = {
   "HEARTBEAT",
@@ -49,9 +53,13 @@
   "MEMBERSHIP",
   "ADMIN",
   "LIMIT_LEASE",
-  "ROUTING_STATUS"
+  "ROUTING_STATUS",
+  "PLACE_PLAIN",
+  "PLACE_STREAM",
+  "PLACEMENT_EVENTS",
+  "PLACEMENT_POLL"
 };
-const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(17, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(21, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MessageKind::type& val) {
   std::map<int, const char*>::const_iterator it = _MessageKind_VALUES_TO_NAMES.find(val);
--- a/Source/Wire/gen-cpp/Envelope_types.h
+++ b/Source/Wire/gen-cpp/Envelope_types.h
@@ -39,7 +39,11 @@
     MEMBERSHIP = 14,
     ADMIN = 15,
     LIMIT_LEASE = 16,
-    ROUTING_STATUS = 17
+    ROUTING_STATUS = 17,
+    PLACE_PLAIN = 18,
+    PLACE_STREAM = 19,
+    PLACEMENT_EVENTS = 20,
+    PLACEMENT_POLL = 21
   };
 };
 
--- a/Tests/Router/PlainCallTest.cxx
+++ b/Tests/Router/PlainCallTest.cxx
@@ -15,6 +15,14 @@
 class FakeDelegate : public PlainCallDelegate
 {
 public:
+  void RequestEndpoint(const PlainDemand& aDemand) override
+  {
+    mDemands.push_back(aDemand);
+    if (mAnswersDemands) {
+      mOnDemand(aDemand);
+    }
+  }
+  void WithdrawRequest() override { ++mWithdrawals; }
   void Send(const EndpointChoice& aChoice, Instant) override
   {
     mSends.push_back(aChoice.mEndpoint);
@@ -30,6 +38,11 @@
   }
   void WakeAt(Instant aTime) override { mWakeTime = aTime; }
 
+  /** Answers a demand; not called while mAnswersDemands is false. */
+  std::function<void(const PlainDemand&)> mOnDemand;
+  bool mAnswersDemands = true;
+  std::vector<PlainDemand> mDemands;
+  int mWithdrawals = 0;
   std::vector<std::string> mSends;
   int mCancels = 0;
   std::vector<int> mDelivered;
@@ -57,7 +70,10 @@
     parameters.mService = "s";
     parameters.mArrival = mNow;
     parameters.mDeadline = mNow + milliseconds(800);
-    mCall.emplace(mDelegate, mSelector, mRetryBudget, parameters);
+    mCall.emplace(mDelegate, mRetryBudget, parameters);
+    mDelegate.mOnDemand = [this](const PlainDemand& aDemand) {
+      mCall->OnGranted(*mQueue.Submit(aDemand, mNow), mNow);
+    };
   }
 
   void EndSend(SendOutcome aOutcome, int aStatus = 0)
@@ -83,6 +99,7 @@
   EndpointLoads mLoads;
   EndpointHealth mHealth{ mRandom };
   PlainSelector mSelector{ mDirectory, mLoads, mHealth, "x", mRandom };
+  PlainQueue mQueue{ mDirectory, mLoads, mSelector };
   SharedRetryBudget mRetryBudget{ { 0.2, 10, seconds(10) },
                                   Instant(seconds(0)) };
   Route mRoute;
@@ -208,6 +225,77 @@
   }
 }
 
+// Guards against a request that waits for an endpoint beyond its deadline, and
+// against an answer that is lost because another endpoint was asked for.
+TEST_CASE("A request whose demand for an endpoint is not answered at once")
+{
+  PlainCallFixture fixture(RequestKind::Idempotent);
+  const auto grant = [&](const std::string& aEndpoint) {
+    fixture.mCall->OnGranted(
+      { 0, EndpointChoice{ aEndpoint, 0, 3 }, Duration::zero() }, fixture.mNow);
+  };
+  fixture.mDelegate.mAnswersDemands = false;
+  fixture.mCall->Start(fixture.mNow);
+  REQUIRE(fixture.mDelegate.mDemands.size() == 1);
+  CHECK(fixture.mDelegate.mSends.empty());
+
+  SUBCASE("is refused as not run at its deadline")
+  {
+    fixture.Wake();
+    CHECK(fixture.mDelegate.mWithdrawals == 1);
+    CHECK(fixture.RefusalStatus() == 503);
+  }
+  SUBCASE("is refused when no endpoint is available in time")
+  {
+    fixture.mCall->OnGranted({ 0, std::nullopt, seconds(1) }, fixture.mNow);
+    CHECK(fixture.RefusalStatus() == 503);
+    CHECK(fixture.mDelegate.mRefusals[0].mRetryAfter == seconds(1));
+  }
+  SUBCASE("is refused when the process ends")
+  {
+    fixture.mCall->OnStopEnd(fixture.mNow);
+    CHECK(fixture.mDelegate.mWithdrawals == 1);
+    CHECK(fixture.RefusalStatus() == 503);
+  }
+  SUBCASE("is sent to the endpoint that is granted")
+  {
+    grant("a");
+    CHECK(fixture.mDelegate.mSends == std::vector<std::string>{ "a" });
+    // At the latency target, another endpoint is asked for.
+    fixture.Wake();
+    REQUIRE(fixture.mDelegate.mDemands.size() == 2);
+    CHECK(fixture.mDelegate.mDemands[1].mNeedsUntried);
+    CHECK(fixture.mDelegate.mCancels == 0);
+    SUBCASE("and delivers the answer of the first one if it comes first")
+    {
+      fixture.EndSend(SendOutcome::Answered, 200);
+      CHECK(fixture.mDelegate.mWithdrawals == 1);
+      CHECK(fixture.mDelegate.mDelivered == std::vector{ 200 });
+    }
+    SUBCASE("and cancels the first send when the other one is granted")
+    {
+      grant("b");
+      CHECK(fixture.mDelegate.mCancels == 1);
+      CHECK(fixture.mDelegate.mSends == std::vector<std::string>{ "a", "b" });
+    }
+    SUBCASE("and uses the other one for a retry when the first send failed")
+    {
+      fixture.EndSend(SendOutcome::Unknown);
+      CHECK(fixture.mDelegate.mDemands.size() == 2);
+      grant("b");
+      CHECK(fixture.mDelegate.mSends == std::vector<std::string>{ "a", "b" });
+      CHECK(fixture.mDelegate.mCancels == 0);
+    }
+    SUBCASE("and goes on waiting when no other one is available")
+    {
+      fixture.mCall->OnGranted({ 0, std::nullopt, {} }, fixture.mNow);
+      CHECK(fixture.mDelegate.mRefusals.empty());
+      fixture.EndSend(SendOutcome::Answered, 200);
+      CHECK(fixture.mDelegate.mDelivered == std::vector{ 200 });
+    }
+  }
+}
+
 TEST_CASE("A request is refused at once when the service has no endpoint")
 {
   PlainCallFixture fixture(RequestKind::NonIdempotent);
