--- a/Source/Booking/BookingTable.cxx
+++ b/Source/Booking/BookingTable.cxx
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 #include "Base/Digest.h"
 
@@ -160,7 +161,13 @@
       durable.emplace_back(KeyTimeOrZero(key), &headRecord);
     }
   }
-  std::sort(durable.begin(), durable.end());
+  // Records of the same millisecond are sorted by key, so that equal tables
+  // select equal records.
+  std::sort(
+    durable.begin(), durable.end(), [](const auto& aLeft, const auto& aRight) {
+      return std::tie(aLeft.first, aLeft.second->mRecord.key) <
+             std::tie(aRight.first, aRight.second->mRecord.key);
+    });
   std::size_t remainingBytes = mHeadBytes;
   std::size_t selectedBytes = 0;
   for (const auto& [time, headRecord] : durable) {
