--- a/Source/Wire/PeerCodec.cxx
+++ b/Source/Wire/PeerCodec.cxx
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "Base/Secret.h"
 #include "Wire/ThriftCodec.h"
 #include "absl/strings/str_cat.h"
 
@@ -12,43 +11,51 @@
 // Limits the size of mWindows, which grows by an entry with each restart of a
 // peer.
 constexpr std::size_t kMaxTrackedIncarnations = 20'000;
-// Number of frames on the other connection that may arrive before a frame that
-// was sent earlier.
-constexpr std::int64_t kWindowSize = 1024;
 } // namespace
 
 PeerCodec::PeerCodec(std::string aName, std::vector<PeerKey> aKeys)
   : mName(std::move(aName))
-  , mKeys(std::move(aKeys))
 {
+  for (const auto& it : aKeys) {
+    mKeys.push_back({ it.mId, HmacSha256Signer(it.mBytes) });
+  }
 }
 
 bool
 PeerCodec::Accept(Window& aWindow, std::int64_t aSequence)
 {
-  if (aSequence <= aWindow.mHighest - kWindowSize ||
-      !aWindow.mSeen.insert(aSequence).second) {
+  if (aSequence < 0 || aSequence <= aWindow.mHighest - kWindowSize) {
+    return false;
+  }
+  const auto place = [](std::int64_t aNumber) {
+    return static_cast<std::size_t>(aNumber % kWindowSize);
+  };
+  if (aSequence - aWindow.mHighest >= kWindowSize) {
+    aWindow.mSeen.reset();
+    aWindow.mHighest = aSequence;
+  }
+  while (aWindow.mHighest < aSequence) {
+    aWindow.mSeen.reset(place(++aWindow.mHighest));
+  }
+  if (aWindow.mSeen.test(place(aSequence))) {
     return false;
   }
-  aWindow.mHighest = std::max(aWindow.mHighest, aSequence);
-  aWindow.mSeen.erase(
-    aWindow.mSeen.begin(),
-    aWindow.mSeen.upper_bound(aWindow.mHighest - kWindowSize));
+  aWindow.mSeen.set(place(aSequence));
   return true;
 }
 
 std::string
 PeerCodec::Encode(const wire::Envelope& aEnvelope) const
 {
-  const PeerKey& key = mKeys.front();
+  const SigningKey& key = mKeys.front();
   wire::SignedFrame frame;
   frame.keyId = key.mId;
   frame.envelope = EncodeThrift(aEnvelope);
-  frame.mac = HmacSha256(key.mBytes, frame.envelope);
+  frame.mac = key.mSigner.Sign(frame.envelope);
   return EncodeThrift(frame);
 }
 
-const PeerKey*
+const PeerCodec::SigningKey*
 PeerCodec::FindKey(const std::string& aId) const
 {
   for (const auto& it : mKeys) {
@@ -66,13 +73,12 @@
   if (!frame.ok()) {
     return frame.status();
   }
-  const PeerKey* key = FindKey(frame->keyId);
+  const SigningKey* key = FindKey(frame->keyId);
   if (key == nullptr) {
     return absl::UnauthenticatedError(
       absl::StrCat("key \"", frame->keyId, "\" is not known"));
   }
-  if (!EqualConstantTime(HmacSha256(key->mBytes, frame->envelope),
-                         frame->mac)) {
+  if (!EqualConstantTime(key->mSigner.Sign(frame->envelope), frame->mac)) {
     return absl::UnauthenticatedError("the HMAC does not match");
   }
   auto envelope = DecodeThrift<wire::Envelope>(frame->envelope);
--- a/Source/Wire/PeerCodec.h
+++ b/Source/Wire/PeerCodec.h
@@ -1,14 +1,15 @@
 #ifndef BULRUSHFOLD_WIRE_PEERCODEC_H
 #define BULRUSHFOLD_WIRE_PEERCODEC_H
 
+#include <bitset>
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "Base/Secret.h"
 #include "Envelope_types.h"
 #include "Settings/Settings.h"
 #include "absl/status/statusor.h"
@@ -41,10 +42,19 @@
   absl::StatusOr<wire::Envelope> Decode(std::string_view aFrame);
 
 private:
-  const PeerKey* FindKey(const std::string& aId) const;
+  /** Number of frames on the other connection that may arrive before a frame
+   * that was sent earlier. */
+  static constexpr std::int64_t kWindowSize = 1024;
+
+  struct SigningKey
+  {
+    std::string mId;
+    HmacSha256Signer mSigner;
+  };
+  const SigningKey* FindKey(const std::string& aId) const;
 
   std::string mName;
-  std::vector<PeerKey> mKeys;
+  std::vector<SigningKey> mKeys;
   /**
    * Sequence numbers received from one incarnation of a daemon. Two daemons
    * have a connection in each direction, so the numbers may arrive out of
@@ -53,7 +63,9 @@
   struct Window
   {
     std::int64_t mHighest = 0;
-    std::set<std::int64_t> mSeen;
+    /** The numbers up to mHighest that were received, each at its remainder by
+     * the size of the window. */
+    std::bitset<kWindowSize> mSeen;
   };
   /** False when aSequence was received before or is older than the window. */
   static bool Accept(Window& aWindow, std::int64_t aSequence);
