Free what a client of the placement owner does not know any more

Cause: the answer of the owner may be lost, or a message about the end of a request; the owner then counted the request for as long as the client asked it. Change: a poll names the requests that the client has asked for, and the owner frees all others. Polls are answered after 800 ms instead of 400 ms. A client that dies, is cut off, or follows another owner loses its grants as before. Four broken variants show that its checks notice a defect.

--- a/Source/Router/PlacementClient.cxx
+++ b/Source/Router/PlacementClient.cxx
@@ -12,10 +12,10 @@
 /** Time for the answer to a plain request: the owner lets it wait for 100 ms at
  * most. */
 constexpr Duration kPlainTimeout = std::chrono::milliseconds(300);
-/** The owner answers a poll within 400 ms. */
-constexpr Duration kPollTimeout = std::chrono::milliseconds(900);
+/** The owner answers a poll within 900 ms. */
+constexpr Duration kPollTimeout = std::chrono::milliseconds(1300);
 /** An owner that was silent for this long when an answer is late has failed. */
-constexpr Duration kSilence = std::chrono::milliseconds(500);
+constexpr Duration kSilence = std::chrono::milliseconds(1000);
 /** Interval at which an owner that failed is tried again. */
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
@@ -157,7 +157,18 @@
   for (const auto& it : mHooks.mFeedPositions()) {
     poll.positions.push_back(ToWire(it));
   }
+  for (const auto& [number, waiting] : mWaitingPlain) {
+    poll.plain.push_back(static_cast<std::int64_t>(number));
+  }
+  poll.plain.insert(
+    poll.plain.end(), mGrantedPlain.begin(), mGrantedPlain.end());
+  for (const auto& [number, stream] : mTracked) {
+    if (stream->mIsRemote && stream->mState != TrackedStream::State::Idle) {
+      poll.streams.push_back(static_cast<std::int64_t>(number));
+    }
+  }
   const std::uint64_t number = ++mPollNumber;
+  SendEvents();
   mLink.mCall(*mOwner,
               wire::MessageKind::PLACEMENT_POLL,
               EncodeThrift(poll),
@@ -308,8 +319,9 @@
                 : absl::StatusOr<wire::PlainPlacementReply>(aReply.status());
   if (reply.ok() && isPresent) {
     mLastHeardAt = mClock.Now();
-  } else if (isPresent) {
-    HandleFailure(reply.status());
+  } else if (isPresent && !HandleFailure(reply.status())) {
+    // The owner may have granted an endpoint, and its answer was lost.
+    AddEvent(wire::PlacementEventKind::PLAIN_ENDED, aNumber);
   }
   const auto waiting = mWaitingPlain.extract(aNumber);
   const PlainGrant grant =
--- a/Source/Router/PlacementClientStreams.cxx
+++ b/Source/Router/PlacementClientStreams.cxx
@@ -77,6 +77,8 @@
     return;
   }
   if (!reply.ok()) {
+    // The owner may have placed the stream, and its answer was lost.
+    AddEvent(wire::PlacementEventKind::DECODE_ENDED, aNumber);
     stream->HandlePlacement(nullptr);
     return;
   }
--- a/Source/Router/PlacementOwner.cxx
+++ b/Source/Router/PlacementOwner.cxx
@@ -1,6 +1,7 @@
 #include "Router/PlacementOwner.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "Base/Log.h"
@@ -10,7 +11,11 @@
 
 namespace {
 /** Time for which a poll waits for news. */
-constexpr Duration kPollHold = std::chrono::milliseconds(400);
+constexpr Duration kPollHold = std::chrono::milliseconds(800);
+/** Interval at which polls are answered and silent clients dropped. */
+constexpr Duration kWakeInterval = std::chrono::milliseconds(100);
+/** Age up to which a request that a client does not name is kept. */
+constexpr Duration kReconcileAge = std::chrono::seconds(1);
 /** Time for which the sum of all retries is used again. */
 constexpr Duration kUsesLifetime = std::chrono::milliseconds(100);
 
@@ -35,6 +40,7 @@
     , mClient(std::move(aClient))
     , mNumber(aNumber)
     , mLocalNumber(aLocalNumber)
+    , mCreatedAt(aOwner.mClock.Now())
   {
   }
   ~RemoteStream() override
@@ -96,6 +102,7 @@
     mOwner.AnswerPoll(mClient, client);
   }
   std::uint64_t LocalNumber() const { return mLocalNumber; }
+  Instant CreatedAt() const { return mCreatedAt; }
 
 private:
   void Refuse(wire::StreamPlacementResult::type aResult, Duration aRetryAfter)
@@ -118,6 +125,7 @@
   std::string mClient;
   std::uint64_t mNumber;
   std::uint64_t mLocalNumber;
+  Instant mCreatedAt;
   std::uint64_t mRequestHash = 0;
   Instant mFirstArrival;
   /** Set while the stream waits. */
@@ -203,7 +211,9 @@
   const std::uint64_t local = mHooks.mNextNumber();
   const std::int64_t session = request->session;
   EndPlain(*client, number);
-  client->mPlain[number] = { local, demand.mService, "", Instant() };
+  client->mPlain[number] = {
+    local, demand.mService, "", mClock.Now(), Instant()
+  };
   demand.mNumber = local;
   mTables.mPlain.Request(
     demand,
@@ -405,6 +415,37 @@
   }
 }
 
+void
+PlacementOwner::Reconcile(Client& aClient, const wire::PlacementPoll& aPoll)
+{
+  // Messages that were sent after the poll on another connection may arrive
+  // before it, so recent entries are kept.
+  const Instant latest = mClock.Now() - kReconcileAge;
+  const std::set<std::int64_t> plain(aPoll.plain.begin(), aPoll.plain.end());
+  const std::set<std::int64_t> streams(aPoll.streams.begin(),
+                                       aPoll.streams.end());
+  std::vector<std::uint64_t> ended;
+  for (const auto& [number, run] : aClient.mPlain) {
+    if (run.mRequestedAt < latest &&
+        plain.count(static_cast<std::int64_t>(number)) == 0) {
+      ended.push_back(number);
+    }
+  }
+  for (const auto it : ended) {
+    EndPlain(aClient, it);
+  }
+  for (auto it = aClient.mStreams.begin(); it != aClient.mStreams.end();) {
+    const bool isKnown =
+      streams.count(static_cast<std::int64_t>(it->first)) > 0;
+    it = isKnown || it->second->CreatedAt() >= latest
+           ? std::next(it)
+           : aClient.mStreams.erase(it);
+  }
+  if (!ended.empty()) {
+    mTables.mPlain.Dispatch();
+  }
+}
+
 void
 PlacementOwner::HandlePoll(const std::string& aClient,
                            const std::string& aPayload,
@@ -428,6 +469,7 @@
     aResponder(absl::InvalidArgumentError("old session"));
     return;
   }
+  Reconcile(*client, *poll);
   client->mRetries = status->mRetries;
   mTables.mRetryBudget.SetPeer(aClient, status->mRetries);
   mTables.mRetryBudget.SetDaemons(FleetSize());
@@ -546,7 +588,7 @@
 PlacementOwner::ScheduleWake()
 {
   if (!mClients.empty() && !std::exchange(mIsWakeScheduled, true)) {
-    mHooks.mWakeAt(mClock.Now() + kPollHold / 4);
+    mHooks.mWakeAt(mClock.Now() + kWakeInterval);
   }
 }
 
--- a/Source/Router/PlacementOwner.h
+++ b/Source/Router/PlacementOwner.h
@@ -93,6 +93,7 @@
     std::string mService;
     /** Empty while the request waits. */
     std::string mEndpoint;
+    Instant mRequestedAt;
     Instant mGrantedAt;
   };
   struct Client
@@ -114,6 +115,8 @@
   /** Frees everything that the client was granted. */
   void Drop(const std::string& aName);
   void EndPlain(Client& aClient, std::uint64_t aNumber);
+  /** Frees what the client does not know any more. */
+  void Reconcile(Client& aClient, const wire::PlacementPoll& aPoll);
   void HandleEvent(Client& aClient, const wire::PlacementEvent& aEvent);
   void HandlePlainEnded(Client& aClient, const wire::PlacementEvent& aEvent);
   void HandleEndpointEvent(const wire::PlacementEvent& aEvent);
--- a/Source/Wire/Placement.thrift
+++ b/Source/Wire/Placement.thrift
@@ -152,6 +152,11 @@
   // True: answer at once, and do not count the sender as a client.
   3: required bool isProbe,
   4: required list<FeedPosition> positions,
+  // Numbers of the plain requests and streams that the sender has asked to be
+  // placed and that have not ended. The receiver frees all others, because a
+  // message about their end may have been lost.
+  5: required list<i64> plain,
+  6: required list<i64> streams,
 }
 
 struct MoveProposal {
--- a/Source/Wire/gen-cpp/Placement_types.cpp
+++ b/Source/Wire/gen-cpp/Placement_types.cpp
@@ -2404,6 +2404,14 @@
 void PlacementPoll::__set_positions(const std::vector<FeedPosition> & val) {
   this->positions = val;
 }
+
+void PlacementPoll::__set_plain(const std::vector<int64_t> & val) {
+  this->plain = val;
+}
+
+void PlacementPoll::__set_streams(const std::vector<int64_t> & val) {
+  this->streams = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlacementPoll& obj)
 {
   obj.printTo(out);
@@ -2427,6 +2435,8 @@
   bool isset_status = false;
   bool isset_isProbe = false;
   bool isset_positions = false;
+  bool isset_plain = false;
+  bool isset_streams = false;
 
   while (true)
   {
@@ -2480,6 +2490,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->plain.clear();
+            uint32_t _size57;
+            ::apache::thrift::protocol::TType _etype60;
+            xfer += iprot->readListBegin(_etype60, _size57);
+            this->plain.resize(_size57);
+            uint32_t _i61;
+            for (_i61 = 0; _i61 < _size57; ++_i61)
+            {
+              xfer += iprot->readI64(this->plain[_i61]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_plain = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->streams.clear();
+            uint32_t _size62;
+            ::apache::thrift::protocol::TType _etype65;
+            xfer += iprot->readListBegin(_etype65, _size62);
+            this->streams.resize(_size62);
+            uint32_t _i66;
+            for (_i66 = 0; _i66 < _size62; ++_i66)
+            {
+              xfer += iprot->readI64(this->streams[_i66]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_streams = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2497,6 +2547,10 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_positions)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_plain)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_streams)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2520,10 +2574,34 @@
   xfer += oprot->writeFieldBegin("positions", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->positions.size()));
-    std::vector<FeedPosition> ::const_iterator _iter57;
-    for (_iter57 = this->positions.begin(); _iter57 != this->positions.end(); ++_iter57)
+    std::vector<FeedPosition> ::const_iterator _iter67;
+    for (_iter67 = this->positions.begin(); _iter67 != this->positions.end(); ++_iter67)
+    {
+      xfer += (*_iter67).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("plain", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->plain.size()));
+    std::vector<int64_t> ::const_iterator _iter68;
+    for (_iter68 = this->plain.begin(); _iter68 != this->plain.end(); ++_iter68)
     {
-      xfer += (*_iter57).write(oprot);
+      xfer += oprot->writeI64((*_iter68));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 6);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
+    std::vector<int64_t> ::const_iterator _iter69;
+    for (_iter69 = this->streams.begin(); _iter69 != this->streams.end(); ++_iter69)
+    {
+      xfer += oprot->writeI64((*_iter69));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2540,19 +2618,25 @@
   swap(a.status, b.status);
   swap(a.isProbe, b.isProbe);
   swap(a.positions, b.positions);
-}
-
-PlacementPoll::PlacementPoll(const PlacementPoll& other58) {
-  session = other58.session;
-  status = other58.status;
-  isProbe = other58.isProbe;
-  positions = other58.positions;
-}
-PlacementPoll& PlacementPoll::operator=(const PlacementPoll& other59) {
-  session = other59.session;
-  status = other59.status;
-  isProbe = other59.isProbe;
-  positions = other59.positions;
+  swap(a.plain, b.plain);
+  swap(a.streams, b.streams);
+}
+
+PlacementPoll::PlacementPoll(const PlacementPoll& other70) {
+  session = other70.session;
+  status = other70.status;
+  isProbe = other70.isProbe;
+  positions = other70.positions;
+  plain = other70.plain;
+  streams = other70.streams;
+}
+PlacementPoll& PlacementPoll::operator=(const PlacementPoll& other71) {
+  session = other71.session;
+  status = other71.status;
+  isProbe = other71.isProbe;
+  positions = other71.positions;
+  plain = other71.plain;
+  streams = other71.streams;
   return *this;
 }
 void PlacementPoll::printTo(std::ostream& out) const {
@@ -2562,6 +2646,8 @@
   out << ", " << "status=" << to_string(status);
   out << ", " << "isProbe=" << to_string(isProbe);
   out << ", " << "positions=" << to_string(positions);
+  out << ", " << "plain=" << to_string(plain);
+  out << ", " << "streams=" << to_string(streams);
   out << ")";
 }
 
@@ -2663,13 +2749,13 @@
   swap(a.target, b.target);
 }
 
-MoveProposal::MoveProposal(const MoveProposal& other60) {
-  number = other60.number;
-  target = other60.target;
+MoveProposal::MoveProposal(const MoveProposal& other72) {
+  number = other72.number;
+  target = other72.target;
 }
-MoveProposal& MoveProposal::operator=(const MoveProposal& other61) {
-  number = other61.number;
-  target = other61.target;
+MoveProposal& MoveProposal::operator=(const MoveProposal& other73) {
+  number = other73.number;
+  target = other73.target;
   return *this;
 }
 void MoveProposal::printTo(std::ostream& out) const {
@@ -2744,14 +2830,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->moves.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->moves.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += this->moves[_i66].read(iprot);
+              xfer += this->moves[_i78].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2772,14 +2858,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size67;
-            ::apache::thrift::protocol::TType _etype70;
-            xfer += iprot->readListBegin(_etype70, _size67);
-            this->updates.resize(_size67);
-            uint32_t _i71;
-            for (_i71 = 0; _i71 < _size67; ++_i71)
+            uint32_t _size79;
+            ::apache::thrift::protocol::TType _etype82;
+            xfer += iprot->readListBegin(_etype82, _size79);
+            this->updates.resize(_size79);
+            uint32_t _i83;
+            for (_i83 = 0; _i83 < _size79; ++_i83)
             {
-              xfer += this->updates[_i71].read(iprot);
+              xfer += this->updates[_i83].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2820,10 +2906,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveProposal> ::const_iterator _iter72;
-    for (_iter72 = this->moves.begin(); _iter72 != this->moves.end(); ++_iter72)
+    std::vector<MoveProposal> ::const_iterator _iter84;
+    for (_iter84 = this->moves.begin(); _iter84 != this->moves.end(); ++_iter84)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter84).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2836,10 +2922,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<FeedUpdate> ::const_iterator _iter73;
-    for (_iter73 = this->updates.begin(); _iter73 != this->updates.end(); ++_iter73)
+    std::vector<FeedUpdate> ::const_iterator _iter85;
+    for (_iter85 = this->updates.begin(); _iter85 != this->updates.end(); ++_iter85)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2858,17 +2944,17 @@
   swap(a.updates, b.updates);
 }
 
-PlacementNews::PlacementNews(const PlacementNews& other74) {
-  status = other74.status;
-  moves = other74.moves;
-  daemons = other74.daemons;
-  updates = other74.updates;
+PlacementNews::PlacementNews(const PlacementNews& other86) {
+  status = other86.status;
+  moves = other86.moves;
+  daemons = other86.daemons;
+  updates = other86.updates;
 }
-PlacementNews& PlacementNews::operator=(const PlacementNews& other75) {
-  status = other75.status;
-  moves = other75.moves;
-  daemons = other75.daemons;
-  updates = other75.updates;
+PlacementNews& PlacementNews::operator=(const PlacementNews& other87) {
+  status = other87.status;
+  moves = other87.moves;
+  daemons = other87.daemons;
+  updates = other87.updates;
   return *this;
 }
 void PlacementNews::printTo(std::ostream& out) const {
--- a/Source/Wire/gen-cpp/Placement_types.h
+++ b/Source/Wire/gen-cpp/Placement_types.h
@@ -828,6 +828,8 @@
    ::bulrushfold::wire::RoutingStatus status;
   bool isProbe;
   std::vector<FeedPosition>  positions;
+  std::vector<int64_t>  plain;
+  std::vector<int64_t>  streams;
 
   void __set_session(const int64_t val);
 
@@ -837,6 +839,10 @@
 
   void __set_positions(const std::vector<FeedPosition> & val);
 
+  void __set_plain(const std::vector<int64_t> & val);
+
+  void __set_streams(const std::vector<int64_t> & val);
+
   bool operator == (const PlacementPoll & rhs) const
   {
     if (!(session == rhs.session))
@@ -847,6 +853,10 @@
       return false;
     if (!(positions == rhs.positions))
       return false;
+    if (!(plain == rhs.plain))
+      return false;
+    if (!(streams == rhs.streams))
+      return false;
     return true;
   }
   bool operator != (const PlacementPoll &rhs) const {
--- /dev/null
+++ b/Tests/Router/PlacementFleetTest.cxx
@@ -0,0 +1,86 @@
+#include "Router/PlacementFleet.h"
+
+#include <algorithm>
+
+#include <doctest/doctest.h>
+
+namespace bulrushfold {
+
+namespace {
+using std::chrono::seconds;
+
+std::size_t
+CountUnanswered(const PlacementFleet& aFleet)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aFleet.mAnswers.begin(), aFleet.mAnswers.end(), [](const auto& aIt) {
+      return aIt.second == 0;
+    }));
+}
+} // namespace
+
+// Guards against requests that are lost, held or counted for good, against
+// endpoints that get more than they can run, and against daemons that miss a
+// change of the store.
+TEST_CASE("A calm fleet places all requests at one daemon")
+{
+  PlacementFleet fleet(1, FleetDefect::None);
+  const FleetResult result = fleet.Run(seconds(20), false);
+  CHECK(result.mRequests > 3000);
+  CHECK(CountUnanswered(fleet) == 0);
+  CHECK(result.mAnsweredTwice == 0);
+  CHECK(result.mHeld == 0);
+  CHECK(result.mOverLimit == 0);
+  CHECK(result.mLostGrants == 0);
+  CHECK(result.mOutdated == 0);
+  // The number of store calls must not grow with the number of daemons.
+  CHECK(result.mWatches == 1);
+  const auto owners =
+    std::count_if(fleet.mDaemons.begin(),
+                  fleet.mDaemons.end(),
+                  [](const auto& aIt) { return aIt->mClient.IsOwner(); });
+  CHECK(owners == 1);
+}
+
+// Guards against the same while daemons are killed and links are cut, the owner
+// first of all.
+TEST_CASE("A fleet recovers from owners that die or are cut off")
+{
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    PlacementFleet fleet(seed, FleetDefect::None);
+    const FleetResult result = fleet.Run(seconds(30), true);
+    CHECK(result.mAnsweredTwice == 0);
+    CHECK(result.mHeld == 0);
+    CHECK(result.mLostGrants == 0);
+    CHECK(result.mOutdated == 0);
+    CHECK(result.mWatches == 1);
+  }
+}
+
+TEST_CASE("The checks of a fleet notice a defect")
+{
+  SUBCASE("clients that do not give back what they were granted")
+  {
+    PlacementFleet fleet(1, FleetDefect::NoRelease);
+    CHECK(fleet.Run(seconds(20), false).mLostGrants > 0);
+  }
+  SUBCASE("clients that wait for a dead owner")
+  {
+    PlacementFleet fleet(1, FleetDefect::NoTimeouts);
+    const FleetResult result = fleet.Run(seconds(30), true);
+    CHECK(result.mHeld + CountUnanswered(fleet) > 100);
+  }
+  SUBCASE("an owner that fills an endpoint beyond its slots")
+  {
+    PlacementFleet fleet(1, FleetDefect::NoLimit);
+    CHECK(fleet.Run(seconds(20), false).mOverLimit > 0);
+  }
+  SUBCASE("an owner that does not pass on changes of the store")
+  {
+    PlacementFleet fleet(1, FleetDefect::SilentFeed);
+    CHECK(fleet.Run(seconds(20), false).mOutdated > 0);
+  }
+}
+
+} // namespace bulrushfold
