Use the forecast of an engine again until its runs change

Cause: each decision for a stream calculated the forecast of all engines anew, at nine times for each run, and searched for each entry of the directory. Change: StreamRuns counts the changes at each engine and keeps its index up to date, the scheduler keeps the forecast of an engine for 25 ms while its runs are the same, and the directory keeps the entries of a service by role.

--- a/Source/Routing/CrashGuard.cxx
+++ b/Source/Routing/CrashGuard.cxx
@@ -47,6 +47,10 @@
                     const std::vector<CrashSuspect>& aSuspects,
                     Instant aNow)
 {
+  if (aSuspects.empty()) {
+    mPeers.erase(aPeer);
+    return;
+  }
   Entries& entries = mPeers[aPeer];
   entries.clear();
   for (const auto& it : aSuspects) {
@@ -65,7 +69,7 @@
 {
   Entries sum = mOwn;
   for (const auto& [peer, entries] : mPeers) {
-    if (peer == aExcluded) {
+    if (entries.empty() || peer == aExcluded) {
       continue;
     }
     for (const auto& [hash, entry] : entries) {
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -79,6 +79,7 @@
   if (it == mEntries.end()) {
     mEntries[aRecord.mId].mRecord = aRecord;
     mServices[aRecord.mService].push_back(aRecord.mId);
+    mPools.erase(aRecord.mService);
     mOnChange.emit(aRecord, EndpointChange::Added);
     if (aRecord.mIsDraining) {
       mOnChange.emit(aRecord, EndpointChange::Draining);
@@ -91,6 +92,7 @@
   it->second.mDropAt.reset();
   if (!(before == aRecord)) {
     it->second.mIsReplaced = false;
+    mPools.erase(aRecord.mService);
   }
   if (before.mIncarnation != aRecord.mIncarnation) {
     it->second.mHasAnnouncedLeaving = false;
@@ -133,6 +135,7 @@
   const auto it = mEntries.find(aId);
   const EndpointRecord record = it->second.mRecord;
   mEntries.erase(it);
+  mPools.erase(record.mService);
   auto& ids = mServices[record.mService];
   ids.erase(std::remove(ids.begin(), ids.end(), aId), ids.end());
   mOnChange.emit(record, EndpointChange::Removed);
@@ -229,7 +232,7 @@
 EndpointDirectory::AreAllLeaving(const std::string& aService,
                                  EndpointRole aRole) const
 {
-  const auto entries = EntriesOf(aService, aRole);
+  const auto& entries = EntriesOf(aService, aRole);
   return !entries.empty() &&
          std::all_of(entries.begin(), entries.end(), [](const Entry* aIt) {
            return IsLeaving(*aIt);
@@ -329,22 +332,24 @@
   return it == mEntries.end() ? nullptr : &it->second.mRecord;
 }
 
-std::vector<const EndpointDirectory::Entry*>
+const std::vector<const EndpointDirectory::Entry*>&
 EndpointDirectory::EntriesOf(const std::string& aService,
                              EndpointRole aRole) const
 {
-  std::vector<const Entry*> entries;
+  static const std::vector<const Entry*> sNone;
   const auto ids = mServices.find(aService);
   if (ids == mServices.end()) {
-    return entries;
+    return sNone;
   }
-  for (const auto& it : ids->second) {
-    const Entry& entry = mEntries.at(it);
-    if (entry.mRecord.mRole == aRole) {
-      entries.push_back(&entry);
+  const auto [pools, isNew] = mPools.try_emplace(aService);
+  if (isNew) {
+    for (const auto& it : ids->second) {
+      const Entry& entry = mEntries.at(it);
+      pools->second[entry.mRecord.mRole].push_back(&entry);
     }
   }
-  return entries;
+  const auto pool = pools->second.find(aRole);
+  return pool == pools->second.end() ? sNone : pool->second;
 }
 
 std::vector<const EndpointRecord*>
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -205,9 +205,13 @@
   {
     return IsUsableOrInBackoff(aEntry) && !aEntry.mBackoffEnd;
   }
-  /** Entries of aService with aRole. */
-  std::vector<const Entry*> EntriesOf(const std::string& aService,
-                                      EndpointRole aRole) const;
+  /** Entries of one service, by role. */
+  using Pools = std::map<EndpointRole, std::vector<const Entry*>>;
+
+  /** Entries of aService with aRole, valid until one is added or removed or
+   * changes its role. */
+  const std::vector<const Entry*>& EntriesOf(const std::string& aService,
+                                             EndpointRole aRole) const;
   bool IsInGracePeriod(Instant aNow) const { return aNow < mGracePeriodEnd; }
   void Drop(const std::string& aId);
 
@@ -217,6 +221,9 @@
   std::map<std::string, Entry> mEntries;
   /** Ids by service. */
   std::map<std::string, std::vector<std::string>> mServices;
+  /** Entries by service and role; built at the first lookup after a change, so
+   * that a decision does not search for each entry. */
+  mutable std::map<std::string, Pools> mPools;
   ChangeSignal mOnChange;
 };
 
--- a/Source/Routing/MemoryForecast.cxx
+++ b/Source/Routing/MemoryForecast.cxx
@@ -9,8 +9,7 @@
 /** Standard deviation of the logarithm of an answer's length; the mean is the
  * logarithm of the expected length. */
 constexpr double kLogLengthDeviation = 0.43;
-/** Points in time at which Peak calculates the need, and their distance. */
-constexpr int kPeakPoints = 9;
+/** Distance between the times of a profile. */
 constexpr Duration kPeakStep = std::chrono::milliseconds(350);
 
 /** Probability that the answer of aRun is longer than aTokens. */
@@ -69,16 +68,36 @@
 }
 
 double
-MemoryForecast::Peak(const std::vector<const StreamRun*>& aRuns,
-                     double aDeviations,
-                     Instant aNow) const
+MemoryProfile::PeakWith(const MemoryProfile& aOther, double aDeviations) const
 {
   double peak = 0;
-  for (int i = 0; i < kPeakPoints; ++i) {
-    const MemoryNeed need = NeedAfter(aRuns, i * kPeakStep, aNow);
-    peak = std::max(peak, need.mMean + aDeviations * need.mDeviation);
+  for (std::size_t i = 0; i < kPoints; ++i) {
+    const double deviation = std::sqrt(mVariance[i] + aOther.mVariance[i]);
+    peak = std::max(peak, mMean[i] + aOther.mMean[i] + aDeviations * deviation);
   }
   return peak;
 }
 
+MemoryProfile
+MemoryForecast::Profile(const std::vector<const StreamRun*>& aRuns,
+                        Instant aNow) const
+{
+  MemoryProfile profile;
+  for (std::size_t i = 0; i < MemoryProfile::kPoints; ++i) {
+    const MemoryNeed need =
+      NeedAfter(aRuns, static_cast<int>(i) * kPeakStep, aNow);
+    profile.mMean[i] = need.mMean;
+    profile.mVariance[i] = need.mDeviation * need.mDeviation;
+  }
+  return profile;
+}
+
+double
+MemoryForecast::Peak(const std::vector<const StreamRun*>& aRuns,
+                     double aDeviations,
+                     Instant aNow) const
+{
+  return Profile(aRuns, aNow).PeakWith({}, aDeviations);
+}
+
 } // namespace bulrushfold
--- a/Source/Routing/StreamRuns.h
+++ b/Source/Routing/StreamRuns.h
@@ -52,6 +52,8 @@
   {
     return At(aEndpoint).size();
   }
+  /** Number that increases with each change of the runs at aEndpoint. */
+  std::uint64_t VersionAt(const std::string& aEndpoint) const;
   /** Runs with this prompt, valid until the next change. */
   std::vector<const StreamRun*> WithPrompt(std::uint64_t aKey) const;
   /** The runs that aPeer reported last. */
@@ -62,13 +64,18 @@
   sigc::signal<void()>& OnOwnChange() { return mOnOwnChange; }
 
 private:
-  void HandleOwnChange();
+  struct EndpointRuns
+  {
+    std::vector<const StreamRun*> mRuns;
+    std::uint64_t mVersion = 0;
+  };
+
+  void Insert(const StreamRun& aRun);
+  void Erase(const StreamRun& aRun);
 
   std::map<std::uint64_t, StreamRun> mOwn;
   std::map<std::string, std::vector<StreamRun>> mPeers;
-  /** Runs by endpoint; rebuilt at the first lookup after a change. */
-  mutable std::unordered_map<std::string, std::vector<const StreamRun*>> mIndex;
-  mutable bool mIsIndexed = true;
+  std::unordered_map<std::string, EndpointRuns> mIndex;
   sigc::signal<void()> mOnOwnChange;
 };
 
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -24,6 +24,8 @@
 /** Tokens up to which a local prefill takes no longer than one event and is not
  * limited. */
 constexpr std::uint64_t kFreeLocalPrefillTokens = 300;
+/** Time for which the forecast for an engine is used again. */
+constexpr Duration kProfileLifetime = std::chrono::milliseconds(25);
 /** An engine is preferred for its cache if the cached tokens are at least the
  * prompt's tokens divided by this number. */
 constexpr std::uint64_t kMinCachedDivisor = 2;
@@ -207,26 +209,46 @@
   return best;
 }
 
+MemoryProfile
+StreamScheduler::ProfileOf(const StreamDemand& aDemand, Instant aNow) const
+{
+  StreamRun candidate;
+  candidate.mPromptTokens = StartTokens(aDemand);
+  candidate.mAnswerTokens = aDemand.mAnswerTokens;
+  candidate.mMaxAnswerTokens = aDemand.mMaxAnswerTokens;
+  return mForecast.Profile({ &candidate }, aNow);
+}
+
+const MemoryProfile&
+StreamScheduler::EngineProfileOf(const std::string& aEngine, Instant aNow) const
+{
+  CachedProfile& cached = mEngineProfiles[aEngine];
+  const std::uint64_t version = mRuns.VersionAt(aEngine);
+  if (cached.mVersion != version ||
+      aNow - cached.mCalculatedAt > kProfileLifetime) {
+    cached = { version, aNow, mForecast.Profile(mRuns.At(aEngine), aNow) };
+  }
+  return cached.mProfile;
+}
+
 std::optional<double>
 StreamScheduler::PeakWith(const StreamDemand& aDemand,
+                          const MemoryProfile& aProfile,
                           const EndpointRecord& aEngine,
                           Instant aNow) const
 {
   const auto full = mFullUntil.find(aEngine.mId);
-  auto runs = mRuns.At(aEngine.mId);
-  if (runs.size() >= aEngine.mSlots ||
+  const std::size_t runs = mRuns.CountAt(aEngine.mId);
+  if (runs >= aEngine.mSlots ||
       (full != mFullUntil.end() && aNow < full->second)) {
     return std::nullopt;
   }
-  StreamRun candidate;
-  candidate.mPromptTokens = StartTokens(aDemand);
-  candidate.mAnswerTokens = aDemand.mAnswerTokens;
-  candidate.mMaxAnswerTokens = aDemand.mMaxAnswerTokens;
-  runs.push_back(&candidate);
   const double unaccounted = UnaccountedTokens(aEngine.mId, aNow);
-  const double peak = mForecast.Peak(runs, kNeedDeviations, aNow) + unaccounted;
+  const double peak =
+    EngineProfileOf(aEngine.mId, aNow).PeakWith(aProfile, kNeedDeviations) +
+    unaccounted;
   // A request larger than an empty engine is placed; the engine refuses it.
-  const bool isEmpty = runs.size() == 1 && unaccounted == 0;
+  const bool isEmpty = runs == 0 && unaccounted == 0;
   return isEmpty || peak <= UsableMemory(aDemand.mService)
            ? std::make_optional(peak)
            : std::nullopt;
@@ -240,6 +262,7 @@
   if (!aDemand.mWasInterrupted) {
     return CachedResult::None;
   }
+  const MemoryProfile profile = ProfileOf(aDemand, aNow);
   for (const auto& it : mCachedPrompts.Find(aDemand.mPromptKey, aNow)) {
     const EndpointRecord* engine = mDirectory.Find(it.mEndpoint);
     if (engine == nullptr || !mDirectory.IsUsable(it.mEndpoint) ||
@@ -249,7 +272,7 @@
         it.mTokens * kMinCachedDivisor < aDemand.mPromptTokens) {
       continue;
     }
-    const auto peak = PeakWith(aDemand, *engine, aNow);
+    const auto peak = PeakWith(aDemand, profile, *engine, aNow);
     if (!peak) {
       continue;
     }
@@ -275,6 +298,7 @@
                               StreamPlacement& aPlacement)
 {
   const double memory = UsableMemory(aDemand.mService);
+  const MemoryProfile profile = ProfileOf(aDemand, aNow);
   double bestCost = 0;
   const auto engines =
     mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
@@ -289,7 +313,7 @@
         (needsTurn && !MayPrefillLocally(it->mId, aDemand, aNow))) {
       continue;
     }
-    const auto peak = PeakWith(aDemand, *it, aNow);
+    const auto peak = PeakWith(aDemand, profile, *it, aNow);
     if (!peak) {
       continue;
     }
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "Base/Clock.h"
@@ -223,9 +224,15 @@
   CachedResult PlaceAtCachedPrompt(const StreamDemand& aDemand,
                                    Instant aNow,
                                    StreamPlacement& aPlacement);
-  /** Expected peak of the engine's memory use with aDemand; empty when aDemand
-   * does not fit. */
+  /** Expected need of aDemand alone. */
+  MemoryProfile ProfileOf(const StreamDemand& aDemand, Instant aNow) const;
+  /** Expected need of the runs at aEngine. */
+  const MemoryProfile& EngineProfileOf(const std::string& aEngine,
+                                       Instant aNow) const;
+  /** Expected peak of the engine's memory use with aDemand, whose own need is
+   * aProfile; empty when aDemand does not fit. */
   std::optional<double> PeakWith(const StreamDemand& aDemand,
+                                 const MemoryProfile& aProfile,
                                  const EndpointRecord& aEngine,
                                  Instant aNow) const;
   /** Lower is better. An engine serves aDemand only if no usable engine has a
@@ -276,6 +283,15 @@
   /** Tokens by which a run grows in a millisecond. */
   MovingAverage mGrowthRate;
   MemoryForecast mForecast;
+  /** The forecast for an engine costs as much as its runs are many, so it is
+   * used again until they change. */
+  struct CachedProfile
+  {
+    std::uint64_t mVersion = 0;
+    Instant mCalculatedAt;
+    MemoryProfile mProfile;
+  };
+  mutable std::unordered_map<std::string, CachedProfile> mEngineProfiles;
   StreamAdmission mAdmission;
   std::list<StreamDemand> mWaiting;
   std::map<std::uint64_t, PrefillWork> mPrefills;
--- /dev/null
+++ b/Tests/Routing/PlainQueueTest.cxx
@@ -0,0 +1,222 @@
+#include "Routing/PlainQueue.h"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include <doctest/doctest.h>
+
+namespace bulrushfold {
+
+namespace {
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/** A service whose endpoints have two slots each. */
+struct QueueFixture
+{
+  explicit QueueFixture(int aEndpoints)
+  {
+    for (int i = 0; i < aEndpoints; ++i) {
+      EndpointRecord record;
+      record.mId = "e" + std::to_string(i);
+      record.mService = "s";
+      record.mSlots = 2;
+      mDirectory.Put(record, 1, mNow);
+    }
+    mQueue.SetLimited(true);
+  }
+
+  PlainDemand Demand(std::uint64_t aNumber, Duration aTimeLeft) const
+  {
+    return { aNumber, "s", {}, false, mNow + aTimeLeft };
+  }
+  std::optional<PlainGrant> Submit(std::uint64_t aNumber,
+                                   Duration aTimeLeft = milliseconds(300))
+  {
+    auto grant = mQueue.Submit(Demand(aNumber, aTimeLeft), mNow);
+    if (grant && grant->mChoice) {
+      Count(*grant);
+    }
+    return grant;
+  }
+  void Count(const PlainGrant& aGrant)
+  {
+    mRunning[aGrant.mNumber] = aGrant.mChoice->mEndpoint;
+    mLoads.Begin(aGrant.mChoice->mEndpoint, { 1, 0 });
+  }
+  void End(std::uint64_t aNumber)
+  {
+    mLoads.End(mRunning.at(aNumber), { 1, 0 });
+    mRunning.erase(aNumber);
+  }
+  /** Answers waiting demands; returns the numbers in the order of the answers,
+   * negative when they are refused. */
+  std::vector<int> Dispatch()
+  {
+    std::vector<int> numbers;
+    mQueue.Dispatch(mNow, [&](const PlainGrant& aGrant) {
+      const auto number = static_cast<int>(aGrant.mNumber);
+      numbers.push_back(aGrant.mChoice ? number : -number);
+      if (aGrant.mChoice) {
+        Count(aGrant);
+      }
+    });
+    return numbers;
+  }
+  /** Fills all slots, and the one request on its way to each endpoint. */
+  void Fill()
+  {
+    std::uint64_t number = 1000;
+    while (mQueue.Submit(Demand(number, seconds(1)), mNow)) {
+      mQueue.Withdraw(number);
+      const auto grant = mQueue.Submit(Demand(number, seconds(1)), mNow);
+      Count(*grant);
+      ++number;
+    }
+    mQueue.Withdraw(number);
+  }
+
+  Instant mNow{ seconds(1000) };
+  Random mRandom{ 1 };
+  EndpointDirectory mDirectory{ seconds(2) };
+  EndpointLoads mLoads;
+  EndpointHealth mHealth{ mRandom };
+  PlainSelector mSelector{ mDirectory, mLoads, mHealth, "x", mRandom };
+  PlainQueue mQueue{ mDirectory, mLoads, mSelector };
+  std::map<std::uint64_t, std::string> mRunning;
+};
+} // namespace
+
+TEST_CASE("Plain requests wait for a free slot")
+{
+  QueueFixture fixture(2);
+  fixture.Fill();
+  CHECK(fixture.mRunning.size() == 6);
+
+  SUBCASE("and the one that is late first is served first")
+  {
+    CHECK_FALSE(fixture.Submit(1, milliseconds(300)));
+    CHECK_FALSE(fixture.Submit(2, milliseconds(200)));
+    fixture.End(1000);
+    CHECK(fixture.Dispatch() == std::vector{ 2 });
+    fixture.End(1001);
+    CHECK(fixture.Dispatch() == std::vector{ 1 });
+  }
+  // Guards against requests that are held although they would be late.
+  SUBCASE("but not when they would be late anyway")
+  {
+    const auto grant = fixture.Submit(1, milliseconds(5));
+    REQUIRE(grant);
+    CHECK_FALSE(grant->mChoice);
+    CHECK(grant->mRetryAfter > Duration::zero());
+  }
+  SUBCASE("and are refused after a short time")
+  {
+    CHECK_FALSE(fixture.Submit(1));
+    fixture.mNow = *fixture.mQueue.NextWake();
+    CHECK(fixture.mNow <= Instant(seconds(1000)) + milliseconds(100));
+    CHECK(fixture.Dispatch() == std::vector{ -1 });
+    CHECK_FALSE(fixture.mQueue.NextWake());
+  }
+  SUBCASE("and not after they were withdrawn")
+  {
+    CHECK_FALSE(fixture.Submit(1));
+    fixture.mQueue.Withdraw(1);
+    fixture.End(1000);
+    CHECK(fixture.Dispatch().empty());
+  }
+  SUBCASE("unless the daemon places only for itself")
+  {
+    fixture.mQueue.SetLimited(false);
+    const auto grant = fixture.Submit(1);
+    REQUIRE(grant);
+    CHECK(grant->mChoice);
+  }
+}
+
+TEST_CASE("A plain request without an endpoint is refused at once")
+{
+  QueueFixture fixture(1);
+  SUBCASE("when the service has none")
+  {
+    fixture.mDirectory.Remove("e0", 2, fixture.mNow);
+    const auto grant = fixture.Submit(1);
+    REQUIRE(grant);
+    CHECK_FALSE(grant->mChoice);
+  }
+  // Guards against sending a request again to the endpoint that refused it.
+  SUBCASE("when each one refused it")
+  {
+    PlainDemand demand = fixture.Demand(1, milliseconds(300));
+    demand.mAttempted = { "e0" };
+    demand.mNeedsUntried = true;
+    const auto grant = fixture.mQueue.Submit(demand, fixture.mNow);
+    REQUIRE(grant);
+    CHECK_FALSE(grant->mChoice);
+  }
+}
+
+// Guards against a free endpoint that fails being preferred to busy sound ones.
+TEST_CASE("A failing endpoint gets no request while another one is only full")
+{
+  QueueFixture fixture(2);
+  for (int i = 0; i < 5; ++i) {
+    fixture.mHealth.OnResult(
+      "s", "e0", SendResult::ConnectFailed, fixture.mNow);
+  }
+  fixture.Fill();
+  for (const auto& [number, endpoint] : fixture.mRunning) {
+    CHECK(endpoint == "e1");
+  }
+}
+
+// Load pattern: 170% of what the endpoints can serve, for three seconds, with a
+// latency target of six service times. Guards against a queue that serves late
+// requests: then nobody is served in time until the burst is over.
+TEST_CASE("In a burst the slots serve requests in time, and no endpoint sheds")
+{
+  QueueFixture fixture(10);
+  constexpr Duration kServiceTime = milliseconds(60);
+  constexpr Duration kTarget = milliseconds(300);
+  // 20 slots serve 333 requests/s; 567 arrive.
+  constexpr Duration kInterval = std::chrono::microseconds(1764);
+  std::multimap<Instant, std::uint64_t> ends;
+  std::map<std::uint64_t, Instant> arrivals;
+  int served = 0;
+  int late = 0;
+  std::uint64_t number = 1;
+  const Instant end = fixture.mNow + seconds(3);
+  const auto start = [&](std::uint64_t aNumber) {
+    const Instant done = fixture.mNow + kServiceTime;
+    ends.emplace(done, aNumber);
+    ++(done - arrivals.at(aNumber) <= kTarget ? served : late);
+    for (const auto& [id, endpoint] : fixture.mRunning) {
+      CHECK(fixture.mLoads.Total(endpoint).mRequests <= 3);
+    }
+  };
+  while (fixture.mNow < end) {
+    fixture.mNow += kInterval;
+    while (!ends.empty() && ends.begin()->first <= fixture.mNow) {
+      fixture.End(ends.begin()->second);
+      fixture.mQueue.OnServed("s", kServiceTime);
+      ends.erase(ends.begin());
+    }
+    for (const int it : fixture.Dispatch()) {
+      if (it > 0) {
+        start(static_cast<std::uint64_t>(it));
+      }
+    }
+    arrivals[number] = fixture.mNow;
+    if (const auto grant = fixture.Submit(number, kTarget);
+        grant && grant->mChoice) {
+      start(number);
+    }
+    ++number;
+  }
+  CHECK(late == 0);
+  // 1,000 is what 20 slots can serve in three seconds.
+  CHECK(served >= 990);
+}
+
+} // namespace bulrushfold
