Cost a decision on a stream by what has changed

Cause: for each candidate a decision calculated the forecast at nine times for each run, with a logarithm and an error function, and compared all engines. Change: the survival of an answer comes from a table; the forecast of an engine is kept until its runs change, at most for the 350 ms between two of its times, and interpolated; 16 engines with room, from a random one on, are compared; the ranking stops at the first healthy engine.

--- a/Source/Routing/MemoryForecast.cxx
+++ b/Source/Routing/MemoryForecast.cxx
@@ -9,8 +9,43 @@
 /** Standard deviation of the logarithm of an answer's length; the mean is the
  * logarithm of the expected length. */
 constexpr double kLogLengthDeviation = 0.43;
-/** Distance between the times of a profile. */
-constexpr Duration kPeakStep = std::chrono::milliseconds(350);
+
+/**
+ * Probability that an answer is longer than aRatio times its expected length:
+ * that of a log-normal distribution, from a table with linear interpolation.
+ * The logarithm and the error function took most of the time of a decision.
+ */
+class SurvivalTable
+{
+public:
+  SurvivalTable()
+  {
+    for (std::size_t i = 0; i < mValues.size(); ++i) {
+      const double ratio = static_cast<double>(i) / kStepsPerUnit;
+      mValues[i] = i == 0
+                     ? 1
+                     : 0.5 * std::erfc(std::log(ratio) / kLogLengthDeviation /
+                                       std::sqrt(2.0));
+    }
+  }
+  double At(double aRatio) const
+  {
+    const double place = aRatio * kStepsPerUnit;
+    const auto i = static_cast<std::size_t>(place);
+    if (i + 1 >= mValues.size()) {
+      return 0;
+    }
+    return mValues[i] +
+           (mValues[i + 1] - mValues[i]) * (place - static_cast<double>(i));
+  }
+
+private:
+  static constexpr std::size_t kStepsPerUnit = 128;
+  /** Ratio beyond which the probability is below 1e-6. */
+  static constexpr std::size_t kMaxRatio = 8;
+
+  std::array<double, kStepsPerUnit * kMaxRatio + 1> mValues{};
+};
 
 /** Probability that the answer of aRun is longer than aTokens. */
 double
@@ -24,8 +59,8 @@
   }
   const double expected =
     std::max(static_cast<double>(aRun.mAnswerTokens), 1.0);
-  const double distance = std::log(aTokens / expected) / kLogLengthDeviation;
-  return 0.5 * std::erfc(distance / std::sqrt(2.0));
+  static const SurvivalTable sTable;
+  return sTable.At(aTokens / expected);
 }
 } // namespace
 
@@ -78,6 +113,18 @@
   return peak;
 }
 
+MemoryProfile
+MemoryProfile::After(Duration aSpan) const
+{
+  const double part = std::clamp(ToSeconds(aSpan) / ToSeconds(kStep), 0.0, 1.0);
+  MemoryProfile later = *this;
+  for (std::size_t i = 0; i + 1 < kPoints; ++i) {
+    later.mMean[i] += part * (mMean[i + 1] - mMean[i]);
+    later.mVariance[i] += part * (mVariance[i + 1] - mVariance[i]);
+  }
+  return later;
+}
+
 MemoryProfile
 MemoryForecast::Profile(const std::vector<const StreamRun*>& aRuns,
                         Instant aNow) const
@@ -85,7 +132,7 @@
   MemoryProfile profile;
   for (std::size_t i = 0; i < MemoryProfile::kPoints; ++i) {
     const MemoryNeed need =
-      NeedAfter(aRuns, static_cast<int>(i) * kPeakStep, aNow);
+      NeedAfter(aRuns, static_cast<int>(i) * MemoryProfile::kStep, aNow);
     profile.mMean[i] = need.mMean;
     profile.mVariance[i] = need.mDeviation * need.mDeviation;
   }
--- a/Source/Routing/MemoryForecast.h
+++ b/Source/Routing/MemoryForecast.h
@@ -22,6 +22,8 @@
 struct MemoryProfile
 {
   static constexpr std::size_t kPoints = 9;
+  /** Distance between two times. */
+  static constexpr Duration kStep = std::chrono::milliseconds(350);
   /** Mean and variance at each time. */
   std::array<double, kPoints> mMean{};
   std::array<double, kPoints> mVariance{};
@@ -29,6 +31,8 @@
   /** Largest need of these runs and those of aOther: mean plus aDeviations
    * standard deviations. */
   double PeakWith(const MemoryProfile& aOther, double aDeviations) const;
+  /** The profile aSpan later, at most kStep, if no run starts or ends. */
+  MemoryProfile After(Duration aSpan) const;
 };
 
 /**
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -24,8 +24,9 @@
 /** Tokens up to which a local prefill takes no longer than one event and is not
  * limited. */
 constexpr std::uint64_t kFreeLocalPrefillTokens = 300;
-/** Time for which the forecast for an engine is used again. */
-constexpr Duration kProfileLifetime = std::chrono::milliseconds(25);
+/** Decode engines with room that are compared for a stream. The best of so many
+ * is hardly fuller than the best of all. */
+constexpr std::size_t kComparedEngines = 16;
 /** An engine is preferred for its cache if the cached tokens are at least the
  * prompt's tokens divided by this number. */
 constexpr std::uint64_t kMinCachedDivisor = 2;
@@ -205,6 +206,9 @@
   Rank best = Rank::Avoided;
   for (const EndpointRecord* it : aEngines) {
     best = std::min(best, RankOf(it->mId, aDemand, aNow));
+    if (best == Rank::Healthy) {
+      break;
+    }
   }
   return best;
 }
@@ -219,16 +223,16 @@
   return mForecast.Profile({ &candidate }, aNow);
 }
 
-const MemoryProfile&
+MemoryProfile
 StreamScheduler::EngineProfileOf(const std::string& aEngine, Instant aNow) const
 {
   CachedProfile& cached = mEngineProfiles[aEngine];
   const std::uint64_t version = mRuns.VersionAt(aEngine);
   if (cached.mVersion != version ||
-      aNow - cached.mCalculatedAt > kProfileLifetime) {
+      aNow - cached.mCalculatedAt > MemoryProfile::kStep) {
     cached = { version, aNow, mForecast.Profile(mRuns.At(aEngine), aNow) };
   }
-  return cached.mProfile;
+  return cached.mProfile.After(aNow - cached.mCalculatedAt);
 }
 
 std::optional<double>
@@ -308,7 +312,12 @@
   const bool needsTurn =
     aDemand.mGeneratedTokens > kFreeLocalPrefillTokens ||
     mDirectory.Usable(aDemand.mService, EndpointRole::Prefill).empty();
-  for (const EndpointRecord* it : engines) {
+  const std::size_t start =
+    engines.empty() ? 0 : mRandom.UniformBelow(engines.size());
+  std::size_t compared = 0;
+  for (std::size_t i = 0; i < engines.size() && compared < kComparedEngines;
+       ++i) {
+    const EndpointRecord* it = engines[(start + i) % engines.size()];
     if (RankOf(it->mId, aDemand, aNow) > bestRank ||
         (needsTurn && !MayPrefillLocally(it->mId, aDemand, aNow))) {
       continue;
@@ -317,6 +326,7 @@
     if (!peak) {
       continue;
     }
+    ++compared;
     const double cost =
       *peak / std::max(memory, 1.0) +
       (it->mFailureDomain == mFailureDomain ? 0 : kOtherDomainCost) +
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -227,8 +227,7 @@
   /** Expected need of aDemand alone. */
   MemoryProfile ProfileOf(const StreamDemand& aDemand, Instant aNow) const;
   /** Expected need of the runs at aEngine. */
-  const MemoryProfile& EngineProfileOf(const std::string& aEngine,
-                                       Instant aNow) const;
+  MemoryProfile EngineProfileOf(const std::string& aEngine, Instant aNow) const;
   /** Expected peak of the engine's memory use with aDemand, whose own need is
    * aProfile; empty when aDemand does not fit. */
   std::optional<double> PeakWith(const StreamDemand& aDemand,
