Leave the placement to another daemon when the owner alone loses the store

Change: polls say whether a client reaches the store. An owner that does not, although most of its clients do, steps down after 1.5 s. Log lines of sends and placements name the daemon that chose ('placed_by').

--- a/Source/Platform/StoreFeed.cxx
+++ b/Source/Platform/StoreFeed.cxx
@@ -1,5 +1,6 @@
 #include "Platform/StoreFeed.h"
 
+#include <algorithm>
 #include <set>
 
 namespace bulrushfold {
@@ -65,6 +66,14 @@
   mPrefixes[aPrefix].mIsCurrent = true;
 }
 
+bool
+StoreFeed::IsCurrent() const
+{
+  return std::all_of(mPrefixes.begin(), mPrefixes.end(), [](const auto& aIt) {
+    return aIt.second.mIsCurrent;
+  });
+}
+
 bool
 StoreFeed::HasNews(const FeedPosition& aPosition) const
 {
--- a/Source/Platform/StoreFeed.h
+++ b/Source/Platform/StoreFeed.h
@@ -65,6 +65,8 @@
   /** This daemon watches the store from the state that it knows. */
   void OnWatched(const std::string& aPrefix);
 
+  /** True while this daemon knows the newest state of all prefixes. */
+  bool IsCurrent() const;
   /** True when Since(aPosition) tells anything new. */
   bool HasNews(const FeedPosition& aPosition) const;
   FeedUpdate Since(const FeedPosition& aPosition, Instant aNow) const;
--- a/Source/Router/PlacementClient.cxx
+++ b/Source/Router/PlacementClient.cxx
@@ -64,6 +64,13 @@
   }
 }
 
+void
+PlacementClient::StepDown()
+{
+  mSelector.OnStopping(mOwnName, mClock.Now());
+  ChooseOwner();
+}
+
 void
 PlacementClient::ChooseOwner()
 {
@@ -154,6 +161,7 @@
   poll.session = mSession;
   poll.status = ToWire(mHooks.mMakeStatus(), now);
   poll.isProbe = false;
+  poll.reachesStore = mHooks.mReachesStore();
   for (const auto& it : mHooks.mFeedPositions()) {
     poll.positions.push_back(ToWire(it));
   }
--- a/Source/Router/PlacementClient.h
+++ b/Source/Router/PlacementClient.h
@@ -41,6 +41,8 @@
       mOnNews;
     /** aOwner is not followed any more; its reports are out of date. */
     std::function<void(const std::string& aOwner)> mOnOwnerLeft;
+    /** This daemon watches the store itself, and the store answers. */
+    std::function<bool()> mReachesStore;
     /** What this daemon knows of the store's objects. */
     std::function<std::vector<FeedPosition>()> mFeedPositions;
     std::function<void(const FeedUpdate&)> mOnFeed;
@@ -66,6 +68,8 @@
   void SetMembers(std::vector<FleetMember> aMembers);
   /** This daemon stops and is no owner any more. */
   void BeginStop();
+  /** This daemon leaves the placement to the next candidate for a time. */
+  void StepDown();
   void OnWake();
   /** The fleet has an owner, which may be this daemon. */
   bool IsLargeFleet() const { return mSelector.HasOwner(); }
--- a/Source/Router/PlacementOwner.cxx
+++ b/Source/Router/PlacementOwner.cxx
@@ -14,6 +14,9 @@
 constexpr Duration kPollHold = std::chrono::milliseconds(800);
 /** Interval at which polls are answered and silent clients dropped. */
 constexpr Duration kWakeInterval = std::chrono::milliseconds(100);
+/** Time in which this daemon may reach the store again later than its clients
+ * after an outage for all. */
+constexpr Duration kStepDownDelay = std::chrono::milliseconds(1500);
 /** Age up to which a request that a client does not name is kept. */
 constexpr Duration kReconcileAge = std::chrono::seconds(1);
 /** Time for which the sum of all retries is used again. */
@@ -478,6 +481,7 @@
   mTables.mPromptGuard.Merge(status->mLostPrompts, status->mAnsweredParts, now);
   client->mPoll = std::move(aResponder);
   client->mPollDueAt = now + kPollHold;
+  client->mReachesStore = poll->reachesStore;
   client->mPositions.clear();
   for (const auto& it : poll->positions) {
     client->mPositions.push_back(FromWire(it));
@@ -512,7 +516,7 @@
   status.mLostPrompts = mTables.mPromptGuard.Lost(now);
   status.mAnsweredParts = mTables.mPromptGuard.Answered(now);
   status.mRoleOrders = mTables.mDirectory.RoleOrders(now);
-  status.mIsStopping = mIsStopping;
+  status.mIsStopping = mIsStopping || mIsSteppingDown;
   status.mAddress = mAddress;
   wire::PlacementNews news;
   news.status = ToWire(status, now);
@@ -561,10 +565,41 @@
   }
 }
 
+void
+PlacementOwner::CheckStore()
+{
+  const Instant now = mClock.Now();
+  if (mTables.mFeed.IsCurrent()) {
+    mBehindSince.reset();
+    mIsSteppingDown = false;
+    return;
+  }
+  const auto reaching =
+    std::count_if(mClients.begin(), mClients.end(), [](const auto& aIt) {
+      return aIt.second.mReachesStore;
+    });
+  if (2 * static_cast<std::size_t>(reaching) <= mClients.size()) {
+    mBehindSince.reset();
+    return;
+  }
+  mBehindSince = mBehindSince.value_or(now);
+  if (!mIsSteppingDown && now - *mBehindSince >= kStepDownDelay) {
+    LogEvent(LogLevel::Warning,
+             "placement_owner_steps_down",
+             { { "reason", "store" },
+               { "clients", mClients.size() },
+               { "reaching", reaching } });
+    mIsSteppingDown = true;
+    mIsAnnouncing = true;
+    mHooks.mOnStepDown();
+  }
+}
+
 void
 PlacementOwner::OnWake()
 {
   mIsWakeScheduled = false;
+  CheckStore();
   const Instant now = mClock.Now();
   std::vector<std::string> silent;
   for (auto& [name, client] : mClients) {
--- a/Source/Router/PlacementOwner.h
+++ b/Source/Router/PlacementOwner.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,9 @@
     std::function<std::uint64_t()> mNextNumber;
     /** Number of daemons that the registry lists. */
     std::function<std::size_t()> mMemberCount;
+    /** This daemon does not reach the store although its clients do, so another
+     * one should be the owner. */
+    std::function<void()> mOnStepDown;
     /** Schedules OnWake. */
     std::function<void(Instant)> mWakeAt;
   };
@@ -105,6 +109,7 @@
     RetryUses mRetries;
     std::vector<wire::MoveProposal> mMoves;
     std::vector<FeedPosition> mPositions;
+    bool mReachesStore = false;
     Responder mPoll;
     Instant mPollDueAt;
   };
@@ -125,6 +130,8 @@
   void AnswerPoll(const std::string& aName, Client& aClient);
   bool HasNews(const Client& aClient) const;
   wire::PlacementNews MakeNews(const std::string& aName, const Client* aClient);
+  /** Steps down when most clients reach the store and this daemon does not. */
+  void CheckStore();
   void ScheduleWake();
   /** Number of daemons that share limits. */
   std::size_t FleetSize() const;
@@ -138,6 +145,9 @@
   RetryUses mFleetUses;
   Instant mFleetUsesAt;
   bool mIsStopping = false;
+  /** Since when most clients reach the store and this daemon does not. */
+  std::optional<Instant> mBehindSince;
+  bool mIsSteppingDown = false;
   bool mIsWakeScheduled = false;
   bool mIsAnnouncing = false;
 };
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -58,6 +58,7 @@
   const auto self = mSelf;
   mDemandNumber = 0;
   mGrantNumber = aGrant.mNumber;
+  mRequest->mPlacedBy = mServices.mPlacement.OwnerName();
   mCall.OnGranted(aGrant, mServices.mClock.Now());
 }
 
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -145,6 +146,8 @@
   RoleController mRoles;
   std::shared_ptr<const RouteTable> mTable;
   bool mHasEndpoints = false;
+  /** Prefixes whose watch has failed and is not back yet. */
+  std::set<std::string> mLostPrefixes;
   /** Logged reasons by the keys of unreadable entries. */
   std::map<std::string, std::string> mUnreadableEndpoints;
   bool mWasReady = false;
--- a/Source/Router/RouterPlacement.cxx
+++ b/Source/Router/RouterPlacement.cxx
@@ -10,6 +10,7 @@
   PlacementOwner::Hooks hooks;
   hooks.mNextNumber = [this] { return mNextNumber++; };
   hooks.mMemberCount = [this] { return mPlacement.MemberCount(); };
+  hooks.mOnStepDown = [this] { mPlacement.StepDown(); };
   hooks.mWakeAt = [this](Instant aTime) { mOwnerTimer.WakeAt(aTime); };
   return hooks;
 }
@@ -32,6 +33,9 @@
     mRetryBudget.RemovePeer(aOwner);
     mGuard.RemovePeer(aOwner);
   };
+  hooks.mReachesStore = [this] {
+    return mHasEndpoints && mLostPrefixes.empty() && !mRelayedStore.IsFed();
+  };
   hooks.mFeedPositions = [this] { return mRelayedStore.Positions(); };
   hooks.mOnFeed = [this](const FeedUpdate& aUpdate) {
     mRelayedStore.OnFeed(aUpdate);
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -20,6 +20,7 @@
   ObjectWatcherHooks hooks = aHooks;
   hooks.mOnListing =
     [this, aPrefix, next = aHooks.mOnListing](const StoreListing& aListing) {
+      mLostPrefixes.erase(aPrefix);
       mFeed.OnListing(aPrefix, aListing, mClock.Now());
       mOwner.Announce();
       next(aListing);
@@ -33,6 +34,7 @@
   hooks.mOnStoreUnavailable =
     [this, aPrefix, next = aHooks.mOnStoreUnavailable](
       const absl::Status& aStatus) {
+      mLostPrefixes.insert(aPrefix);
       mFeed.OnLost(aPrefix);
       mOwner.Announce();
       next(aStatus);
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -87,6 +87,7 @@
     mCall.OnPlacementExpired(now);
     return;
   }
+  mRequest->mPlacedBy = mServices.mPlacement.OwnerName();
   mServices.mLog.Placed(*mRequest, *aPlacement);
   mCall.OnPlaced(*aPlacement, now);
 }
--- a/Source/Wire/Placement.thrift
+++ b/Source/Wire/Placement.thrift
@@ -157,6 +157,8 @@
   // message about their end may have been lost.
   5: required list<i64> plain,
   6: required list<i64> streams,
+  // The sender watches the store itself, and the store answers.
+  7: required bool reachesStore,
 }
 
 struct MoveProposal {
--- a/Source/Wire/gen-cpp/Placement_types.cpp
+++ b/Source/Wire/gen-cpp/Placement_types.cpp
@@ -2412,6 +2412,10 @@
 void PlacementPoll::__set_streams(const std::vector<int64_t> & val) {
   this->streams = val;
 }
+
+void PlacementPoll::__set_reachesStore(const bool val) {
+  this->reachesStore = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlacementPoll& obj)
 {
   obj.printTo(out);
@@ -2437,6 +2441,7 @@
   bool isset_positions = false;
   bool isset_plain = false;
   bool isset_streams = false;
+  bool isset_reachesStore = false;
 
   while (true)
   {
@@ -2530,6 +2535,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reachesStore);
+          isset_reachesStore = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2551,6 +2564,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_streams)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_reachesStore)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -2607,6 +2622,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reachesStore", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->reachesStore);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2620,6 +2639,7 @@
   swap(a.positions, b.positions);
   swap(a.plain, b.plain);
   swap(a.streams, b.streams);
+  swap(a.reachesStore, b.reachesStore);
 }
 
 PlacementPoll::PlacementPoll(const PlacementPoll& other70) {
@@ -2629,6 +2649,7 @@
   positions = other70.positions;
   plain = other70.plain;
   streams = other70.streams;
+  reachesStore = other70.reachesStore;
 }
 PlacementPoll& PlacementPoll::operator=(const PlacementPoll& other71) {
   session = other71.session;
@@ -2637,6 +2658,7 @@
   positions = other71.positions;
   plain = other71.plain;
   streams = other71.streams;
+  reachesStore = other71.reachesStore;
   return *this;
 }
 void PlacementPoll::printTo(std::ostream& out) const {
@@ -2648,6 +2670,7 @@
   out << ", " << "positions=" << to_string(positions);
   out << ", " << "plain=" << to_string(plain);
   out << ", " << "streams=" << to_string(streams);
+  out << ", " << "reachesStore=" << to_string(reachesStore);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Placement_types.h
+++ b/Source/Wire/gen-cpp/Placement_types.h
@@ -820,7 +820,8 @@
   PlacementPoll& operator=(const PlacementPoll&);
   PlacementPoll() noexcept
                 : session(0),
-                  isProbe(0) {
+                  isProbe(0),
+                  reachesStore(0) {
   }
 
   virtual ~PlacementPoll() noexcept;
@@ -830,6 +831,7 @@
   std::vector<FeedPosition>  positions;
   std::vector<int64_t>  plain;
   std::vector<int64_t>  streams;
+  bool reachesStore;
 
   void __set_session(const int64_t val);
 
@@ -843,6 +845,8 @@
 
   void __set_streams(const std::vector<int64_t> & val);
 
+  void __set_reachesStore(const bool val);
+
   bool operator == (const PlacementPoll & rhs) const
   {
     if (!(session == rhs.session))
@@ -857,6 +861,8 @@
       return false;
     if (!(streams == rhs.streams))
       return false;
+    if (!(reachesStore == rhs.reachesStore))
+      return false;
     return true;
   }
   bool operator != (const PlacementPoll &rhs) const {
--- a/Tests/Router/PlacementFleet.cxx
+++ b/Tests/Router/PlacementFleet.cxx
@@ -160,6 +160,7 @@
   PlacementOwner::Hooks hooks;
   hooks.mNextNumber = [this] { return mNextNumber++; };
   hooks.mMemberCount = [] { return PlacementFleet::kDaemons; };
+  hooks.mOnStepDown = [this] { mClient.StepDown(); };
   hooks.mWakeAt = Waker([this] { mOwner.OnWake(); });
   return hooks;
 }
@@ -178,6 +179,7 @@
     mStore.OnFeedLost();
     mFeed.OnWatched(kPrefix);
   };
+  hooks.mReachesStore = [this] { return !mStore.IsFed(); };
   hooks.mFeedPositions = [this] { return mStore.Positions(); };
   hooks.mOnFeed = [this](const FeedUpdate& aUpdate) {
     mStore.OnFeed(aUpdate);
@@ -505,6 +507,16 @@
   After(FromSeconds(mRandom.Exponential(0.7)), [this] { AddFault(); });
 }
 
+void
+PlacementFleet::Continue(Duration aSpan)
+{
+  const Instant end = mClock.Now() + aSpan;
+  bool isOver = false;
+  After(aSpan, [&] { isOver = true; });
+  while (!isOver && mClock.Now() <= end && mQueue.RunNext()) {
+  }
+}
+
 FleetResult
 PlacementFleet::Run(Duration aSpan, bool aHasFaults)
 {
@@ -518,10 +530,7 @@
   if (aHasFaults) {
     After(seconds(2), [this] { AddFault(); });
   }
-  bool isOver = false;
-  After(seconds(2) + aSpan + seconds(8), [&] { isOver = true; });
-  while (!isOver && mQueue.RunNext()) {
-  }
+  Continue(seconds(2) + aSpan + seconds(8));
   for (const auto& [number, answers] : mAnswers) {
     mResult.mAnsweredTwice += answers > 1 ? 1 : 0;
   }
--- a/Tests/Router/PlacementFleet.h
+++ b/Tests/Router/PlacementFleet.h
@@ -284,6 +284,9 @@
    * connections between them cut, in the first two thirds of that time. */
   FleetResult Run(Duration aSpan, bool aHasFaults);
 
+  /** Runs on without new requests. */
+  void Continue(Duration aSpan);
+
   // Used by the daemons.
   PlacementLink LinkOf(std::size_t aDaemon);
   void After(Duration aDelay, std::function<void()> aEvent)
--- a/Tests/Router/PlacementFleetTest.cxx
+++ b/Tests/Router/PlacementFleetTest.cxx
@@ -58,6 +58,30 @@
   }
 }
 
+// Guards against a whole fleet that watches the store because its owner alone
+// does not reach it.
+TEST_CASE("An owner that does not reach the store leaves to another one")
+{
+  PlacementFleet fleet(1, FleetDefect::None);
+  fleet.Run(seconds(3), false);
+  const auto isOwner = [](const auto& aDaemon) {
+    return aDaemon->mClient.IsOwner();
+  };
+  auto& daemons = fleet.mDaemons;
+  const auto owner = std::find_if(daemons.begin(), daemons.end(), isOwner);
+  REQUIRE(owner != daemons.end());
+  FleetDaemon& former = **owner;
+  former.mFeed.OnLost("config/");
+  former.mOwner.Announce();
+  fleet.Continue(seconds(1));
+  CHECK(former.mClient.IsOwner());
+  CHECK(fleet.mStore.WatchCount() > 10);
+  fleet.Continue(seconds(5));
+  CHECK_FALSE(former.mClient.IsOwner());
+  CHECK(std::count_if(daemons.begin(), daemons.end(), isOwner) == 1);
+  CHECK(fleet.mStore.WatchCount() == 1);
+}
+
 TEST_CASE("The checks of a fleet notice a defect")
 {
   SUBCASE("clients that do not give back what they were granted")
