--- /dev/null
+++ b/Source/Router/RemoteStream.h
@@ -0,0 +1,119 @@
+#ifndef BULRUSHFOLD_ROUTER_REMOTESTREAM_H
+#define BULRUSHFOLD_ROUTER_REMOTESTREAM_H
+
+#include <cstdint>
+#include <string>
+#include <utility>
+
+#include "Router/PlacementOwner.h"
+#include "Wire/ThriftCodec.h"
+
+namespace bulrushfold {
+
+/** A stream of a client, as the stream placer of this daemon sees it. */
+class PlacementOwner::RemoteStream : public DispatchedStream
+{
+public:
+  RemoteStream(PlacementOwner& aOwner,
+               std::string aClient,
+               std::uint64_t aNumber,
+               std::uint64_t aLocalNumber)
+    : mOwner(aOwner)
+    , mClient(std::move(aClient))
+    , mNumber(aNumber)
+    , mLocalNumber(aLocalNumber)
+    , mCreatedAt(aOwner.mClock.Now())
+  {
+  }
+  ~RemoteStream() override
+  {
+    StreamPlacer& streams = mOwner.mTables.mStreams;
+    if (mResponder) {
+      streams.Withdraw(mLocalNumber);
+    } else {
+      streams.OnPrefillEnded(mLocalNumber, Duration::zero());
+      streams.OnDecodeEnded(mLocalNumber);
+    }
+    streams.Unregister(mLocalNumber);
+  }
+
+  void Submit(StreamDemand aDemand, Responder aResponder)
+  {
+    mResponder = std::move(aResponder);
+    mRequestHash = aDemand.mRequestHash;
+    mFirstArrival = aDemand.mSubmittedAt;
+    const Instant now = mOwner.mClock.Now();
+    if (const auto first =
+          mOwner.mTables.mDeferredRequests.FirstArrival(mRequestHash, now);
+        first && mRequestHash != 0) {
+      mFirstArrival = *first;
+      aDemand.mIsRetry = true;
+      aDemand.mFirstEventDeadline -= now - *first;
+    }
+    aDemand.mNumber = mLocalNumber;
+    if (!aDemand.mIsRetry && !mOwner.mTables.mStreams.Admits(aDemand)) {
+      Refuse(wire::StreamPlacementResult::OVERLOAD, Duration::zero());
+      return;
+    }
+    mOwner.mTables.mStreams.Submit(std::move(aDemand), *this);
+  }
+
+  void HandlePlacement(const StreamPlacement* aPlacement) override
+  {
+    if (aPlacement == nullptr) {
+      Refuse(wire::StreamPlacementResult::EXPIRED, Duration::zero());
+    } else {
+      Respond(ToWire(*aPlacement));
+    }
+  }
+  void HandleUnservable(Duration aRetryAfter) override
+  {
+    Refuse(wire::StreamPlacementResult::UNSERVABLE, aRetryAfter);
+  }
+  void HandleOverload() override
+  {
+    Refuse(wire::StreamPlacementResult::OVERLOAD, Duration::zero());
+  }
+  void HandleMove(const std::string& aTarget) override
+  {
+    Client& client = mOwner.mClients.at(mClient);
+    wire::MoveProposal move;
+    move.number = static_cast<std::int64_t>(mNumber);
+    move.target = aTarget;
+    client.mMoves.push_back(std::move(move));
+    mOwner.AnswerPoll(mClient, client);
+  }
+  std::uint64_t LocalNumber() const { return mLocalNumber; }
+  Instant CreatedAt() const { return mCreatedAt; }
+
+private:
+  void Refuse(wire::StreamPlacementResult::type aResult, Duration aRetryAfter)
+  {
+    mOwner.mTables.mDeferredRequests.OnDeferred(
+      mRequestHash, mFirstArrival, mOwner.mClock.Now());
+    wire::StreamPlacementReply reply;
+    reply.result = aResult;
+    reply.retryAfterMs = static_cast<std::int32_t>(ToMilliseconds(aRetryAfter));
+    Respond(reply);
+  }
+  void Respond(const wire::StreamPlacementReply& aReply)
+  {
+    if (const auto responder = std::exchange(mResponder, nullptr); responder) {
+      responder(EncodeThrift(aReply));
+    }
+  }
+
+  PlacementOwner& mOwner;
+  std::string mClient;
+  std::uint64_t mNumber;
+  std::uint64_t mLocalNumber;
+  Instant mCreatedAt;
+  std::uint64_t mRequestHash = 0;
+  Instant mFirstArrival;
+  /** Set while the stream waits. */
+  Responder mResponder;
+};
+
+} // namespace bulrushfold
+
+#endif
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -13,8 +13,6 @@
 constexpr std::size_t kMaxErrorBytes = 1024 * 1024;
 /** Maximum time in the queue, also for a stream that is already late. */
 constexpr Duration kMaxQueueTime = std::chrono::milliseconds(2500);
-/** Callers that are refused during a burst are asked to retry after it. */
-constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(2500);
 /** Fraction of the expected answer for which memory is reserved in addition to
  * the prompt. */
 constexpr double kReservedAnswerRatio = 0.3;
@@ -74,27 +72,6 @@
   }
 }
 
-void
-StreamCall::OnOverload()
-{
-  if (mState != StreamState::Waiting) {
-    return;
-  }
-  if (mHasStartedAnswer || mPossibleRuns > 0) {
-    Finish(RefusalReason::Overload);
-  } else {
-    RefuseForOverload();
-  }
-}
-
-void
-StreamCall::RefuseForOverload()
-{
-  mState = StreamState::Finished;
-  mDelegate.Refuse(
-    { kHttpUnavailable, RefusalReason::Overload, kOverloadRetryAfter });
-}
-
 Instant
 StreamCall::NextEventDue(Instant aNow) const
 {
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -11,6 +11,8 @@
 /** Maximum placements of one stream; limits the retries when engines refuse. */
 constexpr std::uint32_t kMaxPlacements = 40;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
+/** Callers that are refused during a burst are asked to retry after it. */
+constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(2500);
 } // namespace
 
 std::uint32_t
@@ -190,4 +192,25 @@
   ReleaseAll();
 }
 
+void
+StreamCall::OnOverload()
+{
+  if (mState != StreamState::Waiting) {
+    return;
+  }
+  if (mHasStartedAnswer || mPossibleRuns > 0) {
+    Finish(RefusalReason::Overload);
+  } else {
+    RefuseForOverload();
+  }
+}
+
+void
+StreamCall::RefuseForOverload()
+{
+  mState = StreamState::Finished;
+  mDelegate.Refuse(
+    { kHttpUnavailable, RefusalReason::Overload, kOverloadRetryAfter });
+}
+
 } // namespace bulrushfold
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -9,8 +9,6 @@
 /** Maximum number of prompts at one prefill engine, from all daemons. With two
  * the engine stays busy while the decode engine fetches a computed one. */
 constexpr std::uint32_t kPrefillDepth = 2;
-/** Standard deviations above the expected need that must fit into memory. */
-constexpr double kNeedDeviations = 2.0;
 /** Growth of a run that is assumed before the first measurement, tokens/ms. */
 constexpr double kInitialGrowth = 1.5;
 /** Interval between placement attempts while streams wait without events. */
@@ -213,51 +211,6 @@
   return best;
 }
 
-MemoryProfile
-StreamScheduler::ProfileOf(const StreamDemand& aDemand, Instant aNow) const
-{
-  StreamRun candidate;
-  candidate.mPromptTokens = StartTokens(aDemand);
-  candidate.mAnswerTokens = aDemand.mAnswerTokens;
-  candidate.mMaxAnswerTokens = aDemand.mMaxAnswerTokens;
-  return mForecast.Profile({ &candidate }, aNow);
-}
-
-MemoryProfile
-StreamScheduler::EngineProfileOf(const std::string& aEngine, Instant aNow) const
-{
-  CachedProfile& cached = mEngineProfiles[aEngine];
-  const std::uint64_t version = mRuns.VersionAt(aEngine);
-  if (cached.mVersion != version ||
-      aNow - cached.mCalculatedAt > MemoryProfile::kStep) {
-    cached = { version, aNow, mForecast.Profile(mRuns.At(aEngine), aNow) };
-  }
-  return cached.mProfile.After(aNow - cached.mCalculatedAt);
-}
-
-std::optional<double>
-StreamScheduler::PeakWith(const StreamDemand& aDemand,
-                          const MemoryProfile& aProfile,
-                          const EndpointRecord& aEngine,
-                          Instant aNow) const
-{
-  const auto full = mFullUntil.find(aEngine.mId);
-  const std::size_t runs = mRuns.CountAt(aEngine.mId);
-  if (runs >= aEngine.mSlots ||
-      (full != mFullUntil.end() && aNow < full->second)) {
-    return std::nullopt;
-  }
-  const double unaccounted = UnaccountedTokens(aEngine.mId, aNow);
-  const double peak =
-    EngineProfileOf(aEngine.mId, aNow).PeakWith(aProfile, kNeedDeviations) +
-    unaccounted;
-  // A request larger than an empty engine is placed; the engine refuses it.
-  const bool isEmpty = runs == 0 && unaccounted == 0;
-  return isEmpty || peak <= UsableMemory(aDemand.mService)
-           ? std::make_optional(peak)
-           : std::nullopt;
-}
-
 StreamScheduler::CachedResult
 StreamScheduler::PlaceAtCachedPrompt(const StreamDemand& aDemand,
                                      Instant aNow,
--- a/Source/Routing/StreamSchedulerMemory.cxx
+++ b/Source/Routing/StreamSchedulerMemory.cxx
@@ -9,6 +9,8 @@
 /** Fraction of an engine's memory that is planned for use; the rest is lost in
  * partly filled blocks. */
 constexpr double kUsableMemoryFraction = 0.97;
+/** Standard deviations above the expected need that must fit into memory. */
+constexpr double kNeedDeviations = 2.0;
 /** Events that are needed to measure the growth of a run. */
 constexpr std::uint64_t kMinEvents = 5;
 /** Time without new streams for an engine that refused a reservation. */
@@ -94,4 +96,49 @@
          std::max(0.0, 1 - age / ToSeconds(kUnaccountedLifetime));
 }
 
+MemoryProfile
+StreamScheduler::ProfileOf(const StreamDemand& aDemand, Instant aNow) const
+{
+  StreamRun candidate;
+  candidate.mPromptTokens = StartTokens(aDemand);
+  candidate.mAnswerTokens = aDemand.mAnswerTokens;
+  candidate.mMaxAnswerTokens = aDemand.mMaxAnswerTokens;
+  return mForecast.Profile({ &candidate }, aNow);
+}
+
+MemoryProfile
+StreamScheduler::EngineProfileOf(const std::string& aEngine, Instant aNow) const
+{
+  CachedProfile& cached = mEngineProfiles[aEngine];
+  const std::uint64_t version = mRuns.VersionAt(aEngine);
+  if (cached.mVersion != version ||
+      aNow - cached.mCalculatedAt > MemoryProfile::kStep) {
+    cached = { version, aNow, mForecast.Profile(mRuns.At(aEngine), aNow) };
+  }
+  return cached.mProfile.After(aNow - cached.mCalculatedAt);
+}
+
+std::optional<double>
+StreamScheduler::PeakWith(const StreamDemand& aDemand,
+                          const MemoryProfile& aProfile,
+                          const EndpointRecord& aEngine,
+                          Instant aNow) const
+{
+  const auto full = mFullUntil.find(aEngine.mId);
+  const std::size_t runs = mRuns.CountAt(aEngine.mId);
+  if (runs >= aEngine.mSlots ||
+      (full != mFullUntil.end() && aNow < full->second)) {
+    return std::nullopt;
+  }
+  const double unaccounted = UnaccountedTokens(aEngine.mId, aNow);
+  const double peak =
+    EngineProfileOf(aEngine.mId, aNow).PeakWith(aProfile, kNeedDeviations) +
+    unaccounted;
+  // A request larger than an empty engine is placed; the engine refuses it.
+  const bool isEmpty = runs == 0 && unaccounted == 0;
+  return isEmpty || peak <= UsableMemory(aDemand.mService)
+           ? std::make_optional(peak)
+           : std::nullopt;
+}
+
 } // namespace bulrushfold
