Do not renew a client's lease when its request is granted

Cause: the grant of a waiting request counted as a message of the client. Change: the client is looked up without renewing its lease.

--- a/Source/Router/PlacementOwner.cxx
+++ b/Source/Router/PlacementOwner.cxx
@@ -94,7 +94,10 @@
     demand,
     [this, aClient, session, number, responder = std::move(aResponder)](
       const PlainGrant& aGrant) {
-      Client* waiting = Touch(aClient, session);
+      const auto it = mClients.find(aClient);
+      Client* waiting = it != mClients.end() && it->second.mSession == session
+                          ? &it->second
+                          : nullptr;
       if (waiting != nullptr && aGrant.mChoice) {
         PlainRun& run = waiting->mPlain[number];
         run.mEndpoint = aGrant.mChoice->mEndpoint;
