--- a/Source/Router/PlacementClient.cxx
+++ b/Source/Router/PlacementClient.cxx
@@ -127,7 +127,7 @@
     event.load.slots = static_cast<std::int32_t>(aLoad->mSlots);
     event.__isset.load = true;
   }
-  AddEvent(std::move(event));
+  AddEvent(event);
 }
 
 void
@@ -140,7 +140,7 @@
   event.serviceName = aService;
   event.endpoint = aEndpoint;
   event.result = static_cast<std::int32_t>(aResult);
-  AddEvent(std::move(event));
+  AddEvent(event);
 }
 
 void
@@ -166,7 +166,7 @@
   event.endpoint = aEndpoint.mId;
   event.incarnation = aEndpoint.mIncarnation;
   event.leftMs = static_cast<std::int32_t>(ToMilliseconds(aBackoff));
-  AddEvent(std::move(event));
+  AddEvent(event);
 }
 
 void
@@ -176,16 +176,16 @@
   wire::PlacementEvent event;
   event.kind = aKind;
   event.number = static_cast<std::int64_t>(aNumber);
-  AddEvent(std::move(event));
+  AddEvent(event);
 }
 
 void
-PlacementClient::AddEvent(wire::PlacementEvent aEvent)
+PlacementClient::AddEvent(const wire::PlacementEvent& aEvent)
 {
   if (!mOwner) {
     return;
   }
-  mEvents.events.push_back(std::move(aEvent));
+  mEvents.events.push_back(aEvent);
   ScheduleEvents();
 }
 
--- a/Source/Router/PlacementClient.h
+++ b/Source/Router/PlacementClient.h
@@ -147,7 +147,7 @@
   void HandleRemotePlacement(TrackedStream& aStream,
                              const StreamPlacement& aPlacement);
   void SubmitToOwner(TrackedStream& aStream);
-  void AddEvent(wire::PlacementEvent aEvent);
+  void AddEvent(const wire::PlacementEvent& aEvent);
   void AddEvent(wire::PlacementEventKind::type aKind, std::uint64_t aNumber);
   void ScheduleEvents();
   void SendEvents();
--- a/Source/Router/PlacementClientStreams.cxx
+++ b/Source/Router/PlacementClientStreams.cxx
@@ -206,7 +206,7 @@
   event.number = static_cast<std::int64_t>(aNumber);
   event.elapsedUs =
     std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count();
-  AddEvent(std::move(event));
+  AddEvent(event);
 }
 
 void
@@ -250,7 +250,7 @@
   event.kind = wire::PlacementEventKind::MOVED;
   event.number = static_cast<std::int64_t>(aNumber);
   event.endpoint = aEndpoint;
-  AddEvent(std::move(event));
+  AddEvent(event);
 }
 
 void
@@ -268,7 +268,7 @@
   event.tokensPerEvent = static_cast<std::int32_t>(aTokensPerEvent);
   event.elapsedUs =
     std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count();
-  AddEvent(std::move(event));
+  AddEvent(event);
 }
 
 void
@@ -280,7 +280,7 @@
   event.kind = wire::PlacementEventKind::RESERVATION_REFUSED;
   event.endpoint = aEndpoint;
   event.tokens = static_cast<std::int64_t>(aTokens);
-  AddEvent(std::move(event));
+  AddEvent(event);
 }
 
 void
@@ -292,7 +292,7 @@
   event.endpoint = aPrompt.mEndpoint;
   event.promptKey = static_cast<std::int64_t>(aPrompt.mKey);
   event.tokens = static_cast<std::int64_t>(aPrompt.mTokens);
-  AddEvent(std::move(event));
+  AddEvent(event);
 }
 
 std::size_t
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -74,7 +74,7 @@
   , mHealth(mRandom)
   , mRetryBudget(aSettings.mRetryLimits, mClock.Now())
   , mSelector(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
-  , mPlainQueue(mDirectory, mLoads, mSelector)
+  , mPlainQueue(mSelector)
   , mPlainTimer(aLoop, mClock, [this] { mPlainPlacer.Dispatch(); })
   , mPlainPlacer(mClock,
                  mPlainQueue,
--- a/Source/Routing/PlainQueue.cxx
+++ b/Source/Routing/PlainQueue.cxx
@@ -16,12 +16,8 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 } // namespace
 
-PlainQueue::PlainQueue(const EndpointDirectory& aDirectory,
-                       const EndpointLoads& aLoads,
-                       const PlainSelector& aSelector)
-  : mDirectory(aDirectory)
-  , mLoads(aLoads)
-  , mSelector(aSelector)
+PlainQueue::PlainQueue(const PlainSelector& aSelector)
+  : mSelector(aSelector)
 {
 }
 
--- a/Source/Routing/PlainQueue.h
+++ b/Source/Routing/PlainQueue.h
@@ -10,7 +10,6 @@
 #include <vector>
 
 #include "Base/Clock.h"
-#include "Routing/EndpointDirectory.h"
 #include "Routing/MovingAverage.h"
 #include "Routing/PlainSelector.h"
 
@@ -54,9 +53,7 @@
 class PlainQueue
 {
 public:
-  PlainQueue(const EndpointDirectory& aDirectory,
-             const EndpointLoads& aLoads,
-             const PlainSelector& aSelector);
+  explicit PlainQueue(const PlainSelector& aSelector);
 
   /** True: this daemon places for the whole fleet. */
   void SetLimited(bool aIsLimited) { mIsLimited = aIsLimited; }
@@ -90,8 +87,6 @@
   Duration ExpectedWait(const PlainDemand& aDemand) const;
   PlainGrant Refusal(const PlainDemand& aDemand, Instant aNow) const;
 
-  const EndpointDirectory& mDirectory;
-  const EndpointLoads& mLoads;
   const PlainSelector& mSelector;
   bool mIsLimited = false;
   /** Waiting demands, the one that is late first at the front. */
--- a/Source/Wire/PeerCodec.cxx
+++ b/Source/Wire/PeerCodec.cxx
@@ -13,7 +13,7 @@
 constexpr std::size_t kMaxTrackedIncarnations = 20'000;
 } // namespace
 
-PeerCodec::PeerCodec(std::string aName, std::vector<PeerKey> aKeys)
+PeerCodec::PeerCodec(std::string aName, const std::vector<PeerKey>& aKeys)
   : mName(std::move(aName))
 {
   for (const auto& it : aKeys) {
--- a/Source/Wire/PeerCodec.h
+++ b/Source/Wire/PeerCodec.h
@@ -29,7 +29,7 @@
 {
 public:
   /** aKeys must not be empty; the first key signs, all keys are accepted. */
-  PeerCodec(std::string aName, std::vector<PeerKey> aKeys);
+  PeerCodec(std::string aName, const std::vector<PeerKey>& aKeys);
 
   /** Returns the bytes of a signed frame, without a length prefix. */
   std::string Encode(const wire::Envelope& aEnvelope) const;
--- a/Tests/Router/FleetDaemon.cxx
+++ b/Tests/Router/FleetDaemon.cxx
@@ -93,7 +93,7 @@
   , mHealth(mRandom)
   , mRetryBudget({ 0.2, 50, seconds(10) }, aFleet.mClock.Now())
   , mSelector(mDirectory, mLoads, mHealth, "z", mRandom)
-  , mPlainQueue(mDirectory, mLoads, mSelector)
+  , mPlainQueue(mSelector)
   , mPlainPlacer(aFleet.mClock, mPlainQueue, Waker([this] {
                    mPlainPlacer.Dispatch();
                  }))
--- a/Tests/Router/PlainCallTest.cxx
+++ b/Tests/Router/PlainCallTest.cxx
@@ -99,7 +99,7 @@
   EndpointLoads mLoads;
   EndpointHealth mHealth{ mRandom };
   PlainSelector mSelector{ mDirectory, mLoads, mHealth, "x", mRandom };
-  PlainQueue mQueue{ mDirectory, mLoads, mSelector };
+  PlainQueue mQueue{ mSelector };
   SharedRetryBudget mRetryBudget{ { 0.2, 10, seconds(10) },
                                   Instant(seconds(0)) };
   Route mRoute;
--- a/Tests/Routing/PlainQueueTest.cxx
+++ b/Tests/Routing/PlainQueueTest.cxx
@@ -83,7 +83,7 @@
   EndpointLoads mLoads;
   EndpointHealth mHealth{ mRandom };
   PlainSelector mSelector{ mDirectory, mLoads, mHealth, "x", mRandom };
-  PlainQueue mQueue{ mDirectory, mLoads, mSelector };
+  PlainQueue mQueue{ mSelector };
   std::map<std::uint64_t, std::string> mRunning;
 };
 } // namespace
