--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -87,7 +87,7 @@
   // Configuration.
   /** aHooks, which also pass on what they get to other daemons. */
   ObjectWatcherHooks WithFeed(const std::string& aPrefix,
-                              ObjectWatcherHooks aHooks);
+                              const ObjectWatcherHooks& aHooks);
   ObjectWatcherHooks ConfigHooks();
   void ApplyConfig(const StoredObject& aObject);
   // Endpoints.
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -15,7 +15,7 @@
 }
 
 ObjectWatcherHooks
-Router::WithFeed(const std::string& aPrefix, ObjectWatcherHooks aHooks)
+Router::WithFeed(const std::string& aPrefix, const ObjectWatcherHooks& aHooks)
 {
   ObjectWatcherHooks hooks = aHooks;
   hooks.mOnListing =
