Remove a field of the placement client that nothing read

Cause: PlacementClient::mIsStopping was set when the daemon stops; what keeps it from becoming the owner again is the pause in OwnerSelector. Change: the field goes; behaviour stays. The linter and the sanitizers were not run on this commit.

--- a/Source/Router/PlacementClient.h
+++ b/Source/Router/PlacementClient.h
@@ -166,7 +166,6 @@
   /** Set while another daemon places for this one. */
   std::optional<FleetMember> mOwner;
   bool mIsOwner = false;
-  bool mIsStopping = false;
   bool mIsProbing = false;
   /** Number of the latest poll. */
   std::uint64_t mPollNumber = 0;
--- a/Source/Router/PlacementClientOwner.cxx
+++ b/Source/Router/PlacementClientOwner.cxx
@@ -31,7 +31,6 @@
 void
 PlacementClient::BeginStop()
 {
-  mIsStopping = true;
   mSelector.OnStopping(mOwnName, mClock.Now());
   if (mIsOwner) {
     ChooseOwner();
