Calculate only the runs that have changed in an engine's forecast

Cause: the forecast of an engine was calculated from all of its runs at each change, 64 runs times 9 points, so that a decision of the stream scheduler at 90 engines with 64 runs cost several times that at 12 with 12.

Change: EngineForecast keeps the share of each run and adds or subtracts what has changed; all shares are renewed after one step of the profile. Runs that have not started count as starting at the time of the decision, as before.

Ruled out: shares allocated one by one, so that erasing moves less memory: 13.9 instead of 11.9 us at 90 x 64, since they are scattered in memory.

--- a/Source/Routing/MemoryForecast.cxx
+++ b/Source/Routing/MemoryForecast.cxx
@@ -69,12 +69,39 @@
 {
 }
 
+double
+MemoryForecast::Growth(const StreamRun& aRun, Instant aNow) const
+{
+  return aRun.mStartedAt ? ToMilliseconds(aNow - *aRun.mStartedAt) * mRate : 0;
+}
+
 double
 MemoryForecast::Generated(const StreamRun& aRun, Instant aNow) const
 {
-  return aRun.mStartedAt
-           ? std::max(0.0, ToMilliseconds(aNow - *aRun.mStartedAt) * mRate)
-           : 0;
+  return std::max(0.0, Growth(aRun, aNow));
+}
+
+MemoryForecast::RunState
+MemoryForecast::StateOf(const StreamRun& aRun, Instant aNow) const
+{
+  // A run that still exists has not generated its last possible token.
+  const double generated =
+    std::min(Growth(aRun, aNow),
+             std::max(static_cast<double>(aRun.mMaxAnswerTokens) - 1, 0.0));
+  return { generated, std::max(LongerThan(generated, aRun), 1e-9) };
+}
+
+MemoryForecast::RunNeed
+MemoryForecast::NeedOf(const StreamRun& aRun,
+                       const RunState& aState,
+                       Duration aHorizon) const
+{
+  const double generated =
+    std::max(0.0, aState.mGenerated + ToMilliseconds(aHorizon) * mRate);
+  const double survival =
+    std::min(1.0, LongerThan(generated, aRun) / aState.mPresent);
+  const double size = static_cast<double>(aRun.mPromptTokens) + generated;
+  return { survival * size, survival * (1 - survival) * size * size };
 }
 
 MemoryNeed
@@ -82,24 +109,13 @@
                           Duration aHorizon,
                           Instant aNow) const
 {
-  MemoryNeed need;
-  double variance = 0;
-  const double growth = ToMilliseconds(aHorizon) * mRate;
+  RunNeed sum;
   for (const StreamRun* it : aRuns) {
-    // A run that still exists has not generated its last possible token.
-    const double generated =
-      std::min(Generated(*it, aNow),
-               std::max(static_cast<double>(it->mMaxAnswerTokens) - 1, 0.0));
-    const double present = std::max(LongerThan(generated, *it), 1e-9);
-    const double survival =
-      std::min(1.0, LongerThan(generated + growth, *it) / present);
-    const double size =
-      static_cast<double>(it->mPromptTokens) + generated + growth;
-    need.mMean += survival * size;
-    variance += survival * (1 - survival) * size * size;
+    const RunNeed need = NeedOf(*it, StateOf(*it, aNow), aHorizon);
+    sum.mMean += need.mMean;
+    sum.mVariance += need.mVariance;
   }
-  need.mDeviation = std::sqrt(variance);
-  return need;
+  return { sum.mMean, std::sqrt(sum.mVariance) };
 }
 
 double
@@ -107,7 +123,9 @@
 {
   double peak = 0;
   for (std::size_t i = 0; i < kPoints; ++i) {
-    const double deviation = std::sqrt(mVariance[i] + aOther.mVariance[i]);
+    // Sums that shares were subtracted from may be slightly below zero.
+    const double deviation =
+      std::sqrt(std::max(0.0, mVariance[i] + aOther.mVariance[i]));
     peak = std::max(peak, mMean[i] + aOther.mMean[i] + aDeviations * deviation);
   }
   return peak;
@@ -125,16 +143,47 @@
   return later;
 }
 
+MemoryProfile&
+MemoryProfile::operator+=(const MemoryProfile& aOther)
+{
+  for (std::size_t i = 0; i < kPoints; ++i) {
+    mMean[i] += aOther.mMean[i];
+    mVariance[i] += aOther.mVariance[i];
+  }
+  return *this;
+}
+
+MemoryProfile&
+MemoryProfile::operator-=(const MemoryProfile& aOther)
+{
+  for (std::size_t i = 0; i < kPoints; ++i) {
+    mMean[i] -= aOther.mMean[i];
+    mVariance[i] -= aOther.mVariance[i];
+  }
+  return *this;
+}
+
 MemoryProfile
-MemoryForecast::Profile(const std::vector<const StreamRun*>& aRuns,
-                        Instant aNow) const
+MemoryForecast::ProfileOf(const StreamRun& aRun, Instant aNow) const
 {
   MemoryProfile profile;
+  const RunState state = StateOf(aRun, aNow);
   for (std::size_t i = 0; i < MemoryProfile::kPoints; ++i) {
-    const MemoryNeed need =
-      NeedAfter(aRuns, static_cast<int>(i) * MemoryProfile::kStep, aNow);
+    const RunNeed need =
+      NeedOf(aRun, state, static_cast<int>(i) * MemoryProfile::kStep);
     profile.mMean[i] = need.mMean;
-    profile.mVariance[i] = need.mDeviation * need.mDeviation;
+    profile.mVariance[i] = need.mVariance;
+  }
+  return profile;
+}
+
+MemoryProfile
+MemoryForecast::Profile(const std::vector<const StreamRun*>& aRuns,
+                        Instant aNow) const
+{
+  MemoryProfile profile;
+  for (const StreamRun* it : aRuns) {
+    profile += ProfileOf(*it, aNow);
   }
   return profile;
 }
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -16,6 +16,7 @@
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
+#include "Routing/EngineForecast.h"
 #include "Routing/LocalPrefillTurns.h"
 #include "Routing/MemoryForecast.h"
 #include "Routing/MovingAverage.h"
@@ -282,15 +283,7 @@
   /** Tokens by which a run grows in a millisecond. */
   MovingAverage mGrowthRate;
   MemoryForecast mForecast;
-  /** The forecast for an engine costs as much as its runs are many, so it is
-   * used again until they change. */
-  struct CachedProfile
-  {
-    std::uint64_t mVersion = 0;
-    Instant mCalculatedAt;
-    MemoryProfile mProfile;
-  };
-  mutable std::unordered_map<std::string, CachedProfile> mEngineProfiles;
+  mutable std::unordered_map<std::string, EngineForecast> mEngineForecasts;
   StreamAdmission mAdmission;
   std::list<StreamDemand> mWaiting;
   std::map<std::uint64_t, PrefillWork> mPrefills;
--- a/Source/Routing/StreamSchedulerMemory.cxx
+++ b/Source/Routing/StreamSchedulerMemory.cxx
@@ -103,19 +103,14 @@
   candidate.mPromptTokens = StartTokens(aDemand);
   candidate.mAnswerTokens = aDemand.mAnswerTokens;
   candidate.mMaxAnswerTokens = aDemand.mMaxAnswerTokens;
-  return mForecast.Profile({ &candidate }, aNow);
+  return mForecast.ProfileOf(candidate, aNow);
 }
 
 MemoryProfile
 StreamScheduler::EngineProfileOf(const std::string& aEngine, Instant aNow) const
 {
-  CachedProfile& cached = mEngineProfiles[aEngine];
-  const std::uint64_t version = mRuns.VersionAt(aEngine);
-  if (cached.mVersion != version ||
-      aNow - cached.mCalculatedAt > MemoryProfile::kStep) {
-    cached = { version, aNow, mForecast.Profile(mRuns.At(aEngine), aNow) };
-  }
-  return cached.mProfile.After(aNow - cached.mCalculatedAt);
+  return mEngineForecasts[aEngine].At(
+    mForecast, mRuns.At(aEngine), mRuns.VersionAt(aEngine), aNow);
 }
 
 std::optional<double>
