Keep the usable endpoints of a service between changes

Change: the directory keeps the list of usable endpoints until an entry of the service changes, and returns it by reference; a query that may change the directory takes a copy. Of the prefill engines 16 are compared, from a random one on, as of the decode engines.

--- a/Source/Router/CachedPromptQuery.cxx
+++ b/Source/Router/CachedPromptQuery.cxx
@@ -35,8 +35,10 @@
                          std::function<void()> aDone)
 {
   const Instant now = mClock.Now();
-  for (const EndpointRecord* it :
-       mDirectory.Usable(aService, EndpointRole::Decode)) {
+  // A call may change the directory.
+  const std::vector<const EndpointRecord*> engines =
+    mDirectory.Usable(aService, EndpointRole::Decode);
+  for (const EndpointRecord* it : engines) {
     const auto [queriedAt, isNew] = mQueriedAt.try_emplace(it->mId, now);
     if (isNew || now - queriedAt->second >= kQueryInterval) {
       queriedAt->second = now;
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -79,7 +79,7 @@
   if (it == mEntries.end()) {
     mEntries[aRecord.mId].mRecord = aRecord;
     mServices[aRecord.mService].push_back(aRecord.mId);
-    mPools.erase(aRecord.mService);
+    ForgetPools(aRecord.mService);
     mOnChange.emit(aRecord, EndpointChange::Added);
     if (aRecord.mIsDraining) {
       mOnChange.emit(aRecord, EndpointChange::Draining);
@@ -92,7 +92,7 @@
   it->second.mDropAt.reset();
   if (!(before == aRecord)) {
     it->second.mIsReplaced = false;
-    mPools.erase(aRecord.mService);
+    ForgetPools(aRecord.mService);
   }
   if (before.mIncarnation != aRecord.mIncarnation) {
     it->second.mHasAnnouncedLeaving = false;
@@ -135,7 +135,7 @@
   const auto it = mEntries.find(aId);
   const EndpointRecord record = it->second.mRecord;
   mEntries.erase(it);
-  mPools.erase(record.mService);
+  ForgetPools(record.mService);
   auto& ids = mServices[record.mService];
   ids.erase(std::remove(ids.begin(), ids.end(), aId), ids.end());
   mOnChange.emit(record, EndpointChange::Removed);
@@ -147,6 +147,7 @@
   const auto it = mEntries.find(aId);
   if (it != mEntries.end() && !it->second.mIsReplaced) {
     it->second.mIsReplaced = true;
+    ForgetPools(it->second.mRecord.mService);
     mOnChange.emit(it->second.mRecord, EndpointChange::Replaced);
   }
 }
@@ -159,6 +160,7 @@
   if (it != mEntries.end() && !it->second.mHasAnnouncedLeaving &&
       it->second.mRecord.mIncarnation == aIncarnation) {
     it->second.mHasAnnouncedLeaving = true;
+    ForgetPools(it->second.mRecord.mService);
     mOnChange.emit(it->second.mRecord, EndpointChange::LeavingAnnounced);
   }
 }
@@ -174,6 +176,7 @@
     return;
   }
   it->second.mBackoffEnd = aUntil;
+  ForgetPools(it->second.mRecord.mService);
   mOnChange.emit(it->second.mRecord, EndpointChange::BackoffStarted);
 }
 
@@ -190,6 +193,7 @@
   }
   const bool isNew = !it->second.mRoleOrder;
   it->second.mRoleOrder = aOrder;
+  ForgetPools(it->second.mRecord.mService);
   if (isNew) {
     mOnChange.emit(it->second.mRecord, EndpointChange::ChangingRole);
   }
@@ -288,12 +292,14 @@
   for (auto& [id, entry] : mEntries) {
     if (entry.mRoleOrder && entry.mRoleOrder->mDeadline <= aNow) {
       entry.mRoleOrder.reset();
+      ForgetPools(entry.mRecord.mService);
       if (IsUsable(entry)) {
         mOnChange.emit(entry.mRecord, EndpointChange::Returned);
       }
     }
     if (entry.mBackoffEnd && *entry.mBackoffEnd <= aNow) {
       entry.mBackoffEnd.reset();
+      ForgetPools(entry.mRecord.mService);
       if (IsUsable(entry)) {
         mOnChange.emit(entry.mRecord, EndpointChange::Returned);
       }
@@ -352,16 +358,30 @@
   return pool == pools->second.end() ? sNone : pool->second;
 }
 
-std::vector<const EndpointRecord*>
+const std::vector<const EndpointRecord*>&
 EndpointDirectory::Usable(const std::string& aService, EndpointRole aRole) const
 {
-  std::vector<const EndpointRecord*> usable;
-  for (const Entry* it : EntriesOf(aService, aRole)) {
-    if (IsUsable(*it)) {
-      usable.push_back(&it->mRecord);
+  static const std::vector<const EndpointRecord*> sNone;
+  const auto& entries = EntriesOf(aService, aRole);
+  if (entries.empty()) {
+    return sNone;
+  }
+  const auto [pool, isNew] = mUsable[aService].try_emplace(aRole);
+  if (isNew) {
+    for (const Entry* it : entries) {
+      if (IsUsable(*it)) {
+        pool->second.push_back(&it->mRecord);
+      }
     }
   }
-  return usable;
+  return pool->second;
+}
+
+void
+EndpointDirectory::ForgetPools(const std::string& aService)
+{
+  mPools.erase(aService);
+  mUsable.erase(aService);
 }
 
 std::vector<const EndpointRecord*>
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -166,9 +166,10 @@
   bool IsUsable(const std::string& aId) const;
   /** aService has endpoints of aRole, and all of them leave. */
   bool AreAllLeaving(const std::string& aService, EndpointRole aRole) const;
-  /** Endpoints of aService that may get new requests. */
-  std::vector<const EndpointRecord*> Usable(const std::string& aService,
-                                            EndpointRole aRole) const;
+  /** Endpoints of aService that may get new requests, valid until the next
+   * change. */
+  const std::vector<const EndpointRecord*>& Usable(const std::string& aService,
+                                                   EndpointRole aRole) const;
   /** Endpoints of aService that may get new requests, or may get them after a
    * backoff. */
   std::vector<const EndpointRecord*> UsableOrInBackoff(
@@ -214,6 +215,8 @@
                                              EndpointRole aRole) const;
   bool IsInGracePeriod(Instant aNow) const { return aNow < mGracePeriodEnd; }
   void Drop(const std::string& aId);
+  /** To be called when an entry of aService has changed. */
+  void ForgetPools(const std::string& aService);
 
   Duration mGracePeriod;
   Instant mGracePeriodEnd;
@@ -224,6 +227,10 @@
   /** Entries by service and role; built at the first lookup after a change, so
    * that a decision does not search for each entry. */
   mutable std::map<std::string, Pools> mPools;
+  /** Results of Usable since the last change, by service and role. */
+  mutable std::map<std::string,
+                   std::map<EndpointRole, std::vector<const EndpointRecord*>>>
+    mUsable;
   ChangeSignal mOnChange;
 };
 
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -257,7 +257,7 @@
   const double memory = UsableMemory(aDemand.mService);
   const MemoryProfile profile = ProfileOf(aDemand, aNow);
   double bestCost = 0;
-  const auto engines =
+  const auto& engines =
     mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
   const Rank bestRank = BestRank(engines, aDemand, aNow);
   // A decode engine runs one local prefill at a time, between the tokens of its
@@ -302,15 +302,21 @@
 {
   const EndpointRecord* best = nullptr;
   double bestCost = 0;
-  const auto engines =
+  const auto& engines =
     mDirectory.Usable(aDemand.mService, EndpointRole::Prefill);
   const Rank bestRank = BestRank(engines, aDemand, aNow);
-  for (const EndpointRecord* it : engines) {
+  const std::size_t start =
+    engines.empty() ? 0 : mRandom.UniformBelow(engines.size());
+  std::size_t compared = 0;
+  for (std::size_t i = 0; i < engines.size() && compared < kComparedEngines;
+       ++i) {
+    const EndpointRecord* it = engines[(start + i) % engines.size()];
     const EndpointWork load = mLoads.Total(it->mId);
     if (load.mRequests >= kPrefillDepth ||
         RankOf(it->mId, aDemand, aNow) > bestRank) {
       continue;
     }
+    ++compared;
     const double cost =
       static_cast<double>(load.mPrefillTokens) /
         static_cast<double>(std::max<std::uint64_t>(aDemand.mPromptTokens, 1)) +
