Drop what a relayed store read before a later change

Cause: a daemon that follows a feed reads a large object from the store. When the object was deleted or changed again before the answer, the answer was applied after the later change: an endpoint that was removed came back, or an older state replaced a newer one.

Change: the answer to a read counts only if no change and no read of the object came after it.

--- a/Source/Platform/RelayedStore.cxx
+++ b/Source/Platform/RelayedStore.cxx
@@ -79,23 +79,30 @@
   }
   void HandleChange(const StoredObject& aObject)
   {
+    mReads.erase(aObject.mKey);
     mPosition.mRevision = std::max(mPosition.mRevision, aObject.mVersion);
     mHooks.mOnChange(aObject);
   }
   void Read(const std::string& aKey)
   {
-    mOwner.mStore.Get(
-      aKey,
-      [this, alive = mIsAlive](const absl::StatusOr<StoredObject>& aObject) {
-        if (!*alive) {
-          return;
-        }
-        if (aObject.ok()) {
-          HandleChange(*aObject);
-        } else if (!absl::IsNotFound(aObject.status())) {
-          End(aObject.status());
-        }
-      });
+    const std::uint64_t read = ++mLastRead;
+    mReads[aKey] = read;
+    mOwner.mStore.Get(aKey,
+                      [this, alive = mIsAlive, aKey, read](
+                        const absl::StatusOr<StoredObject>& aObject) {
+                        // A later change or read of the object makes this
+                        // answer out of date.
+                        if (!*alive || mReads.count(aKey) == 0 ||
+                            mReads[aKey] != read) {
+                          return;
+                        }
+                        mReads.erase(aKey);
+                        if (aObject.ok()) {
+                          HandleChange(*aObject);
+                        } else if (!absl::IsNotFound(aObject.status())) {
+                          End(aObject.status());
+                        }
+                      });
   }
   void End(absl::Status aStatus)
   {
@@ -109,6 +116,9 @@
   StoreWatchHooks mHooks;
   FeedPosition mPosition;
   std::unique_ptr<StoreWatch> mStoreWatch;
+  /** Number of the latest read of each object that is being read. */
+  std::map<std::string, std::uint64_t> mReads;
+  std::uint64_t mLastRead = 0;
   std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
 };
 
