Let the placement owner find cached prompts of interrupted streams

Cause: a daemon that has just started asks the decode engines which prompts they have cached when a caller resumes a stream. In a large fleet the owner places the stream, and it never learned the answers: the prompt was computed again, and each of hundreds of daemons asked every engine.

--- a/Source/Router/PlacementOwner.h
+++ b/Source/Router/PlacementOwner.h
@@ -58,6 +58,11 @@
     /** This daemon does not reach the store although its clients do, so another
      * one should be the owner. */
     std::function<void()> mOnStepDown;
+    /** Looks for the engines that cache the prompt of an interrupted stream,
+     * and calls aDone when they are known, perhaps at once. */
+    std::function<void(const StreamDemand& aDemand,
+                       std::function<void()> aDone)>
+      mFindCachedPrompt;
     /** Schedules OnWake. */
     std::function<void(Instant)> mWakeAt;
   };
--- a/Source/Router/RemoteStream.h
+++ b/Source/Router/RemoteStream.h
@@ -2,6 +2,7 @@
 #define BULRUSHFOLD_ROUTER_REMOTESTREAM_H
 
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -27,6 +28,7 @@
   }
   ~RemoteStream() override
   {
+    *mIsAlive = false;
     StreamPlacer& streams = mOwner.mTables.mStreams;
     if (mResponder) {
       streams.Withdraw(mLocalNumber);
@@ -55,7 +57,16 @@
       Refuse(wire::StreamPlacementResult::OVERLOAD, Duration::zero());
       return;
     }
-    mOwner.mTables.mStreams.Submit(std::move(aDemand), *this);
+    if (!aDemand.mWasInterrupted) {
+      mOwner.mTables.mStreams.Submit(std::move(aDemand), *this);
+      return;
+    }
+    mOwner.mHooks.mFindCachedPrompt(
+      aDemand, [this, alive = mIsAlive, demand = aDemand] {
+        if (*alive) {
+          mOwner.mTables.mStreams.Submit(demand, *this);
+        }
+      });
   }
 
   void HandlePlacement(const StreamPlacement* aPlacement) override
@@ -112,6 +123,7 @@
   Instant mFirstArrival;
   /** Set while the stream waits. */
   Responder mResponder;
+  std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
 };
 
 } // namespace bulrushfold
--- a/Source/Router/RouterPlacement.cxx
+++ b/Source/Router/RouterPlacement.cxx
@@ -10,6 +10,14 @@
   PlacementOwner::Hooks hooks;
   hooks.mNextNumber = [this] { return mNextNumber++; };
   hooks.mMemberCount = [this] { return mPlacement.MemberCount(); };
+  hooks.mFindCachedPrompt = [this](const StreamDemand& aDemand,
+                                   std::function<void()> aDone) {
+    if (mCachedPrompts.Find(aDemand.mPromptKey, mClock.Now()).empty()) {
+      mCachedPromptQuery.Start(aDemand.mService, std::move(aDone));
+    } else {
+      aDone();
+    }
+  };
   hooks.mOnStepDown = [this] { mPlacement.StepDown(); };
   hooks.mWakeAt = [this](Instant aTime) { mOwnerTimer.WakeAt(aTime); };
   return hooks;
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -49,7 +49,9 @@
 StreamSession::NeedsCachedPromptQuery() const
 {
   const RequestMetadata& metadata = mRequest->mMetadata;
-  return !metadata.mLastEventId.empty() && metadata.mUniquePromptPart &&
+  // A placement owner asks the engines by itself.
+  return !mServices.mPlacement.HasRemoteOwner() &&
+         !metadata.mLastEventId.empty() && metadata.mUniquePromptPart &&
          mServices.mCachedPrompts
            .Find(metadata.mUniquePromptPart->mKey, mServices.mClock.Now())
            .empty();
--- a/Tests/Router/FleetDaemon.cxx
+++ b/Tests/Router/FleetDaemon.cxx
@@ -9,6 +9,8 @@
 using std::chrono::seconds;
 
 constexpr const char* kPrefix = "config/";
+/** Engine that caches the prompts of all interrupted streams. */
+constexpr const char* kCachingEngine = "d2";
 constexpr Duration kStreamQueueTime = seconds(1);
 /** Latest answer to a plain request: after the timeout of the owner's answer,
  * the daemon chooses by itself. */
@@ -28,6 +30,8 @@
   void HandlePlacement(const StreamPlacement* aPlacement) override
   {
     Answer();
+    mDaemon.mFleet.mLastDecode =
+      aPlacement == nullptr ? "" : aPlacement->mDecode;
     if (aPlacement == nullptr) {
       Finish(Duration::zero());
       return;
@@ -160,6 +164,17 @@
   PlacementOwner::Hooks hooks;
   hooks.mNextNumber = [this] { return mNextNumber++; };
   hooks.mMemberCount = [] { return PlacementFleet::kDaemons; };
+  hooks.mFindCachedPrompt = [this](const StreamDemand& aDemand,
+                                   const std::function<void()>& aDone) {
+    mFleet.After(milliseconds(5),
+                 [this, alive = mIsAlive, key = aDemand.mPromptKey, aDone] {
+                   if (*alive) {
+                     mCachedPrompts.OnListed(
+                       kCachingEngine, { { key, 5000 } }, mFleet.mClock.Now());
+                     aDone();
+                   }
+                 });
+  };
   hooks.mOnStepDown = [this] { mClient.StepDown(); };
   hooks.mWakeAt = Waker([this] { mOwner.OnWake(); });
   return hooks;
@@ -264,7 +279,7 @@
 }
 
 void
-FleetDaemon::RequestStream(std::uint64_t aNumber)
+FleetDaemon::RequestStream(std::uint64_t aNumber, std::uint64_t aCachedKey)
 {
   const Instant now = mFleet.mClock.Now();
   auto& stream = mStreams[aNumber];
@@ -282,6 +297,8 @@
   demand.mIsRetry = true;
   mClient.Submit(std::move(demand), *stream);
 }
+  demand.mPromptKey = aCachedKey;
+  demand.mWasInterrupted = aCachedKey != 0;
 
 std::size_t
 FleetDaemon::CountedWork() const
--- a/Tests/Router/PlacementFleet.h
+++ b/Tests/Router/PlacementFleet.h
@@ -214,7 +214,9 @@
   ~FleetDaemon() { *mIsAlive = false; }
 
   void RequestPlain(std::uint64_t aNumber);
-  void RequestStream(std::uint64_t aNumber);
+  /** aCachedKey: key of the prompt of an interrupted stream; 0: a new stream.
+   */
+  void RequestStream(std::uint64_t aNumber, std::uint64_t aCachedKey = 0);
   /** Requests and streams that are counted at endpoints. */
   std::size_t CountedWork() const;
   void WatchStore();
@@ -306,6 +308,8 @@
   std::vector<std::unique_ptr<FleetDaemon>> mDaemons;
   FleetResult mResult;
   /** Number of answers, by request. */
+  /** Engine of the stream that was placed last. */
+  std::string mLastDecode;
   std::map<std::uint64_t, std::size_t> mAnswers;
 
 private:
--- a/Tests/Router/PlacementFleetTest.cxx
+++ b/Tests/Router/PlacementFleetTest.cxx
@@ -7,6 +7,7 @@
 namespace bulrushfold {
 
 namespace {
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 std::size_t
@@ -86,6 +87,25 @@
 {
   SUBCASE("clients that do not give back what they were granted")
   {
+// Guards against a prompt that is computed again although an engine still has
+// it cached: only the daemon that places has to know.
+TEST_CASE("An owner finds the cached prompts of interrupted streams")
+{
+  PlacementFleet fleet(1, FleetDefect::None);
+  fleet.Run(seconds(3), false);
+  const auto client =
+    std::find_if(fleet.mDaemons.begin(),
+                 fleet.mDaemons.end(),
+                 [](const auto& aIt) { return !aIt->mClient.IsOwner(); });
+  REQUIRE(client != fleet.mDaemons.end());
+  for (std::uint64_t number = 1; number <= 8; ++number) {
+    CAPTURE(number);
+    (*client)->RequestStream(9'000'000 + number, number);
+    fleet.Continue(milliseconds(500));
+    CHECK(fleet.mLastDecode == "d2");
+  }
+}
+
     PlacementFleet fleet(1, FleetDefect::NoRelease);
     CHECK(fleet.Run(seconds(20), false).mLostGrants > 0);
   }
