Keep the ports of tests reserved until they are used

Cause: FreeAddress closed its socket before the test listened at the port, so that another test program or an outgoing connection could get the port in between. Seen on: AdapterTest under sanitizers, the third of three runs, while six others ran beside it, 'UnframedAnswerTest': the router of the fixture could not listen (PlatformFixture.h:107).

Change: the address stays bound by a socket that does not listen.

--- a/Tests/Net/LoopFixture.h
+++ b/Tests/Net/LoopFixture.h
@@ -1,6 +1,8 @@
 #ifndef BULRUSHFOLD_TESTS_NET_LOOPFIXTURE_H
 #define BULRUSHFOLD_TESTS_NET_LOOPFIXTURE_H
 
+#include <cstddef>
+#include <deque>
 #include <functional>
 #include <string>
 
@@ -13,18 +15,30 @@
 
 namespace bulrushfold {
 
-/** A loopback address with a port that is free at the time of the call. */
+/**
+ * A loopback address that nobody listens at. Its port stays bound, so that no
+ * other process and no outgoing connection gets it before the test listens
+ * there; SO_REUSEADDR lets the test do so. The oldest ports are given back.
+ */
 inline SocketAddress
 FreeAddress()
 {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  constexpr std::size_t kReservedPorts = 128;
+  static std::deque<int> sReserved;
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int isReusable = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &isReusable, sizeof(isReusable));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t n = sizeof(address);
   bind(fd, reinterpret_cast<sockaddr*>(&address), n);
   getsockname(fd, reinterpret_cast<sockaddr*>(&address), &n);
-  close(fd);
+  sReserved.push_back(fd);
+  if (sReserved.size() > kReservedPorts) {
+    close(sReserved.front());
+    sReserved.pop_front();
+  }
   return { "127.0.0.1", ntohs(address.sin_port) };
 }
 
