Let the watches of a fleet wait for the feed of a new owner

Cause: at each change of the placement owner every daemon opened watches at the store until the new owner sent its first news, two calls for each daemon.

Change: daemons that follow the next owner wait 700 ms for its feed, and watch the store only if none comes. A daemon whose own state is not current does not end their wait.

--- a/Source/Platform/RelayedStore.cxx
+++ b/Source/Platform/RelayedStore.cxx
@@ -31,17 +31,18 @@
   }
 
   const FeedPosition& Position() const { return mPosition; }
-  bool IsFed() const { return mPosition.mFeed != 0; }
+  bool IsFed() const { return mPosition.mFeed != 0 || mIsWaiting; }
 
   void OnFeed(const FeedUpdate& aUpdate)
   {
     if (!aUpdate.mIsCurrent) {
-      if (IsFed()) {
+      if (mPosition.mFeed != 0) {
         End(absl::UnavailableError("the daemon with the feed lost the store"));
       }
       return;
     }
     mStoreWatch.reset();
+    mIsWaiting = false;
     mPosition.mFeed = aUpdate.mFeed;
     mPosition.mSequence = aUpdate.mSequence;
     const auto alive = mIsAlive;
@@ -56,12 +57,20 @@
       }
     }
   }
-  void OnFeedLost()
+  void OnFeedChanging()
   {
-    if (std::exchange(mPosition.mFeed, 0) != 0) {
-      mPosition.mSequence = 0;
+    mIsWaiting = IsFed();
+    mPosition.mFeed = 0;
+    mPosition.mSequence = 0;
+  }
+  /** True if the watch continues at the store, since it has waited. */
+  bool StopWaiting()
+  {
+    const bool wasWaiting = std::exchange(mIsWaiting, false);
+    if (wasWaiting) {
       WatchStore();
     }
+    return wasWaiting;
   }
 
 private:
@@ -107,6 +116,7 @@
   void End(absl::Status aStatus)
   {
     mPosition.mFeed = 0;
+    mIsWaiting = false;
     if (const auto hook = std::exchange(mHooks.mOnEnd, nullptr); hook) {
       hook(std::move(aStatus), mPosition.mRevision);
     }
@@ -115,6 +125,8 @@
   RelayedStore& mOwner;
   StoreWatchHooks mHooks;
   FeedPosition mPosition;
+  /** The feed has ended and the next one has not sent anything yet. */
+  bool mIsWaiting = false;
   std::unique_ptr<StoreWatch> mStoreWatch;
   /** Number of the latest read of each object that is being read. */
   std::map<std::string, std::uint64_t> mReads;
@@ -150,11 +162,30 @@
 }
 
 void
-RelayedStore::OnFeedLost()
+RelayedStore::OnFeedChanging()
 {
+  for (const auto& [prefix, watch] : mWatches) {
+    watch->OnFeedChanging();
+  }
+}
+
+std::vector<std::string>
+RelayedStore::StopWaiting()
+{
+  std::vector<std::string> prefixes;
   for (const auto& [prefix, watch] : std::map(mWatches)) {
-    watch->OnFeedLost();
+    if (watch->StopWaiting()) {
+      prefixes.push_back(prefix);
+    }
   }
+  return prefixes;
+}
+
+void
+RelayedStore::OnFeedLost()
+{
+  OnFeedChanging();
+  StopWaiting();
 }
 
 bool
--- a/Source/Platform/RelayedStore.h
+++ b/Source/Platform/RelayedStore.h
@@ -27,9 +27,15 @@
   /** Positions of the watches, to be sent to the daemon with the feed. */
   std::vector<FeedPosition> Positions() const;
   void OnFeed(const FeedUpdate& aUpdate);
+  /** Another daemon will send a feed soon. The watches that were fed wait for
+   * it, without a call to the store. */
+  void OnFeedChanging();
+  /** The watches that still wait continue at the store. Returns their prefixes.
+   */
+  std::vector<std::string> StopWaiting();
   /** There is no feed any more; the watches continue at the store. */
   void OnFeedLost();
-  /** True while some watch gets its changes from a feed. */
+  /** True while some watch gets its changes from a feed, or waits for one. */
   bool IsFed() const;
 
   void Get(const std::string& aKey, GetHook aHook) override
--- a/Source/Router/PlacementClient.h
+++ b/Source/Router/PlacementClient.h
@@ -39,8 +39,9 @@
                        const PeerStatus& aStatus,
                        std::size_t aDaemons)>
       mOnNews;
-    /** aOwner is not followed any more; its reports are out of date. */
-    std::function<void(const std::string& aOwner)> mOnOwnerLeft;
+    /** aOwner is not followed any more; its reports are out of date.
+     * aHasNext: another owner is followed from now on. */
+    std::function<void(const std::string& aOwner, bool aHasNext)> mOnOwnerLeft;
     /** This daemon watches the store itself, and the store answers. */
     std::function<bool()> mReachesStore;
     /** What this daemon knows of the store's objects. */
--- a/Source/Router/PlacementClientOwner.cxx
+++ b/Source/Router/PlacementClientOwner.cxx
@@ -86,7 +86,7 @@
   mGrantedPlain.clear();
   mPlain.Queue().SetLimited(mIsOwner);
   if (!former.empty()) {
-    mHooks.mOnOwnerLeft(former);
+    mHooks.mOnOwnerLeft(former, mOwner.has_value());
   }
   mLastHeardAt = mClock.Now();
   if (mOwner) {
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -81,6 +81,10 @@
   PlacementOwner::Hooks OwnerHooks();
   PlacementClient::Hooks PlacementHooks();
   void HandleLinksOpen(PeerTransport& aTransport);
+  /** The owner that is followed has sent no feed. */
+  void HandleFeedMissing();
+  /** Watches the store while there is no feed. */
+  void WatchStore();
   void HandleNews(const std::string& aOwner,
                   const PeerStatus& aStatus,
                   std::size_t aDaemons);
@@ -159,6 +163,7 @@
   HttpServer mMetricsServer;
   StopController mStop;
   EventHandle mExpiryTimer;
+  EventHandle mFeedTimer;
   EventHandle mLogTimer;
   /** Dropped log lines that the metrics already include. */
   LogDrops mReportedDrops;
--- a/Source/Router/RouterPlacement.cxx
+++ b/Source/Router/RouterPlacement.cxx
@@ -4,6 +4,12 @@
 
 namespace bulrushfold {
 
+namespace {
+/** Time for the first feed of a new owner. All daemons notice within this time
+ * that the former one has failed. */
+constexpr Duration kFeedWait = std::chrono::milliseconds(700);
+} // namespace
+
 PlacementOwner::Hooks
 Router::OwnerHooks()
 {
@@ -33,10 +39,13 @@
                          std::size_t aDaemons) {
     HandleNews(aOwner, aStatus, aDaemons);
   };
-  hooks.mOnOwnerLeft = [this](const std::string& aOwner) {
-    mRelayedStore.OnFeedLost();
-    for (const auto& it : mRelayedStore.Positions()) {
-      mFeed.OnWatched(it.mPrefix);
+  hooks.mOnOwnerLeft = [this](const std::string& aOwner, bool aHasNext) {
+    mFeedTimer = EventHandle();
+    if (aHasNext) {
+      mRelayedStore.OnFeedChanging();
+      mFeedTimer = mLoop.After(kFeedWait, [this] { HandleFeedMissing(); });
+    } else {
+      WatchStore();
     }
     mRetryBudget.RemovePeer(aOwner);
     mGuard.RemovePeer(aOwner);
@@ -95,6 +104,23 @@
                     });
 }
 
+void
+Router::HandleFeedMissing()
+{
+  for (const auto& it : mRelayedStore.StopWaiting()) {
+    mFeed.OnWatched(it);
+  }
+}
+
+void
+Router::WatchStore()
+{
+  mRelayedStore.OnFeedLost();
+  for (const auto& it : mRelayedStore.Positions()) {
+    mFeed.OnWatched(it.mPrefix);
+  }
+}
+
 void
 Router::HandleNews(const std::string& aOwner,
                    const PeerStatus& aStatus,
--- a/Tests/Router/FleetDaemon.cxx
+++ b/Tests/Router/FleetDaemon.cxx
@@ -15,6 +15,8 @@
 /** Latest answer to a plain request: after the timeout of the owner's answer,
  * the daemon chooses by itself. */
 constexpr Duration kMaxPlainWait = milliseconds(310);
+/** Time for the first feed of a new owner. */
+constexpr Duration kFeedWait = milliseconds(700);
 constexpr Duration kMaxStreamWait = kStreamQueueTime + milliseconds(400);
 
 /** A stream that runs as soon as it is placed. */
@@ -190,9 +192,18 @@
     return status;
   };
   hooks.mOnNews = [](const std::string&, const PeerStatus&, std::size_t) {};
-  hooks.mOnOwnerLeft = [this](const std::string&) {
-    mStore.OnFeedLost();
-    mFeed.OnWatched(kPrefix);
+  hooks.mOnOwnerLeft = [this](const std::string&, bool aHasNext) {
+    if (!aHasNext) {
+      mStore.OnFeedLost();
+      mFeed.OnWatched(kPrefix);
+      return;
+    }
+    mStore.OnFeedChanging();
+    mFleet.After(kFeedWait, [this, alive = mIsAlive] {
+      if (*alive && !mStore.StopWaiting().empty()) {
+        mFeed.OnWatched(kPrefix);
+      }
+    });
   };
   hooks.mReachesStore = [this] { return !mStore.IsFed(); };
   hooks.mFeedPositions = [this] { return mStore.Positions(); };
--- a/Tests/Router/PlacementFleet.h
+++ b/Tests/Router/PlacementFleet.h
@@ -53,6 +53,8 @@
   StoredObject Object() const { return { "config/main", mVersion, "", false }; }
   std::uint64_t Version() const { return mVersion; }
   std::size_t WatchCount() const { return mWatches.size(); }
+  /** Watches since the start. */
+  std::size_t WatchCalls() const { return mWatchCalls; }
 
   void Get(const std::string&, GetHook aHook) override { aHook(Object()); }
   void Put(const std::string&,
@@ -74,6 +76,7 @@
                                     std::uint64_t aRevision,
                                     StoreWatchHooks aHooks) override
   {
+    ++mWatchCalls;
     auto watch = std::make_unique<VirtualWatch>(*this);
     mWatches[watch.get()] = aHooks.mOnChange;
     if (aRevision < mVersion) {
@@ -100,6 +103,7 @@
 
   VirtualTimeQueue& mQueue;
   std::uint64_t mVersion = 1;
+  std::size_t mWatchCalls = 0;
   std::map<StoreWatch*, std::function<void(const StoredObject&)>> mWatches;
   StoreStatistics mStatistics;
 };
--- a/Tests/Router/PlacementFleetTest.cxx
+++ b/Tests/Router/PlacementFleetTest.cxx
@@ -87,6 +87,24 @@
   CHECK(fleet.mStore.WatchCount() == 1);
 }
 
+// Guards against hundreds of calls to the store at each change of the owner.
+TEST_CASE("A fleet whose owner dies waits for the feed of the next one")
+{
+  PlacementFleet fleet(1, FleetDefect::None);
+  fleet.Run(seconds(3), false);
+  const std::size_t before = fleet.mStore.WatchCalls();
+  auto& daemons = fleet.mDaemons;
+  const auto owner =
+    std::find_if(daemons.begin(), daemons.end(), [](const auto& aIt) {
+      return aIt->mClient.IsOwner();
+    });
+  REQUIRE(owner != daemons.end());
+  owner->reset();
+  fleet.Continue(seconds(5));
+  CHECK(fleet.mStore.WatchCount() == 1);
+  CHECK(fleet.mStore.WatchCalls() - before < PlacementFleet::kDaemons / 4);
+}
+
 // Guards against a prompt that is computed again although an engine still has
 // it cached: only the daemon that places has to know.
 TEST_CASE("An owner finds the cached prompts of interrupted streams")
--- a/Tests/Router/RelayedStoreTest.cxx
+++ b/Tests/Router/RelayedStoreTest.cxx
@@ -100,6 +100,32 @@
     CHECK(store.mWatchedFrom == 6);
     CHECK(ends == 0);
   }
+  SUBCASE("waits for the next feed without a call to the store")
+  {
+    relayed.OnFeedChanging();
+    CHECK(relayed.IsFed());
+    CHECK(store.mWatches == 0);
+    CHECK(relayed.Positions()[0].mFeed == 0);
+
+    SUBCASE("and follows it")
+    {
+      relayed.OnFeed({ kPrefix, true, 8, 1, {} });
+      CHECK(relayed.StopWaiting().empty());
+      CHECK(store.mWatches == 0);
+    }
+    SUBCASE("also when its daemon does not know the store's state yet")
+    {
+      relayed.OnFeed({ kPrefix, false, 0, 0, {} });
+      CHECK(ends == 0);
+      CHECK(relayed.IsFed());
+    }
+    SUBCASE("but not for long")
+    {
+      CHECK(relayed.StopWaiting() == std::vector<std::string>{ kPrefix });
+      CHECK(store.mWatches == 1);
+      CHECK(store.mWatchedFrom == 6);
+    }
+  }
   SUBCASE("ends when the daemon with the feed has lost the store")
   {
     FeedUpdate update = MakeUpdate(2, {});
