Let the raw test endpoint listen at a reserved port

Cause: the endpoint that the tests write byte by byte listened without SO_REUSEADDR, so that it could not use an address that FreeAddress now keeps reserved: 9 of 35 cases of AdapterTest failed in the release build.

Result: AdapterTest, NetTest and RouterTest pass in the release build.

--- a/Tests/Adapter/RawEndpoint.cxx
+++ b/Tests/Adapter/RawEndpoint.cxx
@@ -37,6 +37,7 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   address.sin_port = htons(mAddress.mPort);
+  AllowReuse(mListener);
   REQUIRE(bind(mListener,
                reinterpret_cast<sockaddr*>(&address),
                sizeof(address)) == 0);
--- a/Tests/Net/FreeAddressTest.cxx
+++ b/Tests/Net/FreeAddressTest.cxx
@@ -15,8 +15,9 @@
 CanListen(const SocketAddress& aAddress, bool aIsReusable)
 {
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int isReusable = aIsReusable ? 1 : 0;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &isReusable, sizeof(isReusable));
+  if (aIsReusable) {
+    AllowReuse(fd);
+  }
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(aAddress.mPort);
--- a/Tests/Net/HttpConnectionTest.cxx
+++ b/Tests/Net/HttpConnectionTest.cxx
@@ -26,8 +26,7 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     address.sin_port = htons(mAddress.mPort);
-    const int isOn = 1;
-    setsockopt(mListener, SOL_SOCKET, SO_REUSEADDR, &isOn, sizeof(isOn));
+    AllowReuse(mListener);
     REQUIRE(bind(mListener,
                  reinterpret_cast<sockaddr*>(&address),
                  sizeof(address)) == 0);
--- a/Tests/Net/LoopFixture.h
+++ b/Tests/Net/LoopFixture.h
@@ -15,6 +15,15 @@
 
 namespace bulrushfold {
 
+/** Lets aSocket listen at a port that FreeAddress keeps bound. */
+inline void
+AllowReuse(int aSocket)
+{
+  const int isReusable = 1;
+  setsockopt(
+    aSocket, SOL_SOCKET, SO_REUSEADDR, &isReusable, sizeof(isReusable));
+}
+
 /**
  * A loopback address that nobody listens at. Its port stays bound, so that no
  * other process and no outgoing connection gets it before the test listens
@@ -26,8 +35,7 @@
   constexpr std::size_t kReservedPorts = 128;
   static std::deque<int> sReserved;
   const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  const int isReusable = 1;
-  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &isReusable, sizeof(isReusable));
+  AllowReuse(fd);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
