Tell followers of a feed what was deleted before it began

Cause: a daemon that changes from the feed of one owner to that of another learned of a deletion only if the new owner had seen it, and only for 10 s. If the new owner had read the store for the first time after the deletion, and the former one died before it passed the deletion on, the object stayed in force: an endpoint that was gone, whose address another one may use.

Change: an owner that reads the store for the first time later than the follower's revision also sends the keys of all objects, and the follower drops the others. Deletions are otherwise told by revision, as writes are, without a limit in time.

--- a/Source/Platform/RelayedStore.cxx
+++ b/Source/Platform/RelayedStore.cxx
@@ -46,15 +46,18 @@
     mPosition.mFeed = aUpdate.mFeed;
     mPosition.mSequence = aUpdate.mSequence;
     const auto alive = mIsAlive;
+    if (aUpdate.mKeys) {
+      RemoveOthers(*aUpdate.mKeys);
+    }
     for (const auto& it : aUpdate.mChanges) {
+      if (!*alive) {
+        return;
+      }
       if (it.mIsLarge) {
         Read(it.mObject.mKey);
       } else {
         HandleChange(it.mObject);
       }
-      if (!*alive) {
-        return;
-      }
     }
   }
   void OnFeedChanging()
@@ -86,9 +89,25 @@
     mStoreWatch = mOwner.mStore.Watch(
       mPosition.mPrefix, mPosition.mRevision, std::move(hooks));
   }
+  /** Reports all objects as deleted whose keys are not in aKeys. */
+  void RemoveOthers(const std::set<std::string>& aKeys)
+  {
+    const auto alive = mIsAlive;
+    for (const auto& it : std::set(mOwner.mKeys[mPosition.mPrefix])) {
+      if (*alive && aKeys.count(it) == 0) {
+        HandleChange({ it, mPosition.mRevision, "", true });
+      }
+    }
+  }
   void HandleChange(const StoredObject& aObject)
   {
     mReads.erase(aObject.mKey);
+    auto& keys = mOwner.mKeys[mPosition.mPrefix];
+    if (aObject.mIsDeleted) {
+      keys.erase(aObject.mKey);
+    } else {
+      keys.insert(aObject.mKey);
+    }
     mPosition.mRevision = std::max(mPosition.mRevision, aObject.mVersion);
     mHooks.mOnChange(aObject);
   }
@@ -134,6 +153,23 @@
   std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
 };
 
+void
+RelayedStore::List(const std::string& aPrefix, ListHook aHook)
+{
+  mStore.List(aPrefix,
+              [this, aPrefix, hook = std::move(aHook)](
+                const absl::StatusOr<StoreListing>& aListing) {
+                if (aListing.ok()) {
+                  auto& keys = mKeys[aPrefix];
+                  keys.clear();
+                  for (const auto& it : aListing->mObjects) {
+                    keys.insert(it.mKey);
+                  }
+                }
+                hook(aListing);
+              });
+}
+
 std::unique_ptr<StoreWatch>
 RelayedStore::Watch(const std::string& aPrefix,
                     std::uint64_t aRevision,
--- a/Source/Platform/RelayedStore.h
+++ b/Source/Platform/RelayedStore.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,10 +56,7 @@
   {
     mStore.Delete(aKey, aExpected, std::move(aHook));
   }
-  void List(const std::string& aPrefix, ListHook aHook) override
-  {
-    mStore.List(aPrefix, std::move(aHook));
-  }
+  void List(const std::string& aPrefix, ListHook aHook) override;
   std::unique_ptr<StoreWatch> Watch(const std::string& aPrefix,
                                     std::uint64_t aRevision,
                                     StoreWatchHooks aHooks) override;
@@ -72,6 +70,8 @@
 
   ObjectStore& mStore;
   std::map<std::string, RelayedWatch*> mWatches;
+  /** Keys of the present objects, by prefix. */
+  std::map<std::string, std::set<std::string>> mKeys;
 };
 
 } // namespace bulrushfold
--- a/Source/Platform/StoreFeed.cxx
+++ b/Source/Platform/StoreFeed.cxx
@@ -1,7 +1,6 @@
 #include "Platform/StoreFeed.h"
 
 #include <algorithm>
-#include <set>
 
 namespace bulrushfold {
 
@@ -9,30 +8,29 @@
 /** Objects up to this size are passed on. Larger ones would fill the link of
  * the daemon that passes them on to all others. */
 constexpr std::size_t kMaxBodyBytes = 16 * 1024;
-/** Time after which a daemon that joins the feed has seen a deletion itself. */
-constexpr Duration kDeletionLifetime = std::chrono::seconds(10);
 } // namespace
 
 void
-StoreFeed::Put(Prefix& aPrefix, const StoredObject& aObject, Instant aNow)
+StoreFeed::Put(Prefix& aPrefix, const StoredObject& aObject)
 {
-  aPrefix.mEntries[aObject.mKey] = { aObject, ++aPrefix.mSequence, aNow };
+  aPrefix.mEntries[aObject.mKey] = { aObject, ++aPrefix.mSequence };
 }
 
 void
-StoreFeed::OnListing(const std::string& aPrefix,
-                     const StoreListing& aListing,
-                     Instant aNow)
+StoreFeed::OnListing(const std::string& aPrefix, const StoreListing& aListing)
 {
   Prefix& prefix = mPrefixes[aPrefix];
   prefix.mIsCurrent = true;
+  if (prefix.mFirstRevision == 0) {
+    prefix.mFirstRevision = aListing.mRevision;
+  }
   std::set<std::string> listed;
   for (const auto& it : aListing.mObjects) {
     listed.insert(it.mKey);
     const auto known = prefix.mEntries.find(it.mKey);
     if (known == prefix.mEntries.end() || known->second.mObject.mIsDeleted ||
         known->second.mObject.mVersion != it.mVersion) {
-      Put(prefix, it, aNow);
+      Put(prefix, it);
     }
   }
   std::vector<std::string> deleted;
@@ -42,16 +40,14 @@
     }
   }
   for (const auto& it : deleted) {
-    Put(prefix, { it, aListing.mRevision, "", true }, aNow);
+    Put(prefix, { it, aListing.mRevision, "", true });
   }
 }
 
 void
-StoreFeed::OnChange(const std::string& aPrefix,
-                    const StoredObject& aObject,
-                    Instant aNow)
+StoreFeed::OnChange(const std::string& aPrefix, const StoredObject& aObject)
 {
-  Put(mPrefixes[aPrefix], aObject, aNow);
+  Put(mPrefixes[aPrefix], aObject);
 }
 
 void
@@ -85,8 +81,20 @@
   return !isCurrent || aPosition.mSequence < it->second.mSequence;
 }
 
+std::set<std::string>
+StoreFeed::LiveKeys(const Prefix& aPrefix)
+{
+  std::set<std::string> keys;
+  for (const auto& [key, entry] : aPrefix.mEntries) {
+    if (!entry.mObject.mIsDeleted) {
+      keys.insert(key);
+    }
+  }
+  return keys;
+}
+
 FeedUpdate
-StoreFeed::Since(const FeedPosition& aPosition, Instant aNow) const
+StoreFeed::Since(const FeedPosition& aPosition) const
 {
   FeedUpdate update;
   update.mPrefix = aPosition.mPrefix;
@@ -98,12 +106,13 @@
   update.mFeed = mId;
   update.mSequence = it->second.mSequence;
   const bool hasPosition = aPosition.mFeed == mId;
+  if (!hasPosition && aPosition.mRevision < it->second.mFirstRevision) {
+    update.mKeys = LiveKeys(it->second);
+  }
   for (const auto& [key, entry] : it->second.mEntries) {
     const StoredObject& object = entry.mObject;
     const bool isNew = hasPosition ? entry.mSequence > aPosition.mSequence
-                       : object.mIsDeleted
-                         ? aNow - entry.mChangedAt < kDeletionLifetime
-                         : object.mVersion > aPosition.mRevision;
+                                   : object.mVersion > aPosition.mRevision;
     if (!isNew) {
       continue;
     }
--- a/Source/Platform/StoreFeed.h
+++ b/Source/Platform/StoreFeed.h
@@ -3,10 +3,11 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
-#include "Base/Clock.h"
 #include "Platform/ObjectStore.h"
 
 namespace bulrushfold {
@@ -38,12 +39,15 @@
   std::int64_t mFeed = 0;
   std::uint64_t mSequence = 0;
   std::vector<FeedChange> mChanges;
+  /** The keys of all objects; set when the sender does not know what was
+   * deleted after the revision of the position. */
+  std::optional<std::set<std::string>> mKeys;
 };
 
 /**
  * The objects of the store that a daemon passes on to others, so that not each
- * of them has to watch the store. It holds the latest state of each object, and
- * deleted ones for a time.
+ * of them has to watch the store. It holds the latest state of each object,
+ * also of deleted ones.
  */
 class StoreFeed
 {
@@ -55,12 +59,8 @@
   }
 
   // What this daemon learns of the store.
-  void OnListing(const std::string& aPrefix,
-                 const StoreListing& aListing,
-                 Instant aNow);
-  void OnChange(const std::string& aPrefix,
-                const StoredObject& aObject,
-                Instant aNow);
+  void OnListing(const std::string& aPrefix, const StoreListing& aListing);
+  void OnChange(const std::string& aPrefix, const StoredObject& aObject);
   void OnLost(const std::string& aPrefix);
   /** This daemon watches the store from the state that it knows. */
   void OnWatched(const std::string& aPrefix);
@@ -69,22 +69,24 @@
   bool IsCurrent() const;
   /** True when Since(aPosition) tells anything new. */
   bool HasNews(const FeedPosition& aPosition) const;
-  FeedUpdate Since(const FeedPosition& aPosition, Instant aNow) const;
+  FeedUpdate Since(const FeedPosition& aPosition) const;
 
 private:
   struct Entry
   {
     StoredObject mObject;
     std::uint64_t mSequence = 0;
-    Instant mChangedAt;
   };
   struct Prefix
   {
     bool mIsCurrent = false;
+    /** Revision of the first listing; what was deleted before is not known. */
+    std::uint64_t mFirstRevision = 0;
     std::uint64_t mSequence = 0;
     std::map<std::string, Entry> mEntries;
   };
-  static void Put(Prefix& aPrefix, const StoredObject& aObject, Instant aNow);
+  static void Put(Prefix& aPrefix, const StoredObject& aObject);
+  static std::set<std::string> LiveKeys(const Prefix& aPrefix);
 
   std::int64_t mId;
   std::map<std::string, Prefix> mPrefixes;
--- a/Source/Router/PlacementMessages.cxx
+++ b/Source/Router/PlacementMessages.cxx
@@ -201,6 +201,9 @@
     object.isLarge = it.mIsLarge;
     update.changes.push_back(std::move(object));
   }
+  if (aUpdate.mKeys) {
+    update.__set_keys({ aUpdate.mKeys->begin(), aUpdate.mKeys->end() });
+  }
   return update;
 }
 
@@ -211,12 +214,16 @@
                      aUpdate.isCurrent,
                      aUpdate.feed,
                      NonNegative(aUpdate.sequence),
-                     {} };
+                     {},
+                     std::nullopt };
   for (const auto& it : aUpdate.changes) {
     update.mChanges.push_back(
       { { it.key, NonNegative(it.version), it.body, it.isDeleted },
         it.isLarge });
   }
+  if (aUpdate.__isset.keys) {
+    update.mKeys.emplace(aUpdate.keys.begin(), aUpdate.keys.end());
+  }
   return update;
 }
 
--- a/Source/Router/PlacementOwnerPolls.cxx
+++ b/Source/Router/PlacementOwnerPolls.cxx
@@ -138,7 +138,7 @@
     news.moves = std::exchange(aClient.mMoves, {});
     for (const auto& it : aClient.mPositions) {
       if (mTables.mFeed.HasNews(it)) {
-        news.updates.push_back(ToWire(mTables.mFeed.Since(it, mClock.Now())));
+        news.updates.push_back(ToWire(mTables.mFeed.Since(it)));
       }
     }
     responder(EncodeThrift(news));
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -21,13 +21,13 @@
   hooks.mOnListing =
     [this, aPrefix, next = aHooks.mOnListing](const StoreListing& aListing) {
       mLostPrefixes.erase(aPrefix);
-      mFeed.OnListing(aPrefix, aListing, mClock.Now());
+      mFeed.OnListing(aPrefix, aListing);
       mOwner.Announce();
       next(aListing);
     };
   hooks.mOnChange =
     [this, aPrefix, next = aHooks.mOnChange](const StoredObject& aObject) {
-      mFeed.OnChange(aPrefix, aObject, mClock.Now());
+      mFeed.OnChange(aPrefix, aObject);
       mOwner.Announce();
       next(aObject);
     };
--- a/Source/Wire/Placement.thrift
+++ b/Source/Wire/Placement.thrift
@@ -142,6 +142,9 @@
   3: required i64 feed,
   4: required i64 sequence,
   5: required list<FeedObject> changes,
+  // The keys of all objects, set when the owner does not know what was deleted
+  // after the revision of the position.
+  6: optional list<string> keys,
 }
 
 // PLACEMENT_POLL, a call that the owner answers when it has news, or after a
--- a/Source/Wire/gen-cpp/Placement_types.cpp
+++ b/Source/Wire/gen-cpp/Placement_types.cpp
@@ -2204,6 +2204,11 @@
 void FeedUpdate::__set_changes(const std::vector<FeedObject> & val) {
   this->changes = val;
 }
+
+void FeedUpdate::__set_keys(const std::vector<std::string> & val) {
+  this->keys = val;
+__isset.keys = true;
+}
 std::ostream& operator<<(std::ostream& out, const FeedUpdate& obj)
 {
   obj.printTo(out);
@@ -2289,6 +2294,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->keys.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->keys.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += iprot->readString(this->keys[_i53]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.keys = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2335,15 +2360,28 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedObject> ::const_iterator _iter49;
-    for (_iter49 = this->changes.begin(); _iter49 != this->changes.end(); ++_iter49)
+    std::vector<FeedObject> ::const_iterator _iter54;
+    for (_iter54 = this->changes.begin(); _iter54 != this->changes.end(); ++_iter54)
     {
-      xfer += (*_iter49).write(oprot);
+      xfer += (*_iter54).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.keys) {
+    xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
+    {
+      xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->keys.size()));
+      std::vector<std::string> ::const_iterator _iter55;
+      for (_iter55 = this->keys.begin(); _iter55 != this->keys.end(); ++_iter55)
+      {
+        xfer += oprot->writeString((*_iter55));
+      }
+      xfer += oprot->writeListEnd();
+    }
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2356,21 +2394,27 @@
   swap(a.feed, b.feed);
   swap(a.sequence, b.sequence);
   swap(a.changes, b.changes);
+  swap(a.keys, b.keys);
+  swap(a.__isset, b.__isset);
 }
 
-FeedUpdate::FeedUpdate(const FeedUpdate& other50) {
-  prefix = other50.prefix;
-  isCurrent = other50.isCurrent;
-  feed = other50.feed;
-  sequence = other50.sequence;
-  changes = other50.changes;
-}
-FeedUpdate& FeedUpdate::operator=(const FeedUpdate& other51) {
-  prefix = other51.prefix;
-  isCurrent = other51.isCurrent;
-  feed = other51.feed;
-  sequence = other51.sequence;
-  changes = other51.changes;
+FeedUpdate::FeedUpdate(const FeedUpdate& other56) {
+  prefix = other56.prefix;
+  isCurrent = other56.isCurrent;
+  feed = other56.feed;
+  sequence = other56.sequence;
+  changes = other56.changes;
+  keys = other56.keys;
+  __isset = other56.__isset;
+}
+FeedUpdate& FeedUpdate::operator=(const FeedUpdate& other57) {
+  prefix = other57.prefix;
+  isCurrent = other57.isCurrent;
+  feed = other57.feed;
+  sequence = other57.sequence;
+  changes = other57.changes;
+  keys = other57.keys;
+  __isset = other57.__isset;
   return *this;
 }
 void FeedUpdate::printTo(std::ostream& out) const {
@@ -2381,6 +2425,7 @@
   out << ", " << "feed=" << to_string(feed);
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "changes=" << to_string(changes);
+  out << ", " << "keys="; (__isset.keys ? (out << to_string(keys)) : (out << "<null>"));
   out << ")";
 }
 
@@ -2479,14 +2524,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->positions.clear();
-            uint32_t _size52;
-            ::apache::thrift::protocol::TType _etype55;
-            xfer += iprot->readListBegin(_etype55, _size52);
-            this->positions.resize(_size52);
-            uint32_t _i56;
-            for (_i56 = 0; _i56 < _size52; ++_i56)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->positions.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->positions[_i56].read(iprot);
+              xfer += this->positions[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2499,14 +2544,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->plain.clear();
-            uint32_t _size57;
-            ::apache::thrift::protocol::TType _etype60;
-            xfer += iprot->readListBegin(_etype60, _size57);
-            this->plain.resize(_size57);
-            uint32_t _i61;
-            for (_i61 = 0; _i61 < _size57; ++_i61)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->plain.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += iprot->readI64(this->plain[_i61]);
+              xfer += iprot->readI64(this->plain[_i67]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2519,14 +2564,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->streams.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->streams.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->streams.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += iprot->readI64(this->streams[_i66]);
+              xfer += iprot->readI64(this->streams[_i72]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2589,10 +2634,10 @@
   xfer += oprot->writeFieldBegin("positions", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->positions.size()));
-    std::vector<FeedPosition> ::const_iterator _iter67;
-    for (_iter67 = this->positions.begin(); _iter67 != this->positions.end(); ++_iter67)
+    std::vector<FeedPosition> ::const_iterator _iter73;
+    for (_iter73 = this->positions.begin(); _iter73 != this->positions.end(); ++_iter73)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2601,10 +2646,10 @@
   xfer += oprot->writeFieldBegin("plain", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->plain.size()));
-    std::vector<int64_t> ::const_iterator _iter68;
-    for (_iter68 = this->plain.begin(); _iter68 != this->plain.end(); ++_iter68)
+    std::vector<int64_t> ::const_iterator _iter74;
+    for (_iter74 = this->plain.begin(); _iter74 != this->plain.end(); ++_iter74)
     {
-      xfer += oprot->writeI64((*_iter68));
+      xfer += oprot->writeI64((*_iter74));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2613,10 +2658,10 @@
   xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
-    std::vector<int64_t> ::const_iterator _iter69;
-    for (_iter69 = this->streams.begin(); _iter69 != this->streams.end(); ++_iter69)
+    std::vector<int64_t> ::const_iterator _iter75;
+    for (_iter75 = this->streams.begin(); _iter75 != this->streams.end(); ++_iter75)
     {
-      xfer += oprot->writeI64((*_iter69));
+      xfer += oprot->writeI64((*_iter75));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2642,23 +2687,23 @@
   swap(a.reachesStore, b.reachesStore);
 }
 
-PlacementPoll::PlacementPoll(const PlacementPoll& other70) {
-  session = other70.session;
-  status = other70.status;
-  isProbe = other70.isProbe;
-  positions = other70.positions;
-  plain = other70.plain;
-  streams = other70.streams;
-  reachesStore = other70.reachesStore;
-}
-PlacementPoll& PlacementPoll::operator=(const PlacementPoll& other71) {
-  session = other71.session;
-  status = other71.status;
-  isProbe = other71.isProbe;
-  positions = other71.positions;
-  plain = other71.plain;
-  streams = other71.streams;
-  reachesStore = other71.reachesStore;
+PlacementPoll::PlacementPoll(const PlacementPoll& other76) {
+  session = other76.session;
+  status = other76.status;
+  isProbe = other76.isProbe;
+  positions = other76.positions;
+  plain = other76.plain;
+  streams = other76.streams;
+  reachesStore = other76.reachesStore;
+}
+PlacementPoll& PlacementPoll::operator=(const PlacementPoll& other77) {
+  session = other77.session;
+  status = other77.status;
+  isProbe = other77.isProbe;
+  positions = other77.positions;
+  plain = other77.plain;
+  streams = other77.streams;
+  reachesStore = other77.reachesStore;
   return *this;
 }
 void PlacementPoll::printTo(std::ostream& out) const {
@@ -2772,13 +2817,13 @@
   swap(a.target, b.target);
 }
 
-MoveProposal::MoveProposal(const MoveProposal& other72) {
-  number = other72.number;
-  target = other72.target;
+MoveProposal::MoveProposal(const MoveProposal& other78) {
+  number = other78.number;
+  target = other78.target;
 }
-MoveProposal& MoveProposal::operator=(const MoveProposal& other73) {
-  number = other73.number;
-  target = other73.target;
+MoveProposal& MoveProposal::operator=(const MoveProposal& other79) {
+  number = other79.number;
+  target = other79.target;
   return *this;
 }
 void MoveProposal::printTo(std::ostream& out) const {
@@ -2853,14 +2898,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->moves.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->moves.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->moves[_i78].read(iprot);
+              xfer += this->moves[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2881,14 +2926,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->updates.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->updates.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
             {
-              xfer += this->updates[_i83].read(iprot);
+              xfer += this->updates[_i89].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2929,10 +2974,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveProposal> ::const_iterator _iter84;
-    for (_iter84 = this->moves.begin(); _iter84 != this->moves.end(); ++_iter84)
+    std::vector<MoveProposal> ::const_iterator _iter90;
+    for (_iter90 = this->moves.begin(); _iter90 != this->moves.end(); ++_iter90)
     {
-      xfer += (*_iter84).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2945,10 +2990,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<FeedUpdate> ::const_iterator _iter85;
-    for (_iter85 = this->updates.begin(); _iter85 != this->updates.end(); ++_iter85)
+    std::vector<FeedUpdate> ::const_iterator _iter91;
+    for (_iter91 = this->updates.begin(); _iter91 != this->updates.end(); ++_iter91)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2967,17 +3012,17 @@
   swap(a.updates, b.updates);
 }
 
-PlacementNews::PlacementNews(const PlacementNews& other86) {
-  status = other86.status;
-  moves = other86.moves;
-  daemons = other86.daemons;
-  updates = other86.updates;
+PlacementNews::PlacementNews(const PlacementNews& other92) {
+  status = other92.status;
+  moves = other92.moves;
+  daemons = other92.daemons;
+  updates = other92.updates;
 }
-PlacementNews& PlacementNews::operator=(const PlacementNews& other87) {
-  status = other87.status;
-  moves = other87.moves;
-  daemons = other87.daemons;
-  updates = other87.updates;
+PlacementNews& PlacementNews::operator=(const PlacementNews& other93) {
+  status = other93.status;
+  moves = other93.moves;
+  daemons = other93.daemons;
+  updates = other93.updates;
   return *this;
 }
 void PlacementNews::printTo(std::ostream& out) const {
--- a/Source/Wire/gen-cpp/Placement_types.h
+++ b/Source/Wire/gen-cpp/Placement_types.h
@@ -752,6 +752,10 @@
 
 std::ostream& operator<<(std::ostream& out, const FeedObject& obj);
 
+typedef struct _FeedUpdate__isset {
+  _FeedUpdate__isset() : keys(false) {}
+  bool keys :1;
+} _FeedUpdate__isset;
 
 class FeedUpdate : public virtual ::apache::thrift::TBase {
  public:
@@ -771,6 +775,9 @@
   int64_t feed;
   int64_t sequence;
   std::vector<FeedObject>  changes;
+  std::vector<std::string>  keys;
+
+  _FeedUpdate__isset __isset;
 
   void __set_prefix(const std::string& val);
 
@@ -782,6 +789,8 @@
 
   void __set_changes(const std::vector<FeedObject> & val);
 
+  void __set_keys(const std::vector<std::string> & val);
+
   bool operator == (const FeedUpdate & rhs) const
   {
     if (!(prefix == rhs.prefix))
@@ -794,6 +803,10 @@
       return false;
     if (!(changes == rhs.changes))
       return false;
+    if (__isset.keys != rhs.__isset.keys)
+      return false;
+    else if (__isset.keys && !(keys == rhs.keys))
+      return false;
     return true;
   }
   bool operator != (const FeedUpdate &rhs) const {
--- a/Tests/Router/FleetDaemon.cxx
+++ b/Tests/Router/FleetDaemon.cxx
@@ -233,14 +233,14 @@
 {
   const StoreListing listing{ { mFleet.mStore.Object() },
                               mFleet.mStore.Version() };
-  mFeed.OnListing(kPrefix, listing, mFleet.mClock.Now());
+  mFeed.OnListing(kPrefix, listing);
   mVersion = listing.mRevision;
   StoreWatchHooks hooks;
   hooks.mOnChange = [this](const StoredObject& aObject) {
     mFleet.mResult.mWentBack += aObject.mVersion < mVersion ? 1 : 0;
     mVersion = std::max(mVersion, aObject.mVersion);
     if (mFleet.mDefect != FleetDefect::SilentFeed) {
-      mFeed.OnChange(kPrefix, aObject, mFleet.mClock.Now());
+      mFeed.OnChange(kPrefix, aObject);
       mOwner.Announce();
     }
   };
--- a/Tests/Router/RelayedStoreTest.cxx
+++ b/Tests/Router/RelayedStoreTest.cxx
@@ -30,7 +30,10 @@
               PutHook) override
   {
   }
-  void List(const std::string&, ListHook) override {}
+  void List(const std::string&, ListHook aHook) override
+  {
+    aHook(StoreListing{ { { "z", 4, "x", false } }, 4 });
+  }
   std::unique_ptr<StoreWatch> Watch(const std::string&,
                                     std::uint64_t aRevision,
                                     StoreWatchHooks) override
@@ -62,7 +65,7 @@
 FeedUpdate
 MakeUpdate(std::uint64_t aSequence, std::vector<FeedChange> aChanges)
 {
-  return { kPrefix, true, 7, aSequence, std::move(aChanges) };
+  return { kPrefix, true, 7, aSequence, std::move(aChanges), std::nullopt };
 }
 } // namespace
 
@@ -77,6 +80,7 @@
     changes.push_back(aObject);
   };
   hooks.mOnEnd = [&](const absl::Status&, std::uint64_t) { ++ends; };
+  relayed.List(kPrefix, [](const absl::StatusOr<StoreListing>&) {});
   const auto watch = relayed.Watch(kPrefix, 4, std::move(hooks));
   REQUIRE(store.mWatches == 1);
   CHECK_FALSE(relayed.IsFed());
@@ -109,13 +113,24 @@
 
     SUBCASE("and follows it")
     {
-      relayed.OnFeed({ kPrefix, true, 8, 1, {} });
+      relayed.OnFeed({ kPrefix, true, 8, 1, {}, std::nullopt });
       CHECK(relayed.StopWaiting().empty());
       CHECK(store.mWatches == 0);
     }
+    SUBCASE("and learns what was deleted between the feeds")
+    {
+      FeedUpdate update = MakeUpdate(1, {});
+      update.mKeys = { "a" };
+      relayed.OnFeed(update);
+      REQUIRE(changes.size() == 2);
+      CHECK(changes[1].mKey == "z");
+      CHECK(changes[1].mIsDeleted);
+      relayed.OnFeed(update);
+      CHECK(changes.size() == 2);
+    }
     SUBCASE("also when its daemon does not know the store's state yet")
     {
-      relayed.OnFeed({ kPrefix, false, 0, 0, {} });
+      relayed.OnFeed({ kPrefix, false, 0, 0, {}, std::nullopt });
       CHECK(ends == 0);
       CHECK(relayed.IsFed());
     }
