Spare the store when all daemons of a fleet have lost it

Change: a daemon that follows an owner and is no candidate itself still tries the store at once, and after a failure every 2 to 4 s. A watch that has ended goes on when the feed is current again, with the grace period of a recovered store. Candidates go on as before, so that the owner still leaves to one that reaches the store.

Result: RelayedStoreTest (the watch goes on), PlatformStoreTest (at most 2 calls in 1.5 s instead of 3 and more).

--- a/Source/Platform/ObjectStore.h
+++ b/Source/Platform/ObjectStore.h
@@ -71,6 +71,9 @@
    * since the revision, so the objects must be listed again. Any other status:
    * a new watch can continue from aLastRevision. */
   std::function<void(absl::Status, std::uint64_t aLastRevision)> mOnEnd;
+  /** The watch goes on after its end, and no change was lost. Only a watch that
+   * has another source than the store calls it. */
+  std::function<void()> mOnResumed;
 };
 
 /** Objects under a prefix, and the revision from which to watch them. */
--- a/Source/Platform/ObjectWatcher.cxx
+++ b/Source/Platform/ObjectWatcher.cxx
@@ -11,6 +11,9 @@
  * overloaded. */
 constexpr Duration kFirstRetryDelay = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryDelay = std::chrono::milliseconds(1200);
+/** From the second retry on, while another daemon reads the store: in a large
+ * fleet the retries of all daemons would be most of the store's load. */
+constexpr Duration kFollowerRetryDelay = std::chrono::seconds(4);
 } // namespace
 
 ObjectWatcher::ObjectWatcher(EventLoop& aLoop,
@@ -43,14 +46,13 @@
 ObjectWatcher::HandleListing(const absl::StatusOr<StoreListing>& aListing)
 {
   if (!aListing.ok()) {
-    HandleFailure(aListing.status());
-    ScheduleListing();
+    if (!mIsWatching) {
+      HandleFailure(aListing.status());
+      ScheduleListing();
+    }
     return;
   }
-  mRetryDelay = kFirstRetryDelay;
-  if (std::exchange(mHasFailed, false)) {
-    mHooks.mOnStoreRecovered();
-  }
+  HandleRecovery();
   mHooks.mOnListing(*aListing);
   Watch(aListing->mRevision);
 }
@@ -65,12 +67,15 @@
   hooks.mOnEnd = [this](const absl::Status& aStatus, std::uint64_t) {
     HandleWatchEnd(aStatus);
   };
+  hooks.mOnResumed = [this] { HandleResumption(); };
+  mIsWatching = true;
   mWatch = mStore.Watch(mPrefix, aRevision, std::move(hooks));
 }
 
 void
 ObjectWatcher::HandleWatchEnd(const absl::Status& aStatus)
 {
+  mIsWatching = false;
   if (!absl::IsOutOfRange(aStatus)) {
     HandleFailure(aStatus);
   }
@@ -85,16 +90,33 @@
   }
 }
 
+void
+ObjectWatcher::HandleRecovery()
+{
+  mRetryDelay = kFirstRetryDelay;
+  if (std::exchange(mHasFailed, false)) {
+    mHooks.mOnStoreRecovered();
+  }
+}
+
+void
+ObjectWatcher::HandleResumption()
+{
+  mIsWatching = true;
+  mRetryTimer = EventHandle();
+  HandleRecovery();
+}
+
 void
 ObjectWatcher::ScheduleListing()
 {
-  const Duration delay =
-    FromSeconds(ToSeconds(mRetryDelay) * (0.5 + mRandom.UniformReal() / 2));
+  const bool isFollower =
+    mRetryDelay > kFirstRetryDelay && mHooks.mHasReader && mHooks.mHasReader();
+  const Duration longest = isFollower ? kFollowerRetryDelay : mRetryDelay;
   mRetryDelay = std::min(mRetryDelay * 2, kMaxRetryDelay);
-  mRetryTimer = mLoop.After(delay, [this] {
-    mWatch.reset();
-    List();
-  });
+  mRetryTimer = mLoop.After(
+    FromSeconds(ToSeconds(longest) * (0.5 + mRandom.UniformReal() / 2)),
+    [this] { List(); });
 }
 
 } // namespace bulrushfold
--- a/Source/Platform/ObjectWatcher.h
+++ b/Source/Platform/ObjectWatcher.h
@@ -23,8 +23,12 @@
   /** A call to the store failed; the objects passed on so far may be outdated.
    */
   std::function<void(const absl::Status&)> mOnStoreUnavailable;
-  /** The store answers again; called before mOnListing with its answer. */
+  /** The store answers again, or the watch goes on; called before mOnListing or
+   * mOnChange. */
   std::function<void()> mOnStoreRecovered;
+  /** True while another daemon reads the store for this one and may resume the
+   * watch, so that reading the store is not urgent; optional. */
+  std::function<bool()> mHasReader;
 };
 
 /**
@@ -51,6 +55,8 @@
   void Watch(std::uint64_t aRevision);
   void HandleWatchEnd(const absl::Status& aStatus);
   void HandleFailure(const absl::Status& aStatus);
+  void HandleRecovery();
+  void HandleResumption();
   /** Lists after between half and all of the retry delay, and doubles it. */
   void ScheduleListing();
 
@@ -59,7 +65,10 @@
   Random& mRandom;
   std::string mPrefix;
   ObjectWatcherHooks mHooks;
+  /** The last watch, also after its end. */
   std::unique_ptr<StoreWatch> mWatch;
+  /** The watch goes on; the answer to an earlier listing is not awaited. */
+  bool mIsWatching = false;
   EventHandle mRetryTimer;
   Duration mRetryDelay;
   bool mHasFailed = false;
--- a/Source/Platform/RelayedStore.cxx
+++ b/Source/Platform/RelayedStore.cxx
@@ -41,11 +41,17 @@
       }
       return;
     }
+    if (mHasEnded && !mHooks.mOnResumed) {
+      return;
+    }
     mStoreWatch.reset();
     mIsWaiting = false;
     mPosition.mFeed = aUpdate.mFeed;
     mPosition.mSequence = aUpdate.mSequence;
     const auto alive = mIsAlive;
+    if (std::exchange(mHasEnded, false)) {
+      mHooks.mOnResumed();
+    }
     if (aUpdate.mKeys) {
       RemoveOthers(*aUpdate.mKeys);
     }
@@ -136,8 +142,8 @@
   {
     mPosition.mFeed = 0;
     mIsWaiting = false;
-    if (const auto hook = std::exchange(mHooks.mOnEnd, nullptr); hook) {
-      hook(std::move(aStatus), mPosition.mRevision);
+    if (!std::exchange(mHasEnded, true)) {
+      mHooks.mOnEnd(std::move(aStatus), mPosition.mRevision);
     }
   }
 
@@ -146,6 +152,8 @@
   FeedPosition mPosition;
   /** The feed has ended and the next one has not sent anything yet. */
   bool mIsWaiting = false;
+  /** The end was reported. A feed resumes the watch. */
+  bool mHasEnded = false;
   std::unique_ptr<StoreWatch> mStoreWatch;
   /** Number of the latest read of each object that is being read. */
   std::map<std::string, std::uint64_t> mReads;
--- a/Source/Router/PlacementClient.h
+++ b/Source/Router/PlacementClient.h
@@ -77,6 +77,8 @@
   std::size_t MemberCount() const { return mSelector.MemberCount(); }
   /** This daemon places for the whole fleet. */
   bool IsOwner() const { return mIsOwner; }
+  /** This daemon may become the owner. */
+  bool IsCandidate() const { return mSelector.IsCandidate(mOwnName); }
   /** Another daemon places for this one. */
   bool HasRemoteOwner() const { return mOwner.has_value(); }
   /** Name of the daemon that places the requests of this one. */
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -31,6 +31,13 @@
       mOwner.Announce();
       next(aObject);
     };
+  hooks.mOnStoreRecovered = [this, aPrefix, next = aHooks.mOnStoreRecovered] {
+    mLostPrefixes.erase(aPrefix);
+    next();
+  };
+  hooks.mHasReader = [this] {
+    return mPlacement.HasRemoteOwner() && !mPlacement.IsCandidate();
+  };
   hooks.mOnStoreUnavailable =
     [this, aPrefix, next = aHooks.mOnStoreUnavailable](
       const absl::Status& aStatus) {
--- a/Source/Routing/OwnerSelector.cxx
+++ b/Source/Routing/OwnerSelector.cxx
@@ -37,6 +37,16 @@
   return it != mFailures.end() && aNow < it->second.mUntil;
 }
 
+bool
+OwnerSelector::IsCandidate(const std::string& aName) const
+{
+  const auto end = mMembers.begin() + static_cast<std::ptrdiff_t>(
+                                        std::min(kCandidates, mMembers.size()));
+  return std::any_of(mMembers.begin(), end, [&](const FleetMember& aMember) {
+    return aMember.mName == aName;
+  });
+}
+
 const FleetMember*
 OwnerSelector::Choose(Instant aNow) const
 {
--- a/Source/Routing/OwnerSelector.h
+++ b/Source/Routing/OwnerSelector.h
@@ -44,6 +44,8 @@
   /** True when the fleet is large enough for an owner. */
   bool HasOwner() const { return mMembers.size() >= kMinFleet; }
   std::size_t MemberCount() const { return mMembers.size(); }
+  /** aName may become the owner. */
+  bool IsCandidate(const std::string& aName) const;
   /** The first member that is not left out; null in a small fleet, and when all
    * candidates are left out. It may be this daemon. */
   const FleetMember* Choose(Instant aNow) const;
--- a/Tests/Adapter/PlatformStoreTest.cxx
+++ b/Tests/Adapter/PlatformStoreTest.cxx
@@ -119,6 +119,8 @@
   };
   hooks.mOnStoreUnavailable = [&](const absl::Status&) { ++failures; };
   hooks.mOnStoreRecovered = [&] { ++recoveries; };
+  bool hasReader = false;
+  hooks.mHasReader = [&] { return hasReader; };
   ObjectWatcher watcher(loop, store, random, "k/", std::move(hooks));
   fakeStore.Write("k/1", Json::object());
   watcher.Start();
@@ -164,6 +166,23 @@
     fakeStore.DiscardHistory();
     CHECK(waitForKeys({ "k/2" }));
   }
+  // Guards against hundreds of daemons that all call a store that fails.
+  SUBCASE("with few calls in an outage, while another daemon reads the store")
+  {
+    hasReader = true;
+    SUBCASE("as there is one") {}
+    SUBCASE("and with more as there is none")
+    {
+      hasReader = false;
+    }
+    fakeStore.SetFault(StoreFault::Unavailable);
+    REQUIRE(RunUntil(loop, [&] { return failures == 1; }));
+    const std::size_t before = fakeStore.CountCalls("GET");
+    bool isOver = false;
+    const auto timer = loop.After(milliseconds(1500), [&] { isOver = true; });
+    REQUIRE(RunUntil(loop, [&] { return isOver; }));
+    CHECK((fakeStore.CountCalls("GET") - before > 2) == !hasReader);
+  }
   SUBCASE("after any outage, which is reported once")
   {
     StoreFault fault = StoreFault::None;
--- a/Tests/Router/FleetDaemon.cxx
+++ b/Tests/Router/FleetDaemon.cxx
@@ -244,9 +244,12 @@
       mOwner.Announce();
     }
   };
+  hooks.mOnResumed = [this] { mIsWatching = true; };
+  mIsWatching = true;
   hooks.mOnEnd = [this](const absl::Status&, std::uint64_t) {
+    mIsWatching = false;
     mFleet.After(milliseconds(100), [this, alive = mIsAlive] {
-      if (*alive) {
+      if (*alive && !mIsWatching) {
         mWatch.reset();
         WatchStore();
       }
--- a/Tests/Router/PlacementFleet.h
+++ b/Tests/Router/PlacementFleet.h
@@ -249,6 +249,7 @@
   PlacementOwner mOwner;
   PlacementClient mClient;
   std::unique_ptr<StoreWatch> mWatch;
+  bool mIsWatching = false;
   std::uint64_t mVersion = 0;
   std::uint64_t mNextNumber = 1'000'000;
   std::map<std::uint64_t, std::unique_ptr<DispatchedStream>> mStreams;
--- a/Tests/Router/RelayedStoreTest.cxx
+++ b/Tests/Router/RelayedStoreTest.cxx
@@ -80,6 +80,8 @@
     changes.push_back(aObject);
   };
   hooks.mOnEnd = [&](const absl::Status&, std::uint64_t) { ++ends; };
+  int resumptions = 0;
+  hooks.mOnResumed = [&] { ++resumptions; };
   relayed.List(kPrefix, [](const absl::StatusOr<StoreListing>&) {});
   const auto watch = relayed.Watch(kPrefix, 4, std::move(hooks));
   REQUIRE(store.mWatches == 1);
@@ -148,6 +150,18 @@
     relayed.OnFeed(update);
     CHECK(ends == 1);
     CHECK_FALSE(relayed.IsFed());
+    CHECK(store.mWatches == 0);
+
+    // Guards against two calls of each daemon when the store has recovered.
+    SUBCASE("and goes on when that daemon has it again")
+    {
+      relayed.OnFeed(MakeUpdate(3, { { { "b", 9, "x", false }, false } }));
+      CHECK(resumptions == 1);
+      CHECK(changes.size() == 2);
+      CHECK(relayed.IsFed());
+      relayed.OnFeed(update);
+      CHECK(ends == 2);
+    }
   }
   SUBCASE("reads a large object from the store")
   {
