Do not pass on a state of the store that is not present

Cause: a daemon that became the owner marked all prefixes of its feed as present, also those whose watch had ended because the former owner and the daemon itself did not reach the store. Since an ended watch is kept, so this lasted as long as the daemon did not reach the store, and the others, which did, followed its old state.

The store turned 27 machines away from 2.5 to 11.5 s.

Change: RelayedStore returns the prefixes of the watches that continue at the store, and only these are present.

Result: RelayedStoreTest, 'is not continued at the store without a listing'.

--- a/Source/Platform/RelayedStore.cxx
+++ b/Source/Platform/RelayedStore.cxx
@@ -225,11 +225,11 @@
   return prefixes;
 }
 
-void
+std::vector<std::string>
 RelayedStore::OnFeedLost()
 {
   OnFeedChanging();
-  StopWaiting();
+  return StopWaiting();
 }
 
 bool
--- a/Source/Platform/RelayedStore.h
+++ b/Source/Platform/RelayedStore.h
@@ -34,8 +34,10 @@
   /** The watches that still wait continue at the store. Returns their prefixes.
    */
   std::vector<std::string> StopWaiting();
-  /** There is no feed any more; the watches continue at the store. */
-  void OnFeedLost();
+  /** There is no feed any more. The watches that were fed, or waited for a
+   * feed, continue at the store. Returns their prefixes; a watch that has ended
+   * is not among them, as this daemon does not know the present objects. */
+  std::vector<std::string> OnFeedLost();
   /** True while some watch gets its changes from a feed, or waits for one. */
   bool IsFed() const;
 
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -81,10 +81,8 @@
   PlacementOwner::Hooks OwnerHooks();
   PlacementClient::Hooks PlacementHooks();
   void HandleLinksOpen(PeerTransport& aTransport);
-  /** The owner that is followed has sent no feed. */
-  void HandleFeedMissing();
-  /** Watches the store while there is no feed. */
-  void WatchStore();
+  /** The objects under aPrefixes were fed and are watched at the store now. */
+  void HandleWatched(const std::vector<std::string>& aPrefixes);
   void HandleNews(const std::string& aOwner,
                   const PeerStatus& aStatus,
                   std::size_t aDaemons);
--- a/Source/Router/RouterPlacement.cxx
+++ b/Source/Router/RouterPlacement.cxx
@@ -43,9 +43,10 @@
     mFeedTimer = EventHandle();
     if (aHasNext) {
       mRelayedStore.OnFeedChanging();
-      mFeedTimer = mLoop.After(kFeedWait, [this] { HandleFeedMissing(); });
+      mFeedTimer = mLoop.After(
+        kFeedWait, [this] { HandleWatched(mRelayedStore.StopWaiting()); });
     } else {
-      WatchStore();
+      HandleWatched(mRelayedStore.OnFeedLost());
     }
     mRetryBudget.RemovePeer(aOwner);
     mGuard.RemovePeer(aOwner);
@@ -105,22 +106,13 @@
 }
 
 void
-Router::HandleFeedMissing()
+Router::HandleWatched(const std::vector<std::string>& aPrefixes)
 {
-  for (const auto& it : mRelayedStore.StopWaiting()) {
+  for (const auto& it : aPrefixes) {
     mFeed.OnWatched(it);
   }
 }
 
-void
-Router::WatchStore()
-{
-  mRelayedStore.OnFeedLost();
-  for (const auto& it : mRelayedStore.Positions()) {
-    mFeed.OnWatched(it.mPrefix);
-  }
-}
-
 void
 Router::HandleNews(const std::string& aOwner,
                    const PeerStatus& aStatus,
--- a/Tests/Router/FleetDaemon.cxx
+++ b/Tests/Router/FleetDaemon.cxx
@@ -194,8 +194,9 @@
   hooks.mOnNews = [](const std::string&, const PeerStatus&, std::size_t) {};
   hooks.mOnOwnerLeft = [this](const std::string&, bool aHasNext) {
     if (!aHasNext) {
-      mStore.OnFeedLost();
-      mFeed.OnWatched(kPrefix);
+      if (!mStore.OnFeedLost().empty()) {
+        mFeed.OnWatched(kPrefix);
+      }
       return;
     }
     mStore.OnFeedChanging();
--- a/Tests/Router/RelayedStoreTest.cxx
+++ b/Tests/Router/RelayedStoreTest.cxx
@@ -100,7 +100,7 @@
   // Guards against changes that are lost when the feed ends.
   SUBCASE("continues at the store where the feed ended")
   {
-    relayed.OnFeedLost();
+    CHECK(relayed.OnFeedLost() == std::vector<std::string>{ kPrefix });
     CHECK_FALSE(relayed.IsFed());
     CHECK(store.mWatches == 1);
     CHECK(store.mWatchedFrom == 6);
@@ -152,6 +152,13 @@
     CHECK_FALSE(relayed.IsFed());
     CHECK(store.mWatches == 0);
 
+    // Guards against an owner that does not reach the store and tells the
+    // others that its state is the present one.
+    SUBCASE("and is not continued at the store without a listing")
+    {
+      CHECK(relayed.OnFeedLost().empty());
+      CHECK(store.mWatches == 0);
+    }
     // Guards against two calls of each daemon when the store has recovered.
     SUBCASE("and goes on when that daemon has it again")
     {
