Keep one list of pools, one choice and one loop in the routing classes

Cause: the directory kept the entries of a pool and its usable endpoints in two maps that were built and forgotten together; PlainQueue stated twice whether a choice counts for a demand; StreamScheduler compared some of the engines in two equal loops; CrashGuard checked for empty reports, which SetPeer removes.

Change: Pool holds both lists, Choose serves both questions, CompareSome is the loop. Behaviour, order of random numbers and tests are as before.

--- a/Source/Routing/CrashGuard.cxx
+++ b/Source/Routing/CrashGuard.cxx
@@ -69,7 +69,7 @@
 {
   Entries sum = mOwn;
   for (const auto& [peer, entries] : mPeers) {
-    if (entries.empty() || peer == aExcluded) {
+    if (peer == aExcluded) {
       continue;
     }
     for (const auto& [hash, entry] : entries) {
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -236,7 +236,7 @@
 EndpointDirectory::AreAllLeaving(const std::string& aService,
                                  EndpointRole aRole) const
 {
-  const auto& entries = EntriesOf(aService, aRole);
+  const auto& entries = PoolOf(aService, aRole).mEntries;
   return !entries.empty() &&
          std::all_of(entries.begin(), entries.end(), [](const Entry* aIt) {
            return IsLeaving(*aIt);
@@ -261,7 +261,7 @@
                                    EndpointRole aRole) const
 {
   std::optional<Instant> first;
-  for (const Entry* it : EntriesOf(aService, aRole)) {
+  for (const Entry* it : PoolOf(aService, aRole).mEntries) {
     if (IsUsable(*it)) {
       return std::nullopt;
     }
@@ -338,11 +338,10 @@
   return it == mEntries.end() ? nullptr : &it->second.mRecord;
 }
 
-const std::vector<const EndpointDirectory::Entry*>&
-EndpointDirectory::EntriesOf(const std::string& aService,
-                             EndpointRole aRole) const
+const EndpointDirectory::Pool&
+EndpointDirectory::PoolOf(const std::string& aService, EndpointRole aRole) const
 {
-  static const std::vector<const Entry*> sNone;
+  static const Pool sNone;
   const auto ids = mServices.find(aService);
   if (ids == mServices.end()) {
     return sNone;
@@ -351,7 +350,11 @@
   if (isNew) {
     for (const auto& it : ids->second) {
       const Entry& entry = mEntries.at(it);
-      pools->second[entry.mRecord.mRole].push_back(&entry);
+      Pool& pool = pools->second[entry.mRecord.mRole];
+      pool.mEntries.push_back(&entry);
+      if (IsUsable(entry)) {
+        pool.mUsable.push_back(&entry.mRecord);
+      }
     }
   }
   const auto pool = pools->second.find(aRole);
@@ -361,27 +364,13 @@
 const std::vector<const EndpointRecord*>&
 EndpointDirectory::Usable(const std::string& aService, EndpointRole aRole) const
 {
-  static const std::vector<const EndpointRecord*> sNone;
-  const auto& entries = EntriesOf(aService, aRole);
-  if (entries.empty()) {
-    return sNone;
-  }
-  const auto [pool, isNew] = mUsable[aService].try_emplace(aRole);
-  if (isNew) {
-    for (const Entry* it : entries) {
-      if (IsUsable(*it)) {
-        pool->second.push_back(&it->mRecord);
-      }
-    }
-  }
-  return pool->second;
+  return PoolOf(aService, aRole).mUsable;
 }
 
 void
 EndpointDirectory::ForgetPools(const std::string& aService)
 {
   mPools.erase(aService);
-  mUsable.erase(aService);
 }
 
 std::vector<const EndpointRecord*>
@@ -389,7 +378,7 @@
                                      EndpointRole aRole) const
 {
   std::vector<const EndpointRecord*> endpoints;
-  for (const Entry* it : EntriesOf(aService, aRole)) {
+  for (const Entry* it : PoolOf(aService, aRole).mEntries) {
     if (IsUsableOrInBackoff(*it)) {
       endpoints.push_back(&it->mRecord);
     }
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -206,13 +206,15 @@
   {
     return IsUsableOrInBackoff(aEntry) && !aEntry.mBackoffEnd;
   }
-  /** Entries of one service, by role. */
-  using Pools = std::map<EndpointRole, std::vector<const Entry*>>;
+  /** Endpoints of one service and role. */
+  struct Pool
+  {
+    std::vector<const Entry*> mEntries;
+    std::vector<const EndpointRecord*> mUsable;
+  };
 
-  /** Entries of aService with aRole, valid until one is added or removed or
-   * changes its role. */
-  const std::vector<const Entry*>& EntriesOf(const std::string& aService,
-                                             EndpointRole aRole) const;
+  /** The endpoints of aService with aRole, valid until the next change. */
+  const Pool& PoolOf(const std::string& aService, EndpointRole aRole) const;
   bool IsInGracePeriod(Instant aNow) const { return aNow < mGracePeriodEnd; }
   void Drop(const std::string& aId);
   /** To be called when an entry of aService has changed. */
@@ -224,13 +226,9 @@
   std::map<std::string, Entry> mEntries;
   /** Ids by service. */
   std::map<std::string, std::vector<std::string>> mServices;
-  /** Entries by service and role; built at the first lookup after a change, so
+  /** Pools by service and role; built at the first lookup after a change, so
    * that a decision does not search for each entry. */
-  mutable std::map<std::string, Pools> mPools;
-  /** Results of Usable since the last change, by service and role. */
-  mutable std::map<std::string,
-                   std::map<EndpointRole, std::vector<const EndpointRecord*>>>
-    mUsable;
+  mutable std::map<std::string, std::map<EndpointRole, Pool>> mPools;
   ChangeSignal mOnChange;
 };
 
--- a/Source/Routing/PlainQueue.cxx
+++ b/Source/Routing/PlainQueue.cxx
@@ -22,10 +22,12 @@
 }
 
 std::optional<EndpointChoice>
-PlainQueue::ChooseFree(const PlainDemand& aDemand, Instant aNow) const
+PlainQueue::Choose(const PlainDemand& aDemand,
+                   bool aIsLimited,
+                   Instant aNow) const
 {
   auto choice =
-    mIsLimited ? mSelector.ChooseFree(
+    aIsLimited ? mSelector.ChooseFree(
                    aDemand.mService, aDemand.mAttempted, kOnTheWay, aNow)
                : mSelector.Choose(aDemand.mService, aDemand.mAttempted, aNow);
   if (choice && aDemand.mNeedsUntried &&
@@ -38,10 +40,7 @@
 bool
 PlainQueue::HasEndpoint(const PlainDemand& aDemand, Instant aNow) const
 {
-  const auto choice =
-    mSelector.Choose(aDemand.mService, aDemand.mAttempted, aNow);
-  return choice && !(aDemand.mNeedsUntried &&
-                     aDemand.mAttempted.count(choice->mEndpoint) > 0);
+  return Choose(aDemand, false, aNow).has_value();
 }
 
 Duration
@@ -75,7 +74,7 @@
 std::optional<PlainGrant>
 PlainQueue::Submit(const PlainDemand& aDemand, Instant aNow)
 {
-  if (auto choice = ChooseFree(aDemand, aNow); choice) {
+  if (auto choice = Choose(aDemand, mIsLimited, aNow); choice) {
     return PlainGrant{
       aDemand.mNumber, std::move(choice), Duration::zero(), ""
     };
@@ -115,7 +114,7 @@
       ++it;
       continue;
     }
-    auto choice = ChooseFree(waiting.mDemand, aNow);
+    auto choice = Choose(waiting.mDemand, mIsLimited, aNow);
     const bool isRefused = !choice && (aNow >= waiting.mQueueDeadline ||
                                        !HasEndpoint(waiting.mDemand, aNow));
     if (!choice && !isRefused) {
--- a/Source/Routing/PlainQueue.h
+++ b/Source/Routing/PlainQueue.h
@@ -80,9 +80,10 @@
     PlainDemand mDemand;
     Instant mQueueDeadline;
   };
-  /** An endpoint with a free slot. */
-  std::optional<EndpointChoice> ChooseFree(const PlainDemand& aDemand,
-                                           Instant aNow) const;
+  /** An endpoint for aDemand. aIsLimited: only one with a free slot. */
+  std::optional<EndpointChoice> Choose(const PlainDemand& aDemand,
+                                       bool aIsLimited,
+                                       Instant aNow) const;
   /** True when some endpoint could serve aDemand, now or later. */
   bool HasEndpoint(const PlainDemand& aDemand, Instant aNow) const;
   /** Time until aDemand gets a slot, if all that wait before it are served. */
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -22,8 +22,8 @@
 /** Tokens up to which a local prefill takes no longer than one event and is not
  * limited. */
 constexpr std::uint64_t kFreeLocalPrefillTokens = 300;
-/** Decode engines with room that are compared for a stream. The best of so many
- * is hardly fuller than the best of all. */
+/** Engines with room that are compared for a stream. The best of so many is
+ * hardly fuller than the best of all. */
 constexpr std::size_t kComparedEngines = 16;
 /** An engine is preferred for its cache if the cached tokens are at least the
  * prompt's tokens divided by this number. */
@@ -32,6 +32,23 @@
 constexpr double kOtherDomainCost = 0.05;
 constexpr double kFailureCost = 1;
 constexpr double kJitter = 0.05;
+
+/** Calls aCompare with the engines from a random one on, until it has returned
+ * true for kComparedEngines of them. */
+template<typename Compare>
+void
+CompareSome(const std::vector<const EndpointRecord*>& aEngines,
+            Random& aRandom,
+            Compare aCompare)
+{
+  const std::size_t start =
+    aEngines.empty() ? 0 : aRandom.UniformBelow(aEngines.size());
+  std::size_t compared = 0;
+  for (std::size_t i = 0; i < aEngines.size() && compared < kComparedEngines;
+       ++i) {
+    compared += aCompare(aEngines[(start + i) % aEngines.size()]) ? 1 : 0;
+  }
+}
 } // namespace
 
 StreamScheduler::StreamScheduler(const EndpointDirectory& aDirectory,
@@ -265,33 +282,28 @@
   const bool needsTurn =
     aDemand.mGeneratedTokens > kFreeLocalPrefillTokens ||
     mDirectory.Usable(aDemand.mService, EndpointRole::Prefill).empty();
-  const std::size_t start =
-    engines.empty() ? 0 : mRandom.UniformBelow(engines.size());
-  std::size_t compared = 0;
-  for (std::size_t i = 0; i < engines.size() && compared < kComparedEngines;
-       ++i) {
-    const EndpointRecord* it = engines[(start + i) % engines.size()];
-    if (RankOf(it->mId, aDemand, aNow) > bestRank ||
-        (needsTurn && !MayPrefillLocally(it->mId, aDemand, aNow))) {
-      continue;
+  CompareSome(engines, mRandom, [&](const EndpointRecord* aEngine) {
+    if (RankOf(aEngine->mId, aDemand, aNow) > bestRank ||
+        (needsTurn && !MayPrefillLocally(aEngine->mId, aDemand, aNow))) {
+      return false;
     }
-    const auto peak = PeakWith(aDemand, profile, *it, aNow);
+    const auto peak = PeakWith(aDemand, profile, *aEngine, aNow);
     if (!peak) {
-      continue;
+      return false;
     }
-    ++compared;
     const double cost =
       *peak / std::max(memory, 1.0) +
-      (it->mFailureDomain == mFailureDomain ? 0 : kOtherDomainCost) +
-      kFailureCost * mHealth.FailureShare(it->mId) +
+      (aEngine->mFailureDomain == mFailureDomain ? 0 : kOtherDomainCost) +
+      kFailureCost * mHealth.FailureShare(aEngine->mId) +
       kJitter * mRandom.UniformReal();
     if (aPlacement.mDecode.empty() || cost < bestCost) {
       bestCost = cost;
-      aPlacement.mDecode = it->mId;
-      aPlacement.mDecodeRuns = mRuns.CountAt(it->mId);
+      aPlacement.mDecode = aEngine->mId;
+      aPlacement.mDecodeRuns = mRuns.CountAt(aEngine->mId);
       aPlacement.mDecodePeak = *peak;
     }
-  }
+    return true;
+  });
   return !aPlacement.mDecode.empty();
 }
 
@@ -305,29 +317,24 @@
   const auto& engines =
     mDirectory.Usable(aDemand.mService, EndpointRole::Prefill);
   const Rank bestRank = BestRank(engines, aDemand, aNow);
-  const std::size_t start =
-    engines.empty() ? 0 : mRandom.UniformBelow(engines.size());
-  std::size_t compared = 0;
-  for (std::size_t i = 0; i < engines.size() && compared < kComparedEngines;
-       ++i) {
-    const EndpointRecord* it = engines[(start + i) % engines.size()];
-    const EndpointWork load = mLoads.Total(it->mId);
+  CompareSome(engines, mRandom, [&](const EndpointRecord* aEngine) {
+    const EndpointWork load = mLoads.Total(aEngine->mId);
     if (load.mRequests >= kPrefillDepth ||
-        RankOf(it->mId, aDemand, aNow) > bestRank) {
-      continue;
+        RankOf(aEngine->mId, aDemand, aNow) > bestRank) {
+      return false;
     }
-    ++compared;
     const double cost =
       static_cast<double>(load.mPrefillTokens) /
         static_cast<double>(std::max<std::uint64_t>(aDemand.mPromptTokens, 1)) +
-      (it->mFailureDomain == aFailureDomain ? 0 : kOtherDomainCost) +
-      kFailureCost * mHealth.FailureShare(it->mId) +
+      (aEngine->mFailureDomain == aFailureDomain ? 0 : kOtherDomainCost) +
+      kFailureCost * mHealth.FailureShare(aEngine->mId) +
       kJitter * mRandom.UniformReal();
     if (best == nullptr || cost < bestCost) {
-      best = it;
+      best = aEngine;
       bestCost = cost;
     }
-  }
+    return true;
+  });
   return best;
 }
 
