Share the steps that the placement code repeated

Cause: PlainCall withdrew its request in the same three lines at four places; three handlers of messages to the owner differed only in the method that they call; the rounding of times and the clamping of counts in messages stood in two and three files; PlacementOwner::ClientCount was not used, and PlacementClient::OwnerName only once.

Change: one function for each, the two accessors are gone. Behaviour is as before.

--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -9,12 +9,6 @@
 namespace bulrushfold {
 
 namespace {
-std::int32_t
-WholeMilliseconds(Duration aSpan)
-{
-  return static_cast<std::int32_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count());
-}
 void
 EncodeCrashes(const PeerStatus& aStatus, wire::RoutingStatus& aMessage)
 {
--- a/Source/Router/PlacementClient.h
+++ b/Source/Router/PlacementClient.h
@@ -81,11 +81,6 @@
   bool IsCandidate() const { return mSelector.IsCandidate(mOwnName); }
   /** Another daemon places for this one. */
   bool HasRemoteOwner() const { return mOwner.has_value(); }
-  /** Name of the daemon that places the requests of this one. */
-  const std::string& OwnerName() const
-  {
-    return mOwner ? mOwner->mName : mOwnName;
-  }
   /** Number of times that another daemon, or none, became the owner. */
   std::uint64_t OwnerChanges() const { return mOwnerChanges; }
   /** Something that the owner should know at once has changed. */
--- a/Source/Router/PlacementClientOwner.cxx
+++ b/Source/Router/PlacementClientOwner.cxx
@@ -226,7 +226,7 @@
 {
   const Instant now = mClock.Now();
   const FleetMember* member =
-    mSelector.FindReturning(mIsOwner ? mOwnName : OwnerName(), now);
+    mSelector.FindReturning(mOwner ? mOwner->mName : mOwnName, now);
   if (member == nullptr || mIsProbing || member->mName == mOwnName) {
     if (member != nullptr && !mIsProbing) {
       ChooseOwner();
--- a/Source/Router/PlacementMessages.cxx
+++ b/Source/Router/PlacementMessages.cxx
@@ -9,16 +9,9 @@
 constexpr std::int32_t kNotStarted = -1;
 
 std::int32_t
-WholeMilliseconds(Duration aSpan)
-{
-  return static_cast<std::int32_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count());
-}
-
-std::uint64_t
-NonNegative(std::int64_t aNumber)
+MillisecondsUntil(Instant aTime, Instant aNow)
 {
-  return static_cast<std::uint64_t>(std::max<std::int64_t>(aNumber, 0));
+  return WholeMilliseconds(aTime - aNow);
 }
 
 Duration
@@ -29,9 +22,16 @@
 } // namespace
 
 std::int32_t
-MillisecondsUntil(Instant aTime, Instant aNow)
+WholeMilliseconds(Duration aSpan)
 {
-  return WholeMilliseconds(aTime - aNow);
+  return static_cast<std::int32_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aSpan).count());
+}
+
+std::uint64_t
+NonNegative(std::int64_t aNumber)
+{
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(aNumber, 0));
 }
 
 wire::PlainPlacementRequest
--- a/Source/Router/PlacementMessages.h
+++ b/Source/Router/PlacementMessages.h
@@ -35,8 +35,10 @@
     mSend;
 };
 
-/** Milliseconds until aTime, rounded down; negative when it has passed. */
-std::int32_t MillisecondsUntil(Instant aTime, Instant aNow);
+/** aSpan as a field of a message, in milliseconds, rounded toward zero. */
+std::int32_t WholeMilliseconds(Duration aSpan);
+/** A count that a message states; 0 when it is negative. */
+std::uint64_t NonNegative(std::int64_t aNumber);
 
 wire::PlainPlacementRequest ToWire(const PlainDemand& aDemand, Instant aNow);
 PlainDemand FromWire(const wire::PlainPlacementRequest& aRequest, Instant aNow);
--- a/Source/Router/PlacementOwner.h
+++ b/Source/Router/PlacementOwner.h
@@ -92,7 +92,6 @@
   void Announce();
   /** This daemon stops, so its clients need another owner. */
   void BeginStop();
-  std::size_t ClientCount() const { return mClients.size(); }
 
 private:
   class RemoteStream;
--- a/Source/Router/PlacementOwnerEvents.cxx
+++ b/Source/Router/PlacementOwnerEvents.cxx
@@ -52,20 +52,19 @@
     case Kind::PROGRESS:
       mTables.mStreams.OnProgress(
         aEvent.serviceName,
-        static_cast<std::uint64_t>(std::max<std::int64_t>(aEvent.tokens, 0)),
+        NonNegative(aEvent.tokens),
         static_cast<std::uint32_t>(std::max(aEvent.tokensPerEvent, 0)),
         std::chrono::microseconds(aEvent.elapsedUs));
       return;
     case Kind::RESERVATION_REFUSED:
-      mTables.mStreams.OnReservationRefused(
-        aEvent.endpoint,
-        static_cast<std::uint64_t>(std::max<std::int64_t>(aEvent.tokens, 0)));
+      mTables.mStreams.OnReservationRefused(aEvent.endpoint,
+                                            NonNegative(aEvent.tokens));
       return;
     case Kind::INTERRUPTED:
       mTables.mStreams.OnInterrupted(
         { static_cast<std::uint64_t>(aEvent.promptKey),
           aEvent.endpoint,
-          static_cast<std::uint64_t>(std::max<std::int64_t>(aEvent.tokens, 0)),
+          NonNegative(aEvent.tokens),
           now });
       return;
     case Kind::ENDPOINT_LEAVING:
--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -68,6 +68,14 @@
   mDelegate.RequestEndpoint(demand);
 }
 
+void
+PlainCall::WithdrawRequest()
+{
+  if (std::exchange(mPurpose, Purpose::None) != Purpose::None) {
+    mDelegate.WithdrawRequest();
+  }
+}
+
 void
 PlainCall::OnGranted(const PlainGrant& aGrant, Instant aNow)
 {
@@ -132,9 +140,7 @@
   }
   if (aOutcome == SendOutcome::Answered) {
     if (aAnswer.mStatus < kHttpFirstServerError || !MayRunAgain()) {
-      if (std::exchange(mPurpose, Purpose::None) != Purpose::None) {
-        mDelegate.WithdrawRequest();
-      }
+      WithdrawRequest();
       mIsFinished = true;
       mDelegate.Deliver(aAnswer);
       return;
@@ -152,9 +158,7 @@
     mPurpose = Purpose::Retry;
     return;
   }
-  if (std::exchange(mPurpose, Purpose::None) != Purpose::None) {
-    mDelegate.WithdrawRequest();
-  }
+  WithdrawRequest();
   const bool isUseful = aNow + kMinUsefulTime < mParameters.mDeadline &&
                         mSends < kMaxSends && MayRunAgain();
   // A send without a connection does not count against the retry budget.
@@ -184,9 +188,7 @@
     }
     return;
   }
-  if (std::exchange(mPurpose, Purpose::None) != Purpose::None) {
-    mDelegate.WithdrawRequest();
-  }
+  WithdrawRequest();
   if (mIsSending) {
     AbandonSend(SendResult::Slow);
     FinishWith(
@@ -211,9 +213,7 @@
   if (mIsFinished) {
     return;
   }
-  if (std::exchange(mPurpose, Purpose::None) != Purpose::None) {
-    mDelegate.WithdrawRequest();
-  }
+  WithdrawRequest();
   if (mIsSending) {
     AbandonSend(SendResult::Answered);
   }
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -124,6 +124,8 @@
   };
 
   void RequestEndpoint(Purpose aPurpose, bool aNeedsUntried);
+  /** Withdraws the request for an endpoint, if there is one. */
+  void WithdrawRequest();
   void Send(const EndpointChoice& aChoice, Instant aNow);
   /** Cancels the send in progress, which may have run. */
   void AbandonSend(SendResult aReason);
--- a/Source/Router/RouterPlacement.cxx
+++ b/Source/Router/RouterPlacement.cxx
@@ -1,5 +1,6 @@
 #include "Router/Router.h"
 
+#include <functional>
 #include <utility>
 
 namespace bulrushfold {
@@ -77,32 +78,27 @@
 {
   using Kind = wire::MessageKind;
   using Responder = PeerTransport::Responder;
-  aTransport.Handle(Kind::PLACE_PLAIN,
-                    [this](const std::string& aSender,
-                           const std::string& aPayload,
-                           Responder aResponder) {
-                      mOwner.HandlePlain(
-                        aSender, aPayload, std::move(aResponder));
-                    });
-  aTransport.Handle(Kind::PLACE_STREAM,
-                    [this](const std::string& aSender,
-                           const std::string& aPayload,
-                           Responder aResponder) {
-                      mOwner.HandleStream(
-                        aSender, aPayload, std::move(aResponder));
-                    });
+  const auto handleCall = [&](Kind::type aKind,
+                              void (PlacementOwner::*aHandler)(
+                                const std::string&,
+                                const std::string&,
+                                PlacementOwner::Responder)) {
+    aTransport.Handle(
+      aKind,
+      [this, aHandler](const std::string& aSender,
+                       const std::string& aPayload,
+                       Responder aResponder) {
+        std::invoke(aHandler, mOwner, aSender, aPayload, std::move(aResponder));
+      });
+  };
+  handleCall(Kind::PLACE_PLAIN, &PlacementOwner::HandlePlain);
+  handleCall(Kind::PLACE_STREAM, &PlacementOwner::HandleStream);
+  handleCall(Kind::PLACEMENT_POLL, &PlacementOwner::HandlePoll);
   aTransport.Handle(
     Kind::PLACEMENT_EVENTS,
     [this](const std::string& aSender,
            const std::string& aPayload,
            const Responder&) { mOwner.HandleEvents(aSender, aPayload); });
-  aTransport.Handle(Kind::PLACEMENT_POLL,
-                    [this](const std::string& aSender,
-                           const std::string& aPayload,
-                           Responder aResponder) {
-                      mOwner.HandlePoll(
-                        aSender, aPayload, std::move(aResponder));
-                    });
 }
 
 void
