--- a/Tests/Router/PlacementFleetTest.cxx
+++ b/Tests/Router/PlacementFleetTest.cxx
@@ -1,6 +1,7 @@
 #include "Router/PlacementFleet.h"
 
 #include <algorithm>
+#include <memory>
 
 #include <doctest/doctest.h>
 
@@ -10,6 +11,22 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+bool
+IsOwner(const std::unique_ptr<FleetDaemon>& aDaemon)
+{
+  return aDaemon && aDaemon->mClient.IsOwner();
+}
+
+/** The daemon that places for aFleet. */
+std::unique_ptr<FleetDaemon>&
+OwnerOf(PlacementFleet& aFleet)
+{
+  const auto owner =
+    std::find_if(aFleet.mDaemons.begin(), aFleet.mDaemons.end(), IsOwner);
+  REQUIRE(owner != aFleet.mDaemons.end());
+  return *owner;
+}
+
 std::size_t
 CountUnanswered(const PlacementFleet& aFleet)
 {
@@ -40,9 +57,7 @@
   // The number of store calls must not grow with the number of daemons.
   CHECK(result.mWatches == 1);
   const auto owners =
-    std::count_if(fleet.mDaemons.begin(),
-                  fleet.mDaemons.end(),
-                  [](const auto& aIt) { return aIt->mClient.IsOwner(); });
+    std::count_if(fleet.mDaemons.begin(), fleet.mDaemons.end(), IsOwner);
   CHECK(owners == 1);
 }
 
@@ -69,13 +84,7 @@
 {
   PlacementFleet fleet(1, FleetDefect::None);
   fleet.Run(seconds(3), false);
-  const auto isOwner = [](const auto& aDaemon) {
-    return aDaemon->mClient.IsOwner();
-  };
-  auto& daemons = fleet.mDaemons;
-  const auto owner = std::find_if(daemons.begin(), daemons.end(), isOwner);
-  REQUIRE(owner != daemons.end());
-  FleetDaemon& former = **owner;
+  FleetDaemon& former = *OwnerOf(fleet);
   former.mFeed.OnLost("config/");
   former.mOwner.Announce();
   fleet.Continue(seconds(1));
@@ -83,7 +92,8 @@
   CHECK(fleet.mStore.WatchCount() > 10);
   fleet.Continue(seconds(5));
   CHECK_FALSE(former.mClient.IsOwner());
-  CHECK(std::count_if(daemons.begin(), daemons.end(), isOwner) == 1);
+  CHECK(std::count_if(fleet.mDaemons.begin(), fleet.mDaemons.end(), IsOwner) ==
+        1);
   CHECK(fleet.mStore.WatchCount() == 1);
 }
 
@@ -93,13 +103,7 @@
   PlacementFleet fleet(1, FleetDefect::None);
   fleet.Run(seconds(3), false);
   const std::size_t before = fleet.mStore.WatchCalls();
-  auto& daemons = fleet.mDaemons;
-  const auto owner =
-    std::find_if(daemons.begin(), daemons.end(), [](const auto& aIt) {
-      return aIt->mClient.IsOwner();
-    });
-  REQUIRE(owner != daemons.end());
-  owner->reset();
+  OwnerOf(fleet).reset();
   fleet.Continue(seconds(5));
   CHECK(fleet.mStore.WatchCount() == 1);
   CHECK(fleet.mStore.WatchCalls() - before < PlacementFleet::kDaemons / 4);
@@ -112,9 +116,7 @@
   PlacementFleet fleet(1, FleetDefect::None);
   fleet.Run(seconds(3), false);
   const auto client =
-    std::find_if(fleet.mDaemons.begin(),
-                 fleet.mDaemons.end(),
-                 [](const auto& aIt) { return !aIt->mClient.IsOwner(); });
+    std::find_if_not(fleet.mDaemons.begin(), fleet.mDaemons.end(), IsOwner);
   REQUIRE(client != fleet.mDaemons.end());
   for (std::uint64_t number = 1; number <= 8; ++number) {
     CAPTURE(number);
