Name why no other run follows a failed one

A stream that was aborted because its route allows no further run, or because the retry budget was used up, was logged as endpoints_full, so that the log could not tell the hypotheses of the incident apart.

--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -9,11 +9,13 @@
 namespace bulrushfold {
 
 namespace {
-constexpr EnumNames<RefusalReason, 10> kReasonNames{ {
+constexpr EnumNames<RefusalReason, 12> kReasonNames{ {
   { RefusalReason::NoConfiguration, "no_configuration" },
   { RefusalReason::NoRoute, "no_route" },
   { RefusalReason::NoEndpoint, "no_endpoint" },
   { RefusalReason::EndpointsFull, "endpoints_full" },
+  { RefusalReason::AttemptsUsed, "attempts_used" },
+  { RefusalReason::RetryBudgetUsed, "retry_budget_used" },
   { RefusalReason::Overload, "overload" },
   { RefusalReason::WaitedTooLong, "waited_too_long" },
   { RefusalReason::CrashSuspect, "crash_suspect" },
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -27,6 +27,10 @@
   NoEndpoint,
   /** Every endpoint that was tried refused the request. */
   EndpointsFull,
+  /** The run failed, and its route allows no further one. */
+  AttemptsUsed,
+  /** The retry budget of the service does not allow another send. */
+  RetryBudgetUsed,
   /** The request would miss its latency target even if it were queued. */
   Overload,
   /** The request expired in the queue before engines had capacity for it. */
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -49,14 +49,17 @@
   if (EndIfPromptRefused()) {
     return;
   }
-  const bool isUseful = aNow < mParameters.mCall.mDeadline &&
-                        mPlacementCount < kMaxPlacements && MayRunAgain();
-  if (isUseful && mRetryBudget.TryConsume(
-                    mParameters.mCall.mService, aRepeatedSends, aNow)) {
+  if (aNow >= mParameters.mCall.mDeadline ||
+      mPlacementCount >= kMaxPlacements) {
+    Finish(RefusalReason::EndpointsFull);
+  } else if (!MayRunAgain()) {
+    Finish(RefusalReason::AttemptsUsed);
+  } else if (!mRetryBudget.TryConsume(
+               mParameters.mCall.mService, aRepeatedSends, aNow)) {
+    Finish(RefusalReason::RetryBudgetUsed);
+  } else {
     Submit(aNow);
-    return;
   }
-  Finish(RefusalReason::EndpointsFull);
 }
 
 void
