Keep a silent run until its replacement starts

What callers saw: half delivered streams ended beside a change of the configuration, a reload or a stop, although their engine was only silent for a second and went on.

Cause: the stall timer cancelled the run before it was known whether another run may or can follow. On the last permitted attempt, with the retry budget used up, or when the next engine refused, the stream was aborted. A move without an answer for 800 ms and a silent prefill without retry budget ended streams in the same way.

Change: a silent run is set aside and its answer still received while a replacement is placed, reserved and prefilled. It is cancelled when the decode of the replacement is sent. When it sends again, the replacement is discarded; when no replacement may follow, it is kept until the deadline. Its sends count in the retry budget when the prefill starts, not when the silence is noticed. The health record learns of the silence at once, so that other streams avoid the engine.

The subcase that expected the cancel at the stall timeout now expects it when the replacement starts, and no earlier.

--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -183,6 +183,20 @@
              { "took_ms", ToMilliseconds(aDuration) } });
 }
 
+void
+RequestLog::RunSilent(const RoutedRequest& aRequest,
+                      const std::string& aEndpoint,
+                      std::optional<RefusalReason> aKeptFor)
+{
+  LogEvent(
+    LogLevel::Info,
+    "run_silent",
+    { { "id", aRequest.mMetadata.mId },
+      { "endpoint", aEndpoint },
+      { "replacement", aKeptFor ? RefusalReasonName(*aKeptFor) : "prepared" },
+      { "sends", aRequest.mSends } });
+}
+
 void
 RequestLog::RunLost(const RoutedRequest& aRequest,
                     const std::string& aEndpoint,
--- a/Source/Router/RequestLog.h
+++ b/Source/Router/RequestLog.h
@@ -2,6 +2,7 @@
 #define BULRUSHFOLD_ROUTER_REQUESTLOG_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -42,6 +43,12 @@
   void RunLost(const RoutedRequest& aRequest,
                const std::string& aEndpoint,
                Duration aAnswering);
+  /** The decode engine of a run has sent nothing for the stall timeout.
+   * aKeptFor: why no other run may replace it; empty when a replacement is
+   * prepared. */
+  void RunSilent(const RoutedRequest& aRequest,
+                 const std::string& aEndpoint,
+                 std::optional<RefusalReason> aKeptFor);
   /** The request is refused because of aPart. */
   void PromptRefused(const RoutedRequest& aRequest, const RefusedPart& aPart);
   /** A prompt part is refused from now on, or accepted again. */
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -21,8 +21,6 @@
 constexpr double kMinRemainderRatio = 0.3;
 /** Timeout of a reservation; an idle engine answers it sooner. */
 constexpr Duration kReserveTimeout = std::chrono::milliseconds(300);
-/** Time after which a prefill without an answer counts as lost. */
-constexpr Duration kPrefillTimeout = std::chrono::milliseconds(1500);
 
 /** Expected number of tokens that follow the first aGenerated tokens, if the
  * expected length of the whole answer was aExpected. */
@@ -132,12 +130,26 @@
   mDelegate.WakeAt(std::min(mStallDeadline, mParameters.mCall.mDeadline));
 }
 
+void
+StreamCall::WatchRun(Instant aNow)
+{
+  if (mParameters.mCall.mRoute->mIsResumable) {
+    SetStallTimeout(kStallTimeout, aNow);
+  } else {
+    mDelegate.WakeAt(mParameters.mCall.mDeadline);
+  }
+}
+
 void
 StreamCall::OnPlaced(const StreamPlacement& aPlacement, Instant aNow)
 {
   mPlacement = aPlacement;
   ++mPlacementCount;
-  if (EndIfPromptRefused()) {
+  if (EndIfPromptRefused(aNow)) {
+    return;
+  }
+  if (mRunAside && mRunAside->mPlacement.mDecode == mPlacement.mDecode) {
+    FailAttempt(RefusalReason::NoEndpoint, aNow);
     return;
   }
   if (mParameters.mProfile.mMaxReservation <= Duration::zero()) {
@@ -159,18 +171,18 @@
 }
 
 void
-StreamCall::OnPlacementExpired(Instant)
+StreamCall::OnPlacementExpired(Instant aNow)
 {
   if (mState == StreamState::Waiting) {
-    Finish(RefusalReason::WaitedTooLong);
+    FailAttempt(RefusalReason::WaitedTooLong, aNow);
   }
 }
 
 void
-StreamCall::OnUnservable(Duration aRetryAfter, Instant)
+StreamCall::OnUnservable(Duration aRetryAfter, Instant aNow)
 {
   if (mState == StreamState::Waiting) {
-    Finish(RefusalReason::NoEndpoint, aRetryAfter);
+    FailAttempt(RefusalReason::NoEndpoint, aNow, aRetryAfter);
   }
 }
 
@@ -199,7 +211,11 @@
 void
 StreamCall::StartPrefill(Instant aNow)
 {
-  if (EndIfPromptRefused()) {
+  if (EndIfPromptRefused(aNow)) {
+    return;
+  }
+  if (!CountReplacement(aNow)) {
+    FailAttempt(RefusalReason::RetryBudgetUsed, aNow);
     return;
   }
   if (mPlacement.mPrefill.empty()) {
@@ -241,7 +257,7 @@
 void
 StreamCall::StartDecode(Instant aNow)
 {
-  if (EndIfPromptRefused()) {
+  if (EndIfPromptRefused(aNow)) {
     return;
   }
   if (!mDelegate.IsUsable(mPlacement.mDecode)) {
@@ -251,6 +267,7 @@
     Retry(repeats, aNow);
     return;
   }
+  AbandonRunAside();
   SendDecode(aNow);
 }
 
@@ -258,11 +275,7 @@
 StreamCall::SendDecode(Instant aNow)
 {
   mState = StreamState::Starting;
-  if (mParameters.mCall.mRoute->mIsResumable || !mMoveSource.empty()) {
-    SetStallTimeout(kStallTimeout, aNow);
-  } else {
-    mDelegate.WakeAt(mParameters.mCall.mDeadline);
-  }
+  WatchRun(aNow);
   mDelegate.Decode(
     { mPlacement.mDecode, mCache, mReservation, mRelay.LastId() },
     mParameters.mCall.mDeadline);
@@ -324,9 +337,7 @@
   if (mState != StreamState::Streaming) {
     return;
   }
-  if (mParameters.mCall.mRoute->mIsResumable && !mMove) {
-    SetStallTimeout(kStallTimeout, aNow);
-  }
+  WatchRun(aNow);
   if (!mRelay.Feed(aData)) {
     mDelegate.CancelSend(SendResult::Interrupted);
     OnAnswerEnded(SendOutcome::Unknown, aNow);
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -77,6 +77,16 @@
                       Instant aDeadline) = 0;
   /** Cancels the send in progress. aReason: its result in the health record. */
   virtual void CancelSend(SendResult aReason) = 0;
+  /** The engine of the run has been silent for the stall timeout. aKeptFor: why
+   * no other run may replace it; empty when a replacement is prepared. */
+  virtual void ReportSilence(std::optional<RefusalReason> aKeptFor) = 0;
+  /** Sets the run aside: its answer is still received, and the next actions
+   * refer to its replacement. */
+  virtual void SetRunAside() = 0;
+  /** Discards the replacement; the next actions refer to the run again. */
+  virtual void ReturnToRun() = 0;
+  /** Cancels the run that was set aside. */
+  virtual void CancelRunAside() = 0;
   /** Stops the run at aEndpoint and copies its KV cache to aTarget. The session
    * reports the result with OnMoveAnswered. */
   virtual void Move(const std::string& aEndpoint,
@@ -135,7 +145,7 @@
    * accepts streams again; zero when it is unknown. */
   void OnUnservable(Duration aRetryAfter, Instant aNow);
   /** The placer refused the stream, because it could not begin in time. */
-  void OnOverload();
+  void OnOverload(Instant aNow);
   /** aReservation: empty when the engine granted none. */
   void OnReserved(const std::string& aReservation, Instant aNow);
   /** aCache: set when aOutcome is Answered. */
@@ -143,6 +153,10 @@
                    const KvCache& aCache,
                    Duration aDuration,
                    Instant aNow);
+  /** The engine of the run sends or closes its connection; a replacement that
+   * was prepared because of its silence is discarded. To be called before the
+   * event itself is delivered. */
+  void OnRunHeard(Instant aNow);
   void OnAnswerStarted(SendOutcome aOutcome,
                        int aStatus,
                        const HttpHeaders& aHeaders,
@@ -175,10 +189,28 @@
   }
 
 private:
-  /** Time without data after which a run that another engine could continue
-   * counts as lost. */
+  /** Time without data after which another engine is prepared to continue a
+   * run. */
   static constexpr Duration kStallTimeout = std::chrono::milliseconds(1200);
 
+  /** Time after which a prefill without an answer counts as lost. */
+  static constexpr Duration kPrefillTimeout = std::chrono::milliseconds(1500);
+  /** Maximum placements of one stream; limits the retries when engines refuse.
+   */
+  static constexpr std::uint32_t kMaxPlacements = 40;
+
+  /** State of the run that was set aside. */
+  struct RunAside
+  {
+    StreamState mState = StreamState::Streaming;
+    StreamPlacement mPlacement;
+    std::string mReservation;
+    std::optional<KvCache> mCache;
+    std::string mMoveSource;
+    /** The sends of the replacement are counted in the retry budget. */
+    bool mIsReplacementCounted = false;
+  };
+
   /** Move in progress. */
   struct RunMove
   {
@@ -213,21 +245,42 @@
   void Retry(std::uint32_t aRepeatedSends, Instant aNow);
   /** Number of calls before the decode that a further attempt repeats. */
   std::uint32_t RepeatedPrefills() const;
-  bool MayRunAgain() const;
-  /** Ends the stream if a part of its prompt crashes engines. */
-  bool EndIfPromptRefused();
+  /** True when the route allows one more run after aPossibleRuns. */
+  bool MayRunAfter(std::uint32_t aPossibleRuns) const;
+  bool MayRunAgain() const { return MayRunAfter(mPossibleRuns); }
+  /** Ends the attempt if a part of the prompt crashes engines. */
+  bool EndIfPromptRefused(Instant aNow);
   /** Cancels the present step and releases everything. aSendResult: result of
    * the cancelled send in the health record. */
   void CancelStep(SendResult aSendResult);
   /** Cancels the present step, releases everything, and ends the stream.
    * aSendResult: result of the cancelled send in the health record. */
   void EndEarly(RefusalReason aReason, SendResult aSendResult);
+  /** The attempt cannot continue: returns to the run that was set aside, or
+   * ends the stream. aMinRetryAfter: see Finish. */
+  void FailAttempt(RefusalReason aReason,
+                   Instant aNow,
+                   Duration aMinRetryAfter = Duration::zero());
   /** Aborts a started answer, else refuses the request. aMinRetryAfter: minimum
    * time for which a refused caller should wait. */
   void Finish(RefusalReason aReason,
               Duration aMinRetryAfter = Duration::zero());
   void HandleStall(Instant aNow);
+  /** Prepares a replacement of the silent run. The run is kept until the
+   * replacement starts, because its engine may go on. */
+  void HandleSilence(Instant aNow);
+  /** Why no other run may replace the present one; empty when one may. */
+  std::optional<RefusalReason> ReplacementObstacle(Instant aNow);
+  /** Counts the sends of the replacement in the retry budget; false when the
+   * budget does not allow them. */
+  bool CountReplacement(Instant aNow);
+  /** Discards the replacement and everything that it occupies at engines. */
+  void DropReplacement();
+  /** Cancels the run that was set aside, as its replacement starts. */
+  void AbandonRunAside();
   void SetStallTimeout(Duration aTimeout, Instant aNow);
+  /** Waits for the next data of the run, or for its deadline. */
+  void WatchRun(Instant aNow);
 
   StreamCallDelegate& mDelegate;
   SharedRetryBudget& mRetryBudget;
@@ -239,6 +292,8 @@
   std::string mReservation;
   std::optional<KvCache> mCache;
   std::optional<RunMove> mMove;
+  /** Set while a replacement of a silent run is prepared. */
+  std::optional<RunAside> mRunAside;
   /** Source of a copied run, until the target has resumed it. */
   std::string mMoveSource;
   std::uint32_t mMoveCount = 0;
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -8,8 +8,6 @@
 namespace bulrushfold {
 
 namespace {
-/** Maximum placements of one stream; limits the retries when engines refuse. */
-constexpr std::uint32_t kMaxPlacements = 40;
 constexpr Duration kRetryAfter = std::chrono::milliseconds(500);
 /** Callers that are refused during a burst are asked to retry after it. */
 constexpr Duration kOverloadRetryAfter = std::chrono::milliseconds(2500);
@@ -22,41 +20,41 @@
 }
 
 bool
-StreamCall::MayRunAgain() const
+StreamCall::MayRunAfter(std::uint32_t aPossibleRuns) const
 {
-  if (mPossibleRuns == 0) {
+  if (aPossibleRuns == 0) {
     return true;
   }
   const Route& route = *mParameters.mCall.mRoute;
   return route.mIsResumable && mRelay.MayContinue() &&
-         mPossibleRuns < route.mMaxAttempts;
+         aPossibleRuns < route.mMaxAttempts;
 }
 
 bool
-StreamCall::EndIfPromptRefused()
+StreamCall::EndIfPromptRefused(Instant aNow)
 {
   if (!mDelegate.IsPromptRefused()) {
     return false;
   }
   ReleaseAll();
-  Finish(RefusalReason::CrashSuspect);
+  FailAttempt(RefusalReason::CrashSuspect, aNow);
   return true;
 }
 
 void
 StreamCall::Retry(std::uint32_t aRepeatedSends, Instant aNow)
 {
-  if (EndIfPromptRefused()) {
+  if (EndIfPromptRefused(aNow)) {
     return;
   }
   if (aNow >= mParameters.mCall.mDeadline ||
       mPlacementCount >= kMaxPlacements) {
-    Finish(RefusalReason::EndpointsFull);
+    FailAttempt(RefusalReason::EndpointsFull, aNow);
   } else if (!MayRunAgain()) {
-    Finish(RefusalReason::AttemptsUsed);
+    FailAttempt(RefusalReason::AttemptsUsed, aNow);
   } else if (!mRetryBudget.TryConsume(
                mParameters.mCall.mService, aRepeatedSends, aNow)) {
-    Finish(RefusalReason::RetryBudgetUsed);
+    FailAttempt(RefusalReason::RetryBudgetUsed, aNow);
   } else {
     Submit(aNow);
   }
@@ -77,6 +75,19 @@
   }
 }
 
+void
+StreamCall::FailAttempt(RefusalReason aReason,
+                        Instant aNow,
+                        Duration aMinRetryAfter)
+{
+  if (mRunAside) {
+    DropReplacement();
+    SetStallTimeout(kStallTimeout, aNow);
+  } else {
+    Finish(aReason, aMinRetryAfter);
+  }
+}
+
 void
 StreamCall::Finish(RefusalReason aReason, Duration aMinRetryAfter)
 {
@@ -108,22 +119,18 @@
       OnReserved("", aNow);
       return;
     case StreamState::Prefilling:
+      if (!mRetryBudget.Allows(mParameters.mCall.mService, 1, aNow)) {
+        // The engine may go on, and no other one may be tried.
+        SetStallTimeout(kPrefillTimeout, aNow);
+        return;
+      }
       mDelegate.CancelSend(SendResult::Slow);
       OnPrefilled(SendOutcome::Unknown, {}, Duration::zero(), aNow);
       return;
     case StreamState::Starting:
     case StreamState::Streaming:
     case StreamState::ReceivingError:
-      if (mDelegate.IsReadPaused()) {
-        SetStallTimeout(kStallTimeout, aNow);
-        return;
-      }
-      mMove.reset();
-      // The stream does not return to an engine that stopped responding, even
-      // if its cache has the prompt.
-      mIsPromptLost = true;
-      mDelegate.CancelSend(SendResult::Slow);
-      OnAnswerEnded(SendOutcome::Unknown, aNow);
+      HandleSilence(aNow);
       return;
     case StreamState::Waiting:
     case StreamState::Finished:
@@ -150,6 +157,7 @@
   if (mState == StreamState::Finished) {
     return;
   }
+  DropReplacement();
   if (mState == StreamState::Streaming) {
     mDelegate.ReportInterruptedRun(mPlacement.mDecode);
   }
@@ -162,6 +170,7 @@
   if (mState == StreamState::Finished) {
     return;
   }
+  DropReplacement();
   if (mState == StreamState::Streaming) {
     mDelegate.ReportInterruptedRun(mPlacement.mDecode);
   }
@@ -172,6 +181,7 @@
 void
 StreamCall::EndEarly(RefusalReason aReason, SendResult aSendResult)
 {
+  DropReplacement();
   if (mState == StreamState::Starting || mState == StreamState::Streaming ||
       mState == StreamState::ReceivingError) {
     ++mPossibleRuns;
@@ -196,13 +206,13 @@
 }
 
 void
-StreamCall::OnOverload()
+StreamCall::OnOverload(Instant aNow)
 {
   if (mState != StreamState::Waiting) {
     return;
   }
-  if (mHasStartedAnswer || mPossibleRuns > 0) {
-    Finish(RefusalReason::Overload);
+  if (mRunAside || mHasStartedAnswer || mPossibleRuns > 0) {
+    FailAttempt(RefusalReason::Overload, aNow);
   } else {
     RefuseForOverload();
   }
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -5,8 +5,6 @@
 namespace bulrushfold {
 
 namespace {
-/** Maximum time in which the source stops a run and copies its KV cache. */
-constexpr Duration kMoveTimeout = std::chrono::milliseconds(800);
 constexpr std::uint32_t kMaxMoves = 3;
 } // namespace
 
@@ -21,7 +19,6 @@
   ++mMoveCount;
   mMove = RunMove{ mPlacement.mDecode, aTarget, false, false, {}, false };
   mDelegate.ReportMoved(aTarget);
-  SetStallTimeout(kMoveTimeout, aNow);
   mDelegate.Move(mPlacement.mDecode, aTarget);
 }
 
@@ -30,6 +27,7 @@
                            bool aIsCopied,
                            Instant aNow)
 {
+  OnRunHeard(aNow);
   if (!mMove) {
     if (aCache) {
       mDelegate.DropCache(*aCache);
@@ -52,7 +50,7 @@
     if (move.mHasEnded) {
       OnAnswerEnded(SendOutcome::Unknown, aNow);
     } else {
-      mDelegate.WakeAt(mParameters.mCall.mDeadline);
+      WatchRun(aNow);
     }
     return;
   }
--- /dev/null
+++ b/Source/Router/StreamCallSilence.cxx
@@ -0,0 +1,115 @@
+#include "Router/StreamCall.h"
+
+#include <utility>
+
+namespace bulrushfold {
+
+std::optional<RefusalReason>
+StreamCall::ReplacementObstacle(Instant aNow)
+{
+  if (!MayRunAfter(mPossibleRuns + 1)) {
+    return RefusalReason::AttemptsUsed;
+  }
+  if (mPlacementCount >= kMaxPlacements) {
+    return RefusalReason::EndpointsFull;
+  }
+  if (mDelegate.IsPromptRefused()) {
+    return RefusalReason::CrashSuspect;
+  }
+  if (!mRetryBudget.Allows(mParameters.mCall.mService, 1, aNow)) {
+    return RefusalReason::RetryBudgetUsed;
+  }
+  return std::nullopt;
+}
+
+void
+StreamCall::HandleSilence(Instant aNow)
+{
+  if (mDelegate.IsReadPaused()) {
+    SetStallTimeout(kStallTimeout, aNow);
+    return;
+  }
+  const auto obstacle = ReplacementObstacle(aNow);
+  mDelegate.ReportSilence(obstacle);
+  if (obstacle) {
+    SetStallTimeout(kStallTimeout, aNow);
+    return;
+  }
+  mFailedEndpoints.insert(mPlacement.mDecode);
+  mRunAside = RunAside{ mState,
+                        std::exchange(mPlacement, StreamPlacement()),
+                        std::exchange(mReservation, std::string()),
+                        std::exchange(mCache, std::nullopt),
+                        std::exchange(mMoveSource, std::string()) };
+  mDelegate.SetRunAside();
+  Submit(aNow);
+}
+
+bool
+StreamCall::CountReplacement(Instant aNow)
+{
+  if (!mRunAside || mRunAside->mIsReplacementCounted) {
+    return true;
+  }
+  mRunAside->mIsReplacementCounted = mRetryBudget.TryConsume(
+    mParameters.mCall.mService, 1 + RepeatedPrefills(), aNow);
+  return mRunAside->mIsReplacementCounted;
+}
+
+void
+StreamCall::DropReplacement()
+{
+  if (!mRunAside) {
+    return;
+  }
+  if (mState == StreamState::Waiting) {
+    mDelegate.WithdrawPlacement();
+  } else {
+    mDelegate.CancelSend(SendResult::Answered);
+  }
+  ReleaseAll();
+  RunAside run = *std::exchange(mRunAside, std::nullopt);
+  mState = run.mState;
+  mPlacement = std::move(run.mPlacement);
+  mReservation = std::move(run.mReservation);
+  mCache = std::move(run.mCache);
+  mMoveSource = std::move(run.mMoveSource);
+  mDelegate.ReturnToRun();
+}
+
+void
+StreamCall::OnRunHeard(Instant aNow)
+{
+  if (mRunAside) {
+    DropReplacement();
+    SetStallTimeout(kStallTimeout, aNow);
+  }
+}
+
+void
+StreamCall::AbandonRunAside()
+{
+  if (!mRunAside) {
+    return;
+  }
+  const RunAside run = *std::exchange(mRunAside, std::nullopt);
+  mDelegate.CancelRunAside();
+  if (run.mCache) {
+    mDelegate.DropCache(*run.mCache);
+  }
+  if (!run.mReservation.empty()) {
+    mDelegate.DropReservation(run.mPlacement.mDecode, run.mReservation);
+  }
+  if (const auto move = std::exchange(mMove, std::nullopt);
+      move && move->mCache) {
+    mDelegate.DropCache(*move->mCache);
+  }
+  ++mPossibleRuns;
+  mDelegate.ReportInterruptedRun(run.mPlacement.mDecode);
+  // The stream does not return to an engine that stopped responding, even if
+  // its cache has the prompt.
+  mIsPromptLost = true;
+  mRelay.DiscardPartialEvent();
+}
+
+} // namespace bulrushfold
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -17,7 +17,6 @@
                              StreamParameters aParameters)
   : mServices(aServices)
   , mRequest(std::move(aRequest))
-  , mNumber(aParameters.mNumber)
   , mProfile(aParameters.mProfile)
   , mAnswerWriter(aServices, mRequest)
   , mCall(*this, aServices.mRetryBudget, std::move(aParameters))
@@ -26,6 +25,7 @@
     mCall.OnWake(mServices.mClock.Now());
   })
 {
+  mAttempt.mNumber = mRequest->mNumber;
 }
 
 void
@@ -77,6 +77,7 @@
 {
   mServices.mLog.Queued(*mRequest, mServices.mPlacement.WaitingCount());
   aDemand.mRequestHash = mRequest->mHash;
+  aDemand.mNumber = mAttempt.mNumber;
   mServices.mPlacement.Submit(std::move(aDemand), *this);
 }
 
@@ -105,25 +106,25 @@
 StreamSession::HandleOverload()
 {
   const auto self = mSelf;
-  mCall.OnOverload();
+  mCall.OnOverload(mServices.mClock.Now());
 }
 
 void
 StreamSession::WithdrawPlacement()
 {
-  mServices.mPlacement.Withdraw(mNumber);
+  mServices.mPlacement.Withdraw(mAttempt.mNumber);
 }
 
 void
 StreamSession::ReleasePrefill(Duration aDuration)
 {
-  mServices.mPlacement.OnPrefillEnded(mNumber, aDuration);
+  mServices.mPlacement.OnPrefillEnded(mAttempt.mNumber, aDuration);
 }
 
 void
 StreamSession::ReportDecodeStarted()
 {
-  mServices.mPlacement.OnDecodeStarted(mNumber);
+  mServices.mPlacement.OnDecodeStarted(mAttempt.mNumber);
 }
 
 void
@@ -140,7 +141,7 @@
 void
 StreamSession::ReleaseDecode()
 {
-  mServices.mPlacement.OnDecodeEnded(mNumber);
+  mServices.mPlacement.OnDecodeEnded(mAttempt.mNumber);
 }
 
 void
@@ -165,7 +166,7 @@
 void
 StreamSession::ReportMoved(const std::string& aEndpoint)
 {
-  mServices.mPlacement.OnMoved(mNumber, aEndpoint);
+  mServices.mPlacement.OnMoved(mAttempt.mNumber, aEndpoint);
 }
 
 bool
@@ -187,17 +188,17 @@
                          HttpCallRequest aRequest,
                          HttpCallHooks aHooks)
 {
-  mStep = aStep;
-  mEndpoint = aEndpoint.mId;
-  mSentAt = mServices.mClock.Now();
+  mAttempt.mStep = aStep;
+  mAttempt.mEndpoint = aEndpoint.mId;
+  mAttempt.mSentAt = mServices.mClock.Now();
   ++mRequest->mSends;
   // The id of an answer does not distinguish two sends of this request, so a
   // second one to the same engine opens a new connection.
   const bool namesRequest = aRequest.mNeedsUnambiguousReply;
-  if (namesRequest && !mSentTo.insert(mEndpoint).second) {
+  if (namesRequest && !mSentTo.insert(mAttempt.mEndpoint).second) {
     aRequest.mMaxIdleTime = Duration::zero();
   }
-  mSend =
+  mAttempt.mSend =
     mServices.mClient.Start(aEndpoint, std::move(aRequest), std::move(aHooks));
 }
 
@@ -209,7 +210,7 @@
   const SendOutcome outcome =
     ClassifySend(aReply.mResult, metadata, mRequest->mMetadata.mId);
   if (metadata.mRequestId == mRequest->mMetadata.mId) {
-    mSend->ConfirmReply();
+    mAttempt.mSend->ConfirmReply();
   }
   // The scheduler never fills a prefill engine, so a refusal means that the
   // engine accepts no work at present.
@@ -222,7 +223,8 @@
     FinishSend(SendResult::Answered, "moved", aReply.mStatus);
     return outcome;
   }
-  mServices.RecordSendOutcome(*mRequest, mEndpoint, outcome, aReply.mResult);
+  mServices.RecordSendOutcome(
+    *mRequest, mAttempt.mEndpoint, outcome, aReply.mResult);
   FinishSend(health, SendOutcomeName(outcome, aReply.mResult), aReply.mStatus);
   return outcome;
 }
@@ -232,24 +234,66 @@
                           std::string_view aOutcome,
                           int aStatus)
 {
-  const Instant now = mServices.mClock.Now();
-  mSend.reset();
+  mAttempt.mSend.reset();
+  RecordHealth(mAttempt.mEndpoint, aResult);
+  mServices.mLog.SendEnded(*mRequest,
+                           mAttempt.mStep,
+                           mAttempt.mEndpoint,
+                           aOutcome,
+                           aStatus,
+                           mServices.mClock.Now() - mAttempt.mSentAt);
+}
+
+void
+StreamSession::RecordHealth(const std::string& aEndpoint, SendResult aResult)
+{
+  const std::string& service = mRequest->mParameters.mService;
   mServices.mHealth.OnResult(
-    mRequest->mParameters.mService, mEndpoint, aResult, now);
-  mServices.mPlacement.OnSendResult(
-    mRequest->mParameters.mService, mEndpoint, aResult);
-  mServices.mLog.SendEnded(
-    *mRequest, mStep, mEndpoint, aOutcome, aStatus, now - mSentAt);
+    service, aEndpoint, aResult, mServices.mClock.Now());
+  mServices.mPlacement.OnSendResult(service, aEndpoint, aResult);
 }
 
 void
 StreamSession::CancelSend(SendResult aReason)
 {
-  if (mSend) {
+  if (mAttempt.mSend) {
     FinishSend(aReason, SendResultName(aReason), 0);
   }
 }
 
+void
+StreamSession::ReportSilence(std::optional<RefusalReason> aKeptFor)
+{
+  // Other streams should avoid the engine while it is silent.
+  RecordHealth(mAttempt.mEndpoint, SendResult::Slow);
+  mServices.mLog.RunSilent(*mRequest, mAttempt.mEndpoint, aKeptFor);
+}
+
+void
+StreamSession::SetRunAside()
+{
+  mRunAside = std::exchange(mAttempt, Attempt());
+  mAttempt.mNumber = mServices.mNextNumber();
+}
+
+void
+StreamSession::ReturnToRun()
+{
+  mServices.mPlacement.Unregister(mAttempt.mNumber);
+  mAttempt = std::move(*mRunAside);
+  mRunAside.reset();
+}
+
+void
+StreamSession::CancelRunAside()
+{
+  Attempt replacement = std::exchange(mAttempt, std::move(*mRunAside));
+  mRunAside.reset();
+  CancelSend(SendResult::Slow);
+  mServices.mPlacement.Unregister(mAttempt.mNumber);
+  mAttempt = std::move(replacement);
+}
+
 void
 StreamSession::StartAnswer(int aStatus, const HttpHeaders& aHeaders)
 {
@@ -264,15 +308,15 @@
     // If the caller does not read at all, the write timeout closes its
     // connection.
     mIsReadPaused = true;
-    mSend->SetReading(false);
+    mAttempt.mSend->SetReading(false);
   }
 }
 
 void
 StreamSession::ResumeReading()
 {
-  if (std::exchange(mIsReadPaused, false) && mSend) {
-    mSend->SetReading(true);
+  if (std::exchange(mIsReadPaused, false) && mAttempt.mSend) {
+    mAttempt.mSend->SetReading(true);
   }
 }
 
@@ -280,21 +324,21 @@
 StreamSession::EndAnswer()
 {
   RecordWholeAnswer();
-  mAnswerWriter.EndStream(mEndpoint);
+  mAnswerWriter.EndStream(mAttempt.mEndpoint);
   Close();
 }
 
 void
 StreamSession::AbortAnswer(RefusalReason aReason)
 {
-  mAnswerWriter.Abort(aReason, mEndpoint);
+  mAnswerWriter.Abort(aReason, mAttempt.mEndpoint);
   Close();
 }
 
 void
 StreamSession::Deliver(const EndpointAnswer& aAnswer)
 {
-  mAnswerWriter.Deliver(aAnswer, mEndpoint);
+  mAnswerWriter.Deliver(aAnswer, mAttempt.mEndpoint);
   Close();
 }
 
@@ -309,7 +353,7 @@
         .value_or(mRequest->mParameters.mArrival),
       now);
   }
-  mAnswerWriter.Refuse(aRefusal, mEndpoint);
+  mAnswerWriter.Refuse(aRefusal, mAttempt.mEndpoint);
   Close();
 }
 
@@ -318,7 +362,7 @@
 {
   const auto self = mSelf;
   mCall.OnCallerDisconnected(mServices.mClock.Now());
-  mAnswerWriter.LogCallerDisconnected(mEndpoint);
+  mAnswerWriter.LogCallerDisconnected(mAttempt.mEndpoint);
   Close();
 }
 
@@ -334,7 +378,7 @@
 {
   mStopConnection.disconnect();
   mTimer.Cancel();
-  mServices.mPlacement.Unregister(mNumber);
+  mServices.mPlacement.Unregister(mAttempt.mNumber);
   mRequest->mExchange->OnClosed(nullptr);
   mRequest->mExchange->OnWritten(nullptr);
   mSelf.reset();
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -2,6 +2,7 @@
 #define BULRUSHFOLD_ROUTER_STREAMSESSION_H
 
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -27,6 +28,17 @@
   void Start();
 
 private:
+  /** A placement of the stream, and its current or last send. */
+  struct Attempt
+  {
+    /** Identifies the placement. */
+    std::uint64_t mNumber = 0;
+    std::unique_ptr<HttpCall> mSend;
+    std::string mStep;
+    std::string mEndpoint;
+    Instant mSentAt;
+  };
+
   bool Admits(const StreamDemand& aDemand) override;
   void RequestPlacement(StreamDemand aDemand) override;
   void WithdrawPlacement() override;
@@ -45,6 +57,10 @@
   void Prefill(const std::string& aEndpoint, Instant aDeadline) override;
   void Decode(const DecodeParameters& aParameters, Instant aDeadline) override;
   void CancelSend(SendResult aReason) override;
+  void ReportSilence(std::optional<RefusalReason> aKeptFor) override;
+  void SetRunAside() override;
+  void ReturnToRun() override;
+  void CancelRunAside() override;
   void Move(const std::string& aEndpoint, const std::string& aTarget) override;
   void DropCache(const KvCache& aCache) override;
   void DropReservation(const std::string& aEndpoint,
@@ -95,22 +111,21 @@
   /** Determines the outcome of the send that aReply ends, and finishes it. */
   SendOutcome HandleSendReply(const HttpCallReply& aReply);
   void FinishSend(SendResult aResult, std::string_view aOutcome, int aStatus);
+  /** Reports to health and placement how a send to aEndpoint went. */
+  void RecordHealth(const std::string& aEndpoint, SendResult aResult);
   void Close();
 
   RouterServices& mServices;
   RoutedRequestPointer mRequest;
-  std::uint64_t mNumber;
   EngineProfile mProfile;
   AnswerWriter mAnswerWriter;
   StreamCall mCall;
   WakeTimer mTimer;
-  std::unique_ptr<HttpCall> mSend;
+  Attempt mAttempt;
+  /** The run that is kept while mAttempt prepares its replacement. */
+  std::optional<Attempt> mRunAside;
   std::unique_ptr<HttpCall> mMoveCall;
-  /** Step and endpoint of the current or last send. */
-  std::string mStep;
-  std::string mEndpoint;
   sigc::connection mStopConnection;
-  Instant mSentAt;
   /** Engines to which the request was sent, for a prefill or a decode. */
   std::set<std::string> mSentTo;
   SendOutcome mHeadOutcome = SendOutcome::Unknown;
--- a/Source/Router/StreamSessionDecode.cxx
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -32,7 +32,9 @@
   };
   hooks.mOnChunk = [this](std::string_view aData) {
     const auto self = mSelf;
-    mCall.OnAnswerData(aData, mServices.mClock.Now());
+    const Instant now = mServices.mClock.Now();
+    mCall.OnRunHeard(now);
+    mCall.OnAnswerData(aData, now);
   };
   hooks.mOnDone = [this](const HttpCallReply& aReply) {
     HandleDecodeEnd(aReply);
@@ -48,6 +50,7 @@
 {
   const auto self = mSelf;
   mAnswerStartedAt = mServices.mClock.Now();
+  mCall.OnRunHeard(mAnswerStartedAt);
   mIsAnswerFramed = aHeaders.Count("Content-Length") > 0 ||
                     aHeaders.Count("Transfer-Encoding") > 0;
   const AnswerMetadata metadata =
@@ -55,7 +58,7 @@
   mHeadOutcome =
     ClassifySend(HttpCallResult::Complete, metadata, mRequest->mMetadata.mId);
   if (mHeadOutcome == SendOutcome::OtherEndpoint) {
-    mServices.mDirectory.OnAddressReused(mEndpoint);
+    mServices.mDirectory.OnAddressReused(mAttempt.mEndpoint);
   }
   mCall.OnAnswerStarted(
     mHeadOutcome, aStatus, aHeaders, mServices.mClock.Now());
@@ -65,6 +68,7 @@
 StreamSession::HandleDecodeEnd(const HttpCallReply& aReply)
 {
   const auto self = mSelf;
+  mCall.OnRunHeard(mServices.mClock.Now());
   const bool isMoving = mCall.IsMoving();
   HttpCallReply reply = aReply;
   // An answer without framing also ends in order when its engine crashes.
@@ -84,7 +88,7 @@
   const Duration answering = mAnswerStartedAt == Instant()
                                ? Duration::zero()
                                : mServices.mClock.Now() - mAnswerStartedAt;
-  mServices.mLog.RunLost(*mRequest, mEndpoint, answering);
+  mServices.mLog.RunLost(*mRequest, mAttempt.mEndpoint, answering);
   if (answering < kAnswerBeginning) {
     mServices.mPromptGuard.OnRunLost(mEngineHash,
                                      mRequest->mMetadata.mSharedPromptParts,
--- a/Source/Router/StreamSessionGrants.cxx
+++ b/Source/Router/StreamSessionGrants.cxx
@@ -26,7 +26,7 @@
 {
   const auto self = mSelf;
   const Instant now = mServices.mClock.Now();
-  mSend.reset();
+  mAttempt.mSend.reset();
   std::string reservation;
   if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
     if (auto parsed = mServices.mProtocol.ReadReservation(aReply.mBody);
@@ -36,7 +36,7 @@
   }
   if (mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders)
         .mIsMisdirected) {
-    mServices.mDirectory.OnAddressReused(mEndpoint);
+    mServices.mDirectory.OnAddressReused(mAttempt.mEndpoint);
   }
   if (reservation.empty()) {
     FinishSend(aReply.mResult == HttpCallResult::Complete
@@ -55,7 +55,7 @@
 {
   const std::string id =
     mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders).mRequestId;
-  const bool isNew = mServices.mGrants.Add(aStep, mEndpoint, aHandle);
+  const bool isNew = mServices.mGrants.Add(aStep, mAttempt.mEndpoint, aHandle);
   return id.empty() ? isNew || !aReply.mIsReused
                     : id == mRequest->mMetadata.mId;
 }
@@ -81,8 +81,9 @@
 StreamSession::HandlePrefilled(const HttpCallReply& aReply)
 {
   const auto self = mSelf;
-  const Duration duration = mServices.mClock.Now() - mSentAt;
-  const EndpointRecord* endpoint = mServices.mDirectory.Find(mEndpoint);
+  const Duration duration = mServices.mClock.Now() - mAttempt.mSentAt;
+  const EndpointRecord* endpoint =
+    mServices.mDirectory.Find(mAttempt.mEndpoint);
   SendOutcome outcome = SendOutcome::Unknown;
   KvCache cache;
   if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
@@ -90,7 +91,7 @@
     if (handle.ok() && endpoint != nullptr &&
         IsOwnGrant(aReply, "prefill", *handle)) {
       outcome = SendOutcome::Answered;
-      cache = { mEndpoint, endpoint->mAddress, *std::move(handle) };
+      cache = { mAttempt.mEndpoint, endpoint->mAddress, *std::move(handle) };
     }
     FinishSend(outcome == SendOutcome::Answered ? SendResult::Answered
                                                 : SendResult::Interrupted,
--- a/Source/Routing/SharedRetryBudget.cxx
+++ b/Source/Routing/SharedRetryBudget.cxx
@@ -93,20 +93,29 @@
   UseOf(aService).mRequests.Add(aNow);
 }
 
+bool
+SharedRetryBudget::Allows(const std::string& aService,
+                          std::uint32_t aSends,
+                          Instant aNow)
+{
+  if (aSends == 0) {
+    return true;
+  }
+  const Use& use = UseOf(aService);
+  const bool hasAllReports = ReportedDaemons() + 1 >= mDaemons;
+  return hasAllReports ? FitsSharedBudget(aService, use, aSends, aNow)
+                       : FitsOwnShare(use, aSends, aNow);
+}
+
 bool
 SharedRetryBudget::TryConsume(const std::string& aService,
                               std::uint32_t aSends,
                               Instant aNow)
 {
-  Use& use = UseOf(aService);
-  const bool hasAllReports = ReportedDaemons() + 1 >= mDaemons;
-  const bool fits = hasAllReports
-                      ? FitsSharedBudget(aService, use, aSends, aNow)
-                      : FitsOwnShare(use, aSends, aNow);
-  if (aSends > 0 && !fits) {
+  if (!Allows(aService, aSends, aNow)) {
     return false;
   }
-  use.mRetries.Add(aNow, aSends);
+  UseOf(aService).mRetries.Add(aNow, aSends);
   return true;
 }
 
--- a/Source/Routing/SharedRetryBudget.h
+++ b/Source/Routing/SharedRetryBudget.h
@@ -76,6 +76,8 @@
 
   /** A request for aService arrived from a caller. */
   void OnRequest(const std::string& aService, Instant aNow);
+  /** True when the budget allows aSends more retries to aService now. */
+  bool Allows(const std::string& aService, std::uint32_t aSends, Instant aNow);
   /** Consumes aSends retries to aService; false, without any effect, when the
    * budget does not allow so many. */
   bool TryConsume(const std::string& aService,
--- a/Tests/Router/StreamCallFixture.h
+++ b/Tests/Router/StreamCallFixture.h
@@ -63,6 +63,14 @@
     mDecodes.push_back(aParameters);
   }
   void CancelSend(SendResult) override { mActions.push_back("cancel"); }
+  void ReportSilence(std::optional<RefusalReason> aKeptFor) override
+  {
+    mActions.push_back("silent");
+    mKeptFor = aKeptFor;
+  }
+  void SetRunAside() override { mActions.push_back("set aside"); }
+  void ReturnToRun() override { mActions.push_back("return"); }
+  void CancelRunAside() override { mActions.push_back("cancel aside"); }
   void Move(const std::string& aEndpoint, const std::string& aTarget) override
   {
     mActions.push_back("move " + aEndpoint + " " + aTarget);
@@ -119,6 +127,7 @@
   std::set<std::string> mUnreachable;
   bool mIsPromptRefused = false;
   bool mIsReadPaused = false;
+  std::optional<RefusalReason> mKeptFor;
   std::string mAnswerData;
   std::string mRunEndpoint;
   std::uint64_t mReservedTokens = 0;
@@ -195,8 +204,28 @@
   {
     mCall->OnAnswerStarted(SendOutcome::Answered, 200, kEvents, mNow);
   }
-  void AddData(const std::string& aData) { mCall->OnAnswerData(aData, mNow); }
-  void EndAnswer(SendOutcome aOutcome) { mCall->OnAnswerEnded(aOutcome, mNow); }
+  void AddData(const std::string& aData)
+  {
+    mCall->OnRunHeard(mNow);
+    mCall->OnAnswerData(aData, mNow);
+  }
+  void EndAnswer(SendOutcome aOutcome)
+  {
+    mCall->OnRunHeard(mNow);
+    mCall->OnAnswerEnded(aOutcome, mNow);
+  }
+  /** Advances the time to the next wake-up, before which no data arrives. */
+  void Wake()
+  {
+    mNow = mDelegate.mWakeTime;
+    mCall->OnWake(mNow);
+  }
+  /** Uses the retry budget up. */
+  void UseRetryBudget()
+  {
+    while (mRetryBudget.TryConsume("s", 1, mNow)) {
+    }
+  }
 
   Instant mNow{ std::chrono::seconds(1000) };
   Route mRoute;
--- a/Tests/Router/StreamCallMoveTest.cxx
+++ b/Tests/Router/StreamCallMoveTest.cxx
@@ -40,10 +40,14 @@
   }
   SUBCASE("and cancels the first run when that sends no data")
   {
-    fixture.mNow = fixture.mDelegate.mWakeTime;
-    fixture.mCall->OnWake(fixture.mNow);
-    CHECK(fixture.mDelegate.HasAction("cancel"));
+    fixture.Wake();
     CHECK(fixture.mDelegate.mDemands.size() == 2);
+    fixture.Place("p2", "d2");
+    fixture.mCall->OnReserved("hold2", fixture.mNow);
+    CHECK_FALSE(fixture.mDelegate.HasAction("cancel aside"));
+    fixture.FinishPrefill();
+    CHECK(fixture.mDelegate.HasAction("cancel aside"));
+    CHECK(fixture.mDelegate.mDecodes.back().mLastEventId == "2");
   }
   // Guards against the text of an error in the middle of a stream.
   SUBCASE("and the error answer of that engine is not passed on")
