Pause reading from an engine at 64 KiB that the caller has not read

Each stream of a caller that reads slowly could hold 1 MiB of unread answer. 60 such callers hold 60 MB, on VMs of 88 MB. The limit is now 64 KiB, more than a whole answer of the users' routes; the engine is read again when the caller has caught up (BrokenAnswerTest, unchanged).

--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -9,7 +9,7 @@
 namespace {
 /** The engine's answer is no longer read when more than this many bytes wait to
  * be sent to the caller. */
-constexpr std::size_t kMaxUnreadBytes = 1024 * 1024;
+constexpr std::size_t kMaxUnreadBytes = 64 * 1024;
 } // namespace
 
 StreamSession::StreamSession(RouterServices& aServices,
