Limit the memory of all unfinished replies together

What callers saw elsewhere: an endpoint that sent without end ended the process that called it, and with it the requests of other callers.

Cause: each call had a limit, 8 MiB for a plain answer, but nothing bounded their sum, and the limits did not know the memory of the VM.

Change: the HTTP client counts what unfinished replies use, with the incomplete events and error answers of streams. Above a quarter of the VM's memory it ends the call with the largest reply (memory_limit). The health record counts it like an interrupted answer.

The test of the total timeout drips a body instead of interim replies, which the parser limits soon; it still shows that bytes do not extend the call.

--- a/Source/Daemon/EngineClient.cxx
+++ b/Source/Daemon/EngineClient.cxx
@@ -69,6 +69,7 @@
       return StepFailure::ReadTimeout;
     case HttpCallResult::ConnectionLost:
     case HttpCallResult::InvalidReply:
+    case HttpCallResult::MemoryLimit:
       return StepFailure::ConnectionLost;
     case HttpCallResult::Complete:
       break;
--- a/Source/Net/HttpClient.cxx
+++ b/Source/Net/HttpClient.cxx
@@ -1,5 +1,6 @@
 #include "Net/HttpClient.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -14,13 +15,14 @@
 /** Interval at which expired idle connections are closed. */
 constexpr Duration kSweepInterval = std::chrono::seconds(1);
 
-constexpr EnumNames<HttpCallResult, 6> kResultNames{ {
+constexpr EnumNames<HttpCallResult, 7> kResultNames{ {
   { HttpCallResult::Complete, "complete" },
   { HttpCallResult::ConnectFailed, "connect_failed" },
   { HttpCallResult::ReadTimeout, "silent" },
   { HttpCallResult::ConnectionLost, "connection_lost" },
   { HttpCallResult::InvalidReply, "invalid_reply" },
   { HttpCallResult::TotalTimeout, "total_timeout" },
+  { HttpCallResult::MemoryLimit, "memory_limit" },
 } };
 
 } // namespace
@@ -46,6 +48,14 @@
   }
 }
 
+void
+HttpCall::SetKeptBytes(std::size_t aBytes)
+{
+  if (const auto connection = mConnection.lock(); connection) {
+    connection->SetKeptBytes(mCallId, aBytes);
+  }
+}
+
 void
 HttpCall::ConfirmReply()
 {
@@ -54,8 +64,9 @@
   }
 }
 
-HttpClient::HttpClient(EventLoop& aLoop)
+HttpClient::HttpClient(EventLoop& aLoop, std::size_t aMaxReplyBytes)
   : mLoop(aLoop)
+  , mMaxReplyBytes(aMaxReplyBytes)
 {
 }
 
@@ -132,6 +143,36 @@
   mLoop.Defer([connection] {});
 }
 
+void
+HttpClient::OnReplyBytes(std::size_t aOld, std::size_t aNew)
+{
+  mReplyBytes = mReplyBytes - aOld + aNew;
+  // The connection is reading, and its call may be the one to end.
+  if (mReplyBytes > mMaxReplyBytes &&
+      !std::exchange(mIsLimitCheckScheduled, true)) {
+    mLoop.Defer([this] {
+      mIsLimitCheckScheduled = false;
+      EndLargestReplies();
+    });
+  }
+}
+
+void
+HttpClient::EndLargestReplies()
+{
+  while (mReplyBytes > mMaxReplyBytes) {
+    const auto largest = std::max_element(
+      mBusyConnections.begin(),
+      mBusyConnections.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        return aLeft.first->ReplyBytes() < aRight.first->ReplyBytes();
+      });
+    // The reference keeps the connection alive while its call ends.
+    const std::shared_ptr<HttpClientConnection> connection = largest->second;
+    connection->EndForMemoryLimit();
+  }
+}
+
 void
 HttpClient::CloseIdle(const SocketAddress& aAddress)
 {
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -35,6 +35,9 @@
   InvalidReply,
   /** The call did not end within HttpCallRequest::mTotalTimeout. */
   TotalTimeout,
+  /** The unfinished replies of all calls exceeded the memory limit of the
+   * client, and this one was the largest. */
+  MemoryLimit,
 };
 
 /** Name of aResult in logs and metrics. */
@@ -126,6 +129,9 @@
   /** Pauses or resumes reading of the reply, as backpressure from a receiver
    * that is slower than the server. */
   void SetReading(bool aIsReading);
+  /** States how many bytes of the chunks received so far the owner of the call
+   * keeps in memory. */
+  void SetKeptBytes(std::size_t aBytes);
   /** States that the error reply of this call names its request, so that the
    * reply cannot be mistaken for that of a later call. */
   void ConfirmReply();
@@ -151,7 +157,11 @@
 class HttpClient
 {
 public:
-  explicit HttpClient(EventLoop& aLoop);
+  /** aMaxReplyBytes: memory that the unfinished replies of all calls may use
+   * together. When they use more, the call with the largest one is ended,
+   * because a server that sends without end is more likely to be its cause. */
+  explicit HttpClient(EventLoop& aLoop,
+                      std::size_t aMaxReplyBytes = kDefaultMaxReplyBytes);
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
@@ -161,14 +171,20 @@
   /** Closes the idle connections to aAddress. */
   void CloseIdle(const SocketAddress& aAddress);
   const HttpClientStatistics& Statistics() const { return mStatistics; }
+  /** Memory that unfinished replies use. */
+  std::size_t ReplyBytes() const { return mReplyBytes; }
 
   // Called by HttpClientConnection.
   /** Adds a connection whose call has ended to the pool of idle ones. */
   void ReturnToPool(HttpClientConnection& aConnection);
   /** Removes a closed connection. */
   void RemoveConnection(HttpClientConnection& aConnection);
+  /** The reply on a connection uses aNew bytes of memory instead of aOld. */
+  void OnReplyBytes(std::size_t aOld, std::size_t aNew);
 
 private:
+  static constexpr std::size_t kDefaultMaxReplyBytes = 256 * 1024 * 1024;
+
   using ServerKey = std::pair<SocketAddress, std::string>;
   using ConnectionList = std::list<std::shared_ptr<HttpClientConnection>>;
 
@@ -176,12 +192,17 @@
   std::shared_ptr<HttpClientConnection> AcquireIdle(
     const HttpCallRequest& aRequest);
   void CloseExpiredIdle();
+  /** Ends calls until the replies of the others fit into the limit. */
+  void EndLargestReplies();
   /** Starts the timer for CloseExpiredIdle unless it is running. */
   void ScheduleSweep();
 
   EventLoop& mLoop;
   SystemClock mClock;
   HttpClientStatistics mStatistics;
+  std::size_t mMaxReplyBytes;
+  std::size_t mReplyBytes = 0;
+  bool mIsLimitCheckScheduled = false;
   std::map<HttpClientConnection*, std::shared_ptr<HttpClientConnection>>
     mBusyConnections;
   /** The most recently used connection of a list is last. */
--- a/Source/Net/HttpClientConnection.cxx
+++ b/Source/Net/HttpClientConnection.cxx
@@ -86,6 +86,20 @@
   }
 }
 
+void
+HttpClientConnection::SetReplyBytes(std::size_t aBytes)
+{
+  mClient.OnReplyBytes(std::exchange(mReplyBytes, aBytes), aBytes);
+}
+
+void
+HttpClientConnection::SetKeptBytes(std::uint64_t aCallId, std::size_t aBytes)
+{
+  if (mIsBusy && aCallId == mLastCallId && aBytes != mReplyBytes) {
+    SetReplyBytes(aBytes);
+  }
+}
+
 std::uint64_t
 HttpClientConnection::Start(HttpCallRequest aRequest, HttpCallHooks aHooks)
 {
@@ -236,6 +250,7 @@
     mHooks.mOnChunk(aData);
   } else {
     mReply.mBody.append(aData);
+    SetReplyBytes(mReply.mBody.size());
   }
 }
 
@@ -318,6 +333,7 @@
 {
   const auto self = shared_from_this();
   mIsBusy = false;
+  SetReplyBytes(0);
   mConnectTimer = EventHandle();
   mTotalTimer = EventHandle();
   const HttpCallHooks hooks = std::exchange(mHooks, HttpCallHooks());
@@ -338,6 +354,7 @@
   // mHooks is not cleared, because one of the hooks may be running.
   if (mIsBusy && aCallId == mLastCallId) {
     mIsBusy = false;
+    SetReplyBytes(0);
     Close();
   }
 }
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -33,6 +33,11 @@
   /** Cancels call aCallId without callbacks, unless it has already ended. */
   void Cancel(std::uint64_t aCallId);
   void SetReading(std::uint64_t aCallId, bool aIsReading);
+  /** See HttpCall::SetKeptBytes. */
+  void SetKeptBytes(std::uint64_t aCallId, std::size_t aBytes);
+  /** Memory that the reply of the call in progress uses. */
+  std::size_t ReplyBytes() const { return mReplyBytes; }
+  void EndForMemoryLimit() { Finish(HttpCallResult::MemoryLimit, false); }
   /** See HttpCall::ConfirmReply. */
   void ConfirmReply(std::uint64_t aCallId);
   /** Closes the connection and removes it from the client. */
@@ -68,6 +73,7 @@
   /** Ends the call in a later iteration of the loop and closes the connection.
    */
   void DeferFinish(HttpCallResult aResult);
+  void SetReplyBytes(std::size_t aBytes);
   void SetReadRateLimit(std::size_t aBytesPerSecond);
   /** Sets mIdleSince, and mExpiresAt from the Keep-Alive field of aHeaders. */
   void StartIdlePeriod(const HttpHeaders& aHeaders);
@@ -80,6 +86,7 @@
   HttpCallRequest mRequest;
   HttpCallHooks mHooks;
   HttpCallReply mReply;
+  std::size_t mReplyBytes = 0;
   EventHandle mConnectTimer;
   EventHandle mTotalTimer;
   std::unique_ptr<ev_token_bucket_cfg, void (*)(ev_token_bucket_cfg*)>
--- a/Source/Router/EventRelay.h
+++ b/Source/Router/EventRelay.h
@@ -64,6 +64,8 @@
   {
     return mMode == RelayMode::WholeEvents && !mPending.empty();
   }
+  /** Bytes of an incomplete event in the buffer. */
+  std::size_t PendingBytes() const { return mPending.size(); }
   /** In either mode, the last bytes are the start of an event. */
   bool EndsInsideEvent() const;
 
--- a/Source/Router/RouterSettings.h
+++ b/Source/Router/RouterSettings.h
@@ -40,6 +40,8 @@
   /** Minimum time between the orders of two daemons to one engine. */
   Duration mOrderInterval = std::chrono::seconds(3);
   std::size_t mMaxDescriptors = 1024;
+  /** Memory that the process may use, in bytes. */
+  std::size_t mMaxMemory = 256 * 1024 * 1024;
   /** Processor cores that the daemon may use; the larger daemons of a large
    * fleet place the requests of the others. */
   double mCapacity = 1;
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -179,6 +179,11 @@
   StreamState State() const { return mState; }
   /** The run is being moved, so the answer of its engine may end early. */
   bool IsMoving() const { return mMove.has_value(); }
+  /** Memory used by an incomplete event or by an error answer, in bytes. */
+  std::size_t KeptBytes() const
+  {
+    return mRelay.PendingBytes() + mErrorAnswer.mBody.size();
+  }
   /** The data of the present run ends inside an event. If its answer ends now,
    * the engine has broken it off. */
   bool EndsInsideEvent() const
--- a/Source/Router/StreamSessionDecode.cxx
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -35,6 +35,9 @@
     const Instant now = mServices.mClock.Now();
     mCall.OnRunHeard(now);
     mCall.OnAnswerData(aData, now);
+    if (mAttempt.mSend) {
+      mAttempt.mSend->SetKeptBytes(mCall.KeptBytes());
+    }
   };
   hooks.mOnDone = [this](const HttpCallReply& aReply) {
     HandleDecodeEnd(aReply);
--- a/Tests/Adapter/EndlessAnswerTest.cxx
+++ b/Tests/Adapter/EndlessAnswerTest.cxx
@@ -1,4 +1,7 @@
+#include <algorithm>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -159,4 +162,88 @@
   }
 }
 
+// Guards against a process that runs out of memory because a faulty endpoint
+// answers many calls without end, each within the limits of one call. The
+// requests of other callers ended with it.
+TEST_CASE("Many answers without end do not use up the memory of the daemon")
+{
+  constexpr std::size_t kCalls = 30;
+  /** Bytes that each connection may read until the limit is enforced. */
+  constexpr std::size_t kReadBytes = 64 * 1024;
+  PlatformFixture platform;
+  platform.AddEndpoint("i-p", "llm", "prefill");
+  platform.AddEndpoint("i-d", "llm", "decode");
+  RawEndpoint& endless = platform.AddRawEndpoint("i-a", "app");
+  std::string start = "HTTP/1.1 200 OK\r\nX-Server-Stamp: s\r\n";
+  std::string data = std::string(16'384, 'x');
+  SUBCASE("in bodies without a length")
+  {
+    start += "\r\n";
+  }
+  SUBCASE("in bodies with a length")
+  {
+    start += "Content-Length: 8000000\r\n\r\n";
+  }
+  SUBCASE("in chunked bodies")
+  {
+    start += "Transfer-Encoding: chunked\r\n\r\n";
+    data = "4000\r\n" + data + "\r\n";
+  }
+  SUBCASE("in chunk extensions")
+  {
+    start += "Transfer-Encoding: chunked\r\n\r\n";
+    data = "1;" + std::string(16'000, 'a') + "\r\nx\r\n";
+  }
+  SUBCASE("in heads")
+  {
+    data = Repeat("X-A: b\r\n");
+  }
+  SUBCASE("in interim answers")
+  {
+    start.clear();
+    data = Repeat("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+  endless.OnRequest([&](const RawRequest& aRequest) {
+    endless.Send(aRequest.mConnection, start);
+    endless.SendWithoutEnd(aRequest.mConnection, data);
+  });
+  platform.Start();
+  std::vector<std::unique_ptr<RawClient>> callers;
+  std::vector<std::unique_ptr<RawClient>> others;
+  const auto call = [&](auto& aClients, const std::string& aPath) {
+    aClients.push_back(
+      std::make_unique<RawClient>(platform.mSettings.mCallerAddress));
+    aClients.back()->Send(
+      PlatformFixture::Request(aPath,
+                               "r" + std::to_string(callers.size()) + "-" +
+                                 std::to_string(others.size()),
+                               "Connection: close\r\n"));
+  };
+  for (std::size_t i = 0; i < kCalls; ++i) {
+    call(callers, "/unsafe/1");
+    if (i % 5 == 0) {
+      call(others, "/stream/1");
+    }
+  }
+  std::size_t peak = 0;
+  const auto areClosed = [&](const auto& aClients) {
+    peak = std::max(peak, platform.mClient.ReplyBytes());
+    return std::all_of(aClients.begin(), aClients.end(), [](const auto& aIt) {
+      return aIt->IsClosedByServer();
+    });
+  };
+  REQUIRE(platform.WaitUntil([&] { return areClosed(callers); }));
+  REQUIRE(platform.WaitUntil([&] { return areClosed(others); }));
+  for (const auto& it : callers) {
+    // The service's only endpoint is avoided after its first failures.
+    CHECK((HasStatus(it->Received(), 502) || HasStatus(it->Received(), 503) ||
+           HasStatus(it->Received(), 504)));
+  }
+  for (const auto& it : others) {
+    CHECK(HasStatus(it->Received(), 200));
+    CHECK(IsEndedStream(it->Received()));
+  }
+  CHECK(peak < PlatformFixture::kMaxReplyBytes + kCalls * kReadBytes);
+}
+
 } // namespace bulrushfold
--- a/Tests/Adapter/PlatformFixture.h
+++ b/Tests/Adapter/PlatformFixture.h
@@ -176,7 +176,9 @@
 
   EventLoop mLoop;
   FakePlatformStore mFakeStore{ mLoop };
-  HttpClient mClient{ mLoop };
+  /** A quarter of the smallest memory of the users' VMs, 88 MB. */
+  static constexpr std::size_t kMaxReplyBytes = 22 * 1024 * 1024;
+  HttpClient mClient{ mLoop, kMaxReplyBytes };
   platform::PlatformStore mStore{ mLoop, mClient, mFakeStore.Address() };
   platform::PlatformProtocol mProtocol;
   RouterSettings mSettings;
--- a/Tests/Net/HttpConnectionTest.cxx
+++ b/Tests/Net/HttpConnectionTest.cxx
@@ -98,6 +98,7 @@
   HttpClient client(loop);
   RawServer server;
   std::vector<HttpCallReply> replies;
+  std::map<std::size_t, HttpCallResult> results;
   std::vector<std::unique_ptr<HttpCall>> calls;
   HttpCallRequest request;
   request.mAddress = server.Address();
@@ -177,9 +178,9 @@
     request.mTotalTimeout = std::chrono::milliseconds(150);
     start();
     REQUIRE(RunUntil(loop, [&] { return server.HasReceived(0); }));
-    const auto drip = loop.Every(std::chrono::milliseconds(10), [&] {
-      server.Send(0, "HTTP/1.1 100 X\r\n\r\n");
-    });
+    server.Send(0, "HTTP/1.1 200 OK\r\n\r\n");
+    const auto drip =
+      loop.Every(std::chrono::milliseconds(10), [&] { server.Send(0, "x"); });
     REQUIRE(RunUntil(loop, [&] { return replies.size() == 2; }));
     CHECK(replies[1].mResult == HttpCallResult::TotalTimeout);
     SUBCASE("and a call that has ended does not end the next one")
@@ -190,6 +191,35 @@
       CHECK(replies[2].mResult == HttpCallResult::Complete);
     }
   }
+  // Guards against a process that runs out of memory because the limits of all
+  // its calls together exceed it.
+  SUBCASE("the largest reply ends when all replies exceed the memory limit")
+  {
+    constexpr std::size_t kLimit = 100'000;
+    HttpClient limited(loop, kLimit);
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n";
+    const auto startLimited = [&](std::size_t aConnection) {
+      HttpCallHooks hooks;
+      hooks.mOnDone = [&, aConnection](const HttpCallReply& aReply) {
+        results[aConnection] = aReply.mResult;
+      };
+      calls.push_back(limited.Start(request, std::move(hooks)));
+      REQUIRE(RunUntil(loop, [&] { return server.Accept() > aConnection; }));
+      REQUIRE(RunUntil(loop, [&] { return server.HasReceived(aConnection); }));
+    };
+    startLimited(1);
+    startLimited(2);
+    server.Send(1, head + std::string(80'000, 'x'));
+    REQUIRE(RunUntil(loop, [&] { return limited.ReplyBytes() == 80'000; }));
+    server.Send(2, head + std::string(30'000, 'x'));
+    REQUIRE(RunUntil(loop, [&] { return results.count(1) > 0; }));
+    CHECK(results[1] == HttpCallResult::MemoryLimit);
+    REQUIRE(RunUntil(loop, [&] { return limited.ReplyBytes() == 30'000; }));
+    server.Send(2, std::string(60'000, 'x'));
+    REQUIRE(RunUntil(loop, [&] { return results.count(2) > 0; }));
+    CHECK(results[2] == HttpCallResult::Complete);
+    CHECK(limited.ReplyBytes() == 0);
+  }
   SUBCASE("bytes after the end of a reply close the connection")
   {
     REQUIRE(reply(0, kOk + "HTTP/1.1 200 OK\r\n"));
