Limit interim replies and chunk framing

Interim replies without end, and chunks that consist of extensions, kept the parser busy until the deadline of the call. More than 16 interim replies, or more than 64 KiB plus 16 bytes of framing for each byte of content, are no valid reply now.

--- a/Source/Net/HttpParser.cxx
+++ b/Source/Net/HttpParser.cxx
@@ -19,6 +19,14 @@
 constexpr int kSwitchingProtocols = 101;
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
+/** A server that sends more interim replies before a final one is faulty. */
+constexpr std::uint32_t kMaxInterimReplies = 16;
+/** Bytes of chunk headers and trailers that a body may have regardless of its
+ * size. */
+constexpr std::size_t kMinFramingLimit = 64 * 1024;
+/** Bytes of chunk headers that a body may have for each byte of content; a
+ * chunk of one byte has six. */
+constexpr std::size_t kMaxFramingRatio = 16;
 /** Value of http_parser::content_length when the message has no length. */
 constexpr std::uint64_t kNoLength = std::numeric_limits<std::uint64_t>::max();
 
@@ -265,6 +273,8 @@
   mHead = HttpHead();
   mHeadBytes.clear();
   mBodyBytes = 0;
+  mFramingBytes = 0;
+  mInterimReplies = 0;
   mIsReplyToHead = aIsReplyToHead;
   mAdapter->Restart();
 }
@@ -347,7 +357,12 @@
   if (mKind == HttpMessageKind::Reply && mHead.mStatus < kFirstFinalStatus) {
     // This is an interim reply; the final reply follows.
     const bool isReplyToHead = mIsReplyToHead;
+    const std::uint32_t interimReplies = mInterimReplies + 1;
     Restart(isReplyToHead);
+    mInterimReplies = interimReplies;
+    if (mInterimReplies > kMaxInterimReplies) {
+      Fail(HttpParseError::Malformed);
+    }
     return;
   }
   if (mKind == HttpMessageKind::Request) {
@@ -424,9 +439,12 @@
 std::size_t
 HttpParser::FeedBody(std::string_view aData)
 {
+  const std::size_t oldBodyBytes = mBodyBytes;
   const std::size_t consumed = mAdapter->Execute(aData);
+  mFramingBytes += consumed - std::min(consumed, mBodyBytes - oldBodyBytes);
   const bool isFramingValid =
-    !mAdapter->IsChunked() || mAdapter->mChunkChecker.FinishPart(consumed);
+    mFramingBytes <= kMinFramingLimit + kMaxFramingRatio * mBodyBytes &&
+    (!mAdapter->IsChunked() || mAdapter->mChunkChecker.FinishPart(consumed));
   if (mError != HttpParseError::None || mAdapter->HasFailed() ||
       !isFramingValid) {
     Fail(HttpParseError::Malformed);
--- a/Source/Net/HttpParser.h
+++ b/Source/Net/HttpParser.h
@@ -2,6 +2,7 @@
 #define BULRUSHFOLD_NET_HTTPPARSER_H
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -131,6 +132,9 @@
   HttpHead mHead;
   std::string mHeadBytes;
   std::size_t mBodyBytes = 0;
+  /** Bytes of chunk headers and trailers. */
+  std::size_t mFramingBytes = 0;
+  std::uint32_t mInterimReplies = 0;
   bool mIsReplyToHead = false;
 };
 
--- a/Tests/Net/HttpParserTest.cxx
+++ b/Tests/Net/HttpParserTest.cxx
@@ -193,6 +193,37 @@
     CHECK(reader.mParser.Head().mStatus == 204);
     CHECK(reader.mHeads == 1);
   }
+  // Guards against a server that keeps the parser busy without an answer.
+  SUBCASE("interim replies without end fail")
+  {
+    std::string interim;
+    for (int i = 0; i < 16; ++i) {
+      interim += "HTTP/1.1 100 Continue\r\n\r\n";
+    }
+    reader.Feed(interim);
+    CHECK(reader.mParser.CurrentState() != State::Failed);
+    reader.Feed("HTTP/1.1 100 Continue\r\n\r\n");
+    CHECK(reader.mParser.CurrentState() == State::Failed);
+  }
+  SUBCASE("chunks that consist mostly of extensions fail")
+  {
+    reader.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    const std::string chunk = "1;" + std::string(30'000, 'a') + "\r\nx\r\n";
+    reader.Feed(chunk);
+    CHECK(reader.mParser.CurrentState() == State::Body);
+    reader.Feed(chunk + chunk);
+    CHECK(reader.mParser.CurrentState() == State::Failed);
+  }
+  SUBCASE("chunks of one byte do not fail")
+  {
+    std::string chunks;
+    for (int i = 0; i < 100'000; ++i) {
+      chunks += "1\r\nx\r\n";
+    }
+    reader.Feed("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                chunks + "0\r\n\r\n");
+    CHECK(reader.mParser.CurrentState() == State::Complete);
+  }
   SUBCASE("bytes that are not an HTTP reply fail")
   {
     for (const std::string bad : { "garbage\r\n\r\n",
