--- a/Source/Net/HttpClient.cxx
+++ b/Source/Net/HttpClient.cxx
@@ -160,7 +160,7 @@
 void
 HttpClient::EndLargestReplies()
 {
-  while (mReplyBytes > mMaxReplyBytes) {
+  while (mReplyBytes > mMaxReplyBytes && !mBusyConnections.empty()) {
     const auto largest = std::max_element(
       mBusyConnections.begin(),
       mBusyConnections.end(),
