Search each byte of an event stream once

Cause: each part of an answer started the search for the end of an event anew, so that an event of 1 MiB in small chunks took quadratic time on the event loop, and other streams stalled.

Change: the search goes on where the last one ended.

--- a/Source/Router/EventRelay.cxx
+++ b/Source/Router/EventRelay.cxx
@@ -12,12 +12,12 @@
 namespace {
 
 /** Size of the first event of aData, including the blank line that ends it; 0
- * when the event is incomplete. */
+ * when the event is incomplete. aFrom: no event ends before this position. */
 std::size_t
-FirstEventSize(std::string_view aData)
+FirstEventSize(std::string_view aData, std::size_t aFrom)
 {
-  const std::size_t lf = aData.find("\n\n");
-  const std::size_t crlf = aData.find("\n\r\n");
+  const std::size_t lf = aData.find("\n\n", aFrom);
+  const std::size_t crlf = aData.find("\n\r\n", aFrom);
   const std::size_t lfEnd = lf == std::string_view::npos ? lf : lf + 2;
   const std::size_t crlfEnd = crlf == std::string_view::npos ? crlf : crlf + 3;
   const std::size_t end = std::min(lfEnd, crlfEnd);
@@ -86,11 +86,17 @@
   if (mMode == RelayMode::Bytes) {
     mSink(aData);
   }
+  // An event may end with the last two bytes of the earlier data. The rest of
+  // them is not searched again, or small parts of a large event would take
+  // quadratic time.
+  constexpr std::size_t kMaxEndOverlap = 2;
+  std::size_t from =
+    mPending.size() - std::min(mPending.size(), kMaxEndOverlap);
   mPending.append(aData);
   std::size_t used = 0;
   while (true) {
     const std::string_view rest = std::string_view(mPending).substr(used);
-    const std::size_t n = FirstEventSize(rest);
+    const std::size_t n = FirstEventSize(rest, std::exchange(from, 0));
     if (n == 0) {
       break;
     }
--- a/Tests/Router/EventRelayTest.cxx
+++ b/Tests/Router/EventRelayTest.cxx
@@ -45,6 +45,19 @@
     relay.Feed(Event(2) + Event(3));
     CHECK(passed == Event(1) + Event(2) + Event(3));
   }
+  // Guards against a search that starts anew with each part: it took quadratic
+  // time for an event that arrives byte by byte.
+  SUBCASE("a large event may arrive byte by byte")
+  {
+    EventRelay large(1'000'000,
+                     [&](std::string_view aData) { passed.append(aData); });
+    const std::string event = "data: " + std::string(500'000, 'x') + "\r\n\r\n";
+    for (const char it : event) {
+      large.Feed(std::string_view(&it, 1));
+    }
+    CHECK(passed == event);
+    CHECK_FALSE(large.HasPartialEvent());
+  }
   SUBCASE("events that the caller has already received are left out")
   {
     relay.SetLastId("5");
