Send interim replies again in the test of the total timeout

They come every 20 ms instead of 10, so that fewer than the parser's limit of 16 arrive before the timeout of 150 ms.

--- a/Tests/Net/HttpConnectionTest.cxx
+++ b/Tests/Net/HttpConnectionTest.cxx
@@ -178,9 +178,9 @@
     request.mTotalTimeout = std::chrono::milliseconds(150);
     start();
     REQUIRE(RunUntil(loop, [&] { return server.HasReceived(0); }));
-    server.Send(0, "HTTP/1.1 200 OK\r\n\r\n");
-    const auto drip =
-      loop.Every(std::chrono::milliseconds(10), [&] { server.Send(0, "x"); });
+    const auto drip = loop.Every(std::chrono::milliseconds(20), [&] {
+      server.Send(0, "HTTP/1.1 100 X\r\n\r\n");
+    });
     REQUIRE(RunUntil(loop, [&] { return replies.size() == 2; }));
     CHECK(replies[1].mResult == HttpCallResult::TotalTimeout);
     SUBCASE("and a call that has ended does not end the next one")
