Replace a silent run only with retry budget for a refused decode

A replacement now needs budget for a second prefill and decode.

Also from the review: a silent prefill is kept when the stream would expire in the queue at once, a replacement waits in the queue from the silence on, an arriving error answer counts as activity, the prefill of a replacement is not taken for a moving run, and a source that has ended its answer for a move is not marked as slow.

--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -103,9 +103,7 @@
     std::max<std::uint64_t>(demand.mMaxAnswerTokens, 1));
   demand.mFirstEventDeadline = NextEventDue(aNow);
   demand.mSubmittedAt = aNow;
-  demand.mQueueDeadline = std::min(
-    mParameters.mCall.mDeadline,
-    (mHasStartedAnswer ? aNow : mParameters.mCall.mArrival) + kMaxQueueTime);
+  demand.mQueueDeadline = QueueDeadline(aNow);
   demand.mFailedEndpoints = mFailedEndpoints;
   demand.mPromptKey = mParameters.mPromptKey;
   demand.mIsRetry = mParameters.mFirstArrival ||
@@ -115,6 +113,15 @@
   return demand;
 }
 
+Instant
+StreamCall::QueueDeadline(Instant aNow) const
+{
+  // The replacement of a run waits from now on, since the run may still answer.
+  const bool hasRun = mHasStartedAnswer || mRunAside.has_value();
+  const Instant start = hasRun ? aNow : mParameters.mCall.mArrival;
+  return std::min(mParameters.mCall.mDeadline, start + kMaxQueueTime);
+}
+
 void
 StreamCall::Submit(Instant aNow)
 {
@@ -327,6 +334,7 @@
 StreamCall::OnAnswerData(std::string_view aData, Instant aNow)
 {
   if (mState == StreamState::ReceivingError) {
+    WatchRun(aNow);
     mErrorAnswer.mBody.append(aData);
     if (mErrorAnswer.mBody.size() > kMaxErrorBytes) {
       mDelegate.CancelSend(SendResult::Interrupted);
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -178,7 +178,7 @@
 
   StreamState State() const { return mState; }
   /** The run is being moved, so the answer of its engine may end early. */
-  bool IsMoving() const { return mMove.has_value(); }
+  bool IsMoving() const { return mMove.has_value() && !mRunAside; }
   /** Memory used by an incomplete event or by an error answer, in bytes. */
   std::size_t KeptBytes() const
   {
@@ -233,6 +233,8 @@
   void Submit(Instant aNow);
   /** Time after which the next event is late. */
   Instant NextEventDue(Instant aNow) const;
+  /** Time at which the stream leaves the scheduler's queue. */
+  Instant QueueDeadline(Instant aNow) const;
   std::uint64_t ReservedTokens(Instant aNow) const;
   void StartPrefill(Instant aNow);
   void StartDecode(Instant aNow);
@@ -253,6 +255,8 @@
   /** True when the route allows one more run after aPossibleRuns. */
   bool MayRunAfter(std::uint32_t aPossibleRuns) const;
   bool MayRunAgain() const { return MayRunAfter(mPossibleRuns); }
+  /** True when the prompt may be sent to another prefill engine. */
+  bool MayPrefillAgain(Instant aNow);
   /** Ends the attempt if a part of the prompt crashes engines. */
   bool EndIfPromptRefused(Instant aNow);
   /** Cancels the present step and releases everything. aSendResult: result of
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -30,6 +30,13 @@
          aPossibleRuns < route.mMaxAttempts;
 }
 
+bool
+StreamCall::MayPrefillAgain(Instant aNow)
+{
+  return mPlacementCount < kMaxPlacements && aNow < QueueDeadline(aNow) &&
+         mRetryBudget.Allows(mParameters.mCall.mService, 1, aNow);
+}
+
 bool
 StreamCall::EndIfPromptRefused(Instant aNow)
 {
@@ -119,7 +126,7 @@
       OnReserved("", aNow);
       return;
     case StreamState::Prefilling:
-      if (!mRetryBudget.Allows(mParameters.mCall.mService, 1, aNow)) {
+      if (!MayPrefillAgain(aNow)) {
         // The engine may go on, and no other one may be tried.
         SetStallTimeout(kPrefillTimeout, aNow);
         return;
--- a/Source/Router/StreamCallSilence.cxx
+++ b/Source/Router/StreamCallSilence.cxx
@@ -4,6 +4,13 @@
 
 namespace bulrushfold {
 
+namespace {
+/** Sends that the retry budget must allow before a silent run is replaced: a
+ * prefill and a decode, and both again if the engine refuses the decode. The
+ * stream would be aborted if they were refused then. */
+constexpr std::uint32_t kReplacementSends = 4;
+} // namespace
+
 std::optional<RefusalReason>
 StreamCall::ReplacementObstacle(Instant aNow)
 {
@@ -16,7 +23,8 @@
   if (mDelegate.IsPromptRefused()) {
     return RefusalReason::CrashSuspect;
   }
-  if (!mRetryBudget.Allows(mParameters.mCall.mService, 1, aNow)) {
+  if (!mRetryBudget.Allows(
+        mParameters.mCall.mService, kReplacementSends, aNow)) {
     return RefusalReason::RetryBudgetUsed;
   }
   return std::nullopt;
@@ -51,8 +59,10 @@
   if (!mRunAside || mRunAside->mIsReplacementCounted) {
     return true;
   }
-  mRunAside->mIsReplacementCounted = mRetryBudget.TryConsume(
-    mParameters.mCall.mService, 1 + RepeatedPrefills(), aNow);
+  const std::string& service = mParameters.mCall.mService;
+  mRunAside->mIsReplacementCounted =
+    mRetryBudget.Allows(service, kReplacementSends, aNow) &&
+    mRetryBudget.TryConsume(service, 1 + RepeatedPrefills(), aNow);
   return mRunAside->mIsReplacementCounted;
 }
 
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -264,8 +264,11 @@
 void
 StreamSession::ReportSilence(std::optional<RefusalReason> aKeptFor)
 {
-  // Other streams should avoid the engine while it is silent.
-  RecordHealth(mAttempt.mEndpoint, SendResult::Slow);
+  // Other streams should avoid the engine while it is silent. The engine of a
+  // run that moves may have ended its answer.
+  if (mAttempt.mSend) {
+    RecordHealth(mAttempt.mEndpoint, SendResult::Slow);
+  }
   mServices.mLog.RunSilent(*mRequest, mAttempt.mEndpoint, aKeptFor);
 }
 
--- a/Tests/Adapter/SilentEndpointTest.cxx
+++ b/Tests/Adapter/SilentEndpointTest.cxx
@@ -70,4 +70,41 @@
   CHECK(engine.Requests().size() == 1);
 }
 
+// Guards against a stream that ends with its silent engine although another one
+// could continue it, and against events that both engines send.
+TEST_CASE("Another engine continues a stream whose engine stays silent")
+{
+  PlatformFixture platform;
+  platform.AddEndpoint("i-p", "llm", "prefill");
+  RawEndpoint& first = platform.AddRawEndpoint("i-d", "llm", "decode");
+  RawEndpoint& second = platform.AddRawEndpoint("i-e", "llm", "decode");
+  std::size_t decodes = 0;
+  const auto decodeAt = [&decodes](RawEndpoint& aEngine) {
+    return [&](const RawRequest& aRequest) {
+      const bool isFirst = ++decodes == 1;
+      aEngine.Send(aRequest.mConnection,
+                   UnframedHead(aRequest, 200, kStreamType) +
+                     (isFirst ? Events(1, 2) : Events(3, 4)));
+      if (!isFirst) {
+        CHECK(CountOccurrences(aRequest.mBytes, "Last-Event-Id: 2") == 1);
+        aEngine.Close(aRequest.mConnection, RawClose::Orderly);
+      }
+    };
+  };
+  first.OnRequest(decodeAt(first));
+  second.OnRequest(decodeAt(second));
+  platform.Start();
+  const std::string answer = platform.Call("/resumable/1", "r1");
+  CHECK(IsCompleteStream(answer));
+  CHECK(decodes == 2);
+  RawEndpoint& silent = first.Requests().empty() ? second : first;
+  REQUIRE_FALSE(silent.Requests().empty());
+  RawEndpoint& resumed = &silent == &first ? second : first;
+  CHECK(resumed.Requests().size() == 1);
+  CHECK(platform.WaitUntil([&] {
+    return first.IsClosed(first.Requests()[0].mConnection) &&
+           second.IsClosed(second.Requests()[0].mConnection);
+  }));
+}
+
 } // namespace bulrushfold
--- a/Tests/Router/StreamCallSilenceTest.cxx
+++ b/Tests/Router/StreamCallSilenceTest.cxx
@@ -72,6 +72,21 @@
     CHECK(fixture.mDelegate.mDemands.size() == 1);
     CompleteAtFirstEngine(fixture);
   }
+  // Guards against a stream that is aborted because the replacement's engine
+  // refuses the decode and the retry budget allows no further send.
+  SUBCASE("when the retry budget allows only the sends of one replacement")
+  {
+    StreamCallFixture fixture(true, 3);
+    RunToSecondEvent(fixture);
+    constexpr std::uint32_t kPrefillAndDecode = 2;
+    while (
+      fixture.mRetryBudget.Allows("s", kPrefillAndDecode + 1, fixture.mNow)) {
+      REQUIRE(fixture.mRetryBudget.TryConsume("s", 1, fixture.mNow));
+    }
+    fixture.Wake();
+    CHECK(fixture.mDelegate.mKeptFor == RefusalReason::RetryBudgetUsed);
+    CompleteAtFirstEngine(fixture);
+  }
   SUBCASE("before its first event")
   {
     StreamCallFixture fixture(true, 1);
@@ -259,14 +274,23 @@
 }
 
 // Guards against a stream that is refused because its prefill engine was silent
-// and the retry budget allowed no other one.
-TEST_CASE("A silent prefill is kept when the retry budget is used up")
+// and no other one could be tried.
+TEST_CASE("A silent prefill is kept when no other one may follow")
 {
   StreamCallFixture fixture(true, 3);
   fixture.Start();
-  fixture.Place("p1", "d1");
-  fixture.mCall->OnReserved("hold", fixture.mNow);
-  fixture.UseRetryBudget();
+  SUBCASE("because the retry budget is used up")
+  {
+    fixture.Place("p1", "d1");
+    fixture.mCall->OnReserved("hold", fixture.mNow);
+    fixture.UseRetryBudget();
+  }
+  SUBCASE("because the stream would expire in the queue at once")
+  {
+    fixture.mNow += milliseconds(1100);
+    fixture.Place("p1", "d1");
+    fixture.mCall->OnReserved("hold", fixture.mNow);
+  }
   fixture.Wake();
   CHECK_FALSE(fixture.mDelegate.HasAction("cancel"));
   fixture.FinishPrefill();
