--- a/Source/Router/StreamCallSilence.cxx
+++ b/Source/Router/StreamCallSilence.cxx
@@ -5,10 +5,8 @@
 namespace bulrushfold {
 
 namespace {
-/** Sends that the retry budget must allow before a silent run is replaced: a
- * prefill and a decode, and both again if the engine refuses the decode. The
- * stream would be aborted if they were refused then. */
-constexpr std::uint32_t kReplacementSends = 4;
+/** Sends of a replacement: a prefill and a decode. */
+constexpr std::uint32_t kReplacementSends = 2;
 } // namespace
 
 std::optional<RefusalReason>
@@ -59,10 +57,8 @@
   if (!mRunAside || mRunAside->mIsReplacementCounted) {
     return true;
   }
-  const std::string& service = mParameters.mCall.mService;
-  mRunAside->mIsReplacementCounted =
-    mRetryBudget.Allows(service, kReplacementSends, aNow) &&
-    mRetryBudget.TryConsume(service, 1 + RepeatedPrefills(), aNow);
+  mRunAside->mIsReplacementCounted = mRetryBudget.TryConsume(
+    mParameters.mCall.mService, 1 + RepeatedPrefills(), aNow);
   return mRunAside->mIsReplacementCounted;
 }
 
--- a/Tests/Router/StreamCallSilenceTest.cxx
+++ b/Tests/Router/StreamCallSilenceTest.cxx
@@ -72,15 +72,11 @@
     CHECK(fixture.mDelegate.mDemands.size() == 1);
     CompleteAtFirstEngine(fixture);
   }
-  // Guards against a stream that is aborted because the replacement's engine
-  // refuses the decode and the retry budget allows no further send.
-  SUBCASE("when the retry budget allows only the sends of one replacement")
+  SUBCASE("when the retry budget allows only a part of a replacement")
   {
     StreamCallFixture fixture(true, 3);
     RunToSecondEvent(fixture);
-    constexpr std::uint32_t kPrefillAndDecode = 2;
-    while (
-      fixture.mRetryBudget.Allows("s", kPrefillAndDecode + 1, fixture.mNow)) {
+    while (fixture.mRetryBudget.Allows("s", 2, fixture.mNow)) {
       REQUIRE(fixture.mRetryBudget.TryConsume("s", 1, fixture.mNow));
     }
     fixture.Wake();
@@ -240,6 +236,22 @@
   }
 }
 
+// Guards against an answer that is aborted because the engine of the
+// replacement refuses the decode: the silent run may go on.
+TEST_CASE("A silent run is kept until the engine of its replacement accepts")
+{
+  StreamCallFixture fixture(true, 3);
+  RunToSecondEvent(fixture);
+  fixture.Wake();
+  fixture.Place("p2", "d2");
+  fixture.mCall->OnReserved("hold2", fixture.mNow);
+  fixture.FinishPrefill();
+  fixture.UseRetryBudget();
+  fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
+  CHECK_FALSE(fixture.mDelegate.HasAction("cancel aside"));
+  CHECK_FALSE(fixture.mDelegate.HasAction("abort"));
+}
+
 // Guards against a run that is cancelled because the answer to its move takes
 // longer than a timeout: the source may only be silent.
 TEST_CASE("A run is kept while its source is silent during a move")
