Show that a moved stream without a length is cut and looks complete

Adds case 2 (ORDER): runs at leaving runners are moved, and streams whose answers have no length end for the client after some events, as complete.

--- a/review/2/case.cxx
+++ b/review/2/case.cxx
@@ -1,10 +1,8 @@
-// Many users send long requests at once, each within the limits of the config.
-// Does the process stay within the memory of its machine? The program plays the
-// platform: it kills a process that exceeds limits.memory_mb and starts it again.
-#include <atomic>
-#include <csignal>
+// Some streams have no length and end with their channel. Two runners leave, and
+// their runs are moved, which closes the streams without their ends. Does a
+// client get a part of its stream that looks complete?
+#include <algorithm>
 #include <cstdlib>
-#include <map>
 #include <memory>
 #include <thread>
 #include <vector>
@@ -15,29 +13,14 @@
 using namespace review;
 
 namespace {
-
-constexpr std::size_t kMemory = kMemoryMb * 1024 * 1024;
-/** Clients at each machine: zone ingolstadt has 22 clients and 2 machines. */
-constexpr int kClients = 11;
-constexpr int kBursts = 8;
-/** max_body_bytes of the config is 4,194,304. */
-constexpr std::size_t kLongBody = 4000 * 1000;
-/** The largest request of the sheet. */
-constexpr std::size_t kSheetBody = 55 * 1000;
-/** Ends of one machine's process that break the rule, on two machines. */
-constexpr int kMaxEnds = 3;
-constexpr int kMachines = 2;
-
-/** A machine that kills its process when it exceeds the memory. */
-struct Machine
-{
-  std::unique_ptr<RouterProcess> mRouter;
-  std::mutex mMutex;
-  std::thread mWatch;
-  std::atomic<int> mKills{ 0 };
-  std::atomic<std::size_t> mPeak{ 0 };
-};
-
+constexpr int kEvents = 100;
+constexpr int kStreams = 54;
+constexpr std::size_t kMinStreams = 30;
+constexpr double kArrivalMs = 83;
+/** 1 / 0.05, the share of the answers. */
+constexpr int kUnframedEvery = 20;
+/** A run is moved while the router expects it to go on for some time. */
+constexpr double kMovedAgeMs = 2000;
 } // namespace
 
 int
@@ -45,105 +28,104 @@
 {
   const char* trouble = std::getenv("TROUBLE");
   const bool hasTrouble = trouble == nullptr || std::string(trouble) != "0";
-  const std::size_t size = hasTrouble ? kLongBody : kSheetBody;
   Record record(aArguments[1]);
   TemporaryFolder folder;
   Fleet fleet(record);
   Store store(LoopbackHost(0));
   store.Write("config/main",
-              MakeConfig(7, { { "rig", "unsafe", "app", 1, false, 800, 300 } }));
-  RunnerOptions options;
-  options.mService = "app";
-  options.mSlots = 6;
-  Runner r1(fleet, store, "i-r1", LoopbackHost(1), options);
-  Runner r2(fleet, store, "i-r2", LoopbackHost(2), options);
-  Runner r3(fleet, store, "i-r3", LoopbackHost(3), options);
-  for (Runner* it : { &r1, &r2, &r3 }) {
-    it->CheckIn();
+              MakeConfig(7, { { "bohr", "streaming", "llm", 2, true } }));
+  std::vector<std::unique_ptr<Runner>> runners;
+  const auto add = [&](const std::string& aId, const std::string& aStage) {
+    RunnerOptions options;
+    options.mService = "llm";
+    options.mStage = aStage;
+    options.mEvents = kEvents;
+    runners.push_back(std::make_unique<Runner>(
+      fleet,
+      store,
+      aId,
+      LoopbackHost(1 + static_cast<int>(runners.size())),
+      options));
+    runners.back()->CheckIn();
+  };
+  add("i-p1", "prefill");
+  add("i-p2", "prefill");
+  for (int i = 1; i <= 6; ++i) {
+    add("i-d" + std::to_string(i), "decode");
+  }
+  const std::vector<Runner*> spoilt{
+    runners[2].get(), runners[3].get(), runners[4].get(), runners[5].get()
+  };
+  RouterProcess router(
+    "front-1", "ingolstadt", LoopbackHost(20), store.Address(), folder.Path());
+  router.Start();
+  if (!router.WaitUntilReady(10000)) {
+    record.Add("the router is not ready");
+    return 2;
+  }
+  for (Runner* it : spoilt) {
+    it->SetUnframedEvery(hasTrouble ? kUnframedEvery : 0);
   }
-  std::vector<std::unique_ptr<Machine>> machines;
-  std::atomic<bool> isOver{ false };
-  for (int i = 0; i < kMachines; ++i) {
-    auto machine = std::make_unique<Machine>();
-    machine->mRouter =
-      std::make_unique<RouterProcess>("front-" + std::to_string(i + 1),
-                                      "ingolstadt",
-                                      LoopbackHost(9 + i),
-                                      store.Address(),
-                                      folder.Path());
-    machine->mRouter->Start();
-    if (!machine->mRouter->WaitUntilReady(10000)) {
-      record.Add("a router is not ready");
-      return 2;
+  std::vector<ClientResult> results(kStreams);
+  std::vector<std::thread> clients;
+  std::vector<Runner*> leaving = spoilt;
+  const auto byUnframed = [](Runner* aLeft, Runner* aRight) {
+    return aLeft->UnframedRuns(kMovedAgeMs) > aRight->UnframedRuns(kMovedAgeMs);
+  };
+  for (int i = 0; i < kStreams; ++i) {
+    // The runners leave while such a stream is in progress.
+    std::sort(leaving.begin(), leaving.end(), byUnframed);
+    if (clients.size() >= kMinStreams && leaving[0]->UnframedRuns(kMovedAgeMs) > 0) {
+      break;
     }
-    record.Add(machine->mRouter->Name() + " is ready with " +
-               std::to_string(machine->mRouter->Memory() / 1000) + " kB");
-    machine->mWatch = std::thread([&isOver, &record, raw = machine.get()] {
-      while (!isOver) {
-        const std::lock_guard<std::mutex> lock(raw->mMutex);
-        const std::size_t memory = raw->mRouter->Memory();
-        raw->mPeak = std::max<std::size_t>(raw->mPeak, memory);
-        if (memory > kMemory) {
-          raw->mRouter->Kill();
-          ++raw->mKills;
-          record.Add(raw->mRouter->Name() + " has " +
-                     std::to_string(memory / 1000) + " kB, more than " +
-                     std::to_string(kMemory / 1000) + ": killed");
-          SleepMs(200);
-          raw->mRouter->Start();
-        }
-        SleepMs(0.5);
-      }
+    clients.emplace_back([&, i] {
+      ClientRequest request;
+      request.mAddress = router.Front();
+      request.mId = "bohr-" + std::to_string(i);
+      request.mPath = "/bohr/" + std::to_string(i);
+      request.mTokens = "1000,9360";
+      results[static_cast<std::size_t>(i)] = Call(request);
     });
-    machines.push_back(std::move(machine));
+    SleepMs(kArrivalMs);
   }
-  std::map<std::string, int> answers;
-  std::mutex mutex;
-  for (int burst = 0; burst < kBursts; ++burst) {
-    record.Add("burst " + std::to_string(burst) + ": " +
-               std::to_string(kClients) + " clients send " +
-               std::to_string(size) + " bytes to each machine");
-    std::vector<std::thread> clients;
-    for (int i = 0; i < kClients * kMachines; ++i) {
-      clients.emplace_back([&, burst, i] {
-        ClientRequest request;
-        request.mAddress =
-          machines[static_cast<std::size_t>(i % kMachines)]->mRouter->Front();
-        request.mPath = "/rig/book";
-        request.mId = "rig-" + std::to_string(burst) + "-" + std::to_string(i);
-        request.mDeadlineMs = 1500;
-        request.mBody = std::string(size, 'b');
-        const ClientResult result = Call(request);
-        const std::lock_guard<std::mutex> lock(mutex);
-        const std::string what =
-          result.mStatus == 0
-            ? "no answer"
-            : std::to_string(result.mStatus) +
-                (result.mIsComplete ? "" : ", incomplete");
-        ++answers[what];
-        record.Add(request.mId + ": " + what + ", " +
-                   std::to_string(fleet.Runs(request.mId).size()) + " runs");
-      });
-    }
-    for (auto& it : clients) {
-      it.join();
-    }
-    for (auto& it : machines) {
-      it->mRouter->WaitUntilReady(5000);
-    }
-    SleepMs(2000);
+  // Two of the eight runners leave.
+  leaving.resize(2);
+  for (Runner* it : leaving) {
+    record.Add("unframed streams at " + it->Id() + ": " +
+               std::to_string(it->UnframedRuns(kMovedAgeMs)));
+    it->SetState("draining");
   }
-  isOver = true;
-  int badMachines = 0;
-  for (auto& it : machines) {
-    it->mWatch.join();
-    badMachines += it->mKills >= kMaxEnds ? 1 : 0;
-    record.Add(it->mRouter->Name() + ": killed " +
-               std::to_string(it->mKills) + " times, largest memory seen " +
-               std::to_string(it->mPeak / 1000) + " kB");
+  SleepMs(500);
+  for (Runner* it : spoilt) {
+    it->SetUnframedEvery(0);
+  }
+  for (auto& it : clients) {
+    it.join();
+  }
+  int broken = 0;
+  for (std::size_t i = 0; i < clients.size(); ++i) {
+    const std::string id = "bohr-" + std::to_string(i);
+    const ClientResult& result = results[i];
+    const auto numbers = EventNumbers(id, result.mBody);
+    bool isInOrder = true;
+    for (std::size_t k = 0; k < numbers.size(); ++k) {
+      isInOrder = isInOrder && numbers[k] == static_cast<int>(k) + 1;
+    }
+    const bool isShort = result.mStatus == 200 && result.mIsComplete &&
+                         numbers.size() != kEvents;
+    record.Add(id + ": status " + std::to_string(result.mStatus) +
+               (result.mIsComplete ? ", looks complete, " : ", broken off, ") +
+               std::to_string(numbers.size()) + " of " +
+               std::to_string(kEvents) + " events" +
+               (isInOrder ? "" : ", not in order"));
+    broken += isShort || !isInOrder ? 1 : 0;
   }
-  for (const auto& [what, count] : answers) {
-    record.Add(std::to_string(count) + " x " + what);
+  const int moves = leaving[0]->MoveCalls() + leaving[1]->MoveCalls();
+  record.Add("moves: " + std::to_string(moves) +
+             ", streams that looked complete too early: " +
+             std::to_string(broken));
+  if (moves == 0) {
+    return 2;
   }
-  return badMachines >= 2 ? 1 : 0;
+  return broken > 0 ? 1 : 0;
 }
--- a/review/standins/runner.cxx
+++ b/review/standins/runner.cxx
@@ -28,6 +28,18 @@
   return mRuns[aRequest];
 }
 
+bool
+Fleet::TakeAnswer(int aEvery)
+{
+  int answers = mAnswers;
+  while (answers >= aEvery) {
+    if (mAnswers.compare_exchange_weak(answers, answers - aEvery)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 Fleet::Add(Runner* aRunner)
 {
@@ -139,6 +151,16 @@
   mFleet.Log("the store accepts: " + mId + " is " + aState);
 }
 
+int
+Runner::UnframedRuns(double aMs)
+{
+  const std::lock_guard<std::mutex> lock(mMutex);
+  return static_cast<int>(
+    std::count_if(mRuns.begin(), mRuns.end(), [&](const auto& aIt) {
+      return aIt.second->mIsUnframed && Now() - aIt.second->mStartedAt < aMs;
+    }));
+}
+
 void
 Runner::Exit()
 {
@@ -180,6 +202,9 @@
   if (!expected.empty() && expected != mId) {
     return aChannel.Answer(421, { { "X-Instance-Id", mId } }, "");
   }
+  if (mUnframedEvery > 0) {
+    mFleet.CountAnswer();
+  }
   if (aRequest.Path().rfind("/api/", 0) == 0) {
     return HandleCall(aChannel, aRequest);
   }
@@ -403,7 +428,16 @@
                const std::shared_ptr<Run>& aRun)
 {
   const std::string id = aRequest.Header("X-Request-Id");
-  const bool isUnframed = mIsUnframed;
+  const bool isUnframed =
+    mUnframedEvery > 0 && mFleet.TakeAnswer(mUnframedEvery);
+  {
+    const std::lock_guard<std::mutex> lock(mMutex);
+    aRun->mIsUnframed = isUnframed;
+    aRun->mStartedAt = Now();
+  }
+  if (isUnframed) {
+    mFleet.Log(mId + " answers " + id + " without a length");
+  }
   Headers headers = AnswerHeaders(aRequest);
   headers.emplace_back("Content-Type", "text/event-stream");
   headers.emplace_back("X-Weight-Versions", "1");
--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -33,6 +33,10 @@
   void AddRun(const std::string& aRequest, const std::string& aRunner);
   /** Runners that began to work on aRequest, in order. */
   std::vector<std::string> Runs(const std::string& aRequest);
+  /** Counts an answer of a runner that spoils some of them. */
+  void CountAnswer() { ++mAnswers; }
+  /** True once in aEvery answers. */
+  bool TakeAnswer(int aEvery);
   void AddMixed() { ++mMixed; }
   int Mixed() const { return mMixed; }
 
@@ -45,6 +49,7 @@
   std::map<std::string, std::vector<std::string>> mRuns;
   std::map<std::string, Runner*> mRunners;
   std::atomic<int> mMixed{ 0 };
+  std::atomic<int> mAnswers{ 0 };
 };
 
 struct RunnerOptions
@@ -88,8 +93,11 @@
   void SetLeaving(bool aIsLeaving) { mIsLeaving = aIsLeaving; }
   /** Handles lapse at once. */
   void SetHandlesLapse(bool aDo) { mDoHandlesLapse = aDo; }
-  /** Answers of streams have no length and end with their channel. */
-  void SetUnframed(bool aIsUnframed) { mIsUnframed = aIsUnframed; }
+  /** One in aEvery answers of all such runners has no length and ends with its
+   * channel; these are streams. 0: none. */
+  void SetUnframedEvery(int aEvery) { mUnframedEvery = aEvery; }
+  /** Unframed streams in progress that began in the last aMs. */
+  int UnframedRuns(double aMs);
   /** Called when a call to move a run has arrived. */
   void OnMoveCall(std::function<void()> aHook) { mOnMoveCall = std::move(aHook); }
   /** The process ends: all channels break. */
@@ -111,6 +119,8 @@
   struct Run
   {
     int mEvents = 0;
+    double mStartedAt = 0;
+    bool mIsUnframed = false;
     bool mMustStop = false;
     bool mHasStopped = false;
   };
@@ -147,11 +157,11 @@
   std::map<std::string, Handle> mHandles;
   std::set<std::string> mHolds;
   int mNextName = 0;
+  std::atomic<int> mUnframedEvery{ 0 };
   std::atomic<int> mActive{ 0 };
   std::atomic<int> mMoveCalls{ 0 };
   std::atomic<bool> mIsLeaving{ false };
   std::atomic<bool> mDoHandlesLapse{ false };
-  std::atomic<bool> mIsUnframed{ false };
   std::atomic<bool> mIsCheckingIn{ false };
   std::atomic<bool> mIsEnding{ false };
   std::function<void()> mOnMoveCall;
