--- a/review/standins/runner.cxx
+++ b/review/standins/runner.cxx
@@ -463,6 +463,9 @@
         return false;
       }
     }
+    if (Now() < mSilentUntil && !aChannel.IsClosedByPeer()) {
+      continue;
+    }
     if (aChannel.IsClosedByPeer()) {
       mFleet.Log(mId + " drops " + id + ": its channel is closed");
       return false;
@@ -564,12 +567,19 @@
 ClientResult
 Call(const ClientRequest& aRequest)
 {
-  ClientResult result;
   const auto channel = Channel::Connect(aRequest.mAddress, 1000);
   if (!channel) {
+    ClientResult result;
     result.mEndedAt = Now();
     return result;
   }
+  return CallOn(*channel, aRequest);
+}
+
+ClientResult
+CallOn(Channel& aChannel, const ClientRequest& aRequest)
+{
+  ClientResult result;
   std::string text = aRequest.mMethod + " " + aRequest.mPath +
                      " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " +
                      aRequest.mId + "\r\nX-Deadline-Ms: " +
@@ -585,12 +595,12 @@
     text +=
       "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
   }
-  channel->Write(text + "\r\n" +
+  aChannel.Write(text + "\r\n" +
                  (aRequest.mMethod == "POST" ? aRequest.mBody : ""));
   result.mSentAt = Now();
   Message answer;
   result.mIsComplete =
-    channel->ReadAnswer(answer, result.mSentAt + aRequest.mDeadlineMs);
+    aChannel.ReadAnswer(answer, result.mSentAt + aRequest.mDeadlineMs);
   result.mStatus = answer.mStatus;
   result.mStamp = answer.Header("X-Server-Stamp");
   result.mIsLeaving = answer.Header("Server-Leaving") == "1";
--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -93,6 +93,8 @@
   void SetLeaving(bool aIsLeaving) { mIsLeaving = aIsLeaving; }
   /** Handles lapse at once. */
   void SetHandlesLapse(bool aDo) { mDoHandlesLapse = aDo; }
+  /** Streams are silent for aMs and then go on. */
+  void FallSilent(double aMs) { mSilentUntil = Now() + aMs; }
   /** One in aEvery answers of all such runners has no length and ends with its
    * channel; these are streams. 0: none. */
   void SetUnframedEvery(int aEvery) { mUnframedEvery = aEvery; }
@@ -162,6 +164,7 @@
   std::atomic<int> mMoveCalls{ 0 };
   std::atomic<bool> mIsLeaving{ false };
   std::atomic<bool> mDoHandlesLapse{ false };
+  std::atomic<double> mSilentUntil{ 0 };
   std::atomic<bool> mIsCheckingIn{ false };
   std::atomic<bool> mIsEnding{ false };
   std::function<void()> mOnMoveCall;
@@ -215,6 +218,8 @@
 
 /** Sends a request on a new channel and reads its answer. */
 ClientResult Call(const ClientRequest& aRequest);
+/** Sends a request on aChannel and reads its answer. */
+ClientResult CallOn(Channel& aChannel, const ClientRequest& aRequest);
 
 /** Numbers of the events of a stream, in order; -1 for one with wrong data. */
 std::vector<int> EventNumbers(const std::string& aRequest,
