--- a/review/1/case.cxx
+++ b/review/1/case.cxx
@@ -1,7 +1,7 @@
 // A stream that may not be resumed is moved from a leaving runner, and its
 // handle lapses: does the request run a second time?
-#include <cstdlib>
 #include <csignal>
+#include <cstdlib>
 #include <thread>
 #include <vector>
 
--- a/review/2/case.cxx
+++ b/review/2/case.cxx
@@ -1,5 +1,5 @@
-// Some streams have no length and end with their channel. Two runners leave, and
-// their runs are moved, which closes the streams without their ends. Does a
+// Some streams have no length and end with their channel. Two runners leave,
+// and their runs are moved, which closes the streams without their ends. Does a
 // client get a part of its stream that looks complete?
 #include <algorithm>
 #include <cstdlib>
@@ -75,7 +75,8 @@
   for (int i = 0; i < kStreams; ++i) {
     // The runners leave while such a stream is in progress.
     std::sort(leaving.begin(), leaving.end(), byUnframed);
-    if (clients.size() >= kMinStreams && leaving[0]->UnframedRuns(kMovedAgeMs) > 0) {
+    if (clients.size() >= kMinStreams &&
+        leaving[0]->UnframedRuns(kMovedAgeMs) > 0) {
       break;
     }
     clients.emplace_back([&, i] {
@@ -111,8 +112,8 @@
     for (std::size_t k = 0; k < numbers.size(); ++k) {
       isInOrder = isInOrder && numbers[k] == static_cast<int>(k) + 1;
     }
-    const bool isShort = result.mStatus == 200 && result.mIsComplete &&
-                         numbers.size() != kEvents;
+    const bool isShort =
+      result.mStatus == 200 && result.mIsComplete && numbers.size() != kEvents;
     record.Add(id + ": status " + std::to_string(result.mStatus) +
                (result.mIsComplete ? ", looks complete, " : ", broken off, ") +
                std::to_string(numbers.size()) + " of " +
@@ -121,9 +122,9 @@
     broken += isShort || !isInOrder ? 1 : 0;
   }
   const int moves = leaving[0]->MoveCalls() + leaving[1]->MoveCalls();
-  record.Add("moves: " + std::to_string(moves) +
-             ", streams that looked complete too early: " +
-             std::to_string(broken));
+  record.Add(
+    "moves: " + std::to_string(moves) +
+    ", streams that looked complete too early: " + std::to_string(broken));
   if (moves == 0) {
     return 2;
   }
--- a/review/standins/platform.cxx
+++ b/review/standins/platform.cxx
@@ -196,8 +196,7 @@
   const Json metadata =
     body.is_object() ? body.value("metadata", Json::object()) : Json::object();
   if (aRequest.mMethod == "POST") {
-    const std::string key =
-      aKey + "/" + metadata.at("name").get<std::string>();
+    const std::string key = aKey + "/" + metadata.at("name").get<std::string>();
     if (mObjects.count(key) > 0) {
       return aChannel.Answer(409, { kJsonType }, ObjectJson(key).dump());
     }
@@ -210,7 +209,8 @@
   }
   const std::string parameter = aRequest.Parameter("revision");
   const std::uint64_t expected = metadata.value(
-    "revision", parameter.empty() ? std::uint64_t{ 0 } : std::stoull(parameter));
+    "revision",
+    parameter.empty() ? std::uint64_t{ 0 } : std::stoull(parameter));
   if (expected != 0 && expected != it->second.mRevision) {
     return aChannel.Answer(409, { kJsonType }, ObjectJson(aKey).dump());
   }
@@ -379,8 +379,8 @@
 TemporaryFolder::TemporaryFolder()
 {
   const char* base = std::getenv("TMPDIR");
-  std::string path = std::string(base == nullptr ? "/tmp" : base) +
-                     "/bulrushfold-review-XXXXXX";
+  std::string path =
+    std::string(base == nullptr ? "/tmp" : base) + "/bulrushfold-review-XXXXXX";
   mPath = mkdtemp(path.data()) == nullptr ? "" : path;
   if (mPath.empty()) {
     std::perror("mkdtemp");
--- a/review/standins/runner.cxx
+++ b/review/standins/runner.cxx
@@ -328,8 +328,8 @@
   }
   const bool hasLapsed = mDoHandlesLapse || Now() > it->second.mExpiresAt;
   // A move's memory is at its target and at its source.
-  const bool isThere = !it->second.mIsMove || aTaker == it->second.mTarget ||
-                       aTaker == Address();
+  const bool isThere =
+    !it->second.mIsMove || aTaker == it->second.mTarget || aTaker == Address();
   if (hasLapsed || !isThere) {
     mFleet.Log(mId + ": handle " + aHandle +
                (hasLapsed ? " has lapsed" : " is not at " + aTaker));
@@ -400,8 +400,7 @@
     mFleet.Log(mId + " goes on with " + id + " after event " +
                std::to_string(run->mEvents));
   } else {
-    mFleet.AddRun(id,
-                  mId + (last.empty() ? "" : " (from event " + last + ")"));
+    mFleet.AddRun(id, mId + (last.empty() ? "" : " (from event " + last + ")"));
   }
   {
     const std::lock_guard<std::mutex> lock(mMutex);
@@ -580,10 +579,10 @@
 CallOn(Channel& aChannel, const ClientRequest& aRequest)
 {
   ClientResult result;
-  std::string text = aRequest.mMethod + " " + aRequest.mPath +
-                     " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " +
-                     aRequest.mId + "\r\nX-Deadline-Ms: " +
-                     std::to_string(aRequest.mDeadlineMs) + "\r\n";
+  std::string text =
+    aRequest.mMethod + " " + aRequest.mPath +
+    " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + aRequest.mId +
+    "\r\nX-Deadline-Ms: " + std::to_string(aRequest.mDeadlineMs) + "\r\n";
   if (!aRequest.mTokens.empty()) {
     const std::string prompt =
       aRequest.mTokens.substr(0, aRequest.mTokens.find(','));
@@ -592,8 +591,7 @@
   }
   text += aRequest.mMoreHeaders;
   if (aRequest.mMethod == "POST") {
-    text +=
-      "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
+    text += "Content-Length: " + std::to_string(aRequest.mBody.size()) + "\r\n";
   }
   aChannel.Write(text + "\r\n" +
                  (aRequest.mMethod == "POST" ? aRequest.mBody : ""));
@@ -623,9 +621,8 @@
     at = end + 2;
     const int number =
       event.rfind("id: ", 0) == 0 ? std::stoi(event.substr(4)) : -1;
-    const bool isRight =
-      event == "id: " + std::to_string(number) +
-                 "\ndata: " + EventData(aRequest, number);
+    const bool isRight = event == "id: " + std::to_string(number) +
+                                    "\ndata: " + EventData(aRequest, number);
     numbers.push_back(isRight ? number : -1);
   }
 }
--- a/review/standins/runner.h
+++ b/review/standins/runner.h
@@ -101,7 +101,10 @@
   /** Unframed streams in progress that began in the last aMs. */
   int UnframedRuns(double aMs);
   /** Called when a call to move a run has arrived. */
-  void OnMoveCall(std::function<void()> aHook) { mOnMoveCall = std::move(aHook); }
+  void OnMoveCall(std::function<void()> aHook)
+  {
+    mOnMoveCall = std::move(aHook);
+  }
   /** The process ends: all channels break. */
   void Exit();
   int ActiveRuns() const { return mActive; }
