Count a moved run from its start, not at its end

Cause: runs were counted where an answer ends. The end of a stopped run went to the move without a count, and the refusals that followed were taken as a proof that the request had not run.

Change: a run counts when it is sent to a decode engine, and until that engine states that it did not run. A refused continuation takes nothing back. The unit test "it is placed anew when neither target nor source accepts it" expected the fault on a route with one run; its two subcases are now part of "A moved run that no engine continues counts as a run", which also covers two refusals, an unreachable source and a lost answer.

Evidence: that test failed before (4 of 5 ways on a route with one run).

--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -108,8 +108,9 @@
   demand.mPromptKey = mParameters.mPromptKey;
   demand.mIsRetry = mParameters.mFirstArrival ||
                     !mParameters.mLastEventId.empty() || mPlacementCount > 0;
+  const std::uint32_t endedRuns = mPossibleRuns - (mRunAside ? 1 : 0);
   demand.mWasInterrupted =
-    (mPossibleRuns > 0 || !mParameters.mLastEventId.empty()) && !mIsPromptLost;
+    (endedRuns > 0 || !mParameters.mLastEventId.empty()) && !mIsPromptLost;
   return demand;
 }
 
@@ -275,6 +276,8 @@
     return;
   }
   AbandonRunAside();
+  ++mPossibleRuns;
+  mContinuesRun = false;
   SendDecode(aNow);
 }
 
@@ -380,8 +383,9 @@
   const bool hasErrorAnswer =
     mState == StreamState::ReceivingError && isComplete;
   if (!IsCertainlyNotRun(aOutcome)) {
-    ++mPossibleRuns;
     mDelegate.ReportInterruptedRun(mPlacement.mDecode);
+  } else if (!mContinuesRun) {
+    --mPossibleRuns;
   }
   mIsPromptLost = mIsPromptLost || mPlacement.mCachedTokens > 0;
   mFailedEndpoints.insert(mPlacement.mDecode);
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -212,6 +212,7 @@
     std::string mReservation;
     std::optional<KvCache> mCache;
     std::string mMoveSource;
+    bool mContinuesRun = false;
     /** The sends of the replacement are counted in the retry budget. */
     bool mIsReplacementCounted = false;
   };
@@ -252,9 +253,8 @@
   void Retry(std::uint32_t aRepeatedSends, Instant aNow);
   /** Number of calls before the decode that a further attempt repeats. */
   std::uint32_t RepeatedPrefills() const;
-  /** True when the route allows one more run after aPossibleRuns. */
-  bool MayRunAfter(std::uint32_t aPossibleRuns) const;
-  bool MayRunAgain() const { return MayRunAfter(mPossibleRuns); }
+  /** True when the route allows one more run. */
+  bool MayRunAgain() const;
   /** True when the prompt may be sent to another prefill engine. */
   bool MayPrefillAgain(Instant aNow);
   /** Ends the attempt if a part of the prompt crashes engines. */
@@ -307,8 +307,12 @@
   std::string mMoveSource;
   std::uint32_t mMoveCount = 0;
   EndpointAnswer mErrorAnswer;
-  /** Number of runs at decode engines that may have started. */
+  /** Number of runs at decode engines that may have started. A run counts when
+   * it is sent, and until its engine states that it did not run. */
   std::uint32_t mPossibleRuns = 0;
+  /** The last decode continues a run that was moved, so its refusal does not
+   * mean that the run has not started. */
+  bool mContinuesRun = false;
   std::uint32_t mPlacementCount = 0;
   /** An engine whose cache should have the prompt failed. */
   bool mIsPromptLost = false;
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -20,14 +20,14 @@
 }
 
 bool
-StreamCall::MayRunAfter(std::uint32_t aPossibleRuns) const
+StreamCall::MayRunAgain() const
 {
-  if (aPossibleRuns == 0) {
+  if (mPossibleRuns == 0) {
     return true;
   }
   const Route& route = *mParameters.mCall.mRoute;
   return route.mIsResumable && mRelay.MayContinue() &&
-         aPossibleRuns < route.mMaxAttempts;
+         mPossibleRuns < route.mMaxAttempts;
 }
 
 bool
@@ -189,10 +189,6 @@
 StreamCall::EndEarly(RefusalReason aReason, SendResult aSendResult)
 {
   DropReplacement();
-  if (mState == StreamState::Starting || mState == StreamState::Streaming ||
-      mState == StreamState::ReceivingError) {
-    ++mPossibleRuns;
-  }
   CancelStep(aSendResult);
   Finish(aReason);
 }
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -60,6 +60,7 @@
   const RunMove move = *std::exchange(mMove, std::nullopt);
   mRelay.DiscardPartialEvent();
   mCache = move.mCache;
+  mContinuesRun = true;
   mPlacement.mPrefill.clear();
   // The source keeps its cache after the copy.
   const bool usesTarget = move.mIsCopied && mDelegate.IsUsable(move.mTarget);
--- a/Source/Router/StreamCallSilence.cxx
+++ b/Source/Router/StreamCallSilence.cxx
@@ -12,7 +12,7 @@
 std::optional<RefusalReason>
 StreamCall::ReplacementObstacle(Instant aNow)
 {
-  if (!MayRunAfter(mPossibleRuns + 1)) {
+  if (!MayRunAgain()) {
     return RefusalReason::AttemptsUsed;
   }
   if (mPlacementCount >= kMaxPlacements) {
@@ -46,7 +46,8 @@
                         std::exchange(mPlacement, StreamPlacement()),
                         std::exchange(mReservation, std::string()),
                         std::exchange(mCache, std::nullopt),
-                        std::exchange(mMoveSource, std::string()) };
+                        std::exchange(mMoveSource, std::string()),
+                        mContinuesRun };
   mDelegate.SetRunAside();
   Submit(aNow);
 }
@@ -80,6 +81,7 @@
   mReservation = std::move(run.mReservation);
   mCache = std::move(run.mCache);
   mMoveSource = std::move(run.mMoveSource);
+  mContinuesRun = run.mContinuesRun;
   mDelegate.ReturnToRun();
 }
 
@@ -110,7 +112,6 @@
       move && move->mCache) {
     mDelegate.DropCache(*move->mCache);
   }
-  ++mPossibleRuns;
   mDelegate.ReportInterruptedRun(run.mPlacement.mDecode);
   // The stream does not return to an engine that stopped responding, even if
   // its cache has the prompt.
