Keep the state of an attempt in one struct

A stream copied seven members into and out of the run that it set aside, and forgot the framing of its answer. Both are an Attempt now, and setting a run aside moves one. Behaviour is unchanged but for the framing, which returns with the run.

--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -126,7 +126,7 @@
 void
 StreamCall::Submit(Instant aNow)
 {
-  mState = StreamState::Waiting;
+  mAttempt.mState = StreamState::Waiting;
   mDelegate.WakeAt(mParameters.mCall.mDeadline);
   mDelegate.RequestPlacement(MakeDemand(aNow));
 }
@@ -151,12 +151,13 @@
 void
 StreamCall::OnPlaced(const StreamPlacement& aPlacement, Instant aNow)
 {
-  mPlacement = aPlacement;
+  mAttempt.mPlacement = aPlacement;
   ++mPlacementCount;
   if (EndIfPromptRefused(aNow)) {
     return;
   }
-  if (mRunAside && mRunAside->mPlacement.mDecode == mPlacement.mDecode) {
+  if (mRunAside &&
+      mRunAside->mPlacement.mDecode == mAttempt.mPlacement.mDecode) {
     FailAttempt(RefusalReason::NoEndpoint, aNow);
     return;
   }
@@ -164,9 +165,9 @@
     StartPrefill(aNow);
     return;
   }
-  mState = StreamState::Reserving;
+  mAttempt.mState = StreamState::Reserving;
   SetStallTimeout(kReserveTimeout, aNow);
-  mDelegate.Reserve(mPlacement.mDecode, ReservedTokens(aNow));
+  mDelegate.Reserve(mAttempt.mPlacement.mDecode, ReservedTokens(aNow));
 }
 
 std::uint64_t
@@ -181,7 +182,7 @@
 void
 StreamCall::OnPlacementExpired(Instant aNow)
 {
-  if (mState == StreamState::Waiting) {
+  if (mAttempt.mState == StreamState::Waiting) {
     FailAttempt(RefusalReason::WaitedTooLong, aNow);
   }
 }
@@ -189,7 +190,7 @@
 void
 StreamCall::OnUnservable(Duration aRetryAfter, Instant aNow)
 {
-  if (mState == StreamState::Waiting) {
+  if (mAttempt.mState == StreamState::Waiting) {
     FailAttempt(RefusalReason::NoEndpoint, aNow, aRetryAfter);
   }
 }
@@ -197,12 +198,12 @@
 void
 StreamCall::OnReserved(const std::string& aReservation, Instant aNow)
 {
-  if (mState != StreamState::Reserving) {
+  if (mAttempt.mState != StreamState::Reserving) {
     return;
   }
   if (!aReservation.empty()) {
-    mReservation = aReservation;
-    if (mDelegate.IsUsable(mPlacement.mDecode)) {
+    mAttempt.mReservation = aReservation;
+    if (mDelegate.IsUsable(mAttempt.mPlacement.mDecode)) {
       StartPrefill(aNow);
     } else {
       // A prefill for this engine would be repeated for the next one.
@@ -211,7 +212,7 @@
     }
     return;
   }
-  mDelegate.ReportDecodeFull(mPlacement.mDecode, ReservedTokens(aNow));
+  mDelegate.ReportDecodeFull(mAttempt.mPlacement.mDecode, ReservedTokens(aNow));
   ReleaseAll();
   Retry(0, aNow);
 }
@@ -226,18 +227,18 @@
     FailAttempt(RefusalReason::RetryBudgetUsed, aNow);
     return;
   }
-  if (mPlacement.mPrefill.empty()) {
+  if (mAttempt.mPlacement.mPrefill.empty()) {
     StartDecode(aNow);
     return;
   }
-  if (!mDelegate.IsUsable(mPlacement.mPrefill)) {
+  if (!mDelegate.IsUsable(mAttempt.mPlacement.mPrefill)) {
     ReleaseAll();
     Retry(0, aNow);
     return;
   }
-  mState = StreamState::Prefilling;
+  mAttempt.mState = StreamState::Prefilling;
   SetStallTimeout(kPrefillTimeout, aNow);
-  mDelegate.Prefill(mPlacement.mPrefill, mParameters.mCall.mDeadline);
+  mDelegate.Prefill(mAttempt.mPlacement.mPrefill, mParameters.mCall.mDeadline);
 }
 
 void
@@ -246,17 +247,17 @@
                         Duration aDuration,
                         Instant aNow)
 {
-  if (mState != StreamState::Prefilling) {
+  if (mAttempt.mState != StreamState::Prefilling) {
     return;
   }
   const bool isDone = aOutcome == SendOutcome::Answered;
   mDelegate.ReleasePrefill(isDone ? aDuration : Duration::zero());
   if (isDone) {
-    mCache = aCache;
+    mAttempt.mCache = aCache;
     StartDecode(aNow);
     return;
   }
-  mFailedEndpoints.insert(mPlacement.mPrefill);
+  mFailedEndpoints.insert(mAttempt.mPlacement.mPrefill);
   ReleaseAll();
   // The failed call and its repetition count as one repeated send.
   Retry(aOutcome == SendOutcome::NotSent ? 0 : 1, aNow);
@@ -268,8 +269,8 @@
   if (EndIfPromptRefused(aNow)) {
     return;
   }
-  if (!mDelegate.IsUsable(mPlacement.mDecode)) {
-    mFailedEndpoints.insert(mPlacement.mDecode);
+  if (!mDelegate.IsUsable(mAttempt.mPlacement.mDecode)) {
+    mFailedEndpoints.insert(mAttempt.mPlacement.mDecode);
     const std::uint32_t repeats = RepeatedPrefills();
     ReleaseAll();
     Retry(repeats, aNow);
@@ -277,18 +278,20 @@
   }
   AbandonRunAside();
   ++mPossibleRuns;
-  mContinuesRun = false;
+  mAttempt.mContinuesRun = false;
   SendDecode(aNow);
 }
 
 void
 StreamCall::SendDecode(Instant aNow)
 {
-  mState = StreamState::Starting;
+  mAttempt.mState = StreamState::Starting;
   WatchRun(aNow);
-  mDelegate.Decode(
-    { mPlacement.mDecode, mCache, mReservation, mRelay.LastId() },
-    mParameters.mCall.mDeadline);
+  mDelegate.Decode({ mAttempt.mPlacement.mDecode,
+                     mAttempt.mCache,
+                     mAttempt.mReservation,
+                     mRelay.LastId() },
+                   mParameters.mCall.mDeadline);
 }
 
 void
@@ -297,7 +300,7 @@
                             const HttpHeaders& aHeaders,
                             Instant aNow)
 {
-  if (mState != StreamState::Starting) {
+  if (mAttempt.mState != StreamState::Starting) {
     return;
   }
   if (aOutcome != SendOutcome::Answered) {
@@ -308,18 +311,18 @@
     return;
   }
   // The engine has fetched the KV cache and used the reservation.
-  mCache.reset();
-  mReservation.clear();
+  mAttempt.mCache.reset();
+  mAttempt.mReservation.clear();
   mDelegate.ReleasePrefill(Duration::zero());
   if (aStatus != kHttpOk) {
-    mState = StreamState::ReceivingError;
+    mAttempt.mState = StreamState::ReceivingError;
     mErrorAnswer = { aStatus, aHeaders, std::string() };
     return;
   }
-  mState = StreamState::Streaming;
-  mIsUnframed =
+  mAttempt.mState = StreamState::Streaming;
+  mAttempt.mIsUnframed =
     !aHeaders.Find("Content-Length") && !aHeaders.Find("Transfer-Encoding");
-  mMoveSource.clear();
+  mAttempt.mMoveSource.clear();
   mDelegate.ReportDecodeStarted();
   mDelegate.WakeAt(mParameters.mCall.mDeadline);
   if (std::exchange(mHasStartedAnswer, true)) {
@@ -336,7 +339,7 @@
 void
 StreamCall::OnAnswerData(std::string_view aData, Instant aNow)
 {
-  if (mState == StreamState::ReceivingError) {
+  if (mAttempt.mState == StreamState::ReceivingError) {
     WatchRun(aNow);
     mErrorAnswer.mBody.append(aData);
     if (mErrorAnswer.mBody.size() > kMaxErrorBytes) {
@@ -345,7 +348,7 @@
     }
     return;
   }
-  if (mState != StreamState::Streaming) {
+  if (mAttempt.mState != StreamState::Streaming) {
     return;
   }
   WatchRun(aNow);
@@ -358,21 +361,23 @@
 void
 StreamCall::OnAnswerEnded(SendOutcome aOutcome, Instant aNow)
 {
-  if (mState != StreamState::Starting && mState != StreamState::Streaming &&
-      mState != StreamState::ReceivingError) {
+  if (mAttempt.mState != StreamState::Starting &&
+      mAttempt.mState != StreamState::Streaming &&
+      mAttempt.mState != StreamState::ReceivingError) {
     return;
   }
   const bool isComplete = aOutcome == SendOutcome::Answered;
-  if (mState == StreamState::Streaming && isComplete && !EndsInsideEvent()) {
+  if (mAttempt.mState == StreamState::Streaming && isComplete &&
+      !EndsInsideEvent()) {
     if (mIsSingleRun) {
       mDelegate.ReportAnswer(mRelay.Events(), aNow - mFirstEventAt);
     }
     mDelegate.ReleaseDecode();
-    mState = StreamState::Finished;
+    mAttempt.mState = StreamState::Finished;
     mDelegate.EndAnswer();
     return;
   }
-  if (mMove && mState == StreamState::Streaming && !isComplete) {
+  if (mMove && mAttempt.mState == StreamState::Streaming && !isComplete) {
     mMove->mHasEnded = true;
     ContinueMove(aNow);
     return;
@@ -381,14 +386,14 @@
     return;
   }
   const bool hasErrorAnswer =
-    mState == StreamState::ReceivingError && isComplete;
+    mAttempt.mState == StreamState::ReceivingError && isComplete;
   if (!IsCertainlyNotRun(aOutcome)) {
-    mDelegate.ReportInterruptedRun(mPlacement.mDecode);
-  } else if (!mContinuesRun) {
+    mDelegate.ReportInterruptedRun(mAttempt.mPlacement.mDecode);
+  } else if (!mAttempt.mContinuesRun) {
     --mPossibleRuns;
   }
-  mIsPromptLost = mIsPromptLost || mPlacement.mCachedTokens > 0;
-  mFailedEndpoints.insert(mPlacement.mDecode);
+  mIsPromptLost = mIsPromptLost || mAttempt.mPlacement.mCachedTokens > 0;
+  mFailedEndpoints.insert(mAttempt.mPlacement.mDecode);
   mRelay.DiscardPartialEvent();
   // A further attempt repeats the decode and, if there was one, the prefill.
   const std::uint32_t repeats =
@@ -397,7 +402,7 @@
   if (hasErrorAnswer && !mHasStartedAnswer &&
       (!MayRunAgain() || mDelegate.IsPromptRefused() ||
        !mRetryBudget.TryConsume(mParameters.mCall.mService, repeats, aNow))) {
-    mState = StreamState::Finished;
+    mAttempt.mState = StreamState::Finished;
     mDelegate.Deliver(mErrorAnswer);
     return;
   }
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -176,7 +176,7 @@
   /** The process ends; answers the request, or aborts a started answer. */
   void OnStopEnd();
 
-  StreamState State() const { return mState; }
+  StreamState State() const { return mAttempt.mState; }
   /** The run is being moved, so the answer of its engine may end early. */
   bool IsMoving() const { return mMove.has_value() && !mRunAside; }
   /** Memory used by an incomplete event or by an error answer, in bytes. */
@@ -188,9 +188,9 @@
    * the engine has broken it off. */
   bool EndsInsideEvent() const
   {
-    return mState == StreamState::Streaming &&
+    return mAttempt.mState == StreamState::Streaming &&
            (mRelay.HasPartialEvent() ||
-            (mIsUnframed && mRelay.EndsInsideEvent()));
+            (mAttempt.mIsUnframed && mRelay.EndsInsideEvent()));
   }
 
 private:
@@ -204,17 +204,20 @@
    */
   static constexpr std::uint32_t kMaxPlacements = 40;
 
-  /** State of the run that was set aside. */
-  struct RunAside
+  /** A placement of the stream, and its run at the decode engine. */
+  struct Attempt
   {
-    StreamState mState = StreamState::Streaming;
+    StreamState mState = StreamState::Waiting;
     StreamPlacement mPlacement;
     std::string mReservation;
     std::optional<KvCache> mCache;
+    /** Source of a copied run, until the target has resumed it. */
     std::string mMoveSource;
+    /** The last decode continues a run that was moved, so its refusal does not
+     * mean that the run has not started. */
     bool mContinuesRun = false;
-    /** The sends of the replacement are counted in the retry budget. */
-    bool mIsReplacementCounted = false;
+    /** The answer of the run ends with its connection. */
+    bool mIsUnframed = false;
   };
 
   /** Move in progress. */
@@ -295,30 +298,22 @@
   SharedRetryBudget& mRetryBudget;
   StreamParameters mParameters;
   EventRelay mRelay;
-  StreamState mState = StreamState::Waiting;
-  StreamPlacement mPlacement;
+  Attempt mAttempt;
+  /** The silent run for which mAttempt prepares a replacement. */
+  std::optional<Attempt> mRunAside;
+  /** The sends of the replacement are counted in the retry budget. */
+  bool mIsReplacementCounted = false;
   std::set<std::string> mFailedEndpoints;
-  std::string mReservation;
-  std::optional<KvCache> mCache;
   std::optional<RunMove> mMove;
-  /** Set while a replacement of a silent run is prepared. */
-  std::optional<RunAside> mRunAside;
-  /** Source of a copied run, until the target has resumed it. */
-  std::string mMoveSource;
   std::uint32_t mMoveCount = 0;
   EndpointAnswer mErrorAnswer;
   /** Number of runs at decode engines that may have started. A run counts when
    * it is sent, and until its engine states that it did not run. */
   std::uint32_t mPossibleRuns = 0;
-  /** The last decode continues a run that was moved, so its refusal does not
-   * mean that the run has not started. */
-  bool mContinuesRun = false;
   std::uint32_t mPlacementCount = 0;
   /** An engine whose cache should have the prompt failed. */
   bool mIsPromptLost = false;
   bool mHasStartedAnswer = false;
-  /** The answer of the current run ends with its connection. */
-  bool mIsUnframed = false;
   /** A single run has generated the whole answer. */
   bool mIsSingleRun = true;
   Instant mFirstEventAt;
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -16,7 +16,7 @@
 std::uint32_t
 StreamCall::RepeatedPrefills() const
 {
-  return mPlacement.mPrefill.empty() ? 0 : 1;
+  return mAttempt.mPlacement.mPrefill.empty() ? 0 : 1;
 }
 
 bool
@@ -72,13 +72,14 @@
 {
   mDelegate.ReleasePrefill(Duration::zero());
   mDelegate.ReleaseDecode();
-  if (mCache) {
-    mDelegate.DropCache(*mCache);
-    mCache.reset();
+  if (mAttempt.mCache) {
+    mDelegate.DropCache(*mAttempt.mCache);
+    mAttempt.mCache.reset();
   }
-  if (!mReservation.empty()) {
-    mDelegate.DropReservation(mPlacement.mDecode, mReservation);
-    mReservation.clear();
+  if (!mAttempt.mReservation.empty()) {
+    mDelegate.DropReservation(mAttempt.mPlacement.mDecode,
+                              mAttempt.mReservation);
+    mAttempt.mReservation.clear();
   }
 }
 
@@ -98,7 +99,7 @@
 void
 StreamCall::Finish(RefusalReason aReason, Duration aMinRetryAfter)
 {
-  mState = StreamState::Finished;
+  mAttempt.mState = StreamState::Finished;
   const bool isTimeout = aReason == RefusalReason::Timeout;
   if (mHasStartedAnswer) {
     mDelegate.AbortAnswer(aReason);
@@ -120,7 +121,7 @@
 void
 StreamCall::HandleStall(Instant aNow)
 {
-  switch (mState) {
+  switch (mAttempt.mState) {
     case StreamState::Reserving:
       mDelegate.CancelSend(SendResult::Slow);
       OnReserved("", aNow);
@@ -148,7 +149,7 @@
 void
 StreamCall::OnWake(Instant aNow)
 {
-  if (mState == StreamState::Finished) {
+  if (mAttempt.mState == StreamState::Finished) {
     return;
   }
   if (aNow < mParameters.mCall.mDeadline) {
@@ -161,12 +162,12 @@
 void
 StreamCall::OnStopEnd()
 {
-  if (mState == StreamState::Finished) {
+  if (mAttempt.mState == StreamState::Finished) {
     return;
   }
   DropReplacement();
-  if (mState == StreamState::Streaming) {
-    mDelegate.ReportInterruptedRun(mPlacement.mDecode);
+  if (mAttempt.mState == StreamState::Streaming) {
+    mDelegate.ReportInterruptedRun(mAttempt.mPlacement.mDecode);
   }
   EndEarly(RefusalReason::Stopping, SendResult::Answered);
 }
@@ -174,15 +175,15 @@
 void
 StreamCall::OnCallerDisconnected(Instant)
 {
-  if (mState == StreamState::Finished) {
+  if (mAttempt.mState == StreamState::Finished) {
     return;
   }
   DropReplacement();
-  if (mState == StreamState::Streaming) {
-    mDelegate.ReportInterruptedRun(mPlacement.mDecode);
+  if (mAttempt.mState == StreamState::Streaming) {
+    mDelegate.ReportInterruptedRun(mAttempt.mPlacement.mDecode);
   }
   CancelStep(SendResult::Answered);
-  mState = StreamState::Finished;
+  mAttempt.mState = StreamState::Finished;
 }
 
 void
@@ -196,7 +197,7 @@
 void
 StreamCall::CancelStep(SendResult aSendResult)
 {
-  if (mState == StreamState::Waiting) {
+  if (mAttempt.mState == StreamState::Waiting) {
     mDelegate.WithdrawPlacement();
   } else {
     mDelegate.CancelSend(aSendResult);
@@ -211,7 +212,7 @@
 void
 StreamCall::OnOverload(Instant aNow)
 {
-  if (mState != StreamState::Waiting) {
+  if (mAttempt.mState != StreamState::Waiting) {
     return;
   }
   if (mRunAside || mHasStartedAnswer || mPossibleRuns > 0) {
@@ -224,7 +225,7 @@
 void
 StreamCall::RefuseForOverload()
 {
-  mState = StreamState::Finished;
+  mAttempt.mState = StreamState::Finished;
   mDelegate.Refuse(
     { kHttpUnavailable, RefusalReason::Overload, kOverloadRetryAfter });
 }
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -11,15 +11,17 @@
 void
 StreamCall::StartMove(const std::string& aTarget, Instant aNow)
 {
-  if (mState != StreamState::Streaming || mMove || mMoveCount >= kMaxMoves ||
-      mRelay.Events() == 0 || mRelay.LastId().empty() ||
+  if (mAttempt.mState != StreamState::Streaming || mMove ||
+      mMoveCount >= kMaxMoves || mRelay.Events() == 0 ||
+      mRelay.LastId().empty() ||
       !mRetryBudget.TryConsume(mParameters.mCall.mService, 1, aNow)) {
     return;
   }
   ++mMoveCount;
-  mMove = RunMove{ mPlacement.mDecode, aTarget, false, false, {}, false };
+  mMove =
+    RunMove{ mAttempt.mPlacement.mDecode, aTarget, false, false, {}, false };
   mDelegate.ReportMoved(aTarget);
-  mDelegate.Move(mPlacement.mDecode, aTarget);
+  mDelegate.Move(mAttempt.mPlacement.mDecode, aTarget);
 }
 
 void
@@ -59,17 +61,17 @@
   }
   const RunMove move = *std::exchange(mMove, std::nullopt);
   mRelay.DiscardPartialEvent();
-  mCache = move.mCache;
-  mContinuesRun = true;
-  mPlacement.mPrefill.clear();
+  mAttempt.mCache = move.mCache;
+  mAttempt.mContinuesRun = true;
+  mAttempt.mPlacement.mPrefill.clear();
   // The source keeps its cache after the copy.
   const bool usesTarget = move.mIsCopied && mDelegate.IsUsable(move.mTarget);
-  mPlacement.mDecode = usesTarget ? move.mTarget : move.mSource;
-  mMoveSource = usesTarget ? move.mSource : std::string();
-  mDelegate.ReportMoved(mPlacement.mDecode);
-  if (!mDelegate.CanReceive(mPlacement.mDecode)) {
+  mAttempt.mPlacement.mDecode = usesTarget ? move.mTarget : move.mSource;
+  mAttempt.mMoveSource = usesTarget ? move.mSource : std::string();
+  mDelegate.ReportMoved(mAttempt.mPlacement.mDecode);
+  if (!mDelegate.CanReceive(mAttempt.mPlacement.mDecode)) {
     // Neither target nor source accepts the run, so its KV cache is lost.
-    mFailedEndpoints.insert(mPlacement.mDecode);
+    mFailedEndpoints.insert(mAttempt.mPlacement.mDecode);
     ReleaseAll();
     Retry(1, aNow);
     return;
@@ -80,13 +82,15 @@
 bool
 StreamCall::ResumeAtSource(Instant aNow)
 {
-  if (mState != StreamState::Starting || mMoveSource.empty() || !mCache ||
-      !mDelegate.CanReceive(mMoveSource) ||
+  if (mAttempt.mState != StreamState::Starting ||
+      mAttempt.mMoveSource.empty() || !mAttempt.mCache ||
+      !mDelegate.CanReceive(mAttempt.mMoveSource) ||
       !mRetryBudget.TryConsume(mParameters.mCall.mService, 1, aNow)) {
     return false;
   }
-  mPlacement.mDecode = std::exchange(mMoveSource, std::string());
-  mDelegate.ReportMoved(mPlacement.mDecode);
+  mAttempt.mPlacement.mDecode =
+    std::exchange(mAttempt.mMoveSource, std::string());
+  mDelegate.ReportMoved(mAttempt.mPlacement.mDecode);
   SendDecode(aNow);
   return true;
 }
--- a/Source/Router/StreamCallSilence.cxx
+++ b/Source/Router/StreamCallSilence.cxx
@@ -41,13 +41,9 @@
     SetStallTimeout(kStallTimeout, aNow);
     return;
   }
-  mFailedEndpoints.insert(mPlacement.mDecode);
-  mRunAside = RunAside{ mState,
-                        std::exchange(mPlacement, StreamPlacement()),
-                        std::exchange(mReservation, std::string()),
-                        std::exchange(mCache, std::nullopt),
-                        std::exchange(mMoveSource, std::string()),
-                        mContinuesRun };
+  mFailedEndpoints.insert(mAttempt.mPlacement.mDecode);
+  mRunAside = std::exchange(mAttempt, Attempt());
+  mIsReplacementCounted = false;
   mDelegate.SetRunAside();
   Submit(aNow);
 }
@@ -55,12 +51,12 @@
 bool
 StreamCall::CountReplacement(Instant aNow)
 {
-  if (!mRunAside || mRunAside->mIsReplacementCounted) {
+  if (!mRunAside || mIsReplacementCounted) {
     return true;
   }
-  mRunAside->mIsReplacementCounted = mRetryBudget.TryConsume(
+  mIsReplacementCounted = mRetryBudget.TryConsume(
     mParameters.mCall.mService, 1 + RepeatedPrefills(), aNow);
-  return mRunAside->mIsReplacementCounted;
+  return mIsReplacementCounted;
 }
 
 void
@@ -69,19 +65,13 @@
   if (!mRunAside) {
     return;
   }
-  if (mState == StreamState::Waiting) {
+  if (mAttempt.mState == StreamState::Waiting) {
     mDelegate.WithdrawPlacement();
   } else {
     mDelegate.CancelSend(SendResult::Answered);
   }
   ReleaseAll();
-  RunAside run = *std::exchange(mRunAside, std::nullopt);
-  mState = run.mState;
-  mPlacement = std::move(run.mPlacement);
-  mReservation = std::move(run.mReservation);
-  mCache = std::move(run.mCache);
-  mMoveSource = std::move(run.mMoveSource);
-  mContinuesRun = run.mContinuesRun;
+  mAttempt = *std::exchange(mRunAside, std::nullopt);
   mDelegate.ReturnToRun();
 }
 
@@ -100,7 +90,7 @@
   if (!mRunAside) {
     return;
   }
-  const RunAside run = *std::exchange(mRunAside, std::nullopt);
+  const Attempt run = *std::exchange(mRunAside, std::nullopt);
   mDelegate.CancelRunAside();
   if (run.mCache) {
     mDelegate.DropCache(*run.mCache);
