Forget the source of a move when a new run starts

A run after a failed move that is refused by its engine was sent to the engine that the first run had left.

Cause: the source of a move is kept for a return until the target accepts, and a failed move did not clear it.

Change: a new run clears it. The test failed before (decode at d1 instead of a new placement), and passes now.

--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -279,6 +279,7 @@
   AbandonRunAside();
   ++mPossibleRuns;
   mAttempt.mContinuesRun = false;
+  mAttempt.mMoveSource.clear();
   SendDecode(aNow);
 }
 
--- a/Tests/Router/StreamCallMoveTest.cxx
+++ b/Tests/Router/StreamCallMoveTest.cxx
@@ -211,6 +211,25 @@
   }
 }
 
+// Guards against a request that is sent to an engine that leaves: the source of
+// an earlier move.
+TEST_CASE("A new run does not return to the source of a move that failed")
+{
+  StreamCallFixture fixture(true, 3);
+  RunToStoppedMove(fixture);
+  fixture.mCall->OnMoveAnswered(MakeCache("moved"), true, fixture.mNow);
+  fixture.mDelegate.mUnreachable = { "d1" };
+  fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
+  REQUIRE(fixture.mDelegate.mDemands.size() == 2);
+  fixture.mDelegate.mUnreachable.clear();
+  fixture.Place("p1", "d3");
+  fixture.mCall->OnReserved("hold", fixture.mNow);
+  fixture.FinishPrefill();
+  fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
+  CHECK(fixture.mDelegate.mDecodes.back().mEndpoint == "d3");
+  CHECK(fixture.mDelegate.mDemands.size() == 3);
+}
+
 TEST_CASE("A run moves to another engine and continues there")
 {
   StreamCallFixture fixture(false, 1);
