Do not believe the end of an unframed answer during a move

Cause: an answer with neither a length nor chunks ends with its connection, and an engine that stops a run for a move closes that in the same way. The test for a complete answer came before the one for a move.

Change: during a move the end of such an answer waits for the answer to the move, which has a type now (MoveAnswer): stopped runs continue, the end is complete when the engine did not stop the run, and counts as an interruption when that is unknown, also after a move that was lost. The test "an answer that is completed during the move" had no framing and expected the fault; its answer has chunks now, and unframed answers have a test case of their own.

--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -287,6 +287,8 @@
 StreamCall::SendDecode(Instant aNow)
 {
   mAttempt.mState = StreamState::Starting;
+  mAttempt.mIsUnframed = false;
+  mAttempt.mMayBeStopped = false;
   WatchRun(aNow);
   mDelegate.Decode({ mAttempt.mPlacement.mDecode,
                      mAttempt.mCache,
@@ -367,7 +369,14 @@
       mAttempt.mState != StreamState::ReceivingError) {
     return;
   }
-  const bool isComplete = aOutcome == SendOutcome::Answered;
+  if (mMove && mAttempt.mState == StreamState::Streaming &&
+      (aOutcome != SendOutcome::Answered || MayHaveBeenStopped())) {
+    mMove->mEnd = aOutcome;
+    ContinueMove(aNow);
+    return;
+  }
+  const bool isComplete =
+    aOutcome == SendOutcome::Answered && !MayHaveBeenStopped();
   if (mAttempt.mState == StreamState::Streaming && isComplete &&
       !EndsInsideEvent()) {
     if (mIsSingleRun) {
@@ -378,11 +387,6 @@
     mDelegate.EndAnswer();
     return;
   }
-  if (mMove && mAttempt.mState == StreamState::Streaming && !isComplete) {
-    mMove->mHasEnded = true;
-    ContinueMove(aNow);
-    return;
-  }
   if (IsCertainlyNotRun(aOutcome) && ResumeAtSource(aNow)) {
     return;
   }
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -40,6 +40,29 @@
   std::string mLastEventId;
 };
 
+/** What became of a run whose engine was asked to move it. */
+enum class MoveOutcome
+{
+  /** The engine stopped the run, and the target has a copy of its KV cache. */
+  Copied,
+  /** The engine stopped the run, but there is no copy. */
+  Stopped,
+  /** The engine states that it did not stop the run, which continues or has
+   * ended before. */
+  NotStopped,
+  /** It is unknown whether the engine stopped the run. */
+  Unknown,
+};
+
+/** Answer of an engine that was asked to move a run. */
+struct MoveAnswer
+{
+  MoveOutcome mOutcome = MoveOutcome::Unknown;
+  /** KV cache from which the stopped run can be resumed; set when the outcome
+   * is Copied or Stopped. */
+  std::optional<KvCache> mCache;
+};
+
 /** Actions that a StreamCall requests from its session. */
 class StreamCallDelegate
 {
@@ -166,11 +189,7 @@
   void OnAnswerEnded(SendOutcome aOutcome, Instant aNow);
   /** Starts to move the run to aTarget, if that is possible now. */
   void StartMove(const std::string& aTarget, Instant aNow);
-  /** aCache: KV cache from which the stopped run can be resumed; empty when the
-   * run was not stopped or is lost. aIsCopied: the target has a copy of it. */
-  void OnMoveAnswered(const std::optional<KvCache>& aCache,
-                      bool aIsCopied,
-                      Instant aNow);
+  void OnMoveAnswered(const MoveAnswer& aAnswer, Instant aNow);
   void OnWake(Instant aNow);
   void OnCallerDisconnected(Instant aNow);
   /** The process ends; answers the request, or aborts a started answer. */
@@ -218,6 +237,8 @@
     bool mContinuesRun = false;
     /** The answer of the run ends with its connection. */
     bool mIsUnframed = false;
+    /** An earlier move may have stopped the run, or may still stop it. */
+    bool mMayBeStopped = false;
   };
 
   /** Move in progress. */
@@ -225,11 +246,9 @@
   {
     std::string mSource;
     std::string mTarget;
-    /** The source has ended its answer. */
-    bool mHasEnded = false;
-    bool mIsAnswered = false;
-    std::optional<KvCache> mCache;
-    bool mIsCopied = false;
+    /** How the source has ended its answer. */
+    std::optional<SendOutcome> mEnd;
+    std::optional<MoveAnswer> mAnswer;
   };
 
   StreamDemand MakeDemand(Instant aNow) const;
@@ -245,6 +264,14 @@
   /** Resumes the moved run once the source has ended its answer and reported
    * the KV cache. */
   void ContinueMove(Instant aNow);
+  /** Forgets the move and drops the KV cache that it left. */
+  void DropMove();
+  /** The connection of a run that a move has stopped ends in order, so that the
+   * answer looks complete unless its head stated where it ends. */
+  bool MayHaveBeenStopped() const
+  {
+    return mAttempt.mIsUnframed && (mMove || mAttempt.mMayBeStopped);
+  }
   /** Resumes the run at its source after the target refused it; false when that
    * is not possible. */
   bool ResumeAtSource(Instant aNow);
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -202,10 +202,7 @@
   } else {
     mDelegate.CancelSend(aSendResult);
   }
-  const auto move = std::exchange(mMove, std::nullopt);
-  if (move && move->mCache) {
-    mDelegate.DropCache(*move->mCache);
-  }
+  DropMove();
   ReleaseAll();
 }
 
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -18,54 +18,52 @@
     return;
   }
   ++mMoveCount;
-  mMove =
-    RunMove{ mAttempt.mPlacement.mDecode, aTarget, false, false, {}, false };
+  mMove = RunMove{ mAttempt.mPlacement.mDecode, aTarget, {}, {} };
   mDelegate.ReportMoved(aTarget);
   mDelegate.Move(mAttempt.mPlacement.mDecode, aTarget);
 }
 
 void
-StreamCall::OnMoveAnswered(const std::optional<KvCache>& aCache,
-                           bool aIsCopied,
-                           Instant aNow)
+StreamCall::OnMoveAnswered(const MoveAnswer& aAnswer, Instant aNow)
 {
   OnRunHeard(aNow);
-  if (!mMove) {
-    if (aCache) {
-      mDelegate.DropCache(*aCache);
-    }
-    return;
+  if (mMove) {
+    mMove->mAnswer = aAnswer;
+    ContinueMove(aNow);
+  } else if (aAnswer.mCache) {
+    mDelegate.DropCache(*aAnswer.mCache);
   }
-  mMove->mIsAnswered = true;
-  mMove->mCache = aCache;
-  mMove->mIsCopied = aIsCopied;
-  ContinueMove(aNow);
 }
 
 void
 StreamCall::ContinueMove(Instant aNow)
 {
-  if (mMove->mIsAnswered && !mMove->mCache) {
-    // The source did not stop the run, which continues there or has ended.
+  if (!mMove->mAnswer) {
+    return;
+  }
+  if (!mMove->mAnswer->mCache) {
     const RunMove move = *std::exchange(mMove, std::nullopt);
+    mAttempt.mMayBeStopped =
+      mAttempt.mMayBeStopped || move.mAnswer->mOutcome == MoveOutcome::Unknown;
     mDelegate.ReportMoved(move.mSource);
-    if (move.mHasEnded) {
-      OnAnswerEnded(SendOutcome::Unknown, aNow);
+    if (move.mEnd) {
+      OnAnswerEnded(*move.mEnd, aNow);
     } else {
       WatchRun(aNow);
     }
     return;
   }
-  if (!mMove->mIsAnswered || !mMove->mHasEnded) {
+  if (!mMove->mEnd) {
     return;
   }
   const RunMove move = *std::exchange(mMove, std::nullopt);
   mRelay.DiscardPartialEvent();
-  mAttempt.mCache = move.mCache;
+  mAttempt.mCache = move.mAnswer->mCache;
   mAttempt.mContinuesRun = true;
   mAttempt.mPlacement.mPrefill.clear();
   // The source keeps its cache after the copy.
-  const bool usesTarget = move.mIsCopied && mDelegate.IsUsable(move.mTarget);
+  const bool usesTarget = move.mAnswer->mOutcome == MoveOutcome::Copied &&
+                          mDelegate.IsUsable(move.mTarget);
   mAttempt.mPlacement.mDecode = usesTarget ? move.mTarget : move.mSource;
   mAttempt.mMoveSource = usesTarget ? move.mSource : std::string();
   mDelegate.ReportMoved(mAttempt.mPlacement.mDecode);
@@ -79,6 +77,15 @@
   SendDecode(aNow);
 }
 
+void
+StreamCall::DropMove()
+{
+  const auto move = std::exchange(mMove, std::nullopt);
+  if (move && move->mAnswer && move->mAnswer->mCache) {
+    mDelegate.DropCache(*move->mAnswer->mCache);
+  }
+}
+
 bool
 StreamCall::ResumeAtSource(Instant aNow)
 {
--- a/Source/Router/StreamCallSilence.cxx
+++ b/Source/Router/StreamCallSilence.cxx
@@ -98,10 +98,7 @@
   if (!run.mReservation.empty()) {
     mDelegate.DropReservation(run.mPlacement.mDecode, run.mReservation);
   }
-  if (const auto move = std::exchange(mMove, std::nullopt);
-      move && move->mCache) {
-    mDelegate.DropCache(*move->mCache);
-  }
+  DropMove();
   mDelegate.ReportInterruptedRun(run.mPlacement.mDecode);
   // The stream does not return to an engine that stopped responding, even if
   // its cache has the prompt.
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -85,6 +85,8 @@
   void HandleMoveAnswer(const HttpCallReply& aReply,
                         const std::string& aSource,
                         Instant aSentAt);
+  MoveAnswer ReadMoveAnswer(const HttpCallReply& aReply,
+                            const std::string& aSource) const;
   void HandleReserved(const HttpCallReply& aReply);
   /** False when aReply is a repeated answer to an earlier call, recognized by
    * its request id or by aHandle, the handle or reservation that it grants. */
--- a/Source/Router/StreamSessionMoves.cxx
+++ b/Source/Router/StreamSessionMoves.cxx
@@ -22,7 +22,7 @@
   mServices.mLog.Sent(*mRequest, "move", aEndpoint, 0, 0);
   if (source == nullptr || target == nullptr) {
     mServices.mLoop.Defer([this, self = mSelf, now] {
-      mCall.OnMoveAnswered(std::nullopt, false, now);
+      mCall.OnMoveAnswered({ MoveOutcome::NotStopped, {} }, now);
     });
     return;
   }
@@ -50,15 +50,31 @@
                            HttpCallResultName(aReply.mResult),
                            aReply.mStatus,
                            now - aSentAt);
-  std::optional<KvCache> cache;
+  mCall.OnMoveAnswered(ReadMoveAnswer(aReply, aSource), now);
+}
+
+MoveAnswer
+StreamSession::ReadMoveAnswer(const HttpCallReply& aReply,
+                              const std::string& aSource) const
+{
+  MoveAnswer answer;
   const EndpointRecord* source = mServices.mDirectory.Find(aSource);
-  if (aReply.mResult == HttpCallResult::Complete && source != nullptr) {
-    if (auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
-        handle.ok()) {
-      cache = KvCache{ aSource, source->mAddress, *std::move(handle) };
-    }
+  if (aReply.mResult == HttpCallResult::ConnectFailed) {
+    answer.mOutcome = MoveOutcome::NotStopped;
+  }
+  if (aReply.mResult != HttpCallResult::Complete || source == nullptr) {
+    return answer;
+  }
+  if (aReply.mStatus == kHttpNotFound || aReply.mStatus == kHttpConflict ||
+      aReply.mStatus == kHttpMisdirected) {
+    answer.mOutcome = MoveOutcome::NotStopped;
+  } else if (auto handle = mServices.mProtocol.ReadCacheHandle(aReply.mBody);
+             handle.ok()) {
+    answer.mOutcome =
+      aReply.mStatus == kHttpOk ? MoveOutcome::Copied : MoveOutcome::Stopped;
+    answer.mCache = KvCache{ aSource, source->mAddress, *std::move(handle) };
   }
-  mCall.OnMoveAnswered(cache, aReply.mStatus == kHttpOk, now);
+  return answer;
 }
 
 void
--- a/Tests/Router/StreamCallFixture.h
+++ b/Tests/Router/StreamCallFixture.h
@@ -137,7 +137,11 @@
   Instant mWakeTime;
 };
 
-inline const HttpHeaders kEvents{ { "Content-Type", "text/event-stream" } };
+/** Head of an answer that ends with its connection. */
+inline const HttpHeaders kUnframedEvents{ { "Content-Type",
+                                            "text/event-stream" } };
+inline const HttpHeaders kEvents{ { "Content-Type", "text/event-stream" },
+                                  { "Transfer-Encoding", "chunked" } };
 
 inline std::string
 Event(int aId)
@@ -186,12 +190,14 @@
     mCall->OnPlaced(placement, mNow);
   }
   /** Advances the stream to the start of the answer. */
-  void RunToAnswer(const std::string& aPrefill, const std::string& aDecode)
+  void RunToAnswer(const std::string& aPrefill,
+                   const std::string& aDecode,
+                   const HttpHeaders& aHeaders = kEvents)
   {
     Place(aPrefill, aDecode);
     mCall->OnReserved("hold", mNow);
     FinishPrefill();
-    StartAnswer();
+    StartAnswer(aHeaders);
   }
   void FinishPrefill()
   {
@@ -200,9 +206,9 @@
                        std::chrono::milliseconds(90),
                        mNow);
   }
-  void StartAnswer()
+  void StartAnswer(const HttpHeaders& aHeaders = kEvents)
   {
-    mCall->OnAnswerStarted(SendOutcome::Answered, 200, kEvents, mNow);
+    mCall->OnAnswerStarted(SendOutcome::Answered, 200, aHeaders, mNow);
   }
   void AddData(const std::string& aData)
   {
--- a/Tests/Router/StreamCallMoveTest.cxx
+++ b/Tests/Router/StreamCallMoveTest.cxx
@@ -146,7 +146,8 @@
   {
     aFixture.mDelegate.mUnusable = { "d2" };
     aFixture.mDelegate.mUnreachable = { "d1" };
-    aFixture.mCall->OnMoveAnswered(cache, true, aFixture.mNow);
+    aFixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, cache },
+                                   aFixture.mNow);
     CHECK(aFixture.mDelegate.mDecodes.size() == 1);
     CHECK(aFixture.mDelegate.HasAction("drop moved"));
   }
@@ -154,7 +155,8 @@
   // which ended the process.
   SUBCASE("because the target refuses it and the source is gone")
   {
-    aFixture.mCall->OnMoveAnswered(cache, true, aFixture.mNow);
+    aFixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, cache },
+                                   aFixture.mNow);
     REQUIRE(aFixture.mDelegate.mDecodes.size() == 2);
     aFixture.mDelegate.mUnreachable = { "d1" };
     aFixture.mCall->OnAnswerStarted(
@@ -163,7 +165,8 @@
   }
   SUBCASE("because target and source refuse it")
   {
-    aFixture.mCall->OnMoveAnswered(cache, true, aFixture.mNow);
+    aFixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, cache },
+                                   aFixture.mNow);
     aFixture.mCall->OnAnswerStarted(
       SendOutcome::NotRun, 503, {}, aFixture.mNow);
     REQUIRE(aFixture.mDelegate.mDecodes.size() == 3);
@@ -173,12 +176,13 @@
   }
   SUBCASE("because the source cannot be reached")
   {
-    aFixture.mCall->OnMoveAnswered(cache, false, aFixture.mNow);
+    aFixture.mCall->OnMoveAnswered({ MoveOutcome::Stopped, cache },
+                                   aFixture.mNow);
     aFixture.EndAnswer(SendOutcome::NotSent);
   }
   SUBCASE("because the answer to the move is lost")
   {
-    aFixture.mCall->OnMoveAnswered(std::nullopt, false, aFixture.mNow);
+    aFixture.mCall->OnMoveAnswered({ MoveOutcome::Unknown, {} }, aFixture.mNow);
   }
 }
 
@@ -217,7 +221,8 @@
 {
   StreamCallFixture fixture(true, 3);
   RunToStoppedMove(fixture);
-  fixture.mCall->OnMoveAnswered(MakeCache("moved"), true, fixture.mNow);
+  fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, MakeCache("moved") },
+                                fixture.mNow);
   fixture.mDelegate.mUnreachable = { "d1" };
   fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
   REQUIRE(fixture.mDelegate.mDemands.size() == 2);
@@ -230,6 +235,71 @@
   CHECK(fixture.mDelegate.mDemands.size() == 3);
 }
 
+// Guards against an answer that looks complete to the caller although a move
+// has stopped its run: an answer without a length ends with its connection, and
+// a stopped run closes that in order.
+TEST_CASE("The end of an unframed answer is not believed during a move")
+{
+  StreamCallFixture fixture(false, 1);
+  fixture.Start();
+  fixture.RunToAnswer("p1", "d1", kUnframedEvents);
+  fixture.AddData(Event(1));
+  fixture.mCall->StartMove("d2", fixture.mNow);
+
+  SUBCASE("it waits for the answer to the move")
+  {
+    fixture.EndAnswer(SendOutcome::Answered);
+    CHECK_FALSE(fixture.mDelegate.HasAction("end"));
+    CHECK_FALSE(fixture.mDelegate.HasAction("abort"));
+    SUBCASE("and the run continues at the target")
+    {
+      fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, MakeCache("moved") },
+                                    fixture.mNow);
+      CHECK(fixture.mDelegate.LastAction() == "decode d2");
+      CHECK(fixture.mDelegate.mDecodes.back().mLastEventId == "1");
+    }
+    SUBCASE("and is complete if the source did not stop the run")
+    {
+      fixture.mCall->OnMoveAnswered({ MoveOutcome::NotStopped, {} },
+                                    fixture.mNow);
+      CHECK(fixture.mDelegate.LastAction() == "end");
+    }
+    SUBCASE("and is incomplete if that is unknown")
+    {
+      fixture.mCall->OnMoveAnswered({ MoveOutcome::Unknown, {} }, fixture.mNow);
+      CHECK(fixture.mDelegate.LastAction() == "abort");
+    }
+    SUBCASE("but not longer than until the deadline")
+    {
+      fixture.Wake();
+      CHECK(fixture.mNow == fixture.mParameters.mCall.mDeadline);
+      CHECK(fixture.mDelegate.LastAction() == "abort");
+    }
+  }
+  SUBCASE("nor after a move whose answer was lost")
+  {
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::Unknown, {} }, fixture.mNow);
+    fixture.AddData(Event(2));
+    SUBCASE("even if the source refuses a later one")
+    {
+      fixture.mCall->StartMove("d2", fixture.mNow);
+      fixture.mCall->OnMoveAnswered({ MoveOutcome::NotStopped, {} },
+                                    fixture.mNow);
+    }
+    fixture.EndAnswer(SendOutcome::Answered);
+    CHECK_FALSE(fixture.mDelegate.HasAction("end"));
+    CHECK(fixture.mDelegate.LastAction() == "abort");
+  }
+  SUBCASE("but after a move that the source refused")
+  {
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::NotStopped, {} },
+                                  fixture.mNow);
+    fixture.AddData(Event(2));
+    fixture.EndAnswer(SendOutcome::Answered);
+    CHECK(fixture.mDelegate.LastAction() == "end");
+  }
+}
+
 TEST_CASE("A run moves to another engine and continues there")
 {
   StreamCallFixture fixture(false, 1);
@@ -250,7 +320,7 @@
 
   SUBCASE("when the copy is reported before the answer of the source ends")
   {
-    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, cache }, fixture.mNow);
     CHECK(fixture.mDelegate.mDecodes.size() == 1);
     fixture.EndAnswer(SendOutcome::Unknown);
     CHECK(fixture.mDelegate.mDecodes.size() == 2);
@@ -259,7 +329,7 @@
   {
     fixture.EndAnswer(SendOutcome::Unknown);
     CHECK(fixture.mDelegate.mDecodes.size() == 1);
-    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, cache }, fixture.mNow);
     REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
     CHECK(fixture.mDelegate.mDecodes[1].mEndpoint == "d2");
     CHECK(fixture.mDelegate.mDecodes[1].mCache->mHandle == "moved");
@@ -285,7 +355,7 @@
   // during a move.
   SUBCASE("the copy is dropped when the daemon stops during the move")
   {
-    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, cache }, fixture.mNow);
     fixture.mCall->OnStopEnd();
     CHECK(fixture.mDelegate.HasAction("drop moved"));
     CHECK(fixture.mDelegate.LastAction() == "abort");
@@ -297,7 +367,7 @@
   {
     fixture.EndAnswer(SendOutcome::Unknown);
     fixture.mDelegate.mUnusable = { "d2" };
-    fixture.mCall->OnMoveAnswered(cache, true, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, cache }, fixture.mNow);
     REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
     CHECK(fixture.mDelegate.mDecodes[1].mEndpoint == "d1");
     CHECK(fixture.mDelegate.mRunEndpoint == "d1");
@@ -305,13 +375,15 @@
   SUBCASE("it resumes at its source when the target has no free memory")
   {
     fixture.EndAnswer(SendOutcome::Unknown);
-    fixture.mCall->OnMoveAnswered(cache, false, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::Stopped, cache },
+                                  fixture.mNow);
     REQUIRE(fixture.mDelegate.mDecodes.size() == 2);
     CHECK(fixture.mDelegate.mDecodes[1].mEndpoint == "d1");
   }
   SUBCASE("it continues at its source when that refuses the move")
   {
-    fixture.mCall->OnMoveAnswered(std::nullopt, false, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::NotStopped, {} },
+                                  fixture.mNow);
     CHECK(fixture.mDelegate.mRunEndpoint == "d1");
     fixture.AddData(Event(3));
     fixture.EndAnswer(SendOutcome::Answered);
@@ -321,13 +393,14 @@
   {
     fixture.EndAnswer(SendOutcome::Answered);
     CHECK(fixture.mDelegate.LastAction() == "end");
-    fixture.mCall->OnMoveAnswered(std::nullopt, false, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::NotStopped, {} },
+                                  fixture.mNow);
     CHECK(fixture.mDelegate.LastAction() == "end");
   }
   SUBCASE("the answer is aborted when the run is lost during the move")
   {
     fixture.EndAnswer(SendOutcome::Unknown);
-    fixture.mCall->OnMoveAnswered(std::nullopt, false, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::Unknown, {} }, fixture.mNow);
     CHECK(fixture.mDelegate.LastAction() == "abort");
   }
 }
--- a/Tests/Router/StreamCallSilenceTest.cxx
+++ b/Tests/Router/StreamCallSilenceTest.cxx
@@ -263,14 +263,16 @@
 
   SUBCASE("it goes on at the source")
   {
-    fixture.mCall->OnMoveAnswered(std::nullopt, false, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::NotStopped, {} },
+                                  fixture.mNow);
     CompleteAtFirstEngine(fixture);
   }
   SUBCASE("or at the target")
   {
     fixture.EndAnswer(SendOutcome::Unknown);
     fixture.mNow += milliseconds(1500);
-    fixture.mCall->OnMoveAnswered(MakeCache("moved"), true, fixture.mNow);
+    fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, MakeCache("moved") },
+                                  fixture.mNow);
     CHECK(fixture.mDelegate.LastAction() == "decode d2");
     SUBCASE("even if that is silent too")
     {
