Keep a silent run until its replacement is accepted

What callers saw: half delivered streams that ended although their engine was only silent for a second, when handles lapsed at the same time.

Cause: the run was cancelled when the decode of its replacement was sent. When the next engine refused it and the retry budget was used up, nothing was left to continue. Same class as: a sound resource is given up before there is another one.

Change: the run is kept, unread, until the engine of the replacement accepts or for 300 ms, since the users allow two engines to work on a stream for 400 ms. A refusal reads it on; an unknown outcome cancels it. What a session knows of an answer belongs to the attempt now, so that it returns with the run. The subcases "and cancelled then" and "and cancels the first run" expected the cancel at the send; they expect it when the engine accepts, after the longest overlap, or when the run's own connection closes.

--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -276,7 +276,6 @@
     Retry(repeats, aNow);
     return;
   }
-  AbandonRunAside();
   ++mPossibleRuns;
   mAttempt.mContinuesRun = false;
   mAttempt.mMoveSource.clear();
@@ -289,7 +288,13 @@
   mAttempt.mState = StreamState::Starting;
   mAttempt.mIsUnframed = false;
   mAttempt.mMayBeStopped = false;
-  WatchRun(aNow);
+  mIsReplacementSent = mRunAside.has_value();
+  if (mIsReplacementSent) {
+    mDelegate.SetRunAsideReading(false);
+    SetStallTimeout(kMaxOverlap, aNow);
+  } else {
+    WatchRun(aNow);
+  }
   mDelegate.Decode({ mAttempt.mPlacement.mDecode,
                      mAttempt.mCache,
                      mAttempt.mReservation,
@@ -313,6 +318,7 @@
     OnAnswerEnded(aOutcome, aNow);
     return;
   }
+  AbandonRunAside();
   // The engine has fetched the KV cache and used the reservation.
   mAttempt.mCache.reset();
   mAttempt.mReservation.clear();
@@ -393,13 +399,16 @@
   const bool hasErrorAnswer =
     mAttempt.mState == StreamState::ReceivingError && isComplete;
   if (!IsCertainlyNotRun(aOutcome)) {
+    AbandonRunAside();
     mDelegate.ReportInterruptedRun(mAttempt.mPlacement.mDecode);
   } else if (!mAttempt.mContinuesRun) {
     --mPossibleRuns;
   }
   mIsPromptLost = mIsPromptLost || mAttempt.mPlacement.mCachedTokens > 0;
   mFailedEndpoints.insert(mAttempt.mPlacement.mDecode);
-  mRelay.DiscardPartialEvent();
+  if (!mRunAside) {
+    mRelay.DiscardPartialEvent();
+  }
   // A further attempt repeats the decode and, if there was one, the prefill.
   const std::uint32_t repeats =
     (aOutcome == SendOutcome::NotSent ? 0 : 1) + RepeatedPrefills();
@@ -411,7 +420,9 @@
     mDelegate.Deliver(mErrorAnswer);
     return;
   }
-  Retry(hasErrorAnswer && !mHasStartedAnswer ? 0 : repeats, aNow);
+  if (!ReturnToRunAside(aNow)) {
+    Retry(hasErrorAnswer && !mHasStartedAnswer ? 0 : repeats, aNow);
+  }
 }
 
 } // namespace bulrushfold
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -108,6 +108,9 @@
   virtual void SetRunAside() = 0;
   /** Discards the replacement; the next actions refer to the run again. */
   virtual void ReturnToRun() = 0;
+  /** Pauses or continues to receive the answer of the run that was set aside.
+   */
+  virtual void SetRunAsideReading(bool aIsReading) = 0;
   /** Cancels the run that was set aside. */
   virtual void CancelRunAside() = 0;
   /** Stops the run at aEndpoint and copies its KV cache to aTarget. The session
@@ -176,9 +179,9 @@
                    const KvCache& aCache,
                    Duration aDuration,
                    Instant aNow);
-  /** The engine of the run sends or closes its connection; a replacement that
-   * was prepared because of its silence is discarded. To be called before the
-   * event itself is delivered. */
+  /** The engine of the run that was set aside sends or closes its connection. A
+   * replacement that is being prepared is discarded, but if it was sent, the
+   * run is cancelled. To be called before the event itself is delivered. */
   void OnRunHeard(Instant aNow);
   void OnAnswerStarted(SendOutcome aOutcome,
                        int aStatus,
@@ -219,6 +222,9 @@
 
   /** Time after which a prefill without an answer counts as lost. */
   static constexpr Duration kPrefillTimeout = std::chrono::milliseconds(1500);
+  /** Time for which a run is kept after its replacement was sent. The users
+   * allow two engines to work on a stream for 400 ms. */
+  static constexpr Duration kMaxOverlap = std::chrono::milliseconds(300);
   /** Maximum placements of one stream; limits the retries when engines refuse.
    */
   static constexpr std::uint32_t kMaxPlacements = 40;
@@ -305,8 +311,8 @@
   void Finish(RefusalReason aReason,
               Duration aMinRetryAfter = Duration::zero());
   void HandleStall(Instant aNow);
-  /** Prepares a replacement of the silent run. The run is kept until the
-   * replacement starts, because its engine may go on. */
+  /** Prepares a replacement of the silent run. The run is kept until the engine
+   * of the replacement accepts it, because its own engine may go on. */
   void HandleSilence(Instant aNow);
   /** Why no other run may replace the present one; empty when one may. */
   std::optional<RefusalReason> ReplacementObstacle(Instant aNow);
@@ -315,7 +321,12 @@
   bool CountReplacement(Instant aNow);
   /** Discards the replacement and everything that it occupies at engines. */
   void DropReplacement();
-  /** Cancels the run that was set aside, as its replacement starts. */
+  /** Reads the answer of the run that was set aside again, as its replacement
+   * was refused. Returns to it if its move was answered meanwhile, and true
+   * then. */
+  bool ReturnToRunAside(Instant aNow);
+  /** Cancels the run that was set aside, because its replacement has started or
+   * may have. */
   void AbandonRunAside();
   void SetStallTimeout(Duration aTimeout, Instant aNow);
   /** Waits for the next data of the run, or for its deadline. */
@@ -330,6 +341,9 @@
   std::optional<Attempt> mRunAside;
   /** The sends of the replacement are counted in the retry budget. */
   bool mIsReplacementCounted = false;
+  /** The replacement was sent to its decode engine, which has not answered. The
+   * answer of the run that was set aside is not read meanwhile. */
+  bool mIsReplacementSent = false;
   std::set<std::string> mFailedEndpoints;
   std::optional<RunMove> mMove;
   std::uint32_t mMoveCount = 0;
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -136,6 +136,13 @@
       OnPrefilled(SendOutcome::Unknown, {}, Duration::zero(), aNow);
       return;
     case StreamState::Starting:
+      if (mIsReplacementSent) {
+        AbandonRunAside();
+        WatchRun(aNow);
+        return;
+      }
+      HandleSilence(aNow);
+      return;
     case StreamState::Streaming:
     case StreamState::ReceivingError:
       HandleSilence(aNow);
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -26,12 +26,16 @@
 void
 StreamCall::OnMoveAnswered(const MoveAnswer& aAnswer, Instant aNow)
 {
-  OnRunHeard(aNow);
-  if (mMove) {
-    mMove->mAnswer = aAnswer;
+  if (!mMove) {
+    if (aAnswer.mCache) {
+      mDelegate.DropCache(*aAnswer.mCache);
+    }
+    return;
+  }
+  mMove->mAnswer = aAnswer;
+  if (!mIsReplacementSent) {
+    OnRunHeard(aNow);
     ContinueMove(aNow);
-  } else if (aAnswer.mCache) {
-    mDelegate.DropCache(*aAnswer.mCache);
   }
 }
 
--- a/Source/Router/StreamCallSilence.cxx
+++ b/Source/Router/StreamCallSilence.cxx
@@ -71,6 +71,7 @@
     mDelegate.CancelSend(SendResult::Answered);
   }
   ReleaseAll();
+  mIsReplacementSent = false;
   mAttempt = *std::exchange(mRunAside, std::nullopt);
   mDelegate.ReturnToRun();
 }
@@ -78,12 +79,30 @@
 void
 StreamCall::OnRunHeard(Instant aNow)
 {
-  if (mRunAside) {
+  if (mIsReplacementSent) {
+    AbandonRunAside();
+    WatchRun(aNow);
+  } else if (mRunAside) {
     DropReplacement();
     SetStallTimeout(kStallTimeout, aNow);
   }
 }
 
+bool
+StreamCall::ReturnToRunAside(Instant aNow)
+{
+  if (!std::exchange(mIsReplacementSent, false)) {
+    return false;
+  }
+  mDelegate.SetRunAsideReading(true);
+  if (!mMove || !mMove->mAnswer) {
+    return false;
+  }
+  OnRunHeard(aNow);
+  ContinueMove(aNow);
+  return true;
+}
+
 void
 StreamCall::AbandonRunAside()
 {
@@ -91,6 +110,7 @@
     return;
   }
   const Attempt run = *std::exchange(mRunAside, std::nullopt);
+  mIsReplacementSent = false;
   mDelegate.CancelRunAside();
   if (run.mCache) {
     mDelegate.DropCache(*run.mCache);
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -287,6 +287,15 @@
   mRunAside.reset();
 }
 
+void
+StreamSession::SetRunAsideReading(bool aIsReading)
+{
+  // The engine of a run that moves may have ended its answer.
+  if (mRunAside->mSend) {
+    mRunAside->mSend->SetReading(aIsReading);
+  }
+}
+
 void
 StreamSession::CancelRunAside()
 {
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -37,6 +37,13 @@
     std::string mStep;
     std::string mEndpoint;
     Instant mSentAt;
+    /** Hash of id and incarnation of the decode engine. */
+    std::uint64_t mEngineHash = 0;
+    SendOutcome mHeadOutcome = SendOutcome::Unknown;
+    /** When the head of the decode engine's answer arrived; zero before. */
+    Instant mAnswerStartedAt;
+    /** The answer of the decode engine states its end. */
+    bool mIsAnswerFramed = false;
   };
 
   bool Admits(const StreamDemand& aDemand) override;
@@ -60,6 +67,7 @@
   void ReportSilence(std::optional<RefusalReason> aKeptFor) override;
   void SetRunAside() override;
   void ReturnToRun() override;
+  void SetRunAsideReading(bool aIsReading) override;
   void CancelRunAside() override;
   void Move(const std::string& aEndpoint, const std::string& aTarget) override;
   void DropCache(const KvCache& aCache) override;
@@ -94,8 +102,13 @@
                   std::string_view aStep,
                   const std::string& aHandle);
   void HandlePrefilled(const HttpCallReply& aReply);
-  void HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders);
-  void HandleDecodeEnd(const HttpCallReply& aReply);
+  void HandleDecodeHead(std::uint64_t aNumber,
+                        int aStatus,
+                        const HttpHeaders& aHeaders);
+  void HandleDecodeEnd(std::uint64_t aNumber, const HttpCallReply& aReply);
+  /** The decode engine of the attempt aNumber is heard from. False when the
+   * attempt is not the present one, and is over. */
+  bool OnDecodeHeard(std::uint64_t aNumber);
   /** The answer was passed on as a whole. */
   void RecordWholeAnswer();
   /** The connection was lost while the decode engine ran the stream. */
@@ -130,14 +143,7 @@
   sigc::connection mStopConnection;
   /** Engines to which the request was sent, for a prefill or a decode. */
   std::set<std::string> mSentTo;
-  SendOutcome mHeadOutcome = SendOutcome::Unknown;
   bool mIsReadPaused = false;
-  /** When the head of the decode engine's answer arrived; zero before. */
-  Instant mAnswerStartedAt;
-  /** Hash of id and incarnation of the decode engine. */
-  std::uint64_t mEngineHash = 0;
-  /** The answer of the decode engine states its end. */
-  bool mIsAnswerFramed = false;
   /** Keeps the session alive until the call has ended. */
   std::shared_ptr<StreamSession> mSelf;
 };
--- a/Source/Router/StreamSessionDecode.cxx
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -23,55 +23,74 @@
   parameters.mLastEventId = aParameters.mLastEventId;
   const EndpointRecord& endpoint =
     *mServices.mDirectory.Find(aParameters.mEndpoint);
-  mEngineHash = Hash64(absl::StrCat(endpoint.mId, "/", endpoint.mIncarnation));
+  mAttempt.mEngineHash =
+    Hash64(absl::StrCat(endpoint.mId, "/", endpoint.mIncarnation));
   HttpCallRequest request =
     mServices.mProtocol.Forward(mRequest->Message(), endpoint, parameters);
   HttpCallHooks hooks;
-  hooks.mOnHeaders = [this](int aStatus, const HttpHeaders& aHeaders) {
-    HandleDecodeHead(aStatus, aHeaders);
+  const std::uint64_t number = mAttempt.mNumber;
+  hooks.mOnHeaders = [this, number](int aStatus, const HttpHeaders& aHeaders) {
+    HandleDecodeHead(number, aStatus, aHeaders);
   };
-  hooks.mOnChunk = [this](std::string_view aData) {
+  hooks.mOnChunk = [this, number](std::string_view aData) {
     const auto self = mSelf;
-    const Instant now = mServices.mClock.Now();
-    mCall.OnRunHeard(now);
-    mCall.OnAnswerData(aData, now);
+    if (!OnDecodeHeard(number)) {
+      return;
+    }
+    mCall.OnAnswerData(aData, mServices.mClock.Now());
     if (mAttempt.mSend) {
       mAttempt.mSend->SetKeptBytes(mCall.KeptBytes());
     }
   };
-  hooks.mOnDone = [this](const HttpCallReply& aReply) {
-    HandleDecodeEnd(aReply);
+  hooks.mOnDone = [this, number](const HttpCallReply& aReply) {
+    HandleDecodeEnd(number, aReply);
   };
-  mHeadOutcome = SendOutcome::Unknown;
+  mAttempt.mHeadOutcome = SendOutcome::Unknown;
   mIsReadPaused = false;
-  mAnswerStartedAt = Instant();
+  mAttempt.mAnswerStartedAt = Instant();
   StartSend("decode", endpoint, std::move(request), std::move(hooks));
 }
 
+bool
+StreamSession::OnDecodeHeard(std::uint64_t aNumber)
+{
+  if (mRunAside && mRunAside->mNumber == aNumber) {
+    mCall.OnRunHeard(mServices.mClock.Now());
+  }
+  return mAttempt.mNumber == aNumber;
+}
+
 void
-StreamSession::HandleDecodeHead(int aStatus, const HttpHeaders& aHeaders)
+StreamSession::HandleDecodeHead(std::uint64_t aNumber,
+                                int aStatus,
+                                const HttpHeaders& aHeaders)
 {
   const auto self = mSelf;
-  mAnswerStartedAt = mServices.mClock.Now();
-  mCall.OnRunHeard(mAnswerStartedAt);
-  mIsAnswerFramed = aHeaders.Count("Content-Length") > 0 ||
-                    aHeaders.Count("Transfer-Encoding") > 0;
+  if (!OnDecodeHeard(aNumber)) {
+    return;
+  }
+  mAttempt.mAnswerStartedAt = mServices.mClock.Now();
+  mAttempt.mIsAnswerFramed = aHeaders.Count("Content-Length") > 0 ||
+                             aHeaders.Count("Transfer-Encoding") > 0;
   const AnswerMetadata metadata =
     mServices.mProtocol.ReadAnswer(aStatus, aHeaders);
-  mHeadOutcome =
+  mAttempt.mHeadOutcome =
     ClassifySend(HttpCallResult::Complete, metadata, mRequest->mMetadata.mId);
-  if (mHeadOutcome == SendOutcome::OtherEndpoint) {
+  if (mAttempt.mHeadOutcome == SendOutcome::OtherEndpoint) {
     mServices.mDirectory.OnAddressReused(mAttempt.mEndpoint);
   }
   mCall.OnAnswerStarted(
-    mHeadOutcome, aStatus, aHeaders, mServices.mClock.Now());
+    mAttempt.mHeadOutcome, aStatus, aHeaders, mServices.mClock.Now());
 }
 
 void
-StreamSession::HandleDecodeEnd(const HttpCallReply& aReply)
+StreamSession::HandleDecodeEnd(std::uint64_t aNumber,
+                               const HttpCallReply& aReply)
 {
   const auto self = mSelf;
-  mCall.OnRunHeard(mServices.mClock.Now());
+  if (!OnDecodeHeard(aNumber)) {
+    return;
+  }
   const bool isMoving = mCall.IsMoving();
   HttpCallReply reply = aReply;
   // An answer without framing also ends in order when its engine crashes.
@@ -88,12 +107,13 @@
 void
 StreamSession::RecordLostRun()
 {
-  const Duration answering = mAnswerStartedAt == Instant()
-                               ? Duration::zero()
-                               : mServices.mClock.Now() - mAnswerStartedAt;
+  const Duration answering =
+    mAttempt.mAnswerStartedAt == Instant()
+      ? Duration::zero()
+      : mServices.mClock.Now() - mAttempt.mAnswerStartedAt;
   mServices.mLog.RunLost(*mRequest, mAttempt.mEndpoint, answering);
   if (answering < kAnswerBeginning) {
-    mServices.mPromptGuard.OnRunLost(mEngineHash,
+    mServices.mPromptGuard.OnRunLost(mAttempt.mEngineHash,
                                      mRequest->mMetadata.mSharedPromptParts,
                                      mServices.mClock.Now());
   }
@@ -104,7 +124,8 @@
 {
   // A crash also ends an answer without framing, and looks like its end.
   const Instant now = mServices.mClock.Now();
-  if (mIsAnswerFramed || now - mAnswerStartedAt >= kAnswerBeginning) {
+  if (mAttempt.mIsAnswerFramed ||
+      now - mAttempt.mAnswerStartedAt >= kAnswerBeginning) {
     mServices.mPromptGuard.OnAnswered(mRequest->mMetadata.mSharedPromptParts,
                                       now);
   }
--- a/Tests/Router/StreamCallFixture.h
+++ b/Tests/Router/StreamCallFixture.h
@@ -70,6 +70,10 @@
   }
   void SetRunAside() override { mActions.push_back("set aside"); }
   void ReturnToRun() override { mActions.push_back("return"); }
+  void SetRunAsideReading(bool aIsReading) override
+  {
+    mActions.push_back(aIsReading ? "read aside" : "pause aside");
+  }
   void CancelRunAside() override { mActions.push_back("cancel aside"); }
   void Move(const std::string& aEndpoint, const std::string& aTarget) override
   {
--- a/Tests/Router/StreamCallMoveTest.cxx
+++ b/Tests/Router/StreamCallMoveTest.cxx
@@ -46,8 +46,10 @@
     fixture.mCall->OnReserved("hold2", fixture.mNow);
     CHECK_FALSE(fixture.mDelegate.HasAction("cancel aside"));
     fixture.FinishPrefill();
-    CHECK(fixture.mDelegate.HasAction("cancel aside"));
     CHECK(fixture.mDelegate.mDecodes.back().mLastEventId == "2");
+    CHECK_FALSE(fixture.mDelegate.HasAction("cancel aside"));
+    fixture.StartAnswer();
+    CHECK(fixture.mDelegate.HasAction("cancel aside"));
   }
   // Guards against the text of an error in the middle of a stream.
   SUBCASE("and the error answer of that engine is not passed on")
--- a/Tests/Router/StreamCallSilenceTest.cxx
+++ b/Tests/Router/StreamCallSilenceTest.cxx
@@ -128,11 +128,30 @@
     CHECK(fixture.mDelegate.LastAction() == "prefill p2");
     CHECK_FALSE(fixture.mDelegate.HasAction("cancel aside"));
     fixture.FinishPrefill();
-    CHECK(fixture.mDelegate.HasAction("cancel aside"));
+    CHECK_FALSE(fixture.mDelegate.HasAction("cancel aside"));
     CHECK(fixture.mDelegate.LastAction() == "decode d2");
     CHECK(fixture.mDelegate.mDecodes.back().mLastEventId == "2");
+    SUBCASE("when its engine accepts")
+    {
+      fixture.StartAnswer();
+      CHECK(fixture.mDelegate.HasAction("cancel aside"));
+    }
+    // Guards against two engines that work on one stream.
+    SUBCASE("when its engine does not answer for the longest overlap")
+    {
+      const Instant sentAt = fixture.mNow;
+      fixture.Wake();
+      CHECK(fixture.mNow <= sentAt + milliseconds(400));
+      CHECK(fixture.mDelegate.HasAction("cancel aside"));
+      fixture.StartAnswer();
+    }
+    SUBCASE("when its own connection closes")
+    {
+      fixture.mCall->OnRunHeard(fixture.mNow);
+      CHECK(fixture.mDelegate.HasAction("cancel aside"));
+      fixture.StartAnswer();
+    }
     CHECK(fixture.mDelegate.mInterruptedAt == std::vector<std::string>{ "d1" });
-    fixture.StartAnswer();
     fixture.AddData(Event(3));
     fixture.EndAnswer(SendOutcome::Answered);
     CHECK(fixture.mDelegate.mAnswerData == kAllEvents);
@@ -250,6 +269,79 @@
   fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
   CHECK_FALSE(fixture.mDelegate.HasAction("cancel aside"));
   CHECK_FALSE(fixture.mDelegate.HasAction("abort"));
+  CHECK(fixture.mDelegate.HasAction("read aside"));
+  fixture.AddData(Event(3));
+  fixture.EndAnswer(SendOutcome::Answered);
+  CHECK(fixture.mDelegate.mAnswerData == kAllEvents);
+  CHECK(fixture.mDelegate.LastAction() == "end");
+}
+
+// Guards against an event that is joined from two runs, or lost, because the
+// start of it was discarded when the replacement was refused.
+TEST_CASE("A silent run goes on inside an event after a refused replacement")
+{
+  StreamCallFixture fixture(true, 3);
+  RunToSecondEvent(fixture);
+  fixture.AddData("id: 3\nda");
+  fixture.Wake();
+  fixture.Place("p2", "d2");
+  fixture.mCall->OnReserved("hold2", fixture.mNow);
+  fixture.FinishPrefill();
+  fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
+  REQUIRE(fixture.mDelegate.mDemands.size() == 3);
+  fixture.AddData("ta: x\n\n");
+  fixture.EndAnswer(SendOutcome::Answered);
+  CHECK(fixture.mDelegate.mAnswerData == kAllEvents);
+  CHECK(fixture.mDelegate.LastAction() == "end");
+}
+
+// Guards against a run that goes on while its replacement may have started at
+// an engine whose connection was lost.
+TEST_CASE("A silent run is cancelled when its replacement may have started")
+{
+  StreamCallFixture fixture(true, 3);
+  RunToSecondEvent(fixture);
+  fixture.Wake();
+  fixture.Place("p2", "d2");
+  fixture.mCall->OnReserved("hold2", fixture.mNow);
+  fixture.FinishPrefill();
+  fixture.mCall->OnAnswerEnded(SendOutcome::Unknown, fixture.mNow);
+  CHECK(fixture.mDelegate.HasAction("cancel aside"));
+  REQUIRE(fixture.mDelegate.mDemands.size() == 3);
+  fixture.RunToAnswer("p3", "d3");
+  fixture.AddData(Event(3));
+  fixture.EndAnswer(SendOutcome::Answered);
+  CHECK(fixture.mDelegate.mAnswerData == kAllEvents);
+}
+
+// Guards against a move whose answer is lost because it arrives while the
+// replacement of the run waits for its engine.
+TEST_CASE("A silent run whose move is answered goes on at the target")
+{
+  StreamCallFixture fixture(true, 3);
+  RunToSecondEvent(fixture);
+  fixture.mCall->StartMove("d3", fixture.mNow);
+  fixture.EndAnswer(SendOutcome::Unknown);
+  fixture.mNow += milliseconds(1200);
+  fixture.mCall->OnWake(fixture.mNow);
+  REQUIRE(fixture.mDelegate.LastAction() == "set aside");
+  fixture.Place("p2", "d2");
+  fixture.mCall->OnReserved("hold2", fixture.mNow);
+  fixture.FinishPrefill();
+  fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, MakeCache("moved") },
+                                fixture.mNow);
+  CHECK(fixture.mDelegate.LastAction() == "decode d2");
+  SUBCASE("when the replacement is refused")
+  {
+    fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
+    CHECK(fixture.mDelegate.LastAction() == "decode d3");
+    CHECK(fixture.mDelegate.mDecodes.back().mCache->mHandle == "moved");
+  }
+  SUBCASE("unless the replacement is accepted")
+  {
+    fixture.StartAnswer();
+    CHECK(fixture.mDelegate.HasAction("drop moved"));
+  }
 }
 
 // Guards against a run that is cancelled because the answer to its move takes
