--- a/Tests/Adapter/PlatformProtocolTest.cxx
+++ b/Tests/Adapter/PlatformProtocolTest.cxx
@@ -173,6 +173,9 @@
   const auto move = protocol.MoveCache(endpoint, "r1", target);
   CHECK(Json::parse(move.mBody) ==
         Json{ { "id", "r1" }, { "target", "10.0.0.9:80" }, { "last", true } });
+  // Guards against a run that continues from the memory of another request: a
+  // repeated answer to an earlier move arrives on the same connection.
+  CHECK(move.mMaxIdleTime == Duration::zero());
   const auto order =
     protocol.OrderRole(endpoint, EndpointRole::Decode, "front-1", 41, 2);
   CHECK(order.mTarget == "/api/order");
