Keep a run whose id JSON cannot carry at its engine

What callers saw: all streams of a daemon ended when another caller used a request id with a byte that is not UTF-8 and its run was moved; the process ended.

Cause: the body of a move carries the id, and the JSON library throws when it writes such a text.

Change: MoveCache returns an error for such an id. The run stays at its engine, and move_skipped says why. A move to or from an engine that left the registry is logged in the same way. The fake prefill engine of the tests, which threw too, replaces the bytes.

--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -121,10 +121,11 @@
                                   const EndpointRecord& aEndpoint,
                                   const SendParameters& aParameters) const = 0;
   /** Stops the run of aRequestId at aEndpoint and copies its KV cache to
-   * aTarget. */
-  virtual HttpCallRequest MoveCache(const EndpointRecord& aEndpoint,
-                                    const std::string& aRequestId,
-                                    const EndpointRecord& aTarget) const = 0;
+   * aTarget. InvalidArgument: the call can't carry the bytes of aRequestId. */
+  virtual absl::StatusOr<HttpCallRequest> MoveCache(
+    const EndpointRecord& aEndpoint,
+    const std::string& aRequestId,
+    const EndpointRecord& aTarget) const = 0;
   virtual HttpCallRequest DropCache(const EndpointRecord& aEndpoint,
                                     const std::string& aHandle) const = 0;
   virtual HttpCallRequest Reserve(const EndpointRecord& aEndpoint,
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -197,6 +197,18 @@
       { "sends", aRequest.mSends } });
 }
 
+void
+RequestLog::MoveSkipped(const RoutedRequest& aRequest,
+                        const std::string& aEndpoint,
+                        const absl::Status& aReason)
+{
+  LogEvent(LogLevel::Info,
+           "move_skipped",
+           { { "id", aRequest.mMetadata.mId },
+             { "endpoint", aEndpoint },
+             { "reason", aReason.message() } });
+}
+
 void
 RequestLog::RunLost(const RoutedRequest& aRequest,
                     const std::string& aEndpoint,
--- a/Source/Router/RequestLog.h
+++ b/Source/Router/RequestLog.h
@@ -12,6 +12,7 @@
 #include "Router/StreamCall.h"
 #include "Routing/EndpointDirectory.h"
 #include "Routing/PromptCrashGuard.h"
+#include "absl/status/status.h"
 
 namespace bulrushfold {
 
@@ -43,6 +44,11 @@
   void RunLost(const RoutedRequest& aRequest,
                const std::string& aEndpoint,
                Duration aAnswering);
+  /** A run stays at aEndpoint, because the call that would move it cannot be
+   * made. */
+  void MoveSkipped(const RoutedRequest& aRequest,
+                   const std::string& aEndpoint,
+                   const absl::Status& aReason);
   /** The decode engine of a run has sent nothing for the stall timeout.
    * aKeptFor: why no other run may replace it; empty when a replacement is
    * prepared. */
--- a/Source/Router/StreamSessionMoves.cxx
+++ b/Source/Router/StreamSessionMoves.cxx
@@ -19,21 +19,26 @@
   const EndpointRecord* source = mServices.mDirectory.Find(aEndpoint);
   const EndpointRecord* target = mServices.mDirectory.Find(aTarget);
   const Instant now = mServices.mClock.Now();
-  mServices.mLog.Sent(*mRequest, "move", aEndpoint, 0, 0);
-  if (source == nullptr || target == nullptr) {
+  absl::StatusOr<HttpCallRequest> call =
+    absl::UnavailableError("an engine left the registry");
+  if (source != nullptr && target != nullptr) {
+    call =
+      mServices.mProtocol.MoveCache(*source, mRequest->mMetadata.mId, *target);
+  }
+  if (!call.ok()) {
+    mServices.mLog.MoveSkipped(*mRequest, aEndpoint, call.status());
     mServices.mLoop.Defer([this, self = mSelf, now] {
       mCall.OnMoveAnswered({ MoveOutcome::NotStopped, {} }, now);
     });
     return;
   }
+  mServices.mLog.Sent(*mRequest, "move", aEndpoint, 0, 0);
   HttpCallHooks hooks;
   hooks.mOnDone = [this, aEndpoint, now](const HttpCallReply& aReply) {
     HandleMoveAnswer(aReply, aEndpoint, now);
   };
-  mMoveCall = mServices.mClient.Start(
-    *source,
-    mServices.mProtocol.MoveCache(*source, mRequest->mMetadata.mId, *target),
-    std::move(hooks));
+  mMoveCall =
+    mServices.mClient.Start(*source, *std::move(call), std::move(hooks));
 }
 
 void
--- a/Tests/Adapter/FakeEndpoint.cxx
+++ b/Tests/Adapter/FakeEndpoint.cxx
@@ -157,8 +157,8 @@
     aExchange->Reply(
       200,
       WithLeaving({ { "X-Request-Id", id } }),
-      Json{ { "handle", "h" + id }, { "tokens", 10 }, { "version", 1 } }
-        .dump());
+      Json{ { "handle", "h" + id }, { "tokens", 10 }, { "version", 1 } }.dump(
+        -1, ' ', false, Json::error_handler_t::replace));
   };
   if (mPrefillTime <= Duration::zero()) {
     answer();
--- a/Tests/Adapter/PlatformProtocolTest.cxx
+++ b/Tests/Adapter/PlatformProtocolTest.cxx
@@ -170,12 +170,21 @@
   CHECK(reservation.mTarget == "/api/hold-take");
   CHECK(Json::parse(reservation.mBody) ==
         Json{ { "tokens", 5600 }, { "ttl_ms", 2000 } });
-  const auto move = protocol.MoveCache(endpoint, "r1", target);
+  const auto move = *protocol.MoveCache(endpoint, "r1", target);
   CHECK(Json::parse(move.mBody) ==
         Json{ { "id", "r1" }, { "target", "10.0.0.9:80" }, { "last", true } });
   // Guards against a run that continues from the memory of another request: a
   // repeated answer to an earlier move arrives on the same connection.
   CHECK(move.mMaxIdleTime == Duration::zero());
+  // Guards against a process that ends because of a caller's request id.
+  SUBCASE("a move of a request whose id JSON can't carry is not sent")
+  {
+    for (const std::string id : { "caf\xe9", "\xff", "a\xc3" }) {
+      CHECK(protocol.MoveCache(endpoint, id, target).status().code() ==
+            absl::StatusCode::kInvalidArgument);
+    }
+    CHECK(protocol.MoveCache(endpoint, "caf\u00e9", target).ok());
+  }
   const auto order =
     protocol.OrderRole(endpoint, EndpointRole::Decode, "front-1", 41, 2);
   CHECK(order.mTarget == "/api/order");
--- a/Tests/Router/StreamCallSilenceTest.cxx
+++ b/Tests/Router/StreamCallSilenceTest.cxx
@@ -21,6 +21,15 @@
   aFixture.AddData(Event(1) + Event(2));
 }
 
+/** Sends the replacement of a silent run to the engine d2. */
+void
+SendReplacement(StreamCallFixture& aFixture)
+{
+  aFixture.Place("p2", "d2");
+  aFixture.mCall->OnReserved("hold2", aFixture.mNow);
+  aFixture.FinishPrefill();
+}
+
 /** Checks that the engine that was silent goes on and completes the answer. */
 void
 CompleteAtFirstEngine(StreamCallFixture& aFixture)
@@ -262,9 +271,7 @@
   StreamCallFixture fixture(true, 3);
   RunToSecondEvent(fixture);
   fixture.Wake();
-  fixture.Place("p2", "d2");
-  fixture.mCall->OnReserved("hold2", fixture.mNow);
-  fixture.FinishPrefill();
+  SendReplacement(fixture);
   fixture.UseRetryBudget();
   fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
   CHECK_FALSE(fixture.mDelegate.HasAction("cancel aside"));
@@ -284,9 +291,7 @@
   RunToSecondEvent(fixture);
   fixture.AddData("id: 3\nda");
   fixture.Wake();
-  fixture.Place("p2", "d2");
-  fixture.mCall->OnReserved("hold2", fixture.mNow);
-  fixture.FinishPrefill();
+  SendReplacement(fixture);
   fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
   REQUIRE(fixture.mDelegate.mDemands.size() == 3);
   fixture.AddData("ta: x\n\n");
@@ -302,9 +307,7 @@
   StreamCallFixture fixture(true, 3);
   RunToSecondEvent(fixture);
   fixture.Wake();
-  fixture.Place("p2", "d2");
-  fixture.mCall->OnReserved("hold2", fixture.mNow);
-  fixture.FinishPrefill();
+  SendReplacement(fixture);
   fixture.mCall->OnAnswerEnded(SendOutcome::Unknown, fixture.mNow);
   CHECK(fixture.mDelegate.HasAction("cancel aside"));
   REQUIRE(fixture.mDelegate.mDemands.size() == 3);
@@ -325,9 +328,7 @@
   fixture.mNow += milliseconds(1200);
   fixture.mCall->OnWake(fixture.mNow);
   REQUIRE(fixture.mDelegate.LastAction() == "set aside");
-  fixture.Place("p2", "d2");
-  fixture.mCall->OnReserved("hold2", fixture.mNow);
-  fixture.FinishPrefill();
+  SendReplacement(fixture);
   fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, MakeCache("moved") },
                                 fixture.mNow);
   CHECK(fixture.mDelegate.LastAction() == "decode d2");
