--- a/Tests/Router/StreamCallFixture.h
+++ b/Tests/Router/StreamCallFixture.h
@@ -153,6 +153,8 @@
   return "id: " + std::to_string(aId) + "\ndata: x\n\n";
 }
 
+inline const std::string kAllEvents = Event(1) + Event(2) + Event(3);
+
 inline KvCache
 MakeCache(const std::string& aHandle)
 {
@@ -203,6 +205,13 @@
     FinishPrefill();
     StartAnswer(aHeaders);
   }
+  /** Starts the stream and advances it to the second event of its answer. */
+  void RunToSecondEvent()
+  {
+    Start();
+    RunToAnswer("p1", "d1");
+    AddData(Event(1) + Event(2));
+  }
   void FinishPrefill()
   {
     mCall->OnPrefilled(SendOutcome::Answered,
--- a/Tests/Router/StreamCallSilenceTest.cxx
+++ b/Tests/Router/StreamCallSilenceTest.cxx
@@ -10,26 +10,6 @@
 
 using std::chrono::milliseconds;
 
-const std::string kAllEvents = Event(1) + Event(2) + Event(3);
-
-/** Advances the stream to the second event of its answer. */
-void
-RunToSecondEvent(StreamCallFixture& aFixture)
-{
-  aFixture.Start();
-  aFixture.RunToAnswer("p1", "d1");
-  aFixture.AddData(Event(1) + Event(2));
-}
-
-/** Sends the replacement of a silent run to the engine d2. */
-void
-SendReplacement(StreamCallFixture& aFixture)
-{
-  aFixture.Place("p2", "d2");
-  aFixture.mCall->OnReserved("hold2", aFixture.mNow);
-  aFixture.FinishPrefill();
-}
-
 /** Checks that the engine that was silent goes on and completes the answer. */
 void
 CompleteAtFirstEngine(StreamCallFixture& aFixture)
@@ -51,7 +31,7 @@
   SUBCASE("on a route without further attempts")
   {
     StreamCallFixture fixture(true, 1);
-    RunToSecondEvent(fixture);
+    fixture.RunToSecondEvent();
     fixture.Wake();
     CHECK(fixture.mDelegate.mKeptFor == RefusalReason::AttemptsUsed);
     CompleteAtFirstEngine(fixture);
@@ -74,7 +54,7 @@
   SUBCASE("when the retry budget is used up")
   {
     StreamCallFixture fixture(true, 3);
-    RunToSecondEvent(fixture);
+    fixture.RunToSecondEvent();
     fixture.UseRetryBudget();
     fixture.Wake();
     CHECK(fixture.mDelegate.mKeptFor == RefusalReason::RetryBudgetUsed);
@@ -84,7 +64,7 @@
   SUBCASE("when the retry budget allows only a part of a replacement")
   {
     StreamCallFixture fixture(true, 3);
-    RunToSecondEvent(fixture);
+    fixture.RunToSecondEvent();
     while (fixture.mRetryBudget.Allows("s", 2, fixture.mNow)) {
       REQUIRE(fixture.mRetryBudget.TryConsume("s", 1, fixture.mNow));
     }
@@ -108,7 +88,7 @@
   SUBCASE("and is ended at the deadline")
   {
     StreamCallFixture fixture(true, 1);
-    RunToSecondEvent(fixture);
+    fixture.RunToSecondEvent();
     constexpr int kMaxWakes = 20;
     for (int i = 0; i < kMaxWakes && !fixture.mDelegate.HasAction("abort");
          ++i) {
@@ -124,7 +104,7 @@
 TEST_CASE("A silent run is kept until its replacement starts")
 {
   StreamCallFixture fixture(true, 3);
-  RunToSecondEvent(fixture);
+  fixture.RunToSecondEvent();
   fixture.Wake();
   REQUIRE(fixture.mDelegate.mDemands.size() == 2);
   CHECK(fixture.mDelegate.mDemands[1].mFailedEndpoints.count("d1") == 1);
@@ -264,93 +244,12 @@
   }
 }
 
-// Guards against an answer that is aborted because the engine of the
-// replacement refuses the decode: the silent run may go on.
-TEST_CASE("A silent run is kept until the engine of its replacement accepts")
-{
-  StreamCallFixture fixture(true, 3);
-  RunToSecondEvent(fixture);
-  fixture.Wake();
-  SendReplacement(fixture);
-  fixture.UseRetryBudget();
-  fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
-  CHECK_FALSE(fixture.mDelegate.HasAction("cancel aside"));
-  CHECK_FALSE(fixture.mDelegate.HasAction("abort"));
-  CHECK(fixture.mDelegate.HasAction("read aside"));
-  fixture.AddData(Event(3));
-  fixture.EndAnswer(SendOutcome::Answered);
-  CHECK(fixture.mDelegate.mAnswerData == kAllEvents);
-  CHECK(fixture.mDelegate.LastAction() == "end");
-}
-
-// Guards against an event that is joined from two runs, or lost, because the
-// start of it was discarded when the replacement was refused.
-TEST_CASE("A silent run goes on inside an event after a refused replacement")
-{
-  StreamCallFixture fixture(true, 3);
-  RunToSecondEvent(fixture);
-  fixture.AddData("id: 3\nda");
-  fixture.Wake();
-  SendReplacement(fixture);
-  fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
-  REQUIRE(fixture.mDelegate.mDemands.size() == 3);
-  fixture.AddData("ta: x\n\n");
-  fixture.EndAnswer(SendOutcome::Answered);
-  CHECK(fixture.mDelegate.mAnswerData == kAllEvents);
-  CHECK(fixture.mDelegate.LastAction() == "end");
-}
-
-// Guards against a run that goes on while its replacement may have started at
-// an engine whose connection was lost.
-TEST_CASE("A silent run is cancelled when its replacement may have started")
-{
-  StreamCallFixture fixture(true, 3);
-  RunToSecondEvent(fixture);
-  fixture.Wake();
-  SendReplacement(fixture);
-  fixture.mCall->OnAnswerEnded(SendOutcome::Unknown, fixture.mNow);
-  CHECK(fixture.mDelegate.HasAction("cancel aside"));
-  REQUIRE(fixture.mDelegate.mDemands.size() == 3);
-  fixture.RunToAnswer("p3", "d3");
-  fixture.AddData(Event(3));
-  fixture.EndAnswer(SendOutcome::Answered);
-  CHECK(fixture.mDelegate.mAnswerData == kAllEvents);
-}
-
-// Guards against a move whose answer is lost because it arrives while the
-// replacement of the run waits for its engine.
-TEST_CASE("A silent run whose move is answered goes on at the target")
-{
-  StreamCallFixture fixture(true, 3);
-  RunToSecondEvent(fixture);
-  fixture.mCall->StartMove("d3", fixture.mNow);
-  fixture.EndAnswer(SendOutcome::Unknown);
-  fixture.mNow += milliseconds(1200);
-  fixture.mCall->OnWake(fixture.mNow);
-  REQUIRE(fixture.mDelegate.LastAction() == "set aside");
-  SendReplacement(fixture);
-  fixture.mCall->OnMoveAnswered({ MoveOutcome::Copied, MakeCache("moved") },
-                                fixture.mNow);
-  CHECK(fixture.mDelegate.LastAction() == "decode d2");
-  SUBCASE("when the replacement is refused")
-  {
-    fixture.mCall->OnAnswerStarted(SendOutcome::NotRun, 503, {}, fixture.mNow);
-    CHECK(fixture.mDelegate.LastAction() == "decode d3");
-    CHECK(fixture.mDelegate.mDecodes.back().mCache->mHandle == "moved");
-  }
-  SUBCASE("unless the replacement is accepted")
-  {
-    fixture.StartAnswer();
-    CHECK(fixture.mDelegate.HasAction("drop moved"));
-  }
-}
-
 // Guards against a run that is cancelled because the answer to its move takes
 // longer than a timeout: the source may only be silent.
 TEST_CASE("A run is kept while its source is silent during a move")
 {
   StreamCallFixture fixture(false, 1);
-  RunToSecondEvent(fixture);
+  fixture.RunToSecondEvent();
   fixture.mCall->StartMove("d2", fixture.mNow);
   CHECK(fixture.mDelegate.mWakeTime == fixture.mParameters.mCall.mDeadline);
 
