--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -48,7 +48,7 @@
     }
   });
   mTables.mRuns.OnOwnChange().connect([this] { ScheduleBroadcast(); });
-  mTables.mPromptGuard.OnOwnLoss().connect([this] { ScheduleBroadcast(); });
+  mTables.mGuard.OnOwnLoss().connect([this] { ScheduleBroadcast(); });
 }
 
 void
@@ -155,8 +155,7 @@
   mTables.mLoads.SetPeer(aSender, std::move(status->mWorks));
   mTables.mRuns.SetPeer(aSender, std::move(status->mRuns));
   mTables.mRetryBudget.SetPeer(aSender, std::move(status->mRetries));
-  mTables.mGuard.SetPeer(aSender, status->mSuspects, now);
-  mTables.mPromptGuard.Merge(status->mLostPrompts, status->mAnsweredParts, now);
+  mTables.mGuard.Merge(status->mCrashes, now);
   mTables.mDeferredRequests.SetPeer(aSender, status->mDeferredRequests, now);
   mTables.mCachedPrompts.SetPeer(aSender, std::move(status->mCachedPrompts));
   for (const auto& [endpoint, order] : status->mRoleOrders) {
@@ -178,7 +177,6 @@
   mTables.mLoads.RemovePeer(aName);
   mTables.mRuns.RemovePeer(aName);
   mTables.mRetryBudget.RemovePeer(aName);
-  mTables.mGuard.RemovePeer(aName);
   mTables.mDeferredRequests.RemovePeer(aName);
 }
 
@@ -229,9 +227,7 @@
   const Instant now = mClock.Now();
   PeerStatus status;
   status.mRetries = mTables.mRetryBudget.OwnUses(now);
-  status.mSuspects = mTables.mGuard.OwnSuspects(now);
-  status.mLostPrompts = mTables.mPromptGuard.Lost(now);
-  status.mAnsweredParts = mTables.mPromptGuard.Answered(now);
+  status.mCrashes = mTables.mGuard.Report(now);
   status.mAddress = mSettings.mPeerAddress;
   return status;
 }
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -28,7 +28,6 @@
   StreamRuns& mRuns;
   SharedRetryBudget& mRetryBudget;
   CrashGuard& mGuard;
-  PromptCrashGuard& mPromptGuard;
   DeferredRequests& mDeferredRequests;
   CachedPrompts& mCachedPrompts;
   LocalPrefillTurns& mPrefillTurns;
--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -9,17 +9,33 @@
 namespace bulrushfold {
 
 namespace {
+/** Bounds of the evidence of crashes in one message; each is a multiple of what
+ * a daemon sends. */
+constexpr std::size_t kMaxEvidence = 200;
+constexpr std::size_t kMaxEvidenceParts = 64;
+constexpr std::int32_t kMaxEvidenceAgeMs = 3600 * 1000;
+
 void
 EncodeCrashes(const PeerStatus& aStatus, wire::RoutingStatus& aMessage)
 {
-  for (const auto& it : aStatus.mLostPrompts) {
+  for (const auto& it : aStatus.mCrashes.mLost) {
     wire::LostPrompt lost;
+    lost.id = static_cast<std::int64_t>(it.mId);
     lost.engine = static_cast<std::int64_t>(it.mEngine);
-    lost.parts.assign(it.mParts.begin(), it.mParts.end());
+    lost.parts.assign(it.mKeys.mParts.begin(), it.mKeys.mParts.end());
+    lost.requestHash = static_cast<std::int64_t>(it.mKeys.mRequest);
     lost.ageMs = WholeMilliseconds(it.mAge);
+    lost.tookMs = WholeMilliseconds(it.mTook);
     aMessage.lostPrompts.push_back(std::move(lost));
   }
-  for (const auto& it : aStatus.mAnsweredParts) {
+  for (const auto& it : aStatus.mCrashes.mEngineAnswers) {
+    wire::EngineAnswer answer;
+    answer.engine = static_cast<std::int64_t>(it.mEngine);
+    answer.ageMs = WholeMilliseconds(it.mAge);
+    answer.tookMs = WholeMilliseconds(it.mTook);
+    aMessage.engineAnswers.push_back(answer);
+  }
+  for (const auto& it : aStatus.mCrashes.mAnswered) {
     wire::AnsweredPart answered;
     answered.part = static_cast<std::int64_t>(it.mPart);
     answered.ageMs = WholeMilliseconds(it.mAge);
@@ -27,21 +43,56 @@
   }
   aMessage.__isset.lostPrompts = true;
   aMessage.__isset.answeredParts = true;
+  aMessage.__isset.engineAnswers = true;
+}
+
+/** False when a message states more, or older, evidence than any daemon sends.
+ */
+bool
+IsCredible(const wire::RoutingStatus& aMessage)
+{
+  const auto isAge = [](std::int32_t aMs) {
+    return aMs >= 0 && aMs <= kMaxEvidenceAgeMs;
+  };
+  return aMessage.lostPrompts.size() <= kMaxEvidence &&
+         aMessage.answeredParts.size() <= kMaxEvidence &&
+         aMessage.engineAnswers.size() <= kMaxEvidence &&
+         std::all_of(aMessage.lostPrompts.begin(),
+                     aMessage.lostPrompts.end(),
+                     [&](const auto& aIt) {
+                       return isAge(aIt.ageMs) && isAge(aIt.tookMs) &&
+                              aIt.parts.size() <= kMaxEvidenceParts;
+                     }) &&
+         std::all_of(aMessage.answeredParts.begin(),
+                     aMessage.answeredParts.end(),
+                     [&](const auto& aIt) { return isAge(aIt.ageMs); }) &&
+         std::all_of(aMessage.engineAnswers.begin(),
+                     aMessage.engineAnswers.end(),
+                     [&](const auto& aIt) {
+                       return isAge(aIt.ageMs) && isAge(aIt.tookMs);
+                     });
 }
 
 void
 DecodeCrashes(const wire::RoutingStatus& aMessage, PeerStatus& aStatus)
 {
+  CrashReport& crashes = aStatus.mCrashes;
   for (const auto& it : aMessage.lostPrompts) {
-    aStatus.mLostPrompts.push_back(
-      { static_cast<std::uint64_t>(it.engine),
-        { it.parts.begin(), it.parts.end() },
-        std::chrono::milliseconds(std::max(it.ageMs, 0)) });
+    crashes.mLost.push_back({ static_cast<std::uint64_t>(it.id),
+                              static_cast<std::uint64_t>(it.engine),
+                              { { it.parts.begin(), it.parts.end() },
+                                static_cast<std::uint64_t>(it.requestHash) },
+                              std::chrono::milliseconds(it.ageMs),
+                              std::chrono::milliseconds(it.tookMs) });
   }
   for (const auto& it : aMessage.answeredParts) {
-    aStatus.mAnsweredParts.push_back(
-      { static_cast<std::uint64_t>(it.part),
-        std::chrono::milliseconds(std::max(it.ageMs, 0)) });
+    crashes.mAnswered.push_back({ static_cast<std::uint64_t>(it.part),
+                                  std::chrono::milliseconds(it.ageMs) });
+  }
+  for (const auto& it : aMessage.engineAnswers) {
+    crashes.mEngineAnswers.push_back({ static_cast<std::uint64_t>(it.engine),
+                                       std::chrono::milliseconds(it.ageMs),
+                                       std::chrono::milliseconds(it.tookMs) });
   }
 }
 } // namespace
@@ -67,13 +118,6 @@
     retry.retries = static_cast<std::int32_t>(use.mRetries);
     message.retries.push_back(std::move(retry));
   }
-  for (const auto& it : aStatus.mSuspects) {
-    wire::CrashSuspect suspect;
-    suspect.requestHash = static_cast<std::int64_t>(it.mHash);
-    suspect.losses = static_cast<std::int32_t>(it.mLosses);
-    suspect.ageMs = WholeMilliseconds(it.mAge);
-    message.suspects.push_back(std::move(suspect));
-  }
   EncodeCrashes(aStatus, message);
   for (const auto& it : aStatus.mDeferredRequests) {
     wire::TurnedAway request;
@@ -121,6 +165,10 @@
   if (!ParseAddress(aMessage.address, status.mAddress)) {
     return absl::InvalidArgumentError("address: expected IPv4:PORT");
   }
+  if (!IsCredible(aMessage)) {
+    return absl::InvalidArgumentError(
+      "lostPrompts, answeredParts, engineAnswers: out of bounds");
+  }
   status.mIsStopping = aMessage.isLeaving;
   for (const auto& it : aMessage.runs) {
     status.mRuns.push_back(FromWire(it, aNow));
@@ -137,12 +185,6 @@
       static_cast<std::uint32_t>(std::max(it.retries, 0))
     };
   }
-  for (const auto& it : aMessage.suspects) {
-    status.mSuspects.push_back(
-      { static_cast<std::uint64_t>(it.requestHash),
-        static_cast<std::uint32_t>(std::max(it.losses, 0)),
-        std::chrono::milliseconds(it.ageMs) });
-  }
   DecodeCrashes(aMessage, status);
   for (const auto& it : aMessage.turnedAway) {
     status.mDeferredRequests.push_back(
--- a/Source/Router/PeerStatus.h
+++ b/Source/Router/PeerStatus.h
@@ -12,7 +12,6 @@
 #include "Routing/DeferredRequests.h"
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointLoads.h"
-#include "Routing/PromptCrashGuard.h"
 #include "Routing/SharedRetryBudget.h"
 #include "Routing/StreamRuns.h"
 #include "Routing_types.h"
@@ -27,9 +26,7 @@
   std::vector<StreamRun> mRuns;
   EndpointWorks mWorks;
   RetryUses mRetries;
-  std::vector<CrashSuspect> mSuspects;
-  std::vector<LostPrompt> mLostPrompts;
-  std::vector<AnsweredPart> mAnsweredParts;
+  CrashReport mCrashes;
   std::vector<DeferredRequest> mDeferredRequests;
   std::vector<CachedPrompt> mCachedPrompts;
   /** Role orders in progress, by engine. */
--- a/Source/Router/PlacementOwner.cxx
+++ b/Source/Router/PlacementOwner.cxx
@@ -52,7 +52,6 @@
   }
   mClients.erase(it);
   mTables.mRetryBudget.RemovePeer(aName);
-  mTables.mGuard.RemovePeer(aName);
   mTables.mPlain.Dispatch();
 }
 
--- a/Source/Router/PlacementOwner.h
+++ b/Source/Router/PlacementOwner.h
@@ -18,7 +18,6 @@
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
-#include "Routing/PromptCrashGuard.h"
 #include "Routing/SharedRetryBudget.h"
 
 namespace bulrushfold {
@@ -32,7 +31,6 @@
   EndpointHealth& mHealth;
   SharedRetryBudget& mRetryBudget;
   CrashGuard& mGuard;
-  PromptCrashGuard& mPromptGuard;
   DeferredRequests& mDeferredRequests;
   EndpointDirectory& mDirectory;
   StoreFeed& mFeed;
@@ -131,9 +129,9 @@
   void HandleEndpointEvent(const wire::PlacementEvent& aEvent);
   void HandleStreamEvent(Client& aClient, const wire::PlacementEvent& aEvent);
   void Adopt(const std::string& aName, Client& aClient, const StreamRun& aRun);
-  void AnswerPoll(const std::string& aName, Client& aClient);
+  void AnswerPoll(Client& aClient);
   bool HasNews(const Client& aClient) const;
-  wire::PlacementNews MakeNews(const std::string& aName, const Client* aClient);
+  wire::PlacementNews MakeNews(const Client* aClient);
   /** Steps down when most clients reach the store and this daemon does not. */
   void CheckStore();
   void ScheduleWake();
--- a/Source/Router/PlacementOwnerPolls.cxx
+++ b/Source/Router/PlacementOwnerPolls.cxx
@@ -36,10 +36,16 @@
     return;
   }
   const auto status = FromWire(poll->status, now);
+  if (!status.ok()) {
+    LogEvent(LogLevel::Warning,
+             "peer_status_unreadable",
+             { { "peer", aClient },
+               { "reason", std::string(status.status().message()) } });
+  }
   if (poll->isProbe || !status.ok()) {
-    aResponder(status.ok() ? absl::StatusOr<std::string>(
-                               EncodeThrift(MakeNews(aClient, nullptr)))
-                           : status.status());
+    aResponder(status.ok()
+                 ? absl::StatusOr<std::string>(EncodeThrift(MakeNews(nullptr)))
+                 : status.status());
     return;
   }
   Client* client = Touch(aClient, poll->session);
@@ -51,9 +57,8 @@
   client->mRetries = status->mRetries;
   mTables.mRetryBudget.SetPeer(aClient, status->mRetries);
   mTables.mRetryBudget.SetDaemons(FleetSize());
-  const auto known = mTables.mPromptGuard.Lost(now).size();
-  mTables.mGuard.SetPeer(aClient, status->mSuspects, now);
-  mTables.mPromptGuard.Merge(status->mLostPrompts, status->mAnsweredParts, now);
+  const std::size_t known = mTables.mGuard.LostRuns();
+  mTables.mGuard.Merge(status->mCrashes, now);
   client->mPoll = std::move(aResponder);
   client->mPollDueAt = now + kPollHold;
   client->mReachesStore = poll->reachesStore;
@@ -62,9 +67,9 @@
     client->mPositions.push_back(FromWire(it));
   }
   if (mIsStopping || !client->mMoves.empty() || HasNews(*client)) {
-    AnswerPoll(aClient, *client);
+    AnswerPoll(*client);
   }
-  if (mTables.mPromptGuard.Lost(now).size() > known) {
+  if (mTables.mGuard.LostRuns() > known) {
     Announce();
   }
   ScheduleWake();
@@ -102,7 +107,7 @@
 }
 
 wire::PlacementNews
-PlacementOwner::MakeNews(const std::string& aName, const Client* aClient)
+PlacementOwner::MakeNews(const Client* aClient)
 {
   const Instant now = mClock.Now();
   if (now - mFleetUsesAt >= kUsesLifetime) {
@@ -118,9 +123,7 @@
       others.mRetries -= std::min(others.mRetries, use.mRetries);
     }
   }
-  status.mSuspects = mTables.mGuard.SuspectsWithout(aName, now);
-  status.mLostPrompts = mTables.mPromptGuard.Lost(now);
-  status.mAnsweredParts = mTables.mPromptGuard.Answered(now);
+  status.mCrashes = mTables.mGuard.Report(now);
   status.mRoleOrders = mTables.mDirectory.RoleOrders(now);
   status.mIsStopping = mIsStopping || mIsSteppingDown;
   status.mAddress = mAddress;
@@ -131,10 +134,10 @@
 }
 
 void
-PlacementOwner::AnswerPoll(const std::string& aName, Client& aClient)
+PlacementOwner::AnswerPoll(Client& aClient)
 {
   if (const auto responder = std::exchange(aClient.mPoll, nullptr); responder) {
-    wire::PlacementNews news = MakeNews(aName, &aClient);
+    wire::PlacementNews news = MakeNews(&aClient);
     news.moves = std::exchange(aClient.mMoves, {});
     for (const auto& it : aClient.mPositions) {
       if (mTables.mFeed.HasNews(it)) {
@@ -167,7 +170,7 @@
 {
   mIsStopping = true;
   for (auto& [name, client] : mClients) {
-    AnswerPoll(name, client);
+    AnswerPoll(client);
   }
 }
 
@@ -212,7 +215,7 @@
     if (now - client.mLastMessageAt > kLease) {
       silent.push_back(name);
     } else if (client.mPoll && (mIsAnnouncing || now >= client.mPollDueAt)) {
-      AnswerPoll(name, client);
+      AnswerPoll(client);
     }
   }
   mIsAnnouncing = false;
--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -162,7 +162,8 @@
   }
   WithdrawRequest();
   const bool isUseful = aNow + kMinUsefulTime < mParameters.mDeadline &&
-                        mSends < kMaxSends && MayRunAgain();
+                        mSends < kMaxSends && MayRunAgain() &&
+                        !mDelegate.IsCrashSuspect();
   // A send without a connection does not count against the retry budget.
   if (isUseful && (mLastOutcome == SendOutcome::NotSent ||
                    mRetryBudget.TryConsume(mParameters.mService, 1, aNow))) {
@@ -184,7 +185,8 @@
   if (aNow < mParameters.mDeadline) {
     if (mIsSending && mPurpose == Purpose::None) {
       mDelegate.WakeAt(mParameters.mDeadline);
-      if (mRetryBudget.TryConsume(mParameters.mService, 1, aNow)) {
+      if (!mDelegate.IsCrashSuspect() &&
+          mRetryBudget.TryConsume(mParameters.mService, 1, aNow)) {
         RequestEndpoint(Purpose::Replacement, true);
       }
     }
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -89,6 +89,8 @@
   /** Cancels the send in progress, for which OnSendEnded is not called.
    * aReason: its result in the health record. */
   virtual void CancelSend(SendResult aReason) = 0;
+  /** True when the request crashes endpoints, so that it is not sent again. */
+  virtual bool IsCrashSuspect() = 0;
   virtual void Deliver(const EndpointAnswer& aAnswer) = 0;
   virtual void Refuse(const Refusal& aRefusal) = 0;
   /** Schedules OnWake for aTime; replaces the time that was set before. */
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "Net/HttpStatus.h"
+
 namespace bulrushfold {
 
 namespace {
@@ -75,6 +77,7 @@
   mEndpoint = aChoice.mEndpoint;
   mSendNumber = mGrantNumber;
   mSentAt = mServices.mClock.Now();
+  mRun = MakeSentRun(*endpoint, mSentAt);
   ++mRequest->mSends;
   SendParameters parameters;
   parameters.mTimeLeft = aDeadline - mSentAt;
@@ -112,7 +115,8 @@
     outcome != SendOutcome::Unknown && outcome != SendOutcome::OtherEndpoint;
   FinishSend(HealthResultOf(aReply.mResult, outcome, aReply.mStatus),
              isLoadValid ? metadata.mLoad : std::nullopt);
-  mServices.RecordSendOutcome(*mRequest, mEndpoint, outcome, aReply.mResult);
+  mServices.RecordSendOutcome(mRun, outcome);
+  RecordEvidence(outcome, aReply);
   if (outcome != SendOutcome::Answered) {
     mServices.mLog.SendEnded(*mRequest,
                              "request",
@@ -127,6 +131,24 @@
     now);
 }
 
+void
+PlainSession::RecordEvidence(SendOutcome aOutcome, const HttpCallReply& aReply)
+{
+  if (aReply.mResult == HttpCallResult::ConnectionLost) {
+    mServices.mLog.RunLost(*mRequest, mEndpoint, Duration::zero());
+    mServices.RecordLostRun(mRun, mRequest->mCrashKeys);
+  } else if (aOutcome == SendOutcome::Answered &&
+             aReply.mStatus < kHttpFirstServerError) {
+    mServices.mGuard.OnAnswered(mRequest->mCrashKeys, mServices.mClock.Now());
+  }
+}
+
+bool
+PlainSession::IsCrashSuspect()
+{
+  return mServices.IsCrashSuspect(*mRequest);
+}
+
 void
 PlainSession::FinishSend(std::optional<SendResult> aResult,
                          const std::optional<ReportedLoad>& aLoad)
@@ -149,6 +171,9 @@
 PlainSession::CancelSend(SendResult aReason)
 {
   FinishSend(aReason, std::nullopt);
+  if (aReason == SendResult::Slow) {
+    mServices.RecordSilentRun(mRun, mRequest->mCrashKeys);
+  }
   mServices.mLog.SendEnded(*mRequest,
                            "request",
                            mEndpoint,
--- a/Source/Router/PlainSession.h
+++ b/Source/Router/PlainSession.h
@@ -27,11 +27,14 @@
   void WithdrawRequest() override;
   void Send(const EndpointChoice& aChoice, Instant aDeadline) override;
   void CancelSend(SendResult aReason) override;
+  bool IsCrashSuspect() override;
   void Deliver(const EndpointAnswer& aAnswer) override;
   void Refuse(const Refusal& aRefusal) override;
   void WakeAt(Instant aTime) override { mTimer.WakeAt(aTime); }
 
   void HandleReply(HttpCallReply aReply);
+  /** Tells the crash guard what the reply shows about the request. */
+  void RecordEvidence(SendOutcome aOutcome, const HttpCallReply& aReply);
   void HandleCallerDisconnected();
   void HandleStopEnd();
   void HandleGrant(const PlainGrant& aGrant);
@@ -54,6 +57,7 @@
   /** Number of the demand that the send in progress was granted. */
   std::uint64_t mSendNumber = 0;
   Instant mSentAt;
+  SentRun mRun;
   sigc::connection mStopConnection;
   /** Keeps the session alive until the call has ended. */
   std::shared_ptr<PlainSession> mSelf;
--- a/Source/Router/RemoteStream.h
+++ b/Source/Router/RemoteStream.h
@@ -92,7 +92,7 @@
     move.number = static_cast<std::int64_t>(mNumber);
     move.target = aTarget;
     client.mMoves.push_back(std::move(move));
-    mOwner.AnswerPoll(mClient, client);
+    mOwner.AnswerPoll(client);
   }
   std::uint64_t LocalNumber() const { return mLocalNumber; }
   Instant CreatedAt() const { return mCreatedAt; }
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -48,7 +48,13 @@
   { "change" }
 };
 
-/** Keys of prompt parts, as log lines name them. */
+const MetricInfo kSuspectDecisions{
+  "bulrushfold_crash_suspect_decisions_total",
+  "Requests that became refused or accepted again.",
+  { "change" }
+};
+
+/** Keys of requests and prompt parts, as log lines name them. */
 std::string
 FormatParts(const std::vector<std::uint64_t>& aParts)
 {
@@ -58,6 +64,13 @@
     });
 }
 
+/** Name of the field with the key of aPart. */
+std::string_view
+KeyName(const RefusedPart& aPart)
+{
+  return aPart.mIsRequest ? "request" : "part";
+}
+
 std::string
 RouteName(const RoutedRequest& aRequest)
 {
@@ -218,18 +231,19 @@
            "run_lost",
            { { "id", aRequest.mMetadata.mId },
              { "endpoint", aEndpoint },
+             { "request", FormatParts({ aRequest.mHash }) },
              { "parts", FormatParts(aRequest.mMetadata.mSharedPromptParts) },
              { "answering_ms", ToMilliseconds(aAnswering) } });
 }
 
 void
-RequestLog::PromptRefused(const RoutedRequest& aRequest,
-                          const RefusedPart& aPart)
+RequestLog::SuspectRefused(const RoutedRequest& aRequest,
+                           const RefusedPart& aPart)
 {
   LogEvent(LogLevel::Warning,
-           "prompt_refused",
+           aPart.mIsRequest ? "crash_suspect_refused" : "prompt_refused",
            { { "id", aRequest.mMetadata.mId },
-             { "part", FormatParts({ aPart.mPart }) },
+             { KeyName(aPart), FormatParts({ aPart.mPart }) },
              { "crashes", aPart.mCrashes },
              { "lost_runs", aPart.mOwnRuns + aPart.mPeerRuns } });
 }
@@ -238,10 +252,13 @@
 RequestLog::PartDecided(const RefusedPart& aPart, bool aIsRefused, Instant aNow)
 {
   const std::string change = aIsRefused ? "refused" : "accepted";
-  mMetrics.GetCounter(kPartDecisions, { change }).Add();
+  mMetrics
+    .GetCounter(aPart.mIsRequest ? kSuspectDecisions : kPartDecisions,
+                { change })
+    .Add();
   LogEvent(LogLevel::Warning,
-           "prompt_part_decided",
-           { { "part", FormatParts({ aPart.mPart }) },
+           aPart.mIsRequest ? "crash_suspect_decided" : "prompt_part_decided",
+           { { KeyName(aPart), FormatParts({ aPart.mPart }) },
              { "change", change },
              { "crashes", aPart.mCrashes },
              { "own_runs", aPart.mOwnRuns },
--- a/Source/Router/RequestLog.h
+++ b/Source/Router/RequestLog.h
@@ -10,8 +10,8 @@
 #include "Outcome/Metrics.h"
 #include "Router/RoutedRequest.h"
 #include "Router/StreamCall.h"
+#include "Routing/CrashGuard.h"
 #include "Routing/EndpointDirectory.h"
-#include "Routing/PromptCrashGuard.h"
 #include "absl/status/status.h"
 
 namespace bulrushfold {
@@ -39,7 +39,7 @@
                  std::string_view aOutcome,
                  int aStatus,
                  Duration aDuration);
-  /** A run at a decode engine was lost with the connection. aAnswering: time
+  /** A run was lost with the connection to its endpoint. aAnswering: time
    * since the start of its answer; zero when it had not started. */
   void RunLost(const RoutedRequest& aRequest,
                const std::string& aEndpoint,
@@ -56,8 +56,8 @@
                  const std::string& aEndpoint,
                  std::optional<RefusalReason> aKeptFor);
   /** The request is refused because of aPart. */
-  void PromptRefused(const RoutedRequest& aRequest, const RefusedPart& aPart);
-  /** A prompt part is refused from now on, or accepted again. */
+  void SuspectRefused(const RoutedRequest& aRequest, const RefusedPart& aPart);
+  /** A request or prompt part is refused from now on, or accepted again. */
   void PartDecided(const RefusedPart& aPart, bool aIsRefused, Instant aNow);
   void Queued(const RoutedRequest& aRequest, std::size_t aWaiting);
   void Placed(const RoutedRequest& aRequest, const StreamPlacement& aPlacement);
--- a/Source/Router/RoutedRequest.h
+++ b/Source/Router/RoutedRequest.h
@@ -9,6 +9,7 @@
 #include "Net/HttpExchange.h"
 #include "Router/EndpointProtocol.h"
 #include "Router/PlainCall.h"
+#include "Routing/CrashGuard.h"
 #include "Routing/RouteTable.h"
 
 namespace bulrushfold {
@@ -41,6 +42,7 @@
   /** Hash of path, caller address and body; equal for all attempts of a
    * caller. */
   std::uint64_t mHash = 0;
+  RequestKeys mCrashKeys;
   /** Daemon that chose the endpoints of the last send; empty: this one. */
   std::string mPlacedBy;
   /** Number of sends to endpoints so far, for the log. */
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -86,6 +86,7 @@
   , mPrefillTurns(mLoads, aSettings.mName)
   , mHealth(mRandom)
   , mRetryBudget(aSettings.mRetryLimits, mClock.Now())
+  , mGuard(mRandom)
   , mSelector(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
   , mPlainQueue(mSelector)
   , mPlainTimer(aLoop, mClock, [this] { mPlainPlacer.Dispatch(); })
@@ -120,7 +121,6 @@
         mRuns,
         mRetryBudget,
         mGuard,
-        mPromptGuard,
         mDeferredRequests,
         mCachedPrompts,
         mPrefillTurns,
@@ -138,7 +138,6 @@
              mHealth,
              mRetryBudget,
              mGuard,
-             mPromptGuard,
              mDeferredRequests,
              mDirectory,
              mFeed },
@@ -152,25 +151,15 @@
                mPlainPlacer,
                mStreams,
                PlacementHooks())
-  , mServices{ aLoop,
-               mClock,
-               mEndpointClient,
-               aProtocol,
-               mDirectory,
-               mLoads,
-               mHealth,
-               mRetryBudget,
-               mGuard,
-               mPromptGuard,
-               mDeferredRequests,
-               mCachedPrompts,
-               mCachedPromptQuery,
-               mAnswerLengths,
-               mPlacement,
-               mGrants,
-               mLog,
-               mOnStopEnd,
-               [this] { return mNextNumber++; } }
+  , mServices{ aLoop,           mClock,
+               mEndpointClient, aProtocol,
+               mDirectory,      mLoads,
+               mHealth,         mRetryBudget,
+               mGuard,          mDeferredRequests,
+               mCachedPrompts,  mCachedPromptQuery,
+               mAnswerLengths,  mPlacement,
+               mGrants,         mLog,
+               mOnStopEnd,      [this] { return mNextNumber++; } }
   , mRoles(aLoop,
            mClock,
            aStore,
@@ -245,9 +234,8 @@
   AddFilters();
   mDirectory.OnChange().connect(
     sigc::mem_fun(*this, &Router::HandleEndpointChange));
-  mPromptGuard.OnOwnLoss().connect([this] { mPlacement.ReportStatus(); });
-  mPromptGuard.OnDecision().connect(
-    sigc::mem_fun(mLog, &RequestLog::PartDecided));
+  mGuard.OnOwnLoss().connect([this] { mPlacement.ReportStatus(); });
+  mGuard.OnDecision().connect(sigc::mem_fun(mLog, &RequestLog::PartDecided));
   mCallerServer.OnRefused([](const HttpRefusal& aRefusal) {
     LogEvent(LogLevel::Warning,
              "request_unreadable",
@@ -262,7 +250,7 @@
 {
   mChain.Add(std::make_unique<RouteFilter>(
     mServices, mRandom, [this] { return mTable; }));
-  mChain.Add(std::make_unique<CrashFilter>(mServices, mGuard));
+  mChain.Add(std::make_unique<CrashFilter>(mServices));
   mChain.Add(std::make_unique<StopFilter>(
     mServices, [this](const CallParameters& aParameters) {
       return mStop.Refuses(aParameters.mRoute->mKind, aParameters.mDeadline);
@@ -373,6 +361,8 @@
                                        aExchange->CallerAddress(),
                                        "\n",
                                        aExchange->Request().mBody));
+  request->mCrashKeys = { request->mMetadata.mSharedPromptParts,
+                          request->mHash };
   request->mExchange = std::move(aExchange);
   mChain.Run(request);
 }
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -126,7 +126,6 @@
   EndpointHealth mHealth;
   SharedRetryBudget mRetryBudget;
   CrashGuard mGuard;
-  PromptCrashGuard mPromptGuard;
   DeferredRequests mDeferredRequests;
   PlainSelector mSelector;
   PlainQueue mPlainQueue;
--- a/Source/Router/RouterFilters.cxx
+++ b/Source/Router/RouterFilters.cxx
@@ -80,8 +80,7 @@
 bool
 CrashFilter::Handle(const RoutedRequestPointer& aRequest)
 {
-  if (!mGuard.IsRefused(aRequest->mHash, mServices.mClock.Now()) &&
-      !mServices.RefusesPrompt(*aRequest)) {
+  if (!mServices.IsCrashSuspect(*aRequest)) {
     return true;
   }
   AnswerWriter(mServices, aRequest)
--- a/Source/Router/RouterFilters.h
+++ b/Source/Router/RouterFilters.h
@@ -9,7 +9,6 @@
 #include "Router/AnswerWriter.h"
 #include "Router/RoutedRequest.h"
 #include "Router/RouterServices.h"
-#include "Routing/CrashGuard.h"
 
 namespace bulrushfold {
 
@@ -60,16 +59,14 @@
 class CrashFilter : public RouterFilter
 {
 public:
-  CrashFilter(RouterServices& aServices, const CrashGuard& aGuard)
+  explicit CrashFilter(RouterServices& aServices)
     : mServices(aServices)
-    , mGuard(aGuard)
   {
   }
   bool Handle(const RoutedRequestPointer& aRequest) override;
 
 private:
   RouterServices& mServices;
-  const CrashGuard& mGuard;
 };
 
 /** Refuses requests that a stopping daemon could not finish. */
--- a/Source/Router/RouterPlacement.cxx
+++ b/Source/Router/RouterPlacement.cxx
@@ -50,7 +50,6 @@
       HandleWatched(mRelayedStore.OnFeedLost());
     }
     mRetryBudget.RemovePeer(aOwner);
-    mGuard.RemovePeer(aOwner);
   };
   hooks.mReachesStore = [this] {
     return mHasEndpoints && mLostPrefixes.empty() && !mRelayedStore.IsFed();
@@ -116,8 +115,7 @@
 {
   const Instant now = mClock.Now();
   mRetryBudget.SetFleet(aOwner, aStatus.mRetries, aDaemons - 1);
-  mGuard.SetPeer(aOwner, aStatus.mSuspects, now);
-  mPromptGuard.Merge(aStatus.mLostPrompts, aStatus.mAnsweredParts, now);
+  mGuard.Merge(aStatus.mCrashes, now);
   for (const auto& [endpoint, order] : aStatus.mRoleOrders) {
     mDirectory.OnRoleOrdered(endpoint, order, now);
   }
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -195,6 +195,7 @@
   if (aChange == EndpointChange::Removed ||
       aChange == EndpointChange::Restarted) {
     mHealth.Remove(aEndpoint.mId);
+    mGuard.OnEngineGone(aEndpoint.mId, mClock.Now());
     mLoads.RemoveReport(aEndpoint.mId);
     mClient.CloseIdle(aEndpoint.mAddress);
   }
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -23,11 +23,22 @@
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
-#include "Routing/PromptCrashGuard.h"
 #include "Routing/SharedRetryBudget.h"
 
 namespace bulrushfold {
 
+/** A request that was sent to an endpoint. */
+struct SentRun
+{
+  std::string mEndpoint;
+  /** Hash of the endpoint's id and incarnation. */
+  std::uint64_t mEngine = 0;
+  Instant mSentAt;
+};
+
+/** A run of aEndpoint that is sent at aNow. */
+SentRun MakeSentRun(const EndpointRecord& aEndpoint, Instant aNow);
+
 /** Components that the sessions of a router share. */
 struct RouterServices
 {
@@ -40,7 +51,6 @@
   EndpointHealth& mHealth;
   SharedRetryBudget& mRetryBudget;
   CrashGuard& mGuard;
-  PromptCrashGuard& mPromptGuard;
   DeferredRequests& mDeferredRequests;
   CachedPrompts& mCachedPrompts;
   CachedPromptQuery& mCachedPromptQuery;
@@ -53,13 +63,17 @@
   /** A number that no other request of this daemon has. */
   std::function<std::uint64_t()> mNextNumber;
 
-  /** Updates the endpoint directory and the crash guard after a send. */
-  void RecordSendOutcome(const RoutedRequest& aRequest,
-                         const std::string& aEndpoint,
-                         SendOutcome aOutcome,
-                         HttpCallResult aResult);
-  /** True when a part of the prompt crashes engines; logs the reason. */
-  bool RefusesPrompt(const RoutedRequest& aRequest);
+  /** Updates the endpoint directory, and what the crash guard knows of the
+   * endpoint, after a send. */
+  void RecordSendOutcome(const SentRun& aRun, SendOutcome aOutcome);
+  /** The connection of a run with aKeys was lost. */
+  void RecordLostRun(const SentRun& aRun, const RequestKeys& aKeys);
+  /** A run was given up because its endpoint was silent. It is lost if the
+   * endpoint has left the registry or leaves it soon. */
+  void RecordSilentRun(const SentRun& aRun, const RequestKeys& aKeys);
+  /** True when the request, or a part of its prompt, crashes endpoints; logs
+   * the reason. */
+  bool IsCrashSuspect(const RoutedRequest& aRequest);
 };
 
 } // namespace bulrushfold
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -191,6 +191,7 @@
   mAttempt.mStep = aStep;
   mAttempt.mEndpoint = aEndpoint.mId;
   mAttempt.mSentAt = mServices.mClock.Now();
+  mAttempt.mRun = MakeSentRun(aEndpoint, mAttempt.mSentAt);
   ++mRequest->mSends;
   // The id of an answer does not distinguish two sends of this request, so a
   // second one to the same engine opens a new connection.
@@ -223,8 +224,11 @@
     FinishSend(SendResult::Answered, "moved", aReply.mStatus);
     return outcome;
   }
-  mServices.RecordSendOutcome(
-    *mRequest, mAttempt.mEndpoint, outcome, aReply.mResult);
+  mServices.RecordSendOutcome(mAttempt.mRun, outcome);
+  if (mCall.State() == StreamState::Prefilling &&
+      aReply.mResult == HttpCallResult::ConnectionLost) {
+    mServices.RecordLostRun(mAttempt.mRun, { {}, mRequest->mHash });
+  }
   FinishSend(health, SendOutcomeName(outcome, aReply.mResult), aReply.mStatus);
   return outcome;
 }
@@ -258,6 +262,9 @@
 {
   if (mAttempt.mSend) {
     FinishSend(aReason, SendResultName(aReason), 0);
+    if (aReason == SendResult::Slow && mAttempt.mStep == "decode") {
+      mServices.RecordSilentRun(mAttempt.mRun, LostKeys());
+    }
   }
 }
 
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -37,8 +37,7 @@
     std::string mStep;
     std::string mEndpoint;
     Instant mSentAt;
-    /** Hash of id and incarnation of the decode engine. */
-    std::uint64_t mEngineHash = 0;
+    SentRun mRun;
     SendOutcome mHeadOutcome = SendOutcome::Unknown;
     /** When the head of the decode engine's answer arrived; zero before. */
     Instant mAnswerStartedAt;
@@ -113,6 +112,8 @@
   void RecordWholeAnswer();
   /** The connection was lost while the decode engine ran the stream. */
   void RecordLostRun();
+  /** What a loss of the present run is evidence against. */
+  RequestKeys LostKeys() const;
   /** The caller has received what was buffered for it. */
   void ResumeReading();
   void HandleCallerDisconnected();
--- a/Source/Router/StreamSessionDecode.cxx
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -2,9 +2,6 @@
 
 #include <utility>
 
-#include "Base/Digest.h"
-#include "absl/strings/str_cat.h"
-
 namespace bulrushfold {
 
 namespace {
@@ -23,8 +20,6 @@
   parameters.mLastEventId = aParameters.mLastEventId;
   const EndpointRecord& endpoint =
     *mServices.mDirectory.Find(aParameters.mEndpoint);
-  mAttempt.mEngineHash =
-    Hash64(absl::StrCat(endpoint.mId, "/", endpoint.mIncarnation));
   HttpCallRequest request =
     mServices.mProtocol.Forward(mRequest->Message(), endpoint, parameters);
   HttpCallHooks hooks;
@@ -112,11 +107,17 @@
       ? Duration::zero()
       : mServices.mClock.Now() - mAttempt.mAnswerStartedAt;
   mServices.mLog.RunLost(*mRequest, mAttempt.mEndpoint, answering);
-  if (answering < kAnswerBeginning) {
-    mServices.mPromptGuard.OnRunLost(mAttempt.mEngineHash,
-                                     mRequest->mMetadata.mSharedPromptParts,
-                                     mServices.mClock.Now());
-  }
+  mServices.RecordLostRun(mAttempt.mRun, LostKeys());
+}
+
+RequestKeys
+StreamSession::LostKeys() const
+{
+  const bool isBeginning =
+    mAttempt.mAnswerStartedAt == Instant() ||
+    mServices.mClock.Now() - mAttempt.mAnswerStartedAt < kAnswerBeginning;
+  return isBeginning ? mRequest->mCrashKeys
+                     : RequestKeys{ {}, mRequest->mHash };
 }
 
 void
@@ -126,15 +127,14 @@
   const Instant now = mServices.mClock.Now();
   if (mAttempt.mIsAnswerFramed ||
       now - mAttempt.mAnswerStartedAt >= kAnswerBeginning) {
-    mServices.mPromptGuard.OnAnswered(mRequest->mMetadata.mSharedPromptParts,
-                                      now);
+    mServices.mGuard.OnAnswered(mRequest->mCrashKeys, now);
   }
 }
 
 bool
 StreamSession::IsPromptRefused()
 {
-  return mServices.RefusesPrompt(*mRequest);
+  return mServices.IsCrashSuspect(*mRequest);
 }
 
 } // namespace bulrushfold
--- a/Source/Routing/CrashGuard.cxx
+++ b/Source/Routing/CrashGuard.cxx
@@ -1,113 +1,506 @@
 #include "Routing/CrashGuard.h"
 
 #include <algorithm>
+#include <optional>
+#include <tuple>
+#include <utility>
 
 namespace bulrushfold {
 
 namespace {
-/** Time after the last lost connection at which a suspect expires. */
+/** Time after which a lost run no longer counts. */
 constexpr Duration kLifetime = std::chrono::seconds(60);
-constexpr std::size_t kMaxEntries = 2000;
-/** Maximum number of suspects in one message to a peer. */
-constexpr std::size_t kMaxReported = 64;
-} // namespace
+/** The same for the runs of a refused request: each of them that expires lets
+ * the request crash one more engine. */
+constexpr Duration kRefusedLifetime = std::chrono::minutes(10);
+/** Engines that are lost within this time count as one crash: they share a
+ * cause, such as a power failure, rather than a request. */
+constexpr Duration kSameMoment = std::chrono::milliseconds(50);
+/** Error of the times that peers report, by the delay of their messages. */
+constexpr Duration kTimeTolerance = std::chrono::milliseconds(20);
+constexpr std::size_t kMaxRuns = 512;
+/** Maximum number of entries of each kind in one message to a peer. */
+constexpr std::size_t kMaxReported = 48;
+/** Time within which an engine that crashed silently leaves the registry. */
+constexpr Duration kSilentLifetime = std::chrono::seconds(10);
+constexpr std::size_t kMaxSilentRuns = 256;
+/** Answers that are kept for one engine, the most recent. */
+constexpr std::size_t kMaxAnswersPerEngine = 8;
+
+template<typename Item>
+void
+KeepMostRecent(std::vector<Item>& aItems)
+{
+  std::stable_sort(
+    aItems.begin(), aItems.end(), [](const Item& aLeft, const Item& aRight) {
+      return aLeft.mAge < aRight.mAge;
+    });
+  if (aItems.size() > kMaxReported) {
+    aItems.resize(kMaxReported);
+  }
+}
 
+/** Calls aVisit with each key and its position. */
+template<typename Visitor>
 void
-CrashGuard::OnConnectionLost(std::uint64_t aHash, Instant aNow)
+VisitKeys(const RequestKeys& aKeys, Visitor aVisit)
 {
-  if (mOwn.size() >= kMaxEntries) {
-    Expire(aNow);
+  for (std::size_t i = 0; i < aKeys.mParts.size(); ++i) {
+    aVisit(aKeys.mParts[i], i, false);
   }
-  if (mOwn.size() < kMaxEntries || mOwn.count(aHash) > 0) {
-    Entry& entry = mOwn[aHash];
-    ++entry.mLosses;
-    entry.mLastLossAt = aNow;
+  if (aKeys.mRequest != 0) {
+    aVisit(aKeys.mRequest, aKeys.mParts.size(), true);
   }
 }
 
 bool
-CrashGuard::IsRefused(std::uint64_t aHash, Instant aNow) const
+Contains(const RequestKeys& aKeys, std::uint64_t aPart)
 {
-  std::uint32_t losses = 0;
-  const auto add = [&](const Entries& aEntries) {
-    const auto it = aEntries.find(aHash);
-    if (it != aEntries.end() && aNow - it->second.mLastLossAt < kLifetime) {
-      losses += it->second.mLosses;
+  return aKeys.mRequest == aPart ||
+         std::find(aKeys.mParts.begin(), aKeys.mParts.end(), aPart) !=
+           aKeys.mParts.end();
+}
+} // namespace
+
+void
+CrashGuard::OnRunLost(std::uint64_t aEngine,
+                      const RequestKeys& aKeys,
+                      Instant aSentAt,
+                      Instant aNow)
+{
+  if (aKeys.mParts.empty() && aKeys.mRequest == 0) {
+    return;
+  }
+  if (AddRun(mRandom.Bits(), { aEngine, aKeys, aSentAt, aNow, true }, aNow)) {
+    Update(aNow);
+    mOnOwnLoss.emit();
+  }
+}
+
+void
+CrashGuard::OnRunSilent(const std::string& aEndpoint,
+                        std::uint64_t aEngine,
+                        const RequestKeys& aKeys,
+                        Instant aSentAt,
+                        Instant aNow)
+{
+  mSilentRuns.push_back({ aEndpoint, { aEngine, aKeys, aSentAt, aNow, true } });
+  while (mSilentRuns.size() > kMaxSilentRuns ||
+         aNow - mSilentRuns.front().mRun.mLostAt > kSilentLifetime) {
+    mSilentRuns.pop_front();
+  }
+}
+
+void
+CrashGuard::OnEngineGone(const std::string& aEndpoint, Instant aNow)
+{
+  const auto runs = std::exchange(mSilentRuns, {});
+  for (const auto& it : runs) {
+    const Run& run = it.mRun;
+    if (it.mEndpoint != aEndpoint) {
+      mSilentRuns.push_back(it);
+    } else if (aNow - run.mLostAt <= kSilentLifetime &&
+               AddRun(mRandom.Bits(), run, aNow)) {
+      Update(aNow);
+      mOnOwnLoss.emit();
     }
-  };
-  add(mOwn);
-  for (const auto& [peer, entries] : mPeers) {
-    add(entries);
   }
-  return losses >= kLossLimit;
 }
 
 void
-CrashGuard::SetPeer(const std::string& aPeer,
-                    const std::vector<CrashSuspect>& aSuspects,
-                    Instant aNow)
+CrashGuard::OnAnswered(const RequestKeys& aKeys, Instant aNow)
 {
-  if (aSuspects.empty()) {
-    mPeers.erase(aPeer);
+  if (mRuns.empty()) {
     return;
   }
-  Entries& entries = mPeers[aPeer];
-  entries.clear();
-  for (const auto& it : aSuspects) {
-    entries[it.mHash] = { it.mLosses, aNow - it.mAge };
+  bool isChanged = false;
+  VisitKeys(aKeys, [&](std::uint64_t aKey, std::size_t, bool) {
+    isChanged = AddAnswer(aKey, aNow) || isChanged;
+  });
+  if (isChanged) {
+    Update(aNow);
   }
 }
 
-std::vector<CrashSuspect>
-CrashGuard::OwnSuspects(Instant aNow) const
+void
+CrashGuard::OnEngineAnswered(std::uint64_t aEngine,
+                             Instant aSentAt,
+                             Instant aNow)
 {
-  return Report(mOwn, aNow);
+  if (AddEngineAnswer(aEngine, { aSentAt, aNow })) {
+    Update(aNow);
+  }
 }
 
-std::vector<CrashSuspect>
-CrashGuard::SuspectsWithout(const std::string& aExcluded, Instant aNow) const
+const RefusedPart*
+CrashGuard::FindRefused(const RequestKeys& aKeys, Instant aNow)
 {
-  Entries sum = mOwn;
-  for (const auto& [peer, entries] : mPeers) {
-    if (peer == aExcluded) {
-      continue;
+  if (Expire(aNow)) {
+    Update(aNow);
+  }
+  const RefusedPart* found = nullptr;
+  VisitKeys(aKeys, [&](std::uint64_t aKey, std::size_t, bool) {
+    const auto refused = mRefused.find(aKey);
+    if (found == nullptr && refused != mRefused.end()) {
+      found = &refused->second;
     }
-    for (const auto& [hash, entry] : entries) {
-      if (aNow - entry.mLastLossAt < kLifetime) {
-        Entry& total = sum[hash];
-        total.mLosses += entry.mLosses;
-        total.mLastLossAt = std::max(total.mLastLossAt, entry.mLastLossAt);
-      }
+  });
+  return found;
+}
+
+void
+CrashGuard::Merge(const CrashReport& aReport, Instant aNow)
+{
+  bool isChanged = false;
+  for (const auto& it : aReport.mLost) {
+    const Instant lostAt = aNow - it.mAge;
+    const Run run{ it.mEngine, it.mKeys, lostAt - it.mTook, lostAt, false };
+    isChanged = AddRun(it.mId, run, aNow) || isChanged;
+  }
+  for (const auto& it : aReport.mEngineAnswers) {
+    const Instant answeredAt = aNow - it.mAge;
+    isChanged =
+      AddEngineAnswer(it.mEngine, { answeredAt - it.mTook, answeredAt }) ||
+      isChanged;
+  }
+  for (const auto& it : aReport.mAnswered) {
+    isChanged = AddAnswer(it.mPart, aNow - it.mAge) || isChanged;
+  }
+  if (isChanged) {
+    Update(aNow);
+  }
+}
+
+CrashReport
+CrashGuard::Report(Instant aNow) const
+{
+  CrashReport report;
+  for (const auto& [id, run] : mRuns) {
+    report.mLost.push_back({ id,
+                             run.mEngine,
+                             run.mKeys,
+                             aNow - run.mLostAt,
+                             run.mLostAt - run.mSentAt });
+  }
+  std::stable_sort(report.mLost.begin(),
+                   report.mLost.end(),
+                   [this](const LostRun& aLeft, const LostRun& aRight) {
+                     const auto isRepeated = [this](const LostRun& aRun) {
+                       const auto it = mRunCounts.find(aRun.mKeys.mRequest);
+                       return it != mRunCounts.end() && it->second > 1;
+                     };
+                     return std::make_tuple(!isRepeated(aLeft), aLeft.mAge) <
+                            std::make_tuple(!isRepeated(aRight), aRight.mAge);
+                   });
+  if (report.mLost.size() > kMaxReported) {
+    report.mLost.resize(kMaxReported);
+  }
+  for (const auto& [part, time] : mAnsweredAt) {
+    report.mAnswered.push_back({ part, aNow - time });
+  }
+  KeepMostRecent(report.mAnswered);
+  for (const auto& [id, engine] : mEngines) {
+    for (const auto& it : engine.mAnswers) {
+      report.mEngineAnswers.push_back(
+        { id, aNow - it.mAnsweredAt, it.mAnsweredAt - it.mSentAt });
     }
   }
-  return Report(sum, aNow);
+  KeepMostRecent(report.mEngineAnswers);
+  return report;
 }
 
-std::vector<CrashSuspect>
-CrashGuard::Report(const Entries& aEntries, Instant aNow)
+bool
+CrashGuard::AddRun(std::uint64_t aId, const Run& aRun, Instant aNow)
 {
-  std::vector<CrashSuspect> suspects;
-  for (const auto& [hash, entry] : aEntries) {
-    if (aNow - entry.mLastLossAt < kLifetime) {
-      suspects.push_back({ hash, entry.mLosses, aNow - entry.mLastLossAt });
+  if (const auto it = mRuns.find(aId); it != mRuns.end()) {
+    // The first report may have been delayed on its way; a later one, whose age
+    // is greater, then corrects the time.
+    Run& known = it->second;
+    const bool isCorrected = aRun.mLostAt + kSameMoment < known.mLostAt;
+    if (isCorrected) {
+      known.mLostAt = aRun.mLostAt;
+      known.mSentAt = aRun.mSentAt;
     }
+    return isCorrected;
+  }
+  if (aNow - aRun.mLostAt >= LifetimeOf(aRun)) {
+    return false;
   }
-  std::sort(suspects.begin(),
-            suspects.end(),
-            [](const auto& aLeft, const auto& aRight) {
-              return aLeft.mAge < aRight.mAge;
-            });
-  if (suspects.size() > kMaxReported) {
-    suspects.resize(kMaxReported);
+  mRuns[aId] = aRun;
+  mEngines[aRun.mEngine].mRuns.insert(aId);
+  VisitKeys(aRun.mKeys, [this](std::uint64_t aKey, std::size_t, bool) {
+    ++mRunCounts[aKey];
+  });
+  if (mRuns.size() > kMaxRuns) {
+    RemoveOldest();
+  }
+  return true;
+}
+
+CrashGuard::Runs::iterator
+CrashGuard::RemoveRun(Runs::iterator aRun)
+{
+  const Run& run = aRun->second;
+  VisitKeys(run.mKeys, [this](std::uint64_t aKey, std::size_t, bool) {
+    const auto count = mRunCounts.find(aKey);
+    if (--count->second == 0) {
+      mRunCounts.erase(count);
+    }
+  });
+  const auto engine = mEngines.find(run.mEngine);
+  engine->second.mRuns.erase(aRun->first);
+  if (engine->second.mRuns.empty()) {
+    mEngines.erase(engine);
   }
-  return suspects;
+  return mRuns.erase(aRun);
 }
 
 void
+CrashGuard::RemoveOldest()
+{
+  // The evidence against a refused request must not give way to new losses.
+  const auto rank = [this](const Run& aRun) {
+    return std::make_tuple(mRefused.count(aRun.mKeys.mRequest), aRun.mLostAt);
+  };
+  RemoveRun(std::min_element(
+    mRuns.begin(), mRuns.end(), [&](const auto& aLeft, const auto& aRight) {
+      return rank(aLeft.second) < rank(aRight.second);
+    }));
+}
+
+bool
+CrashGuard::IsExonerated(std::uint64_t aPart, Instant aLostAt) const
+{
+  const auto it = mAnsweredAt.find(aPart);
+  return it != mAnsweredAt.end() && it->second >= aLostAt;
+}
+
+bool
+CrashGuard::AddAnswer(std::uint64_t aPart, Instant aAnsweredAt)
+{
+  if (mRunCounts.count(aPart) == 0) {
+    return false;
+  }
+  // An answer that exonerates the part of no further run is not recorded.
+  const bool isUseful =
+    std::any_of(mRuns.begin(), mRuns.end(), [&](const auto& aIt) {
+      const Instant lostAt = aIt.second.mLostAt;
+      return lostAt <= aAnsweredAt && Contains(aIt.second.mKeys, aPart) &&
+             !IsExonerated(aPart, lostAt);
+    });
+  if (isUseful) {
+    mAnsweredAt[aPart] = aAnsweredAt;
+  }
+  return isUseful;
+}
+
+bool
+CrashGuard::AddEngineAnswer(std::uint64_t aEngine, const Answer& aAnswer)
+{
+  const auto engine = mEngines.find(aEngine);
+  if (engine == mEngines.end()) {
+    return false;
+  }
+  auto& answers = engine->second.mAnswers;
+  // One answer after each loss is enough, whether its request was sent before
+  // or after the loss.
+  const bool isUseful = std::any_of(
+    engine->second.mRuns.begin(),
+    engine->second.mRuns.end(),
+    [&](std::uint64_t aRun) {
+      const Instant lostAt = mRuns.at(aRun).mLostAt;
+      const bool isSentBefore = aAnswer.mSentAt < lostAt;
+      return lostAt + kTimeTolerance < aAnswer.mAnsweredAt &&
+             std::none_of(answers.begin(), answers.end(), [&](const auto& aIt) {
+               return lostAt + kTimeTolerance < aIt.mAnsweredAt &&
+                      (aIt.mSentAt < lostAt) == isSentBefore;
+             });
+    });
+  if (isUseful) {
+    answers.push_back(aAnswer);
+    if (answers.size() > kMaxAnswersPerEngine) {
+      answers.erase(answers.begin());
+    }
+  }
+  return isUseful;
+}
+
+Duration
+CrashGuard::LifetimeOf(const Run& aRun) const
+{
+  return mRefused.count(aRun.mKeys.mRequest) > 0 ? kRefusedLifetime : kLifetime;
+}
+
+bool
 CrashGuard::Expire(Instant aNow)
 {
-  for (auto it = mOwn.begin(); it != mOwn.end();) {
-    it = aNow - it->second.mLastLossAt >= kLifetime ? mOwn.erase(it) : ++it;
+  bool isChanged = false;
+  for (auto it = mRuns.begin(); it != mRuns.end();) {
+    const bool isExpired = aNow - it->second.mLostAt >= LifetimeOf(it->second);
+    isChanged = isChanged || isExpired;
+    it = isExpired ? RemoveRun(it) : ++it;
+  }
+  for (auto it = mAnsweredAt.begin(); it != mAnsweredAt.end();) {
+    it = mRunCounts.count(it->first) == 0 ? mAnsweredAt.erase(it) : ++it;
+  }
+  return isChanged;
+}
+
+std::vector<std::pair<Instant, std::uint64_t>>
+CrashGuard::CrashedRuns(const Engine& aEngine) const
+{
+  std::vector<std::pair<Instant, std::uint64_t>> runs;
+  for (const auto it : aEngine.mRuns) {
+    runs.emplace_back(mRuns.at(it).mLostAt, it);
+  }
+  std::sort(runs.begin(), runs.end());
+  const auto survived = [&](const Run& aRun) {
+    return std::any_of(
+      aEngine.mAnswers.begin(), aEngine.mAnswers.end(), [&](const auto& aIt) {
+        return aIt.mSentAt < aRun.mLostAt &&
+               aRun.mLostAt + kTimeTolerance < aIt.mAnsweredAt;
+      });
+  };
+  std::vector<std::pair<Instant, std::uint64_t>> crashed;
+  std::optional<Instant> crashedAt;
+  for (const auto& [lostAt, id] : runs) {
+    const Run& run = mRuns.at(id);
+    const bool wasRunning =
+      crashedAt && run.mSentAt <= *crashedAt + kTimeTolerance;
+    const bool isUpAgain =
+      crashedAt && std::any_of(aEngine.mAnswers.begin(),
+                               aEngine.mAnswers.end(),
+                               [&, lost = lostAt](const auto& aIt) {
+                                 return *crashedAt <= aIt.mSentAt &&
+                                        aIt.mAnsweredAt <= lost;
+                               });
+    if (survived(run) || (crashedAt && !wasRunning && !isUpAgain)) {
+      continue;
+    }
+    if (!wasRunning) {
+      crashedAt = lostAt;
+    }
+    crashed.emplace_back(*crashedAt, id);
+  }
+  return crashed;
+}
+
+CrashGuard::Crashes
+CrashGuard::NumberCrashes() const
+{
+  std::vector<std::pair<Instant, std::uint64_t>> runs;
+  for (const auto& [id, engine] : mEngines) {
+    const auto crashed = CrashedRuns(engine);
+    runs.insert(runs.end(), crashed.begin(), crashed.end());
+  }
+  std::sort(runs.begin(), runs.end());
+  Crashes numbers;
+  std::size_t number = 0;
+  Instant moment;
+  for (const auto& [crashedAt, id] : runs) {
+    if (numbers.empty() || crashedAt - moment >= kSameMoment) {
+      moment = crashedAt;
+      ++number;
+    }
+    numbers[id] = number;
+  }
+  return numbers;
+}
+
+std::map<std::uint64_t, CrashGuard::Evidence>
+CrashGuard::CollectEvidence() const
+{
+  std::map<std::uint64_t, Evidence> result;
+  for (const auto& [id, crash] : NumberCrashes()) {
+    const Run& run = mRuns.at(id);
+    VisitKeys(run.mKeys,
+              [&, number = crash](
+                std::uint64_t aKey, std::size_t aDepth, bool aIsRequest) {
+                if (mRunCounts.at(aKey) < kCrashLimit ||
+                    IsExonerated(aKey, run.mLostAt)) {
+                  return;
+                }
+                Evidence& evidence = result[aKey];
+                evidence.mCrashes.insert(number);
+                ++evidence.mRuns;
+                evidence.mDepth = std::max(evidence.mDepth, aDepth);
+                evidence.mTook += run.mLostAt - run.mSentAt;
+                evidence.mIsRequest = aIsRequest;
+              });
+  }
+  return result;
+}
+
+RefusedPart
+CrashGuard::Describe(std::uint64_t aPart, const Evidence& aEvidence) const
+{
+  RefusedPart result;
+  result.mPart = aPart;
+  result.mIsRequest = aEvidence.mIsRequest;
+  result.mCrashes = static_cast<std::uint32_t>(aEvidence.mCrashes.size());
+  for (const auto& [id, run] : mRuns) {
+    if (!Contains(run.mKeys, aPart) || IsExonerated(aPart, run.mLostAt)) {
+      continue;
+    }
+    const bool isFirst = result.mOwnRuns + result.mPeerRuns == 0;
+    ++(run.mIsOwn ? result.mOwnRuns : result.mPeerRuns);
+    result.mFirstLossAt =
+      isFirst ? run.mLostAt : std::min(result.mFirstLossAt, run.mLostAt);
+    result.mLastLossAt = std::max(result.mLastLossAt, run.mLostAt);
+  }
+  return result;
+}
+
+void
+CrashGuard::Update(Instant aNow)
+{
+  // Most losses are of requests that are lost only once.
+  const bool hasCandidate =
+    std::any_of(mRunCounts.begin(), mRunCounts.end(), [](const auto& aIt) {
+      return aIt.second >= kCrashLimit;
+    });
+  auto evidence =
+    hasCandidate ? CollectEvidence() : std::map<std::uint64_t, Evidence>();
+  std::map<std::uint64_t, RefusedPart> refused;
+  while (!evidence.empty()) {
+    // On a tie the deepest part is taken: the first parts of a prompt are
+    // shared with the most other requests. Among requests it is the one that
+    // was lost soonest after it was sent, because the others ran before.
+    const auto worst = std::max_element(
+      evidence.begin(),
+      evidence.end(),
+      [](const auto& aLeft, const auto& aRight) {
+        const Evidence& left = aLeft.second;
+        const Evidence& right = aRight.second;
+        return std::make_tuple(
+                 left.mCrashes.size(), left.mDepth, left.mRuns, -left.mTook) <
+               std::make_tuple(right.mCrashes.size(),
+                               right.mDepth,
+                               right.mRuns,
+                               -right.mTook);
+      });
+    const auto explained = worst->second.mCrashes;
+    if (explained.size() < kCrashLimit) {
+      break;
+    }
+    refused[worst->first] = Describe(worst->first, worst->second);
+    evidence.erase(worst);
+    for (auto& [part, item] : evidence) {
+      for (const std::size_t it : explained) {
+        item.mCrashes.erase(it);
+      }
+    }
+  }
+  const auto before = std::exchange(mRefused, std::move(refused));
+  for (const auto& [part, item] : mRefused) {
+    if (before.count(part) == 0) {
+      mOnDecision.emit(item, true, aNow);
+    }
+  }
+  for (const auto& [part, item] : before) {
+    if (mRefused.count(part) == 0) {
+      mOnDecision.emit(item, false, aNow);
+    }
   }
 }
 
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -40,22 +40,37 @@
 }
 
 // A request that an endpoint was processing when its connection was lost.
+// Not sent any more; kept because older daemons require the list.
 struct CrashSuspect {
   1: required i64 requestHash,
   2: required i32 losses,
   3: required i32 ageMs,
 }
 
-// A run that was lost with its engine while its answer was starting.
+// A run whose connection was lost.
 struct LostPrompt {
-  // Hash of the id and incarnation of the engine.
+  // Hash of the id and incarnation of the engine or plain endpoint.
   1: required i64 engine,
   // Keys of the shared prompt parts, in the order of the prompt.
   2: required list<i64> parts,
   3: required i32 ageMs,
+  // Unique in the fleet.
+  4: i64 id,
+  // Hash of path, caller and body; 0: unknown.
+  5: i64 requestHash,
+  // Time from the send to the loss.
+  6: i32 tookMs,
 }
 
-// A prompt part in a whole answer that ended after runs with it were lost.
+// An answer that shows that an engine with lost runs is up.
+struct EngineAnswer {
+  1: required i64 engine,
+  2: required i32 ageMs,
+  // Time from the send to the answer.
+  3: required i32 tookMs,
+}
+
+// A request or prompt part that was answered well after runs with it were lost.
 struct AnsweredPart {
   1: required i64 part,
   2: required i32 ageMs,
@@ -93,4 +108,5 @@
   9: list<KeptPrompt> keptPrompts,
   10: list<LostPrompt> lostPrompts,
   11: list<AnsweredPart> answeredParts,
+  12: list<EngineAnswer> engineAnswers,
 }
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -834,6 +834,18 @@
 void LostPrompt::__set_ageMs(const int32_t val) {
   this->ageMs = val;
 }
+
+void LostPrompt::__set_id(const int64_t val) {
+  this->id = val;
+}
+
+void LostPrompt::__set_requestHash(const int64_t val) {
+  this->requestHash = val;
+}
+
+void LostPrompt::__set_tookMs(const int32_t val) {
+  this->tookMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const LostPrompt& obj)
 {
   obj.printTo(out);
@@ -901,6 +913,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->id);
+          this->__isset.id = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->requestHash);
+          this->__isset.requestHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tookMs);
+          this->__isset.tookMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -944,6 +980,18 @@
   xfer += oprot->writeI32(this->ageMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("id", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->id);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("requestHash", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->requestHash);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tookMs", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->tookMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -954,17 +1002,29 @@
   swap(a.engine, b.engine);
   swap(a.parts, b.parts);
   swap(a.ageMs, b.ageMs);
+  swap(a.id, b.id);
+  swap(a.requestHash, b.requestHash);
+  swap(a.tookMs, b.tookMs);
+  swap(a.__isset, b.__isset);
 }
 
 LostPrompt::LostPrompt(const LostPrompt& other16) {
   engine = other16.engine;
   parts = other16.parts;
   ageMs = other16.ageMs;
+  id = other16.id;
+  requestHash = other16.requestHash;
+  tookMs = other16.tookMs;
+  __isset = other16.__isset;
 }
 LostPrompt& LostPrompt::operator=(const LostPrompt& other17) {
   engine = other17.engine;
   parts = other17.parts;
   ageMs = other17.ageMs;
+  id = other17.id;
+  requestHash = other17.requestHash;
+  tookMs = other17.tookMs;
+  __isset = other17.__isset;
   return *this;
 }
 void LostPrompt::printTo(std::ostream& out) const {
@@ -973,6 +1033,147 @@
   out << "engine=" << to_string(engine);
   out << ", " << "parts=" << to_string(parts);
   out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "id=" << to_string(id);
+  out << ", " << "requestHash=" << to_string(requestHash);
+  out << ", " << "tookMs=" << to_string(tookMs);
+  out << ")";
+}
+
+
+EngineAnswer::~EngineAnswer() noexcept {
+}
+
+
+void EngineAnswer::__set_engine(const int64_t val) {
+  this->engine = val;
+}
+
+void EngineAnswer::__set_ageMs(const int32_t val) {
+  this->ageMs = val;
+}
+
+void EngineAnswer::__set_tookMs(const int32_t val) {
+  this->tookMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const EngineAnswer& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t EngineAnswer::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_engine = false;
+  bool isset_ageMs = false;
+  bool isset_tookMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->engine);
+          isset_engine = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ageMs);
+          isset_ageMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tookMs);
+          isset_tookMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_engine)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ageMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_tookMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t EngineAnswer::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("EngineAnswer");
+
+  xfer += oprot->writeFieldBegin("engine", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->engine);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ageMs", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ageMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("tookMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->tookMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(EngineAnswer &a, EngineAnswer &b) {
+  using ::std::swap;
+  swap(a.engine, b.engine);
+  swap(a.ageMs, b.ageMs);
+  swap(a.tookMs, b.tookMs);
+}
+
+EngineAnswer::EngineAnswer(const EngineAnswer& other18) noexcept {
+  engine = other18.engine;
+  ageMs = other18.ageMs;
+  tookMs = other18.tookMs;
+}
+EngineAnswer& EngineAnswer::operator=(const EngineAnswer& other19) noexcept {
+  engine = other19.engine;
+  ageMs = other19.ageMs;
+  tookMs = other19.tookMs;
+  return *this;
+}
+void EngineAnswer::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "EngineAnswer(";
+  out << "engine=" << to_string(engine);
+  out << ", " << "ageMs=" << to_string(ageMs);
+  out << ", " << "tookMs=" << to_string(tookMs);
   out << ")";
 }
 
@@ -1074,13 +1275,13 @@
   swap(a.ageMs, b.ageMs);
 }
 
-AnsweredPart::AnsweredPart(const AnsweredPart& other18) noexcept {
-  part = other18.part;
-  ageMs = other18.ageMs;
+AnsweredPart::AnsweredPart(const AnsweredPart& other20) noexcept {
+  part = other20.part;
+  ageMs = other20.ageMs;
 }
-AnsweredPart& AnsweredPart::operator=(const AnsweredPart& other19) noexcept {
-  part = other19.part;
-  ageMs = other19.ageMs;
+AnsweredPart& AnsweredPart::operator=(const AnsweredPart& other21) noexcept {
+  part = other21.part;
+  ageMs = other21.ageMs;
   return *this;
 }
 void AnsweredPart::printTo(std::ostream& out) const {
@@ -1189,13 +1390,13 @@
   swap(a.ageMs, b.ageMs);
 }
 
-TurnedAway::TurnedAway(const TurnedAway& other20) noexcept {
-  requestHash = other20.requestHash;
-  ageMs = other20.ageMs;
+TurnedAway::TurnedAway(const TurnedAway& other22) noexcept {
+  requestHash = other22.requestHash;
+  ageMs = other22.ageMs;
 }
-TurnedAway& TurnedAway::operator=(const TurnedAway& other21) noexcept {
-  requestHash = other21.requestHash;
-  ageMs = other21.ageMs;
+TurnedAway& TurnedAway::operator=(const TurnedAway& other23) noexcept {
+  requestHash = other23.requestHash;
+  ageMs = other23.ageMs;
   return *this;
 }
 void TurnedAway::printTo(std::ostream& out) const {
@@ -1324,15 +1525,15 @@
   swap(a.leftMs, b.leftMs);
 }
 
-RoleOrder::RoleOrder(const RoleOrder& other22) {
-  endpoint = other22.endpoint;
-  isToDecode = other22.isToDecode;
-  leftMs = other22.leftMs;
+RoleOrder::RoleOrder(const RoleOrder& other24) {
+  endpoint = other24.endpoint;
+  isToDecode = other24.isToDecode;
+  leftMs = other24.leftMs;
 }
-RoleOrder& RoleOrder::operator=(const RoleOrder& other23) {
-  endpoint = other23.endpoint;
-  isToDecode = other23.isToDecode;
-  leftMs = other23.leftMs;
+RoleOrder& RoleOrder::operator=(const RoleOrder& other25) {
+  endpoint = other25.endpoint;
+  isToDecode = other25.isToDecode;
+  leftMs = other25.leftMs;
   return *this;
 }
 void RoleOrder::printTo(std::ostream& out) const {
@@ -1392,6 +1593,10 @@
 void RoutingStatus::__set_answeredParts(const std::vector<AnsweredPart> & val) {
   this->answeredParts = val;
 }
+
+void RoutingStatus::__set_engineAnswers(const std::vector<EngineAnswer> & val) {
+  this->engineAnswers = val;
+}
 std::ostream& operator<<(std::ostream& out, const RoutingStatus& obj)
 {
   obj.printTo(out);
@@ -1432,14 +1637,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->runs.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->runs.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->runs[_i28].read(iprot);
+              xfer += this->runs[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1452,14 +1657,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->shares.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size31;
+            ::apache::thrift::protocol::TType _etype34;
+            xfer += iprot->readListBegin(_etype34, _size31);
+            this->shares.resize(_size31);
+            uint32_t _i35;
+            for (_i35 = 0; _i35 < _size31; ++_i35)
             {
-              xfer += this->shares[_i33].read(iprot);
+              xfer += this->shares[_i35].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1472,14 +1677,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retries.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->retries.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->retries.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->retries[_i38].read(iprot);
+              xfer += this->retries[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1492,14 +1697,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size39;
-            ::apache::thrift::protocol::TType _etype42;
-            xfer += iprot->readListBegin(_etype42, _size39);
-            this->suspects.resize(_size39);
-            uint32_t _i43;
-            for (_i43 = 0; _i43 < _size39; ++_i43)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->suspects.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->suspects[_i43].read(iprot);
+              xfer += this->suspects[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1528,14 +1733,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->turnedAway.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->turnedAway.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->turnedAway.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->turnedAway[_i48].read(iprot);
+              xfer += this->turnedAway[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1548,14 +1753,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->roleOrders.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->roleOrders.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->roleOrders.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += this->roleOrders[_i53].read(iprot);
+              xfer += this->roleOrders[_i55].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1568,14 +1773,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keptPrompts.clear();
-            uint32_t _size54;
-            ::apache::thrift::protocol::TType _etype57;
-            xfer += iprot->readListBegin(_etype57, _size54);
-            this->keptPrompts.resize(_size54);
-            uint32_t _i58;
-            for (_i58 = 0; _i58 < _size54; ++_i58)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->keptPrompts.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->keptPrompts[_i58].read(iprot);
+              xfer += this->keptPrompts[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1588,14 +1793,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lostPrompts.clear();
-            uint32_t _size59;
-            ::apache::thrift::protocol::TType _etype62;
-            xfer += iprot->readListBegin(_etype62, _size59);
-            this->lostPrompts.resize(_size59);
-            uint32_t _i63;
-            for (_i63 = 0; _i63 < _size59; ++_i63)
+            uint32_t _size61;
+            ::apache::thrift::protocol::TType _etype64;
+            xfer += iprot->readListBegin(_etype64, _size61);
+            this->lostPrompts.resize(_size61);
+            uint32_t _i65;
+            for (_i65 = 0; _i65 < _size61; ++_i65)
             {
-              xfer += this->lostPrompts[_i63].read(iprot);
+              xfer += this->lostPrompts[_i65].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1608,14 +1813,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answeredParts.clear();
-            uint32_t _size64;
-            ::apache::thrift::protocol::TType _etype67;
-            xfer += iprot->readListBegin(_etype67, _size64);
-            this->answeredParts.resize(_size64);
-            uint32_t _i68;
-            for (_i68 = 0; _i68 < _size64; ++_i68)
+            uint32_t _size66;
+            ::apache::thrift::protocol::TType _etype69;
+            xfer += iprot->readListBegin(_etype69, _size66);
+            this->answeredParts.resize(_size66);
+            uint32_t _i70;
+            for (_i70 = 0; _i70 < _size66; ++_i70)
             {
-              xfer += this->answeredParts[_i68].read(iprot);
+              xfer += this->answeredParts[_i70].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1624,6 +1829,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->engineAnswers.clear();
+            uint32_t _size71;
+            ::apache::thrift::protocol::TType _etype74;
+            xfer += iprot->readListBegin(_etype74, _size71);
+            this->engineAnswers.resize(_size71);
+            uint32_t _i75;
+            for (_i75 = 0; _i75 < _size71; ++_i75)
+            {
+              xfer += this->engineAnswers[_i75].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.engineAnswers = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1660,10 +1885,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<StreamRun> ::const_iterator _iter69;
-    for (_iter69 = this->runs.begin(); _iter69 != this->runs.end(); ++_iter69)
+    std::vector<StreamRun> ::const_iterator _iter76;
+    for (_iter76 = this->runs.begin(); _iter76 != this->runs.end(); ++_iter76)
     {
-      xfer += (*_iter69).write(oprot);
+      xfer += (*_iter76).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1672,10 +1897,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<EndpointShare> ::const_iterator _iter70;
-    for (_iter70 = this->shares.begin(); _iter70 != this->shares.end(); ++_iter70)
+    std::vector<EndpointShare> ::const_iterator _iter77;
+    for (_iter77 = this->shares.begin(); _iter77 != this->shares.end(); ++_iter77)
     {
-      xfer += (*_iter70).write(oprot);
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1684,10 +1909,10 @@
   xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retries.size()));
-    std::vector<RetryUse> ::const_iterator _iter71;
-    for (_iter71 = this->retries.begin(); _iter71 != this->retries.end(); ++_iter71)
+    std::vector<RetryUse> ::const_iterator _iter78;
+    for (_iter78 = this->retries.begin(); _iter78 != this->retries.end(); ++_iter78)
     {
-      xfer += (*_iter71).write(oprot);
+      xfer += (*_iter78).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1696,10 +1921,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter72;
-    for (_iter72 = this->suspects.begin(); _iter72 != this->suspects.end(); ++_iter72)
+    std::vector<CrashSuspect> ::const_iterator _iter79;
+    for (_iter79 = this->suspects.begin(); _iter79 != this->suspects.end(); ++_iter79)
     {
-      xfer += (*_iter72).write(oprot);
+      xfer += (*_iter79).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1716,10 +1941,10 @@
   xfer += oprot->writeFieldBegin("turnedAway", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->turnedAway.size()));
-    std::vector<TurnedAway> ::const_iterator _iter73;
-    for (_iter73 = this->turnedAway.begin(); _iter73 != this->turnedAway.end(); ++_iter73)
+    std::vector<TurnedAway> ::const_iterator _iter80;
+    for (_iter80 = this->turnedAway.begin(); _iter80 != this->turnedAway.end(); ++_iter80)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter80).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1728,10 +1953,10 @@
   xfer += oprot->writeFieldBegin("roleOrders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->roleOrders.size()));
-    std::vector<RoleOrder> ::const_iterator _iter74;
-    for (_iter74 = this->roleOrders.begin(); _iter74 != this->roleOrders.end(); ++_iter74)
+    std::vector<RoleOrder> ::const_iterator _iter81;
+    for (_iter81 = this->roleOrders.begin(); _iter81 != this->roleOrders.end(); ++_iter81)
     {
-      xfer += (*_iter74).write(oprot);
+      xfer += (*_iter81).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1740,10 +1965,10 @@
   xfer += oprot->writeFieldBegin("keptPrompts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keptPrompts.size()));
-    std::vector<KeptPrompt> ::const_iterator _iter75;
-    for (_iter75 = this->keptPrompts.begin(); _iter75 != this->keptPrompts.end(); ++_iter75)
+    std::vector<KeptPrompt> ::const_iterator _iter82;
+    for (_iter82 = this->keptPrompts.begin(); _iter82 != this->keptPrompts.end(); ++_iter82)
     {
-      xfer += (*_iter75).write(oprot);
+      xfer += (*_iter82).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1752,10 +1977,10 @@
   xfer += oprot->writeFieldBegin("lostPrompts", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lostPrompts.size()));
-    std::vector<LostPrompt> ::const_iterator _iter76;
-    for (_iter76 = this->lostPrompts.begin(); _iter76 != this->lostPrompts.end(); ++_iter76)
+    std::vector<LostPrompt> ::const_iterator _iter83;
+    for (_iter83 = this->lostPrompts.begin(); _iter83 != this->lostPrompts.end(); ++_iter83)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1764,10 +1989,22 @@
   xfer += oprot->writeFieldBegin("answeredParts", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answeredParts.size()));
-    std::vector<AnsweredPart> ::const_iterator _iter77;
-    for (_iter77 = this->answeredParts.begin(); _iter77 != this->answeredParts.end(); ++_iter77)
+    std::vector<AnsweredPart> ::const_iterator _iter84;
+    for (_iter84 = this->answeredParts.begin(); _iter84 != this->answeredParts.end(); ++_iter84)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter84).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("engineAnswers", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engineAnswers.size()));
+    std::vector<EngineAnswer> ::const_iterator _iter85;
+    for (_iter85 = this->engineAnswers.begin(); _iter85 != this->engineAnswers.end(); ++_iter85)
+    {
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1791,36 +2028,39 @@
   swap(a.keptPrompts, b.keptPrompts);
   swap(a.lostPrompts, b.lostPrompts);
   swap(a.answeredParts, b.answeredParts);
+  swap(a.engineAnswers, b.engineAnswers);
   swap(a.__isset, b.__isset);
 }
 
-RoutingStatus::RoutingStatus(const RoutingStatus& other78) {
-  runs = other78.runs;
-  shares = other78.shares;
-  retries = other78.retries;
-  suspects = other78.suspects;
-  isLeaving = other78.isLeaving;
-  address = other78.address;
-  turnedAway = other78.turnedAway;
-  roleOrders = other78.roleOrders;
-  keptPrompts = other78.keptPrompts;
-  lostPrompts = other78.lostPrompts;
-  answeredParts = other78.answeredParts;
-  __isset = other78.__isset;
-}
-RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other79) {
-  runs = other79.runs;
-  shares = other79.shares;
-  retries = other79.retries;
-  suspects = other79.suspects;
-  isLeaving = other79.isLeaving;
-  address = other79.address;
-  turnedAway = other79.turnedAway;
-  roleOrders = other79.roleOrders;
-  keptPrompts = other79.keptPrompts;
-  lostPrompts = other79.lostPrompts;
-  answeredParts = other79.answeredParts;
-  __isset = other79.__isset;
+RoutingStatus::RoutingStatus(const RoutingStatus& other86) {
+  runs = other86.runs;
+  shares = other86.shares;
+  retries = other86.retries;
+  suspects = other86.suspects;
+  isLeaving = other86.isLeaving;
+  address = other86.address;
+  turnedAway = other86.turnedAway;
+  roleOrders = other86.roleOrders;
+  keptPrompts = other86.keptPrompts;
+  lostPrompts = other86.lostPrompts;
+  answeredParts = other86.answeredParts;
+  engineAnswers = other86.engineAnswers;
+  __isset = other86.__isset;
+}
+RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other87) {
+  runs = other87.runs;
+  shares = other87.shares;
+  retries = other87.retries;
+  suspects = other87.suspects;
+  isLeaving = other87.isLeaving;
+  address = other87.address;
+  turnedAway = other87.turnedAway;
+  roleOrders = other87.roleOrders;
+  keptPrompts = other87.keptPrompts;
+  lostPrompts = other87.lostPrompts;
+  answeredParts = other87.answeredParts;
+  engineAnswers = other87.engineAnswers;
+  __isset = other87.__isset;
   return *this;
 }
 void RoutingStatus::printTo(std::ostream& out) const {
@@ -1837,6 +2077,7 @@
   out << ", " << "keptPrompts=" << to_string(keptPrompts);
   out << ", " << "lostPrompts=" << to_string(lostPrompts);
   out << ", " << "answeredParts=" << to_string(answeredParts);
+  out << ", " << "engineAnswers=" << to_string(engineAnswers);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -33,6 +33,8 @@
 
 class LostPrompt;
 
+class EngineAnswer;
+
 class AnsweredPart;
 
 class TurnedAway;
@@ -322,6 +324,12 @@
 
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
 
+typedef struct _LostPrompt__isset {
+  _LostPrompt__isset() : id(false), requestHash(false), tookMs(false) {}
+  bool id :1;
+  bool requestHash :1;
+  bool tookMs :1;
+} _LostPrompt__isset;
 
 class LostPrompt : public virtual ::apache::thrift::TBase {
  public:
@@ -330,13 +338,21 @@
   LostPrompt& operator=(const LostPrompt&);
   LostPrompt() noexcept
              : engine(0),
-               ageMs(0) {
+               ageMs(0),
+               id(0),
+               requestHash(0),
+               tookMs(0) {
   }
 
   virtual ~LostPrompt() noexcept;
   int64_t engine;
   std::vector<int64_t>  parts;
   int32_t ageMs;
+  int64_t id;
+  int64_t requestHash;
+  int32_t tookMs;
+
+  _LostPrompt__isset __isset;
 
   void __set_engine(const int64_t val);
 
@@ -344,6 +360,12 @@
 
   void __set_ageMs(const int32_t val);
 
+  void __set_id(const int64_t val);
+
+  void __set_requestHash(const int64_t val);
+
+  void __set_tookMs(const int32_t val);
+
   bool operator == (const LostPrompt & rhs) const
   {
     if (!(engine == rhs.engine))
@@ -352,6 +374,12 @@
       return false;
     if (!(ageMs == rhs.ageMs))
       return false;
+    if (!(id == rhs.id))
+      return false;
+    if (!(requestHash == rhs.requestHash))
+      return false;
+    if (!(tookMs == rhs.tookMs))
+      return false;
     return true;
   }
   bool operator != (const LostPrompt &rhs) const {
@@ -371,6 +399,55 @@
 std::ostream& operator<<(std::ostream& out, const LostPrompt& obj);
 
 
+class EngineAnswer : public virtual ::apache::thrift::TBase {
+ public:
+
+  EngineAnswer(const EngineAnswer&) noexcept;
+  EngineAnswer& operator=(const EngineAnswer&) noexcept;
+  EngineAnswer() noexcept
+               : engine(0),
+                 ageMs(0),
+                 tookMs(0) {
+  }
+
+  virtual ~EngineAnswer() noexcept;
+  int64_t engine;
+  int32_t ageMs;
+  int32_t tookMs;
+
+  void __set_engine(const int64_t val);
+
+  void __set_ageMs(const int32_t val);
+
+  void __set_tookMs(const int32_t val);
+
+  bool operator == (const EngineAnswer & rhs) const
+  {
+    if (!(engine == rhs.engine))
+      return false;
+    if (!(ageMs == rhs.ageMs))
+      return false;
+    if (!(tookMs == rhs.tookMs))
+      return false;
+    return true;
+  }
+  bool operator != (const EngineAnswer &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const EngineAnswer & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(EngineAnswer &a, EngineAnswer &b);
+
+std::ostream& operator<<(std::ostream& out, const EngineAnswer& obj);
+
+
 class AnsweredPart : public virtual ::apache::thrift::TBase {
  public:
 
@@ -506,10 +583,11 @@
 std::ostream& operator<<(std::ostream& out, const RoleOrder& obj);
 
 typedef struct _RoutingStatus__isset {
-  _RoutingStatus__isset() : keptPrompts(false), lostPrompts(false), answeredParts(false) {}
+  _RoutingStatus__isset() : keptPrompts(false), lostPrompts(false), answeredParts(false), engineAnswers(false) {}
   bool keptPrompts :1;
   bool lostPrompts :1;
   bool answeredParts :1;
+  bool engineAnswers :1;
 } _RoutingStatus__isset;
 
 class RoutingStatus : public virtual ::apache::thrift::TBase {
@@ -534,6 +612,7 @@
   std::vector<KeptPrompt>  keptPrompts;
   std::vector<LostPrompt>  lostPrompts;
   std::vector<AnsweredPart>  answeredParts;
+  std::vector<EngineAnswer>  engineAnswers;
 
   _RoutingStatus__isset __isset;
 
@@ -559,6 +638,8 @@
 
   void __set_answeredParts(const std::vector<AnsweredPart> & val);
 
+  void __set_engineAnswers(const std::vector<EngineAnswer> & val);
+
   bool operator == (const RoutingStatus & rhs) const
   {
     if (!(runs == rhs.runs))
@@ -583,6 +664,8 @@
       return false;
     if (!(answeredParts == rhs.answeredParts))
       return false;
+    if (!(engineAnswers == rhs.engineAnswers))
+      return false;
     return true;
   }
   bool operator != (const RoutingStatus &rhs) const {
--- a/Tests/Router/FleetDaemon.cxx
+++ b/Tests/Router/FleetDaemon.cxx
@@ -122,7 +122,6 @@
              mHealth,
              mRetryBudget,
              mGuard,
-             mPromptGuard,
              mDeferred,
              mDirectory,
              mFeed },
--- a/Tests/Router/PeerStatusTest.cxx
+++ b/Tests/Router/PeerStatusTest.cxx
@@ -19,9 +19,11 @@
                    { 2, "d2", 100, 200, 300, std::nullopt, 42 } };
   status.mWorks = { { "p1", { 2, 9000 } } };
   status.mRetries = { { "s", { 10, 3 } } };
-  status.mSuspects = { { 77, 2, seconds(1) } };
-  status.mLostPrompts = { { 91, { 1, ~0ULL }, seconds(2) } };
-  status.mAnsweredParts = { { 92, seconds(3) } };
+  status.mCrashes.mLost = {
+    { 76, 91, { { 1, ~0ULL }, 77 }, seconds(2), milliseconds(15) }
+  };
+  status.mCrashes.mAnswered = { { 92, seconds(3) } };
+  status.mCrashes.mEngineAnswers = { { 93, seconds(4), milliseconds(16) } };
   status.mCachedPrompts = { { 43, "d3", 5000, here - seconds(1) } };
   status.mDeferredRequests = { { 88, milliseconds(1500) } };
   status.mRoleOrders = { { "p2",
@@ -43,20 +45,58 @@
   CHECK(read->mCachedPrompts[0].mObservedAt == there - seconds(1));
   CHECK(read->mWorks.at("p1").mPrefillTokens == 9000);
   CHECK(read->mRetries.at("s").mRetries == 3);
-  CHECK(read->mSuspects[0].mHash == 77);
-  REQUIRE(read->mLostPrompts.size() == 1);
-  CHECK(read->mLostPrompts[0].mEngine == 91);
-  CHECK(read->mLostPrompts[0].mParts == std::vector<std::uint64_t>{ 1, ~0ULL });
-  CHECK(read->mLostPrompts[0].mAge == seconds(2));
-  REQUIRE(read->mAnsweredParts.size() == 1);
-  CHECK(read->mAnsweredParts[0].mPart == 92);
-  CHECK(read->mAnsweredParts[0].mAge == seconds(3));
+  REQUIRE(read->mCrashes.mLost.size() == 1);
+  const LostRun& lost = read->mCrashes.mLost[0];
+  CHECK(lost.mId == 76);
+  CHECK(lost.mEngine == 91);
+  CHECK(lost.mKeys.mParts == std::vector<std::uint64_t>{ 1, ~0ULL });
+  CHECK(lost.mKeys.mRequest == 77);
+  CHECK(lost.mAge == seconds(2));
+  CHECK(lost.mTook == milliseconds(15));
+  REQUIRE(read->mCrashes.mAnswered.size() == 1);
+  CHECK(read->mCrashes.mAnswered[0].mPart == 92);
+  CHECK(read->mCrashes.mAnswered[0].mAge == seconds(3));
+  REQUIRE(read->mCrashes.mEngineAnswers.size() == 1);
+  CHECK(read->mCrashes.mEngineAnswers[0].mEngine == 93);
+  CHECK(read->mCrashes.mEngineAnswers[0].mAge == seconds(4));
+  CHECK(read->mCrashes.mEngineAnswers[0].mTook == milliseconds(16));
   CHECK(read->mDeferredRequests[0].mAge == milliseconds(1500));
   CHECK(read->mRoleOrders.at("p2").mDeadline == there + seconds(6));
   CHECK(read->mAddress == status.mAddress);
   CHECK(read->mIsStopping);
 }
 
+// Guards against a faulty peer that makes all daemons refuse requests, or fills
+// their memory.
+TEST_CASE("Evidence of crashes out of all proportion makes a status unreadable")
+{
+  const Instant now{ seconds(5000) };
+  PeerStatus status;
+  status.mAddress = { "10.0.0.1", 7000 };
+  const auto isReadable = [&] {
+    return DecodePeerStatus(EncodePeerStatus(status, now), now).ok();
+  };
+  SUBCASE("too many lost runs")
+  {
+    status.mCrashes.mLost.resize(10'000);
+  }
+  SUBCASE("too many parts")
+  {
+    status.mCrashes.mLost.resize(1);
+    status.mCrashes.mLost[0].mKeys.mParts.resize(1000);
+  }
+  SUBCASE("a loss in the future")
+  {
+    status.mCrashes.mLost.resize(1);
+    status.mCrashes.mLost[0].mAge = seconds(-5);
+  }
+  SUBCASE("an answer of long ago")
+  {
+    status.mCrashes.mAnswered = { { 1, std::chrono::hours(5) } };
+  }
+  CHECK_FALSE(isReadable());
+}
+
 TEST_CASE("A status that is decoded from arbitrary bytes has an address")
 {
   CHECK(rc::check("any bytes", [](const std::string& aBytes) {
--- a/Tests/Router/PlacementFleet.h
+++ b/Tests/Router/PlacementFleet.h
@@ -236,8 +236,7 @@
   LocalPrefillTurns mTurns;
   EndpointHealth mHealth;
   SharedRetryBudget mRetryBudget;
-  CrashGuard mGuard;
-  PromptCrashGuard mPromptGuard;
+  CrashGuard mGuard{ mRandom };
   DeferredRequests mDeferred;
   PlainSelector mSelector;
   PlainQueue mPlainQueue;
--- a/Tests/Router/PlainCallTest.cxx
+++ b/Tests/Router/PlainCallTest.cxx
@@ -28,6 +28,7 @@
     mSends.push_back(aChoice.mEndpoint);
   }
   void CancelSend(SendResult) override { ++mCancels; }
+  bool IsCrashSuspect() override { return mIsCrashSuspect; }
   void Deliver(const EndpointAnswer& aAnswer) override
   {
     mDelivered.push_back(aAnswer.mStatus);
@@ -45,6 +46,7 @@
   int mWithdrawals = 0;
   std::vector<std::string> mSends;
   int mCancels = 0;
+  bool mIsCrashSuspect = false;
   std::vector<int> mDelivered;
   std::vector<Refusal> mRefusals;
   std::optional<Instant> mWakeTime;
@@ -347,4 +349,25 @@
   }
 }
 
+// Guards against a request that crashes a second endpoint because it is sent
+// again within one attempt of its caller.
+TEST_CASE("A request that crashes endpoints is not sent again")
+{
+  PlainCallFixture fixture(RequestKind::Idempotent, 3);
+  fixture.mCall->Start(fixture.mNow);
+  REQUIRE(fixture.mDelegate.mSends.size() == 1);
+  fixture.mDelegate.mIsCrashSuspect = true;
+  SUBCASE("after its connection was lost")
+  {
+    fixture.EndSend(SendOutcome::Unknown);
+    CHECK(fixture.RefusalStatus() == 502);
+  }
+  SUBCASE("while its endpoint is silent")
+  {
+    fixture.Wake();
+    CHECK(fixture.mDelegate.mCancels == 0);
+  }
+  CHECK(fixture.mDelegate.mSends.size() == 1);
+}
+
 } // namespace bulrushfold
--- a/Tests/Routing/RoutingTablesTest.cxx
+++ b/Tests/Routing/RoutingTablesTest.cxx
@@ -1,5 +1,4 @@
 #include "Routing/AnswerLengthEstimator.h"
-#include "Routing/CrashGuard.h"
 #include "Routing/DeferredRequests.h"
 #include "Routing/PeerTable.h"
 #include "Routing/StreamAdmission.h"
@@ -15,49 +14,6 @@
 using std::chrono::seconds;
 } // namespace
 
-TEST_CASE("A request that crashes endpoints is refused at all daemons")
-{
-  CrashGuard guard;
-  CrashGuard other;
-  const Instant now{ seconds(100) };
-  guard.OnConnectionLost(7, now);
-  other.OnConnectionLost(7, now);
-  CHECK_FALSE(guard.IsRefused(7, now));
-
-  SUBCASE("three lost connections count, at whichever daemons")
-  {
-    guard.OnConnectionLost(7, now);
-    CHECK_FALSE(guard.IsRefused(7, now));
-    guard.SetPeer("other", other.OwnSuspects(now), now);
-    CHECK(guard.IsRefused(7, now));
-    CHECK_FALSE(guard.IsRefused(8, now));
-    SUBCASE("the request is accepted again when its entry has expired")
-    {
-      CHECK_FALSE(guard.IsRefused(7, now + seconds(61)));
-    }
-    SUBCASE("the request is accepted again when the peer is removed")
-    {
-      guard.RemovePeer("other");
-      CHECK_FALSE(guard.IsRefused(7, now));
-    }
-  }
-  SUBCASE("an answer resets the count of the request")
-  {
-    guard.OnConnectionLost(7, now);
-    guard.OnAnswered(7);
-    guard.OnConnectionLost(7, now);
-    guard.SetPeer("other", other.OwnSuspects(now), now);
-    CHECK_FALSE(guard.IsRefused(7, now));
-  }
-  SUBCASE("the number of reported suspects is limited")
-  {
-    for (std::uint64_t i = 0; i < 10'000; ++i) {
-      guard.OnConnectionLost(i, now);
-    }
-    CHECK(guard.OwnSuspects(now).size() <= 64);
-  }
-}
-
 TEST_CASE("The retry of a refused request is recognised")
 {
   DeferredRequests table;
