--- a/Source/Net/HttpStatus.h
+++ b/Source/Net/HttpStatus.h
@@ -7,6 +7,7 @@
 constexpr int kHttpOk = 200;
 constexpr int kHttpCreated = 201;
 constexpr int kHttpAccepted = 202;
+constexpr int kHttpUnauthorized = 401;
 constexpr int kHttpNotFound = 404;
 constexpr int kHttpConflict = 409;
 constexpr int kHttpGone = 410;
--- a/Source/Router/AnswerWriter.cxx
+++ b/Source/Router/AnswerWriter.cxx
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Net/HttpStatus.h"
+
 namespace bulrushfold {
 
 AnswerWriter::AnswerWriter(RouterServices& aServices,
@@ -38,10 +40,14 @@
 {
   RecordFirstByte();
   const std::string_view reason = RefusalReasonName(aRefusal.mReason);
-  mRequest->mExchange->Reply(aRefusal.mStatus,
-                             mServices.mProtocol.RouterAnswerHeaders(
-                               mRequest->mMetadata, aRefusal.mRetryAfter),
-                             std::string(reason) + "\n");
+  HttpHeaders headers = mServices.mProtocol.RouterAnswerHeaders(
+    mRequest->mMetadata, aRefusal.mRetryAfter);
+  if (aRefusal.mStatus == kHttpUnauthorized) {
+    // RFC 9110, 11.6.1.
+    headers.Add("WWW-Authenticate", "Bearer");
+  }
+  mRequest->mExchange->Reply(
+    aRefusal.mStatus, headers, std::string(reason) + "\n");
   mServices.mLog.Ended(
     *mRequest, RequestOutcome::Refused, aRefusal.mStatus, reason, aEndpoint);
 }
--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -29,6 +29,9 @@
 {
   /** Set by the caller; unique for each of its attempts. */
   std::string mId;
+  /** The key of the caller's workspace; empty when the request has none, an
+   * unreadable one or several. Must not be logged. */
+  std::string mKey;
   /** Time that the caller waits for the answer after it sent the request. */
   std::optional<Duration> mCallerTimeout;
   std::optional<TokenCounts> mTokens;
@@ -92,6 +95,10 @@
   std::optional<KvCache> mCache;
   /** Decode only: reservation of engine memory. */
   std::string mReservation;
+  /** Set when the configuration has workspaces: the name of the caller's one,
+   * or empty on a public route without a known key. The caller's key is not
+   * passed on then. */
+  std::optional<std::string> mWorkspace;
 };
 
 /**
--- a/Source/Router/PlacementClientStreams.cxx
+++ b/Source/Router/PlacementClientStreams.cxx
@@ -98,6 +98,7 @@
       stream->HandleUnservable(retryAfter);
       return;
     case Result::OVERLOAD:
+    case Result::OVER_QUOTA:
       stream->HandleOverload();
       return;
   }
--- a/Source/Router/PlacementMessages.cxx
+++ b/Source/Router/PlacementMessages.cxx
@@ -19,6 +19,24 @@
 {
   return std::chrono::milliseconds(aCount);
 }
+
+template<typename Request>
+void
+SetTerms(const PlacementTerms& aTerms, Request& aRequest)
+{
+  aRequest.__set_workspace(aTerms.mWorkspace);
+  aRequest.__set_urgency(aTerms.mUrgency);
+  aRequest.__set_cost(aTerms.mCost);
+}
+
+template<typename Request>
+PlacementTerms
+TermsOf(const Request& aRequest)
+{
+  return { aRequest.workspace,
+           aRequest.urgency,
+           aRequest.cost > 0 ? aRequest.cost : 0 };
+}
 } // namespace
 
 std::int32_t
@@ -44,6 +62,7 @@
                            aDemand.mAttempted.end());
   request.needsUntried = aDemand.mNeedsUntried;
   request.targetMs = MillisecondsUntil(aDemand.mTarget, aNow);
+  SetTerms(aDemand.mTerms, request);
   return request;
 }
 
@@ -54,7 +73,8 @@
            aRequest.serviceName,
            { aRequest.attempted.begin(), aRequest.attempted.end() },
            aRequest.needsUntried,
-           aNow + Milliseconds(aRequest.targetMs) };
+           aNow + Milliseconds(aRequest.targetMs),
+           TermsOf(aRequest) };
 }
 
 wire::PlainPlacementReply
@@ -62,6 +82,7 @@
 {
   wire::PlainPlacementReply reply;
   reply.retryAfterMs = WholeMilliseconds(aGrant.mRetryAfter);
+  reply.__set_isOverQuota(aGrant.mIsOverQuota);
   if (aGrant.mChoice) {
     reply.endpoint = aGrant.mChoice->mEndpoint;
     reply.load = aGrant.mChoice->mLoad;
@@ -77,6 +98,7 @@
   PlainGrant grant;
   grant.mNumber = aNumber;
   grant.mRetryAfter = Milliseconds(std::max(aReply.retryAfterMs, 0));
+  grant.mIsOverQuota = aReply.isOverQuota;
   if (!aReply.endpoint.empty()) {
     grant.mChoice = EndpointChoice{ aReply.endpoint,
                                     aReply.load,
@@ -105,6 +127,7 @@
   request.requestHash = static_cast<std::int64_t>(aDemand.mRequestHash);
   request.memoryTokens =
     static_cast<std::int64_t>(aDemand.mProfile.mMemoryTokens);
+  SetTerms(aDemand.mTerms, request);
   return request;
 }
 
@@ -128,6 +151,7 @@
   demand.mWasInterrupted = aRequest.wasInterrupted;
   demand.mIsRetry = aRequest.isRetry;
   demand.mRequestHash = static_cast<std::uint64_t>(aRequest.requestHash);
+  demand.mTerms = TermsOf(aRequest);
   return demand;
 }
 
--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -9,9 +9,11 @@
 namespace bulrushfold {
 
 namespace {
-constexpr EnumNames<RefusalReason, 12> kReasonNames{ {
+constexpr EnumNames<RefusalReason, 14> kReasonNames{ {
   { RefusalReason::NoConfiguration, "no_configuration" },
   { RefusalReason::NoRoute, "no_route" },
+  { RefusalReason::UnknownKey, "unknown_key" },
+  { RefusalReason::QuotaExceeded, "quota_exceeded" },
   { RefusalReason::NoEndpoint, "no_endpoint" },
   { RefusalReason::EndpointsFull, "endpoints_full" },
   { RefusalReason::AttemptsUsed, "attempts_used" },
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -23,6 +23,10 @@
   /** The daemon has not read a configuration yet. */
   NoConfiguration,
   NoRoute,
+  /** No workspace holds the caller's key. */
+  UnknownKey,
+  /** The workspace has used up its quota. */
+  QuotaExceeded,
   /** The service has no endpoint that accepts requests. */
   NoEndpoint,
   /** Every endpoint that was tried refused the request. */
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -49,6 +49,7 @@
 {
   PlainDemand demand = aDemand;
   demand.mNumber = mDemandNumber = mServices.mNextNumber();
+  demand.mTerms = mRequest->Terms();
   mServices.mPlacement.RequestPlain(
     demand,
     [this, self = mSelf](const PlainGrant& aGrant) { HandleGrant(aGrant); });
@@ -79,10 +80,10 @@
   mSentAt = mServices.mClock.Now();
   mRun = MakeSentRun(*endpoint, mSentAt);
   ++mRequest->mSends;
-  SendParameters parameters;
-  parameters.mTimeLeft = aDeadline - mSentAt;
-  HttpCallRequest request =
-    mServices.mProtocol.Forward(mRequest->Message(), *endpoint, parameters);
+  HttpCallRequest request = mServices.mProtocol.Forward(
+    mRequest->Message(),
+    *endpoint,
+    mRequest->MakeSendParameters(aDeadline - mSentAt));
   request.mMaxIdleTime =
     mRequest->mParameters.mRoute->mKind == RequestKind::Idempotent
       ? kMaxIdle
--- /dev/null
+++ b/Source/Router/RoutedRequest.cxx
@@ -0,0 +1,46 @@
+#include "Router/RoutedRequest.h"
+
+namespace bulrushfold {
+
+int
+RoutedRequest::Urgency() const
+{
+  const int routePriority =
+    mParameters.mRoute == nullptr ? 0 : mParameters.mRoute->mPriority;
+  return mWorkspace == nullptr ? routePriority
+                               : mWorkspace->mPriority.value_or(routePriority);
+}
+
+double
+RoutedRequest::QuotaCost() const
+{
+  if (mWorkspace == nullptr || !mWorkspace->mQuota.mCountsTokens) {
+    return 1;
+  }
+  return mMetadata.mTokens
+           ? static_cast<double>(mMetadata.mTokens->mPrompt) +
+               static_cast<double>(mMetadata.mTokens->mMaxAnswer)
+           : mWorkspace->mQuota.mPlainTokens;
+}
+
+PlacementTerms
+RoutedRequest::Terms() const
+{
+  return { mWorkspace == nullptr ? std::string() : mWorkspace->mName,
+           Urgency(),
+           QuotaCost() };
+}
+
+SendParameters
+RoutedRequest::MakeSendParameters(Duration aTimeLeft) const
+{
+  SendParameters parameters;
+  parameters.mTimeLeft = aTimeLeft;
+  if (mTable->HasWorkspaces()) {
+    parameters.mWorkspace =
+      mWorkspace == nullptr ? std::string() : mWorkspace->mName;
+  }
+  return parameters;
+}
+
+} // namespace bulrushfold
--- a/Source/Router/RoutedRequest.h
+++ b/Source/Router/RoutedRequest.h
@@ -10,6 +10,7 @@
 #include "Router/EndpointProtocol.h"
 #include "Router/PlainCall.h"
 #include "Routing/CrashGuard.h"
+#include "Routing/PlacementTerms.h"
 #include "Routing/RouteTable.h"
 
 namespace bulrushfold {
@@ -39,6 +40,8 @@
   /** Configuration that applies to the request. */
   std::shared_ptr<const RouteTable> mTable;
   CallParameters mParameters;
+  /** Workspace of the caller's key; null when there is none. */
+  const Workspace* mWorkspace = nullptr;
   /** Hash of path, caller address and body; equal for all attempts of a
    * caller. */
   std::uint64_t mHash = 0;
@@ -53,6 +56,13 @@
   Duration mLongestEventInterval{};
 
   const HttpRequest& Message() const { return mExchange->Request(); }
+  /** Rank of the request when capacity is short; 0 is the most urgent. */
+  int Urgency() const;
+  /** Units of the workspace's quota that the request uses. */
+  double QuotaCost() const;
+  PlacementTerms Terms() const;
+  /** What each send of the request to an endpoint states. */
+  SendParameters MakeSendParameters(Duration aTimeLeft) const;
 };
 
 using RoutedRequestPointer = std::shared_ptr<RoutedRequest>;
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -6,6 +6,7 @@
 #include "Base/Digest.h"
 #include "Base/Log.h"
 #include "Net/HttpStatus.h"
+#include "Router/WorkspaceFilter.h"
 #include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
@@ -250,6 +251,9 @@
 {
   mChain.Add(std::make_unique<RouteFilter>(
     mServices, mRandom, [this] { return mTable; }));
+  mChain.Add(std::make_unique<WorkspaceFilter>(mServices, [this] {
+    return mLostPrefixes.count(mSettings.mConfigPrefix) == 0;
+  }));
   mChain.Add(std::make_unique<CrashFilter>(mServices));
   mChain.Add(std::make_unique<StopFilter>(
     mServices, [this](const CallParameters& aParameters) {
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -92,8 +92,14 @@
            { { "version", config->mVersion },
              { "revision", aObject.mVersion },
              { "routes", config->mRoutes.size() },
-             { "services", config->mServices.size() } });
+             { "services", config->mServices.size() },
+             { "workspaces", config->mWorkspaces.size() } });
   mTable = std::make_shared<const RouteTable>(*std::move(config));
+  for (const auto& it : mTable->KeyConflicts()) {
+    LogEvent(LogLevel::Error,
+             "workspace_key_conflict",
+             { { "version", mTable->Config().mVersion }, { "workspace", it } });
+  }
   mCallerServer.SetLimits(
     ServerLimits(mTable->Config().mLimits, mSettings.mMaxDescriptors));
   mStreams.ScheduleDispatch();
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -78,6 +78,7 @@
   mServices.mLog.Queued(*mRequest, mServices.mPlacement.WaitingCount());
   aDemand.mRequestHash = mRequest->mHash;
   aDemand.mNumber = mAttempt.mNumber;
+  aDemand.mTerms = mRequest->Terms();
   mServices.mPlacement.Submit(std::move(aDemand), *this);
 }
 
--- a/Source/Router/StreamSessionDecode.cxx
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -13,8 +13,8 @@
 void
 StreamSession::Decode(const DecodeParameters& aParameters, Instant aDeadline)
 {
-  SendParameters parameters;
-  parameters.mTimeLeft = aDeadline - mServices.mClock.Now();
+  SendParameters parameters =
+    mRequest->MakeSendParameters(aDeadline - mServices.mClock.Now());
   parameters.mCache = aParameters.mCache;
   parameters.mReservation = aParameters.mReservation;
   parameters.mLastEventId = aParameters.mLastEventId;
--- a/Source/Router/StreamSessionGrants.cxx
+++ b/Source/Router/StreamSessionGrants.cxx
@@ -63,8 +63,8 @@
 void
 StreamSession::Prefill(const std::string& aEndpoint, Instant aDeadline)
 {
-  SendParameters parameters;
-  parameters.mTimeLeft = aDeadline - mServices.mClock.Now();
+  const SendParameters parameters =
+    mRequest->MakeSendParameters(aDeadline - mServices.mClock.Now());
   HttpCallHooks hooks;
   hooks.mOnDone = [this](const HttpCallReply& aReply) {
     HandlePrefilled(aReply);
--- a/Source/Routing/PlainQueue.h
+++ b/Source/Routing/PlainQueue.h
@@ -11,6 +11,7 @@
 
 #include "Base/Clock.h"
 #include "Routing/MovingAverage.h"
+#include "Routing/PlacementTerms.h"
 #include "Routing/PlainSelector.h"
 
 namespace bulrushfold {
@@ -27,6 +28,7 @@
   bool mNeedsUntried = false;
   /** Time after which an answer is late. */
   Instant mTarget;
+  PlacementTerms mTerms{};
 };
 
 /** The answer to a PlainDemand. */
@@ -39,6 +41,8 @@
   Duration mRetryAfter{};
   /** Daemon that chose; empty: this one. */
   std::string mPlacedBy;
+  /** Set with an empty choice: the workspace has used up its quota. */
+  bool mIsOverQuota = false;
 };
 
 /**
--- a/Source/Routing/RouteTable.cxx
+++ b/Source/Routing/RouteTable.cxx
@@ -21,6 +21,32 @@
   for (const auto& it : mConfig.mRoutes) {
     mHosts[NormalizeHost(it.mHost)][it.mPathPrefix] = &it;
   }
+  for (const auto& it : mConfig.mWorkspaces) {
+    AddKeys(it);
+  }
+}
+
+void
+RouteTable::AddKeys(const Workspace& aWorkspace)
+{
+  for (const auto& key : aWorkspace.mKeys) {
+    const auto [it, isNew] = mWorkspaces.try_emplace(key, &aWorkspace);
+    if (isNew || it->second == &aWorkspace) {
+      continue;
+    }
+    if (it->second != nullptr) {
+      mKeyConflicts.insert(it->second->mName);
+    }
+    mKeyConflicts.insert(aWorkspace.mName);
+    it->second = nullptr;
+  }
+}
+
+const Workspace*
+RouteTable::FindWorkspace(const std::string& aKey) const
+{
+  const auto it = mWorkspaces.find(aKey);
+  return it == mWorkspaces.end() ? nullptr : it->second;
 }
 
 const Route*
--- a/Source/Routing/RouteTable.h
+++ b/Source/Routing/RouteTable.h
@@ -2,6 +2,7 @@
 #define BULRUSHFOLD_ROUTING_ROUTETABLE_H
 
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -26,13 +27,24 @@
    */
   const Route* Find(std::string_view aHost, std::string_view aPath) const;
   const ServiceProfile* FindService(const std::string& aName) const;
+  bool HasWorkspaces() const { return !mConfig.mWorkspaces.empty(); }
+  /** The workspace that holds aKey; null when there is none, or when several
+   * hold it. */
+  const Workspace* FindWorkspace(const std::string& aKey) const;
+  /** Names of the workspaces that share a key with another one, in order. */
+  const std::set<std::string>& KeyConflicts() const { return mKeyConflicts; }
   const RoutingConfig& Config() const { return mConfig; }
 
 private:
+  void AddKeys(const Workspace& aWorkspace);
+
   using PrefixMap = std::unordered_map<std::string, const Route*>;
 
   RoutingConfig mConfig;
   std::unordered_map<std::string, PrefixMap> mHosts;
+  /** Workspaces by key; null for a key that several hold. */
+  std::unordered_map<std::string, const Workspace*> mWorkspaces;
+  std::set<std::string> mKeyConflicts;
 };
 
 /** A random service of aRoute, chosen by weight; empty when no weight is
--- a/Source/Routing/RoutingConfig.h
+++ b/Source/Routing/RoutingConfig.h
@@ -52,6 +52,31 @@
   std::vector<ServiceShare> mServices;
   /** An interrupted stream may be resumed at another endpoint. */
   bool mIsResumable = false;
+  /** Callers need no key. */
+  bool mIsPublic = false;
+};
+
+/** Limit on the use of a workspace, for all daemons together. */
+struct WorkspaceQuota
+{
+  /** Units per second; 0: no limit. */
+  double mRate = 0;
+  /** Units that may be used at once. */
+  double mBurst = 0;
+  /** The unit is a token; otherwise it is a request. */
+  bool mCountsTokens = false;
+  /** Tokens of a request that does not state any. */
+  double mPlainTokens = 1;
+};
+
+/** A tenant with its keys and limits. */
+struct Workspace
+{
+  std::string mName;
+  std::vector<std::string> mKeys;
+  /** Goes before the priority of the route. */
+  std::optional<int> mPriority;
+  WorkspaceQuota mQuota;
 };
 
 /** Capacity and features of the model engines of a service. */
@@ -97,6 +122,8 @@
   std::vector<Route> mRoutes;
   std::map<std::string, ServiceProfile> mServices;
   CallerLimits mLimits;
+  /** Empty: callers need no keys, and there are no workspaces. */
+  std::vector<Workspace> mWorkspaces;
 };
 
 } // namespace bulrushfold
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -20,6 +20,7 @@
 #include "Routing/LocalPrefillTurns.h"
 #include "Routing/MemoryForecast.h"
 #include "Routing/MovingAverage.h"
+#include "Routing/PlacementTerms.h"
 #include "Routing/RoutingConfig.h"
 #include "Routing/StreamAdmission.h"
 #include "Routing/StreamRuns.h"
@@ -58,6 +59,7 @@
   bool mIsRetry = false;
   /** Hash of path, caller and body; equal for all attempts of a caller. */
   std::uint64_t mRequestHash = 0;
+  PlacementTerms mTerms{};
 };
 
 /** Tokens whose KV cache aDemand needs before it can generate. */
--- a/Source/Wire/Placement.thrift
+++ b/Source/Wire/Placement.thrift
@@ -15,6 +15,12 @@
   5: required bool needsUntried,
   // Milliseconds until an answer is late.
   6: required i32 targetMs,
+  // Empty: no workspace.
+  7: string workspace,
+  // 0 is the most urgent.
+  8: i32 urgency,
+  // Units of the workspace's quota.
+  9: double cost,
 }
 
 struct PlainPlacementReply {
@@ -23,6 +29,7 @@
   2: required double load,
   3: required i32 candidates,
   4: required i32 retryAfterMs,
+  5: bool isOverQuota,
 }
 
 // PLACE_STREAM, a call: asks for engines for a stream.
@@ -43,6 +50,10 @@
   13: required bool isRetry,
   14: required i64 requestHash,
   15: required i64 memoryTokens,
+  // As in PlainPlacementRequest.
+  16: string workspace,
+  17: i32 urgency,
+  18: double cost,
 }
 
 enum StreamPlacementResult {
@@ -50,6 +61,7 @@
   EXPIRED = 1,
   UNSERVABLE = 2,
   OVERLOAD = 3,
+  OVER_QUOTA = 4,
 }
 
 struct StreamPlacementReply {
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -94,6 +94,12 @@
 
 // ROUTING_STATUS: the complete state that a daemon reports to its peers. Each
 // message replaces the previous one of the same sender.
+// Use of a workspace's quota at the sender since its start.
+struct QuotaUse {
+  1: required string workspace,
+  2: required double units,
+}
+
 struct RoutingStatus {
   1: required list<StreamRun> runs,
   2: required list<EndpointShare> shares,
@@ -109,4 +115,5 @@
   10: list<LostPrompt> lostPrompts,
   11: list<AnsweredPart> answeredParts,
   12: list<EngineAnswer> engineAnswers,
+  13: list<QuotaUse> quotaUses,
 }
--- a/Source/Wire/gen-cpp/Placement_types.cpp
+++ b/Source/Wire/gen-cpp/Placement_types.cpp
@@ -17,15 +17,17 @@
   StreamPlacementResult::PLACED,
   StreamPlacementResult::EXPIRED,
   StreamPlacementResult::UNSERVABLE,
-  StreamPlacementResult::OVERLOAD
+  StreamPlacementResult::OVERLOAD,
+  StreamPlacementResult::OVER_QUOTA
 };
 const char* _kStreamPlacementResultNames[] = {
   "PLACED",
   "EXPIRED",
   "UNSERVABLE",
-  "OVERLOAD"
+  "OVERLOAD",
+  "OVER_QUOTA"
 };
-const std::map<int, const char*> _StreamPlacementResult_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(4, _kStreamPlacementResultValues, _kStreamPlacementResultNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _StreamPlacementResult_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(5, _kStreamPlacementResultValues, _kStreamPlacementResultNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const StreamPlacementResult::type& val) {
   std::map<int, const char*>::const_iterator it = _StreamPlacementResult_VALUES_TO_NAMES.find(val);
@@ -125,6 +127,18 @@
 void PlainPlacementRequest::__set_targetMs(const int32_t val) {
   this->targetMs = val;
 }
+
+void PlainPlacementRequest::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void PlainPlacementRequest::__set_urgency(const int32_t val) {
+  this->urgency = val;
+}
+
+void PlainPlacementRequest::__set_cost(const double val) {
+  this->cost = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlainPlacementRequest& obj)
 {
   obj.printTo(out);
@@ -219,6 +233,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->urgency);
+          this->__isset.urgency = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->cost);
+          this->__isset.cost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -280,6 +318,18 @@
   xfer += oprot->writeI32(this->targetMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("urgency", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->urgency);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cost", ::apache::thrift::protocol::T_DOUBLE, 9);
+  xfer += oprot->writeDouble(this->cost);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -293,6 +343,10 @@
   swap(a.attempted, b.attempted);
   swap(a.needsUntried, b.needsUntried);
   swap(a.targetMs, b.targetMs);
+  swap(a.workspace, b.workspace);
+  swap(a.urgency, b.urgency);
+  swap(a.cost, b.cost);
+  swap(a.__isset, b.__isset);
 }
 
 PlainPlacementRequest::PlainPlacementRequest(const PlainPlacementRequest& other6) {
@@ -302,6 +356,10 @@
   attempted = other6.attempted;
   needsUntried = other6.needsUntried;
   targetMs = other6.targetMs;
+  workspace = other6.workspace;
+  urgency = other6.urgency;
+  cost = other6.cost;
+  __isset = other6.__isset;
 }
 PlainPlacementRequest& PlainPlacementRequest::operator=(const PlainPlacementRequest& other7) {
   session = other7.session;
@@ -310,6 +368,10 @@
   attempted = other7.attempted;
   needsUntried = other7.needsUntried;
   targetMs = other7.targetMs;
+  workspace = other7.workspace;
+  urgency = other7.urgency;
+  cost = other7.cost;
+  __isset = other7.__isset;
   return *this;
 }
 void PlainPlacementRequest::printTo(std::ostream& out) const {
@@ -321,6 +383,9 @@
   out << ", " << "attempted=" << to_string(attempted);
   out << ", " << "needsUntried=" << to_string(needsUntried);
   out << ", " << "targetMs=" << to_string(targetMs);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ", " << "urgency=" << to_string(urgency);
+  out << ", " << "cost=" << to_string(cost);
   out << ")";
 }
 
@@ -344,6 +409,10 @@
 void PlainPlacementReply::__set_retryAfterMs(const int32_t val) {
   this->retryAfterMs = val;
 }
+
+void PlainPlacementReply::__set_isOverQuota(const bool val) {
+  this->isOverQuota = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlainPlacementReply& obj)
 {
   obj.printTo(out);
@@ -408,6 +477,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->isOverQuota);
+          this->__isset.isOverQuota = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -449,6 +526,10 @@
   xfer += oprot->writeI32(this->retryAfterMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("isOverQuota", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->isOverQuota);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -460,6 +541,8 @@
   swap(a.load, b.load);
   swap(a.candidates, b.candidates);
   swap(a.retryAfterMs, b.retryAfterMs);
+  swap(a.isOverQuota, b.isOverQuota);
+  swap(a.__isset, b.__isset);
 }
 
 PlainPlacementReply::PlainPlacementReply(const PlainPlacementReply& other8) {
@@ -467,12 +550,16 @@
   load = other8.load;
   candidates = other8.candidates;
   retryAfterMs = other8.retryAfterMs;
+  isOverQuota = other8.isOverQuota;
+  __isset = other8.__isset;
 }
 PlainPlacementReply& PlainPlacementReply::operator=(const PlainPlacementReply& other9) {
   endpoint = other9.endpoint;
   load = other9.load;
   candidates = other9.candidates;
   retryAfterMs = other9.retryAfterMs;
+  isOverQuota = other9.isOverQuota;
+  __isset = other9.__isset;
   return *this;
 }
 void PlainPlacementReply::printTo(std::ostream& out) const {
@@ -482,6 +569,7 @@
   out << ", " << "load=" << to_string(load);
   out << ", " << "candidates=" << to_string(candidates);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
+  out << ", " << "isOverQuota=" << to_string(isOverQuota);
   out << ")";
 }
 
@@ -549,6 +637,18 @@
 void StreamPlacementRequest::__set_memoryTokens(const int64_t val) {
   this->memoryTokens = val;
 }
+
+void StreamPlacementRequest::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void StreamPlacementRequest::__set_urgency(const int32_t val) {
+  this->urgency = val;
+}
+
+void StreamPlacementRequest::__set_cost(const double val) {
+  this->cost = val;
+}
 std::ostream& operator<<(std::ostream& out, const StreamPlacementRequest& obj)
 {
   obj.printTo(out);
@@ -724,6 +824,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 16:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          this->__isset.workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 17:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->urgency);
+          this->__isset.urgency = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 18:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->cost);
+          this->__isset.cost = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -839,6 +963,18 @@
   xfer += oprot->writeI64(this->memoryTokens);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 16);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("urgency", ::apache::thrift::protocol::T_I32, 17);
+  xfer += oprot->writeI32(this->urgency);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("cost", ::apache::thrift::protocol::T_DOUBLE, 18);
+  xfer += oprot->writeDouble(this->cost);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -861,6 +997,10 @@
   swap(a.isRetry, b.isRetry);
   swap(a.requestHash, b.requestHash);
   swap(a.memoryTokens, b.memoryTokens);
+  swap(a.workspace, b.workspace);
+  swap(a.urgency, b.urgency);
+  swap(a.cost, b.cost);
+  swap(a.__isset, b.__isset);
 }
 
 StreamPlacementRequest::StreamPlacementRequest(const StreamPlacementRequest& other16) {
@@ -879,6 +1019,10 @@
   isRetry = other16.isRetry;
   requestHash = other16.requestHash;
   memoryTokens = other16.memoryTokens;
+  workspace = other16.workspace;
+  urgency = other16.urgency;
+  cost = other16.cost;
+  __isset = other16.__isset;
 }
 StreamPlacementRequest& StreamPlacementRequest::operator=(const StreamPlacementRequest& other17) {
   session = other17.session;
@@ -896,6 +1040,10 @@
   isRetry = other17.isRetry;
   requestHash = other17.requestHash;
   memoryTokens = other17.memoryTokens;
+  workspace = other17.workspace;
+  urgency = other17.urgency;
+  cost = other17.cost;
+  __isset = other17.__isset;
   return *this;
 }
 void StreamPlacementRequest::printTo(std::ostream& out) const {
@@ -916,6 +1064,9 @@
   out << ", " << "isRetry=" << to_string(isRetry);
   out << ", " << "requestHash=" << to_string(requestHash);
   out << ", " << "memoryTokens=" << to_string(memoryTokens);
+  out << ", " << "workspace=" << to_string(workspace);
+  out << ", " << "urgency=" << to_string(urgency);
+  out << ", " << "cost=" << to_string(cost);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Placement_types.h
+++ b/Source/Wire/gen-cpp/Placement_types.h
@@ -27,7 +27,8 @@
     PLACED = 0,
     EXPIRED = 1,
     UNSERVABLE = 2,
-    OVERLOAD = 3
+    OVERLOAD = 3,
+    OVER_QUOTA = 4
   };
 };
 
@@ -87,6 +88,12 @@
 
 class PlacementNews;
 
+typedef struct _PlainPlacementRequest__isset {
+  _PlainPlacementRequest__isset() : workspace(false), urgency(false), cost(false) {}
+  bool workspace :1;
+  bool urgency :1;
+  bool cost :1;
+} _PlainPlacementRequest__isset;
 
 class PlainPlacementRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -98,7 +105,10 @@
                           number(0),
                           serviceName(),
                           needsUntried(0),
-                          targetMs(0) {
+                          targetMs(0),
+                          workspace(),
+                          urgency(0),
+                          cost(0) {
   }
 
   virtual ~PlainPlacementRequest() noexcept;
@@ -108,6 +118,11 @@
   std::vector<std::string>  attempted;
   bool needsUntried;
   int32_t targetMs;
+  std::string workspace;
+  int32_t urgency;
+  double cost;
+
+  _PlainPlacementRequest__isset __isset;
 
   void __set_session(const int64_t val);
 
@@ -121,6 +136,12 @@
 
   void __set_targetMs(const int32_t val);
 
+  void __set_workspace(const std::string& val);
+
+  void __set_urgency(const int32_t val);
+
+  void __set_cost(const double val);
+
   bool operator == (const PlainPlacementRequest & rhs) const
   {
     if (!(session == rhs.session))
@@ -135,6 +156,12 @@
       return false;
     if (!(targetMs == rhs.targetMs))
       return false;
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(urgency == rhs.urgency))
+      return false;
+    if (!(cost == rhs.cost))
+      return false;
     return true;
   }
   bool operator != (const PlainPlacementRequest &rhs) const {
@@ -153,6 +180,10 @@
 
 std::ostream& operator<<(std::ostream& out, const PlainPlacementRequest& obj);
 
+typedef struct _PlainPlacementReply__isset {
+  _PlainPlacementReply__isset() : isOverQuota(false) {}
+  bool isOverQuota :1;
+} _PlainPlacementReply__isset;
 
 class PlainPlacementReply : public virtual ::apache::thrift::TBase {
  public:
@@ -163,7 +194,8 @@
                       : endpoint(),
                         load(0),
                         candidates(0),
-                        retryAfterMs(0) {
+                        retryAfterMs(0),
+                        isOverQuota(0) {
   }
 
   virtual ~PlainPlacementReply() noexcept;
@@ -171,6 +203,9 @@
   double load;
   int32_t candidates;
   int32_t retryAfterMs;
+  bool isOverQuota;
+
+  _PlainPlacementReply__isset __isset;
 
   void __set_endpoint(const std::string& val);
 
@@ -180,6 +215,8 @@
 
   void __set_retryAfterMs(const int32_t val);
 
+  void __set_isOverQuota(const bool val);
+
   bool operator == (const PlainPlacementReply & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -190,6 +227,8 @@
       return false;
     if (!(retryAfterMs == rhs.retryAfterMs))
       return false;
+    if (!(isOverQuota == rhs.isOverQuota))
+      return false;
     return true;
   }
   bool operator != (const PlainPlacementReply &rhs) const {
@@ -208,6 +247,12 @@
 
 std::ostream& operator<<(std::ostream& out, const PlainPlacementReply& obj);
 
+typedef struct _StreamPlacementRequest__isset {
+  _StreamPlacementRequest__isset() : workspace(false), urgency(false), cost(false) {}
+  bool workspace :1;
+  bool urgency :1;
+  bool cost :1;
+} _StreamPlacementRequest__isset;
 
 class StreamPlacementRequest : public virtual ::apache::thrift::TBase {
  public:
@@ -228,7 +273,10 @@
                            wasInterrupted(0),
                            isRetry(0),
                            requestHash(0),
-                           memoryTokens(0) {
+                           memoryTokens(0),
+                           workspace(),
+                           urgency(0),
+                           cost(0) {
   }
 
   virtual ~StreamPlacementRequest() noexcept;
@@ -247,6 +295,11 @@
   bool isRetry;
   int64_t requestHash;
   int64_t memoryTokens;
+  std::string workspace;
+  int32_t urgency;
+  double cost;
+
+  _StreamPlacementRequest__isset __isset;
 
   void __set_session(const int64_t val);
 
@@ -278,6 +331,12 @@
 
   void __set_memoryTokens(const int64_t val);
 
+  void __set_workspace(const std::string& val);
+
+  void __set_urgency(const int32_t val);
+
+  void __set_cost(const double val);
+
   bool operator == (const StreamPlacementRequest & rhs) const
   {
     if (!(session == rhs.session))
@@ -310,6 +369,12 @@
       return false;
     if (!(memoryTokens == rhs.memoryTokens))
       return false;
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(urgency == rhs.urgency))
+      return false;
+    if (!(cost == rhs.cost))
+      return false;
     return true;
   }
   bool operator != (const StreamPlacementRequest &rhs) const {
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -1546,6 +1546,121 @@
 }
 
 
+QuotaUse::~QuotaUse() noexcept {
+}
+
+
+void QuotaUse::__set_workspace(const std::string& val) {
+  this->workspace = val;
+}
+
+void QuotaUse::__set_units(const double val) {
+  this->units = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaUse& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaUse::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_workspace = false;
+  bool isset_units = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->workspace);
+          isset_workspace = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->units);
+          isset_units = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_workspace)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_units)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaUse::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaUse");
+
+  xfer += oprot->writeFieldBegin("workspace", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->workspace);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("units", ::apache::thrift::protocol::T_DOUBLE, 2);
+  xfer += oprot->writeDouble(this->units);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaUse &a, QuotaUse &b) {
+  using ::std::swap;
+  swap(a.workspace, b.workspace);
+  swap(a.units, b.units);
+}
+
+QuotaUse::QuotaUse(const QuotaUse& other26) {
+  workspace = other26.workspace;
+  units = other26.units;
+}
+QuotaUse& QuotaUse::operator=(const QuotaUse& other27) {
+  workspace = other27.workspace;
+  units = other27.units;
+  return *this;
+}
+void QuotaUse::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaUse(";
+  out << "workspace=" << to_string(workspace);
+  out << ", " << "units=" << to_string(units);
+  out << ")";
+}
+
+
 RoutingStatus::~RoutingStatus() noexcept {
 }
 
@@ -1597,6 +1712,10 @@
 void RoutingStatus::__set_engineAnswers(const std::vector<EngineAnswer> & val) {
   this->engineAnswers = val;
 }
+
+void RoutingStatus::__set_quotaUses(const std::vector<QuotaUse> & val) {
+  this->quotaUses = val;
+}
 std::ostream& operator<<(std::ostream& out, const RoutingStatus& obj)
 {
   obj.printTo(out);
@@ -1637,14 +1756,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->runs.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->runs.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->runs[_i30].read(iprot);
+              xfer += this->runs[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1657,14 +1776,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->shares.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->shares.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->shares[_i35].read(iprot);
+              xfer += this->shares[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1677,14 +1796,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retries.clear();
-            uint32_t _size36;
-            ::apache::thrift::protocol::TType _etype39;
-            xfer += iprot->readListBegin(_etype39, _size36);
-            this->retries.resize(_size36);
-            uint32_t _i40;
-            for (_i40 = 0; _i40 < _size36; ++_i40)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->retries.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += this->retries[_i40].read(iprot);
+              xfer += this->retries[_i42].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1697,14 +1816,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size41;
-            ::apache::thrift::protocol::TType _etype44;
-            xfer += iprot->readListBegin(_etype44, _size41);
-            this->suspects.resize(_size41);
-            uint32_t _i45;
-            for (_i45 = 0; _i45 < _size41; ++_i45)
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->suspects.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
             {
-              xfer += this->suspects[_i45].read(iprot);
+              xfer += this->suspects[_i47].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1733,14 +1852,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->turnedAway.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->turnedAway.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size48;
+            ::apache::thrift::protocol::TType _etype51;
+            xfer += iprot->readListBegin(_etype51, _size48);
+            this->turnedAway.resize(_size48);
+            uint32_t _i52;
+            for (_i52 = 0; _i52 < _size48; ++_i52)
             {
-              xfer += this->turnedAway[_i50].read(iprot);
+              xfer += this->turnedAway[_i52].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1753,14 +1872,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->roleOrders.clear();
-            uint32_t _size51;
-            ::apache::thrift::protocol::TType _etype54;
-            xfer += iprot->readListBegin(_etype54, _size51);
-            this->roleOrders.resize(_size51);
-            uint32_t _i55;
-            for (_i55 = 0; _i55 < _size51; ++_i55)
+            uint32_t _size53;
+            ::apache::thrift::protocol::TType _etype56;
+            xfer += iprot->readListBegin(_etype56, _size53);
+            this->roleOrders.resize(_size53);
+            uint32_t _i57;
+            for (_i57 = 0; _i57 < _size53; ++_i57)
             {
-              xfer += this->roleOrders[_i55].read(iprot);
+              xfer += this->roleOrders[_i57].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1773,14 +1892,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keptPrompts.clear();
-            uint32_t _size56;
-            ::apache::thrift::protocol::TType _etype59;
-            xfer += iprot->readListBegin(_etype59, _size56);
-            this->keptPrompts.resize(_size56);
-            uint32_t _i60;
-            for (_i60 = 0; _i60 < _size56; ++_i60)
+            uint32_t _size58;
+            ::apache::thrift::protocol::TType _etype61;
+            xfer += iprot->readListBegin(_etype61, _size58);
+            this->keptPrompts.resize(_size58);
+            uint32_t _i62;
+            for (_i62 = 0; _i62 < _size58; ++_i62)
             {
-              xfer += this->keptPrompts[_i60].read(iprot);
+              xfer += this->keptPrompts[_i62].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1793,14 +1912,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lostPrompts.clear();
-            uint32_t _size61;
-            ::apache::thrift::protocol::TType _etype64;
-            xfer += iprot->readListBegin(_etype64, _size61);
-            this->lostPrompts.resize(_size61);
-            uint32_t _i65;
-            for (_i65 = 0; _i65 < _size61; ++_i65)
+            uint32_t _size63;
+            ::apache::thrift::protocol::TType _etype66;
+            xfer += iprot->readListBegin(_etype66, _size63);
+            this->lostPrompts.resize(_size63);
+            uint32_t _i67;
+            for (_i67 = 0; _i67 < _size63; ++_i67)
             {
-              xfer += this->lostPrompts[_i65].read(iprot);
+              xfer += this->lostPrompts[_i67].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1813,14 +1932,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answeredParts.clear();
-            uint32_t _size66;
-            ::apache::thrift::protocol::TType _etype69;
-            xfer += iprot->readListBegin(_etype69, _size66);
-            this->answeredParts.resize(_size66);
-            uint32_t _i70;
-            for (_i70 = 0; _i70 < _size66; ++_i70)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->answeredParts.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->answeredParts[_i70].read(iprot);
+              xfer += this->answeredParts[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1833,14 +1952,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engineAnswers.clear();
-            uint32_t _size71;
-            ::apache::thrift::protocol::TType _etype74;
-            xfer += iprot->readListBegin(_etype74, _size71);
-            this->engineAnswers.resize(_size71);
-            uint32_t _i75;
-            for (_i75 = 0; _i75 < _size71; ++_i75)
+            uint32_t _size73;
+            ::apache::thrift::protocol::TType _etype76;
+            xfer += iprot->readListBegin(_etype76, _size73);
+            this->engineAnswers.resize(_size73);
+            uint32_t _i77;
+            for (_i77 = 0; _i77 < _size73; ++_i77)
             {
-              xfer += this->engineAnswers[_i75].read(iprot);
+              xfer += this->engineAnswers[_i77].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1849,6 +1968,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->quotaUses.clear();
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->quotaUses.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
+            {
+              xfer += this->quotaUses[_i82].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.quotaUses = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1885,10 +2024,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<StreamRun> ::const_iterator _iter76;
-    for (_iter76 = this->runs.begin(); _iter76 != this->runs.end(); ++_iter76)
+    std::vector<StreamRun> ::const_iterator _iter83;
+    for (_iter83 = this->runs.begin(); _iter83 != this->runs.end(); ++_iter83)
     {
-      xfer += (*_iter76).write(oprot);
+      xfer += (*_iter83).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1897,10 +2036,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<EndpointShare> ::const_iterator _iter77;
-    for (_iter77 = this->shares.begin(); _iter77 != this->shares.end(); ++_iter77)
+    std::vector<EndpointShare> ::const_iterator _iter84;
+    for (_iter84 = this->shares.begin(); _iter84 != this->shares.end(); ++_iter84)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter84).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1909,10 +2048,10 @@
   xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retries.size()));
-    std::vector<RetryUse> ::const_iterator _iter78;
-    for (_iter78 = this->retries.begin(); _iter78 != this->retries.end(); ++_iter78)
+    std::vector<RetryUse> ::const_iterator _iter85;
+    for (_iter85 = this->retries.begin(); _iter85 != this->retries.end(); ++_iter85)
     {
-      xfer += (*_iter78).write(oprot);
+      xfer += (*_iter85).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1921,10 +2060,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter79;
-    for (_iter79 = this->suspects.begin(); _iter79 != this->suspects.end(); ++_iter79)
+    std::vector<CrashSuspect> ::const_iterator _iter86;
+    for (_iter86 = this->suspects.begin(); _iter86 != this->suspects.end(); ++_iter86)
     {
-      xfer += (*_iter79).write(oprot);
+      xfer += (*_iter86).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1941,10 +2080,10 @@
   xfer += oprot->writeFieldBegin("turnedAway", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->turnedAway.size()));
-    std::vector<TurnedAway> ::const_iterator _iter80;
-    for (_iter80 = this->turnedAway.begin(); _iter80 != this->turnedAway.end(); ++_iter80)
+    std::vector<TurnedAway> ::const_iterator _iter87;
+    for (_iter87 = this->turnedAway.begin(); _iter87 != this->turnedAway.end(); ++_iter87)
     {
-      xfer += (*_iter80).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1953,10 +2092,10 @@
   xfer += oprot->writeFieldBegin("roleOrders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->roleOrders.size()));
-    std::vector<RoleOrder> ::const_iterator _iter81;
-    for (_iter81 = this->roleOrders.begin(); _iter81 != this->roleOrders.end(); ++_iter81)
+    std::vector<RoleOrder> ::const_iterator _iter88;
+    for (_iter88 = this->roleOrders.begin(); _iter88 != this->roleOrders.end(); ++_iter88)
     {
-      xfer += (*_iter81).write(oprot);
+      xfer += (*_iter88).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1965,10 +2104,10 @@
   xfer += oprot->writeFieldBegin("keptPrompts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keptPrompts.size()));
-    std::vector<KeptPrompt> ::const_iterator _iter82;
-    for (_iter82 = this->keptPrompts.begin(); _iter82 != this->keptPrompts.end(); ++_iter82)
+    std::vector<KeptPrompt> ::const_iterator _iter89;
+    for (_iter89 = this->keptPrompts.begin(); _iter89 != this->keptPrompts.end(); ++_iter89)
     {
-      xfer += (*_iter82).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1977,10 +2116,10 @@
   xfer += oprot->writeFieldBegin("lostPrompts", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lostPrompts.size()));
-    std::vector<LostPrompt> ::const_iterator _iter83;
-    for (_iter83 = this->lostPrompts.begin(); _iter83 != this->lostPrompts.end(); ++_iter83)
+    std::vector<LostPrompt> ::const_iterator _iter90;
+    for (_iter90 = this->lostPrompts.begin(); _iter90 != this->lostPrompts.end(); ++_iter90)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1989,10 +2128,10 @@
   xfer += oprot->writeFieldBegin("answeredParts", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answeredParts.size()));
-    std::vector<AnsweredPart> ::const_iterator _iter84;
-    for (_iter84 = this->answeredParts.begin(); _iter84 != this->answeredParts.end(); ++_iter84)
+    std::vector<AnsweredPart> ::const_iterator _iter91;
+    for (_iter91 = this->answeredParts.begin(); _iter91 != this->answeredParts.end(); ++_iter91)
     {
-      xfer += (*_iter84).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2001,10 +2140,22 @@
   xfer += oprot->writeFieldBegin("engineAnswers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engineAnswers.size()));
-    std::vector<EngineAnswer> ::const_iterator _iter85;
-    for (_iter85 = this->engineAnswers.begin(); _iter85 != this->engineAnswers.end(); ++_iter85)
+    std::vector<EngineAnswer> ::const_iterator _iter92;
+    for (_iter92 = this->engineAnswers.begin(); _iter92 != this->engineAnswers.end(); ++_iter92)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter92).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("quotaUses", ::apache::thrift::protocol::T_LIST, 13);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quotaUses.size()));
+    std::vector<QuotaUse> ::const_iterator _iter93;
+    for (_iter93 = this->quotaUses.begin(); _iter93 != this->quotaUses.end(); ++_iter93)
+    {
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2029,38 +2180,41 @@
   swap(a.lostPrompts, b.lostPrompts);
   swap(a.answeredParts, b.answeredParts);
   swap(a.engineAnswers, b.engineAnswers);
+  swap(a.quotaUses, b.quotaUses);
   swap(a.__isset, b.__isset);
 }
 
-RoutingStatus::RoutingStatus(const RoutingStatus& other86) {
-  runs = other86.runs;
-  shares = other86.shares;
-  retries = other86.retries;
-  suspects = other86.suspects;
-  isLeaving = other86.isLeaving;
-  address = other86.address;
-  turnedAway = other86.turnedAway;
-  roleOrders = other86.roleOrders;
-  keptPrompts = other86.keptPrompts;
-  lostPrompts = other86.lostPrompts;
-  answeredParts = other86.answeredParts;
-  engineAnswers = other86.engineAnswers;
-  __isset = other86.__isset;
-}
-RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other87) {
-  runs = other87.runs;
-  shares = other87.shares;
-  retries = other87.retries;
-  suspects = other87.suspects;
-  isLeaving = other87.isLeaving;
-  address = other87.address;
-  turnedAway = other87.turnedAway;
-  roleOrders = other87.roleOrders;
-  keptPrompts = other87.keptPrompts;
-  lostPrompts = other87.lostPrompts;
-  answeredParts = other87.answeredParts;
-  engineAnswers = other87.engineAnswers;
-  __isset = other87.__isset;
+RoutingStatus::RoutingStatus(const RoutingStatus& other94) {
+  runs = other94.runs;
+  shares = other94.shares;
+  retries = other94.retries;
+  suspects = other94.suspects;
+  isLeaving = other94.isLeaving;
+  address = other94.address;
+  turnedAway = other94.turnedAway;
+  roleOrders = other94.roleOrders;
+  keptPrompts = other94.keptPrompts;
+  lostPrompts = other94.lostPrompts;
+  answeredParts = other94.answeredParts;
+  engineAnswers = other94.engineAnswers;
+  quotaUses = other94.quotaUses;
+  __isset = other94.__isset;
+}
+RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other95) {
+  runs = other95.runs;
+  shares = other95.shares;
+  retries = other95.retries;
+  suspects = other95.suspects;
+  isLeaving = other95.isLeaving;
+  address = other95.address;
+  turnedAway = other95.turnedAway;
+  roleOrders = other95.roleOrders;
+  keptPrompts = other95.keptPrompts;
+  lostPrompts = other95.lostPrompts;
+  answeredParts = other95.answeredParts;
+  engineAnswers = other95.engineAnswers;
+  quotaUses = other95.quotaUses;
+  __isset = other95.__isset;
   return *this;
 }
 void RoutingStatus::printTo(std::ostream& out) const {
@@ -2078,6 +2232,7 @@
   out << ", " << "lostPrompts=" << to_string(lostPrompts);
   out << ", " << "answeredParts=" << to_string(answeredParts);
   out << ", " << "engineAnswers=" << to_string(engineAnswers);
+  out << ", " << "quotaUses=" << to_string(quotaUses);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -41,6 +41,8 @@
 
 class RoleOrder;
 
+class QuotaUse;
+
 class RoutingStatus;
 
 typedef struct _StreamRun__isset {
@@ -582,12 +584,56 @@
 
 std::ostream& operator<<(std::ostream& out, const RoleOrder& obj);
 
+
+class QuotaUse : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaUse(const QuotaUse&);
+  QuotaUse& operator=(const QuotaUse&);
+  QuotaUse() noexcept
+           : workspace(),
+             units(0) {
+  }
+
+  virtual ~QuotaUse() noexcept;
+  std::string workspace;
+  double units;
+
+  void __set_workspace(const std::string& val);
+
+  void __set_units(const double val);
+
+  bool operator == (const QuotaUse & rhs) const
+  {
+    if (!(workspace == rhs.workspace))
+      return false;
+    if (!(units == rhs.units))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaUse &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaUse & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaUse &a, QuotaUse &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaUse& obj);
+
 typedef struct _RoutingStatus__isset {
-  _RoutingStatus__isset() : keptPrompts(false), lostPrompts(false), answeredParts(false), engineAnswers(false) {}
+  _RoutingStatus__isset() : keptPrompts(false), lostPrompts(false), answeredParts(false), engineAnswers(false), quotaUses(false) {}
   bool keptPrompts :1;
   bool lostPrompts :1;
   bool answeredParts :1;
   bool engineAnswers :1;
+  bool quotaUses :1;
 } _RoutingStatus__isset;
 
 class RoutingStatus : public virtual ::apache::thrift::TBase {
@@ -613,6 +659,7 @@
   std::vector<LostPrompt>  lostPrompts;
   std::vector<AnsweredPart>  answeredParts;
   std::vector<EngineAnswer>  engineAnswers;
+  std::vector<QuotaUse>  quotaUses;
 
   _RoutingStatus__isset __isset;
 
@@ -640,6 +687,8 @@
 
   void __set_engineAnswers(const std::vector<EngineAnswer> & val);
 
+  void __set_quotaUses(const std::vector<QuotaUse> & val);
+
   bool operator == (const RoutingStatus & rhs) const
   {
     if (!(runs == rhs.runs))
@@ -666,6 +715,8 @@
       return false;
     if (!(engineAnswers == rhs.engineAnswers))
       return false;
+    if (!(quotaUses == rhs.quotaUses))
+      return false;
     return true;
   }
   bool operator != (const RoutingStatus &rhs) const {
--- a/Tests/Adapter/RegistryReaderTest.cxx
+++ b/Tests/Adapter/RegistryReaderTest.cxx
@@ -199,4 +199,59 @@
   }
 }
 
+// Guards against a configuration whose workspaces are read in part, so that
+// callers are refused or served without limit.
+TEST_CASE("Workspaces of the configuration")
+{
+  Json config = kConfig;
+  config["routes"][1]["public"] = true;
+  config["tenants"] = Json::parse(R"([
+    {"name": "w1", "api_keys": ["a", "b"], "priority": 1, "unit": "tokens",
+     "plain_tokens": 200, "rate_per_s": 293074, "burst": 1000},
+    {"name": "w2", "api_keys": []}])");
+  const auto read = [&] {
+    return platform::ReadConfig({ "config/main", 1, config.dump(), false });
+  };
+  SUBCASE("are read with their limits")
+  {
+    const auto result = read();
+    REQUIRE(result.ok());
+    CHECK_FALSE(result->mRoutes[0].mIsPublic);
+    CHECK(result->mRoutes[1].mIsPublic);
+    REQUIRE(result->mWorkspaces.size() == 2);
+    const Workspace& first = result->mWorkspaces[0];
+    CHECK(first.mName == "w1");
+    CHECK(first.mKeys == std::vector<std::string>{ "a", "b" });
+    CHECK(first.mPriority == 1);
+    CHECK(first.mQuota.mCountsTokens);
+    CHECK(first.mQuota.mPlainTokens == 200);
+    CHECK(first.mQuota.mRate == 293074);
+    CHECK(first.mQuota.mBurst == 1000);
+    const Workspace& second = result->mWorkspaces[1];
+    CHECK_FALSE(second.mPriority);
+    CHECK(second.mQuota.mRate == 0);
+    CHECK_FALSE(second.mQuota.mCountsTokens);
+  }
+  SUBCASE("with an unreadable entry make the version unreadable")
+  {
+    SUBCASE("no name")
+    {
+      config["tenants"][0].erase("name");
+    }
+    SUBCASE("a name that would end a header")
+    {
+      config["tenants"][0]["name"] = "a\r\nX-Kv-Hold: 1";
+    }
+    SUBCASE("a key that is no text")
+    {
+      config["tenants"][0]["api_keys"] = { 7 };
+    }
+    SUBCASE("a negative rate")
+    {
+      config["tenants"][1]["rate_per_s"] = -1;
+    }
+    CHECK_FALSE(read().ok());
+  }
+}
+
 } // namespace bulrushfold
--- a/Tests/Routing/RouteTableTest.cxx
+++ b/Tests/Routing/RouteTableTest.cxx
@@ -63,4 +63,25 @@
   CHECK(DrawService(route, random).empty());
 }
 
+// Guards against a request that runs for a workspace that does not hold its
+// key.
+TEST_CASE("A key leads to the one workspace that holds it")
+{
+  RoutingConfig config;
+  config.mWorkspaces = { { "one", { "k1", "k2", "k2" }, {}, {} },
+                         { "two", { "k3", "both" }, {}, {} },
+                         { "three", { "both" }, {}, {} },
+                         { "four", {}, {}, {} } };
+  const RouteTable table(config);
+  REQUIRE(table.HasWorkspaces());
+  REQUIRE(table.FindWorkspace("k1"));
+  CHECK(table.FindWorkspace("k1")->mName == "one");
+  CHECK(table.FindWorkspace("k2")->mName == "one");
+  CHECK(table.FindWorkspace("k3")->mName == "two");
+  CHECK(table.FindWorkspace("both") == nullptr);
+  CHECK(table.FindWorkspace("") == nullptr);
+  CHECK(table.FindWorkspace("K1") == nullptr);
+  CHECK(table.KeyConflicts() == std::set<std::string>{ "three", "two" });
+}
+
 } // namespace bulrushfold
