Keep the quotas of workspaces across all daemons

Cause: nothing limited a workspace.

Change: token buckets by workspace. The placement owner takes the cost with each placement request, so no message is added; the daemons of a small fleet report their use in the status messages; a daemon on its own gives out its part, and the parts add up to the quota. Requests over it get 429 with the time until the bucket allows them, before anything ran, and a request that is refused for another reason gives its cost back.

--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -157,6 +157,7 @@
   mTables.mRetryBudget.SetPeer(aSender, std::move(status->mRetries));
   mTables.mGuard.Merge(status->mCrashes, now);
   mTables.mDeferredRequests.SetPeer(aSender, status->mDeferredRequests, now);
+  mTables.mQuotas.SetPeer(aSender, status->mQuotaUses, now);
   mTables.mCachedPrompts.SetPeer(aSender, std::move(status->mCachedPrompts));
   for (const auto& [endpoint, order] : status->mRoleOrders) {
     mTables.mDirectory.OnRoleOrdered(endpoint, order, now);
@@ -178,6 +179,7 @@
   mTables.mRuns.RemovePeer(aName);
   mTables.mRetryBudget.RemovePeer(aName);
   mTables.mDeferredRequests.RemovePeer(aName);
+  mTables.mQuotas.RemovePeer(aName);
 }
 
 void
@@ -215,6 +217,7 @@
   }
   status.mWorks = mTables.mLoads.OwnWorks();
   status.mDeferredRequests = mTables.mDeferredRequests.Own(now);
+  status.mQuotaUses = mTables.mQuotas.OwnUses(now);
   status.mCachedPrompts = mTables.mCachedPrompts.Own(now);
   status.mRoleOrders = mTables.mDirectory.RoleOrders(now);
   status.mIsStopping = mIsStopping;
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -32,6 +32,7 @@
   CachedPrompts& mCachedPrompts;
   LocalPrefillTurns& mPrefillTurns;
   EndpointDirectory& mDirectory;
+  WorkspaceQuotas& mQuotas;
 };
 
 /**
@@ -75,6 +76,8 @@
   {
     return mTransport && mPeers.HasLowestName(mSettings.mName);
   }
+  /** Number of peers that sent a message lately. */
+  std::size_t LiveCount() const { return mPeers.LiveCount(); }
   /** Messages to other daemons; a call fails while there are no links. */
   PlacementLink Link();
   /** "NAME/INCARNATION". */
--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -140,6 +140,13 @@
     item.leftMs = WholeMilliseconds(order.mDeadline - aNow);
     message.roleOrders.push_back(std::move(item));
   }
+  for (const auto& [workspace, units] : aStatus.mQuotaUses) {
+    wire::QuotaUse use;
+    use.workspace = workspace;
+    use.units = units;
+    message.quotaUses.push_back(std::move(use));
+  }
+  message.__isset.quotaUses = true;
   message.isLeaving = aStatus.mIsStopping;
   message.address = FormatAddress(aStatus.mAddress);
   return message;
@@ -186,6 +193,9 @@
     };
   }
   DecodeCrashes(aMessage, status);
+  for (const auto& it : aMessage.quotaUses) {
+    status.mQuotaUses[it.workspace] = it.units > 0 ? it.units : 0;
+  }
   for (const auto& it : aMessage.turnedAway) {
     status.mDeferredRequests.push_back(
       { static_cast<std::uint64_t>(it.requestHash),
--- a/Source/Router/PeerStatus.h
+++ b/Source/Router/PeerStatus.h
@@ -14,6 +14,7 @@
 #include "Routing/EndpointLoads.h"
 #include "Routing/SharedRetryBudget.h"
 #include "Routing/StreamRuns.h"
+#include "Routing/WorkspaceQuotas.h"
 #include "Routing_types.h"
 #include "Settings/Settings.h"
 #include "absl/status/statusor.h"
@@ -29,6 +30,7 @@
   CrashReport mCrashes;
   std::vector<DeferredRequest> mDeferredRequests;
   std::vector<CachedPrompt> mCachedPrompts;
+  QuotaUses mQuotaUses;
   /** Role orders in progress, by engine. */
   std::map<std::string, RoleOrder> mRoleOrders;
   /** The daemon ends immediately after this message. */
--- a/Source/Router/PlacementClient.cxx
+++ b/Source/Router/PlacementClient.cxx
@@ -39,7 +39,7 @@
                               PlainPlacer::Hook aHook)
 {
   if (!mOwner) {
-    mPlain.Request(aDemand, std::move(aHook));
+    RequestOwnPlain(aDemand, aHook);
     return;
   }
   const std::uint64_t number = aDemand.mNumber;
@@ -61,6 +61,27 @@
     });
 }
 
+void
+PlacementClient::RequestOwnPlain(const PlainDemand& aDemand,
+                                 const PlainPlacer::Hook& aHook)
+{
+  if (const auto wait = mHooks.mTakeQuota(aDemand.mTerms); wait) {
+    PlainGrant refusal;
+    refusal.mNumber = aDemand.mNumber;
+    refusal.mRetryAfter = *wait;
+    refusal.mIsOverQuota = true;
+    aHook(refusal);
+    return;
+  }
+  mPlain.Request(
+    aDemand, [this, aHook, terms = aDemand.mTerms](const PlainGrant& aGrant) {
+      if (!aGrant.mChoice) {
+        mHooks.mRefundQuota(terms);
+      }
+      aHook(aGrant);
+    });
+}
+
 void
 PlacementClient::HandlePlainReply(std::uint64_t aNumber,
                                   std::int64_t aSession,
@@ -94,7 +115,7 @@
   // Without an answer, and if this daemon knows better about the endpoint, it
   // chooses by itself.
   if (!reply.ok() || (grant.mChoice && !isUsable)) {
-    mPlain.Request(waiting.mapped().mDemand, waiting.mapped().mHook);
+    RequestOwnPlain(waiting.mapped().mDemand, waiting.mapped().mHook);
   } else {
     waiting.mapped().mHook(grant);
   }
--- a/Source/Router/PlacementClient.h
+++ b/Source/Router/PlacementClient.h
@@ -49,6 +49,13 @@
     std::function<void(const FeedUpdate&)> mOnFeed;
     /** This daemon can send requests to aEndpoint. */
     std::function<bool(const std::string& aEndpoint)> mIsUsable;
+    /** Takes the cost of a request that this daemon places; set if the quota of
+     * its workspace does not allow it: the time until it does. */
+    std::function<std::optional<Duration>(const PlacementTerms&)> mTakeQuota;
+    /** A request that this daemon refused to place has not run. */
+    std::function<void(const PlacementTerms&)> mRefundQuota;
+    /** Another daemon places for this one from now on. */
+    std::function<void()> mOnFollowing;
     /** Schedules OnWake. */
     std::function<void(Instant)> mWakeAt;
     /** Calls the function in a later iteration of the event loop. */
@@ -140,6 +147,11 @@
   void HandleNews(const std::string& aPayload);
   void ProbeReturning();
 
+  /** Places by this daemon, within the quota. */
+  void RequestOwnPlain(const PlainDemand& aDemand,
+                       const PlainPlacer::Hook& aHook);
+  void SubmitOwn(TrackedStream& aStream);
+
   // Messages.
   void HandlePlainReply(std::uint64_t aNumber,
                         std::int64_t aSession,
--- a/Source/Router/PlacementClientOwner.cxx
+++ b/Source/Router/PlacementClientOwner.cxx
@@ -90,6 +90,7 @@
   }
   mLastHeardAt = mClock.Now();
   if (mOwner) {
+    mHooks.mOnFollowing();
     SendPoll();
   }
   for (const auto& [number, state] : streams) {
--- a/Source/Router/PlacementClientStreams.cxx
+++ b/Source/Router/PlacementClientStreams.cxx
@@ -31,10 +31,30 @@
   if (tracked->mIsRemote) {
     SubmitToOwner(*tracked);
   } else {
-    mStreams.Submit(tracked->mDemand, *tracked);
+    SubmitOwn(*tracked);
   }
 }
 
+void
+PlacementClient::SubmitOwn(TrackedStream& aStream)
+{
+  const auto wait = mHooks.mTakeQuota(aStream.mDemand.mTerms);
+  if (!wait) {
+    aStream.mRefund = mHooks.mRefundQuota;
+    mStreams.Submit(aStream.mDemand, aStream);
+    return;
+  }
+  // The stream does not expect an answer before this call returns.
+  mHooks.mDefer(
+    [this, alive = mIsAlive, number = aStream.mDemand.mNumber, wait = *wait] {
+      const auto it = *alive ? mTracked.find(number) : mTracked.end();
+      if (it != mTracked.end() &&
+          it->second->mState == TrackedStream::State::Waiting) {
+        it->second->HandleOverQuota(wait);
+      }
+    });
+}
+
 void
 PlacementClient::SubmitToOwner(TrackedStream& aStream)
 {
@@ -98,9 +118,11 @@
       stream->HandleUnservable(retryAfter);
       return;
     case Result::OVERLOAD:
-    case Result::OVER_QUOTA:
       stream->HandleOverload();
       return;
+    case Result::OVER_QUOTA:
+      stream->HandleOverQuota(retryAfter);
+      return;
   }
 }
 
@@ -120,6 +142,7 @@
   Release(aStream);
   aStream.mIsRemote = false;
   aStream.mState = TrackedStream::State::Waiting;
+  // The owner has taken the cost.
   mStreams.Submit(aStream.mDemand, aStream);
 }
 
@@ -166,6 +189,7 @@
     return;
   }
   if (state == TrackedStream::State::Waiting) {
+    aStream.Refund();
     mStreams.Withdraw(number);
   } else if (state == TrackedStream::State::Placed) {
     mStreams.OnPrefillEnded(number, Duration::zero());
--- a/Source/Router/PlacementOwner.cxx
+++ b/Source/Router/PlacementOwner.cxx
@@ -85,14 +85,30 @@
   const std::uint64_t local = mHooks.mNextNumber();
   const std::int64_t session = request->session;
   EndPlain(*client, number);
+  if (const auto wait = mTables.mQuotas.Take(demand.mTerms, mClock.Now());
+      wait) {
+    PlainGrant refusal;
+    refusal.mNumber = number;
+    refusal.mRetryAfter = *wait;
+    refusal.mIsOverQuota = true;
+    aResponder(EncodeThrift(ToWire(refusal)));
+    return;
+  }
   client->mPlain[number] = {
     local, demand.mService, "", mClock.Now(), Instant()
   };
   demand.mNumber = local;
   mTables.mPlain.Request(
     demand,
-    [this, aClient, session, number, responder = std::move(aResponder)](
-      const PlainGrant& aGrant) {
+    [this,
+     aClient,
+     session,
+     number,
+     terms = demand.mTerms,
+     responder = std::move(aResponder)](const PlainGrant& aGrant) {
+      if (!aGrant.mChoice) {
+        mTables.mQuotas.Refund(terms);
+      }
       const auto it = mClients.find(aClient);
       Client* waiting = it != mClients.end() && it->second.mSession == session
                           ? &it->second
--- a/Source/Router/PlacementOwner.h
+++ b/Source/Router/PlacementOwner.h
@@ -19,6 +19,7 @@
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
 #include "Routing/SharedRetryBudget.h"
+#include "Routing/WorkspaceQuotas.h"
 
 namespace bulrushfold {
 
@@ -34,6 +35,7 @@
   DeferredRequests& mDeferredRequests;
   EndpointDirectory& mDirectory;
   StoreFeed& mFeed;
+  WorkspaceQuotas& mQuotas;
 };
 
 /**
@@ -86,6 +88,8 @@
                   Responder aResponder);
   void OnWake();
 
+  /** Number of daemons that this one places for, besides itself. */
+  std::size_t ClientCount() const { return mClients.size(); }
   /** Tells all clients soon what is new. */
   void Announce();
   /** This daemon stops, so its clients need another owner. */
--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -85,6 +85,7 @@
 {
   const Purpose purpose = std::exchange(mPurpose, Purpose::None);
   mRetryAfter = aGrant.mRetryAfter;
+  mIsOverQuota = aGrant.mIsOverQuota;
   if (purpose == Purpose::Replacement) {
     if (!aGrant.mChoice) {
       mDelegate.WakeAt(mParameters.mDeadline);
@@ -241,6 +242,10 @@
   } else if (mPossibleRuns > 0) {
     FinishWith(
       { kHttpBadGateway, RefusalReason::OutcomeUnknown, Duration::zero() });
+  } else if (mIsOverQuota) {
+    FinishWith({ kHttpTooManyRequests,
+                 RefusalReason::QuotaExceeded,
+                 std::max(kRetryAfter, mRetryAfter) });
   } else {
     FinishWith(
       { kHttpUnavailable,
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -155,6 +155,8 @@
   Purpose mPurpose = Purpose::None;
   /** Time after which the placer of the last demand expects free endpoints. */
   Duration mRetryAfter{};
+  /** The workspace had used up its quota at the last demand. */
+  bool mIsOverQuota = false;
   bool mIsSending = false;
   bool mIsFinished = false;
   SendOutcome mLastOutcome = SendOutcome::NotSent;
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -50,6 +50,9 @@
   PlainDemand demand = aDemand;
   demand.mNumber = mDemandNumber = mServices.mNextNumber();
   demand.mTerms = mRequest->Terms();
+  if (mHasTakenQuota) {
+    demand.mTerms.mCost = 0;
+  }
   mServices.mPlacement.RequestPlain(
     demand,
     [this, self = mSelf](const PlainGrant& aGrant) { HandleGrant(aGrant); });
@@ -61,6 +64,7 @@
   const auto self = mSelf;
   mDemandNumber = 0;
   mGrantNumber = aGrant.mNumber;
+  mHasTakenQuota = mHasTakenQuota || aGrant.mChoice;
   mRequest->mPlacedBy = aGrant.mPlacedBy;
   mCall.OnGranted(aGrant, mServices.mClock.Now());
 }
--- a/Source/Router/PlainSession.h
+++ b/Source/Router/PlainSession.h
@@ -58,6 +58,8 @@
   std::uint64_t mSendNumber = 0;
   Instant mSentAt;
   SentRun mRun;
+  /** The cost of the request was taken from the quota of its workspace. */
+  bool mHasTakenQuota = false;
   sigc::connection mStopConnection;
   /** Keeps the session alive until the call has ended. */
   std::shared_ptr<PlainSession> mSelf;
--- a/Source/Router/RemoteStream.h
+++ b/Source/Router/RemoteStream.h
@@ -31,6 +31,7 @@
     *mIsAlive = false;
     StreamPlacer& streams = mOwner.mTables.mStreams;
     if (mResponder) {
+      mOwner.mTables.mQuotas.Refund(mTerms);
       streams.Withdraw(mLocalNumber);
     } else {
       streams.OnPrefillEnded(mLocalNumber, Duration::zero());
@@ -53,6 +54,12 @@
       aDemand.mFirstEventDeadline -= now - *first;
     }
     aDemand.mNumber = mLocalNumber;
+    mTerms = aDemand.mTerms;
+    if (const auto wait = mOwner.mTables.mQuotas.Take(mTerms, now); wait) {
+      mTerms.mCost = 0;
+      HandleOverQuota(*wait);
+      return;
+    }
     if (!aDemand.mIsRetry && !mOwner.mTables.mStreams.Admits(aDemand)) {
       Refuse(wire::StreamPlacementResult::OVERLOAD, Duration::zero());
       return;
@@ -81,6 +88,13 @@
   {
     Refuse(wire::StreamPlacementResult::UNSERVABLE, aRetryAfter);
   }
+  void HandleOverQuota(Duration aRetryAfter) override
+  {
+    wire::StreamPlacementReply reply;
+    reply.result = wire::StreamPlacementResult::OVER_QUOTA;
+    reply.retryAfterMs = WholeMilliseconds(aRetryAfter);
+    Respond(reply);
+  }
   void HandleOverload() override
   {
     Refuse(wire::StreamPlacementResult::OVERLOAD, Duration::zero());
@@ -100,6 +114,7 @@
 private:
   void Refuse(wire::StreamPlacementResult::type aResult, Duration aRetryAfter)
   {
+    mOwner.mTables.mQuotas.Refund(mTerms);
     mOwner.mTables.mDeferredRequests.OnDeferred(
       mRequestHash, mFirstArrival, mOwner.mClock.Now());
     wire::StreamPlacementReply reply;
@@ -120,6 +135,7 @@
   std::uint64_t mLocalNumber;
   Instant mCreatedAt;
   std::uint64_t mRequestHash = 0;
+  PlacementTerms mTerms;
   Instant mFirstArrival;
   /** Set while the stream waits. */
   Responder mResponder;
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -88,6 +88,7 @@
   , mHealth(mRandom)
   , mRetryBudget(aSettings.mRetryLimits, mClock.Now())
   , mGuard(mRandom)
+  , mQuotas([this] { return QuotaShare(); })
   , mSelector(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
   , mPlainQueue(mSelector)
   , mPlainTimer(aLoop, mClock, [this] { mPlainPlacer.Dispatch(); })
@@ -125,7 +126,8 @@
         mDeferredRequests,
         mCachedPrompts,
         mPrefillTurns,
-        mDirectory },
+        mDirectory,
+        mQuotas },
       { [this] { mStreams.ScheduleDispatchAfterUpdate(); },
         [this](std::vector<FleetMember> aMembers) {
           mPlacement.SetMembers(std::move(aMembers));
@@ -141,7 +143,8 @@
              mGuard,
              mDeferredRequests,
              mDirectory,
-             mFeed },
+             mFeed,
+             mQuotas },
            aSettings.mPeerAddress,
            OwnerHooks())
   , mPlacementTimer(aLoop, mClock, [this] { mPlacement.OnWake(); })
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -80,6 +80,9 @@
   // Placement.
   PlacementOwner::Hooks OwnerHooks();
   PlacementClient::Hooks PlacementHooks();
+  /** The part of each workspace's quota that this daemon gives out: its own and
+   * that of the daemons for which it decides. */
+  double QuotaShare() const;
   void HandleLinksOpen(PeerTransport& aTransport);
   /** The objects under aPrefixes were fed and are watched at the store now. */
   void HandleWatched(const std::vector<std::string>& aPrefixes);
@@ -126,6 +129,7 @@
   EndpointHealth mHealth;
   SharedRetryBudget mRetryBudget;
   CrashGuard mGuard;
+  WorkspaceQuotas mQuotas;
   DeferredRequests mDeferredRequests;
   PlainSelector mSelector;
   PlainQueue mPlainQueue;
--- a/Source/Router/RouterPlacement.cxx
+++ b/Source/Router/RouterPlacement.cxx
@@ -65,6 +65,13 @@
   hooks.mIsUsable = [this](const std::string& aEndpoint) {
     return mDirectory.IsUsable(aEndpoint);
   };
+  hooks.mTakeQuota = [this](const PlacementTerms& aTerms) {
+    return mQuotas.Take(aTerms, mClock.Now());
+  };
+  hooks.mRefundQuota = [this](const PlacementTerms& aTerms) {
+    mQuotas.Refund(aTerms);
+  };
+  hooks.mOnFollowing = [this] { mQuotas.Suspend(); };
   hooks.mWakeAt = [this](Instant aTime) { mPlacementTimer.WakeAt(aTime); };
   hooks.mDefer = [this](std::function<void()> aCallback) {
     mLoop.Defer(std::move(aCallback));
@@ -72,6 +79,18 @@
   return hooks;
 }
 
+double
+Router::QuotaShare() const
+{
+  const std::size_t served = mPlacement.IsLargeFleet()
+                               ? mOwner.ClientCount() + 1
+                               : mPeers.LiveCount() + 1;
+  const std::size_t members = mPlacement.MemberCount();
+  return members == 0 ? 1
+                      : static_cast<double>(served) /
+                          static_cast<double>(std::max(served, members));
+}
+
 void
 Router::HandleLinksOpen(PeerTransport& aTransport)
 {
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -95,6 +95,7 @@
              { "services", config->mServices.size() },
              { "workspaces", config->mWorkspaces.size() } });
   mTable = std::make_shared<const RouteTable>(*std::move(config));
+  mQuotas.SetWorkspaces(mTable->Config().mWorkspaces);
   for (const auto& it : mTable->KeyConflicts()) {
     LogEvent(LogLevel::Error,
              "workspace_key_conflict",
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -183,6 +183,14 @@
   }
 }
 
+void
+StreamCall::OnOverQuota(Duration aRetryAfter, Instant aNow)
+{
+  if (mAttempt.mState == StreamState::Waiting) {
+    FailAttempt(RefusalReason::QuotaExceeded, aNow, aRetryAfter);
+  }
+}
+
 void
 StreamCall::OnReserved(const std::string& aReservation, Instant aNow)
 {
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -169,6 +169,8 @@
   void OnPlacementExpired(Instant aNow);
   /** No engine will accept the stream in time. aRetryAfter: time until one
    * accepts streams again; zero when it is unknown. */
+  /** The workspace has used up its quota until aRetryAfter. */
+  void OnOverQuota(Duration aRetryAfter, Instant aNow);
   void OnUnservable(Duration aRetryAfter, Instant aNow);
   /** The placer refused the stream, because it could not begin in time. */
   void OnOverload(Instant aNow);
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -111,7 +111,8 @@
   } else {
     // A retry of a prompt that crashes engines does not help.
     const bool isRetryUseful = aReason != RefusalReason::CrashSuspect;
-    mDelegate.Refuse({ kHttpUnavailable,
+    const bool isOverQuota = aReason == RefusalReason::QuotaExceeded;
+    mDelegate.Refuse({ isOverQuota ? kHttpTooManyRequests : kHttpUnavailable,
                        aReason,
                        isRetryUseful ? std::max(kRetryAfter, aMinRetryAfter)
                                      : Duration::zero() });
--- a/Source/Router/StreamPlacer.h
+++ b/Source/Router/StreamPlacer.h
@@ -19,6 +19,8 @@
   /** No engine will accept the stream in time. aRetryAfter: time until one
    * accepts streams again; zero when it is unknown. */
   virtual void HandleUnservable(Duration aRetryAfter) = 0;
+  /** The workspace has used up its quota until aRetryAfter. */
+  virtual void HandleOverQuota(Duration aRetryAfter) = 0;
   /** The stream is refused, because it could not begin in time. */
   virtual void HandleOverload() = 0;
   /** The scheduler proposes to move the run to aTarget. */
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -79,6 +79,9 @@
   aDemand.mRequestHash = mRequest->mHash;
   aDemand.mNumber = mAttempt.mNumber;
   aDemand.mTerms = mRequest->Terms();
+  if (mHasTakenQuota) {
+    aDemand.mTerms.mCost = 0;
+  }
   mServices.mPlacement.Submit(std::move(aDemand), *this);
 }
 
@@ -91,6 +94,7 @@
     mCall.OnPlacementExpired(now);
     return;
   }
+  mHasTakenQuota = true;
   mRequest->mPlacedBy = aPlacement->mPlacedBy;
   mServices.mLog.Placed(*mRequest, *aPlacement);
   mCall.OnPlaced(*aPlacement, now);
@@ -110,6 +114,13 @@
   mCall.OnOverload(mServices.mClock.Now());
 }
 
+void
+StreamSession::HandleOverQuota(Duration aRetryAfter)
+{
+  const auto self = mSelf;
+  mCall.OnOverQuota(aRetryAfter, mServices.mClock.Now());
+}
+
 void
 StreamSession::WithdrawPlacement()
 {
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -87,6 +87,7 @@
   void StartCall();
   void HandleUnservable(Duration aRetryAfter) override;
   void HandleOverload() override;
+  void HandleOverQuota(Duration aRetryAfter) override;
   void HandlePlacement(const StreamPlacement* aPlacement) override;
   void HandleMove(const std::string& aTarget) override;
   void HandleMoveAnswer(const HttpCallReply& aReply,
@@ -138,6 +139,8 @@
   StreamCall mCall;
   WakeTimer mTimer;
   Attempt mAttempt;
+  /** The cost of the stream was taken from the quota of its workspace. */
+  bool mHasTakenQuota = false;
   /** The run that is kept while mAttempt prepares its replacement. */
   std::optional<Attempt> mRunAside;
   std::unique_ptr<HttpCall> mMoveCall;
--- a/Source/Router/TrackedStream.h
+++ b/Source/Router/TrackedStream.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHFOLD_ROUTER_TRACKEDSTREAM_H
 #define BULRUSHFOLD_ROUTER_TRACKEDSTREAM_H
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -30,23 +31,33 @@
   void HandlePlacement(const StreamPlacement* aPlacement) override
   {
     mState = aPlacement == nullptr ? State::Idle : State::Placed;
-    if (aPlacement != nullptr) {
+    if (aPlacement == nullptr) {
+      Refund();
+    } else {
       mRun = { mDemand.mNumber,          aPlacement->mDecode,
                StartTokens(mDemand),     mDemand.mAnswerTokens,
                mDemand.mMaxAnswerTokens, std::nullopt,
                mDemand.mPromptKey };
       mIsPrefilling = !aPlacement->mPrefill.empty();
+      mRefund = nullptr;
     }
     mStream->HandlePlacement(aPlacement);
   }
   void HandleUnservable(Duration aRetryAfter) override
   {
     mState = State::Idle;
+    Refund();
     mStream->HandleUnservable(aRetryAfter);
   }
+  void HandleOverQuota(Duration aRetryAfter) override
+  {
+    mState = State::Idle;
+    mStream->HandleOverQuota(aRetryAfter);
+  }
   void HandleOverload() override
   {
     mState = State::Idle;
+    Refund();
     mStream->HandleOverload();
   }
   void HandleMove(const std::string& aTarget) override
@@ -54,7 +65,18 @@
     mStream->HandleMove(aTarget);
   }
 
+  /** The stream was not placed; returns the cost that this daemon took from the
+   * quota. */
+  void Refund()
+  {
+    if (const auto refund = std::exchange(mRefund, nullptr); refund) {
+      refund(mDemand.mTerms);
+    }
+  }
+
   StreamDemand mDemand;
+  /** Set while the stream waits and its cost was taken by this daemon. */
+  std::function<void(const PlacementTerms&)> mRefund;
   DispatchedStream* mStream;
   State mState = State::Waiting;
   /** Submitted to the owner, not to the placer of this daemon. */
--- a/Tests/Router/FleetDaemon.cxx
+++ b/Tests/Router/FleetDaemon.cxx
@@ -44,6 +44,11 @@
     });
     Finish(milliseconds(300));
   }
+  void HandleOverQuota(Duration) override
+  {
+    Answer();
+    Finish(Duration::zero());
+  }
   void HandleUnservable(Duration) override
   {
     Answer();
@@ -124,7 +129,8 @@
              mGuard,
              mDeferred,
              mDirectory,
-             mFeed },
+             mFeed,
+             mQuotas },
            { "10.0.0.1", 1 },
            OwnerHooks())
   , mClient(aFleet.mClock,
@@ -217,6 +223,13 @@
     return mDirectory.IsUsable(aEndpoint);
   };
   hooks.mWakeAt = Waker([this] { mClient.OnWake(); });
+  hooks.mTakeQuota = [this](const PlacementTerms& aTerms) {
+    return mQuotas.Take(aTerms, mFleet.mClock.Now());
+  };
+  hooks.mRefundQuota = [this](const PlacementTerms& aTerms) {
+    mQuotas.Refund(aTerms);
+  };
+  hooks.mOnFollowing = [this] { mQuotas.Suspend(); };
   hooks.mDefer = [this](std::function<void()> aCallback) {
     mFleet.After(Duration::zero(),
                  [alive = mIsAlive, callback = std::move(aCallback)] {
--- a/Tests/Router/PlacementFleet.h
+++ b/Tests/Router/PlacementFleet.h
@@ -237,6 +237,7 @@
   EndpointHealth mHealth;
   SharedRetryBudget mRetryBudget;
   CrashGuard mGuard{ mRandom };
+  WorkspaceQuotas mQuotas{ [] { return 1.0; } };
   DeferredRequests mDeferred;
   PlainSelector mSelector;
   PlainQueue mPlainQueue;
