Refuse a deadly request whoever sends it, and use half of the quota slack

Cause: the guard's key of a request contained its caller, so each caller's attempt was a new request.

Change: path and body without the caller are a key of their own. It is refused when it explains more crashes than the requests of single callers do.

Quotas: half of bounds.quota_slack extends the bursts.

--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -24,6 +24,7 @@
     lost.engine = static_cast<std::int64_t>(it.mEngine);
     lost.parts.assign(it.mKeys.mParts.begin(), it.mKeys.mParts.end());
     lost.requestHash = static_cast<std::int64_t>(it.mKeys.mRequest);
+    lost.contentHash = static_cast<std::int64_t>(it.mKeys.mContent);
     lost.ageMs = WholeMilliseconds(it.mAge);
     lost.tookMs = WholeMilliseconds(it.mTook);
     aMessage.lostPrompts.push_back(std::move(lost));
@@ -81,7 +82,8 @@
     crashes.mLost.push_back({ static_cast<std::uint64_t>(it.id),
                               static_cast<std::uint64_t>(it.engine),
                               { { it.parts.begin(), it.parts.end() },
-                                static_cast<std::uint64_t>(it.requestHash) },
+                                static_cast<std::uint64_t>(it.requestHash),
+                                static_cast<std::uint64_t>(it.contentHash) },
                               std::chrono::milliseconds(it.ageMs),
                               std::chrono::milliseconds(it.tookMs) });
   }
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -64,11 +64,10 @@
     });
 }
 
-/** Name of the field with the key of aPart. */
-std::string_view
-KeyName(const RefusedPart& aPart)
+bool
+IsPromptPart(const RefusedPart& aPart)
 {
-  return aPart.mIsRequest ? "request" : "part";
+  return aPart.mKind == CrashKeyKind::PromptPart;
 }
 
 std::string
@@ -232,6 +231,7 @@
            { { "id", aRequest.mMetadata.mId },
              { "endpoint", aEndpoint },
              { "request", FormatParts({ aRequest.mHash }) },
+             { "content", FormatParts({ aRequest.mCrashKeys.mContent }) },
              { "parts", FormatParts(aRequest.mMetadata.mSharedPromptParts) },
              { "answering_ms", ToMilliseconds(aAnswering) } });
 }
@@ -241,9 +241,9 @@
                            const RefusedPart& aPart)
 {
   LogEvent(LogLevel::Warning,
-           aPart.mIsRequest ? "crash_suspect_refused" : "prompt_refused",
+           IsPromptPart(aPart) ? "prompt_refused" : "crash_suspect_refused",
            { { "id", aRequest.mMetadata.mId },
-             { KeyName(aPart), FormatParts({ aPart.mPart }) },
+             { CrashKeyKindName(aPart.mKind), FormatParts({ aPart.mPart }) },
              { "crashes", aPart.mCrashes },
              { "lost_runs", aPart.mOwnRuns + aPart.mPeerRuns } });
 }
@@ -253,12 +253,13 @@
 {
   const std::string change = aIsRefused ? "refused" : "accepted";
   mMetrics
-    .GetCounter(aPart.mIsRequest ? kSuspectDecisions : kPartDecisions,
+    .GetCounter(IsPromptPart(aPart) ? kPartDecisions : kSuspectDecisions,
                 { change })
     .Add();
   LogEvent(LogLevel::Warning,
-           aPart.mIsRequest ? "crash_suspect_decided" : "prompt_part_decided",
-           { { KeyName(aPart), FormatParts({ aPart.mPart }) },
+           IsPromptPart(aPart) ? "prompt_part_decided"
+                               : "crash_suspect_decided",
+           { { CrashKeyKindName(aPart.mKind), FormatParts({ aPart.mPart }) },
              { "change", change },
              { "crashes", aPart.mCrashes },
              { "own_runs", aPart.mOwnRuns },
--- a/Source/Router/RoutedRequest.h
+++ b/Source/Router/RoutedRequest.h
@@ -58,6 +58,11 @@
   const HttpRequest& Message() const { return mExchange->Request(); }
   /** Rank of the request when capacity is short; 0 is the most urgent. */
   int Urgency() const;
+  /** mCrashKeys without the parts of the prompt. */
+  RequestKeys KeysWithoutPrompt() const
+  {
+    return { {}, mCrashKeys.mRequest, mCrashKeys.mContent };
+  }
   /** Units of the workspace's quota that the request uses. */
   double QuotaCost() const;
   PlacementTerms Terms() const;
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -7,7 +7,6 @@
 #include "Base/Log.h"
 #include "Net/HttpStatus.h"
 #include "Router/WorkspaceFilter.h"
-#include "absl/strings/str_cat.h"
 
 namespace bulrushfold {
 
@@ -17,6 +16,9 @@
 constexpr std::size_t kReservedDescriptors = 400;
 /** Minimum number of caller connections. */
 constexpr std::size_t kMinCallerConnections = 100;
+/** Part of the operators' tolerance for quotas that extends the bursts of the
+ * workspaces; the rest is left for changes of the placement owner. */
+constexpr double kBurstShareOfSlack = 0.5;
 /** Interval at which buffered log lines are written. */
 constexpr Duration kLogFlushInterval = std::chrono::milliseconds(250);
 /** The connection is closed when a caller accepts no byte of its answer for
@@ -88,7 +90,8 @@
   , mHealth(mRandom)
   , mRetryBudget(aSettings.mRetryLimits, mClock.Now())
   , mGuard(mRandom)
-  , mQuotas([this] { return QuotaShare(); })
+  , mQuotas([this] { return QuotaShare(); },
+            kBurstShareOfSlack * aSettings.mQuotaSlack)
   , mSelector(mDirectory, mLoads, mHealth, aSettings.mFailureDomain, mRandom)
   , mPlainQueue(mSelector)
   , mPlainTimer(aLoop, mClock, [this] { mPlainPlacer.Dispatch(); })
@@ -363,13 +366,12 @@
   request->mNumber = mNextNumber++;
   request->mParameters.mArrival = aExchange->Arrival();
   request->mMetadata = mProtocol.ReadRequest(aExchange->Request());
-  request->mHash = Hash64(absl::StrCat(aExchange->Request().mTarget,
-                                       "\n",
-                                       aExchange->CallerAddress(),
-                                       "\n",
-                                       aExchange->Request().mBody));
+  const HttpRequest& message = aExchange->Request();
+  const std::uint64_t content = Hash64(message.mBody, Hash64(message.mTarget));
+  request->mHash = Hash64(aExchange->CallerAddress(), content);
   request->mCrashKeys = { request->mMetadata.mSharedPromptParts,
-                          request->mHash };
+                          request->mHash,
+                          content };
   request->mExchange = std::move(aExchange);
   mChain.Run(request);
 }
--- a/Source/Router/RouterSettings.h
+++ b/Source/Router/RouterSettings.h
@@ -46,6 +46,8 @@
    * fleet place the requests of the others. */
   double mCapacity = 1;
   RetryLimits mRetryLimits;
+  /** Units by which a workspace may exceed its quota in any window. */
+  double mQuotaSlack = 0;
   /** Time for which missing endpoint entries are kept after a store outage. */
   Duration mEndpointGrace = std::chrono::seconds(2);
   /** Time from the stop signal until the process is killed. */
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -239,7 +239,7 @@
   mServices.RecordSendOutcome(mAttempt.mRun, outcome);
   if (mCall.State() == StreamState::Prefilling &&
       aReply.mResult == HttpCallResult::ConnectionLost) {
-    mServices.RecordLostRun(mAttempt.mRun, { {}, mRequest->mHash });
+    mServices.RecordLostRun(mAttempt.mRun, mRequest->KeysWithoutPrompt());
   }
   FinishSend(health, SendOutcomeName(outcome, aReply.mResult), aReply.mStatus);
   return outcome;
--- a/Source/Router/StreamSessionDecode.cxx
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -116,8 +116,7 @@
   const bool isBeginning =
     mAttempt.mAnswerStartedAt == Instant() ||
     mServices.mClock.Now() - mAttempt.mAnswerStartedAt < kAnswerBeginning;
-  return isBeginning ? mRequest->mCrashKeys
-                     : RequestKeys{ {}, mRequest->mHash };
+  return isBeginning ? mRequest->mCrashKeys : mRequest->KeysWithoutPrompt();
 }
 
 void
--- a/Source/Routing/CrashGuard.cxx
+++ b/Source/Routing/CrashGuard.cxx
@@ -5,6 +5,8 @@
 #include <tuple>
 #include <utility>
 
+#include "Base/EnumNames.h"
+
 namespace bulrushfold {
 
 namespace {
@@ -27,6 +29,12 @@
 /** Answers that are kept for one engine, the most recent. */
 constexpr std::size_t kMaxAnswersPerEngine = 8;
 
+constexpr EnumNames<CrashKeyKind, 3> kKindNames{ {
+  { CrashKeyKind::PromptPart, "part" },
+  { CrashKeyKind::Content, "content" },
+  { CrashKeyKind::Request, "request" },
+} };
+
 template<typename Item>
 void
 KeepMostRecent(std::vector<Item>& aItems)
@@ -46,29 +54,39 @@
 VisitKeys(const RequestKeys& aKeys, Visitor aVisit)
 {
   for (std::size_t i = 0; i < aKeys.mParts.size(); ++i) {
-    aVisit(aKeys.mParts[i], i, false);
+    aVisit(aKeys.mParts[i], i, CrashKeyKind::PromptPart);
+  }
+  const std::size_t depth = aKeys.mParts.size();
+  if (aKeys.mContent != 0) {
+    aVisit(aKeys.mContent, depth, CrashKeyKind::Content);
   }
   if (aKeys.mRequest != 0) {
-    aVisit(aKeys.mRequest, aKeys.mParts.size(), true);
+    aVisit(aKeys.mRequest, depth + 1, CrashKeyKind::Request);
   }
 }
 
 bool
 Contains(const RequestKeys& aKeys, std::uint64_t aPart)
 {
-  return aKeys.mRequest == aPart ||
+  return aKeys.mRequest == aPart || aKeys.mContent == aPart ||
          std::find(aKeys.mParts.begin(), aKeys.mParts.end(), aPart) !=
            aKeys.mParts.end();
 }
 } // namespace
 
+std::string_view
+CrashKeyKindName(CrashKeyKind aKind)
+{
+  return FindEnumName(kKindNames, aKind);
+}
+
 void
 CrashGuard::OnRunLost(std::uint64_t aEngine,
                       const RequestKeys& aKeys,
                       Instant aSentAt,
                       Instant aNow)
 {
-  if (aKeys.mParts.empty() && aKeys.mRequest == 0) {
+  if (aKeys.mParts.empty() && aKeys.mRequest == 0 && aKeys.mContent == 0) {
     return;
   }
   if (AddRun(mRandom.Bits(), { aEngine, aKeys, aSentAt, aNow, true }, aNow)) {
@@ -114,7 +132,7 @@
     return;
   }
   bool isChanged = false;
-  VisitKeys(aKeys, [&](std::uint64_t aKey, std::size_t, bool) {
+  VisitKeys(aKeys, [&](std::uint64_t aKey, std::size_t, CrashKeyKind) {
     isChanged = AddAnswer(aKey, aNow) || isChanged;
   });
   if (isChanged) {
@@ -139,7 +157,7 @@
     Update(aNow);
   }
   const RefusedPart* found = nullptr;
-  VisitKeys(aKeys, [&](std::uint64_t aKey, std::size_t, bool) {
+  VisitKeys(aKeys, [&](std::uint64_t aKey, std::size_t, CrashKeyKind) {
     const auto refused = mRefused.find(aKey);
     if (found == nullptr && refused != mRefused.end()) {
       found = &refused->second;
@@ -186,8 +204,12 @@
                    report.mLost.end(),
                    [this](const LostRun& aLeft, const LostRun& aRight) {
                      const auto isRepeated = [this](const LostRun& aRun) {
-                       const auto it = mRunCounts.find(aRun.mKeys.mRequest);
-                       return it != mRunCounts.end() && it->second > 1;
+                       const auto count = [this](std::uint64_t aKey) {
+                         const auto it = mRunCounts.find(aKey);
+                         return it == mRunCounts.end() ? 0 : it->second;
+                       };
+                       return count(aRun.mKeys.mRequest) > 1 ||
+                              count(aRun.mKeys.mContent) > 1;
                      };
                      return std::make_tuple(!isRepeated(aLeft), aLeft.mAge) <
                             std::make_tuple(!isRepeated(aRight), aRight.mAge);
@@ -228,7 +250,7 @@
   }
   mRuns[aId] = aRun;
   mEngines[aRun.mEngine].mRuns.insert(aId);
-  VisitKeys(aRun.mKeys, [this](std::uint64_t aKey, std::size_t, bool) {
+  VisitKeys(aRun.mKeys, [this](std::uint64_t aKey, std::size_t, CrashKeyKind) {
     ++mRunCounts[aKey];
   });
   if (mRuns.size() > kMaxRuns) {
@@ -241,7 +263,7 @@
 CrashGuard::RemoveRun(Runs::iterator aRun)
 {
   const Run& run = aRun->second;
-  VisitKeys(run.mKeys, [this](std::uint64_t aKey, std::size_t, bool) {
+  VisitKeys(run.mKeys, [this](std::uint64_t aKey, std::size_t, CrashKeyKind) {
     const auto count = mRunCounts.find(aKey);
     if (--count->second == 0) {
       mRunCounts.erase(count);
@@ -260,7 +282,7 @@
 {
   // The evidence against a refused request must not give way to new losses.
   const auto rank = [this](const Run& aRun) {
-    return std::make_tuple(mRefused.count(aRun.mKeys.mRequest), aRun.mLostAt);
+    return std::make_tuple(IsOfRefused(aRun), aRun.mLostAt);
   };
   RemoveRun(std::min_element(
     mRuns.begin(), mRuns.end(), [&](const auto& aLeft, const auto& aRight) {
@@ -325,10 +347,17 @@
   return isUseful;
 }
 
+bool
+CrashGuard::IsOfRefused(const Run& aRun) const
+{
+  return mRefused.count(aRun.mKeys.mRequest) > 0 ||
+         mRefused.count(aRun.mKeys.mContent) > 0;
+}
+
 Duration
 CrashGuard::LifetimeOf(const Run& aRun) const
 {
-  return mRefused.count(aRun.mKeys.mRequest) > 0 ? kRefusedLifetime : kLifetime;
+  return IsOfRefused(aRun) ? kRefusedLifetime : kLifetime;
 }
 
 bool
@@ -415,7 +444,7 @@
     const Run& run = mRuns.at(id);
     VisitKeys(run.mKeys,
               [&, number = crash](
-                std::uint64_t aKey, std::size_t aDepth, bool aIsRequest) {
+                std::uint64_t aKey, std::size_t aDepth, CrashKeyKind aKind) {
                 if (mRunCounts.at(aKey) < kCrashLimit ||
                     IsExonerated(aKey, run.mLostAt)) {
                   return;
@@ -425,7 +454,7 @@
                 ++evidence.mRuns;
                 evidence.mDepth = std::max(evidence.mDepth, aDepth);
                 evidence.mTook += run.mLostAt - run.mSentAt;
-                evidence.mIsRequest = aIsRequest;
+                evidence.mKind = aKind;
               });
   }
   return result;
@@ -436,7 +465,7 @@
 {
   RefusedPart result;
   result.mPart = aPart;
-  result.mIsRequest = aEvidence.mIsRequest;
+  result.mKind = aEvidence.mKind;
   result.mCrashes = static_cast<std::uint32_t>(aEvidence.mCrashes.size());
   for (const auto& [id, run] : mRuns) {
     if (!Contains(run.mKeys, aPart) || IsExonerated(aPart, run.mLostAt)) {
@@ -464,8 +493,9 @@
   std::map<std::uint64_t, RefusedPart> refused;
   while (!evidence.empty()) {
     // On a tie the deepest part is taken: the first parts of a prompt are
-    // shared with the most other requests. Among requests it is the one that
-    // was lost soonest after it was sent, because the others ran before.
+    // shared with the most other requests, and a content with those of other
+    // callers. Among requests it is the one that was lost soonest after it was
+    // sent, because the others ran before.
     const auto worst = std::max_element(
       evidence.begin(),
       evidence.end(),
--- a/Source/Routing/CrashGuard.h
+++ b/Source/Routing/CrashGuard.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -25,8 +26,22 @@
   /** Hash of path, caller and body; equal for all attempts of a caller. 0:
    * unknown. */
   std::uint64_t mRequest = 0;
+  /** Hash of path and body; equal for all callers. 0: unknown. */
+  std::uint64_t mContent = 0;
 };
 
+/** What a key of a request identifies. */
+enum class CrashKeyKind
+{
+  PromptPart,
+  /** Path and body, of whichever caller. */
+  Content,
+  /** Path and body of one caller. */
+  Request,
+};
+
+std::string_view CrashKeyKindName(CrashKeyKind aKind);
+
 /** A run whose connection was lost. */
 struct LostRun
 {
@@ -72,8 +87,7 @@
 struct RefusedPart
 {
   std::uint64_t mPart = 0;
-  /** The key is that of a whole request, not of a prompt part. */
-  bool mIsRequest = false;
+  CrashKeyKind mKind = CrashKeyKind::PromptPart;
   /** Crashes that only this part explains. */
   std::uint32_t mCrashes = 0;
   /** Lost runs with the part that this daemon observed. */
@@ -175,11 +189,12 @@
     std::set<std::size_t> mCrashes;
     /** Number of lost runs. */
     std::size_t mRuns = 0;
-    /** Greatest position in a prompt; a request comes after its parts. */
+    /** Greatest position among the keys of a request: the parts of its prompt,
+     * its content and the request itself. */
     std::size_t mDepth = 0;
     /** Sum of the times from send to loss. */
     Duration mTook{};
-    bool mIsRequest = false;
+    CrashKeyKind mKind = CrashKeyKind::PromptPart;
   };
   /** The crash in which each run was lost, by run; runs that are no evidence
    * are left out. */
@@ -197,6 +212,8 @@
   bool AddAnswer(std::uint64_t aPart, Instant aAnsweredAt);
   bool AddEngineAnswer(std::uint64_t aEngine, const Answer& aAnswer);
   bool IsExonerated(std::uint64_t aPart, Instant aLostAt) const;
+  /** A refused request was lost in the run. */
+  bool IsOfRefused(const Run& aRun) const;
   Duration LifetimeOf(const Run& aRun) const;
   bool Expire(Instant aNow);
   /** Runs that were lost in a crash of aEngine, with the start of the crash. */
--- a/Source/Routing/WorkspaceQuotas.cxx
+++ b/Source/Routing/WorkspaceQuotas.cxx
@@ -32,7 +32,8 @@
     return std::nullopt;
   }
   const double share = std::clamp(mShare(), 0.0, 1.0);
-  return BucketLimits{ share * it->second.mRate, share * it->second.mBurst };
+  return BucketLimits{ share * it->second.mRate,
+                       share * (it->second.mBurst + mExtraBurst) };
 }
 
 WorkspaceQuotas::State&
--- a/Source/Routing/WorkspaceQuotas.h
+++ b/Source/Routing/WorkspaceQuotas.h
@@ -28,9 +28,12 @@
 class WorkspaceQuotas
 {
 public:
-  /** aShare: the part of each quota that this daemon gives out, 0 to 1. */
-  explicit WorkspaceQuotas(std::function<double()> aShare)
+  /** aShare: the part of each quota that this daemon gives out, 0 to 1.
+   * aExtraBurst: units that are added to the burst of each workspace. */
+  explicit WorkspaceQuotas(std::function<double()> aShare,
+                           double aExtraBurst = 0)
     : mShare(std::move(aShare))
+    , mExtraBurst(aExtraBurst)
   {
   }
 
@@ -67,6 +70,7 @@
                  Instant aNow);
 
   std::function<double()> mShare;
+  double mExtraBurst;
   std::unordered_map<std::string, WorkspaceQuota> mQuotas;
   std::unordered_map<std::string, State> mStates;
   std::map<std::string, QuotaUses> mPeers;
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -60,6 +60,8 @@
   5: i64 requestHash,
   // Time from the send to the loss.
   6: i32 tookMs,
+  // Hash of path and body; 0: unknown.
+  7: i64 contentHash,
 }
 
 // An answer that shows that an engine with lost runs is up.
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -846,6 +846,10 @@
 void LostPrompt::__set_tookMs(const int32_t val) {
   this->tookMs = val;
 }
+
+void LostPrompt::__set_contentHash(const int64_t val) {
+  this->contentHash = val;
+}
 std::ostream& operator<<(std::ostream& out, const LostPrompt& obj)
 {
   obj.printTo(out);
@@ -937,6 +941,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->contentHash);
+          this->__isset.contentHash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -992,6 +1004,10 @@
   xfer += oprot->writeI32(this->tookMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("contentHash", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->contentHash);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1005,6 +1021,7 @@
   swap(a.id, b.id);
   swap(a.requestHash, b.requestHash);
   swap(a.tookMs, b.tookMs);
+  swap(a.contentHash, b.contentHash);
   swap(a.__isset, b.__isset);
 }
 
@@ -1015,6 +1032,7 @@
   id = other16.id;
   requestHash = other16.requestHash;
   tookMs = other16.tookMs;
+  contentHash = other16.contentHash;
   __isset = other16.__isset;
 }
 LostPrompt& LostPrompt::operator=(const LostPrompt& other17) {
@@ -1024,6 +1042,7 @@
   id = other17.id;
   requestHash = other17.requestHash;
   tookMs = other17.tookMs;
+  contentHash = other17.contentHash;
   __isset = other17.__isset;
   return *this;
 }
@@ -1036,6 +1055,7 @@
   out << ", " << "id=" << to_string(id);
   out << ", " << "requestHash=" << to_string(requestHash);
   out << ", " << "tookMs=" << to_string(tookMs);
+  out << ", " << "contentHash=" << to_string(contentHash);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -327,10 +327,11 @@
 std::ostream& operator<<(std::ostream& out, const CrashSuspect& obj);
 
 typedef struct _LostPrompt__isset {
-  _LostPrompt__isset() : id(false), requestHash(false), tookMs(false) {}
+  _LostPrompt__isset() : id(false), requestHash(false), tookMs(false), contentHash(false) {}
   bool id :1;
   bool requestHash :1;
   bool tookMs :1;
+  bool contentHash :1;
 } _LostPrompt__isset;
 
 class LostPrompt : public virtual ::apache::thrift::TBase {
@@ -343,7 +344,8 @@
                ageMs(0),
                id(0),
                requestHash(0),
-               tookMs(0) {
+               tookMs(0),
+               contentHash(0) {
   }
 
   virtual ~LostPrompt() noexcept;
@@ -353,6 +355,7 @@
   int64_t id;
   int64_t requestHash;
   int32_t tookMs;
+  int64_t contentHash;
 
   _LostPrompt__isset __isset;
 
@@ -368,6 +371,8 @@
 
   void __set_tookMs(const int32_t val);
 
+  void __set_contentHash(const int64_t val);
+
   bool operator == (const LostPrompt & rhs) const
   {
     if (!(engine == rhs.engine))
@@ -382,6 +387,8 @@
       return false;
     if (!(tookMs == rhs.tookMs))
       return false;
+    if (!(contentHash == rhs.contentHash))
+      return false;
     return true;
   }
   bool operator != (const LostPrompt &rhs) const {
--- a/Tests/Router/PeerStatusTest.cxx
+++ b/Tests/Router/PeerStatusTest.cxx
@@ -20,7 +20,7 @@
   status.mWorks = { { "p1", { 2, 9000 } } };
   status.mRetries = { { "s", { 10, 3 } } };
   status.mCrashes.mLost = {
-    { 76, 91, { { 1, ~0ULL }, 77 }, seconds(2), milliseconds(15) }
+    { 76, 91, { { 1, ~0ULL }, 77, 78 }, seconds(2), milliseconds(15) }
   };
   status.mCrashes.mAnswered = { { 92, seconds(3) } };
   status.mCrashes.mEngineAnswers = { { 93, seconds(4), milliseconds(16) } };
@@ -51,6 +51,7 @@
   CHECK(lost.mEngine == 91);
   CHECK(lost.mKeys.mParts == std::vector<std::uint64_t>{ 1, ~0ULL });
   CHECK(lost.mKeys.mRequest == 77);
+  CHECK(lost.mKeys.mContent == 78);
   CHECK(lost.mAge == seconds(2));
   CHECK(lost.mTook == milliseconds(15));
   REQUIRE(read->mCrashes.mAnswered.size() == 1);
