Do not let a silent run hide the crash that followed it

Cause: a run that was given up as too slow was recorded, when its endpoint left the registry, as lost at the moment at which it was given up. That moment was before the crash, so the crash seemed to begin there, the deadly request seemed to have been sent to an endpoint that was down, and the refusal ended (crash_suspect_decided change=accepted at 5.2169 s, with endpoint_changed gone).

Change: such a run takes the time of the first loss at its endpoint.

--- a/Source/Routing/CrashGuard.cxx
+++ b/Source/Routing/CrashGuard.cxx
@@ -114,17 +114,36 @@
 {
   const auto runs = std::exchange(mSilentRuns, {});
   for (const auto& it : runs) {
-    const Run& run = it.mRun;
+    Run run = it.mRun;
     if (it.mEndpoint != aEndpoint) {
       mSilentRuns.push_back(it);
-    } else if (aNow - run.mLostAt <= kSilentLifetime &&
-               AddRun(mRandom.Bits(), run, aNow)) {
+      continue;
+    }
+    const bool isRecent = aNow - run.mLostAt <= kSilentLifetime;
+    run.mLostAt = CrashDuring(run);
+    if (isRecent && AddRun(mRandom.Bits(), run, aNow)) {
       Update(aNow);
       mOnOwnLoss.emit();
     }
   }
 }
 
+Instant
+CrashGuard::CrashDuring(const Run& aRun) const
+{
+  std::optional<Instant> crash;
+  if (const auto engine = mEngines.find(aRun.mEngine);
+      engine != mEngines.end()) {
+    for (const auto it : engine->second.mRuns) {
+      const Instant lostAt = mRuns.at(it).mLostAt;
+      if (lostAt >= aRun.mSentAt) {
+        crash = std::min(crash.value_or(lostAt), lostAt);
+      }
+    }
+  }
+  return crash.value_or(aRun.mLostAt);
+}
+
 void
 CrashGuard::OnAnswered(const RequestKeys& aKeys, Instant aNow)
 {
--- a/Source/Routing/CrashGuard.h
+++ b/Source/Routing/CrashGuard.h
@@ -206,6 +206,10 @@
     Run mRun;
   };
 
+  /** When the engine of a silent run crashed: at the first loss of another run
+   * there, or, without one, when the run was given up. A run that is given up
+   * before that loss must not seem to start the crash. */
+  Instant CrashDuring(const Run& aRun) const;
   bool AddRun(std::uint64_t aId, const Run& aRun, Instant aNow);
   Runs::iterator RemoveRun(Runs::iterator aRun);
   void RemoveOldest();
--- a/Tests/Routing/CrashGuardTest.cxx
+++ b/Tests/Routing/CrashGuardTest.cxx
@@ -389,4 +389,29 @@
   CHECK(guard.FindRefused({ {}, 502, kDeadly }, now));
 }
 
+// Guards against a slow run, given up before its engine crashed, that makes the
+// request which crashed the engine look as if it had been sent to one that was
+// down already.
+TEST_CASE("A silent run does not hide the crash that followed it")
+{
+  CrashGuard guard(random);
+  Instant now = kStart;
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    guard.OnRunSilent("e" + std::to_string(i),
+                      100 + i,
+                      { {}, kSound, 0 },
+                      now - seconds(1),
+                      now);
+    now += milliseconds(200);
+    LoseRequest(guard, 100 + i, kDeadly, now);
+    now += milliseconds(200);
+  }
+  REQUIRE(IsRefused(guard, kDeadly, now));
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    guard.OnEngineGone("e" + std::to_string(i), now);
+  }
+  CHECK(IsRefused(guard, kDeadly, now));
+  CHECK_FALSE(IsRefused(guard, kSound, now));
+}
+
 } // namespace bulrushfold
