--- a/Source/Routing/RoutingConfig.h
+++ b/Source/Routing/RoutingConfig.h
@@ -69,7 +69,7 @@
   double mPlainTokens = 1;
 };
 
-/** A tenant with its keys and limits. */
+/** A workspace with its keys and limits. */
 struct Workspace
 {
   std::string mName;
