--- a/Source/Routing/CrashGuard.h
+++ b/Source/Routing/CrashGuard.h
@@ -163,6 +163,12 @@
   }
 
 private:
+  /** Engines that are lost within this time count as one crash: they share a
+   * cause, such as a power failure, rather than a request. */
+  static constexpr Duration kSameMoment = std::chrono::milliseconds(50);
+  /** Error of the times that peers report, by the delay of their messages. */
+  static constexpr Duration kTimeTolerance = std::chrono::milliseconds(20);
+
   struct Run
   {
     std::uint64_t mEngine = 0;
