Keep a send, a taken quota and its refusal in one place each

Cause: both sessions kept endpoint and time of a send beside SentRun, and a flag for the quota with the same three lines; the refusal over a quota was put together twice. Change: SentRun alone, RoutedRequest::mHasTakenQuota, and OverQuotaGrant. No change of behaviour.

--- a/Source/Router/PlacementClient.cxx
+++ b/Source/Router/PlacementClient.cxx
@@ -66,11 +66,7 @@
                                  const PlainPlacer::Hook& aHook)
 {
   if (const auto wait = mHooks.mTakeQuota(aDemand.mTerms); wait) {
-    PlainGrant refusal;
-    refusal.mNumber = aDemand.mNumber;
-    refusal.mRetryAfter = *wait;
-    refusal.mIsOverQuota = true;
-    aHook(refusal);
+    aHook(OverQuotaGrant(aDemand.mNumber, *wait));
     return;
   }
   mPlain.Request(
--- a/Source/Router/PlacementMessages.cxx
+++ b/Source/Router/PlacementMessages.cxx
@@ -77,6 +77,16 @@
            TermsOf(aRequest) };
 }
 
+PlainGrant
+OverQuotaGrant(std::uint64_t aNumber, Duration aWait)
+{
+  PlainGrant refusal;
+  refusal.mNumber = aNumber;
+  refusal.mRetryAfter = aWait;
+  refusal.mIsOverQuota = true;
+  return refusal;
+}
+
 wire::PlainPlacementReply
 ToWire(const PlainGrant& aGrant)
 {
--- a/Source/Router/PlacementOwner.cxx
+++ b/Source/Router/PlacementOwner.cxx
@@ -87,11 +87,7 @@
   EndPlain(*client, number);
   if (const auto wait = mTables.mQuotas.Take(demand.mTerms, mClock.Now());
       wait) {
-    PlainGrant refusal;
-    refusal.mNumber = number;
-    refusal.mRetryAfter = *wait;
-    refusal.mIsOverQuota = true;
-    aResponder(EncodeThrift(ToWire(refusal)));
+    aResponder(EncodeThrift(ToWire(OverQuotaGrant(number, *wait))));
     return;
   }
   client->mPlain[number] = {
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -50,9 +50,6 @@
   PlainDemand demand = aDemand;
   demand.mNumber = mDemandNumber = mServices.mNextNumber();
   demand.mTerms = mRequest->Terms();
-  if (mHasTakenQuota) {
-    demand.mTerms.mCost = 0;
-  }
   mServices.mPlacement.RequestPlain(
     demand,
     [this, self = mSelf](const PlainGrant& aGrant) { HandleGrant(aGrant); });
@@ -64,7 +61,7 @@
   const auto self = mSelf;
   mDemandNumber = 0;
   mGrantNumber = aGrant.mNumber;
-  mHasTakenQuota = mHasTakenQuota || aGrant.mChoice;
+  mRequest->mHasTakenQuota = mRequest->mHasTakenQuota || aGrant.mChoice;
   mRequest->mPlacedBy = aGrant.mPlacedBy;
   mCall.OnGranted(aGrant, mServices.mClock.Now());
 }
@@ -79,15 +76,13 @@
 PlainSession::Send(const EndpointChoice& aChoice, Instant aDeadline)
 {
   const EndpointRecord* endpoint = mServices.mDirectory.Find(aChoice.mEndpoint);
-  mEndpoint = aChoice.mEndpoint;
   mSendNumber = mGrantNumber;
-  mSentAt = mServices.mClock.Now();
-  mRun = MakeSentRun(*endpoint, mSentAt);
+  mRun = MakeSentRun(*endpoint, mServices.mClock.Now());
   ++mRequest->mSends;
   HttpCallRequest request = mServices.mProtocol.Forward(
     mRequest->Message(),
     *endpoint,
-    mRequest->MakeSendParameters(aDeadline - mSentAt));
+    mRequest->MakeSendParameters(aDeadline - mRun.mSentAt));
   request.mMaxIdleTime =
     mRequest->mParameters.mRoute->mKind == RequestKind::Idempotent
       ? kMaxIdle
@@ -97,9 +92,12 @@
   hooks.mOnDone = [this](HttpCallReply aReply) {
     HandleReply(std::move(aReply));
   };
-  mServices.mLoads.Begin(mEndpoint, { 1, 0 });
-  mServices.mLog.Sent(
-    *mRequest, "request", mEndpoint, aChoice.mLoad, aChoice.mCandidateCount);
+  mServices.mLoads.Begin(mRun.mEndpoint, { 1, 0 });
+  mServices.mLog.Sent(*mRequest,
+                      "request",
+                      mRun.mEndpoint,
+                      aChoice.mLoad,
+                      aChoice.mCandidateCount);
   mSend =
     mServices.mClient.Start(*endpoint, std::move(request), std::move(hooks));
 }
@@ -125,10 +123,10 @@
   if (outcome != SendOutcome::Answered) {
     mServices.mLog.SendEnded(*mRequest,
                              "request",
-                             mEndpoint,
+                             mRun.mEndpoint,
                              SendOutcomeName(outcome, aReply.mResult),
                              aReply.mStatus,
-                             now - mSentAt);
+                             now - mRun.mSentAt);
   }
   mCall.OnSendEnded(
     outcome,
@@ -140,7 +138,7 @@
 PlainSession::RecordEvidence(SendOutcome aOutcome, const HttpCallReply& aReply)
 {
   if (aReply.mResult == HttpCallResult::ConnectionLost) {
-    mServices.mLog.RunLost(*mRequest, mEndpoint, Duration::zero());
+    mServices.mLog.RunLost(*mRequest, mRun.mEndpoint, Duration::zero());
     mServices.RecordLostRun(mRun, mRequest->mCrashKeys);
   } else if (aOutcome == SendOutcome::Answered &&
              aReply.mStatus < kHttpFirstServerError) {
@@ -160,13 +158,13 @@
 {
   const Instant now = mServices.mClock.Now();
   mSend.reset();
-  mServices.mLoads.End(mEndpoint, { 1, 0 });
+  mServices.mLoads.End(mRun.mEndpoint, { 1, 0 });
   if (aResult) {
     mServices.mHealth.OnResult(
-      mRequest->mParameters.mService, mEndpoint, *aResult, now);
+      mRequest->mParameters.mService, mRun.mEndpoint, *aResult, now);
   }
   if (aLoad) {
-    mServices.mLoads.OnLoadReport(mEndpoint, *aLoad, now);
+    mServices.mLoads.OnLoadReport(mRun.mEndpoint, *aLoad, now);
   }
   mServices.mPlacement.OnPlainEnded(
     mSendNumber, aResult.value_or(SendResult::Refused), aLoad);
@@ -181,23 +179,23 @@
   }
   mServices.mLog.SendEnded(*mRequest,
                            "request",
-                           mEndpoint,
+                           mRun.mEndpoint,
                            SendResultName(aReason),
                            0,
-                           mServices.mClock.Now() - mSentAt);
+                           mServices.mClock.Now() - mRun.mSentAt);
 }
 
 void
 PlainSession::Deliver(const EndpointAnswer& aAnswer)
 {
-  mAnswerWriter.Deliver(aAnswer, mEndpoint);
+  mAnswerWriter.Deliver(aAnswer, mRun.mEndpoint);
   Close();
 }
 
 void
 PlainSession::Refuse(const Refusal& aRefusal)
 {
-  mAnswerWriter.Refuse(aRefusal, mEndpoint);
+  mAnswerWriter.Refuse(aRefusal, mRun.mEndpoint);
   Close();
 }
 
@@ -211,7 +209,7 @@
   if (mSend) {
     FinishSend(std::nullopt, std::nullopt);
   }
-  mAnswerWriter.LogCallerDisconnected(mEndpoint);
+  mAnswerWriter.LogCallerDisconnected(mRun.mEndpoint);
   Close();
 }
 
--- a/Source/Router/PlainSession.h
+++ b/Source/Router/PlainSession.h
@@ -49,17 +49,14 @@
   PlainCall mCall;
   WakeTimer mTimer;
   std::unique_ptr<HttpCall> mSend;
-  std::string mEndpoint;
   /** Number of the demand that has no answer yet; 0: none. */
   std::uint64_t mDemandNumber = 0;
   /** Number of the last demand that was granted. */
   std::uint64_t mGrantNumber = 0;
   /** Number of the demand that the send in progress was granted. */
   std::uint64_t mSendNumber = 0;
-  Instant mSentAt;
+  /** The last send. */
   SentRun mRun;
-  /** The cost of the request was taken from the quota of its workspace. */
-  bool mHasTakenQuota = false;
   sigc::connection mStopConnection;
   /** Keeps the session alive until the call has ended. */
   std::shared_ptr<PlainSession> mSelf;
--- a/Source/Router/RoutedRequest.cxx
+++ b/Source/Router/RoutedRequest.cxx
@@ -14,6 +14,9 @@
 double
 RoutedRequest::QuotaCost() const
 {
+  if (mHasTakenQuota) {
+    return 0;
+  }
   if (mWorkspace == nullptr || !mWorkspace->mQuota.mCountsTokens) {
     return 1;
   }
--- a/Source/Router/RoutedRequest.h
+++ b/Source/Router/RoutedRequest.h
@@ -42,6 +42,8 @@
   CallParameters mParameters;
   /** Workspace of the caller's key; null when there is none. */
   const Workspace* mWorkspace = nullptr;
+  /** A send of the request was granted, so its cost was taken. */
+  bool mHasTakenQuota = false;
   /** Hash of path, caller address and body; equal for all attempts of a
    * caller. */
   std::uint64_t mHash = 0;
@@ -63,7 +65,7 @@
   {
     return { {}, mCrashKeys.mRequest, mCrashKeys.mContent };
   }
-  /** Units of the workspace's quota that the request uses. */
+  /** Units of the workspace's quota that the next send uses. */
   double QuotaCost() const;
   PlacementTerms Terms() const;
   /** What each send of the request to an endpoint states. */
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -79,9 +79,6 @@
   aDemand.mRequestHash = mRequest->mHash;
   aDemand.mNumber = mAttempt.mNumber;
   aDemand.mTerms = mRequest->Terms();
-  if (mHasTakenQuota) {
-    aDemand.mTerms.mCost = 0;
-  }
   mServices.mPlacement.Submit(std::move(aDemand), *this);
 }
 
@@ -94,7 +91,7 @@
     mCall.OnPlacementExpired(now);
     return;
   }
-  mHasTakenQuota = true;
+  mRequest->mHasTakenQuota = true;
   mRequest->mPlacedBy = aPlacement->mPlacedBy;
   mServices.mLog.Placed(*mRequest, *aPlacement);
   mCall.OnPlaced(*aPlacement, now);
@@ -201,14 +198,12 @@
                          HttpCallHooks aHooks)
 {
   mAttempt.mStep = aStep;
-  mAttempt.mEndpoint = aEndpoint.mId;
-  mAttempt.mSentAt = mServices.mClock.Now();
-  mAttempt.mRun = MakeSentRun(aEndpoint, mAttempt.mSentAt);
+  mAttempt.mRun = MakeSentRun(aEndpoint, mServices.mClock.Now());
   ++mRequest->mSends;
   // The id of an answer does not distinguish two sends of this request, so a
   // second one to the same engine opens a new connection.
   const bool namesRequest = aRequest.mNeedsUnambiguousReply;
-  if (namesRequest && !mSentTo.insert(mAttempt.mEndpoint).second) {
+  if (namesRequest && !mSentTo.insert(mAttempt.mRun.mEndpoint).second) {
     aRequest.mMaxIdleTime = Duration::zero();
   }
   mAttempt.mSend =
@@ -251,13 +246,13 @@
                           int aStatus)
 {
   mAttempt.mSend.reset();
-  RecordHealth(mAttempt.mEndpoint, aResult);
+  RecordHealth(mAttempt.mRun.mEndpoint, aResult);
   mServices.mLog.SendEnded(*mRequest,
                            mAttempt.mStep,
-                           mAttempt.mEndpoint,
+                           mAttempt.mRun.mEndpoint,
                            aOutcome,
                            aStatus,
-                           mServices.mClock.Now() - mAttempt.mSentAt);
+                           mServices.mClock.Now() - mAttempt.mRun.mSentAt);
 }
 
 void
@@ -286,9 +281,9 @@
   // Other streams should avoid the engine while it is silent. The engine of a
   // run that moves may have ended its answer.
   if (mAttempt.mSend) {
-    RecordHealth(mAttempt.mEndpoint, SendResult::Slow);
+    RecordHealth(mAttempt.mRun.mEndpoint, SendResult::Slow);
   }
-  mServices.mLog.RunSilent(*mRequest, mAttempt.mEndpoint, aKeptFor);
+  mServices.mLog.RunSilent(*mRequest, mAttempt.mRun.mEndpoint, aKeptFor);
 }
 
 void
@@ -355,21 +350,21 @@
 StreamSession::EndAnswer()
 {
   RecordWholeAnswer();
-  mAnswerWriter.EndStream(mAttempt.mEndpoint);
+  mAnswerWriter.EndStream(mAttempt.mRun.mEndpoint);
   Close();
 }
 
 void
 StreamSession::AbortAnswer(RefusalReason aReason)
 {
-  mAnswerWriter.Abort(aReason, mAttempt.mEndpoint);
+  mAnswerWriter.Abort(aReason, mAttempt.mRun.mEndpoint);
   Close();
 }
 
 void
 StreamSession::Deliver(const EndpointAnswer& aAnswer)
 {
-  mAnswerWriter.Deliver(aAnswer, mAttempt.mEndpoint);
+  mAnswerWriter.Deliver(aAnswer, mAttempt.mRun.mEndpoint);
   Close();
 }
 
@@ -384,7 +379,7 @@
         .value_or(mRequest->mParameters.mArrival),
       now);
   }
-  mAnswerWriter.Refuse(aRefusal, mAttempt.mEndpoint);
+  mAnswerWriter.Refuse(aRefusal, mAttempt.mRun.mEndpoint);
   Close();
 }
 
@@ -393,7 +388,7 @@
 {
   const auto self = mSelf;
   mCall.OnCallerDisconnected(mServices.mClock.Now());
-  mAnswerWriter.LogCallerDisconnected(mAttempt.mEndpoint);
+  mAnswerWriter.LogCallerDisconnected(mAttempt.mRun.mEndpoint);
   Close();
 }
 
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -35,8 +35,7 @@
     std::uint64_t mNumber = 0;
     std::unique_ptr<HttpCall> mSend;
     std::string mStep;
-    std::string mEndpoint;
-    Instant mSentAt;
+    /** The last send. */
     SentRun mRun;
     SendOutcome mHeadOutcome = SendOutcome::Unknown;
     /** When the head of the decode engine's answer arrived; zero before. */
@@ -139,8 +138,6 @@
   StreamCall mCall;
   WakeTimer mTimer;
   Attempt mAttempt;
-  /** The cost of the stream was taken from the quota of its workspace. */
-  bool mHasTakenQuota = false;
   /** The run that is kept while mAttempt prepares its replacement. */
   std::optional<Attempt> mRunAside;
   std::unique_ptr<HttpCall> mMoveCall;
--- a/Source/Router/StreamSessionDecode.cxx
+++ b/Source/Router/StreamSessionDecode.cxx
@@ -72,7 +72,7 @@
   mAttempt.mHeadOutcome =
     ClassifySend(HttpCallResult::Complete, metadata, mRequest->mMetadata.mId);
   if (mAttempt.mHeadOutcome == SendOutcome::OtherEndpoint) {
-    mServices.mDirectory.OnAddressReused(mAttempt.mEndpoint);
+    mServices.mDirectory.OnAddressReused(mAttempt.mRun.mEndpoint);
   }
   mCall.OnAnswerStarted(
     mAttempt.mHeadOutcome, aStatus, aHeaders, mServices.mClock.Now());
@@ -106,7 +106,7 @@
     mAttempt.mAnswerStartedAt == Instant()
       ? Duration::zero()
       : mServices.mClock.Now() - mAttempt.mAnswerStartedAt;
-  mServices.mLog.RunLost(*mRequest, mAttempt.mEndpoint, answering);
+  mServices.mLog.RunLost(*mRequest, mAttempt.mRun.mEndpoint, answering);
   mServices.RecordLostRun(mAttempt.mRun, LostKeys());
 }
 
--- a/Source/Router/StreamSessionGrants.cxx
+++ b/Source/Router/StreamSessionGrants.cxx
@@ -36,7 +36,7 @@
   }
   if (mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders)
         .mIsMisdirected) {
-    mServices.mDirectory.OnAddressReused(mAttempt.mEndpoint);
+    mServices.mDirectory.OnAddressReused(mAttempt.mRun.mEndpoint);
   }
   if (reservation.empty()) {
     FinishSend(aReply.mResult == HttpCallResult::Complete
@@ -55,7 +55,8 @@
 {
   const std::string id =
     mServices.mProtocol.ReadAnswer(aReply.mStatus, aReply.mHeaders).mRequestId;
-  const bool isNew = mServices.mGrants.Add(aStep, mAttempt.mEndpoint, aHandle);
+  const bool isNew =
+    mServices.mGrants.Add(aStep, mAttempt.mRun.mEndpoint, aHandle);
   return id.empty() ? isNew || !aReply.mIsReused
                     : id == mRequest->mMetadata.mId;
 }
@@ -81,9 +82,9 @@
 StreamSession::HandlePrefilled(const HttpCallReply& aReply)
 {
   const auto self = mSelf;
-  const Duration duration = mServices.mClock.Now() - mAttempt.mSentAt;
+  const Duration duration = mServices.mClock.Now() - mAttempt.mRun.mSentAt;
   const EndpointRecord* endpoint =
-    mServices.mDirectory.Find(mAttempt.mEndpoint);
+    mServices.mDirectory.Find(mAttempt.mRun.mEndpoint);
   SendOutcome outcome = SendOutcome::Unknown;
   KvCache cache;
   if (aReply.mResult == HttpCallResult::Complete && aReply.mStatus == kHttpOk) {
@@ -91,7 +92,9 @@
     if (handle.ok() && endpoint != nullptr &&
         IsOwnGrant(aReply, "prefill", *handle)) {
       outcome = SendOutcome::Answered;
-      cache = { mAttempt.mEndpoint, endpoint->mAddress, *std::move(handle) };
+      cache = { mAttempt.mRun.mEndpoint,
+                endpoint->mAddress,
+                *std::move(handle) };
     }
     FinishSend(outcome == SendOutcome::Answered ? SendResult::Answered
                                                 : SendResult::Interrupted,
