--- a/review/6/case.cxx
+++ b/review/6/case.cxx
@@ -76,12 +76,12 @@
 private:
   void WriteConfig(int aVersion, int aRoutes, const std::string& aService)
   {
-    const auto revision = mStore.Write(
-      "config/main", MakeConfig(aVersion, aRoutes, aService));
+    const auto revision =
+      mStore.Write("config/main", MakeConfig(aVersion, aRoutes, aService));
     mRecord.Line("operator writes config version " + std::to_string(aVersion) +
-                 " (route /r" + std::to_string(aRoutes) + "/ added, /moved/ to " +
-                 aService + "); acknowledged at revision " +
-                 std::to_string(revision));
+                 " (route /r" + std::to_string(aRoutes) +
+                 "/ added, /moved/ to " + aService +
+                 "); acknowledged at revision " + std::to_string(revision));
   }
   /** Number of machines that handle requests as aRoutes and aService say. */
   int CountCurrent(int aRoutes, const std::string& aService, bool aIsLogged);
--- a/review/7/case.cxx
+++ b/review/7/case.cxx
@@ -18,6 +18,8 @@
 constexpr int kMachines = 3;
 /** Time between the stops of two machines, as the site has it. */
 constexpr double kRollGapMs = 1000;
+/** Time from the first stop to the load that needs an order. */
+constexpr double kLoadDelayMs = 1500;
 /** Streams that the clients keep open at the same time. */
 constexpr int kClients = 6;
 /** The copy is some seconds old. */
@@ -216,10 +218,10 @@
         const Order& first = orders[i];
         const Order& second = orders[j];
         const bool isOther = first.mHolder != second.mHolder;
-        const std::string pair =
-          "runner " + it->Id() + ": " + first.mHolder + " with fence " +
-          std::to_string(first.mFence) + ", then " + second.mHolder +
-          " with fence " + std::to_string(second.mFence);
+        const std::string pair = "runner " + it->Id() + ": " + first.mHolder +
+                                 " with fence " + std::to_string(first.mFence) +
+                                 ", then " + second.mHolder + " with fence " +
+                                 std::to_string(second.mFence);
         if (second.mFence < first.mFence) {
           mRecord.Line(pair + ": a lower fence number after a higher one");
           isBroken = true;
@@ -264,29 +266,44 @@
   SleepMs(5000);
 
   // Planned work: all machines but the first are stopped and started in turn.
-  Store::Content copy;
-  double copiedAt = 0;
-  std::vector<std::thread> rolls;
-  for (int i = 1; i < kMachines; ++i) {
-    rolls.emplace_back([this, i] {
-      SleepMs((i - 1) * kRollGapMs);
-      mMachines[static_cast<std::size_t>(i)]->Stop();
-      mMachines[static_cast<std::size_t>(i)]->Start();
-    });
-  }
-  SleepMs(1500);
-  StartLoad(kLongAnswers, 0);
+  Store::Content copy = mStore.Copy();
+  double copiedAt = NowMs();
   const std::uint64_t before = mStore.Revision();
-  while (mStore.Revision() == before && OrderCount() == 0) {
-    copy = mStore.Copy();
-    copiedAt = NowMs();
+  const double begin = NowMs();
+  std::vector<Machine*> toStop;
+  std::vector<Machine*> stopping;
+  for (int i = kMachines - 1; i > 0; --i) {
+    toStop.push_back(mMachines[static_cast<std::size_t>(i)].get());
+  }
+  double nextStop = begin;
+  bool hasLoad = false;
+  while (!toStop.empty() || !stopping.empty()) {
+    if (!toStop.empty() && NowMs() >= nextStop) {
+      toStop.back()->BeginStop();
+      stopping.push_back(toStop.back());
+      toStop.pop_back();
+      nextStop += kRollGapMs;
+    }
+    for (auto it = stopping.begin(); it != stopping.end();) {
+      if ((*it)->HasStopped()) {
+        (*it)->Start();
+        it = stopping.erase(it);
+      } else {
+        ++it;
+      }
+    }
+    if (!hasLoad && NowMs() >= begin + kLoadDelayMs) {
+      hasLoad = true;
+      StartLoad(kLongAnswers, 0);
+    }
+    if (mStore.Revision() == before) {
+      copy = mStore.Copy();
+      copiedAt = NowMs();
+    }
     SleepMs(10);
   }
   mRecord.Line("the copy for the drill has revision " +
                std::to_string(copy.mRevision));
-  for (auto& it : rolls) {
-    it.join();
-  }
   if (!WaitForOrders(0, 15000) || !WaitForReady()) {
     mRecord.Line("no order was sent");
     return 2;
@@ -310,12 +327,14 @@
   SleepMs(3000);
 
   // The first machine leaves; another one gives the orders from now on.
-  std::thread roll([this] { mMachines[0]->Stop(); });
+  mMachines[0]->BeginStop();
   StartLoad(kLongPrompts, 1);
   const std::size_t known = OrderCount();
   const bool hasOrder = WaitForOrders(known, 60000);
   mLoad = nullptr;
-  roll.join();
+  while (!mMachines[0]->HasStopped()) {
+    SleepMs(10);
+  }
   mRecord.Line(std::to_string(mServed) + " streams were served, " +
                std::to_string(mNotServed) + " were not");
   if (!hasOrder) {
--- a/review/standins-2/fleet.cxx
+++ b/review/standins-2/fleet.cxx
@@ -66,10 +66,9 @@
   , mService(std::move(aService))
   , mZone(std::move(aZone))
   , mStage(std::move(aStage))
-  , mServer(aHost,
-            [this](const Request& aRequest, Answer& aAnswer) {
-              Handle(aRequest, aAnswer);
-            })
+  , mServer(aHost, [this](const Request& aRequest, Answer& aAnswer) {
+    Handle(aRequest, aAnswer);
+  })
 {
   mCheckIns = std::thread([this] {
     double next = 0;
@@ -104,21 +103,18 @@
 void
 Runner::CheckIn()
 {
-  Json entry = { { "service", mService },
-                 { "address", mServer.Address() },
-                 { "zone", mZone },
-                 { "version", "v1" },
-                 { "slots", 64 },
-                 { "state", "ready" },
-                 { "cold_left_ms", 0 },
-                 { "sequence", 1 },
+  Json entry = { { "service", mService }, { "address", mServer.Address() },
+                 { "zone", mZone },       { "version", "v1" },
+                 { "slots", 64 },         { "state", "ready" },
+                 { "cold_left_ms", 0 },   { "sequence", 1 },
                  { "born", kBorn } };
   {
     const std::lock_guard<std::mutex> lock(mMutex);
     if (!mStage.empty()) {
       entry["stage"] = mStage;
-      entry["models"] = Json::array(
-        { { { "name", "m" }, { "version", 1 }, { "adapters", Json::array() } } });
+      entry["models"] = Json::array({ { { "name", "m" },
+                                        { "version", 1 },
+                                        { "adapters", Json::array() } } });
     }
   }
   if (!mStore.IsAway()) {
@@ -215,13 +211,13 @@
       const std::lock_guard<std::mutex> lock(mMutex);
       handle = ++mHandles;
     }
-    aAnswer.Reply(200,
-                  { { "X-Request-Id", id },
-                    { "Content-Type", "application/json" } },
-                  Json{ { "handle", mId + "-" + std::to_string(handle) },
-                        { "tokens", std::atoi(count.c_str()) },
-                        { "version", 1 } }
-                    .dump());
+    aAnswer.Reply(
+      200,
+      { { "X-Request-Id", id }, { "Content-Type", "application/json" } },
+      Json{ { "handle", mId + "-" + std::to_string(handle) },
+            { "tokens", std::atoi(count.c_str()) },
+            { "version", 1 } }
+        .dump());
   } else {
     Stream(aRequest, aAnswer);
   }
@@ -238,16 +234,16 @@
     count = mEventCount;
     interval = mEventIntervalMs;
   }
-  bool isOpen = aAnswer.Begin(
-    200,
-    { { "X-Request-Id", aRequest.Header("X-Request-Id") },
-      { "X-Server-Stamp", mId },
-      { "X-Weight-Versions", "1" },
-      { "Content-Type", "text/event-stream" } });
+  bool isOpen =
+    aAnswer.Begin(200,
+                  { { "X-Request-Id", aRequest.Header("X-Request-Id") },
+                    { "X-Server-Stamp", mId },
+                    { "X-Weight-Versions", "1" },
+                    { "Content-Type", "text/event-stream" } });
   const int first = std::atoi(aRequest.Header("Last-Event-Id").c_str()) + 1;
   for (int i = first; i <= count && isOpen; ++i) {
-    isOpen = aAnswer.Chunk("id: " + std::to_string(i) + "\ndata: " +
-                           std::to_string(i) + "\n\n") &&
+    isOpen = aAnswer.Chunk("id: " + std::to_string(i) +
+                           "\ndata: " + std::to_string(i) + "\n\n") &&
              !aAnswer.IsClosed();
     SleepMs(interval);
   }
@@ -357,10 +353,9 @@
     dup2(file, 1);
     dup2(file, 2);
     const std::string port = std::to_string(kMetricsPort);
-    const char* arguments[] = { "target/bin/bulrushfold-router",
-                                "--metrics-port",
-                                port.c_str(),
-                                nullptr };
+    const char* arguments[] = {
+      "target/bin/bulrushfold-router", "--metrics-port", port.c_str(), nullptr
+    };
     const char* environment[] = { settings.c_str(), nullptr };
     execve(arguments[0],
            const_cast<char* const*>(arguments),
@@ -371,21 +366,38 @@
 }
 
 void
-Machine::Stop()
+Machine::BeginStop()
 {
   mRecord.Line("machine " + mName + " gets SIGTERM");
   mIsStopping = true;
+  mStopBegunAt = NowMs();
   kill(mProcess, SIGTERM);
-  const double end = NowMs() + kGraceMs;
-  while (mProcess > 0 && NowMs() < end) {
-    Wait(false);
-    SleepMs(10);
+}
+
+bool
+Machine::HasStopped()
+{
+  if (mProcess == 0) {
+    return true;
   }
-  if (mProcess > 0) {
+  const bool isOverdue = NowMs() >= mStopBegunAt + kGraceMs;
+  if (isOverdue) {
     kill(mProcess, SIGKILL);
-    Wait(true);
   }
-  mRecord.Line("machine " + mName + " has ended");
+  Wait(isOverdue);
+  if (mProcess == 0) {
+    mRecord.Line("machine " + mName + " has ended");
+  }
+  return mProcess == 0;
+}
+
+void
+Machine::Stop()
+{
+  BeginStop();
+  while (!HasStopped()) {
+    SleepMs(10);
+  }
 }
 
 void
@@ -424,7 +436,8 @@
 bool
 Machine::IsReady() const
 {
-  return Call(mHost, mReadyPort, "GET", "/api/ready", { { "Host", "x" } }, "", 500)
+  return Call(
+           mHost, mReadyPort, "GET", "/api/ready", { { "Host", "x" } }, "", 500)
            .mStatus == 200;
 }
 
@@ -452,7 +465,8 @@
                                "." + std::to_string(2 + random() % 250) + ".";
     bool isFree = true;
     for (int host = 1; host <= 40; ++host) {
-      isFree = isFree && IsPortFree(prefix + std::to_string(host), kMetricsPort);
+      isFree =
+        isFree && IsPortFree(prefix + std::to_string(host), kMetricsPort);
     }
     if (isFree) {
       return prefix;
--- a/review/standins-2/fleet.h
+++ b/review/standins-2/fleet.h
@@ -106,8 +106,13 @@
   const std::string& Name() const { return mName; }
   const std::string& Host() const { return mHost; }
   int Port() const { return mPort; }
+  /** To be called by the main thread: the process ends with its thread. */
   void Start();
-  /** SIGTERM, then SIGKILL after the grace time. */
+  /** SIGTERM. */
+  void BeginStop();
+  /** True once the process has ended; SIGKILL after the grace time. */
+  bool HasStopped();
+  /** Both in one. */
   void Stop();
   /** SIGKILL. */
   void Kill();
@@ -131,6 +136,7 @@
   int mReadyPort = 0;
   int mPeerPort = 0;
   pid_t mProcess = 0;
+  double mStopBegunAt = 0;
   bool mIsStopping = false;
   bool mHasCrashed = false;
 };
--- a/review/standins-2/http.cxx
+++ b/review/standins-2/http.cxx
@@ -93,7 +93,8 @@
 {
   const auto first = aText.find_first_not_of(" \t");
   const auto last = aText.find_last_not_of(" \t");
-  return first == std::string::npos ? "" : aText.substr(first, last - first + 1);
+  return first == std::string::npos ? ""
+                                    : aText.substr(first, last - first + 1);
 }
 
 std::string
@@ -179,10 +180,8 @@
   std::size_t at = aHead.find("\r\n");
   while (at != std::string::npos) {
     const std::size_t next = aHead.find("\r\n", at + 2);
-    const std::string line =
-      aHead.substr(at + 2,
-                   next == std::string::npos ? std::string::npos
-                                             : next - at - 2);
+    const std::string line = aHead.substr(
+      at + 2, next == std::string::npos ? std::string::npos : next - at - 2);
     const std::size_t colon = line.find(':');
     if (colon != std::string::npos) {
       headers[Lower(line.substr(0, colon))] = Trim(line.substr(colon + 1));
--- a/review/standins-2/store.cxx
+++ b/review/standins-2/store.cxx
@@ -133,10 +133,10 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     era = std::to_string(mEra);
   }
-  aAnswer.Reply(aStatus,
-                { { "Content-Type", "application/json" },
-                  { "Store-Era", era } },
-                aBody.is_null() ? "" : aBody.dump());
+  aAnswer.Reply(
+    aStatus,
+    { { "Content-Type", "application/json" }, { "Store-Era", era } },
+    aBody.is_null() ? "" : aBody.dump());
 }
 
 void
@@ -179,9 +179,7 @@
 }
 
 void
-Store::List(const Request& aRequest,
-            const std::string& aKind,
-            Answer& aAnswer)
+Store::List(const Request& aRequest, const std::string& aKind, Answer& aAnswer)
 {
   const auto after = aRequest.mQuery.find("after");
   const std::string prefix = aKind + "/";
@@ -204,15 +202,14 @@
       items.push_back(ObjectJson(it->first));
     }
   }
-  Send(aAnswer,
-       200,
-       { { "items", items }, { "more", hasMore }, { "current_rev", revision } });
+  Send(
+    aAnswer,
+    200,
+    { { "items", items }, { "more", hasMore }, { "current_rev", revision } });
 }
 
 void
-Store::Watch(const Request& aRequest,
-             const std::string& aKind,
-             Answer& aAnswer)
+Store::Watch(const Request& aRequest, const std::string& aKind, Answer& aAnswer)
 {
   const std::uint64_t from =
     std::strtoull(aRequest.mQuery.at("watch").c_str(), nullptr, 10);
@@ -232,17 +229,16 @@
       for (const auto& it : mContent.mHistory) {
         if (it.mRevision > from &&
             it.mKey.compare(0, prefix.size(), prefix) == 0) {
-          events.push_back(
-            { { "deleted", it.mIsDeleted },
-              { "object",
-                { { "metadata",
-                    { { "name", it.mKey.substr(prefix.size()) },
-                      { "revision", it.mRevision },
-                      { "create_revision", 1 },
-                      { "finalizers", Json::array() },
-                      { "deleting", false } } },
-                  { "spec", Json::parse(it.mSpec) },
-                  { "status", nullptr } } } });
+          events.push_back({ { "deleted", it.mIsDeleted },
+                             { "object",
+                               { { "metadata",
+                                   { { "name", it.mKey.substr(prefix.size()) },
+                                     { "revision", it.mRevision },
+                                     { "create_revision", 1 },
+                                     { "finalizers", Json::array() },
+                                     { "deleting", false } } },
+                                 { "spec", Json::parse(it.mSpec) },
+                                 { "status", nullptr } } } });
         }
       }
       revision = mContent.mRevision;
@@ -283,9 +279,9 @@
     const std::lock_guard<std::mutex> lock(mMutex);
     const auto known = mContent.mObjects.find(aKey);
     const bool exists = known != mContent.mObjects.end();
-    if (aIsCreation ? exists
-                    : exists && expected != 0 &&
-                        expected != known->second.mRevision) {
+    if (aIsCreation
+          ? exists
+          : exists && expected != 0 && expected != known->second.mRevision) {
       status = 409;
       object = ObjectJson(aKey);
     } else if (!aIsCreation && !exists) {
