--- a/review/6/case.cxx
+++ b/review/6/case.cxx
@@ -83,8 +83,15 @@
                  "/ added, /moved/ to " + aService +
                  "); acknowledged at revision " + std::to_string(revision));
   }
-  /** Number of machines that handle requests as aRoutes and aService say. */
-  int CountCurrent(int aRoutes, const std::string& aService, bool aIsLogged);
+  /** Number of machines that handle requests as aRoutes and aService say, and
+   * of those that handle one as only an older version allows. Others refused.
+   */
+  struct Count
+  {
+    int mCurrent = 0;
+    int mOutdated = 0;
+  };
+  Count CountMachines(int aRoutes, const std::string& aService, bool aIsLogged);
   bool WaitForCurrent(int aRoutes, const std::string& aService, double aMs);
   bool WaitForOwner();
 
@@ -97,10 +104,10 @@
   int mRequests = 0;
 };
 
-int
-Case::CountCurrent(int aRoutes, const std::string& aService, bool aIsLogged)
+Case::Count
+Case::CountMachines(int aRoutes, const std::string& aService, bool aIsLogged)
 {
-  int current = 0;
+  Count count;
   for (const auto& it : mMachines) {
     const auto ask = [&](const std::string& aPath) {
       const std::string id = "q" + std::to_string(++mRequests);
@@ -120,15 +127,20 @@
     const bool isCurrent =
       route.mStatus == 200 && moved.mStatus == 200 &&
       moved.mBody.compare(0, aService.size(), aService) == 0;
-    current += isCurrent ? 1 : 0;
+    const bool isOutdated =
+      route.mStatus == 404 ||
+      (moved.mStatus == 200 &&
+       moved.mBody.compare(0, aService.size(), aService) != 0);
+    count.mCurrent += isCurrent ? 1 : 0;
+    count.mOutdated += isOutdated ? 1 : 0;
     if (aIsLogged) {
       mRecord.Line(it->Name() + ": GET " + added + " -> " +
                    std::to_string(route.mStatus) + ", GET /moved/1 -> " +
                    std::to_string(moved.mStatus) + " \"" + moved.mBody + "\"" +
-                   (isCurrent ? "" : "   <- as only an older version allows"));
+                   (isOutdated ? "   <- as only an older version allows" : ""));
     }
   }
-  return current;
+  return count;
 }
 
 bool
@@ -136,7 +148,7 @@
 {
   const double end = NowMs() + aMs;
   while (NowMs() < end) {
-    if (CountCurrent(aRoutes, aService, false) == kMachines) {
+    if (CountMachines(aRoutes, aService, false).mCurrent == kMachines) {
       return true;
     }
     SleepMs(50);
@@ -226,15 +238,16 @@
   // The store is stable again contactMs after its return; until then the bound
   // is stretched.
   SleepMs(kContactMs + kConfigApplyMs + kMaxStretchMs);
-  const int current = CountCurrent(4, "new", true);
-  mRecord.Line(std::to_string(current) + " of " + std::to_string(kMachines) +
-               " machines handle requests by version 9, " +
-               std::to_string((NowMs() - acknowledgedAt) / 1000) +
-               " s after its ack");
+  const Count count = CountMachines(4, "new", true);
+  mRecord.Line(
+    std::to_string(count.mCurrent) + " of " + std::to_string(kMachines) +
+    " machines handle requests by version 9, " +
+    std::to_string(count.mOutdated) + " by an older one, " +
+    std::to_string((NowMs() - acknowledgedAt) / 1000) + " s after its ack");
   SleepMs(15000);
-  const int later = CountCurrent(4, "new", false);
-  mRecord.Line(std::to_string(later) + " of " + std::to_string(kMachines) +
-               " 15 s later");
+  const Count later = CountMachines(4, "new", false);
+  mRecord.Line(std::to_string(later.mCurrent) + " and " +
+               std::to_string(later.mOutdated) + " 15 s later");
   const bool hasCrashed =
     std::any_of(mMachines.begin(), mMachines.end(), [](const auto& aIt) {
       return aIt->HasCrashed();
@@ -243,7 +256,7 @@
     mRecord.Line("a process ended by itself");
     return 2;
   }
-  const bool isBroken = current < kMachines && later < kMachines;
+  const bool isBroken = count.mOutdated > 0 && later.mOutdated > 0;
   mRecord.Line(isBroken ? "CONFIG is broken" : "CONFIG holds");
   return isBroken ? 1 : 0;
 }
