--- a/review/7/case.cxx
+++ b/review/7/case.cxx
@@ -52,7 +52,7 @@
              { { { "name", "llm" },
                  { "max_connections", 360 },
                  { "engine",
-                   { { "slots", 8 },
+                   { { "slots", 64 },
                      { "kv_capacity_tokens", 107085 },
                      { "handle_ttl_s", 1 } } } } } } };
 }
@@ -66,8 +66,9 @@
   int mEvents;
   double mIntervalMs;
 };
-const Load kLongAnswers{ "answers", 1000, 60, 25 };
-const Load kLongPrompts{ "prompts", 20000, 10, 20 };
+// The site's prompts have 11,300 tokens at most, its answers 70 on average.
+const Load kLongAnswers{ "answers", 1000, 70, 50 };
+const Load kLongPrompts{ "prompts", 5000, 10, 20 };
 
 class Case
 {
@@ -109,6 +110,8 @@
   /** Waits until some runner has more than aCount orders. */
   bool WaitForOrders(std::size_t aCount, double aMs);
   std::size_t OrderCount();
+  /** True if some runner has got two orders. */
+  bool HasPair();
   /** True if orders to one runner break the rule. */
   bool Judge();
 
@@ -197,6 +200,14 @@
   return count;
 }
 
+bool
+Case::HasPair()
+{
+  return std::any_of(mRunners.begin(), mRunners.end(), [](const auto& aIt) {
+    return aIt->Orders().size() > 1;
+  });
+}
+
 bool
 Case::WaitForOrders(std::size_t aCount, double aMs)
 {
@@ -330,15 +341,22 @@
   mMachines[0]->BeginStop();
   StartLoad(kLongPrompts, 1);
   const std::size_t known = OrderCount();
-  const bool hasOrder = WaitForOrders(known, 60000);
+  const bool hasOrder = WaitForOrders(known, 40000);
+  // The order may have gone to a runner that had none before.
+  for (std::size_t count = OrderCount(); hasOrder && !HasPair();) {
+    if (!WaitForOrders(count, 20000)) {
+      break;
+    }
+    count = OrderCount();
+  }
   mLoad = nullptr;
   while (!mMachines[0]->HasStopped()) {
     SleepMs(10);
   }
   mRecord.Line(std::to_string(mServed) + " streams were served, " +
                std::to_string(mNotServed) + " were not");
-  if (!hasOrder) {
-    mRecord.Line("no second order was sent");
+  if (!HasPair()) {
+    mRecord.Line("no runner got a second order");
     return 2;
   }
   const bool isBroken = Judge();
