Combine revisions with the era of the store

Cause: revisions were compared as plain numbers although the store assigns them again after a return. The followers of a feed state the highest revision that they have seen, and got only objects with a higher one; a listing took an equal revision for an unchanged object.

Change: platform/PlatformStore reads Store-Era from every answer and combines it with each revision, so that a version of a later era is greater than any of an earlier one. All comparisons in the product, also of positions from other daemons, hold as they are. A conditional write or a watch from a former era is not sent; a late answer of a former era is dropped; a missing, unreadable or falling era is logged once and counts as the newest.

--- a/Source/Platform/ObjectStore.h
+++ b/Source/Platform/ObjectStore.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "Platform/StoreRevision.h"
 #include "Settings/Settings.h"
 #include "absl/status/statusor.h"
 
@@ -20,7 +21,8 @@
 struct StoredObject
 {
   std::string mKey;
-  /** Increases with each write of this object; never 0. */
+  /** Increases with each write of this object, also when the store comes back
+   * from a copy (see ToVersion); never 0. */
   std::uint64_t mVersion = 0;
   std::string mBody;
   /** Set only by a watch: the object was deleted, and mBody is empty. */
@@ -76,7 +78,7 @@
   std::function<void()> mOnResumed;
 };
 
-/** Objects under a prefix, and the revision from which to watch them. */
+/** Objects under a prefix, and the version from which to watch them. */
 struct StoreListing
 {
   std::vector<StoredObject> mObjects;
@@ -118,6 +120,9 @@
                                             std::uint64_t aRevision,
                                             StoreWatchHooks aHooks) = 0;
   virtual const StoreStatistics& Statistics() const = 0;
+  /** Newest era that an answer has shown; 0: the store has no eras, or has not
+   * answered yet. */
+  virtual StoreEra Era() const { return 0; }
 };
 
 /** The platform's list of VMs. */
--- a/Source/Platform/RelayedStore.h
+++ b/Source/Platform/RelayedStore.h
@@ -66,6 +66,7 @@
   {
     return mStore.Statistics();
   }
+  StoreEra Era() const override { return mStore.Era(); }
 
 private:
   class RelayedWatch;
--- a/Tests/Adapter/FakePlatformStore.cxx
+++ b/Tests/Adapter/FakePlatformStore.cxx
@@ -1,5 +1,6 @@
 #include "FakePlatformStore.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Net/LoopFixture.h"
@@ -53,6 +54,15 @@
   mWatches.clear();
 }
 
+void
+FakePlatformStore::ReturnFrom(const StoreContent& aCopy)
+{
+  mContent = aCopy;
+  mOldestRevision = std::min(mOldestRevision, mContent.Revision());
+  mEra = std::to_string(std::stoull(mEra.value_or("0")) + 1);
+  CloseWatches();
+}
+
 void
 FakePlatformStore::Write(const std::string& aKey, const Json& aSpec)
 {
@@ -95,8 +105,12 @@
                          int aStatus,
                          const Json& aBody)
 {
+  HttpHeaders headers{ { "Content-Type", "application/json" } };
+  if (mEra) {
+    headers.Add("Store-Era", *mEra);
+  }
   aExchange->Reply(aStatus,
-                   { { "Content-Type", "application/json" } },
+                   headers,
                    aBody.is_null() ? std::string()
                                    : absl::StrReplaceAll(aBody.dump(), mTexts));
 }
--- a/Tests/Adapter/FakePlatformStore.h
+++ b/Tests/Adapter/FakePlatformStore.h
@@ -5,7 +5,9 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -44,6 +46,13 @@
   void DiscardHistory();
   /** Closes the connections of all pending watches. */
   void CloseWatches();
+  /** A copy of all objects and of the history, for ReturnFrom. */
+  StoreContent Copy() const { return mContent; }
+  /** The store comes back from aCopy: all later changes are lost, their
+   * revisions are assigned again, and the era rises by one. */
+  void ReturnFrom(const StoreContent& aCopy);
+  /** Sends aText as the era from now on; nullopt: no era. */
+  void SetEra(std::optional<std::string> aText) { mEra = std::move(aText); }
 
   /** Writes an object unconditionally, as the platform itself does. */
   void Write(const std::string& aKey, const nlohmann::json& aSpec);
@@ -91,6 +100,7 @@
   /** Texts of WriteText by the JSON string that stands for each in mContent. */
   std::map<std::string, std::string> mTexts;
   std::uint64_t mOldestRevision = 0;
+  std::optional<std::string> mEra = "1";
   StoreFault mFault = StoreFault::None;
   std::map<std::string, std::size_t> mCalls;
   std::list<Watch> mWatches;
