Wait for leases that the store may have lost

Cause: the fence is the revision of the lease's write, which falls with the store; and a missing lease was taken as a proof that nobody holds one, though its holder goes on by its own clock.

"The next holder waits for a lease that the store has lost" and "A write from before the store came back grants no lease" fail with an OrderLease::OnEra that does nothing, in 4 and 2 paths.

The lease names the era in which it was written; without one of the newest era a daemon waits, from the moment at which it hears of the era, until each lease that was lost must have ended. A holder gives its lease up when it hears of a new era, and a write from before grants nothing.

--- a/Source/Router/RoleController.cxx
+++ b/Source/Router/RoleController.cxx
@@ -72,6 +72,7 @@
       DropChange("pause");
     }
   }
+  mLease.OnEra(mStore.Era(), now);
   const auto table = mHooks.mTable();
   if (!table) {
     return;
@@ -179,7 +180,7 @@
   if (!aIsNeeded) {
     return;
   }
-  if (mLease.CanSendOrder(now)) {
+  if (CanSendOrder()) {
     if (mPendingChange->mMustDrain && !mDrainDeadline) {
       StartDrain();
     } else if (!mCall) {
@@ -190,12 +191,21 @@
   ExecuteLeaseStep(mLease.Tick(true, false, now));
 }
 
+bool
+RoleController::CanSendOrder()
+{
+  const Instant now = mClock.Now();
+  mLease.OnEra(mStore.Era(), now);
+  return mLease.CanSendOrder(now);
+}
+
 void
 RoleController::ExecuteLeaseStep(const LeaseStep& aStep)
 {
   const std::string key = LeaseKey();
   if (aStep.mNeedsRead) {
     mStore.Get(key, [this](const absl::StatusOr<StoredObject>& aObject) {
+      mLease.OnEra(mStore.Era(), mClock.Now());
       mLease.OnRead(aObject, mClock.Now());
       AdvanceLease(mPendingChange.has_value());
     });
@@ -206,6 +216,7 @@
                aStep.mExpectedVersion,
                [this, write = aStep.mWriteNumber](
                  const absl::StatusOr<std::uint64_t>& aVersion) {
+                 mLease.OnEra(mStore.Era(), mClock.Now());
                  mLease.OnWritten(write, aVersion, mClock.Now());
                  LogEvent(LogLevel::Info,
                           "order_lease",
@@ -258,7 +269,7 @@
     EndOrder(state.status().message().data());
   } else if (state->mIsBusy || state->mRole == mPendingChange->mRole) {
     EndOrder(state->mIsBusy ? "engine_busy" : "role_holds");
-  } else if (!mLease.CanSendOrder(mClock.Now())) {
+  } else if (!CanSendOrder()) {
     EndOrder("lease_over");
   } else {
     SendOrder(state->mOrdersAccepted);
--- a/Source/Router/RoleController.h
+++ b/Source/Router/RoleController.h
@@ -66,6 +66,9 @@
   void DropChange(std::string_view aReason);
   /** Stops new work for the engine until its runs have ended. */
   void StartDrain();
+  /** False from the moment at which the store is known to have come back from
+   * a copy, until the lease is acquired again. */
+  bool CanSendOrder();
   void AdvanceLease(bool aIsNeeded);
   void ExecuteLeaseStep(const LeaseStep& aStep);
   /** Reads the engine's state, then sends the order. */
--- a/Source/Routing/OrderLease.cxx
+++ b/Source/Routing/OrderLease.cxx
@@ -74,6 +74,7 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(mTiming.mLease)
       .count();
   json["released"] = aIsReleased;
+  json["era"] = mEra;
   LeaseStep step;
   step.mBodyToWrite = json.dump();
   step.mWriteNumber = mWrites;
@@ -98,8 +99,7 @@
     return Read();
   }
   if (mState == State::Waiting) {
-    const bool mustWait = mIsHeldByOther && !aChecksFencing;
-    if (mustWait && aNow < mOtherLeaseEnd) {
+    if (!aChecksFencing && MustWait(aNow)) {
       return {};
     }
     return Write(false, aNow);
@@ -107,6 +107,14 @@
   return {};
 }
 
+bool
+OrderLease::MustWait(Instant aNow) const
+{
+  const bool hasEarlierLeases = mEra > 0 && !mIsOfEra;
+  return (mIsHeldByOther && aNow < mOtherLeaseEnd) ||
+         (hasEarlierLeases && aNow < mEarlierLeasesEnd);
+}
+
 bool
 OrderLease::IsOwnWrite(const StoredObject& aObject) const
 {
@@ -130,8 +138,8 @@
   // An earlier write of this process may still reach the store, but only one of
   // two writes that expect the same version can succeed.
   mIsHeldByOther = !IsReleased(json) && TextOf(json, "holder") != mHolder;
-  mOtherLeaseEnd = aNow + std::chrono::milliseconds(lease) +
-                   mTiming.mClockGapLimit + mTiming.mOrderTimeout;
+  mOtherLeaseEnd = aNow + LongestUse(std::chrono::milliseconds(lease));
+  mIsOfEra = NumberOf(json, "era", 0) == mEra;
 }
 
 void
@@ -143,6 +151,7 @@
   if (absl::IsNotFound(aObject.status())) {
     mVersion.reset();
     mIsHeldByOther = false;
+    mIsOfEra = false;
     mState = State::Waiting;
     return;
   }
@@ -154,6 +163,7 @@
     mVersion = aObject->mVersion;
     mFencing = aObject->mVersion;
     mIsHeldByOther = false;
+    mIsOfEra = true;
     const bool isOver = mIsReleasing || aNow >= mWrittenAt + mTiming.mLease;
     mState = isOver ? State::Waiting : State::Held;
     return;
@@ -179,6 +189,7 @@
   mVersion = *aVersion;
   mFencing = *aVersion;
   mIsHeldByOther = false;
+  mIsOfEra = true;
   mState = mIsReleasing ? State::Idle : State::Held;
 }
 
@@ -189,6 +200,23 @@
   mNextStep = aNow + mTiming.mRetryInterval;
 }
 
+void
+OrderLease::OnEra(StoreEra aEra, Instant aNow)
+{
+  if (aEra <= mEra) {
+    return;
+  }
+  mEra = aEra;
+  mEarlierLeasesEnd = aNow + LongestUse(mTiming.mLease);
+  mVersion.reset();
+  mIsHeldByOther = false;
+  mIsOfEra = false;
+  // With a new number, an earlier write is no own write any more.
+  ++mWrites;
+  mState = State::Idle;
+  mNextStep = aNow;
+}
+
 void
 OrderLease::OnClockGap(Instant aNow)
 {
--- a/Source/Routing/OrderLease.h
+++ b/Source/Routing/OrderLease.h
@@ -45,8 +45,14 @@
  * ended. It need not wait if the lease was released or the endpoint checks
  * fencing numbers.
  *
- * Events to deliver: Tick while an order waits or the lease is held; OnRead and
- * OnWritten with the store's replies; OnClockGap after a pause of the process.
+ * A store that comes back from a copy may have lost a lease that its holder
+ * still uses. Therefore the object names the era in which it was written. When
+ * there is no object, or it is of an earlier era, a daemon waits until each
+ * lease of the earlier eras must have ended.
+ *
+ * Events to deliver: OnEra before any other; Tick while an order waits or the
+ * lease is held; OnRead and OnWritten with the store's replies; OnClockGap
+ * after a pause of the process.
  */
 class OrderLease
 {
@@ -63,6 +69,9 @@
   void OnWritten(std::uint64_t aWrite,
                  const absl::StatusOr<std::uint64_t>& aVersion,
                  Instant aNow);
+  /** aEra: the newest era of the store. A lease of an earlier one is given up.
+   */
+  void OnEra(StoreEra aEra, Instant aNow);
   /** The process was paused. Stops using the lease; it is acquired again if it
    * is needed. */
   void OnClockGap(Instant aNow);
@@ -91,6 +100,12 @@
   void Retry(Instant aNow);
   bool IsOwnWrite(const StoredObject& aObject) const;
   void RecordHolder(const StoredObject& aObject, Instant aNow);
+  bool MustWait(Instant aNow) const;
+  /** The time in which a lease that was read or lost now must have ended. */
+  Duration LongestUse(Duration aLease) const
+  {
+    return aLease + mTiming.mClockGapLimit + mTiming.mOrderTimeout;
+  }
 
   std::string mHolder;
   OrderTiming mTiming;
@@ -101,6 +116,11 @@
   /** Whether another holder may still use the lease, and until when. */
   bool mIsHeldByOther = false;
   Instant mOtherLeaseEnd;
+  StoreEra mEra = 0;
+  /** The object was written in mEra, so that it shows who has the lease. */
+  bool mIsOfEra = false;
+  /** End of all leases of earlier eras. */
+  Instant mEarlierLeasesEnd;
   std::uint64_t mFencing = 0;
   /** Number of the last write; identifies the write in the object if the
    * store's reply was lost. */
--- a/Tests/Adapter/RoleIntegrationTest.cxx
+++ b/Tests/Adapter/RoleIntegrationTest.cxx
@@ -125,4 +125,21 @@
   CHECK(fixture.OrderedEndpoint()->OpenRequests() == 0);
 }
 
+// Guards against an order while another daemon may still use a lease that the
+// store has lost.
+TEST_CASE("An order waits for the leases that the store may have lost")
+{
+  RoleFixture fixture(4, milliseconds(0));
+  fixture.mPlatform.mFakeStore.ReturnFrom(fixture.mPlatform.mFakeStore.Copy());
+  SystemClock clock;
+  const Instant returnedAt = clock.Now();
+  fixture.OpenStreams(6);
+  REQUIRE(fixture.mPlatform.WaitUntil(
+    [&] { return fixture.OrderedEndpoint() != nullptr; }));
+  const Duration interval = fixture.mPlatform.mSettings.mOrderInterval;
+  CHECK(clock.Now() - returnedAt > interval);
+  const Json body = Json::parse(fixture.OrderedEndpoint()->Orders()[0].mBody);
+  CHECK(body["fence"] > ToVersion({ 2, 0 }));
+}
+
 } // namespace bulrushfold
--- a/Tests/Adapter/StoreReturnTest.cxx
+++ b/Tests/Adapter/StoreReturnTest.cxx
@@ -154,9 +154,11 @@
 private:
   void Step()
   {
+    mLease.OnEra(mStore.Era(), mClock.Now());
     const LeaseStep step = mLease.Tick(true, false, mClock.Now());
     if (step.mNeedsRead) {
       mStore.Get("orders/e", [this](const auto& aObject) {
+        mLease.OnEra(mStore.Era(), mClock.Now());
         mLease.OnRead(aObject, mClock.Now());
       });
     }
@@ -165,6 +167,7 @@
                  *step.mBodyToWrite,
                  step.mExpectedVersion,
                  [this, write = step.mWriteNumber](const auto& aVersion) {
+                   mLease.OnEra(mStore.Era(), mClock.Now());
                    mLease.OnWritten(write, aVersion, mClock.Now());
                  });
     }
--- a/Tests/Cluster/FakeStore.h
+++ b/Tests/Cluster/FakeStore.h
@@ -34,7 +34,8 @@
       aExpected ? it != mObjects.end() && it->second.mVersion == *aExpected
                 : it == mObjects.end();
     if (isMatch) {
-      mObjects[aKey] = { aKey, ++mRevision, aBody };
+      ++mRevision.mNumber;
+      mObjects[aKey] = { aKey, ToVersion(mRevision), aBody };
     }
     if (mLosesReplies) {
       return absl::UnknownError("reply lost");
@@ -42,7 +43,7 @@
     if (!isMatch) {
       return absl::FailedPreconditionError("the version differs");
     }
-    return mRevision;
+    return ToVersion(mRevision);
   }
 
   absl::StatusOr<StoredObject> Get(const std::string& aKey)
@@ -65,7 +66,7 @@
       return absl::UnavailableError("outage");
     }
     StoreListing listing;
-    listing.mRevision = mRevision;
+    listing.mRevision = ToVersion(mRevision);
     for (const auto& [key, object] : mObjects) {
       listing.mObjects.push_back(object);
     }
@@ -95,9 +96,22 @@
     return mObjects;
   }
 
+  StoreEra Era() const { return mRevision.mEra; }
+  /** The store comes back from aCopy, an earlier state of it: later writes are
+   * lost, their revisions are assigned again, and the era rises by one. */
+  void ReturnFrom(const FakeStore& aCopy)
+  {
+    mObjects = aCopy.mObjects;
+    mRevision = { mRevision.mEra + 1, aCopy.mRevision.mNumber };
+    for (auto& [key, object] : mObjects) {
+      object.mVersion =
+        ToVersion({ mRevision.mEra, ToRevision(object.mVersion).mNumber });
+    }
+  }
+
 private:
   std::map<std::string, StoredObject> mObjects;
-  std::uint64_t mRevision = 0;
+  StoreRevision mRevision;
 };
 
 } // namespace bulrushfold
--- a/Tests/Routing/OrderLeaseTest.cxx
+++ b/Tests/Routing/OrderLeaseTest.cxx
@@ -47,10 +47,17 @@
   {
     OrderLease& lease = *mDaemons.at(aName);
     const Instant now = mClock.Now();
+    if (aName != mCutOff) {
+      lease.OnEra(mStore.Era(), now);
+    }
     if (lease.CanSendOrder(now)) {
       Order(aName, lease);
     }
     const LeaseStep step = lease.Tick(true, mChecksFencing, now);
+    if (aName == mCutOff) {
+      // The call gets no answer.
+      return;
+    }
     if (step.mNeedsRead) {
       lease.OnRead(mStore.Get(kKey), now);
     }
@@ -107,8 +114,24 @@
   std::vector<AppliedOrder> mApplied;
   std::map<std::string, std::unique_ptr<OrderLease>> mDaemons;
   std::string mPaused;
+  /** A daemon that does not reach the store. */
+  std::string mCutOff;
 };
 
+/** Checks that the orders of two holders are not closer together than aLimit,
+ * and that fencing numbers never fall. */
+void
+CheckTurns(const LeaseFixture& aFixture, Duration aLimit)
+{
+  aFixture.CheckNoStaleOrder();
+  const auto& orders = aFixture.mApplied;
+  for (std::size_t i = 1; i < orders.size(); ++i) {
+    const bool isOther = orders[i].mHolder != orders[i - 1].mHolder;
+    CHECK((!isOther || orders[i].mAt - orders[i - 1].mAt > aLimit));
+    CHECK((!isOther || orders[i].mFencing > orders[i - 1].mFencing));
+  }
+}
+
 /** Pauses a holder that has orders to send until another daemon has the lease,
  * and checks that the engine carries out no order of the earlier lease. */
 void
@@ -210,4 +233,96 @@
   }
 }
 
+// Guards against two holders that send orders at the same time: the store came
+// back from a copy without the lease, so that the next holder found none to
+// wait for.
+TEST_CASE("The next holder waits for a lease that the store has lost")
+{
+  LeaseFixture fixture(false);
+  const OrderTiming& timing = fixture.mTiming;
+  const FakeStore empty = fixture.mStore;
+  fixture.Add("a");
+  fixture.RunFor(seconds(20));
+  REQUIRE(fixture.AppliedBy("a") > 0);
+
+  SUBCASE("while the former holder does not hear of it")
+  {
+    fixture.mCutOff = "a";
+    SUBCASE("and the copy has no lease")
+    {
+      fixture.mStore.ReturnFrom(empty);
+    }
+    SUBCASE("and the copy has an older lease of the next holder")
+    {
+      LeaseFixture earlier(false);
+      earlier.Add("b");
+      earlier.RunFor(seconds(20));
+      fixture.mStore.ReturnFrom(earlier.mStore);
+    }
+    SUBCASE("and the store returns twice")
+    {
+      fixture.mStore.ReturnFrom(empty);
+      fixture.Add("b");
+      fixture.RunFor(seconds(5));
+      fixture.mStore.ReturnFrom(empty);
+    }
+    fixture.Add("b");
+    fixture.RunFor(seconds(30));
+    CHECK(fixture.AppliedBy("b") > 0);
+    CheckTurns(fixture, timing.mOrderTimeout);
+  }
+  SUBCASE("and the former holder gives it up as soon as it hears of it")
+  {
+    const std::size_t before = fixture.AppliedBy("a");
+    fixture.mStore.ReturnFrom(empty);
+    fixture.RunFor(timing.mLease);
+    CHECK(fixture.AppliedBy("a") == before);
+    fixture.RunFor(timing.mLease);
+    CHECK(fixture.AppliedBy("a") > before);
+    CheckTurns(fixture, timing.mOrderTimeout);
+  }
+  SUBCASE("and does not wait for what was written since")
+  {
+    fixture.mStore.ReturnFrom(empty);
+    fixture.RunFor(seconds(30));
+    // A new process of the same daemon.
+    fixture.Add("a");
+    const std::size_t before = fixture.AppliedBy("a");
+    fixture.RunFor(seconds(2));
+    CHECK(fixture.AppliedBy("a") > before);
+  }
+}
+
+// Guards against a lease that a daemon takes for its own because a write of an
+// earlier era reached the store after its return.
+TEST_CASE("A write from before the store came back grants no lease")
+{
+  const OrderTiming timing;
+  OrderLease lease("a/1", timing);
+  ManualClock clock;
+  lease.OnEra(1, clock.Now());
+  clock.Advance(minutes(1));
+  CHECK(lease.Tick(true, false, clock.Now()).mNeedsRead);
+  lease.OnRead(absl::NotFoundError(""), clock.Now());
+  const auto write = lease.Tick(true, false, clock.Now());
+  REQUIRE(write.mBodyToWrite);
+  lease.OnEra(2, clock.Now());
+
+  SUBCASE("when its answer is late")
+  {
+    lease.OnWritten(write.mWriteNumber, ToVersion({ 1, 7 }), clock.Now());
+    CHECK_FALSE(lease.CanSendOrder(clock.Now()));
+  }
+  SUBCASE("when it is read")
+  {
+    CHECK(lease.Tick(true, false, clock.Now()).mNeedsRead);
+    lease.OnRead(StoredObject{ kKey, ToVersion({ 2, 3 }), *write.mBodyToWrite },
+                 clock.Now());
+    CHECK_FALSE(lease.CanSendOrder(clock.Now()));
+    CHECK_FALSE(lease.Tick(true, false, clock.Now()).mBodyToWrite);
+    clock.Advance(timing.mLease + timing.mClockGapLimit + timing.mOrderTimeout);
+    CHECK(lease.Tick(true, false, clock.Now()).mBodyToWrite);
+  }
+}
+
 } // namespace bulrushfold
