--- a/Tests/Adapter/StoreReturnTest.cxx
+++ b/Tests/Adapter/StoreReturnTest.cxx
@@ -314,6 +314,7 @@
   {
     CHECK(store.Era() == 1);
     StoreWatchHooks hooks;
+    hooks.mOnChange = [](const StoredObject&) {};
     hooks.mOnEnd = [](const absl::Status&, std::uint64_t) {};
     const auto watch = store.Watch("k/", ToVersion({ 2, 1 }), std::move(hooks));
     CHECK(store.Era() == 2);
