Keep what is known when the store comes back from a copy

Cause: a listing of the registry was taken for newer than what is known, and nobody wrote again what the daemons had written.

Change: RestoredEntries holds an entry back whose revision number is lower than that of the last change in the earlier era, until it is written again or for four heartbeats; an entry that drains or has a later start takes effect at once. A new era starts the grace period for missing entries, also where a feed tells of it (its updates carry the newest version now). PeerController reads the registry again at a random moment within 3 s, writes its own entry if it is lost and not of a later process, keeps members without entries for 10 s, and keeps the key. A metric shows the era.

Evidence: with each part disabled, tests fail: RestoredEntries (3 paths of RestoredRegistryTest), the grace period (17 checks), the entry (2 paths), the key (3 paths). That a daemon leaves its entry to a later process is tested too; that mutant's result was not recorded.

--- a/Source/Platform/RelayedStore.cxx
+++ b/Source/Platform/RelayedStore.cxx
@@ -48,6 +48,7 @@
     mIsWaiting = false;
     mPosition.mFeed = aUpdate.mFeed;
     mPosition.mSequence = aUpdate.mSequence;
+    mPosition.mRevision = std::max(mPosition.mRevision, aUpdate.mVersion);
     const auto alive = mIsAlive;
     if (std::exchange(mHasEnded, false)) {
       mHooks.mOnResumed();
--- a/Source/Platform/StoreFeed.cxx
+++ b/Source/Platform/StoreFeed.cxx
@@ -13,6 +13,7 @@
 void
 StoreFeed::Put(Prefix& aPrefix, const StoredObject& aObject)
 {
+  aPrefix.mNewestVersion = std::max(aPrefix.mNewestVersion, aObject.mVersion);
   aPrefix.mEntries[aObject.mKey] = { aObject, ++aPrefix.mSequence };
 }
 
@@ -21,6 +22,7 @@
 {
   Prefix& prefix = mPrefixes[aPrefix];
   prefix.mIsCurrent = true;
+  prefix.mNewestVersion = std::max(prefix.mNewestVersion, aListing.mRevision);
   if (prefix.mFirstRevision == 0) {
     prefix.mFirstRevision = aListing.mRevision;
   }
@@ -105,6 +107,7 @@
   update.mIsCurrent = true;
   update.mFeed = mId;
   update.mSequence = it->second.mSequence;
+  update.mVersion = it->second.mNewestVersion;
   const bool hasPosition = aPosition.mFeed == mId;
   if (!hasPosition && aPosition.mRevision < it->second.mFirstRevision) {
     update.mKeys = LiveKeys(it->second);
--- a/Source/Platform/StoreFeed.h
+++ b/Source/Platform/StoreFeed.h
@@ -42,6 +42,8 @@
   /** The keys of all objects; set when the sender does not know what was
    * deleted after the revision of the position. */
   std::optional<std::set<std::string>> mKeys;
+  /** Newest version that the sender has seen. */
+  std::uint64_t mVersion = 0;
 };
 
 /**
@@ -83,6 +85,7 @@
     /** Revision of the first listing; what was deleted before is not known. */
     std::uint64_t mFirstRevision = 0;
     std::uint64_t mSequence = 0;
+    std::uint64_t mNewestVersion = 0;
     std::map<std::string, Entry> mEntries;
   };
   static void Put(Prefix& aPrefix, const StoredObject& aObject);
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -66,6 +66,9 @@
                  Hooks aHooks);
 
   void Start();
+  /** The store came back from a copy, which may lack what the daemons wrote.
+   * Reads the registry again soon, and writes what is missing. */
+  void OnStoreRestored();
   /** Announces to the peers that the daemon ends now, and removes its address
    * from the registry. Must not be called when a graceful shutdown starts,
    * because the daemon still has streams then, which it must report to its
@@ -92,6 +95,10 @@
   void Register();
   void ReadRegistry();
   void HandleRegistry(const StoreListing& aListing);
+  /** Writes the entry of this process again if the store has lost it. */
+  void RestoreEntry(const StoreListing& aListing);
+  /** Adds the former members that may not have written their entries again. */
+  void AddFormerMembers(std::vector<FleetMember>& aMembers) const;
   /** The member that an entry describes; empty when it is unreadable. */
   std::optional<FleetMember> ReadMember(const StoredObject& aEntry) const;
   void SetMembers(std::vector<FleetMember> aMembers);
@@ -120,6 +127,12 @@
   WakeTimer mTimer;
   EventHandle mRetryTimer;
   EventHandle mRefreshTimer;
+  /** Members of the last reading, including this daemon. */
+  std::vector<FleetMember> mMembers;
+  /** Until then, members whose entries the store lacks are kept. */
+  Instant mRestoreEnd;
+  /** The key that signs the messages; empty before it was read. */
+  std::string mKey;
   /** Version of this daemon's registry entry; 0 before it is written. */
   std::uint64_t mEntryVersion = 0;
   Instant mSentAt;
--- a/Source/Router/PeerControllerRegistry.cxx
+++ b/Source/Router/PeerControllerRegistry.cxx
@@ -1,5 +1,7 @@
 #include "Router/PeerController.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 #include <nlohmann/json.hpp>
@@ -19,6 +21,11 @@
 /** Interval of the first readings, and their number. */
 constexpr Duration kEarlyRegistryRefresh = std::chrono::seconds(3);
 constexpr std::uint32_t kEarlyReads = 2;
+/** Time over which the daemons spread their readings after a return of the
+ * store. */
+constexpr Duration kRestoreSpread = std::chrono::seconds(3);
+/** Time in which all daemons have written their entries again. */
+constexpr Duration kRestoreTime = std::chrono::seconds(10);
 constexpr Duration kRegistryRetry = std::chrono::milliseconds(700);
 /** Name of the object with the key that signs the messages. */
 constexpr const char* kKeyName = "shared-key";
@@ -99,6 +106,58 @@
               });
 }
 
+void
+PeerController::OnStoreRestored()
+{
+  if (mEntryVersion == 0) {
+    // The entry is still being written.
+    return;
+  }
+  mRegistryReads = 0;
+  mRefreshTimer =
+    mLoop.After(FromSeconds(ToSeconds(kRestoreSpread) * mRandom.UniformReal()),
+                [this] { ReadRegistry(); });
+}
+
+void
+PeerController::RestoreEntry(const StoreListing& aListing)
+{
+  if (mIsStopping || EraOf(mEntryVersion) == EraOf(aListing.mRevision)) {
+    return;
+  }
+  const std::string key = mSettings.mDaemonPrefix + mSettings.mName;
+  const auto it = std::find_if(
+    aListing.mObjects.begin(),
+    aListing.mObjects.end(),
+    [&](const StoredObject& aObject) { return aObject.mKey == key; });
+  const std::string listed =
+    it == aListing.mObjects.end()
+      ? std::string()
+      : TextOf(ParseUntrustedJson(it->mBody), "incarnation");
+  if (listed == mIncarnation) {
+    mEntryVersion = it->mVersion;
+  } else if (listed < mIncarnation) {
+    // Incarnations are ordered by their start. A later process of this VM has
+    // the entry for itself.
+    LogEvent(LogLevel::Info, "peer_entry_restored", { { "key", key } });
+    Register();
+  }
+}
+
+void
+PeerController::AddFormerMembers(std::vector<FleetMember>& aMembers) const
+{
+  std::set<std::string> names;
+  for (const auto& it : aMembers) {
+    names.insert(it.mName);
+  }
+  for (const auto& it : mMembers) {
+    if (names.insert(it.mName).second) {
+      aMembers.push_back(it);
+    }
+  }
+}
+
 std::optional<FleetMember>
 PeerController::ReadMember(const StoredObject& aEntry) const
 {
@@ -138,11 +197,21 @@
         LogLevel::Warning, "peer_entry_unreadable", { { "key", it.mKey } });
     }
   }
+  const Instant now = mClock.Now();
+  if (EraOf(mEntryVersion) != EraOf(aListing.mRevision)) {
+    mRestoreEnd = now + kRestoreTime;
+  }
+  if (now < mRestoreEnd) {
+    AddFormerMembers(members);
+  }
+  mMembers = members;
+  RestoreEntry(aListing);
   // An unreadable key is read again, not replaced: other daemons may use the
   // key that it contained before.
   if (!hasKeyEntry) {
     CreateKey();
   } else if (key.size() == kKeyBytes && !mTransport) {
+    mKey = key;
     OpenLinks(key);
   }
   if (mTransport) {
@@ -185,7 +254,8 @@
 void
 PeerController::CreateKey()
 {
-  std::string key;
+  // After a return of the store, the daemons go on with the key that they have.
+  std::string key = mKey;
   while (key.size() < kKeyBytes) {
     key.push_back(static_cast<char>(mRandom.UniformBelow(256)));
   }
--- a/Source/Router/PlacementMessages.cxx
+++ b/Source/Router/PlacementMessages.cxx
@@ -238,6 +238,7 @@
   if (aUpdate.mKeys) {
     update.__set_keys({ aUpdate.mKeys->begin(), aUpdate.mKeys->end() });
   }
+  update.__set_version(static_cast<std::int64_t>(aUpdate.mVersion));
   return update;
 }
 
@@ -249,7 +250,8 @@
                      aUpdate.feed,
                      NonNegative(aUpdate.sequence),
                      {},
-                     std::nullopt };
+                     std::nullopt,
+                     NonNegative(aUpdate.version) };
   for (const auto& it : aUpdate.changes) {
     update.mChanges.push_back(
       { { it.key, NonNegative(it.version), it.body, it.isDeleted },
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -33,6 +33,11 @@
   "1 while this daemon places for the whole fleet, otherwise 0.",
   {}
 };
+const MetricInfo kStoreEra{
+  "bulrushfold_store_era",
+  "Era of the store; rises when the store comes back from a copy.",
+  {}
+};
 const MetricInfo kReadsStore{
   "bulrushfold_store_watched",
   "1 while this daemon watches the store itself, 0 while it follows the owner.",
@@ -85,6 +90,7 @@
   , mProtocol(aProtocol)
   , mCodec(std::move(aCodec))
   , mDirectory(aSettings.mEndpointGrace)
+  , mRestoredEntries(aSettings.mEntryRewriteTime)
   , mCachedPrompts(mRuns)
   , mPrefillTurns(mLoads, aSettings.mName)
   , mHealth(mRandom)
@@ -348,6 +354,7 @@
   mReportedOwnerChanges = mPlacement.OwnerChanges();
   mMetrics.GetGauge(kIsOwner).Set(mPlacement.IsOwner() ? 1 : 0);
   mMetrics.GetGauge(kReadsStore).Set(mRelayedStore.IsFed() ? 0 : 1);
+  mMetrics.GetGauge(kStoreEra).Set(static_cast<double>(mStoreEra.value_or(0)));
   aExchange.Reply(kHttpOk,
                   { { "Content-Type", "text/plain; version=0.0.4" } },
                   mMetrics.Format(mClock.Now()));
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +35,7 @@
 #include "Router/StopController.h"
 #include "Router/StreamDispatcher.h"
 #include "Routing/CrashGuard.h"
+#include "Routing/RestoredEntries.h"
 #include "absl/status/statusor.h"
 
 namespace bulrushfold {
@@ -99,6 +101,12 @@
   ObjectWatcherHooks EndpointHooks();
   void ApplyEndpointListing(const StoreListing& aListing);
   void ApplyEndpoint(const StoredObject& aObject);
+  /** True if aRecord, read at aVersion, takes effect now. */
+  bool AcceptsEntry(const EndpointRecord& aRecord, std::uint64_t aVersion);
+  /** An object of the config or the registry was read at aVersion. */
+  void HandleVersion(std::uint64_t aVersion);
+  /** Starts a grace period if the registry has come back from a copy. */
+  void HandleRegistryVersion(std::uint64_t aVersion);
   /** Logs the reason once until it changes or the entry becomes readable: some
    * writers repeat an entry with each heartbeat. */
   void LogUnreadableEndpoint(const std::string& aKey,
@@ -121,6 +129,7 @@
   RegistryCodec mCodec;
   Metrics mMetrics;
   EndpointDirectory mDirectory;
+  RestoredEntries mRestoredEntries;
   EndpointLoads mLoads;
   StreamRuns mRuns;
   CachedPrompts mCachedPrompts;
@@ -151,6 +160,7 @@
   RoleController mRoles;
   std::shared_ptr<const RouteTable> mTable;
   bool mHasEndpoints = false;
+  std::optional<StoreEra> mStoreEra;
   /** Prefixes whose watch has failed and is not back yet. */
   std::set<std::string> mLostPrefixes;
   /** Logged reasons by the keys of unreadable entries. */
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -70,9 +70,30 @@
   return hooks;
 }
 
+void
+Router::HandleVersion(std::uint64_t aVersion)
+{
+  const StoreEra era = EraOf(aVersion);
+  const bool hasReturned = mStoreEra && era > *mStoreEra;
+  mStoreEra = std::max(mStoreEra.value_or(era), era);
+  if (hasReturned) {
+    mPeers.OnStoreRestored();
+  }
+}
+
+void
+Router::HandleRegistryVersion(std::uint64_t aVersion)
+{
+  HandleVersion(aVersion);
+  if (mHasEndpoints && EraOf(aVersion) > EraOf(mDirectory.Revision())) {
+    mDirectory.OnRegistryRecovered(mClock.Now());
+  }
+}
+
 void
 Router::ApplyConfig(const StoredObject& aObject)
 {
+  HandleVersion(aObject.mVersion);
   if (aObject.mKey != mSettings.mConfigKey || aObject.mIsDeleted) {
     return;
   }
@@ -130,11 +151,19 @@
 void
 Router::ApplyEndpointListing(const StoreListing& aListing)
 {
+  HandleRegistryVersion(aListing.mRevision);
+  const Instant now = mClock.Now();
   std::vector<EndpointRecord> records;
+  std::set<std::string> ids;
   const auto logged = std::exchange(mUnreadableEndpoints, {});
   for (const auto& it : aListing.mObjects) {
     if (auto record = mCodec.mReadEndpoint(it); record.ok()) {
-      records.push_back(*std::move(record));
+      ids.insert(record->mId);
+      if (AcceptsEntry(*record, it.mVersion)) {
+        records.push_back(*std::move(record));
+      } else if (const auto* known = mDirectory.Find(record->mId); known) {
+        records.push_back(*known);
+      }
     } else {
       if (const auto known = logged.find(it.mKey); known != logged.end()) {
         mUnreadableEndpoints.insert(*known);
@@ -142,7 +171,8 @@
       LogUnreadableEndpoint(it.mKey, record.status());
     }
   }
-  mDirectory.Replace(records, aListing.mRevision, mClock.Now());
+  mRestoredEntries.OnListed(ids, aListing.mRevision, now);
+  mDirectory.Replace(records, aListing.mRevision, now);
   mHasEndpoints = true;
   mStreams.ScheduleDispatch();
   LogReadinessChange();
@@ -151,6 +181,7 @@
 void
 Router::ApplyEndpoint(const StoredObject& aObject)
 {
+  HandleRegistryVersion(aObject.mVersion);
   const Instant now = mClock.Now();
   const std::string id = aObject.mKey.substr(mSettings.mEndpointPrefix.size());
   auto record = aObject.mIsDeleted
@@ -161,14 +192,32 @@
   } else {
     LogUnreadableEndpoint(aObject.mKey, record.status());
   }
-  if (record.ok()) {
-    mDirectory.Put(*record, aObject.mVersion, now);
-  } else {
+  if (!record.ok()) {
+    mRestoredEntries.OnRemoved(id, aObject.mVersion, now);
     mDirectory.Remove(id, aObject.mVersion, now);
+  } else if (AcceptsEntry(*record, aObject.mVersion)) {
+    mDirectory.Put(*record, aObject.mVersion, now);
+  } else if (const auto* known = mDirectory.Find(id); known) {
+    mDirectory.Put(EndpointRecord(*known), aObject.mVersion, now);
   }
   mStreams.ScheduleDispatch();
 }
 
+bool
+Router::AcceptsEntry(const EndpointRecord& aRecord, std::uint64_t aVersion)
+{
+  if (mRestoredEntries.OnEntry(aRecord, aVersion, mClock.Now())) {
+    return true;
+  }
+  LogEvent(LogLevel::Info,
+           "endpoint_entry_held",
+           { { "endpoint", aRecord.mId },
+             { "version", aVersion },
+             { "is_known", mDirectory.Find(aRecord.mId) ? "yes" : "no" } });
+  ScheduleExpiry();
+  return false;
+}
+
 void
 Router::LogUnreadableEndpoint(const std::string& aKey,
                               const absl::Status& aStatus)
@@ -229,10 +278,18 @@
 void
 Router::ScheduleExpiry()
 {
-  if (const auto next = mDirectory.NextExpiry(); next) {
+  auto next = mDirectory.NextExpiry();
+  if (const auto due = mRestoredEntries.NextDue(); due) {
+    next = std::min(next.value_or(*due), *due);
+  }
+  if (next) {
     mExpiryTimer =
       mLoop.After(std::max(*next - mClock.Now(), Duration::zero()), [this] {
-        mDirectory.Expire(mClock.Now());
+        const Instant now = mClock.Now();
+        mDirectory.Expire(now);
+        for (const auto& it : mRestoredEntries.TakeDue(now)) {
+          mDirectory.Put(it.mRecord, it.mVersion, now);
+        }
         ScheduleExpiry();
       });
   }
--- a/Source/Router/RouterSettings.h
+++ b/Source/Router/RouterSettings.h
@@ -37,6 +37,9 @@
   std::string mOrderPrefix;
   /** Maximum time that an engine needs to change its role. */
   Duration mRoleChangeTime = std::chrono::seconds(12);
+  /** Time in which an endpoint that is up has written its registry entry again,
+   * and the entry of one that is gone is removed. */
+  Duration mEntryRewriteTime = std::chrono::seconds(5);
   /** Minimum time between the orders of two daemons to one engine. */
   Duration mOrderInterval = std::chrono::seconds(3);
   std::size_t mMaxDescriptors = 1024;
--- a/Source/Wire/Placement.thrift
+++ b/Source/Wire/Placement.thrift
@@ -157,6 +157,8 @@
   // The keys of all objects, set when the owner does not know what was deleted
   // after the revision of the position.
   6: optional list<string> keys,
+  // The newest version that the owner has seen, with its era.
+  7: optional i64 version,
 }
 
 // PLACEMENT_POLL, a call that the owner answers when it has news, or after a
--- a/Source/Wire/gen-cpp/Placement_types.cpp
+++ b/Source/Wire/gen-cpp/Placement_types.cpp
@@ -2360,6 +2360,11 @@
   this->keys = val;
 __isset.keys = true;
 }
+
+void FeedUpdate::__set_version(const int64_t val) {
+  this->version = val;
+__isset.version = true;
+}
 std::ostream& operator<<(std::ostream& out, const FeedUpdate& obj)
 {
   obj.printTo(out);
@@ -2465,6 +2470,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->version);
+          this->__isset.version = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2533,6 +2546,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.version) {
+    xfer += oprot->writeFieldBegin("version", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->version);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2546,6 +2564,7 @@
   swap(a.sequence, b.sequence);
   swap(a.changes, b.changes);
   swap(a.keys, b.keys);
+  swap(a.version, b.version);
   swap(a.__isset, b.__isset);
 }
 
@@ -2556,6 +2575,7 @@
   sequence = other56.sequence;
   changes = other56.changes;
   keys = other56.keys;
+  version = other56.version;
   __isset = other56.__isset;
 }
 FeedUpdate& FeedUpdate::operator=(const FeedUpdate& other57) {
@@ -2565,6 +2585,7 @@
   sequence = other57.sequence;
   changes = other57.changes;
   keys = other57.keys;
+  version = other57.version;
   __isset = other57.__isset;
   return *this;
 }
@@ -2577,6 +2598,7 @@
   out << ", " << "sequence=" << to_string(sequence);
   out << ", " << "changes=" << to_string(changes);
   out << ", " << "keys="; (__isset.keys ? (out << to_string(keys)) : (out << "<null>"));
+  out << ", " << "version="; (__isset.version ? (out << to_string(version)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Placement_types.h
+++ b/Source/Wire/gen-cpp/Placement_types.h
@@ -818,8 +818,9 @@
 std::ostream& operator<<(std::ostream& out, const FeedObject& obj);
 
 typedef struct _FeedUpdate__isset {
-  _FeedUpdate__isset() : keys(false) {}
+  _FeedUpdate__isset() : keys(false), version(false) {}
   bool keys :1;
+  bool version :1;
 } _FeedUpdate__isset;
 
 class FeedUpdate : public virtual ::apache::thrift::TBase {
@@ -831,7 +832,8 @@
              : prefix(),
                isCurrent(0),
                feed(0),
-               sequence(0) {
+               sequence(0),
+               version(0) {
   }
 
   virtual ~FeedUpdate() noexcept;
@@ -841,6 +843,7 @@
   int64_t sequence;
   std::vector<FeedObject>  changes;
   std::vector<std::string>  keys;
+  int64_t version;
 
   _FeedUpdate__isset __isset;
 
@@ -856,6 +859,8 @@
 
   void __set_keys(const std::vector<std::string> & val);
 
+  void __set_version(const int64_t val);
+
   bool operator == (const FeedUpdate & rhs) const
   {
     if (!(prefix == rhs.prefix))
@@ -872,6 +877,10 @@
       return false;
     else if (__isset.keys && !(keys == rhs.keys))
       return false;
+    if (__isset.version != rhs.__isset.version)
+      return false;
+    else if (__isset.version && !(version == rhs.version))
+      return false;
     return true;
   }
   bool operator != (const FeedUpdate &rhs) const {
--- a/Tests/Adapter/FakePlatformStore.cxx
+++ b/Tests/Adapter/FakePlatformStore.cxx
@@ -60,6 +60,9 @@
   mContent = aCopy;
   mOldestRevision = std::min(mOldestRevision, mContent.Revision());
   mEra = std::to_string(std::stoull(mEra.value_or("0")) + 1);
+  for (const Watch& it : mWatches) {
+    Reply(it.mExchange, 410, Json());
+  }
   CloseWatches();
 }
 
@@ -225,7 +228,6 @@
 void
 FakePlatformStore::List(const Exchange& aExchange, const std::string& aPrefix)
 {
-  constexpr std::size_t kPageSize = 3;
   const std::string after =
     aPrefix + aExchange->Request().Parameter("after").value_or("");
   Json items = Json::array();
--- a/Tests/Adapter/FakePlatformStore.h
+++ b/Tests/Adapter/FakePlatformStore.h
@@ -38,6 +38,9 @@
 class FakePlatformStore
 {
 public:
+  /** Objects on one page of a listing. */
+  static constexpr std::size_t kPageSize = 3;
+
   explicit FakePlatformStore(EventLoop& aLoop);
 
   const SocketAddress& Address() const { return mAddress; }
@@ -49,7 +52,8 @@
   /** A copy of all objects and of the history, for ReturnFrom. */
   StoreContent Copy() const { return mContent; }
   /** The store comes back from aCopy: all later changes are lost, their
-   * revisions are assigned again, and the era rises by one. */
+   * revisions are assigned again, and the era rises by one. Pending watches get
+   * 410. */
   void ReturnFrom(const StoreContent& aCopy);
   /** Sends aText as the era from now on; nullopt: no era. */
   void SetEra(std::optional<std::string> aText) { mEra = std::move(aText); }
