--- a/Tests/Processes/CrashingRequestTest.cxx
+++ b/Tests/Processes/CrashingRequestTest.cxx
@@ -208,6 +208,7 @@
   FakePlatformStore store(loop);
   store.Write("config/main", MakeConfig(kind));
   std::vector<std::unique_ptr<CrashingServer>> servers;
+  servers.reserve(kServers);
   for (int i = 0; i < kServers; ++i) {
     servers.push_back(
       std::make_unique<CrashingServer>(loop, store, "i-" + std::to_string(i)));
@@ -219,6 +220,7 @@
     routers.back()->Start();
   }
   std::vector<std::unique_ptr<RepeatingCaller>> ordinary;
+  ordinary.reserve(kOrdinaryCallers);
   for (int i = 0; i < kOrdinaryCallers; ++i) {
     ordinary.push_back(
       std::make_unique<RepeatingCaller>(loop,
--- /dev/null
+++ b/Tests/Processes/StoreReturnSoakTest.cxx
@@ -0,0 +1,360 @@
+#include <algorithm>
+#include <cstdlib>
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include "Base/Random.h"
+#include "FakePlatformStore.h"
+#include "Net/LoopFixture.h"
+#include "RawEndpoint.h"
+#include "RouterProcess.h"
+#include "Routing/OwnerSelector.h"
+
+namespace bulrushfold {
+
+namespace {
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kService = "app";
+const std::string kConfigKey = "config/main";
+const std::string kDaemonPrefix = "bulrushfold-daemons/";
+constexpr int kServers = 3;
+constexpr Duration kHeartbeat = milliseconds(1200);
+constexpr Duration kCopyInterval = milliseconds(500);
+/** Copies that are kept, the oldest 3 s old. */
+constexpr std::size_t kCopies = 6;
+constexpr Duration kStartTime = seconds(15);
+constexpr Duration kFaultTime = seconds(12);
+/** contact_ms and config_apply_ms, for the last config. */
+constexpr Duration kApplyTime = seconds(3) + seconds(2);
+/** Time in which all daemons have written their entries again. */
+constexpr Duration kRewriteTime = seconds(10);
+constexpr Duration kCallTimeout = seconds(2);
+/** Interval at which the state of each router is asked for. */
+constexpr Duration kProbePause = milliseconds(100);
+
+/** Number in the environment, for long runs by hand. */
+std::uint64_t
+NumberOf(const char* aVariable, std::uint64_t aDefault)
+{
+  const char* text = std::getenv(aVariable);
+  return text == nullptr ? aDefault : std::stoull(text);
+}
+
+Json
+MakeConfig(int aVersion)
+{
+  Json routes = Json::array();
+  for (int i = 1; i <= aVersion; ++i) {
+    const std::string name = "r" + std::to_string(i);
+    routes.push_back({ { "name", name },
+                       { "host", "h.example" },
+                       { "path_prefix", "/" + name + "/" },
+                       { "kind", "safe" },
+                       { "timeout_ms", 1500 },
+                       { "target_latency_ms", 300 },
+                       { "service", kService },
+                       { "max_attempts", 2 } });
+  }
+  return { { "version", aVersion },
+           { "routes", routes },
+           { "services", { { { "name", kService } } } } };
+}
+
+/** Asks a router again and again for the route that the newest config has added
+ * as far as the router is known to have it, and for the next one. */
+class ConfigProbe
+{
+public:
+  ConfigProbe(EventLoop& aLoop, RouterProcess& aRouter)
+    : mRouter(aRouter)
+    , mTimer(aLoop.Every(milliseconds(2), [this] { Poll(); }))
+  {
+  }
+
+  /** Newest version that the router has shown since its start. */
+  int Version() const { return mVersion; }
+  /** Answers that only an older version allows. */
+  int mRegressions = 0;
+
+  void OnRestart()
+  {
+    mClient.reset();
+    mVersion = 0;
+    mNextCall = mClock.Now();
+  }
+
+private:
+  void Poll()
+  {
+    const Instant now = mClock.Now();
+    if (!mClient && now >= mNextCall) {
+      mAsked = mIsNext || mVersion == 0 ? mVersion + 1 : mVersion;
+      mIsNext = !mIsNext;
+      mCalledAt = now;
+      mClient = std::make_unique<RawClient>(mRouter.CallerAddress());
+      mClient->Send("GET /r" + std::to_string(mAsked) +
+                    "/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p" +
+                    std::to_string(++mCalls) +
+                    "\r\nX-Deadline-Ms: 1500\r\nConnection: close\r\n\r\n");
+    } else if (mClient && (mClient->IsClosedByServer() ||
+                           now >= mCalledAt + kCallTimeout)) {
+      HandleAnswer(mClient->Received());
+      mClient.reset();
+      mNextCall = now + kProbePause;
+    }
+  }
+  void HandleAnswer(const std::string& aAnswer)
+  {
+    if (aAnswer.find("HTTP/1.1 200") == 0) {
+      // The next version is asked for at once.
+      mIsNext = mIsNext || mAsked > mVersion;
+      mVersion = std::max(mVersion, mAsked);
+    } else if (aAnswer.find("HTTP/1.1 404") == 0 && mAsked <= mVersion) {
+      ++mRegressions;
+    }
+  }
+
+  RouterProcess& mRouter;
+  SystemClock mClock;
+  int mVersion = 0;
+  int mAsked = 0;
+  bool mIsNext = true;
+  std::uint64_t mCalls = 0;
+  std::unique_ptr<RawClient> mClient;
+  Instant mCalledAt;
+  Instant mNextCall;
+  EventHandle mTimer;
+};
+
+/** Routers, servers and an operator, and a store that comes back from copies
+ * while routers are killed and configs written. */
+class ReturnScenario
+{
+public:
+  ReturnScenario(std::uint64_t aSeed, std::size_t aRouters)
+    : mRandom(aSeed)
+  {
+    WriteConfig();
+    for (int i = 0; i < kServers; ++i) {
+      mServers.push_back(std::make_unique<RawEndpoint>(
+        mLoop, "i-" + std::to_string(i), std::string()));
+      RawEndpoint& server = *mServers.back();
+      server.OnRequest([&server](const RawRequest& aRequest) {
+        server.Send(
+          aRequest.mConnection,
+          RawEndpoint::Answer(200, RawEndpoint::Proof(aRequest), "fine"));
+      });
+    }
+    WriteHeartbeats();
+    mHeartbeats = mLoop.Every(kHeartbeat, [this] { WriteHeartbeats(); });
+    mCopyTimer = mLoop.Every(kCopyInterval, [this] { KeepCopy(); });
+    for (std::size_t i = 0; i < aRouters; ++i) {
+      mRouters.push_back(std::make_unique<RouterProcess>(
+        "front-" + std::to_string(i), mStore.Address()));
+      mRouters.back()->Start();
+      mProbes.push_back(std::make_unique<ConfigProbe>(mLoop, *mRouters.back()));
+    }
+  }
+
+  bool WaitForVersion(Duration aLimit)
+  {
+    return WaitFor(aLimit, [this] {
+      return std::all_of(
+        mProbes.begin(), mProbes.end(), [this](const auto& aIt) {
+          return aIt->Version() >= mVersion;
+        });
+    });
+  }
+  /** All routers have an entry in the store, and the key is the first one. */
+  bool WaitForEntries(Duration aLimit)
+  {
+    return WaitFor(aLimit, [this] {
+      return Key() == mFirstKey &&
+             std::all_of(
+               mRouters.begin(), mRouters.end(), [this](const auto& aIt) {
+                 return mStore.Spec(kDaemonPrefix + aIt->Name()).is_object();
+               });
+    });
+  }
+  /** Waits for the key that the routers share, and for their entries. */
+  bool WaitForStart(Duration aLimit)
+  {
+    const bool hasKey = WaitFor(aLimit, [this] { return Key().is_object(); });
+    mFirstKey = Key();
+    return hasKey && WaitForEntries(aLimit) && WaitForVersion(aLimit);
+  }
+  void RunFaults(Duration aSpan)
+  {
+    const Instant end = mClock.Now() + aSpan;
+    while (mClock.Now() < end) {
+      AddFault();
+      Wait(milliseconds(200 + mRandom.UniformBelow(1500)));
+    }
+    // The store has to pass revisions that it has assigned before.
+    WriteConfig();
+    Wait(milliseconds(300));
+    ReturnStore();
+    WriteConfig();
+  }
+  /** The store goes away for a moment and comes back from a copy. */
+  void ReturnStore()
+  {
+    const StoreContent copy = mCopies[mRandom.UniformBelow(mCopies.size())];
+    if (mRandom.Bernoulli(0.7)) {
+      mStore.SetFault(mRandom.Bernoulli(0.5) ? StoreFault::Reset
+                                             : StoreFault::Unavailable);
+      Wait(milliseconds(mRandom.UniformBelow(1500)));
+      mStore.SetFault(StoreFault::None);
+    }
+    mStore.ReturnFrom(copy);
+    ++mReturns;
+    mCopies.assign(1, mStore.Copy());
+    // The operator writes its last version again.
+    mStore.Write(kConfigKey, MakeConfig(mVersion));
+  }
+  void Wait(Duration aSpan)
+  {
+    WaitFor(aSpan, [] { return false; });
+  }
+
+  std::vector<std::unique_ptr<RouterProcess>> mRouters;
+  std::vector<std::unique_ptr<ConfigProbe>> mProbes;
+  FakePlatformStore& Store() { return mStore; }
+  int Returns() const { return mReturns; }
+  std::size_t StoreCalls() const
+  {
+    return mStore.CountCalls("GET") + mStore.CountCalls("PUT") +
+           mStore.CountCalls("POST") + mStore.CountCalls("DELETE");
+  }
+
+private:
+  Json Key() const { return mStore.Spec(kDaemonPrefix + "shared-key"); }
+  bool WaitFor(Duration aLimit, const std::function<bool()>& aCondition)
+  {
+    bool isOver = false;
+    const auto timer = mLoop.After(aLimit, [&] { isOver = true; });
+    while (!RunUntil(mLoop, [&] { return isOver || aCondition(); })) {
+    }
+    return aCondition();
+  }
+  void WriteConfig() { mStore.Write(kConfigKey, MakeConfig(++mVersion)); }
+  void WriteHeartbeats()
+  {
+    for (std::size_t i = 0; i < mServers.size(); ++i) {
+      const std::string key = "servers/i-" + std::to_string(i);
+      const Json entry = Json::parse(mServers[i]->RegistryEntry(kService));
+      if (mStore.Spec(key) != entry) {
+        mStore.Write(key, entry);
+      }
+    }
+  }
+  void KeepCopy()
+  {
+    mCopies.push_back(mStore.Copy());
+    if (mCopies.size() > kCopies) {
+      mCopies.pop_front();
+    }
+  }
+  void AddFault()
+  {
+    const double choice = mRandom.UniformReal();
+    if (choice < 0.4) {
+      WriteConfig();
+    } else if (choice < 0.7 && !mCopies.empty()) {
+      ReturnStore();
+    } else {
+      const std::size_t i = mRandom.UniformBelow(mRouters.size());
+      mRouters[i]->Kill();
+      Wait(milliseconds(mRandom.UniformBelow(500)));
+      mRouters[i]->Start();
+      mProbes[i]->OnRestart();
+    }
+  }
+
+  Random mRandom;
+  EventLoop mLoop;
+  SystemClock mClock;
+  FakePlatformStore mStore{ mLoop };
+  std::vector<std::unique_ptr<RawEndpoint>> mServers;
+  std::deque<StoreContent> mCopies;
+  EventHandle mHeartbeats;
+  EventHandle mCopyTimer;
+  int mVersion = 0;
+  int mReturns = 0;
+  Json mFirstKey;
+};
+} // namespace
+
+// Guards against routers that keep an old config, go back to one, end, or lose
+// each other, because the store came back from copies beside kills and changes.
+// STORE_RETURN_SEED and STORE_RETURN_SEEDS choose other runs.
+TEST_CASE("Routers outlast a store that comes back from copies")
+{
+  const std::uint64_t first = NumberOf("STORE_RETURN_SEED", 1);
+  const std::uint64_t count = NumberOf("STORE_RETURN_SEEDS", 2);
+  for (std::uint64_t seed = first; seed < first + count; ++seed) {
+    CAPTURE(seed);
+    ReturnScenario scenario(seed, seed % 5 == 0 ? 14 : 3);
+    REQUIRE(scenario.WaitForStart(kStartTime));
+    scenario.RunFaults(kFaultTime);
+    CHECK(scenario.WaitForVersion(kApplyTime));
+    CHECK(scenario.WaitForEntries(kRewriteTime));
+    int regressions = 0;
+    for (std::size_t i = 0; i < scenario.mRouters.size(); ++i) {
+      regressions += scenario.mProbes[i]->mRegressions;
+      CHECK(scenario.mRouters[i]->IsRunning());
+    }
+    CHECK(regressions == 0);
+    CHECK(scenario.Returns() > 0);
+    MESSAGE("seed ", seed, ": ", scenario.Returns(), " returns");
+  }
+}
+
+// Guards against many calls at once when the store is back.
+// STORE_RETURN_ROUTERS chooses the size of the fleet.
+TEST_CASE("A fleet makes few calls to a store that has come back")
+{
+  const std::size_t routers = NumberOf("STORE_RETURN_ROUTERS", 14);
+  ReturnScenario scenario(1, routers);
+  REQUIRE(scenario.WaitForStart(kStartTime));
+  scenario.Wait(seconds(8));
+  const std::size_t calm = scenario.StoreCalls();
+  scenario.Wait(seconds(10));
+  const std::size_t before = scenario.StoreCalls();
+  scenario.ReturnStore();
+  scenario.Wait(seconds(1));
+  const std::size_t firstSecond = scenario.StoreCalls() - before;
+  scenario.Wait(seconds(9));
+  const std::size_t after = scenario.StoreCalls() - before;
+  MESSAGE(routers,
+          " routers: ",
+          before - calm,
+          " calls in 10 s before the return, ",
+          firstSecond,
+          " in the first second and ",
+          after,
+          " in the 10 s after it");
+  // Each router lists the registry at most four times: at a random moment,
+  // after it has written its entry, and twice more. The write is up to three
+  // calls.
+  constexpr std::size_t kMaxLists = 4;
+  constexpr std::size_t kMaxWriteCalls = 3;
+  // The reader of a large fleet, or each router of a small one, lists and
+  // watches the configuration and the endpoints.
+  constexpr std::size_t kWatchCalls = 10;
+  const std::size_t pages = (routers + 1) / FakePlatformStore::kPageSize + 1;
+  const std::size_t readers = routers < OwnerSelector::kMinFleet ? routers : 1;
+  CHECK(after <= routers * (kMaxLists * pages + kMaxWriteCalls) +
+                   readers * kWatchCalls + (before - calm));
+}
+
+} // namespace bulrushfold
--- a/Tests/Router/PlacementFleet.cxx
+++ b/Tests/Router/PlacementFleet.cxx
@@ -14,6 +14,9 @@
   , mDefect(aDefect)
 {
   mClock.Advance(seconds(1000));
+  if (aDefect == FleetDefect::IgnoredEra) {
+    mStore.IgnoreEra();
+  }
   mDaemons.resize(kDaemons);
   for (std::size_t i = 0; i < kDaemons; ++i) {
     mDaemons[i] = std::make_unique<FleetDaemon>(*this, i);
@@ -186,8 +189,14 @@
 {
   if (mClock.Now() >= mFaultsEnd) {
     mCuts.clear();
+    if (mHasStoreReturns) {
+      ReturnStore();
+    }
     return;
   }
+  if (mHasStoreReturns && mRandom.Bernoulli(0.2)) {
+    ReturnStore();
+  }
   // The daemons that may become the owner are hit most often.
   const std::size_t victim =
     mRandom.UniformBelow(mRandom.Bernoulli(0.7) ? 6 : kDaemons);
@@ -223,6 +232,19 @@
   After(FromSeconds(mRandom.Exponential(0.7)), [this] { AddFault(); });
 }
 
+void
+PlacementFleet::ReturnStore()
+{
+  constexpr std::uint64_t kLostWrites = 3;
+  for (std::uint64_t i = 0; i < kLostWrites; ++i) {
+    mStore.Write();
+  }
+  After(milliseconds(500 + mRandom.UniformBelow(1000)), [this] {
+    mStore.ReturnFromCopy(kLostWrites);
+    mStore.Write();
+  });
+}
+
 void
 PlacementFleet::Continue(Duration aSpan)
 {
--- a/Tests/Router/PlacementFleet.h
+++ b/Tests/Router/PlacementFleet.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHFOLD_TESTS_ROUTER_PLACEMENTFLEET_H
 #define BULRUSHFOLD_TESTS_ROUTER_PLACEMENTFLEET_H
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -29,6 +30,8 @@
   NoLimit,
   /** The owner passes on no changes of the store. */
   SilentFeed,
+  /** Revisions of the store are compared without its era. */
+  IgnoredEra,
 };
 
 /** Store of a virtual fleet with one object, whose version is its number. */
@@ -41,17 +44,32 @@
   }
   void Write()
   {
-    ++mVersion;
-    for (const auto& [watch, hook] : std::map(mWatches)) {
-      mQueue.After(std::chrono::milliseconds(5), [this, watch = watch] {
-        if (const auto it = mWatches.find(watch); it != mWatches.end()) {
-          it->second(Object());
-        }
+    ++mRevision.mNumber;
+    for (const auto& [watch, hooks] : std::map(mWatches)) {
+      AfterDelay(watch, [this](const StoreWatchHooks& aHooks) {
+        aHooks.mOnChange(Object());
       });
     }
   }
-  StoredObject Object() const { return { "config/main", mVersion, "", false }; }
-  std::uint64_t Version() const { return mVersion; }
+  /** The store comes back from a copy that lacks the last aLost writes. */
+  void ReturnFromCopy(std::uint64_t aLost)
+  {
+    mRevision.mNumber -= std::min(aLost, mRevision.mNumber - 1);
+    mRevision.mEra += mIgnoresEra ? 0 : 1;
+    for (const auto& [watch, hooks] : std::map(mWatches)) {
+      AfterDelay(watch, [this, watch = watch](const StoreWatchHooks& aHooks) {
+        const auto end = aHooks.mOnEnd;
+        mWatches.erase(watch);
+        end(absl::OutOfRangeError("the store came back"), 0);
+      });
+    }
+  }
+  void IgnoreEra() { mIgnoresEra = true; }
+  StoredObject Object() const
+  {
+    return { "config/main", Version(), "", false };
+  }
+  std::uint64_t Version() const { return ToVersion(mRevision); }
   std::size_t WatchCount() const { return mWatches.size(); }
   /** Watches since the start. */
   std::size_t WatchCalls() const { return mWatchCalls; }
@@ -70,7 +88,7 @@
   }
   void List(const std::string&, ListHook aHook) override
   {
-    aHook(StoreListing{ { Object() }, mVersion });
+    aHook(StoreListing{ { Object() }, Version() });
   }
   std::unique_ptr<StoreWatch> Watch(const std::string&,
                                     std::uint64_t aRevision,
@@ -78,12 +96,10 @@
   {
     ++mWatchCalls;
     auto watch = std::make_unique<VirtualWatch>(*this);
-    mWatches[watch.get()] = aHooks.mOnChange;
-    if (aRevision < mVersion) {
-      mQueue.After(std::chrono::milliseconds(5), [this, it = watch.get()] {
-        if (mWatches.count(it) > 0) {
-          mWatches.at(it)(Object());
-        }
+    mWatches[watch.get()] = std::move(aHooks);
+    if (aRevision < Version()) {
+      AfterDelay(watch.get(), [this](const StoreWatchHooks& aIt) {
+        aIt.mOnChange(Object());
       });
     }
     return watch;
@@ -101,10 +117,24 @@
     VirtualStore& mStore;
   };
 
+  /** Calls aCallback after the delay of the network, unless the watch ends. */
+  void AfterDelay(StoreWatch* aWatch,
+                  std::function<void(const StoreWatchHooks&)> aCallback)
+  {
+    mQueue.After(std::chrono::milliseconds(5),
+                 [this, aWatch, callback = std::move(aCallback)] {
+                   const auto it = mWatches.find(aWatch);
+                   if (it != mWatches.end()) {
+                     callback(StoreWatchHooks(it->second));
+                   }
+                 });
+  }
+
   VirtualTimeQueue& mQueue;
-  std::uint64_t mVersion = 1;
+  StoreRevision mRevision{ 0, 1 };
+  bool mIgnoresEra = false;
   std::size_t mWatchCalls = 0;
-  std::map<StoreWatch*, std::function<void(const StoredObject&)>> mWatches;
+  std::map<StoreWatch*, StoreWatchHooks> mWatches;
   StoreStatistics mStatistics;
 };
 
@@ -294,6 +324,9 @@
   /** Runs requests for aSpan. aHasFaults: daemons are killed and paused, and
    * connections between them cut, in the first two thirds of that time. */
   FleetResult Run(Duration aSpan, bool aHasFaults);
+  /** The store comes back from a copy as one of the faults, and once more after
+   * them, with fewer writes after it than were lost. */
+  void AddStoreReturns() { mHasStoreReturns = true; }
 
   /** Runs on without new requests. */
   void Continue(Duration aSpan);
@@ -334,12 +367,14 @@
                const PlacementOwner::Responder& aResponder);
   void AddRequests();
   void AddFault();
+  void ReturnStore();
   std::size_t IndexOf(const FleetMember& aMember) const;
 
   std::map<std::string, std::uint32_t> mRunning;
   std::set<std::pair<std::size_t, std::size_t>> mCuts;
   std::uint64_t mNextRequest = 1;
   bool mHasFaults = false;
+  bool mHasStoreReturns = false;
   Instant mFaultsEnd;
   Instant mRequestsEnd;
 };
--- a/Tests/Router/PlacementFleetTest.cxx
+++ b/Tests/Router/PlacementFleetTest.cxx
@@ -78,6 +78,24 @@
   }
 }
 
+// Guards against daemons that keep an older config, or go back to one, because
+// the store came back from a copy while daemons were killed or cut off.
+TEST_CASE("A fleet follows a store that comes back from copies")
+{
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    PlacementFleet fleet(seed, FleetDefect::None);
+    fleet.AddStoreReturns();
+    const FleetResult result = fleet.Run(seconds(30), true);
+    CHECK(result.mAnsweredTwice == 0);
+    CHECK(result.mHeld == 0);
+    CHECK(result.mLostGrants == 0);
+    CHECK(result.mOutdated == 0);
+    CHECK(result.mWentBack == 0);
+    CHECK(result.mWatches == 1);
+  }
+}
+
 // Guards against a whole fleet that watches the store because its owner alone
 // does not reach it.
 TEST_CASE("An owner that does not reach the store leaves to another one")
@@ -149,6 +167,12 @@
     PlacementFleet fleet(1, FleetDefect::SilentFeed);
     CHECK(fleet.Run(seconds(20), false).mOutdated > 0);
   }
+  SUBCASE("revisions that are compared without the era of the store")
+  {
+    PlacementFleet fleet(1, FleetDefect::IgnoredEra);
+    fleet.AddStoreReturns();
+    CHECK(fleet.Run(seconds(30), true).mOutdated > 0);
+  }
 }
 
 } // namespace bulrushfold
