Keep the set interval between the orders of two holders

Cause: the next holder waits for the end of the lease, the clock gap limit and the timeout of an order. That ensures that the former one has stopped, but not the interval between their orders; 3.6 s were enough for the 3 s of all present deployments.

Change: OrderTiming has the interval, and the wait is at least so long that an order which arrived last, a clock gap limit before the end of the lease, is that interval ago. With lease_ms 3,000 nothing changes.

Evidence: "Orders of two holders are at least the set interval apart" failed before and passes.

--- a/Source/Router/RoleController.cxx
+++ b/Source/Router/RoleController.cxx
@@ -24,6 +24,7 @@
   timing.mLease = aSettings.mOrderInterval + kClockGapLimit;
   timing.mClockGapLimit = kClockGapLimit;
   timing.mOrderTimeout = 2 * kCallTimeout;
+  timing.mHolderInterval = aSettings.mOrderInterval;
   return timing;
 }
 } // namespace
--- a/Source/Routing/OrderLease.cxx
+++ b/Source/Routing/OrderLease.cxx
@@ -138,7 +138,7 @@
   // An earlier write of this process may still reach the store, but only one of
   // two writes that expect the same version can succeed.
   mIsHeldByOther = !IsReleased(json) && TextOf(json, "holder") != mHolder;
-  mOtherLeaseEnd = aNow + LongestUse(std::chrono::milliseconds(lease));
+  mOtherLeaseEnd = aNow + WaitFor(std::chrono::milliseconds(lease));
   mIsOfEra = NumberOf(json, "era", 0) == mEra;
 }
 
@@ -207,7 +207,7 @@
     return;
   }
   mEra = aEra;
-  mEarlierLeasesEnd = aNow + LongestUse(mTiming.mLease);
+  mEarlierLeasesEnd = aNow + WaitFor(mTiming.mLease);
   mVersion.reset();
   mIsHeldByOther = false;
   mIsOfEra = false;
--- a/Source/Routing/OrderLease.h
+++ b/Source/Routing/OrderLease.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHFOLD_ROUTING_ORDERLEASE_H
 #define BULRUSHFOLD_ROUTING_ORDERLEASE_H
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -20,6 +21,8 @@
   Duration mClockGapLimit = std::chrono::seconds(1);
   /** Timeout of an order; an answer after it is ignored. */
   Duration mOrderTimeout = std::chrono::seconds(2);
+  /** Minimum time between the orders of two holders. */
+  Duration mHolderInterval{};
   Duration mRetryInterval = std::chrono::seconds(1);
   /** Time until the memory of an ended process is released at endpoints. */
   Duration mReleaseGrace = std::chrono::seconds(5);
@@ -101,10 +104,13 @@
   bool IsOwnWrite(const StoredObject& aObject) const;
   void RecordHolder(const StoredObject& aObject, Instant aNow);
   bool MustWait(Instant aNow) const;
-  /** The time in which a lease that was read or lost now must have ended. */
-  Duration LongestUse(Duration aLease) const
+  /** Time after which this daemon may send orders although another one may have
+   * acquired a lease of aLease just now. The other one sends its last order,
+   * and the order arrives, until mClockGapLimit before its end. */
+  Duration WaitFor(Duration aLease) const
   {
-    return aLease + mTiming.mClockGapLimit + mTiming.mOrderTimeout;
+    return aLease + std::max(mTiming.mClockGapLimit + mTiming.mOrderTimeout,
+                             mTiming.mHolderInterval - mTiming.mClockGapLimit);
   }
 
   std::string mHolder;
--- a/Tests/Routing/OrderLeaseTest.cxx
+++ b/Tests/Routing/OrderLeaseTest.cxx
@@ -233,6 +233,23 @@
   }
 }
 
+// Guards against orders of two holders that follow too closely, where the
+// platform wants a long time between them.
+TEST_CASE("Orders of two holders are at least the set interval apart")
+{
+  LeaseFixture fixture(false);
+  fixture.mTiming.mHolderInterval = seconds(30);
+  fixture.mTiming.mLease = seconds(31);
+  fixture.Add("a");
+  fixture.RunFor(seconds(20));
+  REQUIRE(fixture.AppliedBy("a") > 0);
+  fixture.mCutOff = "a";
+  fixture.Add("b");
+  fixture.RunFor(minutes(2));
+  REQUIRE(fixture.AppliedBy("b") > 0);
+  CheckTurns(fixture, fixture.mTiming.mHolderInterval);
+}
+
 // Guards against two holders that send orders at the same time: the store came
 // back from a copy without the lease, so that the next holder found none to
 // wait for.
