Test feeds and watches across a return of the store

What the unit tests of the feed lacked: a listing of a later era with a revision that was assigned before, and deletions that a follower learns from the keys alone. The page size of the fake store can be set, so that calls after a return are counted as with the platform's pages.

--- a/Tests/Adapter/FakePlatformStore.cxx
+++ b/Tests/Adapter/FakePlatformStore.cxx
@@ -236,7 +236,7 @@
     if (it->mKey <= after) {
       continue;
     }
-    if (items.size() == kPageSize) {
+    if (items.size() == mPageSize) {
       hasMore = true;
       break;
     }
--- a/Tests/Adapter/FakePlatformStore.h
+++ b/Tests/Adapter/FakePlatformStore.h
@@ -38,9 +38,6 @@
 class FakePlatformStore
 {
 public:
-  /** Objects on one page of a listing. */
-  static constexpr std::size_t kPageSize = 3;
-
   explicit FakePlatformStore(EventLoop& aLoop);
 
   const SocketAddress& Address() const { return mAddress; }
@@ -49,6 +46,8 @@
   void DiscardHistory();
   /** Closes the connections of all pending watches. */
   void CloseWatches();
+  /** Sets the number of objects on one page of a listing; 3 at first. */
+  void SetPageSize(std::size_t aSize) { mPageSize = aSize; }
   /** A copy of all objects and of the history, for ReturnFrom. */
   StoreContent Copy() const { return mContent; }
   /** The store comes back from aCopy: all later changes are lost, their
@@ -103,6 +102,7 @@
   StoreContent mContent{ 1000 };
   /** Texts of WriteText by the JSON string that stands for each in mContent. */
   std::map<std::string, std::string> mTexts;
+  std::size_t mPageSize = 3;
   std::uint64_t mOldestRevision = 0;
   std::optional<std::string> mEra = "1";
   StoreFault mFault = StoreFault::None;
--- a/Tests/Router/RelayedStoreTest.cxx
+++ b/Tests/Router/RelayedStoreTest.cxx
@@ -130,6 +130,20 @@
       relayed.OnFeed(update);
       CHECK(changes.size() == 2);
     }
+    // Guards against endpoints that are dropped without the grace period,
+    // because their deletion seems to be from before the store came back from a
+    // copy.
+    SUBCASE("with the version at which they were found deleted")
+    {
+      FeedUpdate update = MakeUpdate(1, {});
+      update.mKeys.emplace();
+      update.mVersion = ToVersion({ 2, 5 });
+      relayed.OnFeed(update);
+      REQUIRE(changes.size() == 3);
+      CHECK(changes[1].mIsDeleted);
+      CHECK(changes[1].mVersion == update.mVersion);
+      CHECK(relayed.Positions()[0].mRevision == update.mVersion);
+    }
     SUBCASE("also when its daemon does not know the store's state yet")
     {
       relayed.OnFeed({ kPrefix, false, 0, 0, {}, std::nullopt });
--- a/Tests/Router/StoreFeedTest.cxx
+++ b/Tests/Router/StoreFeedTest.cxx
@@ -88,6 +88,24 @@
     position.mRevision = 5;
     CHECK_FALSE(feed.Since(position).mKeys);
   }
+  // Guards against an object that is taken for unchanged, because the store
+  // assigned its revision again after it came back from a copy.
+  SUBCASE("about a store that came back: all objects, and what was deleted")
+  {
+    read();
+    feed.OnListing(
+      kPrefix,
+      { { { "b", ToVersion({ 1, 5 }), "", false } }, ToVersion({ 1, 5 }) });
+    CHECK(feed.Since(position).mVersion == ToVersion({ 1, 5 }));
+    CHECK(read() == Strings{ "-a", "b" });
+
+    SUBCASE("also a daemon that watched the store itself until then")
+    {
+      position.mFeed = 0;
+      position.mRevision = 5;
+      CHECK(read() == Strings{ "-a", "b" });
+    }
+  }
   SUBCASE("that it does not reach the store, instead of an old state")
   {
     read();
