Poll a router, and wait with a limit, in one place each

Read once more, the change had written three waits with a limit of their own beside RunUntil, whose limit was a constant, and the same loop of GET requests in both process tests; one counter of StoreReturnTest was never read. RunUntil takes its limit now, RunFor and the waits call it, and RepeatedGet sends the requests of both tests. A condition that becomes true in the very iteration in which the limit ends counts as met; RunUntil has always judged so.

The product code is unchanged.

--- a/Tests/Adapter/StoreReturnTest.cxx
+++ b/Tests/Adapter/StoreReturnTest.cxx
@@ -80,7 +80,6 @@
 
   std::string mConfig;
   std::set<std::string> mKeys;
-  int mReturns = 0;
 
 private:
   ObjectWatcherHooks Hooks()
@@ -96,7 +95,7 @@
       HandleObject(aObject);
     };
     hooks.mOnStoreUnavailable = [](const absl::Status&) {};
-    hooks.mOnStoreRecovered = [this] { ++mReturns; };
+    hooks.mOnStoreRecovered = [] {};
     hooks.mHasReader = [] { return true; };
     return hooks;
   }
@@ -192,14 +191,10 @@
   Reader reader(loop, client, store.Address());
   Follower follower(loop, client, store.Address(), reader.Feed());
   const auto isInForce = [&](int aVersion, Duration aLimit) {
-    bool isOver = false;
-    const auto timer = loop.After(aLimit, [&] { isOver = true; });
-    return RunUntil(loop,
-                    [&] {
-                      return isOver ||
-                             follower.mConfig == MakeVersion(aVersion).dump();
-                    }) &&
-           !isOver;
+    return RunUntil(
+      loop,
+      [&] { return follower.mConfig == MakeVersion(aVersion).dump(); },
+      aLimit);
   };
   REQUIRE(isInForce(2, kApplyLimit));
   const StoreContent copy = store.Copy();
--- a/Tests/Net/LoopFixture.h
+++ b/Tests/Net/LoopFixture.h
@@ -51,13 +51,14 @@
 }
 
 /** Runs aLoop until aCondition is true; returns false if it is still false
- * after 20 s. */
+ * after aLimit. */
 inline bool
-RunUntil(EventLoop& aLoop, const std::function<bool()>& aCondition)
+RunUntil(EventLoop& aLoop,
+         const std::function<bool()>& aCondition,
+         Duration aLimit = std::chrono::seconds(20))
 {
-  constexpr Duration kLimit = std::chrono::seconds(20);
   bool expired = false;
-  const auto limit = aLoop.After(kLimit, [&] {
+  const auto limit = aLoop.After(aLimit, [&] {
     expired = true;
     aLoop.Stop();
   });
@@ -76,10 +77,8 @@
 inline void
 RunFor(EventLoop& aLoop, Duration aSpan)
 {
-  bool isOver = false;
-  const auto timer = aLoop.After(aSpan, [&] { isOver = true; });
-  while (!RunUntil(aLoop, [&] { return isOver; })) {
-  }
+  RunUntil(
+    aLoop, [] { return false; }, aSpan);
 }
 
 /** Number of occurrences of aPart in aText. */
--- a/Tests/Processes/CrashingRequestTest.cxx
+++ b/Tests/Processes/CrashingRequestTest.cxx
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "PlatformFixture.h"
+#include "RepeatedGet.h"
 #include "RouterProcess.h"
 
 namespace bulrushfold {
@@ -26,9 +27,6 @@
 constexpr Duration kRestartTime = milliseconds(1500);
 constexpr Duration kCallerPause = milliseconds(20);
 constexpr Duration kDeadlyPause = milliseconds(150);
-/** Time after which a caller gives up; more than the deadline that it states.
- */
-constexpr Duration kCallerTimeout = seconds(2);
 constexpr Duration kRunTime = seconds(14);
 /** contact_ms: the time for which daemons may not know of a crash yet. */
 constexpr Duration kContactTime = seconds(3);
@@ -123,12 +121,13 @@
                   std::string aName,
                   std::string aPath,
                   Duration aPause)
-    : mLoop(aLoop)
-    , mRouters(aRouters)
-    , mName(std::move(aName))
+    : mRouters(aRouters)
     , mPath(std::move(aPath))
-    , mPause(aPause)
-    , mTimer(mLoop.Every(milliseconds(2), [this] { Poll(); }))
+    , mGet(aLoop,
+           std::move(aName),
+           aPause,
+           { [this] { return Next(); },
+             [this](const std::string& aAnswer) { Count(aAnswer); } })
   {
   }
 
@@ -138,23 +137,9 @@
   std::string mLastAnswer;
 
 private:
-  void Poll()
+  RepeatedGet::Target Next()
   {
-    const Instant now = mClock.Now();
-    if (!mClient && now >= mNextCall) {
-      mCalledAt = now;
-      const std::string id = mName + "-" + std::to_string(++mCalls);
-      mClient = std::make_unique<RawClient>(
-        mRouters[mCalls % mRouters.size()]->CallerAddress());
-      mClient->Send("GET " + mPath +
-                    " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: " + id +
-                    "\r\nX-Deadline-Ms: 1500\r\nConnection: close\r\n\r\n");
-    } else if (mClient && (mClient->IsClosedByServer() ||
-                           now >= mCalledAt + kCallerTimeout)) {
-      Count(mClient->Received());
-      mClient.reset();
-      mNextCall = now + mPause;
-    }
+    return { mRouters[++mCalls % mRouters.size()]->CallerAddress(), mPath };
   }
   void Count(const std::string& aAnswer)
   {
@@ -168,17 +153,10 @@
     }
   }
 
-  EventLoop& mLoop;
   const Routers& mRouters;
-  std::string mName;
   std::string mPath;
-  Duration mPause;
-  SystemClock mClock;
   std::size_t mCalls = 0;
-  std::unique_ptr<RawClient> mClient;
-  Instant mCalledAt;
-  Instant mNextCall;
-  EventHandle mTimer;
+  RepeatedGet mGet;
 };
 } // namespace
 
--- a/Tests/Processes/StoreReturnSoakTest.cxx
+++ b/Tests/Processes/StoreReturnSoakTest.cxx
@@ -11,6 +11,7 @@
 
 #include "Base/Random.h"
 #include "PlatformFixture.h"
+#include "RepeatedGet.h"
 #include "RouterProcess.h"
 #include "Routing/OwnerSelector.h"
 
@@ -37,7 +38,6 @@
 constexpr Duration kApplyTime = seconds(3) + seconds(2);
 /** Time in which all daemons have written their entries again. */
 constexpr Duration kRewriteTime = seconds(10);
-constexpr Duration kCallTimeout = seconds(2);
 /** Objects on one page of the platform's store, about. */
 constexpr std::size_t kPageSize = 500;
 /** Interval at which the state of each router is asked for. */
@@ -84,7 +84,11 @@
 public:
   ConfigProbe(EventLoop& aLoop, RouterProcess& aRouter)
     : mRouter(aRouter)
-    , mTimer(aLoop.Every(milliseconds(2), [this] { Poll(); }))
+    , mGet(aLoop,
+           "p",
+           kProbePause,
+           { [this] { return Next(); },
+             [this](const std::string& aAnswer) { HandleAnswer(aAnswer); } })
   {
   }
 
@@ -95,30 +99,16 @@
 
   void OnRestart()
   {
-    mClient.reset();
     mVersion = 0;
-    mNextCall = mClock.Now();
+    mGet.Restart();
   }
 
 private:
-  void Poll()
+  RepeatedGet::Target Next()
   {
-    const Instant now = mClock.Now();
-    if (!mClient && now >= mNextCall) {
-      mAsked = mIsNext || mVersion == 0 ? mVersion + 1 : mVersion;
-      mIsNext = !mIsNext;
-      mCalledAt = now;
-      mClient = std::make_unique<RawClient>(mRouter.CallerAddress());
-      mClient->Send("GET /r" + std::to_string(mAsked) +
-                    "/1 HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: p" +
-                    std::to_string(++mCalls) +
-                    "\r\nX-Deadline-Ms: 1500\r\nConnection: close\r\n\r\n");
-    } else if (mClient && (mClient->IsClosedByServer() ||
-                           now >= mCalledAt + kCallTimeout)) {
-      HandleAnswer(mClient->Received());
-      mClient.reset();
-      mNextCall = now + kProbePause;
-    }
+    mAsked = mIsNext || mVersion == 0 ? mVersion + 1 : mVersion;
+    mIsNext = !mIsNext;
+    return { mRouter.CallerAddress(), "/r" + std::to_string(mAsked) + "/1" };
   }
   void HandleAnswer(const std::string& aAnswer)
   {
@@ -132,15 +122,10 @@
   }
 
   RouterProcess& mRouter;
-  SystemClock mClock;
   int mVersion = 0;
   int mAsked = 0;
   bool mIsNext = true;
-  std::uint64_t mCalls = 0;
-  std::unique_ptr<RawClient> mClient;
-  Instant mCalledAt;
-  Instant mNextCall;
-  EventHandle mTimer;
+  RepeatedGet mGet;
 };
 
 /** Routers, servers and an operator, and a store that comes back from copies
@@ -265,11 +250,7 @@
   Json Key() const { return mStore.Spec(kDaemonPrefix + "shared-key"); }
   bool WaitFor(Duration aLimit, const std::function<bool()>& aCondition)
   {
-    bool isOver = false;
-    const auto timer = mLoop.After(aLimit, [&] { isOver = true; });
-    while (!RunUntil(mLoop, [&] { return isOver || aCondition(); })) {
-    }
-    return aCondition();
+    return RunUntil(mLoop, aCondition, aLimit);
   }
   void WriteConfig() { mStore.Write(kConfigKey, ConfigOf(++mVersion)); }
   void WriteHeartbeats()
