--- a/Source/Router/PlacementMessages.cxx
+++ b/Source/Router/PlacementMessages.cxx
@@ -77,6 +77,31 @@
            TermsOf(aRequest) };
 }
 
+wire::PlainRefusal
+ToWire(const PlainRefusal& aRefusal)
+{
+  wire::PlainRefusal refusal;
+  refusal.cause = static_cast<std::int32_t>(aRefusal.mCause);
+  refusal.ahead = static_cast<std::int32_t>(aRefusal.mAhead);
+  refusal.targetLeftMs = WholeMilliseconds(aRefusal.mTargetLeft);
+  refusal.waitedMs = WholeMilliseconds(aRefusal.mWaited);
+  return refusal;
+}
+
+PlainRefusal
+FromWire(const wire::PlainRefusal& aRefusal)
+{
+  // A newer daemon may state a cause that this one does not know.
+  const bool isKnown =
+    aRefusal.cause >= 0 &&
+    aRefusal.cause <= static_cast<std::int32_t>(PlainRefusalCause::WaitEnded);
+  return { isKnown ? static_cast<PlainRefusalCause>(aRefusal.cause)
+                   : PlainRefusalCause::Unknown,
+           static_cast<std::uint32_t>(NonNegative(aRefusal.ahead)),
+           Milliseconds(aRefusal.targetLeftMs),
+           Milliseconds(aRefusal.waitedMs) };
+}
+
 PlainGrant
 OverQuotaGrant(std::uint64_t aNumber, Duration aWait)
 {
@@ -98,6 +123,8 @@
     reply.load = aGrant.mChoice->mLoad;
     reply.candidates =
       static_cast<std::int32_t>(aGrant.mChoice->mCandidateCount);
+  } else if (!aGrant.mIsOverQuota) {
+    reply.__set_refusal(ToWire(aGrant.mRefusal));
   }
   return reply;
 }
@@ -114,6 +141,9 @@
                                     aReply.load,
                                     NonNegative(aReply.candidates) };
   }
+  if (aReply.__isset.refusal) {
+    grant.mRefusal = FromWire(aReply.refusal);
+  }
   return grant;
 }
 
--- a/Source/Router/PlacementMessages.h
+++ b/Source/Router/PlacementMessages.h
@@ -42,6 +42,8 @@
 
 wire::PlainPlacementRequest ToWire(const PlainDemand& aDemand, Instant aNow);
 PlainDemand FromWire(const wire::PlainPlacementRequest& aRequest, Instant aNow);
+wire::PlainRefusal ToWire(const PlainRefusal& aRefusal);
+PlainRefusal FromWire(const wire::PlainRefusal& aRefusal);
 /** The answer to a demand whose workspace has used up its quota until aWait. */
 PlainGrant OverQuotaGrant(std::uint64_t aNumber, Duration aWait);
 wire::PlainPlacementReply ToWire(const PlainGrant& aGrant);
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -63,6 +63,9 @@
   mGrantNumber = aGrant.mNumber;
   mRequest->mHasTakenQuota = mRequest->mHasTakenQuota || aGrant.mChoice;
   mRequest->mPlacedBy = aGrant.mPlacedBy;
+  if (!aGrant.mChoice && !aGrant.mIsOverQuota) {
+    mServices.mLog.PlacementRefused(*mRequest, aGrant.mRefusal);
+  }
   mCall.OnGranted(aGrant, mServices.mClock.Now());
 }
 
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -42,6 +42,11 @@
   "Endpoints chosen for requests, by step and by who chose them.",
   { "step", "by" }
 };
+const MetricInfo kPlacementRefusals{
+  "bulrushfold_placement_refusals_total",
+  "Plain requests that got no endpoint, by route and cause.",
+  { "route", "cause" }
+};
 const MetricInfo kPartDecisions{
   "bulrushfold_prompt_part_decisions_total",
   "Prompt parts that became refused or accepted again.",
@@ -291,6 +296,25 @@
       { "registry", mDirectory.Revision() } });
 }
 
+void
+RequestLog::PlacementRefused(const RoutedRequest& aRequest,
+                             const PlainRefusal& aRefusal)
+{
+  const std::string route = RouteName(aRequest);
+  const std::string_view cause = PlainRefusalCauseName(aRefusal.mCause);
+  mMetrics.GetCounter(kPlacementRefusals, { route, std::string(cause) }).Add();
+  LogEvent(LogLevel::Warning,
+           "placement_refused",
+           { { "id", aRequest.mMetadata.mId },
+             { "route", route },
+             { "placed_by", PlacerOf(aRequest) },
+             { "cause", cause },
+             { "ahead", aRefusal.mAhead },
+             { "target_left_ms", ToMilliseconds(aRefusal.mTargetLeft) },
+             { "queued_ms", ToMilliseconds(aRefusal.mWaited) },
+             { "sends", aRequest.mSends } });
+}
+
 void
 RequestLog::Placed(const RoutedRequest& aRequest,
                    const StreamPlacement& aPlacement)
--- a/Source/Router/RequestLog.h
+++ b/Source/Router/RequestLog.h
@@ -12,6 +12,7 @@
 #include "Router/StreamCall.h"
 #include "Routing/CrashGuard.h"
 #include "Routing/EndpointDirectory.h"
+#include "Routing/PlainQueue.h"
 #include "absl/status/status.h"
 
 namespace bulrushfold {
@@ -60,6 +61,9 @@
   /** A request or prompt part is refused from now on, or accepted again. */
   void PartDecided(const RefusedPart& aPart, bool aIsRefused, Instant aNow);
   void Queued(const RoutedRequest& aRequest, std::size_t aWaiting);
+  /** A plain request got no endpoint. */
+  void PlacementRefused(const RoutedRequest& aRequest,
+                        const PlainRefusal& aRefusal);
   void Placed(const RoutedRequest& aRequest, const StreamPlacement& aPlacement);
   /** The request has ended. aReason: empty unless the router ended it. */
   void Ended(const RoutedRequest& aRequest,
--- a/Source/Routing/PlainQueue.cxx
+++ b/Source/Routing/PlainQueue.cxx
@@ -2,9 +2,19 @@
 
 #include <algorithm>
 
+#include "Base/EnumNames.h"
+
 namespace bulrushfold {
 
 namespace {
+constexpr EnumNames<PlainRefusalCause, 5> kCauseNames{ {
+  { PlainRefusalCause::Unknown, "unknown" },
+  { PlainRefusalCause::NoEndpoint, "no_endpoint" },
+  { PlainRefusalCause::QueueFull, "queue_full" },
+  { PlainRefusalCause::TargetTooNear, "target_too_near" },
+  { PlainRefusalCause::WaitEnded, "wait_ended" },
+} };
+
 /** Requests beyond the slots of an endpoint that are on their way to it while
  * others end, so that a slot is not idle for the time of a message. */
 constexpr std::uint32_t kOnTheWay = 1;
@@ -16,6 +26,12 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 } // namespace
 
+std::string_view
+PlainRefusalCauseName(PlainRefusalCause aCause)
+{
+  return FindEnumName(kCauseNames, aCause);
+}
+
 PlainQueue::PlainQueue(const PlainSelector& aSelector)
   : mSelector(aSelector)
 {
@@ -43,32 +59,57 @@
   return Choose(aDemand, false, aNow).has_value();
 }
 
-Duration
-PlainQueue::ExpectedWait(const PlainDemand& aDemand) const
+std::uint32_t
+PlainQueue::CountAhead(const PlainDemand& aDemand) const
 {
-  const auto before = static_cast<double>(
+  return static_cast<std::uint32_t>(
     std::count_if(mWaiting.begin(),
                   mWaiting.upper_bound(aDemand.mTarget),
                   [&](const auto& aIt) {
                     return aIt.second.mDemand.mService == aDemand.mService;
                   }));
+}
+
+Duration
+PlainQueue::ExpectedWait(const PlainDemand& aDemand) const
+{
   const auto time = mServiceTimes.find(aDemand.mService);
   const double serviceTime =
     time == mServiceTimes.end() ? kInitialServiceTime : time->second.Value();
   const double slots = std::max(mSelector.Slots(aDemand.mService), 1u);
-  return FromSeconds((before + 1) * serviceTime / slots / 1000);
+  return FromSeconds((CountAhead(aDemand) + 1) * serviceTime / slots / 1000);
+}
+
+PlainRefusalCause
+PlainQueue::FindRefusalCause(const PlainDemand& aDemand, Instant aNow) const
+{
+  if (!mIsLimited || !HasEndpoint(aDemand, aNow)) {
+    return PlainRefusalCause::NoEndpoint;
+  }
+  const Duration wait = ExpectedWait(aDemand);
+  if (wait > kMaxWait) {
+    return PlainRefusalCause::QueueFull;
+  }
+  return aNow + wait > aDemand.mTarget ? PlainRefusalCause::TargetTooNear
+                                       : PlainRefusalCause::Unknown;
 }
 
 PlainGrant
-PlainQueue::Refusal(const PlainDemand& aDemand, Instant aNow) const
+PlainQueue::Refuse(const PlainDemand& aDemand,
+                   PlainRefusalCause aCause,
+                   Duration aWaited,
+                   Instant aNow) const
 {
   const auto end = mSelector.FirstBackoffEnd(aDemand.mService);
-  return { aDemand.mNumber,
-           std::nullopt,
-           std::max({ kMinRetryAfter,
-                      ExpectedWait(aDemand),
-                      end ? *end - aNow : Duration::zero() }),
-           "" };
+  PlainGrant refusal;
+  refusal.mNumber = aDemand.mNumber;
+  refusal.mRetryAfter = std::max({ kMinRetryAfter,
+                                   ExpectedWait(aDemand),
+                                   end ? *end - aNow : Duration::zero() });
+  refusal.mRefusal = {
+    aCause, CountAhead(aDemand), aDemand.mTarget - aNow, aWaited
+  };
+  return refusal;
 }
 
 std::optional<PlainGrant>
@@ -79,14 +120,13 @@
       aDemand.mNumber, std::move(choice), Duration::zero(), ""
     };
   }
-  const Duration wait = ExpectedWait(aDemand);
-  if (!mIsLimited || !HasEndpoint(aDemand, aNow) || wait > kMaxWait ||
-      aNow + wait > aDemand.mTarget) {
-    return Refusal(aDemand, aNow);
+  if (const auto cause = FindRefusalCause(aDemand, aNow);
+      cause != PlainRefusalCause::Unknown) {
+    return Refuse(aDemand, cause, Duration::zero(), aNow);
   }
   mWaiting.emplace(
     aDemand.mTarget,
-    Waiting{ aDemand, std::min(aNow + kMaxWait, aDemand.mTarget) });
+    Waiting{ aDemand, aNow, std::min(aNow + kMaxWait, aDemand.mTarget) });
   return std::nullopt;
 }
 
@@ -115,9 +155,8 @@
       continue;
     }
     auto choice = Choose(waiting.mDemand, mIsLimited, aNow);
-    const bool isRefused = !choice && (aNow >= waiting.mQueueDeadline ||
-                                       !HasEndpoint(waiting.mDemand, aNow));
-    if (!choice && !isRefused) {
+    const bool hasWaited = aNow >= waiting.mQueueDeadline;
+    if (!choice && !hasWaited && HasEndpoint(waiting.mDemand, aNow)) {
       ++it;
       continue;
     }
@@ -126,7 +165,11 @@
                                   std::move(choice),
                                   Duration::zero(),
                                   "" }
-                    : Refusal(waiting.mDemand, aNow));
+                    : Refuse(waiting.mDemand,
+                             hasWaited ? PlainRefusalCause::WaitEnded
+                                       : PlainRefusalCause::NoEndpoint,
+                             aNow - waiting.mSince,
+                             aNow));
     it = mWaiting.begin();
   }
 }
--- a/Source/Routing/PlainQueue.h
+++ b/Source/Routing/PlainQueue.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Base/Clock.h"
@@ -31,6 +32,35 @@
   PlacementTerms mTerms{};
 };
 
+/** Why a PlainDemand gets no endpoint. */
+enum class PlainRefusalCause
+{
+  /** The daemon that places the request did not state a cause. */
+  Unknown,
+  /** No endpoint of the service is usable. */
+  NoEndpoint,
+  /** Those that wait before it need longer than the longest wait. */
+  QueueFull,
+  /** It would get a slot only after its target. */
+  TargetTooNear,
+  /** It has waited as long as it may. */
+  WaitEnded,
+};
+
+std::string_view PlainRefusalCauseName(PlainRefusalCause aCause);
+
+/** How the queue decided to refuse a PlainDemand. */
+struct PlainRefusal
+{
+  PlainRefusalCause mCause = PlainRefusalCause::Unknown;
+  /** Requests for the same service that waited before it. */
+  std::uint32_t mAhead = 0;
+  /** Time until its target; negative when the target has passed. */
+  Duration mTargetLeft{};
+  /** Time that it waited in the queue. */
+  Duration mWaited{};
+};
+
 /** The answer to a PlainDemand. */
 struct PlainGrant
 {
@@ -43,6 +73,8 @@
   std::string mPlacedBy;
   /** Set with an empty choice: the workspace has used up its quota. */
   bool mIsOverQuota = false;
+  /** Set with an empty choice: the queue's reason. */
+  PlainRefusal mRefusal{};
 };
 
 /**
@@ -82,6 +114,7 @@
   struct Waiting
   {
     PlainDemand mDemand;
+    Instant mSince;
     Instant mQueueDeadline;
   };
   /** An endpoint for aDemand. aIsLimited: only one with a free slot. */
@@ -90,9 +123,17 @@
                                        Instant aNow) const;
   /** True when some endpoint could serve aDemand, now or later. */
   bool HasEndpoint(const PlainDemand& aDemand, Instant aNow) const;
+  /** Number of demands for the same service that are served before aDemand. */
+  std::uint32_t CountAhead(const PlainDemand& aDemand) const;
   /** Time until aDemand gets a slot, if all that wait before it are served. */
   Duration ExpectedWait(const PlainDemand& aDemand) const;
-  PlainGrant Refusal(const PlainDemand& aDemand, Instant aNow) const;
+  /** Why aDemand may not wait; Unknown: it may. */
+  PlainRefusalCause FindRefusalCause(const PlainDemand& aDemand,
+                                     Instant aNow) const;
+  PlainGrant Refuse(const PlainDemand& aDemand,
+                    PlainRefusalCause aCause,
+                    Duration aWaited,
+                    Instant aNow) const;
 
   const PlainSelector& mSelector;
   bool mIsLimited = false;
--- a/Source/Wire/Placement.thrift
+++ b/Source/Wire/Placement.thrift
@@ -23,6 +23,16 @@
   9: double cost,
 }
 
+// Why a plain request gets no endpoint.
+struct PlainRefusal {
+  // The cause's place in PlainRefusalCause.
+  1: required i32 cause,
+  2: required i32 ahead,
+  // Milliseconds; negative when the target has passed.
+  3: required i32 targetLeftMs,
+  4: required i32 waitedMs,
+}
+
 struct PlainPlacementReply {
   // Empty: no endpoint is available.
   1: required string endpoint,
@@ -30,6 +40,8 @@
   3: required i32 candidates,
   4: required i32 retryAfterMs,
   5: bool isOverQuota,
+  // Set when the queue refused the request.
+  6: optional PlainRefusal refusal,
 }
 
 // PLACE_STREAM, a call: asks for engines for a stream.
--- a/Source/Wire/gen-cpp/Placement_types.cpp
+++ b/Source/Wire/gen-cpp/Placement_types.cpp
@@ -390,6 +390,167 @@
 }
 
 
+PlainRefusal::~PlainRefusal() noexcept {
+}
+
+
+void PlainRefusal::__set_cause(const int32_t val) {
+  this->cause = val;
+}
+
+void PlainRefusal::__set_ahead(const int32_t val) {
+  this->ahead = val;
+}
+
+void PlainRefusal::__set_targetLeftMs(const int32_t val) {
+  this->targetLeftMs = val;
+}
+
+void PlainRefusal::__set_waitedMs(const int32_t val) {
+  this->waitedMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const PlainRefusal& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PlainRefusal::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_cause = false;
+  bool isset_ahead = false;
+  bool isset_targetLeftMs = false;
+  bool isset_waitedMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->cause);
+          isset_cause = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->ahead);
+          isset_ahead = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->targetLeftMs);
+          isset_targetLeftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->waitedMs);
+          isset_waitedMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_cause)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_ahead)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_targetLeftMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_waitedMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PlainRefusal::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PlainRefusal");
+
+  xfer += oprot->writeFieldBegin("cause", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->cause);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("ahead", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->ahead);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("targetLeftMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->targetLeftMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("waitedMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->waitedMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PlainRefusal &a, PlainRefusal &b) {
+  using ::std::swap;
+  swap(a.cause, b.cause);
+  swap(a.ahead, b.ahead);
+  swap(a.targetLeftMs, b.targetLeftMs);
+  swap(a.waitedMs, b.waitedMs);
+}
+
+PlainRefusal::PlainRefusal(const PlainRefusal& other8) noexcept {
+  cause = other8.cause;
+  ahead = other8.ahead;
+  targetLeftMs = other8.targetLeftMs;
+  waitedMs = other8.waitedMs;
+}
+PlainRefusal& PlainRefusal::operator=(const PlainRefusal& other9) noexcept {
+  cause = other9.cause;
+  ahead = other9.ahead;
+  targetLeftMs = other9.targetLeftMs;
+  waitedMs = other9.waitedMs;
+  return *this;
+}
+void PlainRefusal::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PlainRefusal(";
+  out << "cause=" << to_string(cause);
+  out << ", " << "ahead=" << to_string(ahead);
+  out << ", " << "targetLeftMs=" << to_string(targetLeftMs);
+  out << ", " << "waitedMs=" << to_string(waitedMs);
+  out << ")";
+}
+
+
 PlainPlacementReply::~PlainPlacementReply() noexcept {
 }
 
@@ -413,6 +574,11 @@
 void PlainPlacementReply::__set_isOverQuota(const bool val) {
   this->isOverQuota = val;
 }
+
+void PlainPlacementReply::__set_refusal(const PlainRefusal& val) {
+  this->refusal = val;
+__isset.refusal = true;
+}
 std::ostream& operator<<(std::ostream& out, const PlainPlacementReply& obj)
 {
   obj.printTo(out);
@@ -485,6 +651,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->refusal.read(iprot);
+          this->__isset.refusal = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -530,6 +704,11 @@
   xfer += oprot->writeBool(this->isOverQuota);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.refusal) {
+    xfer += oprot->writeFieldBegin("refusal", ::apache::thrift::protocol::T_STRUCT, 6);
+    xfer += this->refusal.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -542,24 +721,27 @@
   swap(a.candidates, b.candidates);
   swap(a.retryAfterMs, b.retryAfterMs);
   swap(a.isOverQuota, b.isOverQuota);
+  swap(a.refusal, b.refusal);
   swap(a.__isset, b.__isset);
 }
 
-PlainPlacementReply::PlainPlacementReply(const PlainPlacementReply& other8) {
-  endpoint = other8.endpoint;
-  load = other8.load;
-  candidates = other8.candidates;
-  retryAfterMs = other8.retryAfterMs;
-  isOverQuota = other8.isOverQuota;
-  __isset = other8.__isset;
-}
-PlainPlacementReply& PlainPlacementReply::operator=(const PlainPlacementReply& other9) {
-  endpoint = other9.endpoint;
-  load = other9.load;
-  candidates = other9.candidates;
-  retryAfterMs = other9.retryAfterMs;
-  isOverQuota = other9.isOverQuota;
-  __isset = other9.__isset;
+PlainPlacementReply::PlainPlacementReply(const PlainPlacementReply& other10) {
+  endpoint = other10.endpoint;
+  load = other10.load;
+  candidates = other10.candidates;
+  retryAfterMs = other10.retryAfterMs;
+  isOverQuota = other10.isOverQuota;
+  refusal = other10.refusal;
+  __isset = other10.__isset;
+}
+PlainPlacementReply& PlainPlacementReply::operator=(const PlainPlacementReply& other11) {
+  endpoint = other11.endpoint;
+  load = other11.load;
+  candidates = other11.candidates;
+  retryAfterMs = other11.retryAfterMs;
+  isOverQuota = other11.isOverQuota;
+  refusal = other11.refusal;
+  __isset = other11.__isset;
   return *this;
 }
 void PlainPlacementReply::printTo(std::ostream& out) const {
@@ -570,6 +752,7 @@
   out << ", " << "candidates=" << to_string(candidates);
   out << ", " << "retryAfterMs=" << to_string(retryAfterMs);
   out << ", " << "isOverQuota=" << to_string(isOverQuota);
+  out << ", " << "refusal="; (__isset.refusal ? (out << to_string(refusal)) : (out << "<null>"));
   out << ")";
 }
 
@@ -768,14 +951,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failedEndpoints.clear();
-            uint32_t _size10;
-            ::apache::thrift::protocol::TType _etype13;
-            xfer += iprot->readListBegin(_etype13, _size10);
-            this->failedEndpoints.resize(_size10);
-            uint32_t _i14;
-            for (_i14 = 0; _i14 < _size10; ++_i14)
+            uint32_t _size12;
+            ::apache::thrift::protocol::TType _etype15;
+            xfer += iprot->readListBegin(_etype15, _size12);
+            this->failedEndpoints.resize(_size12);
+            uint32_t _i16;
+            for (_i16 = 0; _i16 < _size12; ++_i16)
             {
-              xfer += iprot->readString(this->failedEndpoints[_i14]);
+              xfer += iprot->readString(this->failedEndpoints[_i16]);
             }
             xfer += iprot->readListEnd();
           }
@@ -934,10 +1117,10 @@
   xfer += oprot->writeFieldBegin("failedEndpoints", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->failedEndpoints.size()));
-    std::vector<std::string> ::const_iterator _iter15;
-    for (_iter15 = this->failedEndpoints.begin(); _iter15 != this->failedEndpoints.end(); ++_iter15)
+    std::vector<std::string> ::const_iterator _iter17;
+    for (_iter17 = this->failedEndpoints.begin(); _iter17 != this->failedEndpoints.end(); ++_iter17)
     {
-      xfer += oprot->writeString((*_iter15));
+      xfer += oprot->writeString((*_iter17));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1003,47 +1186,47 @@
   swap(a.__isset, b.__isset);
 }
 
-StreamPlacementRequest::StreamPlacementRequest(const StreamPlacementRequest& other16) {
-  session = other16.session;
-  number = other16.number;
-  serviceName = other16.serviceName;
-  promptTokens = other16.promptTokens;
-  generatedTokens = other16.generatedTokens;
-  answerTokens = other16.answerTokens;
-  mostTokens = other16.mostTokens;
-  firstEventMs = other16.firstEventMs;
-  queueMs = other16.queueMs;
-  failedEndpoints = other16.failedEndpoints;
-  promptKey = other16.promptKey;
-  wasInterrupted = other16.wasInterrupted;
-  isRetry = other16.isRetry;
-  requestHash = other16.requestHash;
-  memoryTokens = other16.memoryTokens;
-  workspace = other16.workspace;
-  urgency = other16.urgency;
-  cost = other16.cost;
-  __isset = other16.__isset;
-}
-StreamPlacementRequest& StreamPlacementRequest::operator=(const StreamPlacementRequest& other17) {
-  session = other17.session;
-  number = other17.number;
-  serviceName = other17.serviceName;
-  promptTokens = other17.promptTokens;
-  generatedTokens = other17.generatedTokens;
-  answerTokens = other17.answerTokens;
-  mostTokens = other17.mostTokens;
-  firstEventMs = other17.firstEventMs;
-  queueMs = other17.queueMs;
-  failedEndpoints = other17.failedEndpoints;
-  promptKey = other17.promptKey;
-  wasInterrupted = other17.wasInterrupted;
-  isRetry = other17.isRetry;
-  requestHash = other17.requestHash;
-  memoryTokens = other17.memoryTokens;
-  workspace = other17.workspace;
-  urgency = other17.urgency;
-  cost = other17.cost;
-  __isset = other17.__isset;
+StreamPlacementRequest::StreamPlacementRequest(const StreamPlacementRequest& other18) {
+  session = other18.session;
+  number = other18.number;
+  serviceName = other18.serviceName;
+  promptTokens = other18.promptTokens;
+  generatedTokens = other18.generatedTokens;
+  answerTokens = other18.answerTokens;
+  mostTokens = other18.mostTokens;
+  firstEventMs = other18.firstEventMs;
+  queueMs = other18.queueMs;
+  failedEndpoints = other18.failedEndpoints;
+  promptKey = other18.promptKey;
+  wasInterrupted = other18.wasInterrupted;
+  isRetry = other18.isRetry;
+  requestHash = other18.requestHash;
+  memoryTokens = other18.memoryTokens;
+  workspace = other18.workspace;
+  urgency = other18.urgency;
+  cost = other18.cost;
+  __isset = other18.__isset;
+}
+StreamPlacementRequest& StreamPlacementRequest::operator=(const StreamPlacementRequest& other19) {
+  session = other19.session;
+  number = other19.number;
+  serviceName = other19.serviceName;
+  promptTokens = other19.promptTokens;
+  generatedTokens = other19.generatedTokens;
+  answerTokens = other19.answerTokens;
+  mostTokens = other19.mostTokens;
+  firstEventMs = other19.firstEventMs;
+  queueMs = other19.queueMs;
+  failedEndpoints = other19.failedEndpoints;
+  promptKey = other19.promptKey;
+  wasInterrupted = other19.wasInterrupted;
+  isRetry = other19.isRetry;
+  requestHash = other19.requestHash;
+  memoryTokens = other19.memoryTokens;
+  workspace = other19.workspace;
+  urgency = other19.urgency;
+  cost = other19.cost;
+  __isset = other19.__isset;
   return *this;
 }
 void StreamPlacementRequest::printTo(std::ostream& out) const {
@@ -1149,9 +1332,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast18;
-          xfer += iprot->readI32(ecast18);
-          this->result = static_cast<StreamPlacementResult::type>(ecast18);
+          int32_t ecast20;
+          xfer += iprot->readI32(ecast20);
+          this->result = static_cast<StreamPlacementResult::type>(ecast20);
           isset_result = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1310,27 +1493,27 @@
   swap(a.retryAfterMs, b.retryAfterMs);
 }
 
-StreamPlacementReply::StreamPlacementReply(const StreamPlacementReply& other19) {
-  result = other19.result;
-  decode = other19.decode;
-  decodeRuns = other19.decodeRuns;
-  decodePeak = other19.decodePeak;
-  prefill = other19.prefill;
-  prefillRequests = other19.prefillRequests;
-  prefillTokens = other19.prefillTokens;
-  cachedTokens = other19.cachedTokens;
-  retryAfterMs = other19.retryAfterMs;
-}
-StreamPlacementReply& StreamPlacementReply::operator=(const StreamPlacementReply& other20) {
-  result = other20.result;
-  decode = other20.decode;
-  decodeRuns = other20.decodeRuns;
-  decodePeak = other20.decodePeak;
-  prefill = other20.prefill;
-  prefillRequests = other20.prefillRequests;
-  prefillTokens = other20.prefillTokens;
-  cachedTokens = other20.cachedTokens;
-  retryAfterMs = other20.retryAfterMs;
+StreamPlacementReply::StreamPlacementReply(const StreamPlacementReply& other21) {
+  result = other21.result;
+  decode = other21.decode;
+  decodeRuns = other21.decodeRuns;
+  decodePeak = other21.decodePeak;
+  prefill = other21.prefill;
+  prefillRequests = other21.prefillRequests;
+  prefillTokens = other21.prefillTokens;
+  cachedTokens = other21.cachedTokens;
+  retryAfterMs = other21.retryAfterMs;
+}
+StreamPlacementReply& StreamPlacementReply::operator=(const StreamPlacementReply& other22) {
+  result = other22.result;
+  decode = other22.decode;
+  decodeRuns = other22.decodeRuns;
+  decodePeak = other22.decodePeak;
+  prefill = other22.prefill;
+  prefillRequests = other22.prefillRequests;
+  prefillTokens = other22.prefillTokens;
+  cachedTokens = other22.cachedTokens;
+  retryAfterMs = other22.retryAfterMs;
   return *this;
 }
 void StreamPlacementReply::printTo(std::ostream& out) const {
@@ -1466,15 +1649,15 @@
   swap(a.slots, b.slots);
 }
 
-EndpointLoad::EndpointLoad(const EndpointLoad& other21) noexcept {
-  running = other21.running;
-  waiting = other21.waiting;
-  slots = other21.slots;
+EndpointLoad::EndpointLoad(const EndpointLoad& other23) noexcept {
+  running = other23.running;
+  waiting = other23.waiting;
+  slots = other23.slots;
 }
-EndpointLoad& EndpointLoad::operator=(const EndpointLoad& other22) noexcept {
-  running = other22.running;
-  waiting = other22.waiting;
-  slots = other22.slots;
+EndpointLoad& EndpointLoad::operator=(const EndpointLoad& other24) noexcept {
+  running = other24.running;
+  waiting = other24.waiting;
+  slots = other24.slots;
   return *this;
 }
 void EndpointLoad::printTo(std::ostream& out) const {
@@ -1571,9 +1754,9 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_I32) {
-          int32_t ecast23;
-          xfer += iprot->readI32(ecast23);
-          this->kind = static_cast<PlacementEventKind::type>(ecast23);
+          int32_t ecast25;
+          xfer += iprot->readI32(ecast25);
+          this->kind = static_cast<PlacementEventKind::type>(ecast25);
           isset_kind = true;
         } else {
           xfer += iprot->skip(ftype);
@@ -1759,35 +1942,35 @@
   swap(a.__isset, b.__isset);
 }
 
-PlacementEvent::PlacementEvent(const PlacementEvent& other24) {
-  kind = other24.kind;
-  number = other24.number;
-  endpoint = other24.endpoint;
-  serviceName = other24.serviceName;
-  elapsedUs = other24.elapsedUs;
-  tokens = other24.tokens;
-  tokensPerEvent = other24.tokensPerEvent;
-  promptKey = other24.promptKey;
-  result = other24.result;
-  load = other24.load;
-  incarnation = other24.incarnation;
-  leftMs = other24.leftMs;
-  __isset = other24.__isset;
-}
-PlacementEvent& PlacementEvent::operator=(const PlacementEvent& other25) {
-  kind = other25.kind;
-  number = other25.number;
-  endpoint = other25.endpoint;
-  serviceName = other25.serviceName;
-  elapsedUs = other25.elapsedUs;
-  tokens = other25.tokens;
-  tokensPerEvent = other25.tokensPerEvent;
-  promptKey = other25.promptKey;
-  result = other25.result;
-  load = other25.load;
-  incarnation = other25.incarnation;
-  leftMs = other25.leftMs;
-  __isset = other25.__isset;
+PlacementEvent::PlacementEvent(const PlacementEvent& other26) {
+  kind = other26.kind;
+  number = other26.number;
+  endpoint = other26.endpoint;
+  serviceName = other26.serviceName;
+  elapsedUs = other26.elapsedUs;
+  tokens = other26.tokens;
+  tokensPerEvent = other26.tokensPerEvent;
+  promptKey = other26.promptKey;
+  result = other26.result;
+  load = other26.load;
+  incarnation = other26.incarnation;
+  leftMs = other26.leftMs;
+  __isset = other26.__isset;
+}
+PlacementEvent& PlacementEvent::operator=(const PlacementEvent& other27) {
+  kind = other27.kind;
+  number = other27.number;
+  endpoint = other27.endpoint;
+  serviceName = other27.serviceName;
+  elapsedUs = other27.elapsedUs;
+  tokens = other27.tokens;
+  tokensPerEvent = other27.tokensPerEvent;
+  promptKey = other27.promptKey;
+  result = other27.result;
+  load = other27.load;
+  incarnation = other27.incarnation;
+  leftMs = other27.leftMs;
+  __isset = other27.__isset;
   return *this;
 }
 void PlacementEvent::printTo(std::ostream& out) const {
@@ -1867,14 +2050,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->events.clear();
-            uint32_t _size26;
-            ::apache::thrift::protocol::TType _etype29;
-            xfer += iprot->readListBegin(_etype29, _size26);
-            this->events.resize(_size26);
-            uint32_t _i30;
-            for (_i30 = 0; _i30 < _size26; ++_i30)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->events.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += this->events[_i30].read(iprot);
+              xfer += this->events[_i32].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1887,14 +2070,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->adopted.clear();
-            uint32_t _size31;
-            ::apache::thrift::protocol::TType _etype34;
-            xfer += iprot->readListBegin(_etype34, _size31);
-            this->adopted.resize(_size31);
-            uint32_t _i35;
-            for (_i35 = 0; _i35 < _size31; ++_i35)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->adopted.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += this->adopted[_i35].read(iprot);
+              xfer += this->adopted[_i37].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1933,10 +2116,10 @@
   xfer += oprot->writeFieldBegin("events", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->events.size()));
-    std::vector<PlacementEvent> ::const_iterator _iter36;
-    for (_iter36 = this->events.begin(); _iter36 != this->events.end(); ++_iter36)
+    std::vector<PlacementEvent> ::const_iterator _iter38;
+    for (_iter38 = this->events.begin(); _iter38 != this->events.end(); ++_iter38)
     {
-      xfer += (*_iter36).write(oprot);
+      xfer += (*_iter38).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1945,10 +2128,10 @@
   xfer += oprot->writeFieldBegin("adopted", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->adopted.size()));
-    std::vector< ::bulrushfold::wire::StreamRun> ::const_iterator _iter37;
-    for (_iter37 = this->adopted.begin(); _iter37 != this->adopted.end(); ++_iter37)
+    std::vector< ::bulrushfold::wire::StreamRun> ::const_iterator _iter39;
+    for (_iter39 = this->adopted.begin(); _iter39 != this->adopted.end(); ++_iter39)
     {
-      xfer += (*_iter37).write(oprot);
+      xfer += (*_iter39).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1966,15 +2149,15 @@
   swap(a.adopted, b.adopted);
 }
 
-PlacementEvents::PlacementEvents(const PlacementEvents& other38) {
-  session = other38.session;
-  events = other38.events;
-  adopted = other38.adopted;
+PlacementEvents::PlacementEvents(const PlacementEvents& other40) {
+  session = other40.session;
+  events = other40.events;
+  adopted = other40.adopted;
 }
-PlacementEvents& PlacementEvents::operator=(const PlacementEvents& other39) {
-  session = other39.session;
-  events = other39.events;
-  adopted = other39.adopted;
+PlacementEvents& PlacementEvents::operator=(const PlacementEvents& other41) {
+  session = other41.session;
+  events = other41.events;
+  adopted = other41.adopted;
   return *this;
 }
 void PlacementEvents::printTo(std::ostream& out) const {
@@ -2124,17 +2307,17 @@
   swap(a.sequence, b.sequence);
 }
 
-FeedPosition::FeedPosition(const FeedPosition& other40) {
-  prefix = other40.prefix;
-  revision = other40.revision;
-  feed = other40.feed;
-  sequence = other40.sequence;
+FeedPosition::FeedPosition(const FeedPosition& other42) {
+  prefix = other42.prefix;
+  revision = other42.revision;
+  feed = other42.feed;
+  sequence = other42.sequence;
 }
-FeedPosition& FeedPosition::operator=(const FeedPosition& other41) {
-  prefix = other41.prefix;
-  revision = other41.revision;
-  feed = other41.feed;
-  sequence = other41.sequence;
+FeedPosition& FeedPosition::operator=(const FeedPosition& other43) {
+  prefix = other43.prefix;
+  revision = other43.revision;
+  feed = other43.feed;
+  sequence = other43.sequence;
   return *this;
 }
 void FeedPosition::printTo(std::ostream& out) const {
@@ -2305,19 +2488,19 @@
   swap(a.isLarge, b.isLarge);
 }
 
-FeedObject::FeedObject(const FeedObject& other42) {
-  key = other42.key;
-  version = other42.version;
-  body = other42.body;
-  isDeleted = other42.isDeleted;
-  isLarge = other42.isLarge;
+FeedObject::FeedObject(const FeedObject& other44) {
+  key = other44.key;
+  version = other44.version;
+  body = other44.body;
+  isDeleted = other44.isDeleted;
+  isLarge = other44.isLarge;
 }
-FeedObject& FeedObject::operator=(const FeedObject& other43) {
-  key = other43.key;
-  version = other43.version;
-  body = other43.body;
-  isDeleted = other43.isDeleted;
-  isLarge = other43.isLarge;
+FeedObject& FeedObject::operator=(const FeedObject& other45) {
+  key = other45.key;
+  version = other45.version;
+  body = other45.body;
+  isDeleted = other45.isDeleted;
+  isLarge = other45.isLarge;
   return *this;
 }
 void FeedObject::printTo(std::ostream& out) const {
@@ -2434,14 +2617,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->changes.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->changes.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->changes.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->changes[_i48].read(iprot);
+              xfer += this->changes[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2454,14 +2637,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keys.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->keys.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size51;
+            ::apache::thrift::protocol::TType _etype54;
+            xfer += iprot->readListBegin(_etype54, _size51);
+            this->keys.resize(_size51);
+            uint32_t _i55;
+            for (_i55 = 0; _i55 < _size51; ++_i55)
             {
-              xfer += iprot->readString(this->keys[_i53]);
+              xfer += iprot->readString(this->keys[_i55]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2524,10 +2707,10 @@
   xfer += oprot->writeFieldBegin("changes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->changes.size()));
-    std::vector<FeedObject> ::const_iterator _iter54;
-    for (_iter54 = this->changes.begin(); _iter54 != this->changes.end(); ++_iter54)
+    std::vector<FeedObject> ::const_iterator _iter56;
+    for (_iter56 = this->changes.begin(); _iter56 != this->changes.end(); ++_iter56)
     {
-      xfer += (*_iter54).write(oprot);
+      xfer += (*_iter56).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2537,10 +2720,10 @@
     xfer += oprot->writeFieldBegin("keys", ::apache::thrift::protocol::T_LIST, 6);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->keys.size()));
-      std::vector<std::string> ::const_iterator _iter55;
-      for (_iter55 = this->keys.begin(); _iter55 != this->keys.end(); ++_iter55)
+      std::vector<std::string> ::const_iterator _iter57;
+      for (_iter57 = this->keys.begin(); _iter57 != this->keys.end(); ++_iter57)
       {
-        xfer += oprot->writeString((*_iter55));
+        xfer += oprot->writeString((*_iter57));
       }
       xfer += oprot->writeListEnd();
     }
@@ -2568,25 +2751,25 @@
   swap(a.__isset, b.__isset);
 }
 
-FeedUpdate::FeedUpdate(const FeedUpdate& other56) {
-  prefix = other56.prefix;
-  isCurrent = other56.isCurrent;
-  feed = other56.feed;
-  sequence = other56.sequence;
-  changes = other56.changes;
-  keys = other56.keys;
-  version = other56.version;
-  __isset = other56.__isset;
-}
-FeedUpdate& FeedUpdate::operator=(const FeedUpdate& other57) {
-  prefix = other57.prefix;
-  isCurrent = other57.isCurrent;
-  feed = other57.feed;
-  sequence = other57.sequence;
-  changes = other57.changes;
-  keys = other57.keys;
-  version = other57.version;
-  __isset = other57.__isset;
+FeedUpdate::FeedUpdate(const FeedUpdate& other58) {
+  prefix = other58.prefix;
+  isCurrent = other58.isCurrent;
+  feed = other58.feed;
+  sequence = other58.sequence;
+  changes = other58.changes;
+  keys = other58.keys;
+  version = other58.version;
+  __isset = other58.__isset;
+}
+FeedUpdate& FeedUpdate::operator=(const FeedUpdate& other59) {
+  prefix = other59.prefix;
+  isCurrent = other59.isCurrent;
+  feed = other59.feed;
+  sequence = other59.sequence;
+  changes = other59.changes;
+  keys = other59.keys;
+  version = other59.version;
+  __isset = other59.__isset;
   return *this;
 }
 void FeedUpdate::printTo(std::ostream& out) const {
@@ -2697,14 +2880,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->positions.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->positions.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->positions.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->positions[_i62].read(iprot);
+              xfer += this->positions[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2717,14 +2900,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->plain.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _etype66;
-            xfer += iprot->readListBegin(_etype66, _size63);
-            this->plain.resize(_size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->plain.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += iprot->readI64(this->plain[_i67]);
+              xfer += iprot->readI64(this->plain[_i69]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2737,14 +2920,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->streams.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->streams.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->streams.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += iprot->readI64(this->streams[_i72]);
+              xfer += iprot->readI64(this->streams[_i74]);
             }
             xfer += iprot->readListEnd();
           }
@@ -2807,10 +2990,10 @@
   xfer += oprot->writeFieldBegin("positions", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->positions.size()));
-    std::vector<FeedPosition> ::const_iterator _iter73;
-    for (_iter73 = this->positions.begin(); _iter73 != this->positions.end(); ++_iter73)
+    std::vector<FeedPosition> ::const_iterator _iter75;
+    for (_iter75 = this->positions.begin(); _iter75 != this->positions.end(); ++_iter75)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter75).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2819,10 +3002,10 @@
   xfer += oprot->writeFieldBegin("plain", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->plain.size()));
-    std::vector<int64_t> ::const_iterator _iter74;
-    for (_iter74 = this->plain.begin(); _iter74 != this->plain.end(); ++_iter74)
+    std::vector<int64_t> ::const_iterator _iter76;
+    for (_iter76 = this->plain.begin(); _iter76 != this->plain.end(); ++_iter76)
     {
-      xfer += oprot->writeI64((*_iter74));
+      xfer += oprot->writeI64((*_iter76));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2831,10 +3014,10 @@
   xfer += oprot->writeFieldBegin("streams", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->streams.size()));
-    std::vector<int64_t> ::const_iterator _iter75;
-    for (_iter75 = this->streams.begin(); _iter75 != this->streams.end(); ++_iter75)
+    std::vector<int64_t> ::const_iterator _iter77;
+    for (_iter77 = this->streams.begin(); _iter77 != this->streams.end(); ++_iter77)
     {
-      xfer += oprot->writeI64((*_iter75));
+      xfer += oprot->writeI64((*_iter77));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2860,23 +3043,23 @@
   swap(a.reachesStore, b.reachesStore);
 }
 
-PlacementPoll::PlacementPoll(const PlacementPoll& other76) {
-  session = other76.session;
-  status = other76.status;
-  isProbe = other76.isProbe;
-  positions = other76.positions;
-  plain = other76.plain;
-  streams = other76.streams;
-  reachesStore = other76.reachesStore;
-}
-PlacementPoll& PlacementPoll::operator=(const PlacementPoll& other77) {
-  session = other77.session;
-  status = other77.status;
-  isProbe = other77.isProbe;
-  positions = other77.positions;
-  plain = other77.plain;
-  streams = other77.streams;
-  reachesStore = other77.reachesStore;
+PlacementPoll::PlacementPoll(const PlacementPoll& other78) {
+  session = other78.session;
+  status = other78.status;
+  isProbe = other78.isProbe;
+  positions = other78.positions;
+  plain = other78.plain;
+  streams = other78.streams;
+  reachesStore = other78.reachesStore;
+}
+PlacementPoll& PlacementPoll::operator=(const PlacementPoll& other79) {
+  session = other79.session;
+  status = other79.status;
+  isProbe = other79.isProbe;
+  positions = other79.positions;
+  plain = other79.plain;
+  streams = other79.streams;
+  reachesStore = other79.reachesStore;
   return *this;
 }
 void PlacementPoll::printTo(std::ostream& out) const {
@@ -2990,13 +3173,13 @@
   swap(a.target, b.target);
 }
 
-MoveProposal::MoveProposal(const MoveProposal& other78) {
-  number = other78.number;
-  target = other78.target;
+MoveProposal::MoveProposal(const MoveProposal& other80) {
+  number = other80.number;
+  target = other80.target;
 }
-MoveProposal& MoveProposal::operator=(const MoveProposal& other79) {
-  number = other79.number;
-  target = other79.target;
+MoveProposal& MoveProposal::operator=(const MoveProposal& other81) {
+  number = other81.number;
+  target = other81.target;
   return *this;
 }
 void MoveProposal::printTo(std::ostream& out) const {
@@ -3071,14 +3254,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->moves.clear();
-            uint32_t _size80;
-            ::apache::thrift::protocol::TType _etype83;
-            xfer += iprot->readListBegin(_etype83, _size80);
-            this->moves.resize(_size80);
-            uint32_t _i84;
-            for (_i84 = 0; _i84 < _size80; ++_i84)
+            uint32_t _size82;
+            ::apache::thrift::protocol::TType _etype85;
+            xfer += iprot->readListBegin(_etype85, _size82);
+            this->moves.resize(_size82);
+            uint32_t _i86;
+            for (_i86 = 0; _i86 < _size82; ++_i86)
             {
-              xfer += this->moves[_i84].read(iprot);
+              xfer += this->moves[_i86].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3099,14 +3282,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->updates.clear();
-            uint32_t _size85;
-            ::apache::thrift::protocol::TType _etype88;
-            xfer += iprot->readListBegin(_etype88, _size85);
-            this->updates.resize(_size85);
-            uint32_t _i89;
-            for (_i89 = 0; _i89 < _size85; ++_i89)
+            uint32_t _size87;
+            ::apache::thrift::protocol::TType _etype90;
+            xfer += iprot->readListBegin(_etype90, _size87);
+            this->updates.resize(_size87);
+            uint32_t _i91;
+            for (_i91 = 0; _i91 < _size87; ++_i91)
             {
-              xfer += this->updates[_i89].read(iprot);
+              xfer += this->updates[_i91].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3147,10 +3330,10 @@
   xfer += oprot->writeFieldBegin("moves", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->moves.size()));
-    std::vector<MoveProposal> ::const_iterator _iter90;
-    for (_iter90 = this->moves.begin(); _iter90 != this->moves.end(); ++_iter90)
+    std::vector<MoveProposal> ::const_iterator _iter92;
+    for (_iter92 = this->moves.begin(); _iter92 != this->moves.end(); ++_iter92)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3163,10 +3346,10 @@
   xfer += oprot->writeFieldBegin("updates", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->updates.size()));
-    std::vector<FeedUpdate> ::const_iterator _iter91;
-    for (_iter91 = this->updates.begin(); _iter91 != this->updates.end(); ++_iter91)
+    std::vector<FeedUpdate> ::const_iterator _iter93;
+    for (_iter93 = this->updates.begin(); _iter93 != this->updates.end(); ++_iter93)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3185,17 +3368,17 @@
   swap(a.updates, b.updates);
 }
 
-PlacementNews::PlacementNews(const PlacementNews& other92) {
-  status = other92.status;
-  moves = other92.moves;
-  daemons = other92.daemons;
-  updates = other92.updates;
+PlacementNews::PlacementNews(const PlacementNews& other94) {
+  status = other94.status;
+  moves = other94.moves;
+  daemons = other94.daemons;
+  updates = other94.updates;
 }
-PlacementNews& PlacementNews::operator=(const PlacementNews& other93) {
-  status = other93.status;
-  moves = other93.moves;
-  daemons = other93.daemons;
-  updates = other93.updates;
+PlacementNews& PlacementNews::operator=(const PlacementNews& other95) {
+  status = other95.status;
+  moves = other95.moves;
+  daemons = other95.daemons;
+  updates = other95.updates;
   return *this;
 }
 void PlacementNews::printTo(std::ostream& out) const {
--- a/Source/Wire/gen-cpp/Placement_types.h
+++ b/Source/Wire/gen-cpp/Placement_types.h
@@ -64,6 +64,8 @@
 
 class PlainPlacementRequest;
 
+class PlainRefusal;
+
 class PlainPlacementReply;
 
 class StreamPlacementRequest;
@@ -180,9 +182,65 @@
 
 std::ostream& operator<<(std::ostream& out, const PlainPlacementRequest& obj);
 
+
+class PlainRefusal : public virtual ::apache::thrift::TBase {
+ public:
+
+  PlainRefusal(const PlainRefusal&) noexcept;
+  PlainRefusal& operator=(const PlainRefusal&) noexcept;
+  PlainRefusal() noexcept
+               : cause(0),
+                 ahead(0),
+                 targetLeftMs(0),
+                 waitedMs(0) {
+  }
+
+  virtual ~PlainRefusal() noexcept;
+  int32_t cause;
+  int32_t ahead;
+  int32_t targetLeftMs;
+  int32_t waitedMs;
+
+  void __set_cause(const int32_t val);
+
+  void __set_ahead(const int32_t val);
+
+  void __set_targetLeftMs(const int32_t val);
+
+  void __set_waitedMs(const int32_t val);
+
+  bool operator == (const PlainRefusal & rhs) const
+  {
+    if (!(cause == rhs.cause))
+      return false;
+    if (!(ahead == rhs.ahead))
+      return false;
+    if (!(targetLeftMs == rhs.targetLeftMs))
+      return false;
+    if (!(waitedMs == rhs.waitedMs))
+      return false;
+    return true;
+  }
+  bool operator != (const PlainRefusal &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PlainRefusal & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PlainRefusal &a, PlainRefusal &b);
+
+std::ostream& operator<<(std::ostream& out, const PlainRefusal& obj);
+
 typedef struct _PlainPlacementReply__isset {
-  _PlainPlacementReply__isset() : isOverQuota(false) {}
+  _PlainPlacementReply__isset() : isOverQuota(false), refusal(false) {}
   bool isOverQuota :1;
+  bool refusal :1;
 } _PlainPlacementReply__isset;
 
 class PlainPlacementReply : public virtual ::apache::thrift::TBase {
@@ -204,6 +262,7 @@
   int32_t candidates;
   int32_t retryAfterMs;
   bool isOverQuota;
+  PlainRefusal refusal;
 
   _PlainPlacementReply__isset __isset;
 
@@ -217,6 +276,8 @@
 
   void __set_isOverQuota(const bool val);
 
+  void __set_refusal(const PlainRefusal& val);
+
   bool operator == (const PlainPlacementReply & rhs) const
   {
     if (!(endpoint == rhs.endpoint))
@@ -229,6 +290,10 @@
       return false;
     if (!(isOverQuota == rhs.isOverQuota))
       return false;
+    if (__isset.refusal != rhs.__isset.refusal)
+      return false;
+    else if (__isset.refusal && !(refusal == rhs.refusal))
+      return false;
     return true;
   }
   bool operator != (const PlainPlacementReply &rhs) const {
--- /dev/null
+++ b/Tests/Router/PlacementMessagesTest.cxx
@@ -0,0 +1,39 @@
+#include "Router/PlacementMessages.h"
+
+#include <doctest/doctest.h>
+
+namespace bulrushfold {
+
+namespace {
+using std::chrono::milliseconds;
+} // namespace
+
+TEST_CASE("A refused placement keeps its reason on the way to the daemon")
+{
+  PlainGrant grant;
+  grant.mNumber = 7;
+  grant.mRefusal = {
+    PlainRefusalCause::WaitEnded, 12, milliseconds(898), milliseconds(100)
+  };
+  auto message = ToWire(grant);
+  const PlainRefusal read = FromWire(message, 7).mRefusal;
+  CHECK(read.mCause == PlainRefusalCause::WaitEnded);
+  CHECK(read.mAhead == 12);
+  CHECK(read.mTargetLeft == milliseconds(898));
+  CHECK(read.mWaited == milliseconds(100));
+
+  SUBCASE("and has none when the owner states none")
+  {
+    message.__isset.refusal = false;
+    CHECK(FromWire(message, 7).mRefusal.mCause == PlainRefusalCause::Unknown);
+  }
+  SUBCASE("and a cause that this version does not know is no known one")
+  {
+    message.refusal.cause = 99;
+    CHECK(FromWire(message, 7).mRefusal.mCause == PlainRefusalCause::Unknown);
+    message.refusal.cause = -1;
+    CHECK(FromWire(message, 7).mRefusal.mCause == PlainRefusalCause::Unknown);
+  }
+}
+
+} // namespace bulrushfold
--- a/Tests/Routing/PlainQueueTest.cxx
+++ b/Tests/Routing/PlainQueueTest.cxx
@@ -119,6 +119,30 @@
     CHECK(fixture.Dispatch() == std::vector{ -1 });
     CHECK_FALSE(fixture.mQueue.NextWake());
   }
+  SUBCASE("and a refusal states what led to it")
+  {
+    CHECK_FALSE(fixture.Submit(1));
+    CHECK_FALSE(fixture.Submit(2, milliseconds(200)));
+    const auto late = fixture.Submit(3, milliseconds(5));
+    REQUIRE(late);
+    CHECK(late->mRefusal.mCause == PlainRefusalCause::TargetTooNear);
+    CHECK(late->mRefusal.mTargetLeft == milliseconds(5));
+    CHECK(late->mRefusal.mWaited == Duration::zero());
+    std::uint64_t number = 4;
+    auto full = fixture.Submit(number);
+    while (!full) {
+      full = fixture.Submit(++number);
+    }
+    CHECK(full->mRefusal.mCause == PlainRefusalCause::QueueFull);
+    CHECK(full->mRefusal.mAhead == number - 2);
+    fixture.mNow = *fixture.mQueue.NextWake();
+    std::map<PlainRefusalCause, int> causes;
+    fixture.mQueue.Dispatch(fixture.mNow, [&](const PlainGrant& aGrant) {
+      ++causes[aGrant.mRefusal.mCause];
+      CHECK(aGrant.mRefusal.mWaited == milliseconds(100));
+    });
+    CHECK(causes[PlainRefusalCause::WaitEnded] == static_cast<int>(number) - 2);
+  }
   SUBCASE("and not after they were withdrawn")
   {
     CHECK_FALSE(fixture.Submit(1));
