--- a/Tests/Routing/PlainQueueTest.cxx
+++ b/Tests/Routing/PlainQueueTest.cxx
@@ -1,8 +1,6 @@
-#include "Routing/PlainQueue.h"
+#include "Routing/PlainQueueFixture.h"
 
-#include <algorithm>
 #include <map>
-#include <string>
 
 #include <doctest/doctest.h>
 
@@ -11,86 +9,11 @@
 namespace {
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-
-/** A service whose endpoints have two slots each. */
-struct QueueFixture
-{
-  explicit QueueFixture(int aEndpoints)
-  {
-    for (int i = 0; i < aEndpoints; ++i) {
-      EndpointRecord record;
-      record.mId = "e" + std::to_string(i);
-      record.mService = "s";
-      record.mSlots = 2;
-      mDirectory.Put(record, 1, mNow);
-    }
-    mQueue.SetLimited(true);
-  }
-
-  PlainDemand Demand(std::uint64_t aNumber, Duration aTimeLeft) const
-  {
-    return { aNumber, "s", {}, false, mNow + aTimeLeft };
-  }
-  std::optional<PlainGrant> Submit(std::uint64_t aNumber,
-                                   Duration aTimeLeft = milliseconds(300))
-  {
-    auto grant = mQueue.Submit(Demand(aNumber, aTimeLeft), mNow);
-    if (grant && grant->mChoice) {
-      Count(*grant);
-    }
-    return grant;
-  }
-  void Count(const PlainGrant& aGrant)
-  {
-    mRunning[aGrant.mNumber] = aGrant.mChoice->mEndpoint;
-    mLoads.Begin(aGrant.mChoice->mEndpoint, { 1, 0 });
-  }
-  void End(std::uint64_t aNumber)
-  {
-    mLoads.End(mRunning.at(aNumber), { 1, 0 });
-    mRunning.erase(aNumber);
-  }
-  /** Answers waiting demands; returns the numbers in the order of the answers,
-   * negative when they are refused. */
-  std::vector<int> Dispatch()
-  {
-    std::vector<int> numbers;
-    mQueue.Dispatch(mNow, [&](const PlainGrant& aGrant) {
-      const auto number = static_cast<int>(aGrant.mNumber);
-      numbers.push_back(aGrant.mChoice ? number : -number);
-      if (aGrant.mChoice) {
-        Count(aGrant);
-      }
-    });
-    return numbers;
-  }
-  /** Fills all slots, and the one request on its way to each endpoint. */
-  void Fill()
-  {
-    std::uint64_t number = 1000;
-    while (mQueue.Submit(Demand(number, seconds(1)), mNow)) {
-      mQueue.Withdraw(number);
-      const auto grant = mQueue.Submit(Demand(number, seconds(1)), mNow);
-      Count(*grant);
-      ++number;
-    }
-    mQueue.Withdraw(number);
-  }
-
-  Instant mNow{ seconds(1000) };
-  Random mRandom{ 1 };
-  EndpointDirectory mDirectory{ seconds(2) };
-  EndpointLoads mLoads;
-  EndpointHealth mHealth{ mRandom };
-  PlainSelector mSelector{ mDirectory, mLoads, mHealth, "x", mRandom };
-  PlainQueue mQueue{ mSelector };
-  std::map<std::uint64_t, std::string> mRunning;
-};
 } // namespace
 
 TEST_CASE("Plain requests wait for a free slot")
 {
-  QueueFixture fixture(2);
+  PlainQueueFixture fixture(2);
   fixture.Fill();
   CHECK(fixture.mRunning.size() == 6);
 
@@ -161,7 +84,7 @@
 
 TEST_CASE("A plain request without an endpoint is refused at once")
 {
-  QueueFixture fixture(1);
+  PlainQueueFixture fixture(1);
   SUBCASE("when the service has none")
   {
     fixture.mDirectory.Remove("e0", 2, fixture.mNow);
@@ -184,7 +107,7 @@
 // Guards against a free endpoint that fails being preferred to busy sound ones.
 TEST_CASE("A failing endpoint gets no request while another one is only full")
 {
-  QueueFixture fixture(2);
+  PlainQueueFixture fixture(2);
   for (int i = 0; i < 5; ++i) {
     fixture.mHealth.OnResult(
       "s", "e0", SendResult::ConnectFailed, fixture.mNow);
@@ -200,7 +123,7 @@
 // requests: then nobody is served in time until the burst is over.
 TEST_CASE("In a burst the slots serve requests in time, and no endpoint sheds")
 {
-  QueueFixture fixture(10);
+  PlainQueueFixture fixture(10);
   constexpr Duration kServiceTime = milliseconds(60);
   constexpr Duration kTarget = milliseconds(300);
   // 20 slots serve 333 requests/s; 567 arrive.
