Serve waiting plain requests in the order in which their waits end

Cause: the queue of the placement owner served the earliest target first, without a bound, while no request waits longer than 100 ms. In an overload that lasts, a request with a target of 1 s was overtaken by all that came after it with a target of 150 ms, until its wait ended; one that arrived was refused for the same reason, since only those before it in that order counted.

Change: the order is that of the times at which the waits end, the target or 100 ms after arrival, whichever comes first. A request overtakes only those that may still wait when its target has passed, so the order and the bound of the wait agree. The subcase that asserted the order by target beyond the longest wait was the fault; its replacement asserts the order of four requests on both sides of that bound.

--- a/Source/Routing/PlainQueue.cxx
+++ b/Source/Routing/PlainQueue.cxx
@@ -24,6 +24,13 @@
 /** Time in a slot that is assumed before the first measurement, in ms. */
 constexpr double kInitialServiceTime = 50;
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
+
+/** Time until which aDemand may wait if it arrives at aArrival. */
+Instant
+WaitEnd(const PlainDemand& aDemand, Instant aArrival)
+{
+  return std::min(aArrival + kMaxWait, aDemand.mTarget);
+}
 } // namespace
 
 std::string_view
@@ -60,24 +67,23 @@
 }
 
 std::uint32_t
-PlainQueue::CountAhead(const PlainDemand& aDemand) const
+PlainQueue::CountAhead(const std::string& aService, Instant aWaitEnd) const
 {
-  return static_cast<std::uint32_t>(
-    std::count_if(mWaiting.begin(),
-                  mWaiting.upper_bound(aDemand.mTarget),
-                  [&](const auto& aIt) {
-                    return aIt.second.mDemand.mService == aDemand.mService;
-                  }));
+  return static_cast<std::uint32_t>(std::count_if(
+    mWaiting.begin(), mWaiting.upper_bound(aWaitEnd), [&](const auto& aIt) {
+      return aIt.second.mDemand.mService == aService;
+    }));
 }
 
 Duration
-PlainQueue::ExpectedWait(const PlainDemand& aDemand) const
+PlainQueue::ExpectedWait(const PlainDemand& aDemand, Instant aNow) const
 {
   const auto time = mServiceTimes.find(aDemand.mService);
   const double serviceTime =
     time == mServiceTimes.end() ? kInitialServiceTime : time->second.Value();
   const double slots = std::max(mSelector.Slots(aDemand.mService), 1u);
-  return FromSeconds((CountAhead(aDemand) + 1) * serviceTime / slots / 1000);
+  const auto ahead = CountAhead(aDemand.mService, WaitEnd(aDemand, aNow));
+  return FromSeconds((ahead + 1) * serviceTime / slots / 1000);
 }
 
 PlainRefusalCause
@@ -86,7 +92,7 @@
   if (!mIsLimited || !HasEndpoint(aDemand, aNow)) {
     return PlainRefusalCause::NoEndpoint;
   }
-  const Duration wait = ExpectedWait(aDemand);
+  const Duration wait = ExpectedWait(aDemand, aNow);
   if (wait > kMaxWait) {
     return PlainRefusalCause::QueueFull;
   }
@@ -95,20 +101,21 @@
 }
 
 PlainGrant
-PlainQueue::Refuse(const PlainDemand& aDemand,
+PlainQueue::Refuse(const Waiting& aWaiting,
                    PlainRefusalCause aCause,
-                   Duration aWaited,
                    Instant aNow) const
 {
-  const auto end = mSelector.FirstBackoffEnd(aDemand.mService);
+  const auto& [demand, since] = aWaiting;
+  const auto end = mSelector.FirstBackoffEnd(demand.mService);
   PlainGrant refusal;
-  refusal.mNumber = aDemand.mNumber;
+  refusal.mNumber = demand.mNumber;
   refusal.mRetryAfter = std::max({ kMinRetryAfter,
-                                   ExpectedWait(aDemand),
+                                   ExpectedWait(demand, aNow),
                                    end ? *end - aNow : Duration::zero() });
-  refusal.mRefusal = {
-    aCause, CountAhead(aDemand), aDemand.mTarget - aNow, aWaited
-  };
+  refusal.mRefusal = { aCause,
+                       CountAhead(demand.mService, WaitEnd(demand, since)),
+                       demand.mTarget - aNow,
+                       aNow - since };
   return refusal;
 }
 
@@ -122,11 +129,9 @@
   }
   if (const auto cause = FindRefusalCause(aDemand, aNow);
       cause != PlainRefusalCause::Unknown) {
-    return Refuse(aDemand, cause, Duration::zero(), aNow);
+    return Refuse({ aDemand, aNow }, cause, aNow);
   }
-  mWaiting.emplace(
-    aDemand.mTarget,
-    Waiting{ aDemand, aNow, std::min(aNow + kMaxWait, aDemand.mTarget) });
+  mWaiting.emplace(WaitEnd(aDemand, aNow), Waiting{ aDemand, aNow });
   return std::nullopt;
 }
 
@@ -149,13 +154,13 @@
   // A grant may submit or withdraw demands, so each one is removed before.
   std::set<std::uint64_t> seen;
   for (auto it = mWaiting.begin(); it != mWaiting.end();) {
-    const Waiting waiting = it->second;
+    const auto [waitEnd, waiting] = *it;
     if (!seen.insert(waiting.mDemand.mNumber).second) {
       ++it;
       continue;
     }
     auto choice = Choose(waiting.mDemand, mIsLimited, aNow);
-    const bool hasWaited = aNow >= waiting.mQueueDeadline;
+    const bool hasWaited = aNow >= waitEnd;
     if (!choice && !hasWaited && HasEndpoint(waiting.mDemand, aNow)) {
       ++it;
       continue;
@@ -165,10 +170,9 @@
                                   std::move(choice),
                                   Duration::zero(),
                                   "" }
-                    : Refuse(waiting.mDemand,
+                    : Refuse(waiting,
                              hasWaited ? PlainRefusalCause::WaitEnded
                                        : PlainRefusalCause::NoEndpoint,
-                             aNow - waiting.mSince,
                              aNow));
     it = mWaiting.begin();
   }
@@ -184,12 +188,8 @@
 std::optional<Instant>
 PlainQueue::NextWake() const
 {
-  std::optional<Instant> next;
-  for (const auto& [target, waiting] : mWaiting) {
-    next =
-      std::min(next.value_or(waiting.mQueueDeadline), waiting.mQueueDeadline);
-  }
-  return next;
+  return mWaiting.empty() ? std::nullopt
+                          : std::optional(mWaiting.begin()->first);
 }
 
 } // namespace bulrushfold
--- a/Source/Routing/PlainQueue.h
+++ b/Source/Routing/PlainQueue.h
@@ -81,9 +81,13 @@
  * Gives plain requests to endpoints. The daemon that places for a whole fleet
  * knows the load of each endpoint, so it gives an endpoint only as many
  * requests as it has slots, and a few that are on their way. In a burst the
- * others wait here, the one that is late first is served first, and a request
- * that would be late anyway is refused at once. An endpoint's own queue would
- * serve them in the order of arrival, late or not, and shed the rest.
+ * others wait here for a short time, and the one whose wait ends first is
+ * served first: its wait ends at its target, or after the longest wait. So a
+ * request overtakes only those that may still wait when its target has passed,
+ * and no target keeps the requests of a route from being served. A request that
+ * would be late anyway, or whose wait would be too long, is refused at once. An
+ * endpoint's own queue would serve them in the order of arrival, late or not,
+ * and shed the rest.
  *
  * A daemon that places only for itself does not know the loads that well; it
  * sends each request to the least loaded endpoint without waiting.
@@ -115,7 +119,6 @@
   {
     PlainDemand mDemand;
     Instant mSince;
-    Instant mQueueDeadline;
   };
   /** An endpoint for aDemand. aIsLimited: only one with a free slot. */
   std::optional<EndpointChoice> Choose(const PlainDemand& aDemand,
@@ -123,21 +126,23 @@
                                        Instant aNow) const;
   /** True when some endpoint could serve aDemand, now or later. */
   bool HasEndpoint(const PlainDemand& aDemand, Instant aNow) const;
-  /** Number of demands for the same service that are served before aDemand. */
-  std::uint32_t CountAhead(const PlainDemand& aDemand) const;
-  /** Time until aDemand gets a slot, if all that wait before it are served. */
-  Duration ExpectedWait(const PlainDemand& aDemand) const;
+  /** Number of waiting demands for aService that are served before one whose
+   * wait ends at aWaitEnd. */
+  std::uint32_t CountAhead(const std::string& aService, Instant aWaitEnd) const;
+  /** Time until aDemand, if it arrives now, gets a slot when all that wait
+   * before it are served. */
+  Duration ExpectedWait(const PlainDemand& aDemand, Instant aNow) const;
   /** Why aDemand may not wait; Unknown: it may. */
   PlainRefusalCause FindRefusalCause(const PlainDemand& aDemand,
                                      Instant aNow) const;
-  PlainGrant Refuse(const PlainDemand& aDemand,
+  /** aWaiting: the demand, with the time of its arrival. */
+  PlainGrant Refuse(const Waiting& aWaiting,
                     PlainRefusalCause aCause,
-                    Duration aWaited,
                     Instant aNow) const;
 
   const PlainSelector& mSelector;
   bool mIsLimited = false;
-  /** Waiting demands, the one that is late first at the front. */
+  /** Waiting demands by the time at which their waits end. */
   std::multimap<Instant, Waiting> mWaiting;
   /** Time that a request occupies a slot, by service, in ms. */
   std::map<std::string, MovingAverage> mServiceTimes;
--- a/Tests/Routing/PlainQueueTest.cxx
+++ b/Tests/Routing/PlainQueueTest.cxx
@@ -17,14 +17,21 @@
   fixture.Fill();
   CHECK(fixture.mRunning.size() == 6);
 
-  SUBCASE("and the one that is late first is served first")
+  SUBCASE("and the one whose wait ends first is served first")
   {
     CHECK_FALSE(fixture.Submit(1, milliseconds(300)));
-    CHECK_FALSE(fixture.Submit(2, milliseconds(200)));
+    CHECK_FALSE(fixture.Submit(2, milliseconds(80)));
+    CHECK_FALSE(fixture.Submit(3, milliseconds(70)));
+    fixture.mNow += milliseconds(1);
+    CHECK_FALSE(fixture.Submit(4, milliseconds(200)));
     fixture.End(1000);
-    CHECK(fixture.Dispatch() == std::vector{ 2 });
+    CHECK(fixture.Dispatch() == std::vector{ 3 });
     fixture.End(1001);
+    CHECK(fixture.Dispatch() == std::vector{ 2 });
+    fixture.End(1002);
     CHECK(fixture.Dispatch() == std::vector{ 1 });
+    fixture.End(1003);
+    CHECK(fixture.Dispatch() == std::vector{ 4 });
   }
   // Guards against requests that are held although they would be late.
   SUBCASE("but not when they would be late anyway")
