--- a/Tests/Processes/RouterProcess.cxx
+++ b/Tests/Processes/RouterProcess.cxx
@@ -36,14 +36,16 @@
 }
 } // namespace
 
-RouterProcess::RouterProcess(std::string aName, const SocketAddress& aStore)
+RouterProcess::RouterProcess(std::string aName,
+                             const SocketAddress& aStore,
+                             const std::string& aSettings)
   : mName(std::move(aName))
   , mFolder(MakeFolder())
   , mCallerAddress(FreeAddress())
   , mReadinessAddress(FreeAddress())
   , mPeerAddress(FreeAddress())
 {
-  WriteSettings(aStore);
+  WriteSettings(aStore, aSettings);
 }
 
 RouterProcess::~RouterProcess()
@@ -53,7 +55,8 @@
 }
 
 void
-RouterProcess::WriteSettings(const SocketAddress& aStore) const
+RouterProcess::WriteSettings(const SocketAddress& aStore,
+                             const std::string& aSettings) const
 {
   std::ofstream file(mFolder + "/settings");
   file << "node_name=" << mName << "\nzone=z\nip=" << mPeerAddress.mHost
@@ -61,7 +64,8 @@
        << "\nlisten_addrs.ready=" << FormatAddress(mReadinessAddress)
        << "\ninternal_ports=" << mPeerAddress.mPort << "," << mPeerAddress.mPort
        << "\nplatform.address=" << FormatAddress(aStore)
-       << "\nbounds.retry_budget_slack=50\n";
+       << "\nbounds.retry_budget_slack=50\n"
+       << aSettings;
 }
 
 void
@@ -118,4 +122,25 @@
   return text.str();
 }
 
+std::size_t
+RouterProcess::PeakMemory() const
+{
+  std::ifstream status("/proc/" + std::to_string(mProcess) + "/status");
+  std::string word;
+  while (status >> word) {
+    if (std::size_t kilobytes = 0; word == "VmHWM:" && status >> kilobytes) {
+      return kilobytes * 1024;
+    }
+  }
+  return 0;
+}
+
+std::size_t
+RouterProcess::OpenDescriptors() const
+{
+  const std::filesystem::directory_iterator folder(
+    "/proc/" + std::to_string(mProcess) + "/fd");
+  return static_cast<std::size_t>(std::distance(begin(folder), end(folder)));
+}
+
 } // namespace bulrushfold
--- a/Tests/Processes/RouterProcess.h
+++ b/Tests/Processes/RouterProcess.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHFOLD_TESTS_PROCESSES_ROUTERPROCESS_H
 #define BULRUSHFOLD_TESTS_PROCESSES_ROUTERPROCESS_H
 
+#include <cstddef>
 #include <string>
 
 #include <sys/types.h>
@@ -14,7 +15,10 @@
 class RouterProcess
 {
 public:
-  RouterProcess(std::string aName, const SocketAddress& aStore);
+  /** aSettings: further lines of the settings file. */
+  RouterProcess(std::string aName,
+                const SocketAddress& aStore,
+                const std::string& aSettings = "");
   RouterProcess(const RouterProcess&) = delete;
   RouterProcess& operator=(const RouterProcess&) = delete;
   ~RouterProcess();
@@ -30,9 +34,13 @@
   const SocketAddress& ReadinessAddress() const { return mReadinessAddress; }
   /** What the process has logged so far. */
   std::string Log() const;
+  /** Most memory that the process has had resident so far, in bytes. */
+  std::size_t PeakMemory() const;
+  std::size_t OpenDescriptors() const;
 
 private:
-  void WriteSettings(const SocketAddress& aStore) const;
+  void WriteSettings(const SocketAddress& aStore,
+                     const std::string& aSettings) const;
 
   std::string mName;
   std::string mFolder;
