Account for the memory of request bodies in a server

What callers saw: clients that the operators don't control ended a router process; it ran out of memory. They sent large bodies, most of them to just short of their end, and stayed connected.

Cause: a server bounded each body (max_body_bytes) but not all of them together, so that the number of connections decided how much memory they took; a body that stood still kept its memory until its read timeout, and a refused one until its connection was closed. Nothing was held against the memory of the VM.

Change: BodyMemory is an account of all bodies from head to end of exchange, a quarter of the VM's memory, each body counted twice for the copy that is sent. The announced length counts before the body is read. When it is used up, reading stops first; then a body without progress for 1 s is ended (503, Retry-After), and one that has waited for 2 s or finds 64 waiting is refused. A quarter stays free for small bodies; a single body always gets its memory. A refused body is freed at once.

Why this works: what is held is bounded by the account whatever the number of clients is, and a body that stands still can't keep others out for more than a second.

--- a/Source/Net/HttpExchange.cxx
+++ b/Source/Net/HttpExchange.cxx
@@ -15,11 +15,13 @@
 HttpExchange::HttpExchange(HttpServerConnection& aConnection,
                            std::string aCallerAddress,
                            HttpRequest aRequest,
+                           BodyTicket aBody,
                            Instant aArrival,
                            bool aIsVersion11)
   : mConnection(&aConnection)
   , mCallerAddress(std::move(aCallerAddress))
   , mRequest(std::move(aRequest))
+  , mBody(std::move(aBody))
   , mArrival(aArrival)
   , mIsVersion11(aIsVersion11)
 {
--- a/Source/Net/HttpExchange.h
+++ b/Source/Net/HttpExchange.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "Base/Clock.h"
+#include "Net/BodyMemory.h"
 #include "Net/HttpMessage.h"
 
 namespace bulrushfold {
@@ -24,10 +25,12 @@
   /**
    * aArrival: time at which the first byte of the request was read.
    * aCallerAddress: IP address of the caller, without the port.
+   * aBody: the memory of the body of aRequest, freed with the exchange.
    */
   HttpExchange(HttpServerConnection& aConnection,
                std::string aCallerAddress,
                HttpRequest aRequest,
+               BodyTicket aBody,
                Instant aArrival,
                bool aIsVersion11);
   HttpExchange(const HttpExchange&) = delete;
@@ -80,6 +83,7 @@
   HttpServerConnection* mConnection;
   std::string mCallerAddress;
   HttpRequest mRequest;
+  BodyTicket mBody;
   Instant mArrival;
   bool mIsVersion11;
   bool mHasStarted = false;
--- a/Source/Net/HttpServer.cxx
+++ b/Source/Net/HttpServer.cxx
@@ -1,5 +1,6 @@
 #include "Net/HttpServer.h"
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <utility>
@@ -15,6 +16,8 @@
 
 namespace {
 constexpr int kBacklog = 1024;
+/** Minimum time between two timed decisions on bodies that wait. */
+constexpr Duration kMinDecisionInterval = std::chrono::milliseconds(1);
 } // namespace
 
 HttpServer::HttpServer(EventLoop& aLoop,
@@ -23,6 +26,12 @@
   : mLoop(aLoop)
   , mLimits(aLimits)
   , mHandler(std::move(aHandler))
+  , mBodyMemory(std::make_shared<BodyMemory>(aLimits.mMaxBodyMemory,
+                                             [this, alive = mIsAlive] {
+                                               if (*alive) {
+                                                 ScheduleBodyDecision();
+                                               }
+                                             }))
 {
 }
 
@@ -121,6 +130,46 @@
   return work;
 }
 
+void
+HttpServer::SetLimits(const HttpServerLimits& aLimits)
+{
+  mLimits = aLimits;
+  mBodyMemory->SetLimit(aLimits.mMaxBodyMemory);
+}
+
+BodyTicket
+HttpServer::AddBody(BodyMemory::DecisionHook aHook)
+{
+  const auto body = mBodyMemory->Add(std::move(aHook), mClock.Now());
+  return { mBodyMemory, body };
+}
+
+void
+HttpServer::ScheduleBodyDecision()
+{
+  if (std::exchange(mIsDecisionScheduled, true)) {
+    return;
+  }
+  mLoop.Defer([this, alive = mIsAlive] {
+    if (*alive) {
+      mIsDecisionScheduled = false;
+      DecideOnBodies();
+    }
+  });
+}
+
+void
+HttpServer::DecideOnBodies()
+{
+  const Instant now = mClock.Now();
+  mBodyMemory->Decide(now);
+  mBodyTimer = EventHandle();
+  if (const auto next = mBodyMemory->NextWake(); next) {
+    mBodyTimer = mLoop.After(std::max(*next - now, kMinDecisionInterval),
+                             [this] { ScheduleBodyDecision(); });
+  }
+}
+
 void
 HttpServer::HandleExchange(std::shared_ptr<HttpExchange> aExchange)
 {
--- a/Source/Net/HttpServer.h
+++ b/Source/Net/HttpServer.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "Base/Clock.h"
+#include "Net/BodyMemory.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpExchange.h"
 #include "Net/HttpParser.h"
@@ -27,6 +28,8 @@
 {
   std::size_t mMaxHeaderBytes = 16 * 1024;
   std::size_t mMaxBodyBytes = 64 * 1024 * 1024;
+  /** Memory for the bodies of all requests, in bytes; see BodyMemory. */
+  std::size_t mMaxBodyMemory = 256 * 1024 * 1024;
   /** Longest time from the first byte of a request to the end of its head. */
   Duration mHeaderTimeout = std::chrono::seconds(30);
   /** Longest time without a received byte while the body is incomplete. */
@@ -81,19 +84,27 @@
   void CloseIdle();
   /** Sets a hook that is called for each refused request. */
   void OnRefused(RefusalHook aHook) { mRefusalHook = std::move(aHook); }
-  void SetLimits(const HttpServerLimits& aLimits) { mLimits = aLimits; }
+  void SetLimits(const HttpServerLimits& aLimits);
 
   const HttpServerLimits& Limits() const { return mLimits; }
   bool IsDraining() const { return mIsDraining; }
   std::size_t Connections() const { return mConnections.size(); }
   /** Takes time in proportion to the number of connections. */
   HttpServerWork UnfinishedWork() const;
+  /** Bytes that the bodies of all requests use. */
+  std::size_t BodyBytes() const { return mBodyMemory->Used(); }
 
   // Called by HttpServerConnection.
   void HandleExchange(std::shared_ptr<HttpExchange> aExchange);
   void ReportRefusal(const HttpRefusal& aRefusal);
+  /** Adds a request body to the account of memory. */
+  BodyTicket AddBody(BodyMemory::DecisionHook aHook);
 
 private:
+  /** Decides on the bodies that wait for memory, in a later iteration of the
+   * loop. */
+  void ScheduleBodyDecision();
+  void DecideOnBodies();
   void Accept(int aSocket, std::string aCallerAddress);
   void RemoveConnection(std::uint64_t aConnectionId);
 
@@ -107,6 +118,11 @@
   std::uint64_t mNextConnectionId = 1;
   std::map<std::uint64_t, std::unique_ptr<HttpServerConnection>> mConnections;
   std::shared_ptr<bool> mIsAlive = std::make_shared<bool>(true);
+  SystemClock mClock;
+  /** Exchanges, which may outlive the server, share it. */
+  std::shared_ptr<BodyMemory> mBodyMemory;
+  bool mIsDecisionScheduled = false;
+  EventHandle mBodyTimer;
 };
 
 } // namespace bulrushfold
--- a/Source/Net/HttpServerConnection.cxx
+++ b/Source/Net/HttpServerConnection.cxx
@@ -9,7 +9,9 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
+#include "Net/HttpStatus.h"
 #include "Net/SocketOptions.h"
+#include "absl/strings/numbers.h"
 
 namespace bulrushfold {
 
@@ -19,6 +21,10 @@
 constexpr int kContentTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
 constexpr int kNotImplemented = 501;
+/** Reason of a refusal for lack of memory in logs. */
+constexpr std::string_view kNoBodyMemory = "no_body_memory";
+/** Received part of a body from which on all its memory is reserved. */
+constexpr std::size_t kReserveBytes = 64 * 1024;
 /** Limit on buffered bytes of pipelined requests while a reply is pending. */
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 /** Time for the caller to read the reply and to close the connection. */
@@ -44,7 +50,7 @@
   , mParser(HttpMessageKind::Request,
             {},
             { [this] { HandleHead(); },
-              [this](std::string_view aData) { mBody.append(aData); } })
+              [this](std::string_view aData) { HandleBody(aData); } })
 {
   const HttpServerLimits& limits = mServer.Limits();
   SetTcpNoDelay(aSocket);
@@ -163,7 +169,11 @@
     bufferevent_setwatermark(mBufferevent, EV_READ, 0, kMaxPipelinedBytes);
     return;
   }
-  while (evbuffer_get_length(input) > 0 && !HasExchange() && !mIsLingering) {
+  if (mParser.CurrentState() == HttpParser::State::Complete && !mIsPaused) {
+    HandleRequest();
+  }
+  while (evbuffer_get_length(input) > 0 && !HasExchange() && !mIsLingering &&
+         !mIsPaused) {
     const bool isFirst = mParser.CurrentState() == HttpParser::State::Idle;
     if (isFirst) {
       const HttpServerLimits& limits = mServer.Limits();
@@ -175,20 +185,96 @@
       evbuffer_pullup(input, static_cast<ev_ssize_t>(n)));
     const std::size_t consumed = mParser.Feed({ data, n });
     evbuffer_drain(input, consumed);
-    if (mParser.CurrentState() == HttpParser::State::Head) {
-      if (isFirst) {
+    HandleParsed(isFirst);
+  }
+}
+
+void
+HttpServerConnection::HandleParsed(bool aIsFirst)
+{
+  switch (mParser.CurrentState()) {
+    case HttpParser::State::Idle:
+      return;
+    case HttpParser::State::Head:
+      if (aIsFirst) {
         SetDeadline(mArrival + mServer.Limits().mHeaderTimeout);
       }
-    } else if (mParser.CurrentState() == HttpParser::State::Body) {
+      return;
+    case HttpParser::State::Body:
       SetDeadline(mClock.Now() + mServer.Limits().mReadTimeout);
-    } else if (mParser.CurrentState() == HttpParser::State::Complete) {
-      HandleRequest();
-    } else if (mParser.CurrentState() == HttpParser::State::Failed) {
+      ReserveBody();
+      return;
+    case HttpParser::State::Complete:
+      if (ReserveBody()) {
+        HandleRequest();
+      }
+      return;
+    case HttpParser::State::Failed:
       RefuseForParseError(mParser.Error());
-    }
+      return;
   }
 }
 
+bool
+HttpServerConnection::ReserveBody()
+{
+  const std::size_t bytes = std::max(mAnnouncedBytes, mBody.capacity());
+  if (mBody.empty() && mAnnouncedBytes == 0) {
+    return true;
+  }
+  if (!mBodyTicket) {
+    mBodyTicket = mServer.AddBody(
+      [this](BodyVerdict aVerdict) { HandleBodyDecision(aVerdict); });
+  }
+  const Instant now = mClock.Now();
+  mBodyTicket->OnReceived(mBodyTicket.Body(), mBody.size(), now);
+  switch (mBodyTicket->Request(mBodyTicket.Body(), bytes, now)) {
+    case BodyVerdict::Granted:
+      return true;
+    case BodyVerdict::Waits:
+      PauseReading();
+      return false;
+    case BodyVerdict::Refused:
+      Refuse(kHttpUnavailable, kNoBodyMemory);
+      return false;
+  }
+  return false;
+}
+
+void
+HttpServerConnection::HandleBodyDecision(BodyVerdict aVerdict)
+{
+  if (aVerdict == BodyVerdict::Granted) {
+    ResumeReading();
+  } else {
+    Refuse(kHttpUnavailable, kNoBodyMemory);
+  }
+}
+
+void
+HttpServerConnection::PauseReading()
+{
+  mIsPaused = true;
+  bufferevent_disable(mBufferevent, EV_READ);
+}
+
+void
+HttpServerConnection::ResumeReading()
+{
+  mIsPaused = false;
+  SetDeadline(mClock.Now() + mServer.Limits().mReadTimeout);
+  bufferevent_enable(mBufferevent, EV_READ);
+  DeferRead();
+}
+
+void
+HttpServerConnection::DiscardBody()
+{
+  mBodyTicket.Reset();
+  mBody = std::string();
+  mAnnouncedBytes = 0;
+}
+
 void
 HttpServerConnection::DeferRead()
 {
@@ -212,6 +298,20 @@
       head.mIsVersion11) {
     Write("HTTP/1.1 100 Continue\r\n\r\n");
   }
+  // The parser has checked that the length is a number within the limit.
+  const auto length = head.mHeaders.Find("Content-Length");
+  if (!length || !absl::SimpleAtoi(*length, &mAnnouncedBytes)) {
+    mAnnouncedBytes = 0;
+  }
+}
+
+void
+HttpServerConnection::HandleBody(std::string_view aData)
+{
+  if (mBody.size() >= kReserveBytes && mBody.capacity() < mAnnouncedBytes) {
+    mBody.reserve(mAnnouncedBytes);
+  }
+  mBody.append(aData);
 }
 
 void
@@ -223,11 +323,20 @@
   request.mTarget = std::move(head.mTarget);
   request.mHeaders = std::move(head.mHeaders);
   request.mBody = std::exchange(mBody, std::string());
+  mAnnouncedBytes = 0;
+  if (mBodyTicket) {
+    mBodyTicket->OnComplete(mBodyTicket.Body());
+  }
   DecodeTarget(request);
   mClosesAfterReply = mClosesAfterReply || !head.mKeepsAlive;
   mParser.Restart();
-  auto exchange = std::make_shared<HttpExchange>(
-    *this, mCallerAddress, std::move(request), mArrival, head.mIsVersion11);
+  auto exchange =
+    std::make_shared<HttpExchange>(*this,
+                                   mCallerAddress,
+                                   std::move(request),
+                                   std::exchange(mBodyTicket, BodyTicket()),
+                                   mArrival,
+                                   head.mIsVersion11);
   mExchange = exchange.get();
   mServer.HandleExchange(std::move(exchange));
 }
@@ -258,8 +367,10 @@
   mServer.ReportRefusal({ aStatus, aReason, mParser.Head() });
   mClosesAfterReply = true;
   const std::string status = std::to_string(aStatus);
+  const std::string retryAfter =
+    aStatus == kHttpUnavailable ? "Retry-After: 1\r\n" : "";
   Write("HTTP/1.1 " + status + " " + std::string(HttpReasonPhrase(aStatus)) +
-        "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+        "\r\n" + retryAfter + "Content-Length: 0\r\nConnection: close\r\n\r\n");
   BeginLingeringClose();
 }
 
@@ -283,6 +394,9 @@
 HttpServerConnection::BeginLingeringClose()
 {
   mIsLingering = true;
+  mIsPaused = false;
+  DiscardBody();
+  bufferevent_enable(mBufferevent, EV_READ);
   mSendDeadline = mClock.Now() + kMaxSendTime;
   bufferevent_setwatermark(mBufferevent, EV_READ, 0, 0);
   evbuffer* input = bufferevent_get_input(mBufferevent);
@@ -322,6 +436,7 @@
   if (!mOnClosed) {
     return;
   }
+  DiscardBody();
   bufferevent_disable(mBufferevent, EV_READ | EV_WRITE);
   bufferevent_setcb(mBufferevent, nullptr, nullptr, nullptr, nullptr);
   mTimer = EventHandle();
--- a/Source/Net/HttpServerConnection.h
+++ b/Source/Net/HttpServerConnection.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 
+#include "Net/BodyMemory.h"
 #include "Net/EventLoop.h"
 #include "Net/HttpExchange.h"
 #include "Net/HttpParser.h"
@@ -72,7 +73,18 @@
   /** Calls Read in a later iteration of the loop. */
   void DeferRead();
   void HandleHead();
+  void HandleBody(std::string_view aData);
+  /** Continues after the parser has consumed received bytes. */
+  void HandleParsed(bool aIsFirst);
   void HandleRequest();
+  /** Requests the memory of the body that is being received. Returns false
+   * when the request has to wait or was refused. */
+  bool ReserveBody();
+  void HandleBodyDecision(BodyVerdict aVerdict);
+  void PauseReading();
+  void ResumeReading();
+  /** Frees the memory of a body that was not handed over. */
+  void DiscardBody();
   /** Refuses the current request with status aStatus, then closes the
    * connection. */
   void Refuse(int aStatus, std::string_view aReason);
@@ -95,6 +107,12 @@
   bufferevent* mBufferevent;
   HttpParser mParser;
   std::string mBody;
+  /** Length of the body as its head states it; 0: it states none. */
+  std::size_t mAnnouncedBytes = 0;
+  /** Set while a body is being received. */
+  BodyTicket mBodyTicket;
+  /** Reading is stopped until there is memory for the body. */
+  bool mIsPaused = false;
   /** Exchange whose reply is not complete; the handler owns it. */
   HttpExchange* mExchange = nullptr;
   Instant mArrival;
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -14,6 +14,8 @@
 /** File descriptors that are reserved for connections to endpoints, peers and
  * the store. */
 constexpr std::size_t kReservedDescriptors = 400;
+/** Part of the memory that the bodies of requests may use: one in so many. */
+constexpr std::size_t kBodyMemoryDivisor = 4;
 /** Minimum number of caller connections. */
 constexpr std::size_t kMinCallerConnections = 100;
 /** Part of the operators' tolerance for quotas that extends the bursts of the
@@ -33,6 +35,11 @@
   "1 while this daemon places for the whole fleet, otherwise 0.",
   {}
 };
+const MetricInfo kBodyBytes{
+  "bulrushfold_body_bytes",
+  "Memory that the bodies of requests use, with the copies that are sent.",
+  {}
+};
 const MetricInfo kStoreEra{
   "bulrushfold_store_era",
   "Era of the store; rises when the store comes back from a copy.",
@@ -59,7 +66,8 @@
 } // namespace
 
 HttpServerLimits
-Router::ServerLimits(const CallerLimits& aLimits, std::size_t aDescriptors)
+Router::ServerLimits(const CallerLimits& aLimits,
+                     const RouterSettings& aSettings)
 {
   HttpServerLimits limits;
   limits.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
@@ -68,9 +76,11 @@
   limits.mReadTimeout = aLimits.mHeaderTimeout;
   limits.mIdleTimeout = aLimits.mIdleTimeout;
   limits.mWriteTimeout = kCallerWriteTimeout;
+  limits.mMaxBodyMemory = aSettings.mMaxMemory / kBodyMemoryDivisor;
+  const std::size_t descriptors = aSettings.mMaxDescriptors;
   limits.mMaxConnections =
-    aDescriptors > kReservedDescriptors + kMinCallerConnections
-      ? aDescriptors - kReservedDescriptors
+    descriptors > kReservedDescriptors + kMinCallerConnections
+      ? descriptors - kReservedDescriptors
       : kMinCallerConnections;
   return limits;
 }
@@ -204,7 +214,7 @@
                       aSettings.mEndpointPrefix,
                       WithFeed(aSettings.mEndpointPrefix, EndpointHooks()))
   , mCallerServer(aLoop,
-                  ServerLimits({}, aSettings.mMaxDescriptors),
+                  ServerLimits({}, aSettings),
                   [this](std::shared_ptr<HttpExchange> aExchange) {
                     HandleCaller(std::move(aExchange));
                   })
@@ -355,6 +365,8 @@
   mMetrics.GetGauge(kIsOwner).Set(mPlacement.IsOwner() ? 1 : 0);
   mMetrics.GetGauge(kReadsStore).Set(mRelayedStore.IsFed() ? 0 : 1);
   mMetrics.GetGauge(kStoreEra).Set(static_cast<double>(mStoreEra.value_or(0)));
+  mMetrics.GetGauge(kBodyBytes)
+    .Set(static_cast<double>(mCallerServer.BodyBytes()));
   aExchange.Reply(kHttpOk,
                   { { "Content-Type", "text/plain; version=0.0.4" } },
                   mMetrics.Format(mClock.Now()));
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -70,7 +70,7 @@
 
 private:
   static HttpServerLimits ServerLimits(const CallerLimits& aLimits,
-                                       std::size_t aDescriptors);
+                                       const RouterSettings& aSettings);
   void AddFilters();
   void HandleCaller(std::shared_ptr<HttpExchange> aExchange);
   void HandleReadiness(HttpExchange& aExchange);
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -122,8 +122,7 @@
              "workspace_key_conflict",
              { { "version", mTable->Config().mVersion }, { "workspace", it } });
   }
-  mCallerServer.SetLimits(
-    ServerLimits(mTable->Config().mLimits, mSettings.mMaxDescriptors));
+  mCallerServer.SetLimits(ServerLimits(mTable->Config().mLimits, mSettings));
   mStreams.ScheduleDispatch();
   LogReadinessChange();
 }
