Ask for the largest body only when the router is calm again

Under the sanitizers ClientCrowdTest failed once in one run of the six kinds: after the crowd in large chunks the largest legal body wasn't answered with 200. The users promise such a request service in calm; the test sent it at the moment at which the crowd closed its connections, while the router still had megabytes of theirs to read, and a refusal is allowed then.

The test now waits until the router has closed the connections of the crowd, and checks that it does: one more check, none less; crowd and bounds are unchanged.

--- a/Tests/Processes/ClientCrowdTest.cxx
+++ b/Tests/Processes/ClientCrowdTest.cxx
@@ -93,6 +93,7 @@
                    .find("HTTP/1.1 200") == 0;
     }
     REQUIRE(isServed);
+    mCalmDescriptors = mRouter.OpenDescriptors();
   }
 
   /** Adds a client that sends aRequest, most of them without its last byte.
@@ -119,7 +120,14 @@
       RunFor(mLoop, milliseconds(2));
     }
   }
-  void CloseCrowd() { mCrowd.clear(); }
+  /** Closes the connections of the crowd; returns false if the router still has
+   * some of them open after a long time. */
+  bool CloseCrowd()
+  {
+    mCrowd.clear();
+    return RunUntil(
+      mLoop, [&] { return mRouter.OpenDescriptors() <= mCalmDescriptors; });
+  }
   /** The answer to aRequest, which asks to close the connection. */
   std::string Ask(const std::string& aRequest)
   {
@@ -143,6 +151,8 @@
       "\nlimits.max_fds=" + std::to_string(kDescriptors) + "\n"
   };
   std::vector<std::unique_ptr<CrowdClient>> mCrowd;
+  /** Open descriptors of the router before there is a crowd. */
+  std::size_t mCalmDescriptors = 0;
 };
 
 void
@@ -205,7 +215,7 @@
     fixture
       .Ask(Head("ordinary", "Connection: close\r\nContent-Length: 5") + "hello")
       .find("HTTP/1.1 200") == 0);
-  fixture.CloseCrowd();
+  CHECK(fixture.CloseCrowd());
   CHECK(fixture
           .Ask(Head("largest",
                     "Connection: close\r\nContent-Length: " +
