--- a/Source/Net/HttpServerConnection.cxx
+++ b/Source/Net/HttpServerConnection.cxx
@@ -9,22 +9,12 @@
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 
-#include "Net/HttpStatus.h"
 #include "Net/SocketOptions.h"
-#include "absl/strings/numbers.h"
 
 namespace bulrushfold {
 
 namespace {
-constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
-constexpr int kContentTooLarge = 413;
-constexpr int kHeaderTooLarge = 431;
-constexpr int kNotImplemented = 501;
-/** Reason of a refusal for lack of memory in logs. */
-constexpr std::string_view kNoBodyMemory = "no_body_memory";
-/** Received part of a body from which on all its memory is reserved. */
-constexpr std::size_t kReserveBytes = 64 * 1024;
 /** Limit on buffered bytes of pipelined requests while a reply is pending. */
 constexpr std::size_t kMaxPipelinedBytes = 64 * 1024;
 /** Time for the caller to read the reply and to close the connection. */
@@ -215,66 +205,6 @@
   }
 }
 
-bool
-HttpServerConnection::ReserveBody()
-{
-  const std::size_t bytes = std::max(mAnnouncedBytes, mBody.capacity());
-  if (mBody.empty() && mAnnouncedBytes == 0) {
-    return true;
-  }
-  if (!mBodyTicket) {
-    mBodyTicket = mServer.AddBody(
-      [this](BodyVerdict aVerdict) { HandleBodyDecision(aVerdict); });
-  }
-  const Instant now = mClock.Now();
-  mBodyTicket->OnReceived(mBodyTicket.Body(), mBody.size(), now);
-  switch (mBodyTicket->Request(mBodyTicket.Body(), bytes, now)) {
-    case BodyVerdict::Granted:
-      return true;
-    case BodyVerdict::Waits:
-      PauseReading();
-      return false;
-    case BodyVerdict::Refused:
-      Refuse(kHttpUnavailable, kNoBodyMemory);
-      return false;
-  }
-  return false;
-}
-
-void
-HttpServerConnection::HandleBodyDecision(BodyVerdict aVerdict)
-{
-  if (aVerdict == BodyVerdict::Granted) {
-    ResumeReading();
-  } else {
-    Refuse(kHttpUnavailable, kNoBodyMemory);
-  }
-}
-
-void
-HttpServerConnection::PauseReading()
-{
-  mIsPaused = true;
-  bufferevent_disable(mBufferevent, EV_READ);
-}
-
-void
-HttpServerConnection::ResumeReading()
-{
-  mIsPaused = false;
-  SetDeadline(mClock.Now() + mServer.Limits().mReadTimeout);
-  bufferevent_enable(mBufferevent, EV_READ);
-  DeferRead();
-}
-
-void
-HttpServerConnection::DiscardBody()
-{
-  mBodyTicket.Reset();
-  mBody = std::string();
-  mAnnouncedBytes = 0;
-}
-
 void
 HttpServerConnection::DeferRead()
 {
@@ -289,31 +219,6 @@
   });
 }
 
-void
-HttpServerConnection::HandleHead()
-{
-  const HttpHead& head = mParser.Head();
-  if (const auto expect = head.mHeaders.Find("Expect");
-      expect && IsSameHeaderName(*expect, "100-continue") &&
-      head.mIsVersion11) {
-    Write("HTTP/1.1 100 Continue\r\n\r\n");
-  }
-  // The parser has checked that the length is a number within the limit.
-  const auto length = head.mHeaders.Find("Content-Length");
-  if (!length || !absl::SimpleAtoi(*length, &mAnnouncedBytes)) {
-    mAnnouncedBytes = 0;
-  }
-}
-
-void
-HttpServerConnection::HandleBody(std::string_view aData)
-{
-  if (mBody.size() >= kReserveBytes && mBody.capacity() < mAnnouncedBytes) {
-    mBody.reserve(mAnnouncedBytes);
-  }
-  mBody.append(aData);
-}
-
 void
 HttpServerConnection::HandleRequest()
 {
@@ -341,39 +246,6 @@
   mServer.HandleExchange(std::move(exchange));
 }
 
-void
-HttpServerConnection::RefuseForParseError(HttpParseError aError)
-{
-  switch (aError) {
-    case HttpParseError::HeaderTooLarge:
-      Refuse(kHeaderTooLarge, HttpParseErrorName(aError));
-      return;
-    case HttpParseError::BodyTooLarge:
-      Refuse(kContentTooLarge, HttpParseErrorName(aError));
-      return;
-    case HttpParseError::UnknownMethod:
-      Refuse(kNotImplemented, HttpParseErrorName(aError));
-      return;
-    case HttpParseError::Malformed:
-    case HttpParseError::None:
-      Refuse(kBadRequest, HttpParseErrorName(aError));
-      return;
-  }
-}
-
-void
-HttpServerConnection::Refuse(int aStatus, std::string_view aReason)
-{
-  mServer.ReportRefusal({ aStatus, aReason, mParser.Head() });
-  mClosesAfterReply = true;
-  const std::string status = std::to_string(aStatus);
-  const std::string retryAfter =
-    aStatus == kHttpUnavailable ? "Retry-After: 1\r\n" : "";
-  Write("HTTP/1.1 " + status + " " + std::string(HttpReasonPhrase(aStatus)) +
-        "\r\n" + retryAfter + "Content-Length: 0\r\nConnection: close\r\n\r\n");
-  BeginLingeringClose();
-}
-
 void
 HttpServerConnection::FinishExchange()
 {
--- a/Tests/Routing/PlainQueueOverloadTest.cxx
+++ b/Tests/Routing/PlainQueueOverloadTest.cxx
@@ -151,6 +151,7 @@
                     Duration aDuration)
 {
   std::vector<RouteLoad> routes;
+  routes.reserve(aParts.size());
   for (const auto& [target, part] : aParts) {
     routes.push_back({ target, part * aLoad * OverloadedService::kCapacity });
   }
