Log when and why an endpoint is avoided

No line told when an endpoint gets no requests because of its results, so that an endpoint that is silent, one that fails and one that is avoided for another reason look alike. endpoint_avoided holds the result, the failures in a row, the share of failures and the duration.

--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -63,6 +63,19 @@
            aWall.time_since_epoch())
     .count();
 }
+
+void
+LogAvoidance(const EndpointAvoidance& aAvoidance)
+{
+  LogEvent(LogLevel::Warning,
+           "endpoint_avoided",
+           { { "endpoint", aAvoidance.mEndpoint },
+             { "service", aAvoidance.mService },
+             { "result", SendResultName(aAvoidance.mResult) },
+             { "failure_share", aAvoidance.mFailureShare },
+             { "in_a_row", aAvoidance.mConsecutiveFailures },
+             { "for_ms", ToMilliseconds(aAvoidance.mDuration) } });
+}
 } // namespace
 
 HttpServerLimits
@@ -103,7 +116,7 @@
   , mRestoredEntries(aSettings.mEntryRewriteTime)
   , mCachedPrompts(mRuns)
   , mPrefillTurns(mLoads, aSettings.mName)
-  , mHealth(mRandom)
+  , mHealth(mRandom, LogAvoidance)
   , mRetryBudget(aSettings.mRetryLimits, mClock.Now())
   , mGuard(mRandom)
   , mQuotas([this] { return QuotaShare(); },
--- a/Source/Routing/EndpointHealth.cxx
+++ b/Source/Routing/EndpointHealth.cxx
@@ -37,7 +37,7 @@
   return FindEnumName(kResultNames, aResult);
 }
 
-void
+Duration
 EndpointHealth::Avoid(State& aState, Instant aNow)
 {
   const std::uint32_t doublings =
@@ -46,8 +46,10 @@
     std::min(kFirstAvoidance * (1 << doublings), kMaxAvoidance);
   ++aState.mAvoidanceCount;
   // Random times keep the daemons from retrying the endpoint simultaneously.
-  aState.mAvoidedUntil =
-    aNow + FromSeconds(ToSeconds(span) * (0.75 + mRandom.UniformReal() / 2));
+  const Duration duration =
+    FromSeconds(ToSeconds(span) * (0.75 + mRandom.UniformReal() / 2));
+  aState.mAvoidedUntil = aNow + duration;
+  return duration;
 }
 
 void
@@ -81,7 +83,15 @@
   if (aResult == SendResult::Unready || aResult == SendResult::ConnectFailed ||
       aResult == SendResult::Slow ||
       state.mConsecutiveFailures >= kConsecutiveLimit || isOutlier) {
-    Avoid(state, aNow);
+    const Duration duration = Avoid(state, aNow);
+    if (mOnAvoided) {
+      mOnAvoided({ aService,
+                   aEndpoint,
+                   aResult,
+                   FailureShare(aEndpoint),
+                   state.mConsecutiveFailures,
+                   duration });
+    }
   }
 }
 
--- a/Source/Routing/EndpointHealth.h
+++ b/Source/Routing/EndpointHealth.h
@@ -2,9 +2,11 @@
 #define BULRUSHFOLD_ROUTING_ENDPOINTHEALTH_H
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 
 #include "Base/Clock.h"
 #include "Base/Random.h"
@@ -33,6 +35,19 @@
 
 std::string_view SendResultName(SendResult aResult);
 
+/** An endpoint that gets no requests for a time. */
+struct EndpointAvoidance
+{
+  std::string mService;
+  std::string mEndpoint;
+  /** The result that led to it. */
+  SendResult mResult = SendResult::Answered;
+  /** Share of recent requests that failed, 0 to 1. */
+  double mFailureShare = 0;
+  std::uint32_t mConsecutiveFailures = 0;
+  Duration mDuration{};
+};
+
 /**
  * Passive health checks: rates endpoints by the results of requests, because
  * active health checks add load and may succeed at a faulty endpoint. An
@@ -44,8 +59,12 @@
 class EndpointHealth
 {
 public:
-  explicit EndpointHealth(Random& aRandom)
+  using AvoidanceHook = std::function<void(const EndpointAvoidance&)>;
+
+  /** aOnAvoided: called when an endpoint begins to be avoided; may be empty. */
+  explicit EndpointHealth(Random& aRandom, AvoidanceHook aOnAvoided = nullptr)
     : mRandom(aRandom)
+    , mOnAvoided(std::move(aOnAvoided))
   {
   }
 
@@ -76,9 +95,11 @@
     double mFailures = 0;
   };
 
-  void Avoid(State& aState, Instant aNow);
+  /** Avoids the endpoint for the time that is returned. */
+  Duration Avoid(State& aState, Instant aNow);
 
   Random& mRandom;
+  AvoidanceHook mOnAvoided;
   std::map<std::string, State> mEndpoints;
   std::map<std::string, ServiceState> mServices;
 };
