Do not avoid an endpoint that answers for a request that times out

Callers saw plain requests refused as no_endpoint while endpoints of the service were idle for half a second to a second, on all its routes.

Cause: a request that reaches the caller's deadline or the route's timeout was recorded as 'slow', like one at an endpoint that hangs, and a single 'slow' makes an endpoint avoided. A route with a timeout that is shorter than its work so took up to two thirds of a service from all other routes. Streams that reach their deadline while their engine generates were recorded alike.

Change: these requests are recorded as timed_out. They count as failures, but on their own make only an endpoint avoided that answered nothing for 500 ms.

--- a/Source/Router/PlacementOwnerEvents.cxx
+++ b/Source/Router/PlacementOwnerEvents.cxx
@@ -8,12 +8,11 @@
 namespace bulrushfold {
 
 namespace {
-constexpr int kLastSendResult = static_cast<int>(SendResult::Slow);
-
 SendResult
 ResultOf(std::int32_t aNumber)
 {
-  return static_cast<SendResult>(std::clamp(aNumber, 0, kLastSendResult));
+  return static_cast<SendResult>(
+    std::clamp(aNumber, 0, static_cast<int>(kLastSendResult)));
 }
 } // namespace
 
--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -197,7 +197,7 @@
   }
   WithdrawRequest();
   if (mIsSending) {
-    AbandonSend(SendResult::Slow);
+    AbandonSend(SendResult::TimedOut);
     FinishWith(
       { kHttpGatewayTimeout, RefusalReason::Timeout, Duration::zero() });
   } else {
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -177,7 +177,7 @@
 PlainSession::CancelSend(SendResult aReason)
 {
   FinishSend(aReason, std::nullopt);
-  if (aReason == SendResult::Slow) {
+  if (IsWithoutAnswer(aReason)) {
     mServices.RecordSilentRun(mRun, mRequest->mCrashKeys);
   }
   mServices.mLog.SendEnded(*mRequest,
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -164,7 +164,7 @@
     HandleStall(aNow);
     return;
   }
-  EndEarly(RefusalReason::Timeout, SendResult::Slow);
+  EndEarly(RefusalReason::Timeout, SendResult::TimedOut);
 }
 
 void
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -263,7 +263,7 @@
 {
   if (mAttempt.mSend) {
     FinishSend(aReason, SendResultName(aReason), 0);
-    if (aReason == SendResult::Slow && mAttempt.mStep == "decode") {
+    if (IsWithoutAnswer(aReason) && mAttempt.mStep == "decode") {
       mServices.RecordSilentRun(mAttempt.mRun, LostKeys());
     }
   }
--- a/Source/Routing/EndpointHealth.cxx
+++ b/Source/Routing/EndpointHealth.cxx
@@ -7,7 +7,7 @@
 namespace bulrushfold {
 
 namespace {
-constexpr EnumNames<SendResult, 7> kResultNames{ {
+constexpr EnumNames<SendResult, 8> kResultNames{ {
   { SendResult::Answered, "answered" },
   { SendResult::ServerError, "server_error" },
   { SendResult::Refused, "refused" },
@@ -15,6 +15,7 @@
   { SendResult::ConnectFailed, "connect_failed" },
   { SendResult::Interrupted, "broken" },
   { SendResult::Slow, "slow" },
+  { SendResult::TimedOut, "timed_out" },
 } };
 
 /** Factors that reduce the weight of older results with each new result of the
@@ -27,6 +28,8 @@
 constexpr double kMinFailures = 3;
 /** and its share of failures exceeds that of the service by this much. */
 constexpr double kExcessShare = 0.25;
+/** An endpoint without an answer for this long is silent. */
+constexpr Duration kSilence = std::chrono::milliseconds(500);
 constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
 constexpr Duration kMaxAvoidance = std::chrono::seconds(8);
 } // namespace
@@ -37,6 +40,27 @@
   return FindEnumName(kResultNames, aResult);
 }
 
+bool
+EndpointHealth::IsSilentOrGone(const State& aState,
+                               SendResult aResult,
+                               Instant aNow)
+{
+  switch (aResult) {
+    case SendResult::Unready:
+    case SendResult::ConnectFailed:
+    case SendResult::Slow:
+      return true;
+    case SendResult::TimedOut:
+      return aNow - aState.mAnsweredAt >= kSilence;
+    case SendResult::Answered:
+    case SendResult::ServerError:
+    case SendResult::Refused:
+    case SendResult::Interrupted:
+      return false;
+  }
+  return false;
+}
+
 Duration
 EndpointHealth::Avoid(State& aState, Instant aNow)
 {
@@ -67,6 +91,7 @@
   service.mRequests = service.mRequests * kServiceDecay + 1;
   service.mFailures = service.mFailures * kServiceDecay + (isFailure ? 1 : 0);
   if (!isFailure) {
+    state.mAnsweredAt = aNow;
     state.mConsecutiveFailures = 0;
     if (aNow > state.mAvoidedUntil && FailureShare(aEndpoint) < kExcessShare) {
       state.mAvoidanceCount = 0;
@@ -80,8 +105,7 @@
   const double expected = service.mFailures / service.mRequests;
   const bool isOutlier = state.mFailures >= kMinFailures &&
                          FailureShare(aEndpoint) > expected + kExcessShare;
-  if (aResult == SendResult::Unready || aResult == SendResult::ConnectFailed ||
-      aResult == SendResult::Slow ||
+  if (IsSilentOrGone(state, aResult, aNow) ||
       state.mConsecutiveFailures >= kConsecutiveLimit || isOutlier) {
     const Duration duration = Avoid(state, aNow);
     if (mOnAvoided) {
--- a/Source/Routing/EndpointHealth.h
+++ b/Source/Routing/EndpointHealth.h
@@ -31,10 +31,22 @@
   Interrupted,
   /** The endpoint did not answer within its timeout. */
   Slow,
+  /** The caller's deadline or the route's timeout passed before the answer. */
+  TimedOut,
 };
 
+/** The last SendResult. */
+constexpr SendResult kLastSendResult = SendResult::TimedOut;
+
 std::string_view SendResultName(SendResult aResult);
 
+/** The request was sent, and no answer came while it was waited for. */
+constexpr bool
+IsWithoutAnswer(SendResult aResult)
+{
+  return aResult == SendResult::Slow || aResult == SendResult::TimedOut;
+}
+
 /** An endpoint that gets no requests for a time. */
 struct EndpointAvoidance
 {
@@ -55,6 +67,10 @@
  * endpoints of its service, is avoided for a time that doubles with each
  * further failure. If all endpoints are avoided, the best of them still gets
  * requests.
+ *
+ * The time that a caller or a route allows says little about an endpoint that
+ * answers others meanwhile: a request that reaches it counts as a failure, but
+ * on its own makes only a silent endpoint avoided.
  */
 class EndpointHealth
 {
@@ -88,6 +104,7 @@
     double mFailures = 0;
     std::uint32_t mAvoidanceCount = 0;
     Instant mAvoidedUntil;
+    Instant mAnsweredAt;
   };
   struct ServiceState
   {
@@ -95,6 +112,10 @@
     double mFailures = 0;
   };
 
+  /** aResult alone is a reason to avoid an endpoint. */
+  static bool IsSilentOrGone(const State& aState,
+                             SendResult aResult,
+                             Instant aNow);
   /** Avoids the endpoint for the time that is returned. */
   Duration Avoid(State& aState, Instant aNow);
 
--- a/Tests/Routing/EndpointChoiceTest.cxx
+++ b/Tests/Routing/EndpointChoiceTest.cxx
@@ -3,6 +3,7 @@
 #include "Routing/PlainSelector.h"
 
 #include <map>
+#include <vector>
 
 #include <doctest/doctest.h>
 
@@ -80,6 +81,55 @@
     health.OnResult("s", "a", SendResult::Interrupted, now);
     CHECK(health.IsAvoided("a", now));
   }
+  // Guards against a timeout that is shorter than the work taking an endpoint
+  // from all other routes.
+  SUBCASE("a request that reaches its timeout")
+  {
+    SUBCASE("does not make an endpoint avoided that answers others")
+    {
+      for (int i = 0; i < 50; ++i) {
+        now += milliseconds(100);
+        health.OnResult("s", "a", SendResult::Answered, now);
+        health.OnResult("s", "a", SendResult::TimedOut, now);
+        CHECK_FALSE(health.IsAvoided("a", now));
+        health.OnResult("s", "a", SendResult::Answered, now);
+        health.OnResult("s", "a", SendResult::Answered, now);
+        health.OnResult("s", "a", SendResult::Answered, now);
+      }
+    }
+    SUBCASE("makes a silent endpoint avoided at once")
+    {
+      health.OnResult("s", "a", SendResult::Answered, now);
+      now += milliseconds(600);
+      health.OnResult("s", "a", SendResult::TimedOut, now);
+      CHECK(health.IsAvoided("a", now));
+    }
+    SUBCASE("counts as a failure")
+    {
+      health.OnResult("s", "a", SendResult::Answered, now);
+      for (int i = 0; i < 3; ++i) {
+        health.OnResult("s", "a", SendResult::TimedOut, now);
+      }
+      CHECK(health.FailureShare("a") > 0.5);
+      CHECK(health.IsAvoided("a", now));
+    }
+  }
+  SUBCASE("the beginning of an avoidance is reported with its reason")
+  {
+    std::vector<EndpointAvoidance> avoidances;
+    EndpointHealth reporting(
+      random, [&](const EndpointAvoidance& aIt) { avoidances.push_back(aIt); });
+    reporting.OnResult("s", "a", SendResult::Interrupted, now);
+    reporting.OnResult("s", "a", SendResult::Slow, now);
+    reporting.OnResult("s", "a", SendResult::Slow, now);
+    REQUIRE(avoidances.size() == 1);
+    CHECK(avoidances[0].mService == "s");
+    CHECK(avoidances[0].mEndpoint == "a");
+    CHECK(avoidances[0].mResult == SendResult::Slow);
+    CHECK(avoidances[0].mConsecutiveFailures == 2);
+    CHECK(avoidances[0].mFailureShare == 1);
+    CHECK(reporting.IsAvoided("a", now + avoidances[0].mDuration / 2));
+  }
   SUBCASE("a refusal does not count as a failure")
   {
     for (int i = 0; i < 50; ++i) {
--- a/Tests/Routing/PlainQueueOverloadTest.cxx
+++ b/Tests/Routing/PlainQueueOverloadTest.cxx
@@ -19,6 +19,10 @@
   Duration mTarget;
   /** Mean number of requests in one second. */
   double mRate;
+  /** Time in a slot; zero: random, with the mean of the service. */
+  Duration mRunTime{};
+  /** Its runs end with an answer, not at their timeout. */
+  bool mIsAnswered = true;
   int mAsked = 0;
   int mServed = 0;
 
@@ -86,8 +90,17 @@
   {
     while (!mEnds.empty() && mEnds.begin()->first <= mFixture.mNow) {
       const auto& [number, started] = mEnds.begin()->second;
+      const RouteLoad& route = mRoutes[mRouteOf.at(number)];
+      mFixture.mHealth.OnResult("s",
+                                mFixture.mRunning.at(number),
+                                route.mIsAnswered ? SendResult::Answered
+                                                  : SendResult::TimedOut,
+                                mFixture.mNow);
       mFixture.End(number);
-      mFixture.mQueue.OnServed("s", mFixture.mNow - started);
+      // Runs of a fixed time would change what the queue expects of the others.
+      if (route.mRunTime == Duration::zero()) {
+        mFixture.mQueue.OnServed("s", mFixture.mNow - started);
+      }
       mEnds.erase(mEnds.begin());
     }
   }
@@ -116,9 +129,12 @@
   }
   void Start(std::uint64_t aNumber)
   {
-    ++mRoutes[mRouteOf.at(aNumber)].mServed;
+    RouteLoad& route = mRoutes[mRouteOf.at(aNumber)];
+    ++route.mServed;
     const double time =
-      kMeanSeconds / 2 + mRandom.Exponential(kMeanSeconds / 2);
+      route.mRunTime > Duration::zero()
+        ? ToSeconds(route.mRunTime)
+        : kMeanSeconds / 2 + mRandom.Exponential(kMeanSeconds / 2);
     mEnds.emplace(mFixture.mNow + FromSeconds(time),
                   std::pair(aNumber, mFixture.mNow));
   }
@@ -225,4 +241,24 @@
   }
 }
 
+// Guards against endpoints that answer being avoided for the requests of a
+// route whose timeout is shorter than its work, which made the service too
+// small for all others.
+TEST_CASE("A timeout takes no more capacity than an answer that takes as long")
+{
+  const auto servedShare = [](bool aIsAnswered, std::uint64_t aSeed) {
+    constexpr double kLoad = 0.6;
+    OverloadedService service(
+      { { milliseconds(150), kLoad * OverloadedService::kCapacity },
+        { seconds(1), 2, milliseconds(400), aIsAnswered } },
+      aSeed);
+    service.Run(seconds(20));
+    return service.Routes().front().ServedShare();
+  };
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    CHECK(servedShare(false, seed) >= 0.99 * servedShare(true, seed));
+  }
+}
+
 } // namespace bulrushfold
