Read and log the software version of an engine

The registry states for each endpoint the version of its software. It was not read, so that the logs could not tell whether a stream reached two versions by a move, after a lost run, or because its caller took it up elsewhere.

--- a/Source/Router/EndpointProtocol.h
+++ b/Source/Router/EndpointProtocol.h
@@ -38,6 +38,9 @@
   /** Id of the last event that the caller received; the stream resumes after
    * it. */
   std::string mLastEventId;
+  /** Id of the attempt that brought the caller the first event of the stream
+   * that it resumes; empty when it resumes none. */
+  std::string mResumedAttempt;
   /** The last part of the prompt, which no other caller's prompt contains. */
   std::optional<PromptPart> mUniquePromptPart;
   /** Keys of the parts before the last one, which other prompts may contain, in
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -243,6 +243,7 @@
              { "role", EndpointRoleName(aEndpoint.mRole) },
              { "address", FormatAddress(aEndpoint.mAddress) },
              { "failure_domain", aEndpoint.mFailureDomain },
+             { "software", aEndpoint.mSoftware },
              { "backoff_ms", ToMilliseconds(RemainingBackoff(aEndpoint.mId)) },
              { "registry", mDirectory.Revision() } });
   mPlacement.OnEndpointChange(
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -40,6 +40,9 @@
   std::uint32_t mSlots = 1;
   /** Start time of the process; differs after a restart under the same id. */
   std::int64_t mIncarnation = 0;
+  /** Version of its software, not of its models; empty: not stated. A stream
+   * goes on only at the version that began it. */
+  std::string mSoftware;
 
   bool operator==(const EndpointRecord& aOther) const
   {
@@ -47,7 +50,7 @@
            mAddress == aOther.mAddress &&
            mFailureDomain == aOther.mFailureDomain && mRole == aOther.mRole &&
            mIsDraining == aOther.mIsDraining && mSlots == aOther.mSlots &&
-           mIncarnation == aOther.mIncarnation;
+           mIncarnation == aOther.mIncarnation && mSoftware == aOther.mSoftware;
   }
 };
 
