Let an answer go on only at the software version that began it

Callers got streams whose events come from engines of two software versions, which don't fit together, from the first seconds of a release on.

Cause: no choice of an engine for a stream that has begun looked at the version of its software. Moves away from engines that leave in a release, replacements of silent runs and retries of lost ones took any engine of the service.

Change: the version of the engine that made the first event binds the answer. It is part of the demand that the placer gets, moves go to the same version, and the daemon that serves the stream checks the placement against its own registry. If engines of other versions have replaced all of it, the answer is broken off at once. A run without an event binds nothing.

--- a/Source/Router/PlacementMessages.cxx
+++ b/Source/Router/PlacementMessages.cxx
@@ -168,6 +168,9 @@
   request.memoryTokens =
     static_cast<std::int64_t>(aDemand.mProfile.mMemoryTokens);
   SetTerms(aDemand.mTerms, request);
+  if (aDemand.mSoftware) {
+    request.__set_software(*aDemand.mSoftware);
+  }
   return request;
 }
 
@@ -192,6 +195,9 @@
   demand.mIsRetry = aRequest.isRetry;
   demand.mRequestHash = static_cast<std::uint64_t>(aRequest.requestHash);
   demand.mTerms = TermsOf(aRequest);
+  if (aRequest.__isset.software) {
+    demand.mSoftware = aRequest.software;
+  }
   return demand;
 }
 
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -73,6 +73,12 @@
            : mParameters.mCall.mArrival;
 }
 
+bool
+StreamCall::MayContinueAt(const std::string& aEndpoint) const
+{
+  return !mSoftware || *mSoftware == mDelegate.SoftwareOf(aEndpoint);
+}
+
 StreamDemand
 StreamCall::MakeDemand(Instant aNow) const
 {
@@ -94,6 +100,7 @@
   demand.mQueueDeadline = QueueDeadline(aNow);
   demand.mFailedEndpoints = mFailedEndpoints;
   demand.mPromptKey = mParameters.mPromptKey;
+  demand.mSoftware = mSoftware;
   demand.mIsRetry = mParameters.mFirstArrival ||
                     !mParameters.mLastEventId.empty() || mPlacementCount > 0;
   const std::uint32_t endedRuns = mPossibleRuns - (mRunAside ? 1 : 0);
@@ -149,6 +156,13 @@
     FailAttempt(RefusalReason::NoEndpoint, aNow);
     return;
   }
+  if (!MayContinueAt(mAttempt.mPlacement.mDecode)) {
+    // The placer knows another version of the engine.
+    mFailedEndpoints.insert(mAttempt.mPlacement.mDecode);
+    ReleaseAll();
+    Retry(0, aNow);
+    return;
+  }
   if (mParameters.mProfile.mMaxReservation <= Duration::zero()) {
     StartPrefill(aNow);
     return;
@@ -282,6 +296,7 @@
 StreamCall::SendDecode(Instant aNow)
 {
   mAttempt.mState = StreamState::Starting;
+  mAttempt.mSoftware = mDelegate.SoftwareOf(mAttempt.mPlacement.mDecode);
   mAttempt.mIsUnframed = false;
   mAttempt.mMayBeStopped = false;
   mIsReplacementSent = mRunAside.has_value();
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -88,6 +88,8 @@
   /** The run counts towards the load of aEndpoint from now on. */
   virtual void ReportMoved(const std::string& aEndpoint) = 0;
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
+  /** Version of the software of aEndpoint; empty when it is unknown. */
+  virtual std::string SoftwareOf(const std::string& aEndpoint) const = 0;
   /** aEndpoint is in the registry and did not ask for a pause. */
   virtual bool CanReceive(const std::string& aEndpoint) const = 0;
   /** A part of the prompt crashes engines, so it must not be sent to one. */
@@ -238,6 +240,8 @@
     StreamPlacement mPlacement;
     std::string mReservation;
     std::optional<KvCache> mCache;
+    /** Software version of the decode engine when the run was sent to it. */
+    std::string mSoftware;
     /** Source of a copied run, until the target has resumed it. */
     std::string mMoveSource;
     /** The last decode continues a run that was moved, so its refusal does not
@@ -259,6 +263,8 @@
     std::optional<MoveAnswer> mAnswer;
   };
 
+  /** True if the answer may go on at aEndpoint. */
+  bool MayContinueAt(const std::string& aEndpoint) const;
   StreamDemand MakeDemand(Instant aNow) const;
   void RefuseForOverload();
   void Submit(Instant aNow);
@@ -357,6 +363,8 @@
   /** An engine whose cache should have the prompt failed. */
   bool mIsPromptLost = false;
   bool mHasStartedAnswer = false;
+  /** Software version that made the first event that was passed on. */
+  std::optional<std::string> mSoftware;
   /** A single run has generated the whole answer. */
   bool mIsSingleRun = true;
   Instant mFirstEventAt;
--- a/Source/Router/StreamCallAnswer.cxx
+++ b/Source/Router/StreamCallAnswer.cxx
@@ -78,7 +78,11 @@
     return;
   }
   WatchRun(aNow);
-  if (!mRelay.Feed(aData)) {
+  const bool isValid = mRelay.Feed(aData);
+  if (!mSoftware && mRelay.Events() > 0) {
+    mSoftware = mAttempt.mSoftware;
+  }
+  if (!isValid) {
     mDelegate.CancelSend(SendResult::Interrupted);
     OnAnswerEnded(SendOutcome::Unknown, aNow);
   }
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -13,7 +13,7 @@
 {
   if (mAttempt.mState != StreamState::Streaming || mMove ||
       mMoveCount >= kMaxMoves || mRelay.Events() == 0 ||
-      mRelay.LastId().empty() ||
+      mRelay.LastId().empty() || !MayContinueAt(aTarget) ||
       !mRetryBudget.TryConsume(mParameters.mCall.mService, 1, aNow)) {
     return;
   }
@@ -67,7 +67,8 @@
   mAttempt.mPlacement.mPrefill.clear();
   // The source keeps its cache after the copy.
   const bool usesTarget = move.mAnswer->mOutcome == MoveOutcome::Copied &&
-                          mDelegate.IsUsable(move.mTarget);
+                          mDelegate.IsUsable(move.mTarget) &&
+                          MayContinueAt(move.mTarget);
   mAttempt.mPlacement.mDecode = usesTarget ? move.mTarget : move.mSource;
   mAttempt.mMoveSource = usesTarget ? move.mSource : std::string();
   mDelegate.ReportMoved(mAttempt.mPlacement.mDecode);
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -178,6 +178,13 @@
   return mServices.mDirectory.IsUsable(aEndpoint);
 }
 
+std::string
+StreamSession::SoftwareOf(const std::string& aEndpoint) const
+{
+  const EndpointRecord* endpoint = mServices.mDirectory.Find(aEndpoint);
+  return endpoint == nullptr ? std::string() : endpoint->mSoftware;
+}
+
 bool
 StreamSession::CanReceive(const std::string& aEndpoint) const
 {
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -56,6 +56,7 @@
   void ReportInterruptedRun(const std::string& aEndpoint) override;
   void ReportMoved(const std::string& aEndpoint) override;
   bool IsUsable(const std::string& aEndpoint) const override;
+  std::string SoftwareOf(const std::string& aEndpoint) const override;
   bool CanReceive(const std::string& aEndpoint) const override;
   bool IsPromptRefused() override;
   void Reserve(const std::string& aEndpoint, std::uint64_t aTokens) override;
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -102,6 +102,12 @@
   return aDemand.mPromptTokens + aDemand.mGeneratedTokens;
 }
 
+bool
+MayContinueAt(const StreamDemand& aDemand, const EndpointRecord& aEngine)
+{
+  return !aDemand.mSoftware || *aDemand.mSoftware == aEngine.mSoftware;
+}
+
 double
 MemoryTime(const StreamDemand& aDemand)
 {
@@ -242,6 +248,7 @@
     if (engine == nullptr || !mDirectory.IsUsable(it.mEndpoint) ||
         engine->mRole != EndpointRole::Decode ||
         engine->mService != aDemand.mService ||
+        !MayContinueAt(aDemand, *engine) ||
         mHealth.IsAvoided(it.mEndpoint, aNow) ||
         it.mTokens * kMinCachedDivisor < aDemand.mPromptTokens) {
       continue;
@@ -274,8 +281,7 @@
   const double memory = UsableMemory(aDemand.mService);
   const MemoryProfile profile = ProfileOf(aDemand, aNow);
   double bestCost = 0;
-  const auto& engines =
-    mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
+  const auto engines = DecodeEngines(aDemand);
   const Rank bestRank = BestRank(engines, aDemand, aNow);
   // A decode engine runs one local prefill at a time, between the tokens of its
   // runs.
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -57,6 +57,9 @@
   bool mWasInterrupted = false;
   /** The caller has retried or resumed the stream. */
   bool mIsRetry = false;
+  /** Software version that began the answer, at which alone it may go on; empty
+   * when the answer has not begun. */
+  std::optional<std::string> mSoftware;
   /** Hash of path, caller and body; equal for all attempts of a caller. */
   std::uint64_t mRequestHash = 0;
   PlacementTerms mTerms{};
@@ -65,6 +68,9 @@
 /** Tokens whose KV cache aDemand needs before it can generate. */
 std::uint64_t StartTokens(const StreamDemand& aDemand);
 
+/** True if aEngine's software may go on with the answer of aDemand. */
+bool MayContinueAt(const StreamDemand& aDemand, const EndpointRecord& aEngine);
+
 /** Expected memory use of aDemand, summed over the tokens that it generates. */
 double MemoryTime(const StreamDemand& aDemand);
 
@@ -124,7 +130,8 @@
  * An engine that runs out of memory stops its newest run and computes the
  * prompt of that run again, which delays all its runs. To prevent this, the
  * newest run is moved to another engine before, by the daemon that owns it.
- * Runs at an engine that drains or changes its role are moved too.
+ * Runs at an engine that drains or changes its role are moved too. An answer
+ * that has begun goes on only at engines of the same software version.
  *
  * Events to deliver: Submit; RemoveUnservable and Dispatch after every event
  * that may have freed capacity (a stream of this daemon ended, a peer reported
@@ -214,6 +221,12 @@
   /** Set when no engine will accept aDemand in time. */
   std::optional<UnservableStream> FindUnservable(const StreamDemand& aDemand,
                                                  Instant aNow) const;
+  /** Usable decode engines that may go on with the answer of aDemand. */
+  std::vector<const EndpointRecord*> DecodeEngines(
+    const StreamDemand& aDemand) const;
+  /** False when the service has decode engines, and none of them may go on with
+   * the answer of aDemand. */
+  bool HasVersion(const StreamDemand& aDemand) const;
   /** The waiting stream to be placed next. */
   std::list<StreamDemand>::iterator NextToPlace(Instant aNow);
   std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
--- a/Source/Routing/StreamSchedulerMoves.cxx
+++ b/Source/Routing/StreamSchedulerMoves.cxx
@@ -59,8 +59,8 @@
   for (const EndpointRecord* it :
        mDirectory.Usable(engine->mService, EndpointRole::Decode)) {
     auto runs = mRuns.At(it->mId);
-    if (it->mId == aRun.mEndpoint || runs.size() >= it->mSlots ||
-        mHealth.IsAvoided(it->mId, aNow)) {
+    if (it->mId == aRun.mEndpoint || it->mSoftware != engine->mSoftware ||
+        runs.size() >= it->mSlots || mHealth.IsAvoided(it->mId, aNow)) {
       continue;
     }
     runs.push_back(&aRun);
--- a/Source/Routing/StreamSchedulerQueue.cxx
+++ b/Source/Routing/StreamSchedulerQueue.cxx
@@ -1,5 +1,7 @@
 #include "Routing/StreamScheduler.h"
 
+#include <algorithm>
+
 namespace bulrushfold {
 
 std::vector<std::uint64_t>
@@ -17,9 +19,37 @@
   return expired;
 }
 
+std::vector<const EndpointRecord*>
+StreamScheduler::DecodeEngines(const StreamDemand& aDemand) const
+{
+  auto engines = mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
+  engines.erase(std::remove_if(engines.begin(),
+                               engines.end(),
+                               [&](const EndpointRecord* aEngine) {
+                                 return !MayContinueAt(aDemand, *aEngine);
+                               }),
+                engines.end());
+  return engines;
+}
+
+bool
+StreamScheduler::HasVersion(const StreamDemand& aDemand) const
+{
+  const auto engines =
+    mDirectory.UsableOrInBackoff(aDemand.mService, EndpointRole::Decode);
+  return engines.empty() ||
+         std::any_of(engines.begin(), engines.end(), [&](const auto* aEngine) {
+           return MayContinueAt(aDemand, *aEngine);
+         });
+}
+
 std::optional<UnservableStream>
 StreamScheduler::FindUnservable(const StreamDemand& aDemand, Instant aNow) const
 {
+  if (aDemand.mSoftware && !HasVersion(aDemand)) {
+    // Engines of another version have replaced those that could go on.
+    return UnservableStream{ aDemand.mNumber, Duration::zero() };
+  }
   if (aDemand.mWasInterrupted) {
     return std::nullopt;
   }
--- a/Source/Wire/Placement.thrift
+++ b/Source/Wire/Placement.thrift
@@ -66,6 +66,8 @@
   16: string workspace,
   17: i32 urgency,
   18: double cost,
+  // Set when the answer has begun: the software version of its engine.
+  19: optional string software,
 }
 
 enum StreamPlacementResult {
--- a/Source/Wire/gen-cpp/Placement_types.cpp
+++ b/Source/Wire/gen-cpp/Placement_types.cpp
@@ -832,6 +832,11 @@
 void StreamPlacementRequest::__set_cost(const double val) {
   this->cost = val;
 }
+
+void StreamPlacementRequest::__set_software(const std::string& val) {
+  this->software = val;
+__isset.software = true;
+}
 std::ostream& operator<<(std::ostream& out, const StreamPlacementRequest& obj)
 {
   obj.printTo(out);
@@ -1031,6 +1036,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 19:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1158,6 +1171,11 @@
   xfer += oprot->writeDouble(this->cost);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.software) {
+    xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRING, 19);
+    xfer += oprot->writeString(this->software);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1183,6 +1201,7 @@
   swap(a.workspace, b.workspace);
   swap(a.urgency, b.urgency);
   swap(a.cost, b.cost);
+  swap(a.software, b.software);
   swap(a.__isset, b.__isset);
 }
 
@@ -1205,6 +1224,7 @@
   workspace = other18.workspace;
   urgency = other18.urgency;
   cost = other18.cost;
+  software = other18.software;
   __isset = other18.__isset;
 }
 StreamPlacementRequest& StreamPlacementRequest::operator=(const StreamPlacementRequest& other19) {
@@ -1226,6 +1246,7 @@
   workspace = other19.workspace;
   urgency = other19.urgency;
   cost = other19.cost;
+  software = other19.software;
   __isset = other19.__isset;
   return *this;
 }
@@ -1250,6 +1271,7 @@
   out << ", " << "workspace=" << to_string(workspace);
   out << ", " << "urgency=" << to_string(urgency);
   out << ", " << "cost=" << to_string(cost);
+  out << ", " << "software="; (__isset.software ? (out << to_string(software)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Placement_types.h
+++ b/Source/Wire/gen-cpp/Placement_types.h
@@ -313,10 +313,11 @@
 std::ostream& operator<<(std::ostream& out, const PlainPlacementReply& obj);
 
 typedef struct _StreamPlacementRequest__isset {
-  _StreamPlacementRequest__isset() : workspace(false), urgency(false), cost(false) {}
+  _StreamPlacementRequest__isset() : workspace(false), urgency(false), cost(false), software(false) {}
   bool workspace :1;
   bool urgency :1;
   bool cost :1;
+  bool software :1;
 } _StreamPlacementRequest__isset;
 
 class StreamPlacementRequest : public virtual ::apache::thrift::TBase {
@@ -341,7 +342,8 @@
                            memoryTokens(0),
                            workspace(),
                            urgency(0),
-                           cost(0) {
+                           cost(0),
+                           software() {
   }
 
   virtual ~StreamPlacementRequest() noexcept;
@@ -363,6 +365,7 @@
   std::string workspace;
   int32_t urgency;
   double cost;
+  std::string software;
 
   _StreamPlacementRequest__isset __isset;
 
@@ -402,6 +405,8 @@
 
   void __set_cost(const double val);
 
+  void __set_software(const std::string& val);
+
   bool operator == (const StreamPlacementRequest & rhs) const
   {
     if (!(session == rhs.session))
@@ -440,6 +445,10 @@
       return false;
     if (!(cost == rhs.cost))
       return false;
+    if (__isset.software != rhs.__isset.software)
+      return false;
+    else if (__isset.software && !(software == rhs.software))
+      return false;
     return true;
   }
   bool operator != (const StreamPlacementRequest &rhs) const {
--- a/Tests/Adapter/PlatformProtocolTest.cxx
+++ b/Tests/Adapter/PlatformProtocolTest.cxx
@@ -49,6 +49,10 @@
   const RequestMetadata metadata = protocol.ReadRequest(MakeRequest());
   CHECK(metadata.mId == "r1");
   CHECK(metadata.mCallerTimeout == milliseconds(14'000));
+  CHECK(metadata.mResumedAttempt.empty());
+  HttpRequest resuming = MakeRequest();
+  resuming.mHeaders.Add("Resumes", "r0");
+  CHECK(protocol.ReadRequest(resuming).mResumedAttempt == "r0");
   REQUIRE(metadata.mTokens);
   CHECK(metadata.mTokens->mPrompt == 1460);
   CHECK(metadata.mTokens->mMaxAnswer == 80);
--- a/Tests/Adapter/RegistryReaderTest.cxx
+++ b/Tests/Adapter/RegistryReaderTest.cxx
@@ -140,12 +140,15 @@
   CHECK(endpoint->mRole == EndpointRole::Decode);
   CHECK(FormatAddress(endpoint->mAddress) == "10.128.0.9:8080");
   CHECK(endpoint->mIncarnation == 1774145865864);
+  CHECK(endpoint->mSoftware == "v1");
   CHECK_FALSE(endpoint->mIsDraining);
   CHECK(ReadWithField("state", "draining")->mIsDraining);
   CHECK(ReadWithField("stage", nullptr)->mRole == EndpointRole::General);
 
   CHECK_FALSE(ReadWithField("state", "sleeping").ok());
   CHECK_FALSE(ReadWithField("state", 1).ok());
+  CHECK(ReadWithField("version", nullptr)->mSoftware.empty());
+  CHECK_FALSE(ReadWithField("version", 1).ok());
   CHECK_FALSE(ReadWithField("service", nullptr).ok());
   CHECK_FALSE(ReadWithField("address", "10.128.0.9").ok());
   CHECK_FALSE(ReadWithField("slots", "many").ok());
--- a/Tests/Router/PlacementMessagesTest.cxx
+++ b/Tests/Router/PlacementMessagesTest.cxx
@@ -36,4 +36,17 @@
   }
 }
 
+TEST_CASE("The version that began a stream reaches the placement owner")
+{
+  const Instant now{ std::chrono::seconds(1000) };
+  StreamDemand demand;
+  demand.mNumber = 7;
+  CHECK_FALSE(FromWire(ToWire(demand, now), now).mSoftware);
+  demand.mSoftware = "v2";
+  CHECK(FromWire(ToWire(demand, now), now).mSoftware == "v2");
+  // An engine that states no version is of another one than all that do.
+  demand.mSoftware = "";
+  CHECK(FromWire(ToWire(demand, now), now).mSoftware == "");
+}
+
 } // namespace bulrushfold
--- a/Tests/Router/StreamCallFixture.h
+++ b/Tests/Router/StreamCallFixture.h
@@ -1,6 +1,7 @@
 #ifndef BULRUSHFOLD_TESTS_ROUTER_STREAMCALLFIXTURE_H
 #define BULRUSHFOLD_TESTS_ROUTER_STREAMCALLFIXTURE_H
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -43,6 +44,11 @@
   {
     return mUnusable.count(aEndpoint) == 0;
   }
+  std::string SoftwareOf(const std::string& aEndpoint) const override
+  {
+    const auto it = mSoftware.find(aEndpoint);
+    return it == mSoftware.end() ? "" : it->second;
+  }
   bool CanReceive(const std::string& aEndpoint) const override
   {
     return mUnreachable.count(aEndpoint) == 0;
@@ -128,6 +134,8 @@
   std::vector<DecodeParameters> mDecodes;
   std::vector<std::string> mInterruptedAt;
   std::set<std::string> mUnusable;
+  /** Software versions, by endpoint. */
+  std::map<std::string, std::string> mSoftware;
   std::set<std::string> mUnreachable;
   bool mIsPromptRefused = false;
   bool mIsReadPaused = false;
