--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -96,25 +96,6 @@
   return true;
 }
 
-std::uint64_t
-StartTokens(const StreamDemand& aDemand)
-{
-  return aDemand.mPromptTokens + aDemand.mGeneratedTokens;
-}
-
-bool
-MayContinueAt(const StreamDemand& aDemand, const EndpointRecord& aEngine)
-{
-  return !aDemand.mSoftware || *aDemand.mSoftware == aEngine.mSoftware;
-}
-
-double
-MemoryTime(const StreamDemand& aDemand)
-{
-  const double answer = static_cast<double>(aDemand.mAnswerTokens);
-  return (static_cast<double>(StartTokens(aDemand)) + answer / 2) * answer;
-}
-
 Instant
 StreamScheduler::LatestStart(const StreamDemand& aDemand) const
 {
