Notice a silent store in half of the time that a change may take

Callers got 404 for routes that a confirmed configuration had added, for up to 3.1 s, at daemons that reach the store.

Cause: in a fleet with a placement owner one daemon watches the store for the others. It counted a silent connection as lost after 2.9 s, which suits a daemon that must be up to date 3 s after a fault of its own. Its followers had no fault; with the delay before the next call and their own reading the chain takes up to 3.2 s, and 3 s are allowed.

'A silent store is noticed in half of the time of a change' needs the new parameter, so that it can't be built against the former code, which asked for 2500 ms always.

--- a/Source/Router/RouterSettings.h
+++ b/Source/Router/RouterSettings.h
@@ -35,6 +35,8 @@
   /** Prefix of the leases, one for each service: the holder may order the
    * engines of the service to change their role. */
   std::string mOrderPrefix;
+  /** Time after which a change of the configuration must be in force. */
+  Duration mConfigTime = std::chrono::seconds(3);
   /** Maximum time that an engine needs to change its role. */
   Duration mRoleChangeTime = std::chrono::seconds(12);
   /** Time in which an endpoint that is up has written its registry entry again,
--- a/Tests/Adapter/FakePlatformStore.cxx
+++ b/Tests/Adapter/FakePlatformStore.cxx
@@ -283,6 +283,7 @@
   }
   const auto wait =
     std::chrono::milliseconds(NumberParameter(request, "wait_ms"));
+  mLastWatchWait = wait;
   const auto it = mWatches.insert(mWatches.end(), std::move(watch));
   it->mTimer = mLoop.After(wait, [this, it] {
     AnswerWatch(*it, true);
--- a/Tests/Adapter/FakePlatformStore.h
+++ b/Tests/Adapter/FakePlatformStore.h
@@ -57,6 +57,9 @@
   /** Sends aText as the era from now on; nullopt: no era. */
   void SetEra(std::optional<std::string> aText) { mEra = std::move(aText); }
 
+  /** Time for which the last watch that was not answered at once may wait. */
+  std::optional<Duration> mLastWatchWait;
+
   /** Writes an object unconditionally, as the platform itself does. */
   void Write(const std::string& aKey, const nlohmann::json& aSpec);
   /** Writes an object whose "spec" is sent as the text aSpec, which need not be
--- a/Tests/Adapter/PlatformStoreTest.cxx
+++ b/Tests/Adapter/PlatformStoreTest.cxx
@@ -1,5 +1,6 @@
 #include "PlatformStore.h"
 
+#include <optional>
 #include <set>
 
 #include <doctest/doctest.h>
@@ -93,6 +94,35 @@
   }
 }
 
+// Guards against a configuration that is not in force in time at the daemons
+// that follow the watch of one whose connection to the store falls silent.
+TEST_CASE("A silent store is noticed in half of the time of a change")
+{
+  EventLoop loop;
+  HttpClient client(loop);
+  FakePlatformStore fakeStore(loop);
+  fakeStore.Write("k/1", Json::object());
+  const auto waitOfWatch = [&](Duration aChangeTime) {
+    fakeStore.mLastWatchWait.reset();
+    platform::PlatformStore store(
+      loop, client, fakeStore.Address(), aChangeTime);
+    std::optional<std::uint64_t> revision;
+    store.List("k/", [&](const absl::StatusOr<StoreListing>& aListing) {
+      revision = aListing->mRevision;
+    });
+    REQUIRE(RunUntil(loop, [&] { return revision.has_value(); }));
+    const auto watch = store.Watch("k/", *revision, {});
+    REQUIRE(
+      RunUntil(loop, [&] { return fakeStore.mLastWatchWait.has_value(); }));
+    return *fakeStore.mLastWatchWait;
+  };
+  CHECK(waitOfWatch(std::chrono::seconds(2)) == std::chrono::seconds(1));
+  CHECK(waitOfWatch(std::chrono::seconds(3)) ==
+        std::chrono::milliseconds(1500));
+  // This daemon must be up to date again 3 s after a fault in any case.
+  CHECK(waitOfWatch(std::chrono::minutes(1)) < std::chrono::seconds(3));
+}
+
 TEST_CASE("ObjectWatcher reports the current objects")
 {
   EventLoop loop;
