Look up and compare the software version of an engine in one place

The lookup of an endpoint's version stood in the session and twice in the log; the decision whether an answer may go on stood in the scheduler's demand and, for other arguments, in StreamCall. And each placement copied the list of the decode engines, also for the streams that have not begun and may use them all.

EndpointDirectory::SoftwareOf is the one lookup, MayContinueAt the one decision, on two plain values. The list is copied only for an answer that has begun. Two doc comments of StreamCall stood above each other's function.

--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -159,7 +159,6 @@
                  std::size_t aCandidates)
 {
   CountPlacement(aRequest, aStep);
-  const EndpointRecord* endpoint = mDirectory.Find(aEndpoint);
   LogEvent(
     LogLevel::Info,
     "request_sent",
@@ -168,7 +167,7 @@
       { "service", aRequest.mParameters.mService },
       { "step", aStep },
       { "endpoint", aEndpoint },
-      { "software", endpoint == nullptr ? "" : endpoint->mSoftware },
+      { "software", mDirectory.SoftwareOf(aEndpoint) },
       { "placed_by", PlacerOf(aRequest) },
       { "load", aLoad },
       { "candidates", aCandidates },
@@ -322,14 +321,13 @@
                    const StreamPlacement& aPlacement)
 {
   CountPlacement(aRequest, "stream");
-  const EndpointRecord* decode = mDirectory.Find(aPlacement.mDecode);
   LogEvent(
     LogLevel::Info,
     "request_placed",
     { { "id", aRequest.mMetadata.mId },
       { "placed_by", PlacerOf(aRequest) },
       { "decode", aPlacement.mDecode },
-      { "software", decode == nullptr ? "" : decode->mSoftware },
+      { "software", mDirectory.SoftwareOf(aPlacement.mDecode) },
       { "resumes", aRequest.mMetadata.mResumedAttempt },
       { "decode_runs", aPlacement.mDecodeRuns },
       { "decode_peak_tokens", aPlacement.mDecodePeak },
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -76,7 +76,7 @@
 bool
 StreamCall::MayContinueAt(const std::string& aEndpoint) const
 {
-  return !mSoftware || *mSoftware == mDelegate.SoftwareOf(aEndpoint);
+  return bulrushfold::MayContinueAt(mSoftware, mDelegate.SoftwareOf(aEndpoint));
 }
 
 StreamDemand
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -169,10 +169,10 @@
   void OnPlaced(const StreamPlacement& aPlacement, Instant aNow);
   /** The stream expired in the scheduler's queue. */
   void OnPlacementExpired(Instant aNow);
-  /** No engine will accept the stream in time. aRetryAfter: time until one
-   * accepts streams again; zero when it is unknown. */
   /** The workspace has used up its quota until aRetryAfter. */
   void OnOverQuota(Duration aRetryAfter, Instant aNow);
+  /** No engine will accept the stream in time. aRetryAfter: time until one
+   * accepts streams again; zero when it is unknown. */
   void OnUnservable(Duration aRetryAfter, Instant aNow);
   /** The placer refused the stream, because it could not begin in time. */
   void OnOverload(Instant aNow);
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -181,8 +181,7 @@
 std::string
 StreamSession::SoftwareOf(const std::string& aEndpoint) const
 {
-  const EndpointRecord* endpoint = mServices.mDirectory.Find(aEndpoint);
-  return endpoint == nullptr ? std::string() : endpoint->mSoftware;
+  return mServices.mDirectory.SoftwareOf(aEndpoint);
 }
 
 bool
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -218,6 +218,13 @@
   return orders;
 }
 
+std::string
+EndpointDirectory::SoftwareOf(const std::string& aId) const
+{
+  const EndpointRecord* record = Find(aId);
+  return record == nullptr ? std::string() : record->mSoftware;
+}
+
 bool
 EndpointDirectory::IsMissing(const std::string& aId) const
 {
--- a/Source/Routing/EndpointDirectory.h
+++ b/Source/Routing/EndpointDirectory.h
@@ -152,6 +152,8 @@
 
   /** The entry of aId; null when there is none. */
   const EndpointRecord* Find(const std::string& aId) const;
+  /** Version of the software of aId; empty when it is unknown. */
+  std::string SoftwareOf(const std::string& aId) const;
   /** The entry of aId is missing after an outage of the registry. */
   bool IsMissing(const std::string& aId) const;
   /** aId asked for no requests at present. */
--- a/Source/Routing/StreamDemand.cxx
+++ b/Source/Routing/StreamDemand.cxx
@@ -9,9 +9,10 @@
 }
 
 bool
-MayContinueAt(const StreamDemand& aDemand, const EndpointRecord& aEngine)
+MayContinueAt(const std::optional<std::string>& aBegunBy,
+              const std::string& aSoftware)
 {
-  return !aDemand.mSoftware || *aDemand.mSoftware == aEngine.mSoftware;
+  return !aBegunBy || *aBegunBy == aSoftware;
 }
 
 double
--- a/Source/Routing/StreamDemand.h
+++ b/Source/Routing/StreamDemand.h
@@ -7,7 +7,6 @@
 #include <string>
 
 #include "Base/Clock.h"
-#include "Routing/EndpointDirectory.h"
 #include "Routing/PlacementTerms.h"
 #include "Routing/RoutingConfig.h"
 
@@ -54,8 +53,10 @@
 /** Tokens whose KV cache aDemand needs before it can generate. */
 std::uint64_t StartTokens(const StreamDemand& aDemand);
 
-/** True if aEngine's software may go on with the answer of aDemand. */
-bool MayContinueAt(const StreamDemand& aDemand, const EndpointRecord& aEngine);
+/** True if an engine with the software version aSoftware may go on with an
+ * answer that the version aBegunBy began; empty: the answer has not begun. */
+bool MayContinueAt(const std::optional<std::string>& aBegunBy,
+                   const std::string& aSoftware);
 
 /** Expected memory use of aDemand, summed over the tokens that it generates. */
 double MemoryTime(const StreamDemand& aDemand);
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -229,7 +229,7 @@
     if (engine == nullptr || !mDirectory.IsUsable(it.mEndpoint) ||
         engine->mRole != EndpointRole::Decode ||
         engine->mService != aDemand.mService ||
-        !MayContinueAt(aDemand, *engine) ||
+        !MayContinueAt(aDemand.mSoftware, engine->mSoftware) ||
         mHealth.IsAvoided(it.mEndpoint, aNow) ||
         it.mTokens * kMinCachedDivisor < aDemand.mPromptTokens) {
       continue;
@@ -262,7 +262,10 @@
   const double memory = UsableMemory(aDemand.mService);
   const MemoryProfile profile = ProfileOf(aDemand, aNow);
   double bestCost = 0;
-  const auto engines = DecodeEngines(aDemand);
+  const auto& usable =
+    mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
+  const auto fitting = FittingEngines(aDemand, usable);
+  const auto& engines = fitting ? *fitting : usable;
   const Rank bestRank = BestRank(engines, aDemand, aNow);
   // A decode engine runs one local prefill at a time, between the tokens of its
   // runs.
--- a/Source/Routing/StreamScheduler.h
+++ b/Source/Routing/StreamScheduler.h
@@ -173,12 +173,14 @@
   /** Set when no engine will accept aDemand in time. */
   std::optional<UnservableStream> FindUnservable(const StreamDemand& aDemand,
                                                  Instant aNow) const;
-  /** Usable decode engines that may go on with the answer of aDemand. */
-  std::vector<const EndpointRecord*> DecodeEngines(
-    const StreamDemand& aDemand) const;
-  /** False when the service has decode engines, and none of them may go on with
-   * the answer of aDemand. */
-  bool HasVersion(const StreamDemand& aDemand) const;
+  /** The part of aEngines that may go on with the answer of aDemand; empty when
+   * all of them may, because it has not begun. */
+  static std::optional<std::vector<const EndpointRecord*>> FittingEngines(
+    const StreamDemand& aDemand,
+    const std::vector<const EndpointRecord*>& aEngines);
+  /** The service has decode engines, but none of them may go on with the answer
+   * of aDemand. */
+  bool HasOtherVersionsOnly(const StreamDemand& aDemand) const;
   /** The waiting stream to be placed next. */
   std::list<StreamDemand>::iterator NextToPlace(Instant aNow);
   std::optional<StreamPlacement> Place(const StreamDemand& aDemand,
--- a/Source/Routing/StreamSchedulerQueue.cxx
+++ b/Source/Routing/StreamSchedulerQueue.cxx
@@ -1,6 +1,7 @@
 #include "Routing/StreamScheduler.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bulrushfold {
 
@@ -19,34 +20,39 @@
   return expired;
 }
 
-std::vector<const EndpointRecord*>
-StreamScheduler::DecodeEngines(const StreamDemand& aDemand) const
+std::optional<std::vector<const EndpointRecord*>>
+StreamScheduler::FittingEngines(
+  const StreamDemand& aDemand,
+  const std::vector<const EndpointRecord*>& aEngines)
 {
-  auto engines = mDirectory.Usable(aDemand.mService, EndpointRole::Decode);
-  engines.erase(std::remove_if(engines.begin(),
-                               engines.end(),
-                               [&](const EndpointRecord* aEngine) {
-                                 return !MayContinueAt(aDemand, *aEngine);
-                               }),
-                engines.end());
-  return engines;
+  if (!aDemand.mSoftware) {
+    return std::nullopt;
+  }
+  std::vector<const EndpointRecord*> fitting;
+  std::copy_if(aEngines.begin(),
+               aEngines.end(),
+               std::back_inserter(fitting),
+               [&](const EndpointRecord* aEngine) {
+                 return MayContinueAt(aDemand.mSoftware, aEngine->mSoftware);
+               });
+  return fitting;
 }
 
 bool
-StreamScheduler::HasVersion(const StreamDemand& aDemand) const
+StreamScheduler::HasOtherVersionsOnly(const StreamDemand& aDemand) const
 {
+  if (!aDemand.mSoftware) {
+    return false;
+  }
   const auto engines =
     mDirectory.UsableOrInBackoff(aDemand.mService, EndpointRole::Decode);
-  return engines.empty() ||
-         std::any_of(engines.begin(), engines.end(), [&](const auto* aEngine) {
-           return MayContinueAt(aDemand, *aEngine);
-         });
+  return !engines.empty() && FittingEngines(aDemand, engines)->empty();
 }
 
 std::optional<UnservableStream>
 StreamScheduler::FindUnservable(const StreamDemand& aDemand, Instant aNow) const
 {
-  if (aDemand.mSoftware && !HasVersion(aDemand)) {
+  if (HasOtherVersionsOnly(aDemand)) {
     // Engines of another version have replaced those that could go on.
     return UnservableStream{ aDemand.mNumber, Duration::zero() };
   }
