--- a/Source/Router/PeerController.cxx
+++ b/Source/Router/PeerController.cxx
@@ -49,6 +49,7 @@
   });
   mTables.mRuns.OnOwnChange().connect([this] { ScheduleBroadcast(); });
   mTables.mGuard.OnOwnLoss().connect([this] { ScheduleBroadcast(); });
+  mTables.mOrigins.OnUntold().connect([this] { ScheduleBroadcast(); });
 }
 
 void
@@ -89,6 +90,16 @@
   return link;
 }
 
+std::vector<FleetMember>
+PeerController::LivePeers() const
+{
+  std::vector<FleetMember> peers;
+  for (const auto& it : mPeers.Live()) {
+    peers.push_back({ it.mName, it.mAddress, 0 });
+  }
+  return peers;
+}
+
 void
 PeerController::OpenLinks(const std::string& aKey)
 {
@@ -150,8 +161,10 @@
                { "address", FormatAddress(status->mAddress) },
                { "live", mPeers.LiveCount() } });
     UpdatePeerCount();
+    mTables.mOrigins.TellAgain(now);
     ScheduleBroadcast();
   }
+  mTables.mOrigins.Merge(status->mOrigins, now);
   mTables.mLoads.SetPeer(aSender, std::move(status->mWorks));
   mTables.mRuns.SetPeer(aSender, std::move(status->mRuns));
   mTables.mRetryBudget.SetPeer(aSender, std::move(status->mRetries));
@@ -231,6 +244,7 @@
   PeerStatus status;
   status.mRetries = mTables.mRetryBudget.OwnUses(now);
   status.mCrashes = mTables.mGuard.Report(now);
+  status.mOrigins = mTables.mOrigins.Untold(now);
   status.mAddress = mSettings.mPeerAddress;
   return status;
 }
--- a/Source/Router/PeerController.h
+++ b/Source/Router/PeerController.h
@@ -33,6 +33,7 @@
   LocalPrefillTurns& mPrefillTurns;
   EndpointDirectory& mDirectory;
   WorkspaceQuotas& mQuotas;
+  StreamOrigins& mOrigins;
 };
 
 /**
@@ -81,6 +82,8 @@
   }
   /** Number of peers that sent a message lately. */
   std::size_t LiveCount() const { return mPeers.LiveCount(); }
+  /** The peers of a small fleet that sent a message lately. */
+  std::vector<FleetMember> LivePeers() const;
   /** Messages to other daemons; a call fails while there are no links. */
   PlacementLink Link();
   /** "NAME/INCARNATION". */
--- a/Source/Router/PeerStatus.cxx
+++ b/Source/Router/PeerStatus.cxx
@@ -149,6 +149,10 @@
     message.quotaUses.push_back(std::move(use));
   }
   message.__isset.quotaUses = true;
+  for (const auto& it : aStatus.mOrigins) {
+    message.origins.push_back(ToWire(it, aNow));
+  }
+  message.__isset.origins = true;
   message.isLeaving = aStatus.mIsStopping;
   message.address = FormatAddress(aStatus.mAddress);
   return message;
@@ -210,6 +214,9 @@
         static_cast<std::uint64_t>(std::max(it.tokens, 0)),
         aNow - std::chrono::milliseconds(it.ageMs) });
   }
+  for (const auto& it : aMessage.origins) {
+    status.mOrigins.push_back(FromWire(it, aNow));
+  }
   for (const auto& it : aMessage.roleOrders) {
     status.mRoleOrders[it.endpoint] = {
       it.isToDecode ? EndpointRole::Decode : EndpointRole::Prefill,
--- a/Source/Router/PeerStatus.h
+++ b/Source/Router/PeerStatus.h
@@ -13,6 +13,7 @@
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointLoads.h"
 #include "Routing/SharedRetryBudget.h"
+#include "Routing/StreamOrigins.h"
 #include "Routing/StreamRuns.h"
 #include "Routing/WorkspaceQuotas.h"
 #include "Routing_types.h"
@@ -31,6 +32,8 @@
   std::vector<DeferredRequest> mDeferredRequests;
   std::vector<CachedPrompt> mCachedPrompts;
   QuotaUses mQuotaUses;
+  /** Versions that began streams of the sender; not all of them. */
+  std::vector<StreamOrigin> mOrigins;
   /** Role orders in progress, by engine. */
   std::map<std::string, RoleOrder> mRoleOrders;
   /** The daemon ends immediately after this message. */
--- a/Source/Router/PlacementClient.h
+++ b/Source/Router/PlacementClient.h
@@ -86,6 +86,10 @@
   bool IsOwner() const { return mIsOwner; }
   /** This daemon may become the owner. */
   bool IsCandidate() const { return mSelector.IsCandidate(mOwnName); }
+  /** The daemons that may know the streams of the whole fleet: the owner, those
+   * that place if it fails, and those that may have placed before, without this
+   * one. Empty in a small fleet. */
+  std::vector<FleetMember> Keepers() const;
   /** Another daemon places for this one. */
   bool HasRemoteOwner() const { return mOwner.has_value(); }
   /** Number of times that another daemon, or none, became the owner. */
--- a/Source/Router/PlacementClientOwner.cxx
+++ b/Source/Router/PlacementClientOwner.cxx
@@ -16,6 +16,8 @@
 /** Interval at which an owner that failed is tried again. */
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
+/** The owner and the next two: more than fail at the same time by chance. */
+constexpr std::size_t kKeepers = 3;
 } // namespace
 
 void
@@ -28,6 +30,19 @@
   }
 }
 
+std::vector<FleetMember>
+PlacementClient::Keepers() const
+{
+  std::vector<FleetMember> keepers;
+  for (const FleetMember* it :
+       mSelector.FirstCandidates(kKeepers, mClock.Now())) {
+    if (it->mName != mOwnName) {
+      keepers.push_back(*it);
+    }
+  }
+  return keepers;
+}
+
 void
 PlacementClient::BeginStop()
 {
--- a/Source/Router/PlacementMessages.cxx
+++ b/Source/Router/PlacementMessages.cxx
@@ -171,6 +171,10 @@
   if (aDemand.mSoftware) {
     request.__set_software(*aDemand.mSoftware);
   }
+  if (aDemand.mStream != 0) {
+    request.__set_stream(static_cast<std::int64_t>(aDemand.mStream));
+    request.__set_resumableMs(MillisecondsUntil(aDemand.mResumableUntil, aNow));
+  }
   return request;
 }
 
@@ -198,9 +202,33 @@
   if (aRequest.__isset.software) {
     demand.mSoftware = aRequest.software;
   }
+  if (aRequest.stream != 0) {
+    demand.mStream = static_cast<std::uint64_t>(aRequest.stream);
+    demand.mResumableUntil = aNow + Milliseconds(aRequest.resumableMs);
+  }
   return demand;
 }
 
+wire::StreamOrigin
+ToWire(const StreamOrigin& aOrigin, Instant aNow)
+{
+  wire::StreamOrigin origin;
+  origin.stream = static_cast<std::int64_t>(aOrigin.mStream);
+  origin.serviceName = aOrigin.mService;
+  origin.software = aOrigin.mSoftware;
+  origin.leftMs = MillisecondsUntil(aOrigin.mUntil, aNow);
+  return origin;
+}
+
+StreamOrigin
+FromWire(const wire::StreamOrigin& aOrigin, Instant aNow)
+{
+  return { static_cast<std::uint64_t>(aOrigin.stream),
+           aOrigin.serviceName,
+           aOrigin.software,
+           aNow + Milliseconds(aOrigin.leftMs) };
+}
+
 wire::StreamPlacementReply
 ToWire(const StreamPlacement& aPlacement)
 {
--- a/Source/Router/PlacementMessages.h
+++ b/Source/Router/PlacementMessages.h
@@ -13,6 +13,7 @@
 #include "Router/PeerStatus.h"
 #include "Routing/OwnerSelector.h"
 #include "Routing/PlainQueue.h"
+#include "Routing/StreamOrigins.h"
 #include "Routing/StreamScheduler.h"
 #include "absl/status/statusor.h"
 
@@ -62,6 +63,9 @@
 wire::FeedUpdate ToWire(const FeedUpdate& aUpdate);
 FeedUpdate FromWire(const wire::FeedUpdate& aUpdate);
 
+wire::StreamOrigin ToWire(const StreamOrigin& aOrigin, Instant aNow);
+StreamOrigin FromWire(const wire::StreamOrigin& aOrigin, Instant aNow);
+
 wire::StreamRun ToWire(const StreamRun& aRun, Instant aNow);
 StreamRun FromWire(const wire::StreamRun& aRun, Instant aNow);
 
--- a/Source/Router/PlacementOwner.h
+++ b/Source/Router/PlacementOwner.h
@@ -36,6 +36,7 @@
   EndpointDirectory& mDirectory;
   StoreFeed& mFeed;
   WorkspaceQuotas& mQuotas;
+  StreamOrigins& mOrigins;
 };
 
 /**
--- a/Source/Router/PlacementOwnerPolls.cxx
+++ b/Source/Router/PlacementOwnerPolls.cxx
@@ -57,6 +57,7 @@
   client->mRetries = status->mRetries;
   mTables.mRetryBudget.SetPeer(aClient, status->mRetries);
   mTables.mRetryBudget.SetDaemons(FleetSize());
+  mTables.mOrigins.Merge(status->mOrigins, now);
   const std::size_t known = mTables.mGuard.LostRuns();
   mTables.mGuard.Merge(status->mCrashes, now);
   client->mPoll = std::move(aResponder);
--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -9,13 +9,14 @@
 namespace bulrushfold {
 
 namespace {
-constexpr EnumNames<RefusalReason, 14> kReasonNames{ {
+constexpr EnumNames<RefusalReason, 15> kReasonNames{ {
   { RefusalReason::NoConfiguration, "no_configuration" },
   { RefusalReason::NoRoute, "no_route" },
   { RefusalReason::UnknownKey, "unknown_key" },
   { RefusalReason::QuotaExceeded, "quota_exceeded" },
   { RefusalReason::NoEndpoint, "no_endpoint" },
   { RefusalReason::EndpointsFull, "endpoints_full" },
+  { RefusalReason::UnknownVersion, "unknown_version" },
   { RefusalReason::AttemptsUsed, "attempts_used" },
   { RefusalReason::RetryBudgetUsed, "retry_budget_used" },
   { RefusalReason::Overload, "overload" },
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -31,6 +31,8 @@
   NoEndpoint,
   /** Every endpoint that was tried refused the request. */
   EndpointsFull,
+  /** Nobody knows the software version that began the resumed stream. */
+  UnknownVersion,
   /** The run failed, and its route allows no further one. */
   AttemptsUsed,
   /** The retry budget of the service does not allow another send. */
--- a/Source/Router/RemoteStream.h
+++ b/Source/Router/RemoteStream.h
@@ -54,6 +54,9 @@
       aDemand.mFirstEventDeadline -= now - *first;
     }
     aDemand.mNumber = mLocalNumber;
+    mOrigin = {
+      aDemand.mStream, aDemand.mService, "", aDemand.mResumableUntil
+    };
     mTerms = aDemand.mTerms;
     if (const auto wait = mOwner.mTables.mQuotas.Take(mTerms, now); wait) {
       mTerms.mCost = 0;
@@ -81,6 +84,7 @@
     if (aPlacement == nullptr) {
       Refuse(wire::StreamPlacementResult::EXPIRED, Duration::zero());
     } else {
+      RecordOrigin(aPlacement->mDecode);
       Respond(ToWire(*aPlacement));
     }
   }
@@ -112,6 +116,15 @@
   Instant CreatedAt() const { return mCreatedAt; }
 
 private:
+  /** The stream is begun by the version of aEngine, unless it has begun before,
+   * and at that version alone then. */
+  void RecordOrigin(const std::string& aEngine)
+  {
+    if (mOrigin.mStream != 0) {
+      mOrigin.mSoftware = mOwner.mTables.mDirectory.SoftwareOf(aEngine);
+      mOwner.mTables.mOrigins.Merge({ mOrigin }, mOwner.mClock.Now());
+    }
+  }
   void Refuse(wire::StreamPlacementResult::type aResult, Duration aRetryAfter)
   {
     mOwner.mTables.mQuotas.Refund(mTerms);
@@ -134,6 +147,7 @@
   std::uint64_t mNumber;
   std::uint64_t mLocalNumber;
   Instant mCreatedAt;
+  StreamOrigin mOrigin;
   std::uint64_t mRequestHash = 0;
   PlacementTerms mTerms;
   Instant mFirstArrival;
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -42,6 +42,11 @@
   "Endpoints chosen for requests, by step and by who chose them.",
   { "step", "by" }
 };
+const MetricInfo kResumed{
+  "bulrushfold_resumed_streams_total",
+  "Streams that callers resumed, by how their software version is known.",
+  { "source" }
+};
 const MetricInfo kPlacementRefusals{
   "bulrushfold_placement_refusals_total",
   "Plain requests that got no endpoint, by route and cause.",
@@ -338,6 +343,30 @@
       { "waited_ms", ToMilliseconds(Since(aRequest.mParameters.mArrival)) } });
 }
 
+void
+RequestLog::VersionDecided(const RoutedRequest& aRequest,
+                           const VersionDecision& aDecision,
+                           std::size_t aAsked,
+                           std::size_t aAnswered)
+{
+  const std::string_view source = VersionSourceName(aDecision.mSource);
+  mMetrics.GetCounter(kResumed, { std::string(source) }).Add();
+  LogEvent(
+    aDecision.mSource == VersionSource::Unknown ? LogLevel::Warning
+                                                : LogLevel::Info,
+    "version_decided",
+    { { "id", aRequest.mMetadata.mId },
+      { "resumes", aRequest.mMetadata.mResumedAttempt },
+      { "service", aRequest.mParameters.mService },
+      { "last_event", aRequest.mMetadata.mLastEventId },
+      { "source", source },
+      { "software", aDecision.mSoftware.value_or("") },
+      { "asked", aAsked },
+      { "answered", aAnswered },
+      { "registry", mDirectory.Revision() },
+      { "waited_ms", ToMilliseconds(Since(aRequest.mParameters.mArrival)) } });
+}
+
 void
 RequestLog::Ended(const RoutedRequest& aRequest,
                   RequestOutcome aOutcome,
--- a/Source/Router/RequestLog.h
+++ b/Source/Router/RequestLog.h
@@ -13,6 +13,7 @@
 #include "Routing/CrashGuard.h"
 #include "Routing/EndpointDirectory.h"
 #include "Routing/PlainQueue.h"
+#include "Routing/StreamVersion.h"
 #include "absl/status/status.h"
 
 namespace bulrushfold {
@@ -65,6 +66,12 @@
   void PlacementRefused(const RoutedRequest& aRequest,
                         const PlainRefusal& aRefusal);
   void Placed(const RoutedRequest& aRequest, const StreamPlacement& aPlacement);
+  /** It was decided at which software version a resumed stream may go on.
+   * aAsked, aAnswered: other daemons that were asked, and that answered. */
+  void VersionDecided(const RoutedRequest& aRequest,
+                      const VersionDecision& aDecision,
+                      std::size_t aAsked,
+                      std::size_t aAnswered);
   /** The request has ended. aReason: empty unless the router ended it. */
   void Ended(const RoutedRequest& aRequest,
              RequestOutcome aOutcome,
--- a/Source/Router/RoutedRequest.cxx
+++ b/Source/Router/RoutedRequest.cxx
@@ -1,7 +1,15 @@
 #include "Router/RoutedRequest.h"
 
+#include <algorithm>
+
+#include "Base/Digest.h"
+
 namespace bulrushfold {
 
+namespace {
+constexpr Duration kMaxResumableTime = std::chrono::seconds(60);
+} // namespace
+
 int
 RoutedRequest::Urgency() const
 {
@@ -34,6 +42,22 @@
            QuotaCost() };
 }
 
+std::uint64_t
+RoutedRequest::StreamKey() const
+{
+  const bool isResumed =
+    !mMetadata.mLastEventId.empty() && !mMetadata.mResumedAttempt.empty();
+  return Hash64(isResumed ? mMetadata.mResumedAttempt : mMetadata.mId, mHash);
+}
+
+Duration
+RoutedRequest::ResumableTime() const
+{
+  const Duration route = mParameters.mRoute->mTimeout;
+  return std::min(std::max(mMetadata.mCallerTimeout.value_or(route), route),
+                  kMaxResumableTime);
+}
+
 SendParameters
 RoutedRequest::MakeSendParameters(Duration aTimeLeft) const
 {
--- a/Source/Router/RoutedRequest.h
+++ b/Source/Router/RoutedRequest.h
@@ -68,6 +68,12 @@
   /** Units of the workspace's quota that the next send uses. */
   double QuotaCost() const;
   PlacementTerms Terms() const;
+  /** Identifies the stream that the caller begins or resumes. The id of an
+   * attempt is the caller's own word, so the hash of the request is part. */
+  std::uint64_t StreamKey() const;
+  /** Maximum time for which the caller may resume a stream of this request,
+   * from its arrival on. */
+  Duration ResumableTime() const;
   /** What each send of the request to an endpoint states. */
   SendParameters MakeSendParameters(Duration aTimeLeft) const;
 };
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -82,6 +82,7 @@
   // Placement.
   PlacementOwner::Hooks OwnerHooks();
   PlacementClient::Hooks PlacementHooks();
+  StreamOriginExchange::Hooks OriginHooks();
   /** The part of each workspace's quota that this daemon gives out: its own and
    * that of the daemons for which it decides. */
   double QuotaShare() const;
@@ -139,6 +140,8 @@
   SharedRetryBudget mRetryBudget;
   CrashGuard mGuard;
   WorkspaceQuotas mQuotas;
+  StreamOrigins mOrigins;
+  SoftwareHistory mSoftwareHistory;
   DeferredRequests mDeferredRequests;
   PlainSelector mSelector;
   PlainQueue mPlainQueue;
@@ -156,6 +159,7 @@
   PlacementOwner mOwner;
   WakeTimer mPlacementTimer;
   PlacementClient mPlacement;
+  StreamOriginExchange mOriginExchange;
   RouterServices mServices;
   RoleController mRoles;
   std::shared_ptr<const RouteTable> mTable;
--- a/Source/Router/RouterPlacement.cxx
+++ b/Source/Router/RouterPlacement.cxx
@@ -71,7 +71,10 @@
   hooks.mRefundQuota = [this](const PlacementTerms& aTerms) {
     mQuotas.Refund(aTerms);
   };
-  hooks.mOnFollowing = [this] { mQuotas.Suspend(); };
+  hooks.mOnFollowing = [this] {
+    mQuotas.Suspend();
+    mOrigins.TellAgain(mClock.Now());
+  };
   hooks.mWakeAt = [this](Instant aTime) { mPlacementTimer.WakeAt(aTime); };
   hooks.mDefer = [this](std::function<void()> aCallback) {
     mLoop.Defer(std::move(aCallback));
@@ -79,6 +82,18 @@
   return hooks;
 }
 
+StreamOriginExchange::Hooks
+Router::OriginHooks()
+{
+  StreamOriginExchange::Hooks hooks;
+  hooks.mKeepers = [this] {
+    return mPlacement.IsLargeFleet() ? mPlacement.Keepers()
+                                     : mPeers.LivePeers();
+  };
+  hooks.mIsOwner = [this] { return mPlacement.IsOwner(); };
+  return hooks;
+}
+
 double
 Router::QuotaShare() const
 {
@@ -94,6 +109,7 @@
 void
 Router::HandleLinksOpen(PeerTransport& aTransport)
 {
+  mOriginExchange.HandleLinksOpen(aTransport);
   using Kind = wire::MessageKind;
   using Responder = PeerTransport::Responder;
   const auto handleCall = [&](Kind::type aKind,
--- a/Source/Router/RouterRegistry.cxx
+++ b/Source/Router/RouterRegistry.cxx
@@ -246,6 +246,7 @@
              { "software", aEndpoint.mSoftware },
              { "backoff_ms", ToMilliseconds(RemainingBackoff(aEndpoint.mId)) },
              { "registry", mDirectory.Revision() } });
+  mSoftwareHistory.OnChange(aEndpoint, aChange, mClock.Now());
   mPlacement.OnEndpointChange(
     aEndpoint, aChange, RemainingBackoff(aEndpoint.mId));
   if (aChange == EndpointChange::Removed ||
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -16,6 +16,7 @@
 #include "Router/RequestLog.h"
 #include "Router/RoutedRequest.h"
 #include "Router/SendOutcome.h"
+#include "Router/StreamOriginExchange.h"
 #include "Routing/AnswerLengthEstimator.h"
 #include "Routing/CachedPrompts.h"
 #include "Routing/CrashGuard.h"
@@ -56,6 +57,8 @@
   CachedPromptQuery& mCachedPromptQuery;
   AnswerLengthEstimator& mAnswerLengths;
   PlacementClient& mPlacement;
+  StreamOrigins& mOrigins;
+  StreamOriginExchange& mOriginExchange;
   RecentGrants& mGrants;
   RequestLog& mLog;
   /** Emitted when the stop time is over; each open request must end. */
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Routing/StreamVersion.h"
+
 namespace bulrushfold {
 
 namespace {
@@ -79,6 +81,15 @@
   return bulrushfold::MayContinueAt(mSoftware, mDelegate.SoftwareOf(aEndpoint));
 }
 
+void
+StreamCall::NoteVersion(const std::string& aSoftware)
+{
+  if (mReportedSoftware != aSoftware) {
+    mReportedSoftware = aSoftware;
+    mDelegate.ReportVersion(aSoftware);
+  }
+}
+
 StreamDemand
 StreamCall::MakeDemand(Instant aNow) const
 {
@@ -163,6 +174,7 @@
     Retry(0, aNow);
     return;
   }
+  NoteVersion(mDelegate.SoftwareOf(mAttempt.mPlacement.mDecode));
   if (mParameters.mProfile.mMaxReservation <= Duration::zero()) {
     StartPrefill(aNow);
     return;
@@ -297,6 +309,7 @@
 {
   mAttempt.mState = StreamState::Starting;
   mAttempt.mSoftware = mDelegate.SoftwareOf(mAttempt.mPlacement.mDecode);
+  NoteVersion(mAttempt.mSoftware);
   mAttempt.mIsUnframed = false;
   mAttempt.mMayBeStopped = false;
   mIsReplacementSent = mRunAside.has_value();
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -90,6 +90,8 @@
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
   /** Version of the software of aEndpoint; empty when it is unknown. */
   virtual std::string SoftwareOf(const std::string& aEndpoint) const = 0;
+  /** The next event of the stream comes from an engine of aSoftware. */
+  virtual void ReportVersion(const std::string& aSoftware) = 0;
   /** aEndpoint is in the registry and did not ask for a pause. */
   virtual bool CanReceive(const std::string& aEndpoint) const = 0;
   /** A part of the prompt crashes engines, so it must not be sent to one. */
@@ -165,6 +167,11 @@
              SharedRetryBudget& aRetryBudget,
              StreamParameters aParameters);
 
+  /** The stream that the caller resumes was begun by aSoftware. To be called
+   * before Start. */
+  void BindTo(const std::string& aSoftware) { mSoftware = aSoftware; }
+  /** Refuses the stream, because its version is unknown. */
+  void RefuseUnknownVersion() { Finish(RefusalReason::UnknownVersion); }
   void Start(Instant aNow);
   void OnPlaced(const StreamPlacement& aPlacement, Instant aNow);
   /** The stream expired in the scheduler's queue. */
@@ -265,6 +272,8 @@
 
   /** True if the answer may go on at aEndpoint. */
   bool MayContinueAt(const std::string& aEndpoint) const;
+  /** Reports the version of the next event, if it has changed. */
+  void NoteVersion(const std::string& aSoftware);
   StreamDemand MakeDemand(Instant aNow) const;
   void RefuseForOverload();
   void Submit(Instant aNow);
@@ -363,8 +372,11 @@
   /** An engine whose cache should have the prompt failed. */
   bool mIsPromptLost = false;
   bool mHasStartedAnswer = false;
-  /** Software version that made the first event that was passed on. */
+  /** Software version that made the first event that was passed on, also at an
+   * earlier attempt of the caller. */
   std::optional<std::string> mSoftware;
+  /** The version that was reported last. */
+  std::optional<std::string> mReportedSoftware;
   /** A single run has generated the whole answer. */
   bool mIsSingleRun = true;
   Instant mFirstEventAt;
--- a/Source/Router/StreamCallEnds.cxx
+++ b/Source/Router/StreamCallEnds.cxx
@@ -109,8 +109,10 @@
                        isNamed ? aReason : RefusalReason::OutcomeUnknown,
                        Duration::zero() });
   } else {
-    // A retry of a prompt that crashes engines does not help.
-    const bool isRetryUseful = aReason != RefusalReason::CrashSuspect;
+    // A retry does not help a prompt that crashes engines, nor a stream whose
+    // version no daemon knows.
+    const bool isRetryUseful = aReason != RefusalReason::CrashSuspect &&
+                               aReason != RefusalReason::UnknownVersion;
     const bool isOverQuota = aReason == RefusalReason::QuotaExceeded;
     mDelegate.Refuse({ isOverQuota ? kHttpTooManyRequests : kHttpUnavailable,
                        aReason,
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -31,6 +31,50 @@
   mRequest->mExchange->OnWritten([this] { ResumeReading(); });
   mStopConnection = mServices.mOnStopEnd.connect(
     sigc::mem_fun(*this, &StreamSession::HandleStopEnd));
+  if (mRequest->mMetadata.mLastEventId.empty()) {
+    StartCall();
+  } else {
+    ResolveVersion();
+  }
+}
+
+void
+StreamSession::ResolveVersion()
+{
+  ResumedStream stream;
+  stream.mStream = mRequest->StreamKey();
+  stream.mService = mRequest->mParameters.mService;
+  stream.mIsNamed = !mRequest->mMetadata.mResumedAttempt.empty();
+  stream.mWindow = mRequest->ResumableTime();
+  mServices.mOriginExchange.Resolve(
+    stream,
+    [this, self = mSelf](const VersionDecision& aDecision,
+                         const StreamOriginExchange::Question& aQuestion) {
+      // The caller may have disconnected meanwhile.
+      if (mSelf) {
+        HandleVersion(aDecision, aQuestion);
+      }
+    });
+}
+
+void
+StreamSession::HandleVersion(const VersionDecision& aDecision,
+                             const StreamOriginExchange::Question& aQuestion)
+{
+  mServices.mLog.VersionDecided(
+    *mRequest, aDecision, aQuestion.mAsked, aQuestion.mAnswered);
+  if (aDecision.mSource == VersionSource::Unknown) {
+    mCall.RefuseUnknownVersion();
+    return;
+  }
+  mCall.BindTo(*aDecision.mSoftware);
+  FindCachedPrompt();
+}
+
+void
+StreamSession::FindCachedPrompt()
+{
+  const auto self = mSelf;
   if (NeedsCachedPromptQuery()) {
     mServices.mCachedPromptQuery.Start(mRequest->mParameters.mService,
                                        [this, self] { StartCall(); });
@@ -71,6 +115,10 @@
 {
   mServices.mLog.Queued(*mRequest, mServices.mPlacement.WaitingCount());
   aDemand.mRequestHash = mRequest->mHash;
+  if (mRequest->mParameters.mRoute->mIsResumable) {
+    aDemand.mStream = mRequest->StreamKey();
+    aDemand.mResumableUntil = ResumableUntil();
+  }
   aDemand.mNumber = mAttempt.mNumber;
   aDemand.mTerms = mRequest->Terms();
   mServices.mPlacement.Submit(std::move(aDemand), *this);
@@ -184,6 +232,19 @@
   return mServices.mDirectory.SoftwareOf(aEndpoint);
 }
 
+void
+StreamSession::ReportVersion(const std::string& aSoftware)
+{
+  if (mRequest->mParameters.mRoute->mIsResumable) {
+    mServices.mOrigins.OnBegun({ mRequest->StreamKey(),
+                                 mRequest->mParameters.mService,
+                                 aSoftware,
+                                 ResumableUntil() },
+                               !mRequest->mPlacedBy.empty(),
+                               mServices.mClock.Now());
+  }
+}
+
 bool
 StreamSession::CanReceive(const std::string& aEndpoint) const
 {
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -81,6 +81,17 @@
   void Refuse(const Refusal& aRefusal) override;
   void WakeAt(Instant aTime) override { mTimer.WakeAt(aTime); }
 
+  void ReportVersion(const std::string& aSoftware) override;
+  Instant ResumableUntil() const
+  {
+    return mRequest->mParameters.mArrival + mRequest->ResumableTime();
+  }
+  /** Finds out at which version the stream may go on. */
+  void ResolveVersion();
+  void HandleVersion(const VersionDecision& aDecision,
+                     const StreamOriginExchange::Question& aQuestion);
+  /** Starts the call once it is known which engines cache the prompt. */
+  void FindCachedPrompt();
   /** True when the caller resumes a stream and this daemon knows no engine that
    * has the prompt in its cache. */
   bool NeedsCachedPromptQuery() const;
--- a/Source/Routing/EndpointDirectory.cxx
+++ b/Source/Routing/EndpointDirectory.cxx
@@ -94,7 +94,8 @@
     it->second.mIsReplaced = false;
     ForgetPools(aRecord.mService);
   }
-  if (before.mIncarnation != aRecord.mIncarnation) {
+  if (before.mIncarnation != aRecord.mIncarnation ||
+      before.mSoftware != aRecord.mSoftware) {
     it->second.mHasAnnouncedLeaving = false;
     it->second.mBackoffEnd.reset();
     mOnChange.emit(aRecord, EndpointChange::Restarted);
--- a/Source/Routing/OwnerSelector.cxx
+++ b/Source/Routing/OwnerSelector.cxx
@@ -47,18 +47,24 @@
   });
 }
 
+std::vector<const FleetMember*>
+OwnerSelector::FirstCandidates(std::size_t aCount, Instant aNow) const
+{
+  std::vector<const FleetMember*> candidates;
+  for (std::size_t i = 0; HasOwner() && i < kCandidates && aCount > 0; ++i) {
+    candidates.push_back(&mMembers[i]);
+    aCount -= IsLeftOut(mMembers[i].mName, aNow) ? 0 : 1;
+  }
+  return candidates;
+}
+
 const FleetMember*
 OwnerSelector::Choose(Instant aNow) const
 {
-  if (!HasOwner()) {
-    return nullptr;
-  }
-  for (std::size_t i = 0; i < kCandidates; ++i) {
-    if (!IsLeftOut(mMembers[i].mName, aNow)) {
-      return &mMembers[i];
-    }
-  }
-  return nullptr;
+  const auto candidates = FirstCandidates(1, aNow);
+  return candidates.empty() || IsLeftOut(candidates.back()->mName, aNow)
+           ? nullptr
+           : candidates.back();
 }
 
 const FleetMember*
--- a/Source/Routing/OwnerSelector.h
+++ b/Source/Routing/OwnerSelector.h
@@ -49,6 +49,11 @@
   /** The first member that is not left out; null in a small fleet, and when all
    * candidates are left out. It may be this daemon. */
   const FleetMember* Choose(Instant aNow) const;
+  /** The candidates up to the one that is the aCount-th that is not left out.
+   * Empty in a small fleet. */
+  std::vector<const FleetMember*> FirstCandidates(std::size_t aCount,
+                                                  Instant aNow) const;
+  bool IsLeftOut(const std::string& aName, Instant aNow) const;
   /** A member that ranks before aName and was left out until now, so that it
    * should be tried again; null when there is none. */
   const FleetMember* FindReturning(const std::string& aName,
@@ -65,7 +70,6 @@
     Instant mUntil;
     Duration mSpan{};
   };
-  bool IsLeftOut(const std::string& aName, Instant aNow) const;
 
   /** Sorted by rank. */
   std::vector<FleetMember> mMembers;
--- a/Source/Routing/PeerTable.cxx
+++ b/Source/Routing/PeerTable.cxx
@@ -73,15 +73,25 @@
   });
 }
 
-std::vector<std::string>
-PeerTable::LiveNames() const
+std::vector<PeerAddress>
+PeerTable::Live() const
 {
-  std::vector<std::string> names;
+  std::vector<PeerAddress> peers;
   for (const auto& [name, peer] : mPeers) {
     if (peer.mIsLive) {
-      names.push_back(name);
+      peers.push_back({ name, peer.mAddress });
     }
   }
+  return peers;
+}
+
+std::vector<std::string>
+PeerTable::LiveNames() const
+{
+  std::vector<std::string> names;
+  for (const auto& it : Live()) {
+    names.push_back(it.mName);
+  }
   return names;
 }
 
--- a/Source/Routing/PeerTable.h
+++ b/Source/Routing/PeerTable.h
@@ -55,6 +55,7 @@
   /** Number of live peers. */
   std::size_t LiveCount() const;
   std::vector<std::string> LiveNames() const;
+  std::vector<PeerAddress> Live() const;
   /** Number of peers in the table. One that is not live may only be partitioned
    * from this daemon and still serve callers. */
   std::size_t Count() const { return mPeers.size(); }
--- a/Source/Routing/StreamDemand.cxx
+++ b/Source/Routing/StreamDemand.cxx
@@ -8,13 +8,6 @@
   return aDemand.mPromptTokens + aDemand.mGeneratedTokens;
 }
 
-bool
-MayContinueAt(const std::optional<std::string>& aBegunBy,
-              const std::string& aSoftware)
-{
-  return !aBegunBy || *aBegunBy == aSoftware;
-}
-
 double
 MemoryTime(const StreamDemand& aDemand)
 {
--- a/Source/Routing/StreamDemand.h
+++ b/Source/Routing/StreamDemand.h
@@ -45,6 +45,11 @@
   /** Software version that began the answer, at which alone it may go on; empty
    * when the answer has not begun. */
   std::optional<std::string> mSoftware;
+  /** Identifies the stream, also over the attempts of its caller; 0: the caller
+   * may not resume it. */
+  std::uint64_t mStream = 0;
+  /** Time until which the caller may resume the stream. */
+  Instant mResumableUntil;
   /** Hash of path, caller and body; equal for all attempts of a caller. */
   std::uint64_t mRequestHash = 0;
   PlacementTerms mTerms{};
@@ -53,11 +58,6 @@
 /** Tokens whose KV cache aDemand needs before it can generate. */
 std::uint64_t StartTokens(const StreamDemand& aDemand);
 
-/** True if an engine with the software version aSoftware may go on with an
- * answer that the version aBegunBy began; empty: the answer has not begun. */
-bool MayContinueAt(const std::optional<std::string>& aBegunBy,
-                   const std::string& aSoftware);
-
 /** Expected memory use of aDemand, summed over the tokens that it generates. */
 double MemoryTime(const StreamDemand& aDemand);
 
--- a/Source/Routing/StreamScheduler.cxx
+++ b/Source/Routing/StreamScheduler.cxx
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "Routing/StreamVersion.h"
+
 namespace bulrushfold {
 
 namespace {
--- a/Source/Routing/StreamSchedulerQueue.cxx
+++ b/Source/Routing/StreamSchedulerQueue.cxx
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <iterator>
 
+#include "Routing/StreamVersion.h"
+
 namespace bulrushfold {
 
 std::vector<std::uint64_t>
--- a/Source/Wire/Envelope.thrift
+++ b/Source/Wire/Envelope.thrift
@@ -24,6 +24,8 @@
   PLACE_STREAM = 19,
   PLACEMENT_EVENTS = 20,
   PLACEMENT_POLL = 21,
+  STREAM_ORIGIN = 22,
+  STREAM_ORIGINS = 23,
 }
 
 enum FrameRole {
--- a/Source/Wire/Placement.thrift
+++ b/Source/Wire/Placement.thrift
@@ -68,6 +68,11 @@
   18: double cost,
   // Set when the answer has begun: the software version of its engine.
   19: optional string software,
+  // Identifies the stream over the attempts of its caller; 0: the caller may not
+  // resume it.
+  20: i64 stream,
+  // Milliseconds for which the caller may resume the stream.
+  21: i32 resumableMs,
 }
 
 enum StreamPlacementResult {
@@ -205,3 +210,24 @@
   3: required i32 daemons,
   4: required list<FeedUpdate> updates,
 }
+
+// STREAM_ORIGIN, a call: asks which software version began a stream.
+struct StreamOriginQuery {
+  1: required i64 stream,
+  2: required string serviceName,
+  // Milliseconds since the earliest possible begin of the stream.
+  3: required i32 windowMs,
+}
+
+struct StreamOriginReply {
+  // Set when the receiver knows the stream.
+  1: optional string software,
+  // Set when one version alone has served the service in the window.
+  2: optional string soleSoftware,
+}
+
+// STREAM_ORIGINS, one way: what the placement owner knows, for the daemons that
+// follow it in rank.
+struct StreamOriginList {
+  1: required list<Routing.StreamOrigin> origins,
+}
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -94,6 +94,16 @@
   3: required i32 leftMs,
 }
 
+// The software version that begins a stream, or has begun it.
+struct StreamOrigin {
+  // Identifies the stream over the attempts of its caller.
+  1: required i64 stream,
+  2: required string serviceName,
+  3: required string software,
+  // Milliseconds for which the caller may resume the stream.
+  4: required i32 leftMs,
+}
+
 // ROUTING_STATUS: the complete state that a daemon reports to its peers. Each
 // message replaces the previous one of the same sender.
 // Use of a workspace's quota at the sender since its start.
@@ -118,4 +128,6 @@
   11: list<AnsweredPart> answeredParts,
   12: list<EngineAnswer> engineAnswers,
   13: list<QuotaUse> quotaUses,
+  // Not complete: origins that are new, or that the receiver may not know.
+  14: list<StreamOrigin> origins,
 }
--- a/Source/Wire/gen-cpp/Envelope_types.cpp
+++ b/Source/Wire/gen-cpp/Envelope_types.cpp
@@ -34,7 +34,9 @@
   MessageKind::PLACE_PLAIN,
   MessageKind::PLACE_STREAM,
   MessageKind::PLACEMENT_EVENTS,
-  MessageKind::PLACEMENT_POLL
+  MessageKind::PLACEMENT_POLL,
+  MessageKind::STREAM_ORIGIN,
+  MessageKind::STREAM_ORIGINS
 };
 const char* _kMessageKindNames[] = {
   "HEARTBEAT",
@@ -57,9 +59,11 @@
   "PLACE_PLAIN",
   "PLACE_STREAM",
   "PLACEMENT_EVENTS",
-  "PLACEMENT_POLL"
+  "PLACEMENT_POLL",
+  "STREAM_ORIGIN",
+  "STREAM_ORIGINS"
 };
-const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(21, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _MessageKind_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(23, _kMessageKindValues, _kMessageKindNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const MessageKind::type& val) {
   std::map<int, const char*>::const_iterator it = _MessageKind_VALUES_TO_NAMES.find(val);
--- a/Source/Wire/gen-cpp/Envelope_types.h
+++ b/Source/Wire/gen-cpp/Envelope_types.h
@@ -43,7 +43,9 @@
     PLACE_PLAIN = 18,
     PLACE_STREAM = 19,
     PLACEMENT_EVENTS = 20,
-    PLACEMENT_POLL = 21
+    PLACEMENT_POLL = 21,
+    STREAM_ORIGIN = 22,
+    STREAM_ORIGINS = 23
   };
 };
 
--- a/Source/Wire/gen-cpp/Placement_types.cpp
+++ b/Source/Wire/gen-cpp/Placement_types.cpp
@@ -837,6 +837,14 @@
   this->software = val;
 __isset.software = true;
 }
+
+void StreamPlacementRequest::__set_stream(const int64_t val) {
+  this->stream = val;
+}
+
+void StreamPlacementRequest::__set_resumableMs(const int32_t val) {
+  this->resumableMs = val;
+}
 std::ostream& operator<<(std::ostream& out, const StreamPlacementRequest& obj)
 {
   obj.printTo(out);
@@ -1044,6 +1052,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 20:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stream);
+          this->__isset.stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 21:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->resumableMs);
+          this->__isset.resumableMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1176,6 +1200,14 @@
     xfer += oprot->writeString(this->software);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_I64, 20);
+  xfer += oprot->writeI64(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("resumableMs", ::apache::thrift::protocol::T_I32, 21);
+  xfer += oprot->writeI32(this->resumableMs);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1202,6 +1234,8 @@
   swap(a.urgency, b.urgency);
   swap(a.cost, b.cost);
   swap(a.software, b.software);
+  swap(a.stream, b.stream);
+  swap(a.resumableMs, b.resumableMs);
   swap(a.__isset, b.__isset);
 }
 
@@ -1225,6 +1259,8 @@
   urgency = other18.urgency;
   cost = other18.cost;
   software = other18.software;
+  stream = other18.stream;
+  resumableMs = other18.resumableMs;
   __isset = other18.__isset;
 }
 StreamPlacementRequest& StreamPlacementRequest::operator=(const StreamPlacementRequest& other19) {
@@ -1247,6 +1283,8 @@
   urgency = other19.urgency;
   cost = other19.cost;
   software = other19.software;
+  stream = other19.stream;
+  resumableMs = other19.resumableMs;
   __isset = other19.__isset;
   return *this;
 }
@@ -1272,6 +1310,8 @@
   out << ", " << "urgency=" << to_string(urgency);
   out << ", " << "cost=" << to_string(cost);
   out << ", " << "software="; (__isset.software ? (out << to_string(software)) : (out << "<null>"));
+  out << ", " << "stream=" << to_string(stream);
+  out << ", " << "resumableMs=" << to_string(resumableMs);
   out << ")";
 }
 
@@ -3413,4 +3453,370 @@
   out << ")";
 }
 
+
+StreamOriginQuery::~StreamOriginQuery() noexcept {
+}
+
+
+void StreamOriginQuery::__set_stream(const int64_t val) {
+  this->stream = val;
+}
+
+void StreamOriginQuery::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void StreamOriginQuery::__set_windowMs(const int32_t val) {
+  this->windowMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginQuery& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginQuery::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_stream = false;
+  bool isset_serviceName = false;
+  bool isset_windowMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stream);
+          isset_stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->windowMs);
+          isset_windowMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_stream)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_windowMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StreamOriginQuery::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginQuery");
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("windowMs", ::apache::thrift::protocol::T_I32, 3);
+  xfer += oprot->writeI32(this->windowMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginQuery &a, StreamOriginQuery &b) {
+  using ::std::swap;
+  swap(a.stream, b.stream);
+  swap(a.serviceName, b.serviceName);
+  swap(a.windowMs, b.windowMs);
+}
+
+StreamOriginQuery::StreamOriginQuery(const StreamOriginQuery& other96) {
+  stream = other96.stream;
+  serviceName = other96.serviceName;
+  windowMs = other96.windowMs;
+}
+StreamOriginQuery& StreamOriginQuery::operator=(const StreamOriginQuery& other97) {
+  stream = other97.stream;
+  serviceName = other97.serviceName;
+  windowMs = other97.windowMs;
+  return *this;
+}
+void StreamOriginQuery::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginQuery(";
+  out << "stream=" << to_string(stream);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "windowMs=" << to_string(windowMs);
+  out << ")";
+}
+
+
+StreamOriginReply::~StreamOriginReply() noexcept {
+}
+
+
+void StreamOriginReply::__set_software(const std::string& val) {
+  this->software = val;
+__isset.software = true;
+}
+
+void StreamOriginReply::__set_soleSoftware(const std::string& val) {
+  this->soleSoftware = val;
+__isset.soleSoftware = true;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginReply& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginReply::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software);
+          this->__isset.software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->soleSoftware);
+          this->__isset.soleSoftware = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t StreamOriginReply::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginReply");
+
+  if (this->__isset.software) {
+    xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRING, 1);
+    xfer += oprot->writeString(this->software);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.soleSoftware) {
+    xfer += oprot->writeFieldBegin("soleSoftware", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->soleSoftware);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginReply &a, StreamOriginReply &b) {
+  using ::std::swap;
+  swap(a.software, b.software);
+  swap(a.soleSoftware, b.soleSoftware);
+  swap(a.__isset, b.__isset);
+}
+
+StreamOriginReply::StreamOriginReply(const StreamOriginReply& other98) {
+  software = other98.software;
+  soleSoftware = other98.soleSoftware;
+  __isset = other98.__isset;
+}
+StreamOriginReply& StreamOriginReply::operator=(const StreamOriginReply& other99) {
+  software = other99.software;
+  soleSoftware = other99.soleSoftware;
+  __isset = other99.__isset;
+  return *this;
+}
+void StreamOriginReply::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginReply(";
+  out << "software="; (__isset.software ? (out << to_string(software)) : (out << "<null>"));
+  out << ", " << "soleSoftware="; (__isset.soleSoftware ? (out << to_string(soleSoftware)) : (out << "<null>"));
+  out << ")";
+}
+
+
+StreamOriginList::~StreamOriginList() noexcept {
+}
+
+
+void StreamOriginList::__set_origins(const std::vector< ::bulrushfold::wire::StreamOrigin> & val) {
+  this->origins = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOriginList& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOriginList::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_origins = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->origins.clear();
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->origins.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
+            {
+              xfer += this->origins[_i104].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          isset_origins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_origins)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StreamOriginList::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOriginList");
+
+  xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->origins.size()));
+    std::vector< ::bulrushfold::wire::StreamOrigin> ::const_iterator _iter105;
+    for (_iter105 = this->origins.begin(); _iter105 != this->origins.end(); ++_iter105)
+    {
+      xfer += (*_iter105).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOriginList &a, StreamOriginList &b) {
+  using ::std::swap;
+  swap(a.origins, b.origins);
+}
+
+StreamOriginList::StreamOriginList(const StreamOriginList& other106) {
+  origins = other106.origins;
+}
+StreamOriginList& StreamOriginList::operator=(const StreamOriginList& other107) {
+  origins = other107.origins;
+  return *this;
+}
+void StreamOriginList::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOriginList(";
+  out << "origins=" << to_string(origins);
+  out << ")";
+}
+
 }} // namespace
--- a/Source/Wire/gen-cpp/Placement_types.h
+++ b/Source/Wire/gen-cpp/Placement_types.h
@@ -90,6 +90,12 @@
 
 class PlacementNews;
 
+class StreamOriginQuery;
+
+class StreamOriginReply;
+
+class StreamOriginList;
+
 typedef struct _PlainPlacementRequest__isset {
   _PlainPlacementRequest__isset() : workspace(false), urgency(false), cost(false) {}
   bool workspace :1;
@@ -313,11 +319,13 @@
 std::ostream& operator<<(std::ostream& out, const PlainPlacementReply& obj);
 
 typedef struct _StreamPlacementRequest__isset {
-  _StreamPlacementRequest__isset() : workspace(false), urgency(false), cost(false), software(false) {}
+  _StreamPlacementRequest__isset() : workspace(false), urgency(false), cost(false), software(false), stream(false), resumableMs(false) {}
   bool workspace :1;
   bool urgency :1;
   bool cost :1;
   bool software :1;
+  bool stream :1;
+  bool resumableMs :1;
 } _StreamPlacementRequest__isset;
 
 class StreamPlacementRequest : public virtual ::apache::thrift::TBase {
@@ -343,7 +351,9 @@
                            workspace(),
                            urgency(0),
                            cost(0),
-                           software() {
+                           software(),
+                           stream(0),
+                           resumableMs(0) {
   }
 
   virtual ~StreamPlacementRequest() noexcept;
@@ -366,6 +376,8 @@
   int32_t urgency;
   double cost;
   std::string software;
+  int64_t stream;
+  int32_t resumableMs;
 
   _StreamPlacementRequest__isset __isset;
 
@@ -407,6 +419,10 @@
 
   void __set_software(const std::string& val);
 
+  void __set_stream(const int64_t val);
+
+  void __set_resumableMs(const int32_t val);
+
   bool operator == (const StreamPlacementRequest & rhs) const
   {
     if (!(session == rhs.session))
@@ -449,6 +465,10 @@
       return false;
     else if (__isset.software && !(software == rhs.software))
       return false;
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(resumableMs == rhs.resumableMs))
+      return false;
     return true;
   }
   bool operator != (const StreamPlacementRequest &rhs) const {
@@ -1137,6 +1157,145 @@
 
 std::ostream& operator<<(std::ostream& out, const PlacementNews& obj);
 
+
+class StreamOriginQuery : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginQuery(const StreamOriginQuery&);
+  StreamOriginQuery& operator=(const StreamOriginQuery&);
+  StreamOriginQuery() noexcept
+                    : stream(0),
+                      serviceName(),
+                      windowMs(0) {
+  }
+
+  virtual ~StreamOriginQuery() noexcept;
+  int64_t stream;
+  std::string serviceName;
+  int32_t windowMs;
+
+  void __set_stream(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_windowMs(const int32_t val);
+
+  bool operator == (const StreamOriginQuery & rhs) const
+  {
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(windowMs == rhs.windowMs))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginQuery &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginQuery & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginQuery &a, StreamOriginQuery &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginQuery& obj);
+
+typedef struct _StreamOriginReply__isset {
+  _StreamOriginReply__isset() : software(false), soleSoftware(false) {}
+  bool software :1;
+  bool soleSoftware :1;
+} _StreamOriginReply__isset;
+
+class StreamOriginReply : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginReply(const StreamOriginReply&);
+  StreamOriginReply& operator=(const StreamOriginReply&);
+  StreamOriginReply() noexcept
+                    : software(),
+                      soleSoftware() {
+  }
+
+  virtual ~StreamOriginReply() noexcept;
+  std::string software;
+  std::string soleSoftware;
+
+  _StreamOriginReply__isset __isset;
+
+  void __set_software(const std::string& val);
+
+  void __set_soleSoftware(const std::string& val);
+
+  bool operator == (const StreamOriginReply & rhs) const
+  {
+    if (__isset.software != rhs.__isset.software)
+      return false;
+    else if (__isset.software && !(software == rhs.software))
+      return false;
+    if (__isset.soleSoftware != rhs.__isset.soleSoftware)
+      return false;
+    else if (__isset.soleSoftware && !(soleSoftware == rhs.soleSoftware))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginReply &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginReply & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginReply &a, StreamOriginReply &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginReply& obj);
+
+
+class StreamOriginList : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOriginList(const StreamOriginList&);
+  StreamOriginList& operator=(const StreamOriginList&);
+  StreamOriginList() noexcept {
+  }
+
+  virtual ~StreamOriginList() noexcept;
+  std::vector< ::bulrushfold::wire::StreamOrigin>  origins;
+
+  void __set_origins(const std::vector< ::bulrushfold::wire::StreamOrigin> & val);
+
+  bool operator == (const StreamOriginList & rhs) const
+  {
+    if (!(origins == rhs.origins))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOriginList &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOriginList & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOriginList &a, StreamOriginList &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOriginList& obj);
+
 }} // namespace
 
 #endif
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -1566,6 +1566,167 @@
 }
 
 
+StreamOrigin::~StreamOrigin() noexcept {
+}
+
+
+void StreamOrigin::__set_stream(const int64_t val) {
+  this->stream = val;
+}
+
+void StreamOrigin::__set_serviceName(const std::string& val) {
+  this->serviceName = val;
+}
+
+void StreamOrigin::__set_software(const std::string& val) {
+  this->software = val;
+}
+
+void StreamOrigin::__set_leftMs(const int32_t val) {
+  this->leftMs = val;
+}
+std::ostream& operator<<(std::ostream& out, const StreamOrigin& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StreamOrigin::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_stream = false;
+  bool isset_serviceName = false;
+  bool isset_software = false;
+  bool isset_leftMs = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->stream);
+          isset_stream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->serviceName);
+          isset_serviceName = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->software);
+          isset_software = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->leftMs);
+          isset_leftMs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_stream)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_serviceName)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_software)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_leftMs)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StreamOrigin::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StreamOrigin");
+
+  xfer += oprot->writeFieldBegin("stream", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->stream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("serviceName", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->serviceName);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("software", ::apache::thrift::protocol::T_STRING, 3);
+  xfer += oprot->writeString(this->software);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("leftMs", ::apache::thrift::protocol::T_I32, 4);
+  xfer += oprot->writeI32(this->leftMs);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StreamOrigin &a, StreamOrigin &b) {
+  using ::std::swap;
+  swap(a.stream, b.stream);
+  swap(a.serviceName, b.serviceName);
+  swap(a.software, b.software);
+  swap(a.leftMs, b.leftMs);
+}
+
+StreamOrigin::StreamOrigin(const StreamOrigin& other26) {
+  stream = other26.stream;
+  serviceName = other26.serviceName;
+  software = other26.software;
+  leftMs = other26.leftMs;
+}
+StreamOrigin& StreamOrigin::operator=(const StreamOrigin& other27) {
+  stream = other27.stream;
+  serviceName = other27.serviceName;
+  software = other27.software;
+  leftMs = other27.leftMs;
+  return *this;
+}
+void StreamOrigin::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StreamOrigin(";
+  out << "stream=" << to_string(stream);
+  out << ", " << "serviceName=" << to_string(serviceName);
+  out << ", " << "software=" << to_string(software);
+  out << ", " << "leftMs=" << to_string(leftMs);
+  out << ")";
+}
+
+
 QuotaUse::~QuotaUse() noexcept {
 }
 
@@ -1663,13 +1824,13 @@
   swap(a.units, b.units);
 }
 
-QuotaUse::QuotaUse(const QuotaUse& other26) {
-  workspace = other26.workspace;
-  units = other26.units;
+QuotaUse::QuotaUse(const QuotaUse& other28) {
+  workspace = other28.workspace;
+  units = other28.units;
 }
-QuotaUse& QuotaUse::operator=(const QuotaUse& other27) {
-  workspace = other27.workspace;
-  units = other27.units;
+QuotaUse& QuotaUse::operator=(const QuotaUse& other29) {
+  workspace = other29.workspace;
+  units = other29.units;
   return *this;
 }
 void QuotaUse::printTo(std::ostream& out) const {
@@ -1736,6 +1897,10 @@
 void RoutingStatus::__set_quotaUses(const std::vector<QuotaUse> & val) {
   this->quotaUses = val;
 }
+
+void RoutingStatus::__set_origins(const std::vector<StreamOrigin> & val) {
+  this->origins = val;
+}
 std::ostream& operator<<(std::ostream& out, const RoutingStatus& obj)
 {
   obj.printTo(out);
@@ -1776,14 +1941,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->runs.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size30;
+            ::apache::thrift::protocol::TType _etype33;
+            xfer += iprot->readListBegin(_etype33, _size30);
+            this->runs.resize(_size30);
+            uint32_t _i34;
+            for (_i34 = 0; _i34 < _size30; ++_i34)
             {
-              xfer += this->runs[_i32].read(iprot);
+              xfer += this->runs[_i34].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1796,14 +1961,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->shares.clear();
-            uint32_t _size33;
-            ::apache::thrift::protocol::TType _etype36;
-            xfer += iprot->readListBegin(_etype36, _size33);
-            this->shares.resize(_size33);
-            uint32_t _i37;
-            for (_i37 = 0; _i37 < _size33; ++_i37)
+            uint32_t _size35;
+            ::apache::thrift::protocol::TType _etype38;
+            xfer += iprot->readListBegin(_etype38, _size35);
+            this->shares.resize(_size35);
+            uint32_t _i39;
+            for (_i39 = 0; _i39 < _size35; ++_i39)
             {
-              xfer += this->shares[_i37].read(iprot);
+              xfer += this->shares[_i39].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1816,14 +1981,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->retries.clear();
-            uint32_t _size38;
-            ::apache::thrift::protocol::TType _etype41;
-            xfer += iprot->readListBegin(_etype41, _size38);
-            this->retries.resize(_size38);
-            uint32_t _i42;
-            for (_i42 = 0; _i42 < _size38; ++_i42)
+            uint32_t _size40;
+            ::apache::thrift::protocol::TType _etype43;
+            xfer += iprot->readListBegin(_etype43, _size40);
+            this->retries.resize(_size40);
+            uint32_t _i44;
+            for (_i44 = 0; _i44 < _size40; ++_i44)
             {
-              xfer += this->retries[_i42].read(iprot);
+              xfer += this->retries[_i44].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1836,14 +2001,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->suspects.clear();
-            uint32_t _size43;
-            ::apache::thrift::protocol::TType _etype46;
-            xfer += iprot->readListBegin(_etype46, _size43);
-            this->suspects.resize(_size43);
-            uint32_t _i47;
-            for (_i47 = 0; _i47 < _size43; ++_i47)
+            uint32_t _size45;
+            ::apache::thrift::protocol::TType _etype48;
+            xfer += iprot->readListBegin(_etype48, _size45);
+            this->suspects.resize(_size45);
+            uint32_t _i49;
+            for (_i49 = 0; _i49 < _size45; ++_i49)
             {
-              xfer += this->suspects[_i47].read(iprot);
+              xfer += this->suspects[_i49].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1872,14 +2037,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->turnedAway.clear();
-            uint32_t _size48;
-            ::apache::thrift::protocol::TType _etype51;
-            xfer += iprot->readListBegin(_etype51, _size48);
-            this->turnedAway.resize(_size48);
-            uint32_t _i52;
-            for (_i52 = 0; _i52 < _size48; ++_i52)
+            uint32_t _size50;
+            ::apache::thrift::protocol::TType _etype53;
+            xfer += iprot->readListBegin(_etype53, _size50);
+            this->turnedAway.resize(_size50);
+            uint32_t _i54;
+            for (_i54 = 0; _i54 < _size50; ++_i54)
             {
-              xfer += this->turnedAway[_i52].read(iprot);
+              xfer += this->turnedAway[_i54].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1892,14 +2057,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->roleOrders.clear();
-            uint32_t _size53;
-            ::apache::thrift::protocol::TType _etype56;
-            xfer += iprot->readListBegin(_etype56, _size53);
-            this->roleOrders.resize(_size53);
-            uint32_t _i57;
-            for (_i57 = 0; _i57 < _size53; ++_i57)
+            uint32_t _size55;
+            ::apache::thrift::protocol::TType _etype58;
+            xfer += iprot->readListBegin(_etype58, _size55);
+            this->roleOrders.resize(_size55);
+            uint32_t _i59;
+            for (_i59 = 0; _i59 < _size55; ++_i59)
             {
-              xfer += this->roleOrders[_i57].read(iprot);
+              xfer += this->roleOrders[_i59].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1912,14 +2077,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->keptPrompts.clear();
-            uint32_t _size58;
-            ::apache::thrift::protocol::TType _etype61;
-            xfer += iprot->readListBegin(_etype61, _size58);
-            this->keptPrompts.resize(_size58);
-            uint32_t _i62;
-            for (_i62 = 0; _i62 < _size58; ++_i62)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->keptPrompts.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += this->keptPrompts[_i62].read(iprot);
+              xfer += this->keptPrompts[_i64].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1932,14 +2097,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->lostPrompts.clear();
-            uint32_t _size63;
-            ::apache::thrift::protocol::TType _etype66;
-            xfer += iprot->readListBegin(_etype66, _size63);
-            this->lostPrompts.resize(_size63);
-            uint32_t _i67;
-            for (_i67 = 0; _i67 < _size63; ++_i67)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->lostPrompts.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += this->lostPrompts[_i67].read(iprot);
+              xfer += this->lostPrompts[_i69].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1952,14 +2117,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answeredParts.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->answeredParts.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->answeredParts.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += this->answeredParts[_i72].read(iprot);
+              xfer += this->answeredParts[_i74].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1972,14 +2137,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->engineAnswers.clear();
-            uint32_t _size73;
-            ::apache::thrift::protocol::TType _etype76;
-            xfer += iprot->readListBegin(_etype76, _size73);
-            this->engineAnswers.resize(_size73);
-            uint32_t _i77;
-            for (_i77 = 0; _i77 < _size73; ++_i77)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->engineAnswers.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += this->engineAnswers[_i77].read(iprot);
+              xfer += this->engineAnswers[_i79].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1992,14 +2157,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->quotaUses.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->quotaUses.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->quotaUses.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->quotaUses[_i82].read(iprot);
+              xfer += this->quotaUses[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2008,6 +2173,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->origins.clear();
+            uint32_t _size85;
+            ::apache::thrift::protocol::TType _etype88;
+            xfer += iprot->readListBegin(_etype88, _size85);
+            this->origins.resize(_size85);
+            uint32_t _i89;
+            for (_i89 = 0; _i89 < _size85; ++_i89)
+            {
+              xfer += this->origins[_i89].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.origins = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2044,10 +2229,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<StreamRun> ::const_iterator _iter83;
-    for (_iter83 = this->runs.begin(); _iter83 != this->runs.end(); ++_iter83)
+    std::vector<StreamRun> ::const_iterator _iter90;
+    for (_iter90 = this->runs.begin(); _iter90 != this->runs.end(); ++_iter90)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter90).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2056,10 +2241,10 @@
   xfer += oprot->writeFieldBegin("shares", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->shares.size()));
-    std::vector<EndpointShare> ::const_iterator _iter84;
-    for (_iter84 = this->shares.begin(); _iter84 != this->shares.end(); ++_iter84)
+    std::vector<EndpointShare> ::const_iterator _iter91;
+    for (_iter91 = this->shares.begin(); _iter91 != this->shares.end(); ++_iter91)
     {
-      xfer += (*_iter84).write(oprot);
+      xfer += (*_iter91).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2068,10 +2253,10 @@
   xfer += oprot->writeFieldBegin("retries", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->retries.size()));
-    std::vector<RetryUse> ::const_iterator _iter85;
-    for (_iter85 = this->retries.begin(); _iter85 != this->retries.end(); ++_iter85)
+    std::vector<RetryUse> ::const_iterator _iter92;
+    for (_iter92 = this->retries.begin(); _iter92 != this->retries.end(); ++_iter92)
     {
-      xfer += (*_iter85).write(oprot);
+      xfer += (*_iter92).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2080,10 +2265,10 @@
   xfer += oprot->writeFieldBegin("suspects", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->suspects.size()));
-    std::vector<CrashSuspect> ::const_iterator _iter86;
-    for (_iter86 = this->suspects.begin(); _iter86 != this->suspects.end(); ++_iter86)
+    std::vector<CrashSuspect> ::const_iterator _iter93;
+    for (_iter93 = this->suspects.begin(); _iter93 != this->suspects.end(); ++_iter93)
     {
-      xfer += (*_iter86).write(oprot);
+      xfer += (*_iter93).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2100,10 +2285,10 @@
   xfer += oprot->writeFieldBegin("turnedAway", ::apache::thrift::protocol::T_LIST, 7);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->turnedAway.size()));
-    std::vector<TurnedAway> ::const_iterator _iter87;
-    for (_iter87 = this->turnedAway.begin(); _iter87 != this->turnedAway.end(); ++_iter87)
+    std::vector<TurnedAway> ::const_iterator _iter94;
+    for (_iter94 = this->turnedAway.begin(); _iter94 != this->turnedAway.end(); ++_iter94)
     {
-      xfer += (*_iter87).write(oprot);
+      xfer += (*_iter94).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2112,10 +2297,10 @@
   xfer += oprot->writeFieldBegin("roleOrders", ::apache::thrift::protocol::T_LIST, 8);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->roleOrders.size()));
-    std::vector<RoleOrder> ::const_iterator _iter88;
-    for (_iter88 = this->roleOrders.begin(); _iter88 != this->roleOrders.end(); ++_iter88)
+    std::vector<RoleOrder> ::const_iterator _iter95;
+    for (_iter95 = this->roleOrders.begin(); _iter95 != this->roleOrders.end(); ++_iter95)
     {
-      xfer += (*_iter88).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2124,10 +2309,10 @@
   xfer += oprot->writeFieldBegin("keptPrompts", ::apache::thrift::protocol::T_LIST, 9);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->keptPrompts.size()));
-    std::vector<KeptPrompt> ::const_iterator _iter89;
-    for (_iter89 = this->keptPrompts.begin(); _iter89 != this->keptPrompts.end(); ++_iter89)
+    std::vector<KeptPrompt> ::const_iterator _iter96;
+    for (_iter96 = this->keptPrompts.begin(); _iter96 != this->keptPrompts.end(); ++_iter96)
     {
-      xfer += (*_iter89).write(oprot);
+      xfer += (*_iter96).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2136,10 +2321,10 @@
   xfer += oprot->writeFieldBegin("lostPrompts", ::apache::thrift::protocol::T_LIST, 10);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->lostPrompts.size()));
-    std::vector<LostPrompt> ::const_iterator _iter90;
-    for (_iter90 = this->lostPrompts.begin(); _iter90 != this->lostPrompts.end(); ++_iter90)
+    std::vector<LostPrompt> ::const_iterator _iter97;
+    for (_iter97 = this->lostPrompts.begin(); _iter97 != this->lostPrompts.end(); ++_iter97)
     {
-      xfer += (*_iter90).write(oprot);
+      xfer += (*_iter97).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2148,10 +2333,10 @@
   xfer += oprot->writeFieldBegin("answeredParts", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answeredParts.size()));
-    std::vector<AnsweredPart> ::const_iterator _iter91;
-    for (_iter91 = this->answeredParts.begin(); _iter91 != this->answeredParts.end(); ++_iter91)
+    std::vector<AnsweredPart> ::const_iterator _iter98;
+    for (_iter98 = this->answeredParts.begin(); _iter98 != this->answeredParts.end(); ++_iter98)
     {
-      xfer += (*_iter91).write(oprot);
+      xfer += (*_iter98).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2160,10 +2345,10 @@
   xfer += oprot->writeFieldBegin("engineAnswers", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->engineAnswers.size()));
-    std::vector<EngineAnswer> ::const_iterator _iter92;
-    for (_iter92 = this->engineAnswers.begin(); _iter92 != this->engineAnswers.end(); ++_iter92)
+    std::vector<EngineAnswer> ::const_iterator _iter99;
+    for (_iter99 = this->engineAnswers.begin(); _iter99 != this->engineAnswers.end(); ++_iter99)
     {
-      xfer += (*_iter92).write(oprot);
+      xfer += (*_iter99).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2172,10 +2357,22 @@
   xfer += oprot->writeFieldBegin("quotaUses", ::apache::thrift::protocol::T_LIST, 13);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->quotaUses.size()));
-    std::vector<QuotaUse> ::const_iterator _iter93;
-    for (_iter93 = this->quotaUses.begin(); _iter93 != this->quotaUses.end(); ++_iter93)
+    std::vector<QuotaUse> ::const_iterator _iter100;
+    for (_iter100 = this->quotaUses.begin(); _iter100 != this->quotaUses.end(); ++_iter100)
     {
-      xfer += (*_iter93).write(oprot);
+      xfer += (*_iter100).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("origins", ::apache::thrift::protocol::T_LIST, 14);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->origins.size()));
+    std::vector<StreamOrigin> ::const_iterator _iter101;
+    for (_iter101 = this->origins.begin(); _iter101 != this->origins.end(); ++_iter101)
+    {
+      xfer += (*_iter101).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2201,40 +2398,43 @@
   swap(a.answeredParts, b.answeredParts);
   swap(a.engineAnswers, b.engineAnswers);
   swap(a.quotaUses, b.quotaUses);
+  swap(a.origins, b.origins);
   swap(a.__isset, b.__isset);
 }
 
-RoutingStatus::RoutingStatus(const RoutingStatus& other94) {
-  runs = other94.runs;
-  shares = other94.shares;
-  retries = other94.retries;
-  suspects = other94.suspects;
-  isLeaving = other94.isLeaving;
-  address = other94.address;
-  turnedAway = other94.turnedAway;
-  roleOrders = other94.roleOrders;
-  keptPrompts = other94.keptPrompts;
-  lostPrompts = other94.lostPrompts;
-  answeredParts = other94.answeredParts;
-  engineAnswers = other94.engineAnswers;
-  quotaUses = other94.quotaUses;
-  __isset = other94.__isset;
-}
-RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other95) {
-  runs = other95.runs;
-  shares = other95.shares;
-  retries = other95.retries;
-  suspects = other95.suspects;
-  isLeaving = other95.isLeaving;
-  address = other95.address;
-  turnedAway = other95.turnedAway;
-  roleOrders = other95.roleOrders;
-  keptPrompts = other95.keptPrompts;
-  lostPrompts = other95.lostPrompts;
-  answeredParts = other95.answeredParts;
-  engineAnswers = other95.engineAnswers;
-  quotaUses = other95.quotaUses;
-  __isset = other95.__isset;
+RoutingStatus::RoutingStatus(const RoutingStatus& other102) {
+  runs = other102.runs;
+  shares = other102.shares;
+  retries = other102.retries;
+  suspects = other102.suspects;
+  isLeaving = other102.isLeaving;
+  address = other102.address;
+  turnedAway = other102.turnedAway;
+  roleOrders = other102.roleOrders;
+  keptPrompts = other102.keptPrompts;
+  lostPrompts = other102.lostPrompts;
+  answeredParts = other102.answeredParts;
+  engineAnswers = other102.engineAnswers;
+  quotaUses = other102.quotaUses;
+  origins = other102.origins;
+  __isset = other102.__isset;
+}
+RoutingStatus& RoutingStatus::operator=(const RoutingStatus& other103) {
+  runs = other103.runs;
+  shares = other103.shares;
+  retries = other103.retries;
+  suspects = other103.suspects;
+  isLeaving = other103.isLeaving;
+  address = other103.address;
+  turnedAway = other103.turnedAway;
+  roleOrders = other103.roleOrders;
+  keptPrompts = other103.keptPrompts;
+  lostPrompts = other103.lostPrompts;
+  answeredParts = other103.answeredParts;
+  engineAnswers = other103.engineAnswers;
+  quotaUses = other103.quotaUses;
+  origins = other103.origins;
+  __isset = other103.__isset;
   return *this;
 }
 void RoutingStatus::printTo(std::ostream& out) const {
@@ -2253,6 +2453,7 @@
   out << ", " << "answeredParts=" << to_string(answeredParts);
   out << ", " << "engineAnswers=" << to_string(engineAnswers);
   out << ", " << "quotaUses=" << to_string(quotaUses);
+  out << ", " << "origins=" << to_string(origins);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -41,6 +41,8 @@
 
 class RoleOrder;
 
+class StreamOrigin;
+
 class QuotaUse;
 
 class RoutingStatus;
@@ -592,6 +594,61 @@
 std::ostream& operator<<(std::ostream& out, const RoleOrder& obj);
 
 
+class StreamOrigin : public virtual ::apache::thrift::TBase {
+ public:
+
+  StreamOrigin(const StreamOrigin&);
+  StreamOrigin& operator=(const StreamOrigin&);
+  StreamOrigin() noexcept
+               : stream(0),
+                 serviceName(),
+                 software(),
+                 leftMs(0) {
+  }
+
+  virtual ~StreamOrigin() noexcept;
+  int64_t stream;
+  std::string serviceName;
+  std::string software;
+  int32_t leftMs;
+
+  void __set_stream(const int64_t val);
+
+  void __set_serviceName(const std::string& val);
+
+  void __set_software(const std::string& val);
+
+  void __set_leftMs(const int32_t val);
+
+  bool operator == (const StreamOrigin & rhs) const
+  {
+    if (!(stream == rhs.stream))
+      return false;
+    if (!(serviceName == rhs.serviceName))
+      return false;
+    if (!(software == rhs.software))
+      return false;
+    if (!(leftMs == rhs.leftMs))
+      return false;
+    return true;
+  }
+  bool operator != (const StreamOrigin &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StreamOrigin & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StreamOrigin &a, StreamOrigin &b);
+
+std::ostream& operator<<(std::ostream& out, const StreamOrigin& obj);
+
+
 class QuotaUse : public virtual ::apache::thrift::TBase {
  public:
 
@@ -635,12 +692,13 @@
 std::ostream& operator<<(std::ostream& out, const QuotaUse& obj);
 
 typedef struct _RoutingStatus__isset {
-  _RoutingStatus__isset() : keptPrompts(false), lostPrompts(false), answeredParts(false), engineAnswers(false), quotaUses(false) {}
+  _RoutingStatus__isset() : keptPrompts(false), lostPrompts(false), answeredParts(false), engineAnswers(false), quotaUses(false), origins(false) {}
   bool keptPrompts :1;
   bool lostPrompts :1;
   bool answeredParts :1;
   bool engineAnswers :1;
   bool quotaUses :1;
+  bool origins :1;
 } _RoutingStatus__isset;
 
 class RoutingStatus : public virtual ::apache::thrift::TBase {
@@ -667,6 +725,7 @@
   std::vector<AnsweredPart>  answeredParts;
   std::vector<EngineAnswer>  engineAnswers;
   std::vector<QuotaUse>  quotaUses;
+  std::vector<StreamOrigin>  origins;
 
   _RoutingStatus__isset __isset;
 
@@ -696,6 +755,8 @@
 
   void __set_quotaUses(const std::vector<QuotaUse> & val);
 
+  void __set_origins(const std::vector<StreamOrigin> & val);
+
   bool operator == (const RoutingStatus & rhs) const
   {
     if (!(runs == rhs.runs))
@@ -724,6 +785,8 @@
       return false;
     if (!(quotaUses == rhs.quotaUses))
       return false;
+    if (!(origins == rhs.origins))
+      return false;
     return true;
   }
   bool operator != (const RoutingStatus &rhs) const {
--- a/Tests/Adapter/PlatformFixture.h
+++ b/Tests/Adapter/PlatformFixture.h
@@ -130,7 +130,12 @@
    * 5 ms. */
   std::string CallReadiness(const std::string& aPath)
   {
-    RawClient client(mSettings.mReadinessAddress);
+    return CallReadiness(mSettings.mReadinessAddress, aPath);
+  }
+  std::string CallReadiness(const SocketAddress& aAddress,
+                            const std::string& aPath)
+  {
+    RawClient client(aAddress);
     client.Send("GET " + aPath + " HTTP/1.1\r\nHost: x\r\n\r\n");
     bool isOver = false;
     const auto timer = mLoop.After(std::chrono::milliseconds(5), [&] {
--- a/Tests/Adapter/ResumedVersionTest.cxx
+++ b/Tests/Adapter/ResumedVersionTest.cxx
@@ -45,6 +45,11 @@
     return mSettings.mCallerAddress;
   }
 
+  const SocketAddress& ReadinessAddress() const
+  {
+    return mSettings.mReadinessAddress;
+  }
+
 private:
   RouterSettings mSettings;
   HttpClient mClient;
@@ -87,6 +92,19 @@
   /** Time for the routers to read the store and to hear of each other. */
   void WaitForPeers() { RunFor(mPlatform.mLoop, milliseconds(1500)); }
 
+  /** Waits until the router has read configuration and endpoints; it may not
+   * have found the others by then. */
+  bool WaitUntilReady(const std::string& aName)
+  {
+    for (int i = 0; i < 400; ++i) {
+      if (HasStatus(mPlatform.CallReadiness(
+                      mRouters.at(aName)->ReadinessAddress(), "/api/ready"),
+                    200)) {
+        return true;
+      }
+    }
+    return false;
+  }
   /** Begins the stream aId at aRouter, and leaves it after its first events. */
   void Begin(const std::string& aRouter, const std::string& aId)
   {
@@ -192,8 +210,7 @@
   {
     fleet.Leave();
     fleet.AddRouter("front-3");
-    fleet.WaitForPeers();
-    fleet.KillRouter("front-2");
+    REQUIRE(fleet.WaitUntilReady("front-3"));
     router = "front-3";
   }
   for (int i = 0; i < kStreams; ++i) {
--- a/Tests/Router/FleetDaemon.cxx
+++ b/Tests/Router/FleetDaemon.cxx
@@ -130,7 +130,8 @@
              mDeferred,
              mDirectory,
              mFeed,
-             mQuotas },
+             mQuotas,
+             mOrigins },
            { "10.0.0.1", 1 },
            OwnerHooks())
   , mClient(aFleet.mClock,
@@ -326,6 +327,8 @@
   demand.mIsRetry = true;
   demand.mPromptKey = aCachedKey;
   demand.mWasInterrupted = aCachedKey != 0;
+  demand.mStream = aNumber;
+  demand.mResumableUntil = now + seconds(14);
   mClient.Submit(std::move(demand), *stream);
 }
 
--- a/Tests/Router/PlacementFleet.h
+++ b/Tests/Router/PlacementFleet.h
@@ -269,6 +269,7 @@
   CrashGuard mGuard{ mRandom };
   WorkspaceQuotas mQuotas{ [] { return 1.0; } };
   DeferredRequests mDeferred;
+  StreamOrigins mOrigins;
   PlainSelector mSelector;
   PlainQueue mPlainQueue;
   PlainPlacer mPlainPlacer;
--- a/Tests/Router/PlacementFleetTest.cxx
+++ b/Tests/Router/PlacementFleetTest.cxx
@@ -143,6 +143,28 @@
   }
 }
 
+// Guards against a resumed stream that goes on at another version: its own
+// daemon may be gone before it has told anybody.
+TEST_CASE("An owner knows the version of a stream when it is placed")
+{
+  PlacementFleet fleet(1, FleetDefect::None);
+  fleet.Run(seconds(3), false);
+  const auto client =
+    std::find_if(fleet.mDaemons.begin(),
+                 fleet.mDaemons.end(),
+                 [](const auto& aIt) { return !aIt->mClient.IsCandidate(); });
+  REQUIRE(client != fleet.mDaemons.end());
+  constexpr std::uint64_t kStream = 9'000'000;
+  (*client)->RequestStream(kStream, 1);
+  fleet.Continue(milliseconds(500));
+  const Instant now = fleet.mClock.Now();
+  CHECK(OwnerOf(fleet)->mOrigins.Find(kStream, now) != nullptr);
+  const auto keepers = (*client)->mClient.Keepers();
+  REQUIRE(keepers.size() == 3);
+  CHECK(keepers.front().mName == OwnerOf(fleet)->mName);
+  CHECK(OwnerOf(fleet)->mClient.Keepers().size() == 2);
+}
+
 TEST_CASE("The checks of a fleet notice a defect")
 {
   SUBCASE("clients that do not give back what they were granted")
--- a/Tests/Router/PlacementMessagesTest.cxx
+++ b/Tests/Router/PlacementMessagesTest.cxx
@@ -47,6 +47,12 @@
   // An engine that states no version is of another one than all that do.
   demand.mSoftware = "";
   CHECK(FromWire(ToWire(demand, now), now).mSoftware == "");
+  CHECK(FromWire(ToWire(demand, now), now).mStream == 0);
+  demand.mStream = ~0ULL;
+  demand.mResumableUntil = now + std::chrono::seconds(14);
+  CHECK(FromWire(ToWire(demand, now), now).mStream == ~0ULL);
+  CHECK(FromWire(ToWire(demand, now), now).mResumableUntil ==
+        demand.mResumableUntil);
 }
 
 } // namespace bulrushfold
--- a/Tests/Router/StreamCallFixture.h
+++ b/Tests/Router/StreamCallFixture.h
@@ -49,6 +49,10 @@
     const auto it = mSoftware.find(aEndpoint);
     return it == mSoftware.end() ? "" : it->second;
   }
+  void ReportVersion(const std::string& aSoftware) override
+  {
+    mVersions.push_back(aSoftware);
+  }
   bool CanReceive(const std::string& aEndpoint) const override
   {
     return mUnreachable.count(aEndpoint) == 0;
@@ -136,6 +140,8 @@
   std::set<std::string> mUnusable;
   /** Software versions, by endpoint. */
   std::map<std::string, std::string> mSoftware;
+  /** Reported versions. */
+  std::vector<std::string> mVersions;
   std::set<std::string> mUnreachable;
   bool mIsPromptRefused = false;
   bool mIsReadPaused = false;
--- a/Tests/Router/StreamCallVersionTest.cxx
+++ b/Tests/Router/StreamCallVersionTest.cxx
@@ -73,6 +73,25 @@
       }
     }
   }
+  SUBCASE("before an event, each engine that may begin it is reported")
+  {
+    fixture.Start();
+    fixture.Place("p1", "d1");
+    CHECK(delegate.mVersions == std::vector<std::string>{ "v1" });
+    fixture.RunToAnswer("p1", "d2");
+    CHECK(delegate.mVersions == std::vector<std::string>{ "v1", "v2" });
+  }
+  SUBCASE("that another attempt of the caller received")
+  {
+    fixture.mCall.emplace(delegate, fixture.mRetryBudget, fixture.mParameters);
+    fixture.mCall->BindTo("v2");
+    fixture.mCall->Start(fixture.mNow);
+    CHECK(delegate.mDemands.back().mSoftware == "v2");
+    fixture.Place("p1", "d1");
+    CHECK(delegate.mVersions.empty());
+    fixture.Place("p1", "d2");
+    CHECK(delegate.LastAction() == "reserve d2");
+  }
   SUBCASE("a run without an event binds nothing")
   {
     fixture.Start();
--- a/Tests/Routing/OwnerSelectorTest.cxx
+++ b/Tests/Routing/OwnerSelectorTest.cxx
@@ -54,6 +54,11 @@
     const std::string next = selector.Choose(now)->mName;
     CHECK(next != owner);
     CHECK(selector.FindReturning(next, now) == nullptr);
+    // The first one may still know what it placed.
+    const auto candidates = selector.FirstCandidates(2, now);
+    REQUIRE(candidates.size() == 3);
+    CHECK(candidates[0]->mName == owner);
+    CHECK(candidates[1]->mName == next);
     SUBCASE("until it is tried again")
     {
       const Instant later = now + milliseconds(600);
