Keep the version of a stream whose caller has an event

A record says whether the caller has an event. Its version is final then; an expectation of the owner or of another daemon no longer replaces it. A daemon that knows several versions does not believe a peer that knows one. The version is compared again when a run is sent or returns to the source of a move.

Tests: 'does not change once the caller has an event' (RoutingTest), 'is not sent to an engine that has another version by then' (RouterTest).

--- a/Source/Router/PlacementMessages.cxx
+++ b/Source/Router/PlacementMessages.cxx
@@ -217,6 +217,7 @@
   origin.serviceName = aOrigin.mService;
   origin.software = aOrigin.mSoftware;
   origin.leftMs = MillisecondsUntil(aOrigin.mUntil, aNow);
+  origin.__set_hasBegun(aOrigin.mHasBegun);
   return origin;
 }
 
@@ -226,7 +227,8 @@
   return { static_cast<std::uint64_t>(aOrigin.stream),
            aOrigin.serviceName,
            aOrigin.software,
-           aNow + Milliseconds(aOrigin.leftMs) };
+           aNow + Milliseconds(aOrigin.leftMs),
+           aOrigin.hasBegun };
 }
 
 wire::StreamPlacementReply
--- a/Source/Router/RemoteStream.h
+++ b/Source/Router/RemoteStream.h
@@ -54,9 +54,11 @@
       aDemand.mFirstEventDeadline -= now - *first;
     }
     aDemand.mNumber = mLocalNumber;
-    mOrigin = {
-      aDemand.mStream, aDemand.mService, "", aDemand.mResumableUntil
-    };
+    mOrigin = { aDemand.mStream,
+                aDemand.mService,
+                "",
+                aDemand.mResumableUntil,
+                aDemand.mSoftware.has_value() };
     mTerms = aDemand.mTerms;
     if (const auto wait = mOwner.mTables.mQuotas.Take(mTerms, now); wait) {
       mTerms.mCost = 0;
@@ -116,8 +118,7 @@
   Instant CreatedAt() const { return mCreatedAt; }
 
 private:
-  /** The stream is begun by the version of aEngine, unless it has begun before,
-   * and at that version alone then. */
+  /** The next event comes from aEngine, as far as the owner knows. */
   void RecordOrigin(const std::string& aEngine)
   {
     if (mOrigin.mStream != 0) {
--- a/Source/Router/StreamCall.cxx
+++ b/Source/Router/StreamCall.cxx
@@ -86,7 +86,7 @@
 {
   if (mReportedSoftware != aSoftware) {
     mReportedSoftware = aSoftware;
-    mDelegate.ReportVersion(aSoftware);
+    mDelegate.ReportVersion(aSoftware, mSoftware.has_value());
   }
 }
 
@@ -291,7 +291,8 @@
   if (EndIfPromptRefused(aNow)) {
     return;
   }
-  if (!mDelegate.IsUsable(mAttempt.mPlacement.mDecode)) {
+  if (!mDelegate.IsUsable(mAttempt.mPlacement.mDecode) ||
+      !MayContinueAt(mAttempt.mPlacement.mDecode)) {
     mFailedEndpoints.insert(mAttempt.mPlacement.mDecode);
     const std::uint32_t repeats = RepeatedPrefills();
     ReleaseAll();
--- a/Source/Router/StreamCall.h
+++ b/Source/Router/StreamCall.h
@@ -90,8 +90,9 @@
   virtual bool IsUsable(const std::string& aEndpoint) const = 0;
   /** Version of the software of aEndpoint; empty when it is unknown. */
   virtual std::string SoftwareOf(const std::string& aEndpoint) const = 0;
-  /** The next event of the stream comes from an engine of aSoftware. */
-  virtual void ReportVersion(const std::string& aSoftware) = 0;
+  /** The next event of the stream comes from an engine of aSoftware.
+   * aHasBegun: the caller has received events of that version. */
+  virtual void ReportVersion(const std::string& aSoftware, bool aHasBegun) = 0;
   /** aEndpoint is in the registry and did not ask for a pause. */
   virtual bool CanReceive(const std::string& aEndpoint) const = 0;
   /** A part of the prompt crashes engines, so it must not be sent to one. */
--- a/Source/Router/StreamCallAnswer.cxx
+++ b/Source/Router/StreamCallAnswer.cxx
@@ -81,7 +81,7 @@
   const bool isValid = mRelay.Feed(aData);
   if (!mSoftware && mRelay.Events() > 0) {
     mSoftware = mAttempt.mSoftware;
-    NoteVersion(*mSoftware);
+    mDelegate.ReportVersion(*mSoftware, true);
   }
   if (!isValid) {
     mDelegate.CancelSend(SendResult::Interrupted);
--- a/Source/Router/StreamCallMoves.cxx
+++ b/Source/Router/StreamCallMoves.cxx
@@ -97,6 +97,7 @@
   if (mAttempt.mState != StreamState::Starting ||
       mAttempt.mMoveSource.empty() || !mAttempt.mCache ||
       !mDelegate.CanReceive(mAttempt.mMoveSource) ||
+      !MayContinueAt(mAttempt.mMoveSource) ||
       !mRetryBudget.TryConsume(mParameters.mCall.mService, 1, aNow)) {
     return false;
   }
--- a/Source/Router/StreamOriginExchange.cxx
+++ b/Source/Router/StreamOriginExchange.cxx
@@ -1,6 +1,7 @@
 #include "Router/StreamOriginExchange.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "Base/Log.h"
@@ -32,6 +33,8 @@
   /** Calls that have not ended. */
   std::size_t mOpen = 0;
   VersionFacts mFacts;
+  /** Versions that other daemons know as the only ones. */
+  std::set<std::string> mSoleVersions;
 };
 
 StreamOriginExchange::StreamOriginExchange(EventLoop& aLoop,
@@ -77,6 +80,12 @@
            const PeerTransport::Responder&) { HandleOrigins(aPayload); });
 }
 
+bool
+StreamOriginExchange::IsMixed(const std::string& aService) const
+{
+  return mHistory.IsMixed(aService, kMaxWindow, mClock.Now());
+}
+
 VersionFacts
 StreamOriginExchange::FactsOf(const ResumedStream& aStream) const
 {
@@ -185,12 +194,18 @@
       facts.mAnswered = reply->software;
     }
     if (reply->__isset.soleSoftware) {
-      facts.mSole = reply->soleSoftware;
+      aQuestion.mSoleVersions.insert(reply->soleSoftware);
     }
   }
-  if (facts.mAnswered || aQuestion.mOpen == 0) {
-    Finish(aQuestion);
+  const bool isFinal = reply.ok() && reply->hasBegun;
+  if (!isFinal && aQuestion.mOpen > 0) {
+    return;
+  }
+  if (aQuestion.mSoleVersions.size() == 1 &&
+      !IsMixed(aQuestion.mStream.mService)) {
+    facts.mSole = *aQuestion.mSoleVersions.begin();
   }
+  Finish(aQuestion);
 }
 
 absl::StatusOr<std::string>
@@ -210,6 +225,8 @@
   wire::StreamOriginReply reply;
   if (facts.mRecorded) {
     reply.__set_software(*facts.mRecorded);
+    reply.__set_hasBegun(
+      mOrigins.Find(stream.mStream, mClock.Now())->mHasBegun);
   }
   if (facts.mSole) {
     reply.__set_soleSoftware(*facts.mSole);
@@ -255,7 +272,7 @@
   wire::StreamOriginList message;
   for (const auto& it : mOrigins.KnownSince(mForwardedAt, now)) {
     // Where one version alone serves, its name is no news.
-    if (mHistory.IsMixed(it.mService, kMaxWindow, now)) {
+    if (IsMixed(it.mService)) {
       message.origins.push_back(ToWire(it, now));
     }
   }
--- a/Source/Router/StreamOriginExchange.h
+++ b/Source/Router/StreamOriginExchange.h
@@ -67,6 +67,8 @@
 
   /** The links to other daemons are open: answers their questions. */
   void HandleLinksOpen(PeerTransport& aTransport);
+  /** aService has engines of several versions, or had lately. */
+  bool IsMixed(const std::string& aService) const;
   /** Calls aHook with the decision for aStream; at once unless other daemons
    * have to be asked. The hook may be called after the caller has left. */
   void Resolve(const ResumedStream& aStream, DecisionHook aHook);
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -233,16 +233,19 @@
 }
 
 void
-StreamSession::ReportVersion(const std::string& aSoftware)
+StreamSession::ReportVersion(const std::string& aSoftware, bool aHasBegun)
 {
-  if (mRequest->mParameters.mRoute->mIsResumable) {
-    mServices.mOrigins.OnBegun({ mRequest->StreamKey(),
-                                 mRequest->mParameters.mService,
-                                 aSoftware,
-                                 ResumableUntil() },
-                               !mRequest->mPlacedBy.empty(),
-                               mServices.mClock.Now());
+  if (!mRequest->mParameters.mRoute->mIsResumable) {
+    return;
   }
+  const std::string& service = mRequest->mParameters.mService;
+  // The owner knows what it placed, but not which of several runs was first.
+  const bool isTold =
+    !mRequest->mPlacedBy.empty() && !mServices.mOriginExchange.IsMixed(service);
+  mServices.mOrigins.OnBegun(
+    { mRequest->StreamKey(), service, aSoftware, ResumableUntil(), aHasBegun },
+    isTold,
+    mServices.mClock.Now());
 }
 
 bool
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -81,7 +81,7 @@
   void Refuse(const Refusal& aRefusal) override;
   void WakeAt(Instant aTime) override { mTimer.WakeAt(aTime); }
 
-  void ReportVersion(const std::string& aSoftware) override;
+  void ReportVersion(const std::string& aSoftware, bool aHasBegun) override;
   Instant ResumableUntil() const
   {
     return mRequest->mParameters.mArrival + mRequest->ResumableTime();
--- a/Source/Routing/StreamOrigins.cxx
+++ b/Source/Routing/StreamOrigins.cxx
@@ -1,5 +1,7 @@
 #include "Routing/StreamOrigins.h"
 
+#include <algorithm>
+
 namespace bulrushfold {
 
 namespace {
@@ -8,6 +10,7 @@
 /** An origin that is kept for less longer than this has not changed: messages
  * state the time with the error of their delay. */
 constexpr Duration kMinExtension = std::chrono::seconds(1);
+constexpr Duration kMaxLifetime = std::chrono::minutes(2);
 /** Maximum number of origins in one message. */
 constexpr std::size_t kMaxTold = 1024;
 /** Maximum length of the names in an origin, in bytes. */
@@ -23,11 +26,18 @@
   }
   const auto [it, isNew] = mEntries.try_emplace(aOrigin.mStream);
   Entry& entry = it->second;
-  if (!isNew && entry.mOrigin.mSoftware == aOrigin.mSoftware &&
-      entry.mOrigin.mUntil + kMinExtension >= aOrigin.mUntil) {
+  StreamOrigin origin = aOrigin;
+  origin.mUntil = std::min(aOrigin.mUntil, aNow + kMaxLifetime);
+  if (!isNew && entry.mOrigin.mHasBegun) {
+    origin.mSoftware = entry.mOrigin.mSoftware;
+    origin.mHasBegun = true;
+  }
+  if (!isNew && entry.mOrigin.mSoftware == origin.mSoftware &&
+      entry.mOrigin.mHasBegun == origin.mHasBegun &&
+      entry.mOrigin.mUntil + kMinExtension >= origin.mUntil) {
     return false;
   }
-  entry.mOrigin = aOrigin;
+  entry.mOrigin = std::move(origin);
   entry.mKnownAt = aNow;
   mOrder.emplace_back(aOrigin.mStream, aNow);
   DropOldest(aNow);
--- a/Source/Routing/StreamOrigins.h
+++ b/Source/Routing/StreamOrigins.h
@@ -26,6 +26,8 @@
   std::string mSoftware;
   /** The caller does not resume the stream later. */
   Instant mUntil;
+  /** The caller has received an event; the version does not change then. */
+  bool mHasBegun = false;
 };
 
 /**
--- a/Source/Wire/Placement.thrift
+++ b/Source/Wire/Placement.thrift
@@ -224,6 +224,8 @@
   1: optional string software,
   // Set when one version alone has served the service in the window.
   2: optional string soleSoftware,
+  // As in StreamOrigin.
+  3: bool hasBegun,
 }
 
 // STREAM_ORIGINS, one way: what the placement owner knows, for the daemons that
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -102,6 +102,8 @@
   3: required string software,
   // Milliseconds for which the caller may resume the stream.
   4: required i32 leftMs,
+  // The caller has received an event, so that the version is final.
+  5: bool hasBegun,
 }
 
 // ROUTING_STATUS: the complete state that a daemon reports to its peers. Each
--- a/Source/Wire/gen-cpp/Placement_types.cpp
+++ b/Source/Wire/gen-cpp/Placement_types.cpp
@@ -3605,6 +3605,10 @@
   this->soleSoftware = val;
 __isset.soleSoftware = true;
 }
+
+void StreamOriginReply::__set_hasBegun(const bool val) {
+  this->hasBegun = val;
+}
 std::ostream& operator<<(std::ostream& out, const StreamOriginReply& obj)
 {
   obj.printTo(out);
@@ -3649,6 +3653,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasBegun);
+          this->__isset.hasBegun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3676,6 +3688,10 @@
     xfer += oprot->writeString(this->soleSoftware);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("hasBegun", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->hasBegun);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3685,17 +3701,20 @@
   using ::std::swap;
   swap(a.software, b.software);
   swap(a.soleSoftware, b.soleSoftware);
+  swap(a.hasBegun, b.hasBegun);
   swap(a.__isset, b.__isset);
 }
 
 StreamOriginReply::StreamOriginReply(const StreamOriginReply& other98) {
   software = other98.software;
   soleSoftware = other98.soleSoftware;
+  hasBegun = other98.hasBegun;
   __isset = other98.__isset;
 }
 StreamOriginReply& StreamOriginReply::operator=(const StreamOriginReply& other99) {
   software = other99.software;
   soleSoftware = other99.soleSoftware;
+  hasBegun = other99.hasBegun;
   __isset = other99.__isset;
   return *this;
 }
@@ -3704,6 +3723,7 @@
   out << "StreamOriginReply(";
   out << "software="; (__isset.software ? (out << to_string(software)) : (out << "<null>"));
   out << ", " << "soleSoftware="; (__isset.soleSoftware ? (out << to_string(soleSoftware)) : (out << "<null>"));
+  out << ", " << "hasBegun=" << to_string(hasBegun);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Placement_types.h
+++ b/Source/Wire/gen-cpp/Placement_types.h
@@ -1207,9 +1207,10 @@
 std::ostream& operator<<(std::ostream& out, const StreamOriginQuery& obj);
 
 typedef struct _StreamOriginReply__isset {
-  _StreamOriginReply__isset() : software(false), soleSoftware(false) {}
+  _StreamOriginReply__isset() : software(false), soleSoftware(false), hasBegun(false) {}
   bool software :1;
   bool soleSoftware :1;
+  bool hasBegun :1;
 } _StreamOriginReply__isset;
 
 class StreamOriginReply : public virtual ::apache::thrift::TBase {
@@ -1219,12 +1220,14 @@
   StreamOriginReply& operator=(const StreamOriginReply&);
   StreamOriginReply() noexcept
                     : software(),
-                      soleSoftware() {
+                      soleSoftware(),
+                      hasBegun(0) {
   }
 
   virtual ~StreamOriginReply() noexcept;
   std::string software;
   std::string soleSoftware;
+  bool hasBegun;
 
   _StreamOriginReply__isset __isset;
 
@@ -1232,6 +1235,8 @@
 
   void __set_soleSoftware(const std::string& val);
 
+  void __set_hasBegun(const bool val);
+
   bool operator == (const StreamOriginReply & rhs) const
   {
     if (__isset.software != rhs.__isset.software)
@@ -1242,6 +1247,8 @@
       return false;
     else if (__isset.soleSoftware && !(soleSoftware == rhs.soleSoftware))
       return false;
+    if (!(hasBegun == rhs.hasBegun))
+      return false;
     return true;
   }
   bool operator != (const StreamOriginReply &rhs) const {
--- a/Source/Wire/gen-cpp/Routing_types.cpp
+++ b/Source/Wire/gen-cpp/Routing_types.cpp
@@ -1585,6 +1585,10 @@
 void StreamOrigin::__set_leftMs(const int32_t val) {
   this->leftMs = val;
 }
+
+void StreamOrigin::__set_hasBegun(const bool val) {
+  this->hasBegun = val;
+}
 std::ostream& operator<<(std::ostream& out, const StreamOrigin& obj)
 {
   obj.printTo(out);
@@ -1649,6 +1653,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->hasBegun);
+          this->__isset.hasBegun = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1690,6 +1702,10 @@
   xfer += oprot->writeI32(this->leftMs);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("hasBegun", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->hasBegun);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1701,6 +1717,8 @@
   swap(a.serviceName, b.serviceName);
   swap(a.software, b.software);
   swap(a.leftMs, b.leftMs);
+  swap(a.hasBegun, b.hasBegun);
+  swap(a.__isset, b.__isset);
 }
 
 StreamOrigin::StreamOrigin(const StreamOrigin& other26) {
@@ -1708,12 +1726,16 @@
   serviceName = other26.serviceName;
   software = other26.software;
   leftMs = other26.leftMs;
+  hasBegun = other26.hasBegun;
+  __isset = other26.__isset;
 }
 StreamOrigin& StreamOrigin::operator=(const StreamOrigin& other27) {
   stream = other27.stream;
   serviceName = other27.serviceName;
   software = other27.software;
   leftMs = other27.leftMs;
+  hasBegun = other27.hasBegun;
+  __isset = other27.__isset;
   return *this;
 }
 void StreamOrigin::printTo(std::ostream& out) const {
@@ -1723,6 +1745,7 @@
   out << ", " << "serviceName=" << to_string(serviceName);
   out << ", " << "software=" << to_string(software);
   out << ", " << "leftMs=" << to_string(leftMs);
+  out << ", " << "hasBegun=" << to_string(hasBegun);
   out << ")";
 }
 
--- a/Source/Wire/gen-cpp/Routing_types.h
+++ b/Source/Wire/gen-cpp/Routing_types.h
@@ -593,6 +593,10 @@
 
 std::ostream& operator<<(std::ostream& out, const RoleOrder& obj);
 
+typedef struct _StreamOrigin__isset {
+  _StreamOrigin__isset() : hasBegun(false) {}
+  bool hasBegun :1;
+} _StreamOrigin__isset;
 
 class StreamOrigin : public virtual ::apache::thrift::TBase {
  public:
@@ -603,7 +607,8 @@
                : stream(0),
                  serviceName(),
                  software(),
-                 leftMs(0) {
+                 leftMs(0),
+                 hasBegun(0) {
   }
 
   virtual ~StreamOrigin() noexcept;
@@ -611,6 +616,9 @@
   std::string serviceName;
   std::string software;
   int32_t leftMs;
+  bool hasBegun;
+
+  _StreamOrigin__isset __isset;
 
   void __set_stream(const int64_t val);
 
@@ -620,6 +628,8 @@
 
   void __set_leftMs(const int32_t val);
 
+  void __set_hasBegun(const bool val);
+
   bool operator == (const StreamOrigin & rhs) const
   {
     if (!(stream == rhs.stream))
@@ -630,6 +640,8 @@
       return false;
     if (!(leftMs == rhs.leftMs))
       return false;
+    if (!(hasBegun == rhs.hasBegun))
+      return false;
     return true;
   }
   bool operator != (const StreamOrigin &rhs) const {
--- a/Tests/Router/PeerStatusTest.cxx
+++ b/Tests/Router/PeerStatusTest.cxx
@@ -28,7 +28,7 @@
   status.mDeferredRequests = { { 88, milliseconds(1500) } };
   status.mRoleOrders = { { "p2",
                            { EndpointRole::Decode, here + seconds(6) } } };
-  status.mOrigins = { { 99, "s", "v1", here + seconds(9) } };
+  status.mOrigins = { { 99, "s", "v1", here + seconds(9), true } };
   status.mAddress = { "10.0.0.1", 7000 };
   status.mIsStopping = true;
 
@@ -44,6 +44,7 @@
   CHECK(read->mOrigins[0].mService == "s");
   CHECK(read->mOrigins[0].mSoftware == "v1");
   CHECK(read->mOrigins[0].mUntil == there + seconds(9));
+  CHECK(read->mOrigins[0].mHasBegun);
   REQUIRE(read->mCachedPrompts.size() == 1);
   CHECK(read->mCachedPrompts[0].mKey == 43);
   CHECK(read->mCachedPrompts[0].mEndpoint == "d3");
--- a/Tests/Router/StreamCallFixture.h
+++ b/Tests/Router/StreamCallFixture.h
@@ -49,9 +49,9 @@
     const auto it = mSoftware.find(aEndpoint);
     return it == mSoftware.end() ? "" : it->second;
   }
-  void ReportVersion(const std::string& aSoftware) override
+  void ReportVersion(const std::string& aSoftware, bool aHasBegun) override
   {
-    mVersions.push_back(aSoftware);
+    mVersions.push_back(aSoftware + (aHasBegun ? " begun" : ""));
   }
   bool CanReceive(const std::string& aEndpoint) const override
   {
--- a/Tests/Router/StreamCallVersionTest.cxx
+++ b/Tests/Router/StreamCallVersionTest.cxx
@@ -80,6 +80,8 @@
     CHECK(delegate.mVersions == std::vector<std::string>{ "v1" });
     fixture.RunToAnswer("p1", "d2");
     CHECK(delegate.mVersions == std::vector<std::string>{ "v1", "v2" });
+    fixture.AddData(Event(1));
+    CHECK(delegate.mVersions.back() == "v2 begun");
   }
   SUBCASE("that another attempt of the caller received")
   {
@@ -91,6 +93,14 @@
     CHECK(delegate.mVersions.empty());
     fixture.Place("p1", "d2");
     CHECK(delegate.LastAction() == "reserve d2");
+    CHECK(delegate.mVersions.back() == "v2 begun");
+    SUBCASE("is not sent to an engine that has another version by then")
+    {
+      delegate.mSoftware["d2"] = "v1";
+      fixture.mCall->OnReserved("hold", fixture.mNow);
+      fixture.FinishPrefill();
+      CHECK_FALSE(delegate.HasAction("decode d2"));
+    }
   }
   SUBCASE("a run without an event binds nothing")
   {
--- a/Tests/Routing/StreamOriginsTest.cxx
+++ b/Tests/Routing/StreamOriginsTest.cxx
@@ -58,6 +58,16 @@
       CHECK(origins.Untold(kStart + seconds(2)).size() == 1);
     }
   }
+  // Guards against the version of a replacement that was placed and dropped.
+  SUBCASE("does not change once the caller has an event")
+  {
+    StreamOrigin begun = MakeOrigin(1);
+    begun.mHasBegun = true;
+    origins.OnBegun(begun, true, kStart);
+    origins.Merge({ MakeOrigin(1, "v2") }, kStart);
+    CHECK(origins.Find(1, kStart)->mSoftware == "v1");
+    CHECK(origins.Find(1, kStart)->mHasBegun);
+  }
   SUBCASE("of another daemon is not told on")
   {
     origins.Merge({ MakeOrigin(2) }, kStart);
