Log when a daemon reaches no endpoint of a service, and one again

The logs of machines without paths could not tell whether a request that ended with 504 ever had a connection, nor did a line say that a daemon reaches none of the endpoints of a service.

ServiceReach follows this from the daemon's own sends: two endpoints, or the only one, gave no answer, and none has answered since. Lines service_unreachable and service_reachable, gauge bulrushfold_service_reachable. A send that is given up before it has a connection ends as "unconnected" in the log and in bulrushfold_sends_total. No decision uses any of this.

--- a/Source/Net/HttpClient.cxx
+++ b/Source/Net/HttpClient.cxx
@@ -64,6 +64,13 @@
   }
 }
 
+bool
+HttpCall::IsConnected() const
+{
+  const auto connection = mConnection.lock();
+  return connection == nullptr || connection->IsConnected();
+}
+
 HttpClient::HttpClient(EventLoop& aLoop, std::size_t aMaxReplyBytes)
   : mLoop(aLoop)
   , mMaxReplyBytes(aMaxReplyBytes)
--- a/Source/Net/HttpClient.h
+++ b/Source/Net/HttpClient.h
@@ -137,6 +137,9 @@
   void ConfirmReply();
   /** The call uses a connection from the pool. */
   bool IsReused() const { return mIsReused; }
+  /** False while the connection is being established, so that no byte of the
+   * request was sent. */
+  bool IsConnected() const;
 
 private:
   std::weak_ptr<HttpClientConnection> mConnection;
--- a/Source/Net/HttpClientConnection.h
+++ b/Source/Net/HttpClientConnection.h
@@ -43,6 +43,7 @@
   /** Closes the connection and removes it from the client. */
   void Close();
 
+  bool IsConnected() const { return mIsConnected; }
   const SocketAddress& Address() const { return mRequest.mAddress; }
   const std::string& Server() const { return mRequest.mServer; }
   Instant IdleSince() const { return mIdleSince; }
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -163,8 +163,8 @@
   mSend.reset();
   mServices.mLoads.End(mRun.mEndpoint, { 1, 0 });
   if (aResult) {
-    mServices.mHealth.OnResult(
-      mRequest->mParameters.mService, mRun.mEndpoint, *aResult, now);
+    mServices.RecordHealth(
+      mRequest->mParameters.mService, mRun.mEndpoint, *aResult);
   }
   if (aLoad) {
     mServices.mLoads.OnLoadReport(mRun.mEndpoint, *aLoad, now);
@@ -176,6 +176,7 @@
 void
 PlainSession::CancelSend(SendResult aReason)
 {
+  const bool isConnected = mSend->IsConnected();
   FinishSend(aReason, std::nullopt);
   if (IsWithoutAnswer(aReason)) {
     mServices.RecordSilentRun(mRun, mRequest->mCrashKeys);
@@ -183,7 +184,7 @@
   mServices.mLog.SendEnded(*mRequest,
                            "request",
                            mRun.mEndpoint,
-                           SendResultName(aReason),
+                           isConnected ? SendResultName(aReason) : kUnconnected,
                            0,
                            mServices.mClock.Now() - mRun.mSentAt);
 }
--- a/Source/Router/RequestLog.cxx
+++ b/Source/Router/RequestLog.cxx
@@ -58,6 +58,11 @@
   { "change" }
 };
 
+const MetricInfo kServiceReachable{
+  "bulrushfold_service_reachable",
+  "0 while this daemon reaches no endpoint of the service, otherwise 1.",
+  { "service" }
+};
 const MetricInfo kSuspectDecisions{
   "bulrushfold_crash_suspect_decisions_total",
   "Requests that became refused or accepted again.",
@@ -367,6 +372,30 @@
       { "waited_ms", ToMilliseconds(Since(aRequest.mParameters.mArrival)) } });
 }
 
+void
+RequestLog::ReachChanged(const ReachChange& aChange)
+{
+  mMetrics.GetGauge(kServiceReachable, { aChange.mService })
+    .Set(aChange.mIsReachable ? 1 : 0);
+  if (aChange.mIsReachable) {
+    LogEvent(LogLevel::Warning,
+             "service_reachable",
+             { { "service", aChange.mService },
+               { "endpoint", aChange.mEndpoint },
+               { "result", SendResultName(aChange.mResult) },
+               { "after_ms", ToMilliseconds(aChange.mSpan) } });
+    return;
+  }
+  LogEvent(LogLevel::Warning,
+           "service_unreachable",
+           { { "service", aChange.mService },
+             { "endpoint", aChange.mEndpoint },
+             { "result", SendResultName(aChange.mResult) },
+             { "failed", aChange.mFailed },
+             { "usable", aChange.mUsable },
+             { "last_answer_ms", ToMilliseconds(aChange.mSpan) } });
+}
+
 void
 RequestLog::Ended(const RoutedRequest& aRequest,
                   RequestOutcome aOutcome,
--- a/Source/Router/RequestLog.h
+++ b/Source/Router/RequestLog.h
@@ -13,11 +13,15 @@
 #include "Routing/CrashGuard.h"
 #include "Routing/EndpointDirectory.h"
 #include "Routing/PlainQueue.h"
+#include "Routing/ServiceReach.h"
 #include "Routing/StreamVersion.h"
 #include "absl/status/status.h"
 
 namespace bulrushfold {
 
+/** End, in the log, of a send that was given up before it had a connection. */
+constexpr std::string_view kUnconnected = "unconnected";
+
 /** Writes log lines and metrics about the decisions on requests. */
 class RequestLog
 {
@@ -72,6 +76,8 @@
                       const VersionDecision& aDecision,
                       std::size_t aAsked,
                       std::size_t aAnswered);
+  /** This daemon reaches no endpoint of a service, or one again. */
+  void ReachChanged(const ReachChange& aChange);
   /** The request has ended. aReason: empty unless the router ended it. */
   void Ended(const RoutedRequest& aRequest,
              RequestOutcome aOutcome,
--- a/Source/Router/Router.cxx
+++ b/Source/Router/Router.cxx
@@ -117,6 +117,8 @@
   , mCachedPrompts(mRuns)
   , mPrefillTurns(mLoads, aSettings.mName)
   , mHealth(mRandom, LogAvoidance)
+  , mReach(mDirectory,
+           [this](const ReachChange& aChange) { mLog.ReachChanged(aChange); })
   , mRetryBudget(aSettings.mRetryLimits, mClock.Now())
   , mGuard(mRandom)
   , mQuotas([this] { return QuotaShare(); },
@@ -195,16 +197,27 @@
                     mSoftwareHistory,
                     mPeers.Link(),
                     OriginHooks())
-  , mServices{ aLoop,           mClock,
-               mEndpointClient, aProtocol,
-               mDirectory,      mLoads,
-               mHealth,         mRetryBudget,
-               mGuard,          mDeferredRequests,
-               mCachedPrompts,  mCachedPromptQuery,
-               mAnswerLengths,  mPlacement,
-               mOrigins,        mOriginExchange,
-               mGrants,         mLog,
-               mOnStopEnd,      [this] { return mNextNumber++; } }
+  , mServices{ aLoop,
+               mClock,
+               mEndpointClient,
+               aProtocol,
+               mDirectory,
+               mLoads,
+               mHealth,
+               mReach,
+               mRetryBudget,
+               mGuard,
+               mDeferredRequests,
+               mCachedPrompts,
+               mCachedPromptQuery,
+               mAnswerLengths,
+               mPlacement,
+               mOrigins,
+               mOriginExchange,
+               mGrants,
+               mLog,
+               mOnStopEnd,
+               [this] { return mNextNumber++; } }
   , mRoles(aLoop,
            mClock,
            aStore,
--- a/Source/Router/Router.h
+++ b/Source/Router/Router.h
@@ -137,6 +137,7 @@
   LocalPrefillTurns mPrefillTurns;
   AnswerLengthEstimator mAnswerLengths;
   EndpointHealth mHealth;
+  ServiceReach mReach;
   SharedRetryBudget mRetryBudget;
   CrashGuard mGuard;
   WorkspaceQuotas mQuotas;
--- a/Source/Router/RouterServices.cxx
+++ b/Source/Router/RouterServices.cxx
@@ -19,6 +19,16 @@
   return { aEndpoint.mId, EngineHash(aEndpoint), aNow };
 }
 
+void
+RouterServices::RecordHealth(const std::string& aService,
+                             const std::string& aEndpoint,
+                             SendResult aResult)
+{
+  const Instant now = mClock.Now();
+  mHealth.OnResult(aService, aEndpoint, aResult, now);
+  mReach.OnResult(aService, aEndpoint, aResult, now);
+}
+
 void
 RouterServices::RecordSendOutcome(const SentRun& aRun, SendOutcome aOutcome)
 {
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -24,6 +24,7 @@
 #include "Routing/EndpointDirectory.h"
 #include "Routing/EndpointHealth.h"
 #include "Routing/EndpointLoads.h"
+#include "Routing/ServiceReach.h"
 #include "Routing/SharedRetryBudget.h"
 
 namespace bulrushfold {
@@ -50,6 +51,7 @@
   EndpointDirectory& mDirectory;
   EndpointLoads& mLoads;
   EndpointHealth& mHealth;
+  ServiceReach& mReach;
   SharedRetryBudget& mRetryBudget;
   CrashGuard& mGuard;
   DeferredRequests& mDeferredRequests;
@@ -66,6 +68,11 @@
   /** A number that no other request of this daemon has. */
   std::function<std::uint64_t()> mNextNumber;
 
+  /** Updates what is known of the endpoint's health and of this daemon's path
+   * to it, after a send. */
+  void RecordHealth(const std::string& aService,
+                    const std::string& aEndpoint,
+                    SendResult aResult);
   /** Updates the endpoint directory, and what the crash guard knows of the
    * endpoint, after a send. */
   void RecordSendOutcome(const SentRun& aRun, SendOutcome aOutcome);
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -323,8 +323,7 @@
 StreamSession::RecordHealth(const std::string& aEndpoint, SendResult aResult)
 {
   const std::string& service = mRequest->mParameters.mService;
-  mServices.mHealth.OnResult(
-    service, aEndpoint, aResult, mServices.mClock.Now());
+  mServices.RecordHealth(service, aEndpoint, aResult);
   mServices.mPlacement.OnSendResult(service, aEndpoint, aResult);
 }
 
@@ -332,7 +331,10 @@
 StreamSession::CancelSend(SendResult aReason)
 {
   if (mAttempt.mSend) {
-    FinishSend(aReason, SendResultName(aReason), 0);
+    FinishSend(aReason,
+               mAttempt.mSend->IsConnected() ? SendResultName(aReason)
+                                             : kUnconnected,
+               0);
     if (IsWithoutAnswer(aReason) && mAttempt.mStep == "decode") {
       mServices.RecordSilentRun(mAttempt.mRun, LostKeys());
     }
