Refuse a request that never had a connection as not run

What callers saw: at machines whose paths hang, bookings got 504 at the route's timeout, which promises nothing, so they may not be repeated.

Cause: PlainCall counted each send that it cancelled as a possible run, whether or not its connection was established. Of such a send no byte has left.

Now the session says whether the send had a connection. Without one it is no possible run, counts as connect_failed in the health record and is no silent run for the crash guard; at the timeout the caller gets 503 with Retry-After if no other send had one.

"A request that never had a connection is refused as not run" (two endpoints whose paths hang while connecting) was red on (504 after not_sent and unconnected) and passes (503, and nothing arrives when the paths open).

This is one part only; RECOVER is still broken.

--- a/Source/Router/PlainCall.cxx
+++ b/Source/Router/PlainCall.cxx
@@ -199,8 +199,12 @@
   WithdrawRequest();
   if (mIsSending) {
     AbandonSend(SendResult::TimedOut);
-    FinishWith(
-      { kHttpGatewayTimeout, RefusalReason::Timeout, Duration::zero() });
+    if (mPossibleRuns > 0) {
+      FinishWith(
+        { kHttpGatewayTimeout, RefusalReason::Timeout, Duration::zero() });
+    } else {
+      FinishWith({ kHttpUnavailable, RefusalReason::Timeout, kRetryAfter });
+    }
   } else {
     Finish();
   }
@@ -210,9 +214,10 @@
 PlainCall::AbandonSend(SendResult aReason)
 {
   mIsSending = false;
-  mLastOutcome = SendOutcome::Unknown;
-  ++mPossibleRuns;
-  mDelegate.CancelSend(aReason);
+  mLastOutcome = mDelegate.CancelSend(aReason);
+  if (!IsCertainlyNotRun(mLastOutcome)) {
+    ++mPossibleRuns;
+  }
 }
 
 void
--- a/Source/Router/PlainCall.h
+++ b/Source/Router/PlainCall.h
@@ -93,8 +93,9 @@
   /** Sends the request; the session reports the end with OnSendEnded. */
   virtual void Send(const EndpointChoice& aChoice, Instant aDeadline) = 0;
   /** Cancels the send in progress, for which OnSendEnded is not called.
-   * aReason: its result in the health record. */
-  virtual void CancelSend(SendResult aReason) = 0;
+   * aReason: its result in the health record if it had a connection.
+   * @return NotSent when it had none yet, otherwise Unknown. */
+  virtual SendOutcome CancelSend(SendResult aReason) = 0;
   /** True when the request crashes endpoints, so that it is not sent again. */
   virtual bool IsCrashSuspect() = 0;
   virtual void Deliver(const EndpointAnswer& aAnswer) = 0;
@@ -139,7 +140,7 @@
   /** Withdraws the request for an endpoint, if there is one. */
   void WithdrawRequest();
   void Send(const EndpointChoice& aChoice, Instant aNow);
-  /** Cancels the send in progress, which may have run. */
+  /** Cancels the send in progress, which may have run if it was connected. */
   void AbandonSend(SendResult aReason);
   /** Sends the request again if that is allowed; otherwise ends the call. */
   void Retry(Instant aNow);
--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -173,12 +173,12 @@
     mSendNumber, aResult.value_or(SendResult::Refused), aLoad);
 }
 
-void
+SendOutcome
 PlainSession::CancelSend(SendResult aReason)
 {
   const bool isConnected = mSend->IsConnected();
-  FinishSend(aReason, std::nullopt);
-  if (IsWithoutAnswer(aReason)) {
+  FinishSend(isConnected ? aReason : SendResult::ConnectFailed, std::nullopt);
+  if (isConnected && IsWithoutAnswer(aReason)) {
     mServices.RecordSilentRun(mRun, mRequest->mCrashKeys);
   }
   mServices.mLog.SendEnded(*mRequest,
@@ -187,6 +187,7 @@
                            isConnected ? SendResultName(aReason) : kUnconnected,
                            0,
                            mServices.mClock.Now() - mRun.mSentAt);
+  return isConnected ? SendOutcome::Unknown : SendOutcome::NotSent;
 }
 
 void
--- a/Source/Router/PlainSession.h
+++ b/Source/Router/PlainSession.h
@@ -26,7 +26,7 @@
   void RequestEndpoint(const PlainDemand& aDemand) override;
   void WithdrawRequest() override;
   void Send(const EndpointChoice& aChoice, Instant aDeadline) override;
-  void CancelSend(SendResult aReason) override;
+  SendOutcome CancelSend(SendResult aReason) override;
   bool IsCrashSuspect() override;
   void Deliver(const EndpointAnswer& aAnswer) override;
   void Refuse(const Refusal& aRefusal) override;
--- a/Tests/Adapter/LostPathsTest.cxx
+++ b/Tests/Adapter/LostPathsTest.cxx
@@ -230,6 +230,49 @@
   std::size_t mNumber = 0;
 };
 
+/** A router whose paths to both endpoints hang from the start. */
+class HangingPaths
+{
+public:
+  HangingPaths()
+  {
+    for (const std::string id : { "i-a", "i-b" }) {
+      FakeEndpoint& endpoint = mPlatform.AddEndpoint(id, "app");
+      auto& path = mPaths[id];
+      path = std::make_unique<PathProxy>(mPlatform.mLoop, endpoint.Address());
+      path->SetState(PathState::Hangs);
+      auto entry = nlohmann::json::parse(endpoint.RegistryEntry("app"));
+      entry["address"] = FormatAddress(path->Address());
+      mPlatform.mFakeStore.Write("servers/" + id, entry);
+    }
+    mPlatform.Start();
+  }
+  std::string Call(const std::string& aPath)
+  {
+    RawClient client(mPlatform.mSettings.mCallerAddress);
+    client.Send("POST " + aPath +
+                " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r\r\n"
+                "X-Deadline-Ms: 800\r\nConnection: close\r\n"
+                "Content-Length: 4\r\n\r\nbody");
+    REQUIRE(mPlatform.WaitUntil([&] { return client.IsClosedByServer(); }));
+    return client.Received();
+  }
+  /** Opens the paths, and returns how many requests reach the endpoints. */
+  std::size_t ArrivalsAfterOpening()
+  {
+    for (auto& [id, path] : mPaths) {
+      path->SetState(PathState::Open);
+    }
+    RunFor(mPlatform.mLoop, milliseconds(1500));
+    return mPlatform.mEndpoints["i-a"]->Received().size() +
+           mPlatform.mEndpoints["i-b"]->Received().size();
+  }
+
+private:
+  PlatformFixture mPlatform;
+  std::map<std::string, std::unique_ptr<PathProxy>> mPaths;
+};
+
 /** Of all first tries, so many may fail by the users' rule RECOVER. */
 int
 MaxFailures(const CutTries& aTries)
@@ -275,6 +318,17 @@
 }
 } // namespace
 
+// Guards against a caller that may not repeat its booking although no byte of
+// it was sent, and against a booking that runs after its refusal.
+TEST_CASE("A request that never had a connection is refused as not run")
+{
+  HangingPaths paths;
+  const std::string answer = paths.Call("/unsafe/1");
+  CHECK(HasStatus(answer, 503));
+  CHECK(CountOccurrences(answer, "Retry-After: ") == 1);
+  CHECK(paths.ArrivalsAfterOpening() == 0);
+}
+
 // Guards against callers that are refused at a daemon without a path to any
 // endpoint while other daemons reach them all.
 TEST_CASE("A daemon that has lost all its paths still serves its callers")
--- a/Tests/Router/PlainCallTest.cxx
+++ b/Tests/Router/PlainCallTest.cxx
@@ -27,7 +27,11 @@
   {
     mSends.push_back(aChoice.mEndpoint);
   }
-  void CancelSend(SendResult) override { ++mCancels; }
+  SendOutcome CancelSend(SendResult) override
+  {
+    ++mCancels;
+    return mIsConnected ? SendOutcome::Unknown : SendOutcome::NotSent;
+  }
   bool IsCrashSuspect() override { return mIsCrashSuspect; }
   void Deliver(const EndpointAnswer& aAnswer) override
   {
@@ -46,6 +50,8 @@
   int mWithdrawals = 0;
   std::vector<std::string> mSends;
   int mCancels = 0;
+  /** The sends have connections. */
+  bool mIsConnected = true;
   bool mIsCrashSuspect = false;
   std::vector<int> mDelivered;
   std::vector<Refusal> mRefusals;
@@ -139,6 +145,15 @@
     CHECK(fixture.RefusalStatus() == 504);
     CHECK(fixture.mDelegate.mRefusals[0].mReason == RefusalReason::Timeout);
   }
+  // Guards against a caller that may not repeat its booking although no byte of
+  // it was sent.
+  SUBCASE("the request is refused as not run when it never had a connection")
+  {
+    fixture.mDelegate.mIsConnected = false;
+    fixture.Wake();
+    CHECK(fixture.RefusalStatus() == 503);
+    CHECK(fixture.mDelegate.mRefusals[0].mRetryAfter > Duration::zero());
+  }
   SUBCASE("the request is sent to other endpoints when it did not run")
   {
     fixture.EndSend(SendOutcome::NotRun, 503);
