Log no lost path for sends that began before the last answer

After a cut had healed, two daemons logged service_unreachable up to four times more within 0.5 s: sends that began during the cut timed out after the first answer of the service.

Such an end no longer counts. "A send that began before the last answer shows no lost path" guards it; before, the signature lacked the time of the send, so that only the log shows the fault.

--- a/Source/Router/PlainSession.cxx
+++ b/Source/Router/PlainSession.cxx
@@ -164,7 +164,7 @@
   mServices.mLoads.End(mRun.mEndpoint, { 1, 0 });
   if (aResult) {
     mServices.RecordHealth(
-      mRequest->mParameters.mService, mRun.mEndpoint, *aResult);
+      mRequest->mParameters.mService, mRun.mEndpoint, *aResult, mRun.mSentAt);
   }
   if (aLoad) {
     mServices.mLoads.OnLoadReport(mRun.mEndpoint, *aLoad, now);
--- a/Source/Router/RouterServices.cxx
+++ b/Source/Router/RouterServices.cxx
@@ -22,11 +22,12 @@
 void
 RouterServices::RecordHealth(const std::string& aService,
                              const std::string& aEndpoint,
-                             SendResult aResult)
+                             SendResult aResult,
+                             Instant aSentAt)
 {
   const Instant now = mClock.Now();
   mHealth.OnResult(aService, aEndpoint, aResult, now);
-  mReach.OnResult(aService, aEndpoint, aResult, now);
+  mReach.OnResult(aService, aEndpoint, aResult, aSentAt, now);
 }
 
 void
--- a/Source/Router/RouterServices.h
+++ b/Source/Router/RouterServices.h
@@ -72,7 +72,8 @@
    * to it, after a send. */
   void RecordHealth(const std::string& aService,
                     const std::string& aEndpoint,
-                    SendResult aResult);
+                    SendResult aResult,
+                    Instant aSentAt);
   /** Updates the endpoint directory, and what the crash guard knows of the
    * endpoint, after a send. */
   void RecordSendOutcome(const SentRun& aRun, SendOutcome aOutcome);
--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -323,7 +323,7 @@
 StreamSession::RecordHealth(const std::string& aEndpoint, SendResult aResult)
 {
   const std::string& service = mRequest->mParameters.mService;
-  mServices.RecordHealth(service, aEndpoint, aResult);
+  mServices.RecordHealth(service, aEndpoint, aResult, mAttempt.mRun.mSentAt);
   mServices.mPlacement.OnSendResult(service, aEndpoint, aResult);
 }
 
--- a/Source/Routing/ServiceReach.cxx
+++ b/Source/Routing/ServiceReach.cxx
@@ -33,6 +33,7 @@
 ServiceReach::OnResult(const std::string& aService,
                        const std::string& aEndpoint,
                        SendResult aResult,
+                       Instant aSentAt,
                        Instant aNow)
 {
   State& state = mServices[aService];
@@ -42,7 +43,7 @@
   change.mResult = aResult;
   if (IsAnswer(aResult)) {
     OnAnswer(state, std::move(change), aNow);
-  } else {
+  } else if (aSentAt >= state.mAnsweredAt) {
     OnFailure(state, std::move(change), aNow);
   }
 }
--- a/Source/Routing/ServiceReach.h
+++ b/Source/Routing/ServiceReach.h
@@ -47,10 +47,12 @@
   {
   }
 
-  /** A send of this daemon ended. */
+  /** A send of this daemon that began at aSentAt ended. Without an answer, it
+   * says nothing if the service has answered since it began. */
   void OnResult(const std::string& aService,
                 const std::string& aEndpoint,
                 SendResult aResult,
+                Instant aSentAt,
                 Instant aNow);
   bool IsReachable(const std::string& aService) const;
 
--- a/Tests/Routing/ServiceReachTest.cxx
+++ b/Tests/Routing/ServiceReachTest.cxx
@@ -22,10 +22,13 @@
       mDirectory.Put(record, 1, mNow);
     }
   }
-  void Result(const std::string& aEndpoint, SendResult aResult)
+  /** A send that took aTime ends. */
+  void Result(const std::string& aEndpoint,
+              SendResult aResult,
+              Duration aTime = milliseconds(50))
   {
     mNow += milliseconds(100);
-    mReach.OnResult("s", aEndpoint, aResult, mNow);
+    mReach.OnResult("s", aEndpoint, aResult, mNow - aTime, mNow);
   }
 
   Instant mNow{ seconds(1000) };
@@ -72,6 +75,19 @@
   }
 }
 
+// Guards against sends of a cut that end after it and seem a new one.
+TEST_CASE("A send that began before the last answer shows no lost path")
+{
+  ReachFixture fixture({ "a", "b", "c" });
+  fixture.Result("a", SendResult::Answered);
+  fixture.Result("b", SendResult::TimedOut, milliseconds(300));
+  fixture.Result("c", SendResult::TimedOut, milliseconds(300));
+  CHECK(fixture.mReach.IsReachable("s"));
+  fixture.Result("b", SendResult::TimedOut);
+  fixture.Result("c", SendResult::TimedOut);
+  CHECK_FALSE(fixture.mReach.IsReachable("s"));
+}
+
 TEST_CASE("A service with one endpoint is unreachable when that one fails")
 {
   ReachFixture fixture({ "a" });
