--- a/Source/Router/PlacementClient.h
+++ b/Source/Router/PlacementClient.h
@@ -89,7 +89,7 @@
   /** The daemons that may know the streams of the whole fleet: the owner, those
    * that place if it fails, and those that may have placed before, without this
    * one. Empty in a small fleet. */
-  std::vector<FleetMember> Keepers() const;
+  std::vector<FleetMember> RecordHolders() const;
   /** Another daemon places for this one. */
   bool HasRemoteOwner() const { return mOwner.has_value(); }
   /** Number of times that another daemon, or none, became the owner. */
--- a/Source/Router/PlacementClientOwner.cxx
+++ b/Source/Router/PlacementClientOwner.cxx
@@ -17,7 +17,7 @@
 constexpr Duration kProbeInterval = std::chrono::milliseconds(500);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 /** The owner and the next two: more than fail at the same time by chance. */
-constexpr std::size_t kKeepers = 3;
+constexpr std::size_t kRecordHolders = 3;
 } // namespace
 
 void
@@ -31,16 +31,16 @@
 }
 
 std::vector<FleetMember>
-PlacementClient::Keepers() const
+PlacementClient::RecordHolders() const
 {
-  std::vector<FleetMember> keepers;
+  std::vector<FleetMember> holders;
   for (const FleetMember* it :
-       mSelector.FirstCandidates(kKeepers, mClock.Now())) {
+       mSelector.FirstCandidates(kRecordHolders, mClock.Now())) {
     if (it->mName != mOwnName) {
-      keepers.push_back(*it);
+      holders.push_back(*it);
     }
   }
-  return keepers;
+  return holders;
 }
 
 void
--- a/Source/Router/RouterPlacement.cxx
+++ b/Source/Router/RouterPlacement.cxx
@@ -86,8 +86,8 @@
 Router::OriginHooks()
 {
   StreamOriginExchange::Hooks hooks;
-  hooks.mKeepers = [this] {
-    return mPlacement.IsLargeFleet() ? mPlacement.Keepers()
+  hooks.mRecordHolders = [this] {
+    return mPlacement.IsLargeFleet() ? mPlacement.RecordHolders()
                                      : mPeers.LivePeers();
   };
   hooks.mIsOwner = [this] { return mPlacement.IsOwner(); };
--- a/Source/Router/StreamOriginExchange.cxx
+++ b/Source/Router/StreamOriginExchange.cxx
@@ -29,7 +29,7 @@
 {
   ResumedStream mStream;
   DecisionHook mHook;
-  Question mQuestion;
+  QuestionCounts mCounts;
   /** Calls that have not ended. */
   std::size_t mOpen = 0;
   VersionFacts mFacts;
@@ -129,31 +129,31 @@
 {
   --mPending;
   std::exchange(aQuestion.mHook, nullptr)(DecideVersion(aQuestion.mFacts),
-                                          aQuestion.mQuestion);
+                                          aQuestion.mCounts);
 }
 
 void
 StreamOriginExchange::Ask(const std::shared_ptr<PendingQuestion>& aQuestion)
 {
   const ResumedStream& stream = aQuestion->mStream;
-  const std::vector<FleetMember> keepers = mHooks.mKeepers();
-  if (keepers.empty() && mClock.Now() < mStartEnd) {
+  const std::vector<FleetMember> holders = mHooks.mRecordHolders();
+  if (holders.empty() && mClock.Now() < mStartEnd) {
     mWaiting.push_back(aQuestion);
     mStartTimer = mLoop.After(kStartRetry, [this] { AskWaiting(); });
     return;
   }
   aQuestion->mFacts.mWasAsked = true;
-  if (keepers.empty()) {
+  if (holders.empty()) {
     Finish(*aQuestion);
     return;
   }
-  aQuestion->mQuestion.mAsked = keepers.size();
-  aQuestion->mOpen = keepers.size();
+  aQuestion->mCounts.mAsked = holders.size();
+  aQuestion->mOpen = holders.size();
   wire::StreamOriginQuery query;
   query.stream = static_cast<std::int64_t>(stream.mStream);
   query.serviceName = stream.mService;
   query.windowMs = WholeMilliseconds(stream.mWindow);
-  for (const auto& it : keepers) {
+  for (const auto& it : holders) {
     mLink.mCall(it,
                 wire::MessageKind::STREAM_ORIGIN,
                 EncodeThrift(query),
@@ -189,7 +189,7 @@
                 : absl::StatusOr<wire::StreamOriginReply>(aReply.status());
   VersionFacts& facts = aQuestion.mFacts;
   if (reply.ok()) {
-    ++aQuestion.mQuestion.mAnswered;
+    ++aQuestion.mCounts.mAnswered;
     if (reply->__isset.software) {
       facts.mAnswered = reply->software;
     }
@@ -246,6 +246,7 @@
   }
   const Instant now = mClock.Now();
   std::vector<StreamOrigin> origins;
+  origins.reserve(message->origins.size());
   for (const auto& it : message->origins) {
     origins.push_back(FromWire(it, now));
   }
@@ -260,8 +261,9 @@
     return;
   }
   const Instant now = mClock.Now();
-  const std::vector<FleetMember> successors = mHooks.mKeepers();
+  const std::vector<FleetMember> successors = mHooks.mRecordHolders();
   std::vector<std::string> names;
+  names.reserve(successors.size());
   for (const auto& it : successors) {
     names.push_back(it.mName);
   }
--- a/Source/Router/StreamOriginExchange.h
+++ b/Source/Router/StreamOriginExchange.h
@@ -39,21 +39,21 @@
 public:
   struct Hooks
   {
-    /** The daemons that may know a stream: all live peers in a small fleet,
-     * the owner and its possible successors in a large one. */
-    std::function<std::vector<FleetMember>()> mKeepers;
+    /** The daemons that may have the record of a stream: all live peers in a
+     * small fleet, the owner and its possible successors in a large one. */
+    std::function<std::vector<FleetMember>()> mRecordHolders;
     /** This daemon places for the fleet, so it tells its possible successors
      * what it knows. */
     std::function<bool()> mIsOwner;
   };
-  /** How long the other daemons were asked, and how many. */
-  struct Question
+  /** How many other daemons were asked, and how many of them answered. */
+  struct QuestionCounts
   {
     std::size_t mAsked = 0;
     std::size_t mAnswered = 0;
   };
   using DecisionHook =
-    std::function<void(const VersionDecision&, const Question&)>;
+    std::function<void(const VersionDecision&, const QuestionCounts&)>;
 
   StreamOriginExchange(EventLoop& aLoop,
                        const Clock& aClock,
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -89,7 +89,7 @@
   /** Finds out at which version the stream may go on. */
   void ResolveVersion();
   void HandleVersion(const VersionDecision& aDecision,
-                     const StreamOriginExchange::Question& aQuestion);
+                     const StreamOriginExchange::QuestionCounts& aCounts);
   /** Starts the call once it is known which engines cache the prompt. */
   void FindCachedPrompt();
   /** True when the caller resumes a stream and this daemon knows no engine that
--- a/Source/Routing/StreamOrigins.cxx
+++ b/Source/Routing/StreamOrigins.cxx
@@ -7,8 +7,8 @@
 namespace {
 /** Time for which an origin is part of the messages to others. */
 constexpr Duration kTellTime = std::chrono::milliseconds(1500);
-/** An origin that is kept for less longer than this has not changed: messages
- * state the time with the error of their delay. */
+/** A time that is later by less than this is not a change: messages state it
+ * with the error of their delay. */
 constexpr Duration kMinExtension = std::chrono::seconds(1);
 constexpr Duration kMaxLifetime = std::chrono::minutes(2);
 /** Maximum number of origins in one message. */
--- a/Tests/Router/PlacementFleetTest.cxx
+++ b/Tests/Router/PlacementFleetTest.cxx
@@ -159,10 +159,10 @@
   fleet.Continue(milliseconds(500));
   const Instant now = fleet.mClock.Now();
   CHECK(OwnerOf(fleet)->mOrigins.Find(kStream, now) != nullptr);
-  const auto keepers = (*client)->mClient.Keepers();
-  REQUIRE(keepers.size() == 3);
-  CHECK(keepers.front().mName == OwnerOf(fleet)->mName);
-  CHECK(OwnerOf(fleet)->mClient.Keepers().size() == 2);
+  const auto holders = (*client)->mClient.RecordHolders();
+  REQUIRE(holders.size() == 3);
+  CHECK(holders.front().mName == OwnerOf(fleet)->mName);
+  CHECK(OwnerOf(fleet)->mClient.RecordHolders().size() == 2);
 }
 
 TEST_CASE("The checks of a fleet notice a defect")
