Count the versions of a service instead of searching all endpoints

An owner built the list of all its streams every 50 ms, also where one version alone serves, and searched all endpoints for each stream. A reply looks its record up once. The decisions are the same.

--- a/Source/Router/StreamOriginExchange.cxx
+++ b/Source/Router/StreamOriginExchange.cxx
@@ -89,20 +89,32 @@
 VersionFacts
 StreamOriginExchange::FactsOf(const ResumedStream& aStream) const
 {
-  const Instant now = mClock.Now();
   VersionFacts facts;
   facts.mHasBegun = true;
   facts.mIsNamed = aStream.mIsNamed;
-  if (const StreamOrigin* origin = mOrigins.Find(aStream.mStream, now);
-      aStream.mIsNamed && origin != nullptr &&
-      origin->mService == aStream.mService) {
+  if (const StreamOrigin* origin = RecordOf(aStream); origin != nullptr) {
     facts.mRecorded = origin->mSoftware;
   }
-  facts.mSole =
-    mHistory.SoleVersion(aStream.mService, aStream.mWindow, now, mClock.Wall());
+  facts.mSole = SoleVersion(aStream);
   return facts;
 }
 
+const StreamOrigin*
+StreamOriginExchange::RecordOf(const ResumedStream& aStream) const
+{
+  const StreamOrigin* origin =
+    aStream.mIsNamed ? mOrigins.Find(aStream.mStream, mClock.Now()) : nullptr;
+  return origin != nullptr && origin->mService == aStream.mService ? origin
+                                                                   : nullptr;
+}
+
+std::optional<std::string>
+StreamOriginExchange::SoleVersion(const ResumedStream& aStream) const
+{
+  return mHistory.SoleVersion(
+    aStream.mService, aStream.mWindow, mClock.Now(), mClock.Wall());
+}
+
 void
 StreamOriginExchange::Resolve(const ResumedStream& aStream, DecisionHook aHook)
 {
@@ -221,15 +233,13 @@
   stream.mIsNamed = true;
   stream.mWindow = std::clamp<Duration>(
     std::chrono::milliseconds(query->windowMs), Duration::zero(), kMaxWindow);
-  const VersionFacts facts = FactsOf(stream);
   wire::StreamOriginReply reply;
-  if (facts.mRecorded) {
-    reply.__set_software(*facts.mRecorded);
-    reply.__set_hasBegun(
-      mOrigins.Find(stream.mStream, mClock.Now())->mHasBegun);
+  if (const StreamOrigin* origin = RecordOf(stream); origin != nullptr) {
+    reply.__set_software(origin->mSoftware);
+    reply.__set_hasBegun(origin->mHasBegun);
   }
-  if (facts.mSole) {
-    reply.__set_soleSoftware(*facts.mSole);
+  if (const auto sole = SoleVersion(stream); sole) {
+    reply.__set_soleSoftware(*sole);
   }
   return EncodeThrift(reply);
 }
@@ -261,6 +271,11 @@
     return;
   }
   const Instant now = mClock.Now();
+  if (!mHistory.HasMixed(kMaxWindow, now)) {
+    // All are told when a second version appears.
+    mForwardedAt = Instant();
+    return;
+  }
   const std::vector<FleetMember> successors = mHooks.mRecordHolders();
   std::vector<std::string> names;
   names.reserve(successors.size());
@@ -279,7 +294,7 @@
     }
   }
   if (message.origins.empty()) {
-    // All are told when a second version appears.
+    // All are told when another service gets a second version.
     mForwardedAt = Instant();
     return;
   }
--- a/Source/Router/StreamOriginExchange.h
+++ b/Source/Router/StreamOriginExchange.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,10 @@
   struct PendingQuestion;
 
   VersionFacts FactsOf(const ResumedStream& aStream) const;
+  /** The record of aStream at this daemon; null when it has none. */
+  const StreamOrigin* RecordOf(const ResumedStream& aStream) const;
+  /** The only version that may have begun aStream, if it is known. */
+  std::optional<std::string> SoleVersion(const ResumedStream& aStream) const;
   void Ask(const std::shared_ptr<PendingQuestion>& aQuestion);
   void AskWaiting();
   /** Calls the hook of aQuestion with the decision. */
--- a/Source/Routing/SoftwareHistory.cxx
+++ b/Source/Routing/SoftwareHistory.cxx
@@ -19,14 +19,17 @@
     Remove(aEndpoint.mId, aNow);
     return;
   }
-  const auto it = mEndpoints.find(aEndpoint.mId);
-  if (it != mEndpoints.end() && (it->second.mSoftware != aEndpoint.mSoftware ||
-                                 it->second.mService != aEndpoint.mService)) {
-    Remove(aEndpoint.mId, aNow);
+  if (const auto it = mEndpoints.find(aEndpoint.mId);
+      it != mEndpoints.end() && it->second.mSoftware == aEndpoint.mSoftware &&
+      it->second.mService == aEndpoint.mService) {
+    it->second.mIncarnation = aEndpoint.mIncarnation;
+    return;
   }
+  Remove(aEndpoint.mId, aNow);
   mEndpoints[aEndpoint.mId] = { aEndpoint.mService,
                                 aEndpoint.mSoftware,
                                 aEndpoint.mIncarnation };
+  ++mServices[aEndpoint.mService][aEndpoint.mSoftware].mCount;
 }
 
 void
@@ -36,43 +39,63 @@
   if (node.empty()) {
     return;
   }
-  auto& left = mLeft[node.mapped().mService];
-  left[node.mapped().mSoftware] = aNow;
-  if (left.size() > kMaxLeftVersions) {
-    left.erase(std::min_element(
-      left.begin(), left.end(), [](const auto& aLeft, const auto& aRight) {
-        return aLeft.second < aRight.second;
-      }));
+  Versions& versions = mServices[node.mapped().mService];
+  Presence& presence = versions[node.mapped().mSoftware];
+  --presence.mCount;
+  presence.mLeftAt = aNow;
+  Limit(versions);
+}
+
+void
+SoftwareHistory::Limit(Versions& aVersions)
+{
+  if (aVersions.size() <= kMaxLeftVersions) {
+    return;
+  }
+  auto first = aVersions.end();
+  for (auto it = aVersions.begin(); it != aVersions.end(); ++it) {
+    const bool isFirst =
+      first == aVersions.end() || it->second.mLeftAt < first->second.mLeftAt;
+    if (it->second.mCount == 0 && isFirst) {
+      first = it;
+    }
+  }
+  if (first != aVersions.end()) {
+    aVersions.erase(first);
   }
 }
 
-std::set<std::string>
+std::vector<std::string>
 SoftwareHistory::VersionsSince(const std::string& aService,
                                Instant aSince) const
 {
-  std::set<std::string> versions;
-  for (const auto& [id, endpoint] : mEndpoints) {
-    if (endpoint.mService == aService) {
-      versions.insert(endpoint.mSoftware);
-    }
-  }
-  if (const auto it = mLeft.find(aService); it != mLeft.end()) {
-    for (const auto& [software, leftAt] : it->second) {
-      if (leftAt >= aSince) {
-        versions.insert(software);
+  std::vector<std::string> versions;
+  if (const auto it = mServices.find(aService); it != mServices.end()) {
+    for (const auto& [software, presence] : it->second) {
+      if (presence.mCount > 0 || presence.mLeftAt >= aSince) {
+        versions.push_back(software);
       }
     }
   }
   return versions;
 }
 
+bool
+SoftwareHistory::HasMixed(Duration aWindow, Instant aNow) const
+{
+  return std::any_of(
+    mServices.begin(), mServices.end(), [&](const auto& aService) {
+      return IsMixed(aService.first, aWindow, aNow);
+    });
+}
+
 std::optional<std::string>
 SoftwareHistory::SoleVersion(const std::string& aService,
                              Duration aWindow,
                              Instant aNow,
                              WallTime aWall) const
 {
-  const std::set<std::string> versions =
+  const std::vector<std::string> versions =
     VersionsSince(aService, aNow - aWindow);
   if (versions.size() != 1) {
     return std::nullopt;
@@ -88,7 +111,7 @@
       return endpoint.mService != aService ||
              (endpoint.mIncarnation > 0 && endpoint.mIncarnation <= latest);
     });
-  return isKnown ? std::optional(*versions.begin()) : std::nullopt;
+  return isKnown ? std::optional(versions.front()) : std::nullopt;
 }
 
 } // namespace bulrushfold
--- a/Source/Routing/SoftwareHistory.h
+++ b/Source/Routing/SoftwareHistory.h
@@ -1,11 +1,12 @@
 #ifndef BULRUSHFOLD_ROUTING_SOFTWAREHISTORY_H
 #define BULRUSHFOLD_ROUTING_SOFTWAREHISTORY_H
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
+#include <vector>
 
 #include "Base/Clock.h"
 #include "Routing/EndpointDirectory.h"
@@ -39,6 +40,8 @@
   {
     return VersionsSince(aService, aNow - aWindow).size() > 1;
   }
+  /** IsMixed is true of any service. */
+  bool HasMixed(Duration aWindow, Instant aNow) const;
 
 private:
   struct Endpoint
@@ -49,13 +52,24 @@
     std::int64_t mIncarnation = 0;
   };
 
-  std::set<std::string> VersionsSince(const std::string& aService,
-                                      Instant aSince) const;
+  /** Endpoints of one version. */
+  struct Presence
+  {
+    std::size_t mCount = 0;
+    /** When the last one that left did so; empty: none has. */
+    std::optional<Instant> mLeftAt;
+  };
+  using Versions = std::map<std::string, Presence>;
+
+  std::vector<std::string> VersionsSince(const std::string& aService,
+                                         Instant aSince) const;
   void Remove(const std::string& aId, Instant aNow);
+  /** Drops the versions that left first, if there are too many. */
+  static void Limit(Versions& aVersions);
 
   std::map<std::string, Endpoint> mEndpoints;
-  /** When the last endpoint of a version left, by service and version. */
-  std::map<std::string, std::map<std::string, Instant>> mLeft;
+  /** Versions by service, with those that have left. */
+  std::map<std::string, Versions> mServices;
   /** When the first endpoint was known. */
   std::optional<Instant> mStart;
 };
