--- a/Source/Router/StreamSession.cxx
+++ b/Source/Router/StreamSession.cxx
@@ -43,8 +43,7 @@
 {
   const RequestMetadata& metadata = mRequest->mMetadata;
   // A placement owner asks the engines by itself.
-  return !mServices.mPlacement.HasRemoteOwner() &&
-         !metadata.mLastEventId.empty() && metadata.mUniquePromptPart &&
+  return !mServices.mPlacement.HasRemoteOwner() && metadata.mUniquePromptPart &&
          mServices.mCachedPrompts
            .Find(metadata.mUniquePromptPart->mKey, mServices.mClock.Now())
            .empty();
--- a/Source/Router/StreamSession.h
+++ b/Source/Router/StreamSession.h
@@ -92,8 +92,8 @@
                      const StreamOriginExchange::QuestionCounts& aCounts);
   /** Starts the call once it is known which engines cache the prompt. */
   void FindCachedPrompt();
-  /** True when the caller resumes a stream and this daemon knows no engine that
-   * has the prompt in its cache. */
+  /** True when this daemon knows no engine that has the prompt of the resumed
+   * stream in its cache. */
   bool NeedsCachedPromptQuery() const;
   void StartCall();
   void HandleUnservable(Duration aRetryAfter) override;
--- a/Source/Routing/OwnerSelector.cxx
+++ b/Source/Routing/OwnerSelector.cxx
@@ -61,10 +61,15 @@
 const FleetMember*
 OwnerSelector::Choose(Instant aNow) const
 {
-  const auto candidates = FirstCandidates(1, aNow);
-  return candidates.empty() || IsLeftOut(candidates.back()->mName, aNow)
-           ? nullptr
-           : candidates.back();
+  if (!HasOwner()) {
+    return nullptr;
+  }
+  for (std::size_t i = 0; i < kCandidates; ++i) {
+    if (!IsLeftOut(mMembers[i].mName, aNow)) {
+      return &mMembers[i];
+    }
+  }
+  return nullptr;
 }
 
 const FleetMember*
--- a/Source/Routing/OwnerSelector.h
+++ b/Source/Routing/OwnerSelector.h
@@ -53,7 +53,6 @@
    * Empty in a small fleet. */
   std::vector<const FleetMember*> FirstCandidates(std::size_t aCount,
                                                   Instant aNow) const;
-  bool IsLeftOut(const std::string& aName, Instant aNow) const;
   /** A member that ranks before aName and was left out until now, so that it
    * should be tried again; null when there is none. */
   const FleetMember* FindReturning(const std::string& aName,
@@ -70,6 +69,7 @@
     Instant mUntil;
     Duration mSpan{};
   };
+  bool IsLeftOut(const std::string& aName, Instant aNow) const;
 
   /** Sorted by rank. */
   std::vector<FleetMember> mMembers;
--- a/Source/Routing/StreamOrigins.cxx
+++ b/Source/Routing/StreamOrigins.cxx
@@ -1,6 +1,7 @@
 #include "Routing/StreamOrigins.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace bulrushfold {
 
@@ -78,7 +79,7 @@
   mOnChange.emit();
   if (!aIsTold) {
     if (mTelling.size() >= kMaxTold) {
-      Untold(aNow);
+      ForgetTold(aNow);
     }
     mTelling[aOrigin.mStream] = aNow + kTellTime;
     mOnUntold.emit();
@@ -106,20 +107,24 @@
            : &it->second.mOrigin;
 }
 
+void
+StreamOrigins::ForgetTold(Instant aNow)
+{
+  for (auto it = mTelling.begin(); it != mTelling.end();) {
+    const bool isTold = it->second <= aNow || Find(it->first, aNow) == nullptr;
+    it = isTold ? mTelling.erase(it) : std::next(it);
+  }
+}
+
 std::vector<StreamOrigin>
 StreamOrigins::Untold(Instant aNow)
 {
+  ForgetTold(aNow);
   std::vector<StreamOrigin> origins;
-  for (auto it = mTelling.begin(); it != mTelling.end();) {
-    const StreamOrigin* origin = Find(it->first, aNow);
-    if (origin == nullptr || it->second <= aNow) {
-      it = mTelling.erase(it);
-      continue;
-    }
-    if (origins.size() < kMaxTold) {
-      origins.push_back(*origin);
-    }
-    ++it;
+  for (auto it = mTelling.begin();
+       it != mTelling.end() && origins.size() < kMaxTold;
+       ++it) {
+    origins.push_back(*Find(it->first, aNow));
   }
   return origins;
 }
--- a/Source/Routing/StreamOrigins.h
+++ b/Source/Routing/StreamOrigins.h
@@ -74,6 +74,8 @@
   /** True when aOrigin was new or has changed. */
   bool Put(const StreamOrigin& aOrigin, Instant aNow);
   void DropOldest(Instant aNow);
+  /** Forgets which streams were told to the others for long enough. */
+  void ForgetTold(Instant aNow);
 
   std::unordered_map<std::uint64_t, Entry> mEntries;
   /** Streams in the order in which they became known. */
--- a/Source/Wire/Routing.thrift
+++ b/Source/Wire/Routing.thrift
@@ -106,14 +106,14 @@
   5: bool hasBegun,
 }
 
-// ROUTING_STATUS: the complete state that a daemon reports to its peers. Each
-// message replaces the previous one of the same sender.
 // Use of a workspace's quota at the sender since its start.
 struct QuotaUse {
   1: required string workspace,
   2: required double units,
 }
 
+// ROUTING_STATUS: the complete state that a daemon reports to its peers. Each
+// message replaces the previous one of the same sender, but for the origins.
 struct RoutingStatus {
   1: required list<StreamRun> runs,
   2: required list<EndpointShare> shares,
@@ -130,6 +130,6 @@
   11: list<AnsweredPart> answeredParts,
   12: list<EngineAnswer> engineAnswers,
   13: list<QuotaUse> quotaUses,
-  // Not complete: origins that are new, or that the receiver may not know.
+  // Origins that are new, or that the receiver may not know.
   14: list<StreamOrigin> origins,
 }
