Let two tests share the further router of a fixture

ResumedVersionTest and LostPathsTest each set up routers beside that of the fixture. PathProxy loses a byte count that nobody read.

--- a/Tests/Adapter/LostPathsTest.cxx
+++ b/Tests/Adapter/LostPathsTest.cxx
@@ -9,6 +9,7 @@
 
 #include <doctest/doctest.h>
 
+#include "FurtherRouter.h"
 #include "PathProxy.h"
 #include "PlatformFixture.h"
 
@@ -135,11 +136,8 @@
 private:
   struct Member
   {
-    RouterSettings mSettings;
-    std::unique_ptr<HttpClient> mClient;
-    std::unique_ptr<platform::PlatformStore> mStore;
     std::map<std::string, std::unique_ptr<PathProxy>> mPaths;
-    std::unique_ptr<Router> mRouter;
+    std::unique_ptr<FurtherRouter> mRouter;
   };
   struct Call
   {
@@ -161,25 +159,13 @@
   void AddRouter(const std::string& aName)
   {
     Member& member = mMembers[aName];
-    member.mSettings = mPlatform.mSettings;
-    member.mSettings.mName = aName;
-    member.mSettings.mCallerAddress = FreeAddress();
-    member.mSettings.mReadinessAddress = FreeAddress();
-    member.mSettings.mPeerAddress = FreeAddress();
-    member.mClient = std::make_unique<HttpClient>(
-      mPlatform.mLoop, PlatformFixture::kMaxReplyBytes);
-    member.mStore = std::make_unique<platform::PlatformStore>(
-      mPlatform.mLoop, *member.mClient, mPlatform.mFakeStore.Address());
     for (const auto& [id, endpoint] : mPlatform.mEndpoints) {
       member.mPaths[id] =
         std::make_unique<PathProxy>(mPlatform.mLoop, endpoint->Address());
     }
-    member.mRouter = std::make_unique<Router>(
-      mPlatform.mLoop,
-      member.mSettings,
-      *member.mClient,
-      *member.mStore,
-      mPlatform.mProtocol,
+    member.mRouter = std::make_unique<FurtherRouter>(
+      mPlatform,
+      aName,
       RegistryCodec{
         &platform::ReadConfig, [&member](const StoredObject& aObject) {
           auto record = platform::ReadEndpoint(aObject);
@@ -188,7 +174,6 @@
           }
           return record;
         } });
-    REQUIRE(member.mRouter->Start().ok());
   }
   void SendOne(const std::string& aRouter)
   {
@@ -200,7 +185,7 @@
     call.mRouter = aRouter;
     call.mIsStream = path == kPaths.back();
     call.mClient = std::make_unique<RawClient>(
-      mMembers.at(aRouter).mSettings.mCallerAddress);
+      mMembers.at(aRouter).mRouter->CallerAddress());
     call.mClient->Send("POST " + path +
                        " HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: t" +
                        std::to_string(mNumber++) +
--- a/Tests/Adapter/PathProxy.cxx
+++ b/Tests/Adapter/PathProxy.cxx
@@ -137,9 +137,8 @@
     Accept();
   }
   for (Connection& it : mConnections) {
-    std::size_t returned = 0;
-    if (!Copy(it.mRouter, it.mEndpoint, it.mForward, mBytesPassed) ||
-        !Copy(it.mEndpoint, it.mRouter, it.mBackward, returned)) {
+    if (!Copy(it.mRouter, it.mEndpoint, it.mForward) ||
+        !Copy(it.mEndpoint, it.mRouter, it.mBackward)) {
       Close(it, true);
     } else if (it.mForward.mIsEnded || it.mBackward.mIsEnded) {
       Close(it, false);
@@ -167,7 +166,7 @@
 }
 
 bool
-PathProxy::Copy(int aFrom, int aTo, Stream& aStream, std::size_t& aCount)
+PathProxy::Copy(int aFrom, int aTo, Stream& aStream)
 {
   const auto isPending = [] {
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == ENOTCONN ||
@@ -187,7 +186,6 @@
                                                aStream.mUnsent.size(),
                                                MSG_NOSIGNAL)) > 0) {
     aStream.mUnsent.erase(0, static_cast<std::size_t>(n));
-    aCount += static_cast<std::size_t>(n);
   }
   if (!aStream.mUnsent.empty() && n < 0 && !isPending()) {
     return false;
--- a/Tests/Adapter/PathProxy.h
+++ b/Tests/Adapter/PathProxy.h
@@ -34,8 +34,6 @@
 
   const SocketAddress& Address() const { return mAddress; }
   void SetState(PathState aState);
-  /** Number of bytes that reached the endpoint. */
-  std::size_t BytesPassed() const { return mBytesPassed; }
 
 private:
   /** One direction of a connection. */
@@ -55,7 +53,7 @@
   void Poll();
   void Accept();
   /** Copies the available bytes; false when a side has reset the connection. */
-  static bool Copy(int aFrom, int aTo, Stream& aStream, std::size_t& aCount);
+  static bool Copy(int aFrom, int aTo, Stream& aStream);
   static void Close(Connection& aConnection, bool aResets);
   void CloseAll(bool aResets);
   void Listen();
@@ -71,7 +69,6 @@
   int mListener = -1;
   std::vector<int> mFillers;
   std::vector<Connection> mConnections;
-  std::size_t mBytesPassed = 0;
   EventHandle mTimer;
 };
 
--- a/Tests/Adapter/ResumedVersionTest.cxx
+++ b/Tests/Adapter/ResumedVersionTest.cxx
@@ -5,6 +5,7 @@
 
 #include <doctest/doctest.h>
 
+#include "FurtherRouter.h"
 #include "PlatformFixture.h"
 #include "RawAnswers.h"
 
@@ -18,45 +19,6 @@
 /** End of the ids of attempts that resume a stream. */
 constexpr const char* kAgain = "-again";
 
-/** A router that shares the store and the endpoints of a fixture. */
-class FurtherRouter
-{
-public:
-  FurtherRouter(PlatformFixture& aPlatform, const std::string& aName)
-    : mSettings(aPlatform.mSettings)
-    , mClient(aPlatform.mLoop, PlatformFixture::kMaxReplyBytes)
-    , mStore(aPlatform.mLoop, mClient, aPlatform.mFakeStore.Address())
-  {
-    mSettings.mName = aName;
-    mSettings.mCallerAddress = FreeAddress();
-    mSettings.mReadinessAddress = FreeAddress();
-    mSettings.mPeerAddress = FreeAddress();
-    mRouter = std::make_unique<Router>(
-      aPlatform.mLoop,
-      mSettings,
-      mClient,
-      mStore,
-      aPlatform.mProtocol,
-      RegistryCodec{ &platform::ReadConfig, &platform::ReadEndpoint });
-    REQUIRE(mRouter->Start().ok());
-  }
-  const SocketAddress& CallerAddress() const
-  {
-    return mSettings.mCallerAddress;
-  }
-
-  const SocketAddress& ReadinessAddress() const
-  {
-    return mSettings.mReadinessAddress;
-  }
-
-private:
-  RouterSettings mSettings;
-  HttpClient mClient;
-  platform::PlatformStore mStore;
-  std::unique_ptr<Router> mRouter;
-};
-
 /** Routers in front of engines of two software versions. A run that begins a
  * stream sends three events and goes on for ever; one that resumes a stream
  * sends three more and ends. */
